--- /dev/null
+++ b/cmd/cmd.go
@@ -0,0 +1,34 @@
+// Package cmd holds the commands of the command line, one to a file.
+package cmd
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"cairndock/internal/telemetry"
+)
+
+// The exit codes besides those of subcommands: 0 done, 1 failed, 2 usage.
+const exitConflict subcommands.ExitStatus = 3
+
+// Run runs the command that the arguments name and gives its exit code.
+func Run() int {
+	telemetry.UseW3C()
+	c := subcommands.NewCommander(flag.CommandLine, "cairndock")
+	c.Register(c.HelpCommand(), "")
+	c.Register(c.FlagsCommand(), "")
+	for _, command := range []subcommands.Command{
+		&quickstartCmd{}, &serveCmd{}, &checkCmd{}, &applyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{}, &loadCmd{}, &versionCmd{},
+	} {
+		c.Register(command, "")
+	}
+	flag.Parse()
+	if flag.NArg() == 0 {
+		c.Explain(os.Stderr)
+		return int(subcommands.ExitUsageError)
+	}
+	return int(c.Execute(context.Background()))
+}
--- /dev/null
+++ b/internal/config/log.go
@@ -0,0 +1,367 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cairndock/internal/platform"
+	"cairndock/internal/tomlfile"
+)
+
+// Where the log lives in the platform's table and object store.
+const (
+	partitionHead   = "config"
+	partitionLog    = "config-log"
+	partitionChange = "config-change"
+	sortHead        = "head"
+	sortSnapshot    = "snapshot"
+	// maxInline is the largest change kept in a row; a larger one goes to
+	// the object store and its row only names it.
+	maxInline = 200 << 10
+	// readPage is how many changes one read of the log asks for.
+	readPage = 100
+	// appendTries bounds how often an append meets a moved head.
+	appendTries = 20
+)
+
+// Table is the part of the platform's table that the log uses.
+type Table interface {
+	Get(ctx context.Context, key platform.Key) (platform.Row, error)
+	Transact(ctx context.Context, writes []platform.Write) error
+	List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error)
+}
+
+// Objects is the part of the platform's object store that the log uses.
+type Objects interface {
+	PutObject(ctx context.Context, name string, body []byte) error
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
+// Log is the append-only log of changes in the platform's table.
+type Log struct {
+	table   Table
+	objects Objects
+}
+
+// NewLog makes a log on a table and an object store.
+func NewLog(table Table, objects Objects) *Log {
+	return &Log{table: table, objects: objects}
+}
+
+type head struct {
+	Revision uint64 `msgpack:"r"`
+}
+
+type logRow struct {
+	Change Change `msgpack:"c"`
+	// Object names the object that holds the change when it is large.
+	Object string `msgpack:"o"`
+}
+
+// Head reads the newest revision; 0 when nothing was ever accepted.
+func (l *Log) Head(ctx context.Context) (uint64, error) {
+	row, err := l.table.Get(ctx, platform.Key{Partition: partitionHead, Sort: sortHead})
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, nil
+	}
+	if err != nil {
+		return 0, eris.Wrap(err, "read head")
+	}
+	h, err := decode[head](row.Body)
+	return h.Revision, err
+}
+
+func logSort(rev uint64) string { return fmt.Sprintf("%020d", rev) }
+
+// Since reads the changes after a revision, oldest first, one page at most.
+func (l *Log) Since(ctx context.Context, rev uint64) ([]Change, error) {
+	rows, err := l.table.List(ctx, partitionLog, logSort(rev), readPage)
+	if err != nil {
+		return nil, eris.Wrap(err, "read log")
+	}
+	changes := make([]Change, 0, len(rows))
+	for _, row := range rows {
+		c, err := l.decodeRow(ctx, row)
+		if err != nil {
+			return nil, err
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+func (l *Log) decodeRow(ctx context.Context, row platform.Row) (Change, error) {
+	r, err := decode[logRow](row.Body)
+	if err != nil || r.Object == "" {
+		return r.Change, err
+	}
+	body, err := l.objects.GetObject(ctx, r.Object)
+	if err != nil {
+		return Change{}, eris.Wrap(err, "read large change")
+	}
+	c, err := decode[Change](body)
+	return c.WithRevision(r.Change.Revision), err
+}
+
+// CatchUp gives the state moved on to the head of the log.
+func (l *Log) CatchUp(ctx context.Context, s *State) (*State, error) {
+	for {
+		changes, err := l.Since(ctx, s.Revision())
+		if err != nil {
+			return nil, err
+		}
+		for _, c := range changes {
+			if s, err = s.With(c); err != nil {
+				return nil, err
+			}
+		}
+		if len(changes) < readPage {
+			return s, nil
+		}
+	}
+}
+
+// ByID gives the revision that a change id was accepted at.
+func (l *Log) ByID(ctx context.Context, id string) (uint64, bool, error) {
+	row, err := l.table.Get(ctx, platform.Key{Partition: partitionChange, Sort: id})
+	if errors.Is(err, platform.ErrNotFound) {
+		return 0, false, nil
+	}
+	if err != nil {
+		return 0, false, eris.Wrap(err, "read change id")
+	}
+	h, err := decode[head](row.Body)
+	return h.Revision, true, err
+}
+
+// Append accepts a change: in one transaction the head moves on by one, the
+// change id becomes used and the change is logged. It gives the state that
+// results. A change id that was accepted before gives its revision again.
+// The error is a *Conflict where an object moved on, and joined KeyErrors
+// where the result would not hold together; both mean that nothing was
+// written. Any other error leaves the outcome unknown until the id is read.
+func (l *Log) Append(ctx context.Context, s *State, c Change) (*State, uint64, error) {
+	if rev, used, err := l.ByID(ctx, c.ID); err != nil || used {
+		return s, rev, err
+	}
+	object, err := l.storeLarge(ctx, c)
+	if err != nil {
+		return s, 0, err
+	}
+	for range appendTries {
+		if s, err = l.CatchUp(ctx, s); err != nil {
+			return s, 0, err
+		}
+		next, err := l.try(ctx, s, c, object)
+		if err == nil {
+			return next, next.Revision(), nil
+		}
+		rev, used, settled := l.settle(ctx, c.ID, err)
+		if settled != nil {
+			return s, 0, settled
+		}
+		if used {
+			return s, rev, nil
+		}
+	}
+	return s, 0, eris.Errorf("head moved %d times while appending", appendTries)
+}
+
+// settle decides what a failed transaction means. A nil error without use
+// says to try again.
+func (l *Log) settle(ctx context.Context, id string, cause error) (uint64, bool, error) {
+	var conflict *Conflict
+	var faulty tomlfile.KeyError
+	if errors.As(cause, &conflict) || errors.As(cause, &faulty) {
+		return 0, false, l.nameWinner(ctx, conflict, cause)
+	}
+	rev, used, err := l.ByID(ctx, id)
+	if err != nil {
+		return 0, false, err
+	}
+	if used || errors.Is(cause, platform.ErrConflict) {
+		return rev, used, nil
+	}
+	return 0, false, cause
+}
+
+func (l *Log) nameWinner(ctx context.Context, conflict *Conflict, cause error) error {
+	if conflict == nil || conflict.Winner == 0 {
+		return cause
+	}
+	rows, err := l.table.List(ctx, partitionLog, logSort(conflict.Winner-1), 1)
+	if err != nil || len(rows) == 0 {
+		return cause
+	}
+	if r, err := decode[logRow](rows[0].Body); err == nil {
+		conflict.WinnerID = r.Change.ID
+	}
+	return cause
+}
+
+func (l *Log) storeLarge(ctx context.Context, c Change) (string, error) {
+	body, err := encode(c)
+	if err != nil || len(body) <= maxInline {
+		return "", err
+	}
+	name := "change/" + c.ID
+	return name, eris.Wrap(l.objects.PutObject(ctx, name, body), "store large change")
+}
+
+func (l *Log) try(ctx context.Context, s *State, c Change, object string) (*State, error) {
+	if conflict := s.Check(c); conflict != nil {
+		return nil, conflict
+	}
+	c = c.WithRevision(s.Revision() + 1)
+	next, err := s.With(c)
+	if err != nil {
+		return nil, err
+	}
+	if err := next.CheckReferences(s); err != nil {
+		return nil, err
+	}
+	row := logRow{Change: c}
+	if object != "" {
+		row = logRow{Change: Change{ID: c.ID, Revision: c.Revision}, Object: object}
+	}
+	logBody, err := encode(row)
+	if err != nil {
+		return nil, err
+	}
+	headBody, err := encode(head{c.Revision})
+	if err != nil {
+		return nil, err
+	}
+	return next, l.table.Transact(ctx, []platform.Write{
+		// The head's version is its revision: both rise by one each time.
+		{Key: platform.Key{Partition: partitionHead, Sort: sortHead}, IfVersion: int64(s.Revision()), Body: headBody},
+		{Key: platform.Key{Partition: partitionLog, Sort: logSort(c.Revision)}, Body: logBody},
+		{Key: platform.Key{Partition: partitionChange, Sort: c.ID}, Body: headBody},
+	})
+}
+
+// snapshotObject is one object within a snapshot.
+type snapshotObject struct {
+	Ref     Ref    `msgpack:"r"`
+	Version uint64 `msgpack:"v"`
+	Body    []byte `msgpack:"b"`
+}
+
+// Snapshot is a whole state as bytes, for starting hosts and far-behind peers.
+type Snapshot struct {
+	Revision uint64           `msgpack:"r"`
+	Objects  []snapshotObject `msgpack:"o"`
+}
+
+// Snapshot writes the whole state down.
+func (s *State) Snapshot() (Snapshot, error) {
+	snap := Snapshot{Revision: s.revision}
+	var faults []error
+	add := func(kind Kind, name string, version uint64, v any) {
+		body, err := encode(v)
+		faults = append(faults, err)
+		snap.Objects = append(snap.Objects, snapshotObject{Ref{kind, name}, version, body})
+	}
+	for name, e := range s.zones {
+		add(KindZone, name, e.version, e.value)
+	}
+	for name, e := range s.services {
+		add(KindService, name, e.version, e.value)
+	}
+	for name, e := range s.upstreams {
+		add(KindUpstream, name, e.version, e.value)
+	}
+	for name, e := range s.rules {
+		add(KindRule, name, e.version, e.value)
+	}
+	for name, e := range s.links {
+		add(KindLink, name, e.version, e.value)
+	}
+	for prefix, b := range s.blocks.All() {
+		add(KindBlock, prefix.String(), b.version, Block{CIDR: prefix.String(), Zone: s.zoneNames[b.zone]})
+	}
+	return snap, errors.Join(faults...)
+}
+
+// FromSnapshot makes a state from a snapshot.
+func FromSnapshot(snap Snapshot) (*State, error) {
+	s := NewState()
+	for _, o := range snap.Objects {
+		if err := s.apply(Edit{Ref: o.Ref, Body: o.Body}, o.Version); err != nil {
+			return nil, eris.Wrapf(err, "load %s", o.Ref)
+		}
+	}
+	s.revision = snap.Revision
+	return s, nil
+}
+
+// SaveSnapshot stores the state as an object and points the table at it.
+func (l *Log) SaveSnapshot(ctx context.Context, s *State) error {
+	snap, err := s.Snapshot()
+	if err != nil {
+		return err
+	}
+	body, err := msgpack.Marshal(snap)
+	if err != nil {
+		return eris.Wrap(err, "encode snapshot")
+	}
+	if err := l.objects.PutObject(ctx, snapshotName(s.Revision()), body); err != nil {
+		return eris.Wrap(err, "store snapshot")
+	}
+	key := platform.Key{Partition: partitionHead, Sort: sortSnapshot}
+	row, err := l.table.Get(ctx, key)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return eris.Wrap(err, "read snapshot row")
+	}
+	if h, err := decode[head](row.Body); err == nil && h.Revision >= s.Revision() {
+		return nil
+	}
+	pointer, err := encode(head{s.Revision()})
+	if err != nil {
+		return err
+	}
+	err = l.table.Transact(ctx, []platform.Write{{Key: key, IfVersion: row.Version, Body: pointer}})
+	return eris.Wrap(err, "point at snapshot")
+}
+
+func snapshotName(rev uint64) string { return "snapshot/" + logSort(rev) }
+
+// Load reads the newest snapshot and the changes after it.
+func (l *Log) Load(ctx context.Context) (*State, error) {
+	s, err := l.loadSnapshot(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return l.CatchUp(ctx, s)
+}
+
+func (l *Log) loadSnapshot(ctx context.Context) (*State, error) {
+	row, err := l.table.Get(ctx, platform.Key{Partition: partitionHead, Sort: sortSnapshot})
+	if errors.Is(err, platform.ErrNotFound) {
+		return NewState(), nil
+	}
+	if err != nil {
+		return nil, eris.Wrap(err, "read snapshot row")
+	}
+	h, err := decode[head](row.Body)
+	if err != nil {
+		return nil, err
+	}
+	body, err := l.objects.GetObject(ctx, snapshotName(h.Revision))
+	if err != nil {
+		return nil, eris.Wrap(err, "read snapshot")
+	}
+	snap, err := decode[Snapshot](body)
+	if err != nil {
+		return nil, err
+	}
+	return FromSnapshot(snap)
+}
+
+// ReadTimeout bounds one call to the platform.
+const ReadTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/config/view.go
@@ -0,0 +1,262 @@
+package config
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"k8s.io/apimachinery/pkg/labels"
+
+	"cairndock/internal/tomlfile"
+)
+
+// Site is one zone's upstreams under one rule.
+type Site struct {
+	Zone   string
+	Region string
+	// Slots is the sum of the matching upstreams' slots, none leaving.
+	Slots int
+}
+
+// RuleView is a rule with its selector worked out.
+type RuleView struct {
+	Rule
+	// Sites lists the zones that have matching upstreams, by name.
+	Sites []Site
+	// Local holds the indexes in ServiceView.Local that match.
+	Local []int32
+}
+
+// ServiceView is a service as one zone's hosts see it.
+type ServiceView struct {
+	Service
+	// Rules are in the order of their names.
+	Rules []RuleView
+	// Local are the own zone's upstreams, by name.
+	Local []Upstream
+}
+
+// Rule gives the rule with this name.
+func (s *ServiceView) Rule(name string) (*RuleView, bool) {
+	i, ok := slices.BinarySearchFunc(s.Rules, name, func(r RuleView, n string) int {
+		return strings.Compare(r.Name, n)
+	})
+	if !ok {
+		return nil, false
+	}
+	return &s.Rules[i], true
+}
+
+// View is a State worked out for the hosts of one zone. It is immutable.
+type View struct {
+	state    *State
+	zone     string
+	services map[string]*ServiceView
+}
+
+// NewView works a state out for a zone. Selectors were checked when the
+// change was accepted; one that can't be read matches nothing.
+func NewView(s *State, zone string) *View {
+	v := &View{state: s, zone: zone, services: make(map[string]*ServiceView, len(s.services))}
+	byService := map[string][]Upstream{}
+	for _, u := range s.upstreams {
+		byService[u.value.Service] = append(byService[u.value.Service], u.value)
+	}
+	for name, svc := range s.services {
+		v.services[name] = newServiceView(svc.value, byService[name], zone)
+	}
+	for _, r := range s.rules {
+		if svc, ok := v.services[r.value.Service]; ok {
+			svc.Rules = append(svc.Rules, newRuleView(s, r.value, svc, byService[svc.Name]))
+		}
+	}
+	for _, svc := range v.services {
+		slices.SortFunc(svc.Rules, func(a, b RuleView) int { return strings.Compare(a.Name, b.Name) })
+	}
+	return v
+}
+
+func newServiceView(svc Service, all []Upstream, zone string) *ServiceView {
+	v := &ServiceView{Service: svc}
+	for _, u := range all {
+		if u.Zone == zone {
+			v.Local = append(v.Local, u)
+		}
+	}
+	slices.SortFunc(v.Local, func(a, b Upstream) int { return strings.Compare(a.Name, b.Name) })
+	return v
+}
+
+func newRuleView(s *State, r Rule, svc *ServiceView, all []Upstream) RuleView {
+	v := RuleView{Rule: r}
+	selector, err := labels.Parse(r.Selector)
+	if err != nil {
+		return v
+	}
+	sites := map[string]*Site{}
+	for _, u := range all {
+		region := s.zones[u.Zone].value.Region
+		if !selector.Matches(LabelSet(u, region)) {
+			continue
+		}
+		site := sites[u.Zone]
+		if site == nil {
+			site = &Site{Zone: u.Zone, Region: region}
+			sites[u.Zone] = site
+		}
+		if u.State != StateLeaving {
+			site.Slots += u.Slots
+		}
+	}
+	for _, site := range sites {
+		v.Sites = append(v.Sites, *site)
+	}
+	slices.SortFunc(v.Sites, func(a, b Site) int { return cmp.Compare(a.Zone, b.Zone) })
+	for i, u := range svc.Local {
+		if selector.Matches(LabelSet(u, s.zones[u.Zone].value.Region)) {
+			v.Local = append(v.Local, int32(i))
+		}
+	}
+	return v
+}
+
+// LabelSet adds the labels that every upstream has: name, zone and region.
+func LabelSet(u Upstream, region string) labels.Set {
+	set := labels.Set{"name": u.Name, "zone": u.Zone, "region": region}
+	for k, v := range u.Labels {
+		set[k] = v
+	}
+	return set
+}
+
+// Revision is the revision of the state.
+func (v *View) Revision() uint64 { return v.state.revision }
+
+// State is the state the view was made from.
+func (v *View) State() *State { return v.state }
+
+// Service gives a service by name.
+func (v *View) Service(name string) (*ServiceView, bool) {
+	s, ok := v.services[name]
+	return s, ok
+}
+
+// LocalUpstream gives an upstream of the view's own zone.
+func (v *View) LocalUpstream(name string) (Upstream, bool) {
+	u, ok := v.state.upstreams[name]
+	if !ok || u.value.Zone != v.zone {
+		return Upstream{}, false
+	}
+	return u.value, true
+}
+
+// ZoneOf gives an upstream's zone.
+func (v *View) ZoneOf(upstream string) (string, bool) {
+	u, ok := v.state.upstreams[upstream]
+	return u.value.Zone, ok
+}
+
+// ZoneSlots sums the slots of a zone's upstreams that are not leaving.
+func (v *View) ZoneSlots(zone string) int {
+	sum := 0
+	for _, u := range v.state.upstreams {
+		if u.value.Zone == zone && u.value.State != StateLeaving {
+			sum += u.value.Slots
+		}
+	}
+	return sum
+}
+
+// Services lists the services by name.
+func (v *View) Services() []*ServiceView {
+	out := make([]*ServiceView, 0, len(v.services))
+	for _, s := range v.services {
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b *ServiceView) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Region gives a zone's region, or "".
+func (v *View) Region(zone string) string { return v.state.zones[zone].value.Region }
+
+// Zones lists the zones by name.
+func (v *View) Zones() []Zone {
+	out := make([]Zone, 0, len(v.state.zones))
+	for _, z := range v.state.zones {
+		out = append(out, z.value)
+	}
+	slices.SortFunc(out, func(a, b Zone) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Link gives the link between two regions.
+func (v *View) Link(from, to string) (Link, bool) {
+	l, ok := v.state.links[Link{From: from, To: to}.Key()]
+	return l.value, ok
+}
+
+// CallerZone gives the zone of a caller's block, or "".
+func (v *View) CallerZone(addr netip.Addr) string { return v.state.CallerZone(addr) }
+
+// CheckReferences reports every object that names another which is not
+// there, and every upstream that a change would move to another zone. Slots
+// of one upstream must never belong to two zones at once, so that an
+// upstream is moved by removing it and adding it under another name.
+func (s *State) CheckReferences(before *State) error {
+	var faults []error
+	add := func(kind Kind, name, key, format string, args ...any) {
+		faults = append(faults, tomlfile.KeyError{Key: fmt.Sprintf("%s[%q].%s", kind, name, key), Problem: fmt.Sprintf(format, args...)})
+	}
+	addrs := map[string]string{}
+	for name, u := range s.upstreams {
+		if _, ok := s.services[u.value.Service]; !ok {
+			add(KindUpstream, name, "service", "unknown service %q", u.value.Service)
+		}
+		if _, ok := s.zones[u.value.Zone]; !ok {
+			add(KindUpstream, name, "zone", "unknown zone %q", u.value.Zone)
+		}
+		if old, ok := before.upstreams[name]; ok && old.value.Zone != u.value.Zone {
+			add(KindUpstream, name, "zone", "can't move from %q; add it under another name", old.value.Zone)
+		}
+		if other, ok := addrs[u.value.Addr]; ok {
+			add(KindUpstream, name, "addr", "is also the address of %q", other)
+		}
+		addrs[u.value.Addr] = name
+	}
+	shares := map[string]float64{}
+	for name, r := range s.rules {
+		shares[r.value.Service] += r.value.Share
+		if _, ok := s.services[r.value.Service]; !ok {
+			add(KindRule, name, "service", "unknown service %q", r.value.Service)
+		}
+	}
+	for service, sum := range shares {
+		if sum > 1+shareSlack {
+			add(KindService, service, "rules", "shares add up to %v, above 1", sum)
+		}
+	}
+	for _, zone := range s.zoneNames {
+		if _, ok := s.zones[zone]; !ok && s.zoneHasBlocks(zone) {
+			add(KindZone, zone, "name", "blocks name this unknown zone")
+		}
+	}
+	slices.SortFunc(faults, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
+	return errors.Join(faults...)
+}
+
+// shareSlack allows for rounding in the sum of shares.
+const shareSlack = 1e-9
+
+func (s *State) zoneHasBlocks(zone string) bool {
+	number := s.zoneIndex[zone]
+	for _, b := range s.blocks.All() {
+		if b.zone == number {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/entry/dispatch.go
@@ -0,0 +1,326 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"cairndock/internal/call"
+	"cairndock/internal/config"
+	"cairndock/internal/slot"
+	"cairndock/internal/steer"
+	"cairndock/internal/verdict"
+)
+
+const (
+	// maxTries bounds the zones that one request is offered to.
+	maxTries = 4
+	// comeBack is when a refused caller is told to come back.
+	comeBack = time.Second
+	// queuePart is the part of the time left that a request may spend
+	// waiting for a slot.
+	queuePart = 4
+)
+
+// Do serves a request that a caller sent to this host. Its error is a
+// *verdict.Error.
+func (h *Host) Do(ctx context.Context, req *call.Request) (*call.Answer, error) {
+	if req.Ticket != "" {
+		return h.doTicketed(ctx, req)
+	}
+	return h.dispatch(ctx, req)
+}
+
+// dispatch decides where a request goes, and offers it to other zones as
+// long as it provably did not run, or may be repeated.
+func (h *Host) dispatch(ctx context.Context, req *call.Request) (*call.Answer, error) {
+	ctx, span := h.tracer.Start(ctx, "dispatch", trace.WithAttributes(attribute.String("service", req.Service)))
+	defer span.End()
+	svc, ok := h.View().Service(req.Service)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.UnknownService, "no service %q", req.Service)
+	}
+	d := &dispatcher{host: h, svc: svc, state: h.serviceFor(req.Service), req: req}
+	d.state.mu.Lock()
+	d.state.decider.Begin(&d.plan)
+	d.state.mu.Unlock()
+	answer, err := d.run(ctx)
+	if err != nil {
+		span.SetAttributes(attribute.String("verdict", verdict.From(err).Verdict.String()))
+	}
+	return answer, err
+}
+
+// dispatcher takes one request through its tries.
+type dispatcher struct {
+	host  *Host
+	svc   *config.ServiceView
+	state *service
+	req   *call.Request
+	plan  steer.Plan
+	last  *verdict.Error
+	// doubt says that a try may have run: the final verdict can't be less.
+	doubt bool
+	sends int
+	// spent says that the budget of retries is used up.
+	spent bool
+	// queueAt is the first zone found full, where to wait at last.
+	queueAt *steer.Choice
+}
+
+func (d *dispatcher) run(ctx context.Context) (*call.Answer, error) {
+	for range maxTries {
+		choice, ok := d.next()
+		if !ok {
+			break
+		}
+		if choice.Full && !choice.Local {
+			d.mayQueueAt(choice)
+			continue
+		}
+		answer, err := prime(d.offer(ctx, choice, time.Time{}))
+		if err == nil {
+			return answer, nil
+		}
+		if d.spent {
+			break
+		}
+		if !d.goOn(ctx, choice, err) {
+			return nil, d.final()
+		}
+	}
+	return d.queue(ctx)
+}
+
+// queue waits for a slot at the best zone that was full, for a part of the
+// time left.
+func (d *dispatcher) queue(ctx context.Context) (*call.Answer, error) {
+	if d.queueAt == nil || ctx.Err() != nil {
+		return nil, d.final()
+	}
+	left := time.Until(d.req.Deadline)
+	answer, err := prime(d.offer(ctx, *d.queueAt, time.Now().Add(left/queuePart)))
+	if err == nil {
+		return answer, nil
+	}
+	d.note(err)
+	return nil, d.final()
+}
+
+// primeBytes is the size up to which an answer is read whole before any of
+// it goes to the caller: one that breaks off is then a verdict, and may be
+// asked for again.
+const primeBytes = 32 << 10
+
+// primeSize leaves one byte more than a small answer has, to see its end.
+func primeSize(length int64) int {
+	if length >= 0 && length < primeBytes {
+		return int(length) + 1
+	}
+	return primeBytes + 1
+}
+
+// primedBody gives what was read ahead and then the rest.
+type primedBody struct {
+	io.Reader
+	io.Closer
+}
+
+// prime reads the beginning of an answer ahead.
+func prime(a *call.Answer, err error) (*call.Answer, error) {
+	if err != nil {
+		return nil, err
+	}
+	small := a.Length >= 0 && a.Length <= primeBytes
+	buf := make([]byte, primeSize(a.Length))
+	n, readErr := 0, error(nil)
+	for readErr == nil && n < len(buf) {
+		var m int
+		m, readErr = a.Body.Read(buf[n:])
+		n += m
+		if !small && n > 0 {
+			break
+		}
+	}
+	if readErr != nil && readErr != io.EOF {
+		_ = a.Body.Close()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.AnswerTruncated, "the answer broke off: %v", readErr).WithUpstream(a.Upstream)
+	}
+	out := *a
+	ahead := io.Reader(bytes.NewReader(buf[:n]))
+	if readErr == nil {
+		ahead = io.MultiReader(ahead, a.Body)
+	}
+	out.Body = primedBody{ahead, a.Body}
+	return &out, nil
+}
+
+func (d *dispatcher) next() (steer.Choice, bool) {
+	now := d.host.now()
+	held, out, latency := d.state.usage()
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	d.state.decider.SetLocal(held, out, latency)
+	return d.state.decider.Next(&d.plan, now)
+}
+
+func (s *service) usage() (held, out int, latency time.Duration) {
+	s.gate.Do(func(p *slot.Pool) {
+		held, out = p.Usage()
+		latency = p.Latency()
+	})
+	return held, out, latency
+}
+
+// commit counts a sending against the cap and, from the second on, against
+// the budget of retries.
+func (d *dispatcher) commit(c steer.Choice) *verdict.Error {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	if d.sends > 0 && !d.state.decider.Retries().Take() {
+		d.spent = true
+		return verdict.New(verdict.NotRun, verdict.Full, "no retries left")
+	}
+	if !d.state.decider.Commit(&d.plan, c) {
+		return verdict.New(verdict.NotRun, verdict.Capped, "rule %q is at its cap", c.Rule).WithRetryAfter(comeBack)
+	}
+	d.sends++
+	return nil
+}
+
+// offer sends the request to a zone. Until says how long it may wait for a
+// slot there; the zero time is not at all.
+func (d *dispatcher) offer(ctx context.Context, c steer.Choice, until time.Time) (*call.Answer, error) {
+	if !c.Local {
+		if err := d.commit(c); err != nil {
+			return nil, err
+		}
+		return d.host.forward(ctx, d.req, c.Zone, c.Rule, until)
+	}
+	// Locally the slot is taken first: a request that finds none was not
+	// sent, and uses no room under the cap.
+	lease, err := d.host.acquire(ctx, d.req.Service, c.Rule, until)
+	if err != nil {
+		if d.host.matesMayHelp(d.req.Service) {
+			return d.offerMates(ctx, c, until)
+		}
+		return nil, err
+	}
+	if err := d.commit(c); err != nil {
+		d.state.gate.Release(lease, slot.Unused, 0)
+		return nil, err
+	}
+	return d.host.send(ctx, d.state, lease, d.req)
+}
+
+// offerMates passes the request to a host of the own zone that said it has
+// a free slot.
+func (d *dispatcher) offerMates(ctx context.Context, c steer.Choice, until time.Time) (*call.Answer, error) {
+	if err := d.commit(c); err != nil {
+		return nil, err
+	}
+	return d.host.forward(ctx, d.req, c.Zone, c.Rule, until)
+}
+
+// goOn notes a failed try and says whether another may follow.
+func (d *dispatcher) goOn(ctx context.Context, c steer.Choice, err error) bool {
+	e := d.note(err)
+	if e.Reason == verdict.Full {
+		d.mayQueueAt(c)
+		d.state.mu.Lock()
+		d.state.decider.Refused(c.Zone, d.host.now())
+		d.state.mu.Unlock()
+	}
+	if e.Reason == verdict.UpstreamShed || e.Reason == verdict.Full {
+		d.slow(c.Rule)
+	}
+	if ctx.Err() != nil || time.Now().After(d.req.Deadline) {
+		return false
+	}
+	if e.Verdict == verdict.NotRun {
+		return true
+	}
+	return d.svc.Repeat.Allows(d.req.Method) && d.req.Ticket == ""
+}
+
+// mayQueueAt remembers the first zone that was found full.
+func (d *dispatcher) mayQueueAt(c steer.Choice) {
+	if d.queueAt == nil {
+		d.queueAt = &c
+	}
+}
+
+func (d *dispatcher) slow(rule string) {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	d.state.decider.Meter().Slow(rule)
+}
+
+func (d *dispatcher) note(err error) *verdict.Error {
+	e := verdict.From(err)
+	d.last = e
+	if e.Verdict != verdict.NotRun {
+		d.doubt = true
+	}
+	return e
+}
+
+// final is the verdict over all tries: one doubt is enough.
+func (d *dispatcher) final() error {
+	e := d.last
+	switch {
+	case e == nil && d.plan.Capped:
+		e = verdict.New(verdict.NotRun, verdict.Capped, "every rule is at its cap")
+	case e == nil:
+		e = verdict.New(verdict.NotRun, verdict.NoUpstream, "no zone has an upstream that can be reached")
+	}
+	out := *e
+	if d.doubt && out.Verdict == verdict.NotRun {
+		out.Verdict = verdict.MayHaveRun
+	}
+	if out.RetryAfter == 0 && out.Verdict == verdict.NotRun {
+		out.RetryAfter = comeBack
+	}
+	return &out
+}
+
+// acquire takes a slot of the own zone.
+func (h *Host) acquire(ctx context.Context, name, rule string, until time.Time) (slot.Lease, error) {
+	if !h.awake() {
+		return slot.Lease{}, verdict.New(verdict.NotRun, verdict.NotReady, "host was paused").WithRetryAfter(comeBack)
+	}
+	lease, refusal := h.serviceFor(name).gate.Acquire(ctx, rule, until)
+	switch refusal {
+	case slot.Granted:
+		return lease, nil
+	case slot.Capped:
+		return lease, verdict.New(verdict.NotRun, verdict.Capped, "rule %q is at its limit here", rule).WithRetryAfter(comeBack)
+	case slot.NoRule:
+		return lease, verdict.New(verdict.NotRun, verdict.NoUpstream, "no rule %q here", rule)
+	default:
+		return lease, verdict.New(verdict.NotRun, verdict.Full, "no free slot in %s", h.self.Zone).WithRetryAfter(comeBack)
+	}
+}
+
+// send sends a request to the upstream of a slot in hand.
+func (h *Host) send(ctx context.Context, s *service, lease slot.Lease, req *call.Request) (*call.Answer, error) {
+	target, ok := h.target(req.Service, lease.Upstream())
+	if !ok {
+		s.gate.Release(lease, slot.Unused, 0)
+		return nil, verdict.New(verdict.NotRun, verdict.NoUpstream, "upstream was removed")
+	}
+	ctx, span := h.tracer.Start(ctx, "upstream", trace.WithAttributes(attribute.String("upstream", target.Name)))
+	defer span.End()
+	answer, err := h.client.Send(ctx, target, req, func(o slot.Outcome, latency time.Duration) {
+		s.gate.Release(lease, o, latency)
+	})
+	if err != nil {
+		h.metrics.Count(`cairndock_upstream_failures_total{verdict="` + verdict.From(err).Verdict.String() + `"}`)
+		return nil, err
+	}
+	return answer, nil
+}
--- /dev/null
+++ b/internal/entry/drain.go
@@ -0,0 +1,110 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/roster"
+	"cairndock/internal/slot"
+)
+
+// Drained says how far upstreams are from having no work.
+type Drained struct {
+	// Outstanding sums the requests still running at the upstreams.
+	Outstanding int `json:"outstanding"`
+	// Taking counts hosts that may still send new work there.
+	Taking int `json:"taking"`
+	// Unknown names the hosts that could not be asked.
+	Unknown []string `json:"unknown,omitempty"`
+}
+
+type drainMsg struct {
+	Upstreams []string `msgpack:"u"`
+	// Zone asks the host to ask its whole zone.
+	Zone bool `msgpack:"z"`
+}
+
+// DrainProgress asks every host that may have work at the upstreams.
+func (h *Host) DrainProgress(ctx context.Context, names []string) Drained {
+	byZone := map[string][]string{}
+	for _, name := range names {
+		if zone, ok := h.View().ZoneOf(name); ok {
+			byZone[zone] = append(byZone[zone], name)
+		}
+	}
+	var sum Drained
+	for zone, names := range byZone {
+		if zone == h.self.Zone {
+			sum.add(h.zoneDrained(ctx, names))
+			continue
+		}
+		h.mu.Lock()
+		contacts := h.peers.Contacts(zone, time.Now(), false)
+		h.mu.Unlock()
+		sum.add(h.askDrained(ctx, zone, contacts, drainMsg{Upstreams: names, Zone: true}))
+	}
+	return sum
+}
+
+func (d *Drained) add(o Drained) {
+	d.Outstanding += o.Outstanding
+	d.Taking += o.Taking
+	d.Unknown = append(d.Unknown, o.Unknown...)
+}
+
+// askDrained asks the first of some hosts that answers.
+func (h *Host) askDrained(ctx context.Context, name string, hosts []member.Contact, msg drainMsg) Drained {
+	for _, c := range hosts {
+		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
+		reply, err := peer.Call[Drained](callCtx, h.mesh, c.PeerAddr, peer.KindDrain, msg)
+		cancel()
+		if err == nil {
+			return reply
+		}
+	}
+	return Drained{Unknown: []string{name}}
+}
+
+// zoneDrained asks every member of the own zone.
+func (h *Host) zoneDrained(ctx context.Context, names []string) Drained {
+	sum := h.ownDrained(names)
+	h.mu.Lock()
+	cur := h.holder.Current()
+	h.mu.Unlock()
+	for _, m := range cur.Members {
+		if m.Host == h.self.Host || m.State == roster.Gone {
+			continue
+		}
+		c := member.Contact{Host: m.Host, Zone: cur.Zone, PeerAddr: m.PeerAddr}
+		sum.add(h.askDrained(ctx, m.Host, []member.Contact{c}, drainMsg{Upstreams: names}))
+	}
+	return sum
+}
+
+func (h *Host) ownDrained(names []string) Drained {
+	var d Drained
+	for _, name := range names {
+		u, ok := h.View().LocalUpstream(name)
+		if !ok {
+			continue
+		}
+		h.mu.Lock()
+		leaving := h.isLeaving(u)
+		h.mu.Unlock()
+		if !leaving {
+			d.Taking++
+		}
+		h.serviceFor(u.Service).gate.Do(func(p *slot.Pool) { d.Outstanding += p.Outstanding(name) })
+	}
+	return d
+}
+
+func (h *Host) serveDrain(ctx context.Context, msg drainMsg, w *peer.Responder) {
+	if msg.Zone {
+		_ = w.Send(h.zoneDrained(ctx, msg.Upstreams))
+		return
+	}
+	_ = w.Send(h.ownDrained(msg.Upstreams))
+}
--- /dev/null
+++ b/internal/entry/forward.go
@@ -0,0 +1,361 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"cairndock/internal/call"
+	"cairndock/internal/config"
+	"cairndock/internal/link"
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/verdict"
+)
+
+// forwardMsg passes a request to a host that may admit it.
+type forwardMsg struct {
+	Service string      `msgpack:"s"`
+	Rule    string      `msgpack:"r"`
+	Method  string      `msgpack:"m"`
+	Target  string      `msgpack:"t"`
+	Header  http.Header `msgpack:"h"`
+	Body    []byte      `msgpack:"b"`
+	Ticket  string      `msgpack:"k"`
+	// LeftMillis is the time left until the deadline, and WaitMillis the
+	// time the request may wait for a slot.
+	LeftMillis int64 `msgpack:"l"`
+	WaitMillis int64 `msgpack:"w"`
+	// Passed says that the host may not pass the request on again.
+	Passed bool              `msgpack:"p"`
+	Trace  map[string]string `msgpack:"c"`
+}
+
+// forwardReply is an answer's head, or a refusal.
+type forwardReply struct {
+	Status   int             `msgpack:"s"`
+	Header   http.Header     `msgpack:"h"`
+	Length   int64           `msgpack:"l"`
+	Upstream string          `msgpack:"u"`
+	Verdict  verdict.Verdict `msgpack:"v"`
+	// Reason is set when there is no answer.
+	Reason      verdict.Reason `msgpack:"r"`
+	Detail      string         `msgpack:"d"`
+	RetryMillis int64          `msgpack:"y"`
+	// Free tells the admitting host's slots with every reply.
+	Free member.Free `msgpack:"f"`
+}
+
+func (r forwardReply) err() *verdict.Error {
+	e := verdict.New(r.Verdict, r.Reason, "%s", r.Detail).WithUpstream(r.Upstream)
+	return e.WithRetryAfter(time.Duration(r.RetryMillis) * time.Millisecond)
+}
+
+// forward passes a request to a host of a zone.
+func (h *Host) forward(ctx context.Context, req *call.Request, zone, rule string, until time.Time) (*call.Answer, error) {
+	target, ok := h.pickPeer(zone, req.Service)
+	if !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.NoUpstream, "no host of %s can be reached", zone)
+	}
+	ctx, span := h.tracer.Start(ctx, "peer", trace.WithAttributes(attribute.String("peer", target.Host)))
+	defer span.End()
+	msg := newForward(ctx, req, rule, until)
+	// A host of the own zone was asked since this one is full itself.
+	msg.Passed = zone == h.self.Zone
+	h.metrics.Count("cairndock_forwards_total")
+	return h.exchange(ctx, target, peer.KindForward, msg)
+}
+
+func newForward(ctx context.Context, req *call.Request, rule string, until time.Time) forwardMsg {
+	carrier := propagation.MapCarrier{}
+	otel.GetTextMapPropagator().Inject(ctx, carrier)
+	return forwardMsg{
+		Service: req.Service, Rule: rule, Method: req.Method, Target: req.Target,
+		Header: req.Header, Body: req.Body, Ticket: req.Ticket,
+		LeftMillis: time.Until(req.Deadline).Milliseconds(),
+		WaitMillis: max(0, time.Until(until).Milliseconds()),
+		Trace:      carrier,
+	}
+}
+
+// exchange sends a forwardMsg and gives the peer's answer. What was never
+// sent did not run; what was sent and not answered may have.
+func (h *Host) exchange(ctx context.Context, to member.Contact, kind peer.Kind, msg forwardMsg) (*call.Answer, error) {
+	payload, err := peer.Encode(msg)
+	if err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
+	}
+	if err := h.pace(ctx, msg.Service, to.Zone, len(payload)); err != nil {
+		return nil, verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "link to %s is busy", to.Zone)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(msg.LeftMillis)*time.Millisecond)
+	stream, err := h.mesh.Open(ctx, to.PeerAddr, kind, payload)
+	if err != nil {
+		cancel()
+		return nil, h.exchangeError(ctx, to, kind, err)
+	}
+	reply, err := peer.Decode[forwardReply](stream.Payload)
+	if err != nil {
+		cancel()
+		_ = stream.Close()
+		return nil, verdict.New(verdict.MayHaveRun, verdict.PeerFailed, "%v", err)
+	}
+	h.noteFree(to, reply.Free)
+	if reply.Reason != "" {
+		cancel()
+		_ = stream.Close()
+		return nil, reply.err()
+	}
+	return &call.Answer{
+		Status: reply.Status, Header: reply.Header, Length: reply.Length,
+		Upstream: reply.Upstream, Verdict: reply.Verdict,
+		Body: &streamBody{Stream: stream, cancel: cancel, stop: context.AfterFunc(ctx, func() { _ = stream.Close() })},
+	}, nil
+}
+
+// exchangeError decides the verdict when a peer gave no reply. A ticket's
+// request may always have run before, at its minter.
+func (h *Host) exchangeError(ctx context.Context, to member.Contact, kind peer.Kind, err error) error {
+	if errors.Is(err, peer.ErrNotSent) {
+		h.mu.Lock()
+		h.peers.Failed(to.Host, time.Now())
+		h.mu.Unlock()
+	}
+	if errors.Is(err, peer.ErrNotSent) && kind != peer.KindTicket {
+		return verdict.New(verdict.NotRun, verdict.PeerFailed, "%s can't be reached", to.Host)
+	}
+	if ctx.Err() != nil {
+		return verdict.New(verdict.MayHaveRun, verdict.DeadlineLapsed, "no reply from %s in time", to.Host)
+	}
+	return verdict.New(verdict.MayHaveRun, verdict.PeerFailed, "lost %s: %v", to.Host, err)
+}
+
+// streamBody is the body of an answer that came from a peer.
+type streamBody struct {
+	*peer.Stream
+	cancel context.CancelFunc
+	stop   func() bool
+}
+
+// Close gives the answer up if it was not read whole.
+func (b *streamBody) Close() error {
+	b.stop()
+	b.cancel()
+	return b.Stream.Close()
+}
+
+// pickPeer chooses the host of a zone to ask: the one that said it has most
+// free slots. In the own zone only a host with free slots is worth a hop.
+func (h *Host) pickPeer(zone, service string) (member.Contact, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	best, bestFree := member.Contact{}, -1.0
+	for _, p := range h.peers.Zone(zone) {
+		if !p.Up(now) {
+			continue
+		}
+		free := 0
+		for _, f := range p.Beat.Free {
+			if f.Service == service {
+				free = f.Free
+			}
+		}
+		if zone == h.self.Zone && free <= 0 {
+			continue
+		}
+		// A small random part spreads many askers over equal hosts.
+		if score := float64(free) + h.random.Float64(); score > bestFree {
+			best, bestFree = p.Contact, score
+		}
+	}
+	return best, bestFree >= 0
+}
+
+// matesMayHelp reports whether a host of the own zone said that it has a
+// free slot.
+func (h *Host) matesMayHelp(service string) bool {
+	_, ok := h.pickPeer(h.self.Zone, service)
+	return ok
+}
+
+// noteFree takes in the slots a peer told with a reply.
+func (h *Host) noteFree(from member.Contact, f member.Free) {
+	if f.Service == "" {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers.NoteFree(from.Host, f)
+}
+
+// serveForward admits a peer's request or refuses it as not run.
+func (h *Host) serveForward(ctx context.Context, from peer.Hello, msg forwardMsg, w *peer.Responder) {
+	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.MapCarrier(msg.Trace))
+	ctx, span := h.tracer.Start(ctx, "admit", trace.WithAttributes(attribute.String("from", from.Host)))
+	defer span.End()
+	answer, err := h.admit(ctx, msg)
+	h.sendAnswer(ctx, from, msg.Service, answer, err, w)
+}
+
+func (m forwardMsg) request() *call.Request {
+	return &call.Request{
+		Service: m.Service, Method: m.Method, Target: m.Target, Header: m.Header, Body: m.Body, Ticket: m.Ticket,
+		Deadline: time.Now().Add(time.Duration(m.LeftMillis) * time.Millisecond),
+	}
+}
+
+// admit takes a slot for a peer's request, here or, when this host is full
+// and another of the zone is not, there.
+func (h *Host) admit(ctx context.Context, msg forwardMsg) (*call.Answer, error) {
+	req := msg.request()
+	if _, ok := h.View().Service(msg.Service); !ok {
+		return nil, verdict.New(verdict.NotRun, verdict.NoUpstream, "service is not known in %s yet", h.self.Zone)
+	}
+	until := time.Now().Add(time.Duration(msg.WaitMillis) * time.Millisecond)
+	lease, err := h.acquire(ctx, msg.Service, msg.Rule, time.Time{})
+	if err != nil && verdict.From(err).Reason == verdict.Full && !msg.Passed && h.matesMayHelp(msg.Service) {
+		answer, err := h.forward(ctx, req, h.self.Zone, msg.Rule, time.Time{})
+		if err == nil || verdict.From(err).Verdict != verdict.NotRun {
+			return answer, err
+		}
+	}
+	if err != nil && msg.WaitMillis > 0 && verdict.From(err).Reason == verdict.Full {
+		lease, err = h.acquire(ctx, msg.Service, msg.Rule, until)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return h.send(ctx, h.serviceFor(msg.Service), lease, req)
+}
+
+// sendAnswer passes an answer to the peer that asked, at the pace of the
+// link between.
+func (h *Host) sendAnswer(ctx context.Context, from peer.Hello, name string, a *call.Answer, err error, w *peer.Responder) {
+	free := member.Free{Service: name}
+	load := h.serviceFor(name).gate.Load()
+	free.Free, free.Held = load.Free, load.Held
+	if err != nil {
+		e := verdict.From(err)
+		_ = w.Send(forwardReply{
+			Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, Upstream: e.Upstream,
+			RetryMillis: e.RetryAfter.Milliseconds(), Free: free,
+		})
+		return
+	}
+	defer a.Body.Close()
+	head, err := peer.Encode(forwardReply{
+		Status: a.Status, Header: a.Header, Length: a.Length, Upstream: a.Upstream, Verdict: a.Verdict, Free: free,
+	})
+	if err != nil || h.pace(ctx, name, from.Zone, len(head)) != nil || w.Reply(head) != nil {
+		return
+	}
+	if err := h.copyBody(ctx, from, name, a.Body, w); err != nil {
+		_ = w.Fail()
+		return
+	}
+	_ = w.End()
+}
+
+func (h *Host) copyBody(ctx context.Context, from peer.Hello, service string, body io.Reader, w *peer.Responder) error {
+	buf := make([]byte, link.Chunk)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if err := h.pace(ctx, service, from.Zone, n); err != nil {
+				return err
+			}
+			if _, err := w.Write(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// pace waits until n bytes may go to a zone, when it is in another region
+// and the link there has a limit.
+func (h *Host) pace(ctx context.Context, service, zone string, n int) error {
+	v := h.View()
+	region := v.Region(zone)
+	if region == h.region || region == "" {
+		return nil
+	}
+	l, ok := v.Link(h.region, region)
+	if !ok {
+		return nil
+	}
+	class := link.Interactive
+	if svc, ok := v.Service(service); ok && svc.Class == config.Bulk {
+		class = link.Bulk
+	}
+	return h.pacer(l).Wait(ctx, class, n)
+}
+
+func (h *Host) pacer(l config.Link) *link.Pacer {
+	h.pacersMu.Lock()
+	defer h.pacersMu.Unlock()
+	p := h.pacers[l.To]
+	if p == nil {
+		p = link.NewPacer(h.linkPart(l), l.ReservedShare())
+		h.pacers[l.To] = p
+	}
+	return p
+}
+
+// linkPart is this host's even part of a link among the region's hosts.
+func (h *Host) linkPart(l config.Link) float64 {
+	return float64(l.BytesPerSecond) / float64(h.regionHosts())
+}
+
+// regionHosts counts the hosts that may send on the region's links. A zone
+// that said nothing yet counts as large as the own.
+func (h *Host) regionHosts() int {
+	v := h.View()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	own := max(1, len(h.holder.Current().Members))
+	total := own
+	for _, z := range v.Zones() {
+		if z.Region != h.region || z.Name == h.self.Zone {
+			continue
+		}
+		hosts := 0
+		for _, p := range h.peers.Zone(z.Name) {
+			hosts = max(hosts, p.Beat.ZoneHosts)
+		}
+		if hosts == 0 {
+			hosts = own
+		}
+		total += hosts
+	}
+	return total
+}
+
+// retunePacers follows changes of the links and of the region's hosts.
+func (h *Host) retunePacers() {
+	v := h.View()
+	h.pacersMu.Lock()
+	pacers := make(map[string]*link.Pacer, len(h.pacers))
+	for to, p := range h.pacers {
+		pacers[to] = p
+	}
+	h.pacersMu.Unlock()
+	for to, p := range pacers {
+		if l, ok := v.Link(h.region, to); ok {
+			p.Configure(h.linkPart(l), l.ReservedShare())
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/heartbeat.go
@@ -0,0 +1,473 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"cairndock/internal/config"
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/platform"
+	"cairndock/internal/roster"
+	"cairndock/internal/slot"
+	"cairndock/internal/steer"
+	"cairndock/internal/upstream"
+)
+
+const (
+	// beatTimeout bounds one heartbeat.
+	beatTimeout = 1500 * time.Millisecond
+	// probeInterval is the time between two probes of an upstream.
+	probeInterval = 2 * time.Second
+	probeTimeout  = time.Second
+)
+
+// beatLoop is the host's own pulse: it sends heartbeats, settles rosters,
+// moves ramps on and notices when the host was paused.
+func (h *Host) beatLoop(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		h.turn(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-h.kick:
+		}
+	}
+}
+
+func (h *Host) turn(ctx context.Context) {
+	if !h.awake() && !h.reawaken(ctx) {
+		return
+	}
+	h.awakeAt.Store(h.now())
+	now := time.Now()
+	h.mu.Lock()
+	due := h.peers.Due(now)
+	for _, c := range due {
+		h.peers.Asking(c.Host, now)
+	}
+	h.mu.Unlock()
+	for _, c := range due {
+		go h.beatOne(ctx, c)
+	}
+	h.settle()
+	h.refreshDeciders()
+	h.retunePacers()
+}
+
+// kickNow makes the pulse come early, to spread news.
+func (h *Host) kickNow() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+func (h *Host) beatOne(ctx context.Context, c member.Contact) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	asked, askedAt := time.Now(), h.now()
+	reply, err := peer.Call[member.Heartbeat](ctx, h.mesh, c.PeerAddr, peer.KindHeartbeat, h.heartbeat(c.Zone))
+	if err != nil {
+		h.mu.Lock()
+		h.peers.Failed(c.Host, time.Now())
+		h.mu.Unlock()
+		if ctx.Err() != nil {
+			// The connection may be cut without a sign; make a new one.
+			h.mesh.Drop(c.PeerAddr)
+		}
+		return
+	}
+	h.mu.Lock()
+	h.peers.Heard(reply, asked, time.Since(asked))
+	h.mu.Unlock()
+	h.learn(ctx, reply)
+	h.noteFresh(reply, askedAt)
+}
+
+// noteFresh takes over a peer's proof that its revision is the newest. Its
+// age counts from when this host asked, so that a slow reply only makes the
+// proof older than it is.
+func (h *Host) noteFresh(b member.Heartbeat, askedAt int64) {
+	if b.FreshAge < 0 || h.View().Revision() < b.Revision {
+		return
+	}
+	h.setFresh(askedAt - b.FreshAge*int64(time.Millisecond))
+}
+
+func (h *Host) setFresh(at int64) {
+	for {
+		old := h.freshAt.Load()
+		if at <= old {
+			return
+		}
+		if h.freshAt.CompareAndSwap(old, at) {
+			break
+		}
+	}
+	if !h.Frozen() && h.ready.CompareAndSwap(false, true) {
+		h.log.Info().Uint64("revision", h.View().Revision()).Msg("entry: host is ready")
+	}
+}
+
+// heartbeat makes what this host tells a host of a zone.
+func (h *Host) heartbeat(zone string) member.Heartbeat {
+	free := h.free()
+	v := h.View()
+	now := time.Now()
+	age := int64(-1)
+	if at := h.freshAt.Load(); at > 0 {
+		age = (h.now()-at)/int64(time.Millisecond) + 1
+	}
+	h.ticketsMu.Lock()
+	handovers := h.handovers
+	h.ticketsMu.Unlock()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b := member.Heartbeat{
+		Contact: h.self, Incarnation: h.holder.Incarnation(),
+		Epoch: h.holder.Current().Epoch, Acked: h.acked,
+		Revision: v.Revision(), Digest: v.State().Digest(), FreshAge: age,
+		Leaving: h.leaving.Load(), Free: free, ZoneFree: h.zoneFree(free, now),
+		ZoneHosts: len(h.holder.Current().Active()), Handovers: handovers,
+		Contacts: h.peers.Contacts(h.self.Zone, now, h.leaving.Load()),
+	}
+	if zone == h.self.Zone {
+		b.Signs = h.ownSigns()
+	}
+	return b
+}
+
+// ownSigns tells what this host knows of the zone's upstreams; h.mu is held.
+func (h *Host) ownSigns() []member.Sign {
+	var out []member.Sign
+	for name := range h.probing {
+		if instance := h.instances[name]; instance != "" {
+			out = append(out, member.Sign{Upstream: name, Instance: instance, Seen: true})
+		}
+	}
+	for key := range h.departed {
+		out = append(out, member.Sign{Upstream: key.upstream, Instance: key.instance, Leaving: true})
+	}
+	return out
+}
+
+func (h *Host) free() []member.Free {
+	var out []member.Free
+	for _, svc := range h.View().Services() {
+		load := h.serviceFor(svc.Name).gate.Load()
+		out = append(out, member.Free{Service: svc.Name, Free: load.Free, Held: load.Held})
+	}
+	return out
+}
+
+// zoneFree sums the zone's hosts; h.mu is held.
+func (h *Host) zoneFree(own []member.Free, now time.Time) []member.Free {
+	sum := append([]member.Free(nil), own...)
+	for _, p := range h.peers.Zone(h.self.Zone) {
+		if !p.Up(now) {
+			continue
+		}
+		for _, f := range p.Beat.Free {
+			for i := range sum {
+				if sum[i].Service == f.Service {
+					sum[i].Free += f.Free
+					sum[i].Held += f.Held
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// serveHeartbeat answers a peer's heartbeat with this host's own.
+func (h *Host) serveHeartbeat(ctx context.Context, b member.Heartbeat, w *peer.Responder) {
+	h.mu.Lock()
+	// The time it took to come is not known, so that it proves that the
+	// peer lives and no more.
+	h.peers.Heard(b, time.Now(), 0)
+	h.mu.Unlock()
+	_ = w.Send(h.heartbeat(b.Contact.Zone))
+	h.learn(ctx, b)
+}
+
+// learn takes in what any heartbeat says.
+func (h *Host) learn(ctx context.Context, b member.Heartbeat) {
+	h.mu.Lock()
+	for _, c := range b.Contacts {
+		h.peers.Learn(c)
+	}
+	h.peers.NoteHeirs(b.Handovers)
+	newer := false
+	if b.Contact.Zone == h.self.Zone {
+		h.holder.Ack(b.Contact.Host, b.Incarnation, b.Acked)
+		newer = b.Epoch > h.holder.Current().Epoch
+	}
+	signed := false
+	for _, s := range b.Signs {
+		signed = h.noteSign(s) || signed
+	}
+	h.mu.Unlock()
+	if signed {
+		h.reconfigure()
+	}
+	if newer {
+		h.fetchRoster(ctx, b.Contact)
+	}
+	if b.Revision > h.View().Revision() {
+		h.fetchChanges(ctx, b.Contact)
+	}
+}
+
+// settle acknowledges the current roster once nothing is outstanding beyond
+// it, and takes up the slots that it gives when all have acknowledged.
+func (h *Host) settle() {
+	now := time.Now()
+	h.mu.Lock()
+	cur := h.holder.Current().Epoch
+	acks := h.acked != cur && h.configured == cur && h.within()
+	if acks {
+		h.acked = cur
+	}
+	settled := h.holder.Settle(now, h.longest())
+	unsettled := !h.holder.Settled()
+	h.mu.Unlock()
+	if settled || unsettled {
+		h.reconfigure()
+	}
+	if acks {
+		h.tellZone()
+	}
+}
+
+// within reports whether this host uses only slots that it holds by every
+// roster of its chain. What it holds must have been worked out first, and
+// h.mu is held so that it stays so.
+func (h *Host) within() bool {
+	ok := true
+	h.services.Range(func(_, s any) bool {
+		s.(*service).gate.Do(func(p *slot.Pool) { ok = ok && p.Within() })
+		return ok
+	})
+	return ok
+}
+
+// tellZone sends a heartbeat to every member of the zone at once: an
+// acknowledgement that all of them wait for.
+func (h *Host) tellZone() {
+	h.mu.Lock()
+	var to []member.Contact
+	for _, p := range h.peers.Zone(h.self.Zone) {
+		to = append(to, p.Contact)
+	}
+	h.mu.Unlock()
+	for _, c := range to {
+		go h.beatOne(context.Background(), c)
+	}
+}
+
+// refreshDeciders tells each service what is known of the zones now.
+func (h *Host) refreshDeciders() {
+	frozen := h.Frozen()
+	now := time.Now()
+	zones := h.zoneReports(now)
+	for _, svc := range h.View().Services() {
+		s := h.serviceFor(svc.Name)
+		s.mu.Lock()
+		s.decider.SetFrozen(frozen)
+		s.decider.Meter().Advance(now, frozen)
+		for _, z := range zones {
+			s.decider.SetZone(z.zone, z.report(svc.Name), z.rtt, z.up)
+		}
+		s.mu.Unlock()
+	}
+}
+
+type zoneReport struct {
+	zone string
+	free []member.Free
+	at   int64
+	rtt  time.Duration
+	up   bool
+}
+
+func (z zoneReport) report(service string) steer.Report {
+	for _, f := range z.free {
+		if f.Service == service {
+			return steer.Report{Free: f.Free, Held: f.Held, At: z.at}
+		}
+	}
+	return steer.Report{}
+}
+
+// zoneReports takes, for each other zone, the newest word of a host there.
+func (h *Host) zoneReports(now time.Time) []zoneReport {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []zoneReport
+	for _, zone := range h.peers.Zones() {
+		if zone == h.self.Zone {
+			continue
+		}
+		z := zoneReport{zone: zone}
+		for _, p := range h.peers.Zone(zone) {
+			if !p.Up(now) {
+				continue
+			}
+			z.up = true
+			at := h.now() - int64(now.Sub(p.HeardAt))
+			if at > z.at {
+				z.at, z.free = at, p.Beat.ZoneFree
+			}
+			if z.rtt == 0 || (p.RTT > 0 && p.RTT < z.rtt) {
+				z.rtt = p.RTT
+			}
+		}
+		out = append(out, z)
+	}
+	return out
+}
+
+// hear takes in an upstream's own word with an answer or a probe.
+func (h *Host) hear(name string, w upstream.Word) {
+	h.mu.Lock()
+	before := h.instances[name]
+	changed := h.noteSign(member.Sign{Upstream: name, Instance: w.Instance, Leaving: w.Leaving, Seen: true})
+	h.mu.Unlock()
+	if changed {
+		h.reconfigure()
+		h.kickNow()
+	}
+	svc, ok := h.serviceOf(name)
+	if !ok {
+		return
+	}
+	s := h.serviceFor(svc)
+	if w.Load >= 0 {
+		s.gate.Report(name, w.Load)
+	}
+	if before != "" && w.Instance != "" && before != w.Instance {
+		s.gate.Do(func(p *slot.Pool) { p.Restarted(name) })
+	}
+}
+
+// noteSign takes in what is known of an instance and reports whether
+// anything changed. That an instance is leaving is never taken back; only
+// another instance ends it. h.mu is held.
+func (h *Host) noteSign(s member.Sign) bool {
+	changed := false
+	if s.Seen && s.Instance != "" && h.instances[s.Upstream] != s.Instance {
+		h.adoptInstance(s)
+		changed = true
+	}
+	key := instanceKey{s.Upstream, s.Instance}
+	if _, known := h.departed[key]; s.Leaving && !known {
+		h.departed[key] = struct{}{}
+		changed = true
+	}
+	return changed
+}
+
+// adoptInstance notes the instance seen. A sign that came before any
+// instance was seen is the first seen one's. h.mu is held.
+func (h *Host) adoptInstance(s member.Sign) {
+	unseen := instanceKey{s.Upstream, ""}
+	if _, signed := h.departed[unseen]; signed && h.instances[s.Upstream] == "" {
+		delete(h.departed, unseen)
+		h.departed[instanceKey{s.Upstream, s.Instance}] = struct{}{}
+	}
+	h.instances[s.Upstream] = s.Instance
+}
+
+func (h *Host) serviceOf(upstreamName string) (string, bool) {
+	u, ok := h.View().LocalUpstream(upstreamName)
+	return u.Service, ok
+}
+
+func (h *Host) target(service, name string) (upstream.Target, bool) {
+	u, ok := h.View().LocalUpstream(name)
+	if !ok || u.Service != service {
+		return upstream.Target{}, false
+	}
+	return upstream.Target{Name: u.Name, Zone: u.Zone, Addr: u.Addr}, true
+}
+
+// probeLoop asks the zone's upstreams for their word. Each upstream is
+// asked by one host, which tells the others when it is leaving.
+func (h *Host) probeLoop(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, u := range h.probed() {
+			go h.probe(ctx, u)
+		}
+	}
+}
+
+// probed gives the upstreams that fall to this host to probe.
+func (h *Host) probed() []config.Upstream {
+	h.mu.Lock()
+	hosts := []string{h.self.Host}
+	for _, p := range h.peers.Zone(h.self.Zone) {
+		if p.Up(time.Now()) {
+			hosts = append(hosts, p.Contact.Host)
+		}
+	}
+	h.mu.Unlock()
+	var out []config.Upstream
+	probing := map[string]struct{}{}
+	for _, svc := range h.View().Services() {
+		for _, u := range svc.Local {
+			if roster.Rank("probe:"+u.Name, hosts)[0] == h.self.Host {
+				out = append(out, u)
+				probing[u.Name] = struct{}{}
+			}
+		}
+	}
+	h.mu.Lock()
+	h.probing = probing
+	h.mu.Unlock()
+	return out
+}
+
+func (h *Host) probe(ctx context.Context, u config.Upstream) {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	w, err := h.client.Probe(ctx, upstream.Target{Name: u.Name, Zone: u.Zone, Addr: u.Addr})
+	if err != nil {
+		// Own requests decide whether it can be used; a probe does not.
+		h.log.Debug().Str("upstream", u.Name).Err(err).Msg("entry: probe failed")
+		return
+	}
+	h.hear(u.Name, w)
+}
+
+// noteHosts takes in the platform's host list. An upstream's sign of leaving
+// is never taken back by a list that lags: only a new instance ends it.
+func (h *Host) noteHosts(hosts []platform.HostState) {
+	h.mu.Lock()
+	changed := false
+	for _, s := range hosts {
+		old := h.platHost[s.Name]
+		h.platHost[s.Name] = s.State
+		changed = changed || old != s.State
+		if s.State != platform.Live {
+			if _, local := h.View().LocalUpstream(s.Name); local {
+				h.noteSign(member.Sign{Upstream: s.Name, Instance: h.instances[s.Name], Leaving: true})
+			}
+		}
+	}
+	h.mu.Unlock()
+	if changed {
+		h.reconfigure()
+		h.kickNow()
+	}
+}
--- /dev/null
+++ b/internal/entry/host.go
@@ -0,0 +1,381 @@
+// Package entry is one entry host: it puts the duties together, admits
+// requests and passes them to upstreams or to other entry hosts.
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/oklog/ulid/v2"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/time/rate"
+
+	"cairndock/internal/config"
+	"cairndock/internal/link"
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/platform"
+	"cairndock/internal/roster"
+	"cairndock/internal/settings"
+	"cairndock/internal/shift"
+	"cairndock/internal/slot"
+	"cairndock/internal/steer"
+	"cairndock/internal/telemetry"
+	"cairndock/internal/ticket"
+	"cairndock/internal/upstream"
+)
+
+// HostLister gives the platform's list of live and leaving hosts.
+type HostLister interface {
+	Hosts(ctx context.Context) ([]platform.HostState, error)
+}
+
+// Options is what a host is made of.
+type Options struct {
+	Settings settings.Settings
+	Table    config.Table
+	Objects  config.Objects
+	Hosts    HostLister
+	// Transport carries peer connections, and DialUpstream those to
+	// upstreams; nil is TCP.
+	Transport    peer.Transport
+	DialUpstream upstream.DialFunc
+	Log          zerolog.Logger
+	Traces       trace.TracerProvider
+	// Seed makes the host's random choices repeatable.
+	Seed uint64
+}
+
+// instanceKey is one instance of an upstream.
+type instanceKey struct{ upstream, instance string }
+
+// service is one service's state on this host.
+type service struct {
+	gate *slot.Gate
+
+	mu      sync.Mutex
+	decider *steer.Decider
+	adopted bool
+}
+
+// Host is one entry host.
+type Host struct {
+	opts        Options
+	self        member.Contact
+	region      string
+	incarnation string
+	made        time.Time
+	log         zerolog.Logger
+	tracer      trace.Tracer
+	metrics     *telemetry.Metrics
+	mesh        *peer.Mesh
+	client      *upstream.Client
+	configLog   *config.Log
+	limiter     *rate.Limiter
+	random      *lockedRand
+
+	view atomic.Pointer[config.View]
+	// forced is held while a change is put into force.
+	forced  sync.Mutex
+	recent  []config.Change
+	freshAt atomic.Int64 // as read by now
+	ready   atomic.Bool
+
+	mu     sync.Mutex
+	peers  *member.Peers
+	holder *roster.Holder
+	acked  uint64
+	joined bool
+	// instances holds each upstream's instance last seen, and departed the
+	// instances that are known to leave. An instance never comes back.
+	instances map[string]string
+	departed  map[instanceKey]struct{}
+	probing   map[string]struct{} // upstreams that this host probes
+	// configured is the roster epoch that the gates were configured by.
+	configured uint64
+	platHost   map[string]platform.State
+	goneAt     map[string]time.Time
+
+	services sync.Map // name to *service
+
+	ticketsMu sync.Mutex
+	tickets   *ticket.Store
+	adopted   map[string]*ticket.Store
+	handovers []member.Handover
+
+	pacersMu sync.Mutex
+	pacers   map[string]*link.Pacer
+
+	awakeAt  atomic.Int64 // as read by now
+	leaving  atomic.Bool
+	inFlight atomic.Int64
+	entries  entriesCache
+	kick     chan struct{}
+
+	stop context.CancelFunc
+	wait sync.WaitGroup
+}
+
+type lockedRand struct {
+	mu sync.Mutex
+	r  *rand.Rand
+}
+
+func (l *lockedRand) Float64() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.r.Float64()
+}
+
+const (
+	// tick is the pace of the host's own loop.
+	tick = 250 * time.Millisecond
+	// maxSleep is the longest gap between two turns of the loop before the
+	// host takes itself for paused and asks anew what it may still do.
+	maxSleep = 2 * time.Second
+	// FreezeAfter is the age of the last proof that the configuration is
+	// the newest, after which the host freezes: ramps stand still and the
+	// own zone goes first.
+	FreezeAfter = 4 * time.Second
+)
+
+// New makes a host. Its settings must have been prepared.
+func New(o Options) (*Host, error) {
+	s := o.Settings
+	incarnation := ulid.Make().String()
+	h := &Host{
+		opts:        o,
+		region:      s.Host.Region,
+		incarnation: incarnation,
+		made:        time.Now(),
+		log:         o.Log.With().Str("host", s.Host.Name).Logger(),
+		tracer:      telemetry.Tracer(o.Traces),
+		metrics:     telemetry.NewMetrics(),
+		configLog:   config.NewLog(o.Table, o.Objects),
+		limiter:     rate.NewLimiter(rate.Limit(s.Platform.CallsPerSecond), platformBurst),
+		random:      &lockedRand{r: rand.New(rand.NewPCG(o.Seed, uint64(len(s.Host.Name))))},
+		instances:   map[string]string{},
+		departed:    map[instanceKey]struct{}{},
+		probing:     map[string]struct{}{},
+		platHost:    map[string]platform.State{},
+		goneAt:      map[string]time.Time{},
+		adopted:     map[string]*ticket.Store{},
+		pacers:      map[string]*link.Pacer{},
+		kick:        make(chan struct{}, 1),
+	}
+	h.self = member.Contact{Host: s.Host.Name, Zone: s.Host.Zone, PeerAddr: s.Peers.Advertise, CallerAddr: s.Callers.Advertise}
+	h.client = upstream.New(o.DialUpstream, h.hear)
+	h.tickets = ticket.NewStore(s.Host.Name, incarnation, ticket.NewKey())
+	h.holder = roster.NewHolder(s.Host.Name, incarnation, s.Host.Zone)
+	hello := peer.Hello{Host: s.Host.Name, Zone: s.Host.Zone, Incarnation: incarnation}
+	h.mesh = peer.NewMesh(hello, o.Transport, h)
+	h.view.Store(config.NewView(config.NewState(), s.Host.Zone))
+	return h, nil
+}
+
+// Start takes up the host's duties. The caller's address must be known, so
+// the callers' listener is opened first and its address given here.
+func (h *Host) Start(ctx context.Context, callerAddr string) error {
+	addr, err := h.mesh.Listen(h.opts.Settings.Peers.Listen)
+	if err != nil {
+		return err
+	}
+	h.self.PeerAddr = settings.Default(h.self.PeerAddr, addr)
+	h.self.CallerAddr = settings.Default(h.self.CallerAddr, callerAddr)
+	h.peers = member.NewPeers(h.self)
+	h.awakeAt.Store(h.now())
+	ctx, h.stop = context.WithCancel(ctx)
+	h.registerMetrics()
+	for _, loop := range []func(context.Context){h.beatLoop, h.platformLoop, h.probeLoop, h.rosterLoop} {
+		h.wait.Add(1)
+		go func() {
+			defer h.wait.Done()
+			loop(ctx)
+		}()
+	}
+	h.log.Info().Str("zone", h.self.Zone).Str("incarnation", h.incarnation).Msg("entry: host started")
+	return nil
+}
+
+// Close stops the host at once.
+func (h *Host) Close() {
+	if h.stop != nil {
+		h.stop()
+	}
+	h.mesh.Close()
+	h.wait.Wait()
+	h.client.Close()
+}
+
+// Self says how to reach the host.
+func (h *Host) Self() member.Contact { return h.self }
+
+// Metrics gives the host's metrics.
+func (h *Host) Metrics() *telemetry.Metrics { return h.metrics }
+
+// View is the configuration in force.
+func (h *Host) View() *config.View { return h.view.Load() }
+
+// Ready reports whether the host serves callers: it has a configuration
+// that was known to be the newest, and it is not leaving.
+func (h *Host) Ready() bool { return h.ready.Load() && !h.leaving.Load() }
+
+// Frozen reports whether the configuration may no longer be the newest.
+func (h *Host) Frozen() bool {
+	return h.now()-h.freshAt.Load() > int64(FreezeAfter)
+}
+
+// serviceFor gives a service's state, making it when it is new.
+func (h *Host) serviceFor(name string) *service {
+	if s, ok := h.services.Load(name); ok {
+		return s.(*service)
+	}
+	meter := shift.NewMeter(h.random.Float64, time.Now())
+	s, _ := h.services.LoadOrStore(name, &service{gate: slot.NewGate(), decider: steer.New(meter)})
+	return s.(*service)
+}
+
+// reconfigure works out anew what the host may use, after a change of the
+// configuration, the roster or an upstream's state.
+func (h *Host) reconfigure() {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := h.View()
+	h.configured = h.holder.Current().Epoch
+	for _, svc := range v.Services() {
+		s := h.serviceFor(svc.Name)
+		s.gate.Configure(h.specs(svc, now), h.ruleSpecs(svc, now))
+		s.mu.Lock()
+		s.decider.Configure(svc, h.self.Zone, h.region, now)
+		s.mu.Unlock()
+	}
+	h.services.Range(func(name, s any) bool {
+		if _, ok := v.Service(name.(string)); !ok {
+			s.(*service).gate.Configure(nil, nil)
+		}
+		return true
+	})
+}
+
+// specs gives what the host holds of a service's upstreams; h.mu is held.
+func (h *Host) specs(svc *config.ServiceView, now time.Time) []slot.Spec {
+	specs := make([]slot.Spec, 0, len(svc.Local))
+	for _, u := range svc.Local {
+		held := h.holder.Held(u.Name, u.Slots, time.Duration(svc.MaxTimeout), now)
+		specs = append(specs, slot.Spec{Name: u.Name, Held: held.Count(), Leaving: h.isLeaving(u)})
+	}
+	return specs
+}
+
+// isLeaving puts the three signs together: the configuration, the
+// platform's host list and the upstream's own word. h.mu is held.
+func (h *Host) isLeaving(u config.Upstream) bool {
+	if u.State == config.StateLeaving {
+		return true
+	}
+	if state := h.platHost[u.Name]; state == platform.Leaving || state == platform.Gone {
+		return true
+	}
+	_, departed := h.departed[instanceKey{u.Name, h.instances[u.Name]}]
+	return departed
+}
+
+// ruleSpecs gives the host's part of each rule's limits; h.mu is held.
+func (h *Host) ruleSpecs(svc *config.ServiceView, now time.Time) []slot.RuleSpec {
+	longest := time.Duration(svc.MaxTimeout)
+	specs := make([]slot.RuleSpec, 0, len(svc.Rules))
+	for _, r := range svc.Rules {
+		spec := slot.RuleSpec{Name: r.Name, Members: r.Local, InFlight: -1, Rate: -1}
+		if r.InFlight > 0 {
+			spec.InFlight = h.holder.Part("rule:"+r.Name, zonePart(r, h.self.Zone), longest, now)
+		}
+		if r.Rate > 0 {
+			spec.Rate = r.Rate * zoneShare(r, h.self.Zone) * h.holder.Fraction(now, longest)
+		}
+		specs = append(specs, spec)
+	}
+	return specs
+}
+
+// zoneShare is a zone's part of a rule's slots.
+func zoneShare(r config.RuleView, zone string) float64 {
+	total, own := 0, 0
+	for _, s := range r.Sites {
+		total += s.Slots
+		if s.Zone == zone {
+			own = s.Slots
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(own) / float64(total)
+}
+
+// zonePart splits a rule's in-flight limit over its zones in proportion to
+// their slots. Every host computes the same split, which sums to the limit:
+// each zone gets what its slots add to the rounded running sum.
+func zonePart(r config.RuleView, zone string) int {
+	total := 0
+	for _, s := range r.Sites {
+		total += s.Slots
+	}
+	if total == 0 {
+		return 0
+	}
+	sum := 0
+	for _, s := range r.Sites {
+		before := r.InFlight * sum / total
+		sum += s.Slots
+		if s.Zone == zone {
+			return r.InFlight*sum/total - before
+		}
+	}
+	return 0
+}
+
+// awake reports whether the host may send new work to upstreams. A host
+// whose own loop stood still was paused: what it held may have been given
+// to others since, and it must ask first.
+func (h *Host) awake() bool {
+	return h.now()-h.awakeAt.Load() < int64(maxSleep)
+}
+
+// longest is the longest deadline of any service.
+func (h *Host) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, svc := range h.View().Services() {
+		longest = max(longest, time.Duration(svc.MaxTimeout))
+	}
+	return longest
+}
+
+// clockStart is what the host's clock reads when the host is made; above
+// zero, so that zero is always long ago.
+const clockStart = int64(time.Hour)
+
+// now reads the host's monotonic clock, in nanoseconds.
+func (h *Host) now() int64 { return clockStart + int64(time.Since(h.made)) }
+
+// TCP is the transport that hosts use but for tests.
+type TCP struct{}
+
+// Dial makes a TCP connection.
+func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	var d net.Dialer
+	c, err := d.DialContext(ctx, "tcp", addr)
+	return c, eris.Wrap(err, "dial peer")
+}
+
+// Listen listens for TCP connections.
+func (TCP) Listen(addr string) (net.Listener, error) {
+	l, err := net.Listen("tcp", addr)
+	return l, eris.Wrap(err, "listen")
+}
--- /dev/null
+++ b/internal/entry/rosterloop.go
@@ -0,0 +1,418 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/rotisserie/eris"
+
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/platform"
+	"cairndock/internal/roster"
+	"cairndock/internal/settings"
+)
+
+const (
+	partitionRoster = "roster"
+	// rosterInterval is the time between two looks of a poller at the
+	// zone's roster, and hostsInterval at the platform's host list.
+	rosterInterval = time.Second
+	hostsInterval  = 2 * time.Second
+	// deadMargin is how much longer than the longest deadline a gone member
+	// stays in the roster.
+	deadMargin = 2 * time.Second
+	// pollers is how many hosts of a zone look at the platform for all.
+	pollers = 2
+	// platformBurst is how many platform calls a host may make at once.
+	platformBurst = 10
+	// platformTimeout bounds one call to the platform.
+	platformTimeout = 2 * time.Second
+	maxRosterRows   = 1000
+	// discoverInterval is the time between two looks at all zones' rosters
+	// while some zone can't be reached.
+	discoverInterval = 5 * time.Second
+)
+
+// call makes one call to the platform, within the host's own rate.
+func (h *Host) call(ctx context.Context, f func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, platformTimeout)
+	defer cancel()
+	if err := h.limiter.Wait(ctx); err != nil {
+		return eris.Wrap(err, "wait for the platform's rate")
+	}
+	h.metrics.Count("cairndock_platform_calls_total")
+	err := f(ctx)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
+		h.metrics.Count("cairndock_platform_failures_total")
+	}
+	return err
+}
+
+func newBackoff() *backoff.ExponentialBackOff {
+	b := backoff.NewExponentialBackOff()
+	b.InitialInterval = 250 * time.Millisecond
+	b.MaxInterval = 5 * time.Second
+	return b
+}
+
+// rosterLoop joins the zone's roster, follows it and takes dead members out.
+func (h *Host) rosterLoop(ctx context.Context) {
+	pause := newBackoff()
+	var looked looks
+	for {
+		wait := rosterInterval
+		err := h.rosterTurn(ctx, &looked)
+		if err != nil {
+			wait = pause.NextBackOff()
+			h.log.Debug().Err(err).Msg("roster: turn failed")
+		} else {
+			pause.Reset()
+		}
+		if !sleep(ctx, wait) {
+			return
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// looks is when the roster loop last read the host list and all rosters.
+type looks struct{ hosts, zones time.Time }
+
+func (h *Host) rosterTurn(ctx context.Context, looked *looks) error {
+	if !h.hasJoined() {
+		return h.join(ctx)
+	}
+	if err := h.discover(ctx, looked); err != nil {
+		return err
+	}
+	if !h.isPoller() {
+		return nil
+	}
+	if _, _, err := h.readRoster(ctx); err != nil {
+		return err
+	}
+	if time.Since(looked.hosts) < hostsInterval {
+		return nil
+	}
+	looked.hosts = time.Now()
+	return h.lookAtHosts(ctx)
+}
+
+// discover learns the hosts of other zones from their rosters, as long as
+// some configured zone has no host that answers. Heartbeats name the rest.
+func (h *Host) discover(ctx context.Context, looked *looks) error {
+	if time.Since(looked.zones) < discoverInterval || !h.missesZone() {
+		return nil
+	}
+	looked.zones = time.Now()
+	var rows []platform.Row
+	err := h.call(ctx, func(ctx context.Context) (err error) {
+		rows, err = h.opts.Table.List(ctx, partitionRoster, "", maxRosterRows)
+		return err
+	})
+	if err != nil {
+		return eris.Wrap(err, "read rosters")
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, row := range rows {
+		r, err := peer.Decode[roster.Roster](row.Body)
+		if err != nil {
+			return err
+		}
+		h.learnRoster(r)
+	}
+	return nil
+}
+
+func (h *Host) missesZone() bool {
+	zones := h.knownZones()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	for _, zone := range zones {
+		if zone != h.self.Zone && len(h.peers.Contacts(zone, now, false)) == 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// learnRoster notes the hosts of a roster; h.mu is held.
+func (h *Host) learnRoster(r roster.Roster) {
+	for _, m := range r.Members {
+		if m.State != roster.Gone {
+			h.peers.Learn(member.Contact{Host: m.Host, Zone: r.Zone, PeerAddr: m.PeerAddr, CallerAddr: m.CallerAddr})
+		}
+	}
+}
+
+func (h *Host) hasJoined() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.joined || h.leaving.Load()
+}
+
+// isPoller reports whether this host is among the first of its zone that
+// answer, in an order that differs from zone to zone.
+func (h *Host) isPoller() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	hosts := []string{h.self.Host}
+	for _, p := range h.peers.Zone(h.self.Zone) {
+		if p.Up(now) {
+			hosts = append(hosts, p.Contact.Host)
+		}
+	}
+	ranked := roster.Rank("poll:"+h.self.Zone, hosts)
+	for _, host := range ranked[:min(pollers, len(ranked))] {
+		if host == h.self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+func rosterKey(zone string) platform.Key {
+	return platform.Key{Partition: partitionRoster, Sort: zone}
+}
+
+// readRoster reads the zone's roster and takes it in.
+func (h *Host) readRoster(ctx context.Context) (roster.Roster, int64, error) {
+	var row platform.Row
+	err := h.call(ctx, func(ctx context.Context) (err error) {
+		row, err = h.opts.Table.Get(ctx, rosterKey(h.self.Zone))
+		return err
+	})
+	if errors.Is(err, platform.ErrNotFound) {
+		return roster.Roster{Zone: h.self.Zone}, 0, nil
+	}
+	if err != nil {
+		return roster.Roster{}, 0, eris.Wrap(err, "read roster")
+	}
+	r, err := peer.Decode[roster.Roster](row.Body)
+	if err != nil {
+		return r, 0, err
+	}
+	h.see(r)
+	return r, row.Version, nil
+}
+
+// see takes a roster in and works out what it changes.
+func (h *Host) see(r roster.Roster) {
+	now := time.Now()
+	h.mu.Lock()
+	fresh := h.holder.See(r, now)
+	h.learnRoster(r)
+	for _, m := range r.Members {
+		if _, seen := h.goneAt[m.Host]; m.State == roster.Gone && !seen {
+			h.goneAt[m.Host] = now
+		}
+	}
+	lost := h.joined && !h.leaving.Load() && !h.memberOf(r)
+	h.mu.Unlock()
+	if !fresh {
+		return
+	}
+	h.log.Info().Uint64("epoch", r.Epoch).Strs("active", r.Active()).Msg("roster: new epoch")
+	if lost {
+		h.rejoin()
+	}
+	h.reconfigure()
+	h.kickNow()
+}
+
+// memberOf reports whether this host holds slots by a roster; h.mu is held.
+func (h *Host) memberOf(r roster.Roster) bool {
+	m, ok := r.Member(h.self.Host)
+	return ok && m.Incarnation == h.holder.Incarnation() && m.State == roster.Active
+}
+
+// rejoin drops every slot and joins again: the roster says that this host
+// died, so that its slots belong to others.
+func (h *Host) rejoin() {
+	h.log.Warn().Msg("roster: was taken for dead, joining again")
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	cur := h.holder.Current()
+	h.holder = roster.NewHolder(h.self.Host, newIncarnation(), h.self.Zone)
+	h.holder.See(cur, time.Now())
+	h.joined = false
+}
+
+// join writes this host into its zone's roster.
+func (h *Host) join(ctx context.Context) error {
+	r, version, err := h.readRoster(ctx)
+	if err != nil {
+		return err
+	}
+	old, known := r.Member(h.self.Host)
+	h.mu.Lock()
+	incarnation := h.holder.Incarnation()
+	h.mu.Unlock()
+	if known && old.Incarnation == incarnation && old.State == roster.Active {
+		return h.markJoined(false)
+	}
+	me := roster.Member{
+		Host: h.self.Host, Incarnation: incarnation, PeerAddr: h.self.PeerAddr,
+		CallerAddr: h.self.CallerAddr, State: roster.Active,
+	}
+	if err := h.writeRoster(ctx, r.WithMember(me), version); err != nil {
+		return err
+	}
+	return h.markJoined(known)
+}
+
+// markJoined notes the membership. Where an earlier incarnation was a
+// member, its requests may be outstanding still.
+func (h *Host) markJoined(replaced bool) error {
+	h.mu.Lock()
+	h.joined = true
+	if replaced {
+		h.holder.Replaced(time.Now())
+	}
+	h.mu.Unlock()
+	h.reconfigure()
+	h.kickNow()
+	return nil
+}
+
+// writeRoster writes the zone's next roster. When its answer is lost, the
+// next turn reads what became of it.
+func (h *Host) writeRoster(ctx context.Context, r roster.Roster, version int64) error {
+	body, err := peer.Encode(r)
+	if err != nil {
+		return err
+	}
+	err = h.call(ctx, func(ctx context.Context) error {
+		return h.opts.Table.Transact(ctx, []platform.Write{{Key: rosterKey(r.Zone), IfVersion: version, Body: body}})
+	})
+	if err != nil {
+		return eris.Wrap(err, "write roster")
+	}
+	h.see(r)
+	return nil
+}
+
+// lookAtHosts reads the platform's host list and takes members out of the
+// roster that it says are gone and that are silent as well.
+func (h *Host) lookAtHosts(ctx context.Context) error {
+	var hosts []platform.HostState
+	err := h.call(ctx, func(ctx context.Context) (err error) {
+		hosts, err = h.opts.Hosts.Hosts(ctx)
+		return err
+	})
+	if err != nil {
+		return eris.Wrap(err, "read host list")
+	}
+	h.noteHosts(hosts)
+	gone := map[string]bool{}
+	for _, s := range hosts {
+		gone[s.Name] = s.State == platform.Gone
+	}
+	r, version, err := h.readRoster(ctx)
+	if err != nil {
+		return err
+	}
+	for _, m := range r.Members {
+		if next, ok := h.withoutDead(r, m, gone[m.Host]); ok {
+			return h.writeRoster(ctx, next, version)
+		}
+	}
+	return nil
+}
+
+// withoutDead gives the roster that follows when a member is gone.
+func (h *Host) withoutDead(r roster.Roster, m roster.Member, gone bool) (roster.Roster, bool) {
+	if m.Host == h.self.Host {
+		return r, false
+	}
+	longest := h.longest()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if m.State == roster.Gone {
+		since, seen := h.goneAt[m.Host]
+		if !seen || time.Since(since) < longest+deadMargin {
+			return r, false
+		}
+		delete(h.goneAt, m.Host)
+		return r.Without(m.Host), true
+	}
+	p, known := h.peers.Get(m.Host)
+	silent := !known || time.Since(p.HeardAt) > member.LostAfter
+	if !gone || !silent {
+		return r, false
+	}
+	return r.WithState(m.Host, roster.Gone), true
+}
+
+// fetchRoster takes the zone's roster from a host that has a newer one.
+func (h *Host) fetchRoster(ctx context.Context, from member.Contact) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	r, err := peer.Call[roster.Roster](ctx, h.mesh, from.PeerAddr, peer.KindRoster, h.self.Zone)
+	if err != nil || r.Zone != h.self.Zone {
+		return
+	}
+	h.see(r)
+}
+
+// reawaken is called when the host's own loop stood still. Its slots may
+// have been given away in the meantime: it sends nothing to upstreams until
+// the table, or a host of its zone, has shown it the roster. A host that is
+// alone, with nobody to give its slots to but the platform's table, waits
+// for the table.
+func (h *Host) reawaken(ctx context.Context) bool {
+	h.log.Warn().Msg("entry: host was paused, asking for the roster")
+	if _, _, err := h.readRoster(ctx); err == nil {
+		return true
+	}
+	h.mu.Lock()
+	mates := h.peers.Zone(h.self.Zone)
+	h.mu.Unlock()
+	for _, p := range mates {
+		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
+		r, err := peer.Call[roster.Roster](callCtx, h.mesh, p.Contact.PeerAddr, peer.KindRoster, h.self.Zone)
+		cancel()
+		if err == nil && r.Zone == h.self.Zone {
+			h.see(r)
+			return true
+		}
+	}
+	return false
+}
+
+// Prepare fills the defaults of a host's settings.
+func Prepare(s *settings.Settings) {
+	s.Stop.Window = settings.Default(s.Stop.Window, settings.Seconds(5*time.Minute))
+	s.Stop.Grace = settings.Default(s.Stop.Grace, settings.Seconds(2*time.Second))
+	s.Platform.CallsPerSecond = settings.Default(s.Platform.CallsPerSecond, 5)
+	s.Platform.Region = settings.Default(s.Platform.Region, "local")
+	s.Platform.Table = settings.Default(s.Platform.Table, "cairndock")
+	s.Platform.Bucket = settings.Default(s.Platform.Bucket, "cairndock")
+}
+
+// Check notes the faults of a host's settings.
+func Check(s settings.Settings, f *settings.Faults) {
+	f.Require(s.Host.Name != "", "host.name", "must be set")
+	f.Require(s.Host.Zone != "", "host.zone", "must be set")
+	f.Require(s.Host.Region != "", "host.region", "must be set")
+	f.Require(s.Peers.Listen != "", "peers.listen", "must be set")
+	f.Require(s.Platform.CallsPerSecond > 0, "platform.calls_per_second", "must be above 0")
+	f.Require(s.Stop.Window > 0, "stop.window", "must be above 0")
+	f.Require(s.Stop.Grace >= 0, "stop.grace", "must not be negative")
+}
--- /dev/null
+++ b/internal/entry/serve.go
@@ -0,0 +1,58 @@
+package entry
+
+import (
+	"context"
+
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/ticket"
+)
+
+// ServePeer answers one stream of another entry host.
+func (h *Host) ServePeer(ctx context.Context, from peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
+	switch kind {
+	case peer.KindForward:
+		serve(payload, func(m forwardMsg) {
+			h.inFlight.Add(1)
+			defer h.inFlight.Add(-1)
+			h.serveForward(ctx, from, m, w)
+		})
+	case peer.KindTicket:
+		serve(payload, func(m forwardMsg) {
+			h.inFlight.Add(1)
+			defer h.inFlight.Add(-1)
+			h.serveTicket(ctx, from, m, w)
+		})
+	case peer.KindHeartbeat:
+		serve(payload, func(b member.Heartbeat) { h.serveHeartbeat(ctx, b, w) })
+	case peer.KindRoster:
+		serve(payload, func(string) { h.serveRoster(w) })
+	case peer.KindChanges:
+		serve(payload, func(after uint64) { h.serveChanges(after, w) })
+	case peer.KindPush:
+		serve(payload, func(m pushMsg) { h.servePush(ctx, from, m, w) })
+	case peer.KindConfirm:
+		serve(payload, func(rev uint64) { _ = w.Send(h.ownProgress(rev)) })
+	case peer.KindDrain:
+		serve(payload, func(m drainMsg) { h.serveDrain(ctx, m, w) })
+	case peer.KindHandover:
+		serve(payload, func(m []ticket.Handover) { h.serveHandover(m, w) })
+	}
+}
+
+// serve decodes a message. One that can't be read gets no answer; the
+// asker's deadline ends it.
+func serve[T any](payload []byte, f func(T)) {
+	m, err := peer.Decode[T](payload)
+	if err != nil {
+		return
+	}
+	f(m)
+}
+
+func (h *Host) serveRoster(w *peer.Responder) {
+	h.mu.Lock()
+	r := h.holder.Current()
+	h.mu.Unlock()
+	_ = w.Send(r)
+}
--- /dev/null
+++ b/internal/entry/stop.go
@@ -0,0 +1,139 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"cairndock/internal/roster"
+)
+
+// StopReport says how a planned stop went.
+type StopReport struct {
+	// Waited is how long the stop took.
+	Waited time.Duration
+	// Cut is how many requests were in flight when the window ended.
+	Cut int64
+	// HandedOver says that another host goes on for the tickets.
+	HandedOver bool
+}
+
+// Stop takes the host out of service: it leaves the answers on entries and
+// the zone's roster, serves what still comes, waits for what is in flight
+// and hands its tickets over. It ends early when ctx does.
+func (h *Host) Stop(ctx context.Context) StopReport {
+	began := time.Now()
+	h.log.Info().Msg("entry: stop began")
+	h.leaving.Store(true)
+	h.tellAll()
+	h.leaveRoster(ctx, func(r roster.Roster) roster.Roster { return r.WithState(h.self.Host, roster.Leaving) })
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.opts.Settings.Stop.Window))
+	defer cancel()
+	sleep(ctx, time.Duration(h.opts.Settings.Stop.Grace))
+	h.waitIdle(ctx)
+	report := StopReport{Cut: h.inFlight.Load()}
+	report.HandedOver = h.handOver(context.WithoutCancel(ctx))
+	if report.Cut == 0 && h.outstanding() == 0 {
+		// Whoever still has a slot out stays a member, and its slots unused,
+		// until the platform says that it is gone.
+		h.leaveRoster(context.WithoutCancel(ctx), func(r roster.Roster) roster.Roster { return r.Without(h.self.Host) })
+	}
+	report.Waited = time.Since(began)
+	h.log.Info().Dur("waited", report.Waited).Int64("cut", report.Cut).Bool("handed_over", report.HandedOver).
+		Msg("entry: stop ended")
+	return report
+}
+
+// InFlight counts a caller's request for as long as it is served. The
+// function given back ends it.
+func (h *Host) InFlight() func() {
+	h.inFlight.Add(1)
+	return func() { h.inFlight.Add(-1) }
+}
+
+// tellAll sends a heartbeat to every known host at once.
+func (h *Host) tellAll() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, zone := range h.peers.Zones() {
+		for _, p := range h.peers.Zone(zone) {
+			go h.beatOne(context.Background(), p.Contact)
+		}
+	}
+}
+
+// leaveRoster writes this host's own change of the roster, a few times when
+// others write at the same time.
+func (h *Host) leaveRoster(ctx context.Context, change func(roster.Roster) roster.Roster) {
+	const tries = 5
+	for range tries {
+		r, version, err := h.readRoster(ctx)
+		if err == nil {
+			if !h.inRoster(r) {
+				return
+			}
+			err = h.writeRoster(ctx, change(r), version)
+		}
+		if err == nil {
+			return
+		}
+		h.log.Warn().Err(err).Msg("roster: could not leave")
+		if !sleep(ctx, tick) {
+			return
+		}
+	}
+}
+
+func (h *Host) inRoster(r roster.Roster) bool {
+	m, ok := r.Member(h.self.Host)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return ok && m.Incarnation == h.holder.Incarnation()
+}
+
+// waitIdle waits until nothing is in flight.
+func (h *Host) waitIdle(ctx context.Context) {
+	const pause = 20 * time.Millisecond
+	for h.inFlight.Load() > 0 || h.outstanding() > 0 || h.runningTickets() > 0 {
+		if !sleep(ctx, pause) {
+			return
+		}
+	}
+}
+
+func (h *Host) outstanding() int {
+	out := 0
+	h.services.Range(func(_, s any) bool {
+		out += s.(*service).gate.Load().Out
+		return true
+	})
+	return out
+}
+
+func (h *Host) runningTickets() int {
+	h.ticketsMu.Lock()
+	defer h.ticketsMu.Unlock()
+	return h.tickets.Running()
+}
+
+func (h *Host) registerMetrics() {
+	m := h.metrics
+	m.Gauge("cairndock_config_revision", func() float64 { return float64(h.View().Revision()) })
+	m.Gauge("cairndock_config_age_seconds", func() float64 { return float64(h.now()-h.freshAt.Load()) / float64(time.Second) })
+	m.Gauge("cairndock_frozen", func() float64 { return boolGauge(h.Frozen()) })
+	m.Gauge("cairndock_in_flight", func() float64 { return float64(h.inFlight.Load()) })
+	m.Gauge("cairndock_slots_outstanding", func() float64 { return float64(h.outstanding()) })
+	m.Gauge("cairndock_slots_held", func() float64 {
+		held := 0
+		for _, f := range h.free() {
+			held += f.Held
+		}
+		return float64(held)
+	})
+}
+
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/platform/memory.go
@@ -0,0 +1,153 @@
+package platform
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+)
+
+// Memory is a whole platform in memory, for tests and stand-ins. Its fault
+// hook makes it fail the way the real one may.
+type Memory struct {
+	mu      sync.Mutex
+	rows    map[Key]Row
+	objects map[string][]byte
+	hosts   map[string]State
+	calls   map[string]int
+	// fault is asked before each call and, by after, after it.
+	fault func(op string, after bool) error
+}
+
+// NewMemory makes an empty platform.
+func NewMemory() *Memory {
+	return &Memory{
+		rows:    map[Key]Row{},
+		objects: map[string][]byte{},
+		hosts:   map[string]State{},
+		calls:   map[string]int{},
+	}
+}
+
+// SetFault installs a hook that is asked before and after every call. An
+// error given after a write is a lost answer: the write took effect.
+func (m *Memory) SetFault(f func(op string, after bool) error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.fault = f
+}
+
+// Calls gives how often an operation was called.
+func (m *Memory) Calls(op string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.calls[op]
+}
+
+func (m *Memory) run(ctx context.Context, op string, do func() error) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.calls[op]++
+	fault := m.fault
+	m.mu.Unlock()
+	if fault != nil {
+		if err := fault(op, false); err != nil {
+			return err
+		}
+	}
+	m.mu.Lock()
+	err := do()
+	m.mu.Unlock()
+	if fault != nil && err == nil {
+		return fault(op, true)
+	}
+	return err
+}
+
+// Get reads a row.
+func (m *Memory) Get(ctx context.Context, key Key) (row Row, err error) {
+	err = m.run(ctx, "get", func() error {
+		r, ok := m.rows[key]
+		if !ok {
+			return ErrNotFound
+		}
+		row = r
+		row.Body = slices.Clone(r.Body)
+		return nil
+	})
+	return row, err
+}
+
+// Transact writes all rows or none.
+func (m *Memory) Transact(ctx context.Context, writes []Write) error {
+	return m.run(ctx, "transact", func() error {
+		for _, w := range writes {
+			if m.rows[w.Key].Version != w.IfVersion {
+				return ErrConflict
+			}
+		}
+		for _, w := range writes {
+			m.rows[w.Key] = Row{Key: w.Key, Version: w.IfVersion + 1, Body: slices.Clone(w.Body)}
+		}
+		return nil
+	})
+}
+
+// List reads up to limit rows of a partition whose sort key is above after.
+func (m *Memory) List(ctx context.Context, partition, after string, limit int) (rows []Row, err error) {
+	err = m.run(ctx, "list", func() error {
+		for key, row := range m.rows {
+			if key.Partition == partition && key.Sort > after {
+				rows = append(rows, row)
+			}
+		}
+		slices.SortFunc(rows, func(a, b Row) int { return strings.Compare(a.Key.Sort, b.Key.Sort) })
+		if len(rows) > limit {
+			rows = rows[:limit]
+		}
+		return nil
+	})
+	return rows, err
+}
+
+// PutObject stores an object.
+func (m *Memory) PutObject(ctx context.Context, name string, body []byte) error {
+	return m.run(ctx, "put-object", func() error {
+		m.objects[name] = slices.Clone(body)
+		return nil
+	})
+}
+
+// GetObject reads an object.
+func (m *Memory) GetObject(ctx context.Context, name string) (body []byte, err error) {
+	err = m.run(ctx, "get-object", func() error {
+		b, ok := m.objects[name]
+		if !ok {
+			return ErrNotFound
+		}
+		body = slices.Clone(b)
+		return nil
+	})
+	return body, err
+}
+
+// SetHost sets a line of the host list.
+func (m *Memory) SetHost(name string, state State) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.hosts[name] = state
+}
+
+// Hosts reads the host list.
+func (m *Memory) Hosts(ctx context.Context) (hosts []HostState, err error) {
+	err = m.run(ctx, "hosts", func() error {
+		for name, state := range m.hosts {
+			hosts = append(hosts, HostState{Name: name, State: state})
+		}
+		slices.SortFunc(hosts, func(a, b HostState) int { return strings.Compare(a.Name, b.Name) })
+		return nil
+	})
+	return hosts, err
+}
--- /dev/null
+++ b/internal/server/server.go
@@ -0,0 +1,131 @@
+// Package server runs one entry host with its listeners.
+package server
+
+import (
+	"context"
+	"errors"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"cairndock/internal/caller"
+	"cairndock/internal/entry"
+	"cairndock/internal/operator"
+	"cairndock/internal/platform"
+	"cairndock/internal/settings"
+	"cairndock/internal/telemetry"
+	"cairndock/internal/tlsfiles"
+)
+
+// Prepare fills the defaults of all sections and gives every fault at once.
+func Prepare(s *settings.Settings) error {
+	entry.Prepare(s)
+	caller.Default(&s.Callers)
+	telemetry.Default(&s.Telemetry)
+	var f settings.Faults
+	entry.Check(*s, &f)
+	caller.Check(s.Callers, &f)
+	operator.Check(s.Operators, &f)
+	platform.Check(s.Platform, &f)
+	telemetry.Check(s.Telemetry, &f)
+	tlsfiles.Check("peers.tls", s.Peers.TLS, &f)
+	return errors.Join(f...)
+}
+
+// Server is a running entry host.
+type Server struct {
+	host      *entry.Host
+	callers   *caller.Server
+	operators *operator.Server
+	log       zerolog.Logger
+
+	callerAddr   string
+	operatorAddr string
+	failed       chan error
+}
+
+// Listeners make the host's own listeners; TCP but for tests.
+type Listeners interface {
+	Listen(addr string) (net.Listener, error)
+}
+
+// Remote gives options that reach the platform of the settings.
+func Remote(s settings.Settings, log zerolog.Logger, tp *sdktrace.TracerProvider) (entry.Options, error) {
+	o := entry.Options{
+		Settings: s, Log: log, Traces: tp, Transport: entry.TCP{},
+		Table: platform.NewTable(s.Platform), Objects: platform.NewObjects(s.Platform),
+		Hosts: platform.NewHostList(s.Platform), Seed: uint64(time.Now().UnixNano()),
+	}
+	if s.Peers.TLS.Enabled() {
+		files, err := tlsfiles.Open(s.Peers.TLS)
+		if err != nil {
+			return o, err
+		}
+		o.Transport = tlsfiles.Transport{Files: files}
+	}
+	return o, nil
+}
+
+// Start starts a host and its listeners.
+func Start(ctx context.Context, o entry.Options, ls Listeners) (*Server, error) {
+	h, err := entry.New(o)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{host: h, log: o.Log, failed: make(chan error, 2)}
+	callers, err := ls.Listen(o.Settings.Callers.Listen)
+	if err != nil {
+		return nil, eris.Wrap(err, "listen for callers")
+	}
+	operators, err := ls.Listen(o.Settings.Operators.Listen)
+	if err != nil {
+		_ = callers.Close()
+		return nil, eris.Wrap(err, "listen for operators")
+	}
+	s.callerAddr, s.operatorAddr = callers.Addr().String(), operators.Addr().String()
+	s.callers = caller.New(o.Settings.Callers, h, o.Log, o.Traces, h.Metrics())
+	s.operators = operator.New(o.Settings.Operators, h, o.Log, h.Metrics())
+	if err := h.Start(ctx, s.callerAddr); err != nil {
+		_ = callers.Close()
+		_ = operators.Close()
+		return nil, err
+	}
+	go func() { s.failed <- s.callers.Serve(callers) }()
+	go func() { s.failed <- s.operators.Serve(operators) }()
+	return s, nil
+}
+
+// Host is the host that the server runs.
+func (s *Server) Host() *entry.Host { return s.host }
+
+// CallerAddr is where callers are served, and OperatorAddr operators.
+func (s *Server) CallerAddr() string { return s.callerAddr }
+
+// OperatorAddr is where operators are served.
+func (s *Server) OperatorAddr() string { return s.operatorAddr }
+
+// Failed gives the error that ended a listener.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+// closeTimeout bounds the last wait for callers' connections.
+const closeTimeout = time.Second
+
+// Stop takes the host out of service and then closes it.
+func (s *Server) Stop(ctx context.Context) entry.StopReport {
+	report := s.host.Stop(ctx)
+	closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
+	defer cancel()
+	_ = s.callers.Shutdown(closeCtx)
+	s.Close()
+	return report
+}
+
+// Close ends the server at once, as a crash would.
+func (s *Server) Close() {
+	_ = s.callers.Close()
+	_ = s.operators.Close()
+	s.host.Close()
+}
--- /dev/null
+++ b/internal/slot/gate.go
@@ -0,0 +1,139 @@
+package slot
+
+import (
+	"container/list"
+	"context"
+	"sync"
+	"time"
+)
+
+// queueFactor bounds the waiting requests as a multiple of held slots.
+const queueFactor = 1
+
+// clockStart is what a gate's clock reads when the gate is made; above zero,
+// so that zero is always long ago.
+const clockStart = int64(time.Hour)
+
+// Gate is a pool that many goroutines share, with a short bounded queue.
+type Gate struct {
+	mu      sync.Mutex
+	pool    *Pool
+	waiting list.List // of *waiter
+	made    time.Time
+}
+
+// now reads the gate's monotonic clock, in nanoseconds.
+func (g *Gate) now() int64 { return clockStart + int64(time.Since(g.made)) }
+
+type waiter struct {
+	rule  string
+	lease Lease
+	ready chan struct{}
+}
+
+// NewGate makes a gate on an empty pool.
+func NewGate() *Gate { return &Gate{pool: NewPool(), made: time.Now()} }
+
+// Configure sets what the gate's pool holds.
+func (g *Gate) Configure(specs []Spec, rules []RuleSpec) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Configure(specs, rules)
+	g.serveWaiting()
+}
+
+// Acquire takes a slot, waiting until the given time at most. Only a full
+// pool is waited for: a reached cap refuses at once.
+func (g *Gate) Acquire(ctx context.Context, rule string, until time.Time) (Lease, Refusal) {
+	g.mu.Lock()
+	wait := time.Until(until)
+	lease, refusal := g.pool.Take(rule, g.now())
+	if refusal != Full || wait <= 0 || !g.hasRoom() {
+		g.mu.Unlock()
+		return lease, refusal
+	}
+	w := &waiter{rule: rule, ready: make(chan struct{})}
+	place := g.waiting.PushBack(w)
+	g.mu.Unlock()
+	return g.wait(ctx, w, place, wait)
+}
+
+func (g *Gate) hasRoom() bool {
+	held, _ := g.pool.Usage()
+	return g.waiting.Len() < queueFactor*held
+}
+
+func (g *Gate) wait(ctx context.Context, w *waiter, place *list.Element, d time.Duration) (Lease, Refusal) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-w.ready:
+		return w.lease, Granted
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	select {
+	case <-w.ready:
+		// The slot came at the last moment; the request may still use it.
+		return w.lease, Granted
+	default:
+		g.waiting.Remove(place)
+		return Lease{}, Full
+	}
+}
+
+// Release gives a slot back and passes it to the longest waiting request.
+func (g *Gate) Release(l Lease, outcome Outcome, latency time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Release(l, outcome, latency, g.now())
+	g.serveWaiting()
+}
+
+func (g *Gate) serveWaiting() {
+	now := g.now()
+	for e := g.waiting.Front(); e != nil; {
+		next := e.Next()
+		w := e.Value.(*waiter)
+		lease, refusal := g.pool.Take(w.rule, now)
+		if refusal == Granted {
+			w.lease = lease
+			g.waiting.Remove(e)
+			close(w.ready)
+		}
+		if refusal == Full {
+			return
+		}
+		e = next
+	}
+}
+
+// Do runs f on the pool under the gate's lock.
+func (g *Gate) Do(f func(p *Pool)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g.pool)
+}
+
+// Report notes an upstream's own word on its load, as of now.
+func (g *Gate) Report(upstream string, load float64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.pool.Report(upstream, load, g.now())
+}
+
+// Load sums the gate's pool up.
+func (g *Gate) Load() Load {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pool.Load(g.now())
+}
+
+// Waiting is how many requests wait for a slot.
+func (g *Gate) Waiting() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.waiting.Len()
+}
--- /dev/null
+++ b/internal/telemetry/telemetry.go
@@ -0,0 +1,111 @@
+// Package telemetry sets up logs, metrics and traces.
+package telemetry
+
+import (
+	"context"
+	"io"
+	"slices"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rotisserie/eris"
+	"github.com/rs/zerolog"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/exporters/otlp/otlptrace/otlptracehttp"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	"go.opentelemetry.io/otel/propagation"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+
+	"cairndock/internal/settings"
+)
+
+// The kinds of trace output.
+const (
+	TracesNone   = "none"
+	TracesStdout = "stdout"
+	TracesOTLP   = "otlp"
+)
+
+// Default fills the section's defaults.
+func Default(s *settings.Telemetry) {
+	s.LogLevel = settings.Default(s.LogLevel, "info")
+	s.Traces = settings.Default(s.Traces, TracesNone)
+	s.TraceShare = settings.Default(s.TraceShare, 0.01)
+}
+
+// Check notes the section's faults.
+func Check(s settings.Telemetry, f *settings.Faults) {
+	_, err := zerolog.ParseLevel(s.LogLevel)
+	f.Require(err == nil, "telemetry.log_level", "must be debug, info, warn or error")
+	f.Require(slices.Contains([]string{TracesNone, TracesStdout, TracesOTLP}, s.Traces),
+		"telemetry.traces", "must be none, stdout or otlp")
+	f.Require(s.Traces != TracesOTLP || s.OTLPEndpoint != "", "telemetry.otlp_endpoint", "must be set for otlp")
+	f.Require(s.TraceShare >= 0 && s.TraceShare <= 1, "telemetry.trace_share", "must be from 0 to 1")
+}
+
+// NewLogger makes a logger that writes JSON lines.
+func NewLogger(w io.Writer, level string) zerolog.Logger {
+	lvl, err := zerolog.ParseLevel(level)
+	if err != nil {
+		lvl = zerolog.InfoLevel
+	}
+	return zerolog.New(w).Level(lvl).With().Timestamp().Logger()
+}
+
+// Part gives the logger of a part; its name stands in front of what it says.
+func Part(l zerolog.Logger, part string) zerolog.Logger {
+	return l.With().Str("part", part).Logger()
+}
+
+// NewProvider makes a trace provider. Its shutdown must be called.
+func NewProvider(ctx context.Context, s settings.Telemetry, out io.Writer) (*sdktrace.TracerProvider, error) {
+	sampler := sdktrace.ParentBased(sdktrace.TraceIDRatioBased(s.TraceShare))
+	switch s.Traces {
+	case TracesStdout:
+		exp, err := stdouttrace.New(stdouttrace.WithWriter(out))
+		if err != nil {
+			return nil, eris.Wrap(err, "open trace output")
+		}
+		return sdktrace.NewTracerProvider(sdktrace.WithSampler(sampler), sdktrace.WithBatcher(exp)), nil
+	case TracesOTLP:
+		exp, err := otlptracehttp.New(ctx, otlptracehttp.WithEndpointURL(s.OTLPEndpoint))
+		if err != nil {
+			return nil, eris.Wrap(err, "open trace output")
+		}
+		return sdktrace.NewTracerProvider(sdktrace.WithSampler(sampler), sdktrace.WithBatcher(exp)), nil
+	default:
+		return sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())), nil
+	}
+}
+
+// UseW3C makes traces pass between processes by the W3C Trace Context.
+func UseW3C() { otel.SetTextMapPropagator(propagation.TraceContext{}) }
+
+// Tracer gives the tracer of the system's own spans.
+func Tracer(p trace.TracerProvider) trace.Tracer { return p.Tracer("cairndock") }
+
+// Metrics is one host's set of metrics.
+type Metrics struct{ set *metrics.Set }
+
+// NewMetrics makes an empty set.
+func NewMetrics() *Metrics { return &Metrics{set: metrics.NewSet()} }
+
+// Count adds one to a counter. The name may carry labels.
+func (m *Metrics) Count(name string) { m.set.GetOrCreateCounter(name).Inc() }
+
+// Add adds n to a counter.
+func (m *Metrics) Add(name string, n int) { m.set.GetOrCreateCounter(name).Add(n) }
+
+// Observe adds a value, in seconds, to a histogram.
+func (m *Metrics) Observe(name string, seconds float64) {
+	m.set.GetOrCreateHistogram(name).Update(seconds)
+}
+
+// Gauge registers a gauge that is read when metrics are.
+func (m *Metrics) Gauge(name string, f func() float64) { m.set.GetOrCreateGauge(name, f) }
+
+// Write writes all metrics in the Prometheus text format.
+func (m *Metrics) Write(w io.Writer) {
+	m.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/main.go
@@ -0,0 +1,12 @@
+// Command cairndock steers requests between callers and upstreams.
+package main
+
+import (
+	"os"
+
+	"cairndock/cmd"
+)
+
+func main() {
+	os.Exit(cmd.Run())
+}
