Pass over rules at their cap before sending, and know zones at once

Ruled out by printing the refusal's detail: not the slots' own limits. Two causes: a rule without credit used up tries, and a zone that had just answered its first heartbeat counted as unreachable until the next turn of the loop.

Change: a rule without credit is passed over before any try, tries count what was sent, a full zone of each rule is kept to wait at, and a peer's first answer refreshes the decisions. Zones report the slots they trust to upstreams that are still cold, so that an idle cold zone no longer looks 78% used.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// maxTries bounds the zones that one request is offered to.
+	// maxTries bounds how often one request is sent.
 	maxTries = 4
 	// comeBack is when a refused caller is told to come back.
 	comeBack = time.Second
@@ -68,12 +68,12 @@
 	sends int
 	// spent says that the budget of retries is used up.
 	spent bool
-	// queueAt is the first zone found full, where to wait at last.
-	queueAt *steer.Choice
+	// queueAt holds the first full zone of each rule, where to wait at last.
+	queueAt []steer.Choice
 }
 
 func (d *dispatcher) run(ctx context.Context) (*call.Answer, error) {
-	for range maxTries {
+	for d.sends < maxTries {
 		choice, ok := d.next()
 		if !ok {
 			break
@@ -97,17 +97,21 @@
 }
 
 // queue waits for a slot at the best zone that was full, for a part of the
-// time left.
+// time left. A rule that has come to its cap meanwhile is passed over.
 func (d *dispatcher) queue(ctx context.Context) (*call.Answer, error) {
-	if d.queueAt == nil || ctx.Err() != nil {
-		return nil, d.final()
-	}
 	left := time.Until(d.req.Deadline)
-	answer, err := prime(d.offer(ctx, *d.queueAt, time.Now().Add(left/queuePart)))
-	if err == nil {
-		return answer, nil
+	for _, choice := range d.queueAt {
+		if ctx.Err() != nil || d.spent {
+			break
+		}
+		answer, err := prime(d.offer(ctx, choice, time.Now().Add(left/queuePart)))
+		if err == nil {
+			return answer, nil
+		}
+		if d.note(err).Reason != verdict.Capped {
+			break
+		}
 	}
-	d.note(err)
 	return nil, d.final()
 }
 
@@ -247,11 +251,14 @@
 	return d.svc.Repeat.Allows(d.req.Method) && d.req.Ticket == ""
 }
 
-// mayQueueAt remembers the first zone that was found full.
+// mayQueueAt remembers the first zone of a rule that was found full.
 func (d *dispatcher) mayQueueAt(c steer.Choice) {
-	if d.queueAt == nil {
-		d.queueAt = &c
+	for _, known := range d.queueAt {
+		if known.Rule == c.Rule {
+			return
+		}
 	}
+	d.queueAt = append(d.queueAt, c)
 }
 
 func (d *dispatcher) slow(rule string) {
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -241,7 +241,7 @@
 func (h *Host) sendAnswer(ctx context.Context, from peer.Hello, name string, a *call.Answer, err error, w *peer.Responder) {
 	free := member.Free{Service: name}
 	load := h.serviceFor(name).gate.Load()
-	free.Free, free.Held = load.Free, load.Held
+	free.Free, free.Held, free.Warm = load.Free, load.Held, load.Warm
 	if err != nil {
 		e := verdict.From(err)
 		_ = w.Send(forwardReply{
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -82,8 +82,12 @@
 		return
 	}
 	h.mu.Lock()
+	before, _ := h.peers.Get(c.Host)
 	h.peers.Heard(reply, asked, time.Since(asked))
 	h.mu.Unlock()
+	if !before.Up(time.Now()) {
+		h.refreshDeciders() // a zone may be within reach that was not
+	}
 	h.learn(ctx, reply)
 	h.noteFresh(reply, askedAt)
 }
@@ -159,7 +163,7 @@
 	var out []member.Free
 	for _, svc := range h.View().Services() {
 		load := h.serviceFor(svc.Name).gate.Load()
-		out = append(out, member.Free{Service: svc.Name, Free: load.Free, Held: load.Held})
+		out = append(out, member.Free{Service: svc.Name, Free: load.Free, Held: load.Held, Warm: load.Warm})
 	}
 	return out
 }
@@ -176,6 +180,7 @@
 				if sum[i].Service == f.Service {
 					sum[i].Free += f.Free
 					sum[i].Held += f.Held
+					sum[i].Warm += f.Warm
 				}
 			}
 		}
@@ -276,7 +281,9 @@
 	zones := h.zoneReports(now)
 	for _, svc := range h.View().Services() {
 		s := h.serviceFor(svc.Name)
+		held, out, latency := s.usage()
 		s.mu.Lock()
+		s.decider.SetLocal(held, out, latency)
 		s.decider.SetFrozen(frozen)
 		s.decider.Meter().Advance(now, frozen)
 		for _, z := range zones {
@@ -297,7 +304,7 @@
 func (z zoneReport) report(service string) steer.Report {
 	for _, f := range z.free {
 		if f.Service == service {
-			return steer.Report{Free: f.Free, Held: f.Held, At: z.at}
+			return steer.Report{Free: f.Free, Held: f.Warm, At: z.at}
 		}
 	}
 	return steer.Report{}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -40,11 +40,13 @@
 	CallerAddr string `msgpack:"c"`
 }
 
-// Free is a host's slots for one service.
+// Free is a host's slots for one service: how many could be taken now, are
+// held, and are trusted to the upstreams as warm as they are.
 type Free struct {
 	Service string `msgpack:"s"`
 	Free    int    `msgpack:"f"`
 	Held    int    `msgpack:"h"`
+	Warm    int    `msgpack:"w"`
 }
 
 // Handover says that a host goes on for a stopped one's tickets.
--- a/internal/shift/meter.go
+++ b/internal/shift/meter.go
@@ -182,15 +182,21 @@
 	return ra.deficit > rb.deficit
 }
 
+// Has reports whether a rule's cap leaves room for a request.
+func (m *Meter) Has(i int32) bool {
+	r := &m.rules[i]
+	return r.Cap >= 1 || r.credit >= 1
+}
+
 // Take counts a request to a rule, or reports that its cap leaves no room.
 // Nothing gives it back: a request that was refused after all has used the
 // room, so that no window can ever hold more.
 func (m *Meter) Take(i int32) bool {
+	if !m.Has(i) {
+		return false
+	}
 	r := &m.rules[i]
 	if r.Cap < 1 {
-		if r.credit < 1 {
-			return false
-		}
 		r.credit--
 	}
 	r.deficit = math.Max(-maxDeficit, r.deficit-1)
--- a/internal/slot/pool.go
+++ b/internal/slot/pool.go
@@ -343,6 +343,9 @@
 	Free int
 	// Held is how many slots this host may use.
 	Held int
+	// Warm is how many of them are trusted to cold or shedding upstreams
+	// now.
+	Warm int
 	// Out is how many requests are outstanding.
 	Out int
 }
@@ -357,6 +360,7 @@
 		}
 		l.Held += m.held
 		if m.restUntil <= now {
+			l.Warm += m.allowed()
 			l.Free += max(0, m.allowed()-m.out)
 		}
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -193,7 +193,9 @@
 func (d *Decider) Next(p *Plan, now int64) (Choice, bool) {
 	for p.rule < len(p.rules) {
 		i := p.rules[p.rule]
-		if int(i) < len(d.rules) {
+		room := int(i) < len(d.rules) && d.meter.Has(i)
+		p.Capped = p.Capped || !room
+		if room {
 			if c, ok := d.bestSite(p, i, now); ok {
 				return c, true
 			}
