Fence hosts that are cut off from everything, and prove slots are conserved

Cause: a host that was cut off from peers, platform and upstreams at once, and that the platform's list called gone, went on sending; when the links healed, its late requests met upstreams whose slots others held by then. Ruled out: late frames alone, which upstreams refuse by their deadline.

Change: a host that nobody answered for 4 s (below the 5 s of silence that go with the list's word) sends no new work until table or a mate has shown it the roster; a slot that a waiting request gets is given back when the host slept meanwhile. Dialing waits on a channel with the caller's context instead of a mutex, which also let the tests' fake time stand still.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -297,10 +297,13 @@
 
 // acquire takes a slot of the own zone.
 func (h *Host) acquire(ctx context.Context, name, rule string, until time.Time) (slot.Lease, error) {
-	if !h.awake() {
-		return slot.Lease{}, verdict.New(verdict.NotRun, verdict.NotReady, "host was paused").WithRetryAfter(comeBack)
+	gate := h.serviceFor(name).gate
+	lease, refusal := gate.Acquire(ctx, rule, until)
+	// Only now, as the host may have been paused while the request waited.
+	if refusal == slot.Granted && !h.awake() {
+		gate.Release(lease, slot.Unused, 0)
+		return lease, verdict.New(verdict.NotRun, verdict.NotReady, "host was paused").WithRetryAfter(comeBack)
 	}
-	lease, refusal := h.serviceFor(name).gate.Acquire(ctx, rule, until)
 	switch refusal {
 	case slot.Granted:
 		return lease, nil
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -39,10 +39,7 @@
 }
 
 func (h *Host) turn(ctx context.Context) {
-	if !h.awake() && !h.reawaken(ctx) {
-		return
-	}
-	h.awakeAt.Store(h.now())
+	h.stayAwake(ctx)
 	now := time.Now()
 	h.mu.Lock()
 	due := h.peers.Due(now)
@@ -81,6 +78,7 @@
 		}
 		return
 	}
+	h.heard()
 	h.mu.Lock()
 	before, _ := h.peers.Get(c.Host)
 	h.peers.Heard(reply, asked, time.Since(asked))
@@ -340,6 +338,7 @@
 
 // hear takes in an upstream's own word with an answer or a probe.
 func (h *Host) hear(name string, w upstream.Word) {
+	h.heard()
 	h.mu.Lock()
 	before := h.instances[name]
 	changed := h.noteSign(member.Sign{Upstream: name, Instance: w.Instance, Leaving: w.Leaving, Seen: true})
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -112,7 +112,11 @@
 	pacersMu sync.Mutex
 	pacers   map[string]*link.Pacer
 
-	awakeAt  atomic.Int64 // as read by now
+	// awakeAt is when the host's loop last turned with its slots known to be
+	// its own, and contactAt when anyone last answered; as read by now.
+	awakeAt   atomic.Int64
+	contactAt atomic.Int64
+	reviving  atomic.Bool
 	leaving  atomic.Bool
 	inFlight atomic.Int64
 	entries  entriesCache
@@ -139,6 +143,11 @@
 	// maxSleep is the longest gap between two turns of the loop before the
 	// host takes itself for paused and asks anew what it may still do.
 	maxSleep = 2 * time.Second
+	// maxIsolation is the longest silence of peers, platform and upstreams
+	// all together before the host takes itself for cut off from everything.
+	// It is below member.LostAfter, the silence after which a host that the
+	// platform calls gone loses its slots.
+	maxIsolation = 4 * time.Second
 	// FreezeAfter is the age of the last proof that the configuration is
 	// the newest, after which the host freezes: ramps stand still and the
 	// own zone goes first.
@@ -190,6 +199,7 @@
 	h.self.CallerAddr = settings.Default(h.self.CallerAddr, callerAddr)
 	h.peers = member.NewPeers(h.self)
 	h.awakeAt.Store(h.now())
+	h.contactAt.Store(h.now())
 	ctx, h.stop = context.WithCancel(ctx)
 	h.registerMetrics()
 	for _, loop := range []func(context.Context){h.beatLoop, h.platformLoop, h.probeLoop, h.rosterLoop} {
@@ -342,12 +352,35 @@
 }
 
 // awake reports whether the host may send new work to upstreams. A host
-// whose own loop stood still was paused: what it held may have been given
-// to others since, and it must ask first.
+// that was paused, or that nobody answered for a while, may have lost its
+// slots to others since, and must ask first.
 func (h *Host) awake() bool {
 	return h.now()-h.awakeAt.Load() < int64(maxSleep)
 }
 
+// heard notes that somebody answered.
+func (h *Host) heard() { h.contactAt.Store(h.now()) }
+
+// stayAwake keeps the host awake from turn to turn, or has it ask for the
+// roster when it may have lost its slots.
+func (h *Host) stayAwake(ctx context.Context) {
+	isolated := h.now()-h.contactAt.Load() > int64(maxIsolation)
+	if h.awake() && !isolated {
+		h.awakeAt.Store(h.now())
+		return
+	}
+	if !h.reviving.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer h.reviving.Store(false)
+		if h.reawaken(ctx) {
+			h.heard()
+			h.awakeAt.Store(h.now())
+		}
+	}()
+}
+
 // longest is the longest deadline of any service.
 func (h *Host) longest() time.Duration {
 	longest := time.Duration(0)
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -47,7 +47,9 @@
 	err := f(ctx)
 	if err != nil && !errors.Is(err, platform.ErrNotFound) && !errors.Is(err, platform.ErrConflict) {
 		h.metrics.Count("cairndock_platform_failures_total")
+		return err
 	}
+	h.heard()
 	return err
 }
 
@@ -371,13 +373,12 @@
 	h.see(r)
 }
 
-// reawaken is called when the host's own loop stood still. Its slots may
-// have been given away in the meantime: it sends nothing to upstreams until
-// the table, or a host of its zone, has shown it the roster. A host that is
-// alone, with nobody to give its slots to but the platform's table, waits
-// for the table.
+// reawaken is called when the host was paused or cut off from everything.
+// Its slots may have been given away in the meantime: it sends nothing to
+// upstreams until the table, or a host of its zone, has shown it the roster.
+// A host that is alone waits for the table.
 func (h *Host) reawaken(ctx context.Context) bool {
-	h.log.Warn().Msg("entry: host was paused, asking for the roster")
+	h.log.Warn().Msg("entry: host was paused or alone, asking for the roster")
 	if _, _, err := h.readRoster(ctx); err == nil {
 		return true
 	}
--- /dev/null
+++ b/internal/entry/slots_test.go
@@ -0,0 +1,158 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/platform"
+)
+
+const anywhere = `
+[[rule]]
+name = "all"
+service = "planning"
+selector = ""
+share = 1.0
+`
+
+// freeze cuts a host off from everything and, when it wakes, makes its own
+// loop look as if it had stood still.
+func (c *cluster) freeze(name string, d time.Duration) {
+	c.mu.Lock()
+	h := c.hosts[name]
+	c.mu.Unlock()
+	others := append(c.names(), "platform")
+	for _, o := range others {
+		c.net.Cut(name, o)
+	}
+	time.Sleep(d)
+	h.awakeAt.Store(h.now() - int64(d))
+	for _, o := range others {
+		c.net.Heal(name, o)
+	}
+}
+
+func (c *cluster) names() []string {
+	var names []string
+	for name := range c.upstreams {
+		names = append(names, name)
+	}
+	for _, z := range clusterZones {
+		for i := range z.hosts {
+			names = append(names, fmt.Sprintf("%s-%d", z.zone, i+1))
+		}
+	}
+	return names
+}
+
+// cutZone cuts a zone off from everything outside it.
+func (c *cluster) cutZone(zone string, d time.Duration) {
+	inside := func(name string) bool {
+		return name == zone+"-1" || name == zone+"-2" || name == "up-"+zone+"-1" || name == "up-"+zone+"-2"
+	}
+	outside := append(c.names(), "platform")
+	each := func(f func(a, b string)) {
+		for _, a := range c.names() {
+			for _, b := range outside {
+				if inside(a) && !inside(b) {
+					f(a, b)
+				}
+			}
+		}
+	}
+	each(c.net.Cut)
+	time.Sleep(d)
+	each(c.net.Heal)
+}
+
+func (c *cluster) platformDown(d time.Duration) {
+	c.memory.SetFault(func(string, bool) error { return errors.New("platform is down") })
+	time.Sleep(d)
+	c.memory.SetFault(nil)
+}
+
+// loseAnswers makes writes take effect without an answer.
+func (c *cluster) loseAnswers(d time.Duration) {
+	c.memory.SetFault(func(op string, after bool) error {
+		if op == "transact" && after {
+			return errors.New("answer lost")
+		}
+		return nil
+	})
+	time.AfterFunc(d, func() { c.memory.SetFault(nil) })
+}
+
+func (c *cluster) goneAfter(name string, d time.Duration) {
+	time.AfterFunc(d, func() { c.memory.SetHost(name, platform.Gone) })
+}
+
+// TestSlotsAreConserved offers more than the capacity while hosts, the
+// platform and links fail. No upstream may ever see a request for which it
+// has no slot, and all capacity must come back.
+func TestSlotsAreConserved(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cluster)
+	}{
+		{"nothing fails", func(*cluster) {}},
+		{"host killed", func(c *cluster) { c.kill("costa-a-1") }},
+		{"host killed and restarted", func(c *cluster) {
+			c.kill("costa-a-1")
+			time.Sleep(500 * time.Millisecond)
+			c.start("costa-a-1", "costa-a", "costa")
+		}},
+		{"host paused for 30 s", func(c *cluster) { c.freeze("costa-a-1", 30*time.Second) }},
+		{"host paused for 30 s and taken for gone", func(c *cluster) {
+			c.goneAfter("costa-a-1", 4*time.Second)
+			c.freeze("costa-a-1", 30*time.Second)
+			c.memory.SetHost("costa-a-1", platform.Live)
+		}},
+		{"roster write whose answer is lost", func(c *cluster) {
+			c.loseAnswers(5 * time.Second)
+			c.kill("costa-a-1")
+			time.Sleep(200 * time.Millisecond)
+			c.start("costa-a-1", "costa-a", "costa")
+		}},
+		{"platform down", func(c *cluster) { c.platformDown(20 * time.Second) }},
+		{"zone cut off", func(c *cluster) { c.cutZone("costa-a", 20*time.Second) }},
+		{"platform down and host restarted", func(c *cluster) {
+			c.kill("costa-a-1")
+			go c.platformDown(10 * time.Second)
+			time.Sleep(time.Second)
+			c.start("costa-a-1", "costa-a", "costa")
+		}},
+		{"zone cut off and host killed in it", func(c *cluster) {
+			go c.cutZone("costa-a", 15*time.Second)
+			time.Sleep(5 * time.Second)
+			c.kill("costa-a-2")
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, anywhere, func(c *cluster) {
+				const perSecond = 300
+				before := c.load(perSecond, 5*time.Second)
+				settled := make(chan time.Duration, 1)
+				go func() {
+					time.Sleep(time.Second)
+					tc.fault(c)
+					settled <- c.waitSettled(time.Minute)
+				}()
+				during := c.load(perSecond, 35*time.Second)
+				back := <-settled
+				after := c.load(perSecond, 5*time.Second)
+				t.Logf("answered per second: before %d, during %d, after %d; refused %d, in doubt %d; all slots held %s after the fault",
+					before.good/5, during.good/35, after.good/5, during.refused, during.doubt, back)
+				require.Zero(t, c.over(), "requests beyond a slot")
+				require.Zero(t, before.wrong+during.wrong+after.wrong, "answers of another request")
+				require.NotEqual(t, time.Duration(-1), back, "slots lost for good: %d of %d held", c.held(), c.slots())
+				require.Greater(t, after.good, before.good*9/10, "capacity lost for good")
+			})
+		})
+	}
+}
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -40,8 +40,9 @@
 }
 
 type peerConn struct {
-	conn     atomic.Pointer[Conn]
-	mu       sync.Mutex // held while dialing
+	conn atomic.Pointer[Conn]
+	// dialing holds one token, which the only dialer at a time has.
+	dialing  chan struct{}
 	failedAt time.Time
 	err      error
 }
@@ -106,7 +107,7 @@
 	}
 	p := m.dialed[addr]
 	if p == nil {
-		p = &peerConn{}
+		p = &peerConn{dialing: make(chan struct{}, 1)}
 		m.dialed[addr] = p
 	}
 	m.mu.Unlock()
@@ -117,8 +118,12 @@
 	if c := p.conn.Load(); c != nil && c.err() == nil {
 		return c, nil
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
+	select {
+	case p.dialing <- struct{}{}:
+		defer func() { <-p.dialing }()
+	case <-ctx.Done():
+		return nil, ErrNotSent
+	}
 	if c := p.conn.Load(); c != nil && c.err() == nil {
 		return c, nil
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -81,17 +81,23 @@
 
 // Read reads, unless the connection is being closed.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	c.mu.Lock()
-	closing := c.closing
-	c.mu.Unlock()
-	if closing {
+	if c.isClosing() {
 		return 0, net.ErrClosed
 	}
 	return c.Conn.Read(p)
 }
 
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 // Close cancels the request, if there is one: it closes the sending side
 // and waits, in the background, for the upstream to close its own, which
 // confirms that the request is over there.
