--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -266,8 +266,9 @@
 
 func (h *Host) copyBody(ctx context.Context, from peer.Hello, service string, body io.Reader, w *peer.Responder) error {
 	buf := make([]byte, link.Chunk)
+	chunk := h.chunkTo(from.Zone)
 	for {
-		n, err := body.Read(buf)
+		n, err := body.Read(buf[:chunk])
 		if n > 0 {
 			if err := h.pace(ctx, service, from.Zone, n); err != nil {
 				return err
@@ -304,6 +305,16 @@
 	return h.pacer(l).Wait(ctx, class, n)
 }
 
+// chunkTo gives how much to send to a zone at once.
+func (h *Host) chunkTo(zone string) int {
+	v := h.View()
+	region := v.Region(zone)
+	if l, ok := v.Link(h.region, region); ok && region != h.region {
+		return h.pacer(l).Chunk()
+	}
+	return link.Chunk
+}
+
 func (h *Host) pacer(l config.Link) *link.Pacer {
 	h.pacersMu.Lock()
 	defer h.pacersMu.Unlock()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -117,10 +117,10 @@
 	awakeAt   atomic.Int64
 	contactAt atomic.Int64
 	reviving  atomic.Bool
-	leaving  atomic.Bool
-	inFlight atomic.Int64
-	entries  entriesCache
-	kick     chan struct{}
+	leaving   atomic.Bool
+	inFlight  atomic.Int64
+	entries   entriesCache
+	kick      chan struct{}
 
 	stop context.CancelFunc
 	wait sync.WaitGroup
--- a/internal/link/bucket.go
+++ b/internal/link/bucket.go
@@ -19,9 +19,12 @@
 )
 
 const (
-	// burst is how much unused time a link may make up for. The rate is
-	// lowered by as much, so that no second ever sees more than the limit.
+	// burst is how much unused time a link may make up for, and debt how
+	// far ahead interactive traffic may go, so that it need not wait for a
+	// chunk of bulk. The rate is lowered by as much as both, so that no
+	// second ever sees more than the limit.
 	burst = 25 * time.Millisecond
+	debt  = 25 * time.Millisecond
 	// memory is the time over which interactive traffic is averaged.
 	memory = 200 * time.Millisecond
 )
@@ -48,7 +51,7 @@
 
 // Configure changes the limit.
 func (b *Bucket) Configure(limit, reserved float64) {
-	b.rate = limit / (1 + burst.Seconds())
+	b.rate = limit / (1 + burst.Seconds() + debt.Seconds())
 	b.reserved = reserved
 }
 
@@ -82,11 +85,11 @@
 
 // headroomPart is the slack that interactive traffic keeps beside itself,
 // so that its next burst finds room.
-const headroomPart = 0.15
+const headroomPart = 0.05
 
 func (b *Bucket) takeInteractive(n float64) time.Duration {
-	if b.level <= 0 {
-		return b.after(-b.level + 1)
+	if lowest := -b.rate * debt.Seconds(); b.level <= lowest {
+		return b.after(lowest - b.level + 1)
 	}
 	b.level -= n
 	b.recent += n / memory.Seconds()
@@ -129,10 +132,19 @@
 	p.bucket.Configure(limit, reserved)
 }
 
-// Chunk is the most bytes to send at once, so that one chunk does not hold
-// the link for long.
+// Chunk is the most bytes to send at once.
 const Chunk = 16 << 10
 
+// chunkTime is how long one chunk may hold the link.
+const chunkTime = 4 * time.Millisecond
+
+// Chunk gives the bytes to send at once on this link.
+func (p *Pacer) Chunk() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(1<<10, min(Chunk, int(p.bucket.rate*chunkTime.Seconds())))
+}
+
 // Wait returns when n bytes of a class may be sent, or with ctx's error.
 func (p *Pacer) Wait(ctx context.Context, class Class, n int) error {
 	for {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -25,6 +25,8 @@
 	window = 256 << 10
 	// handshakeTimeout bounds the time until a peer has shown itself.
 	handshakeTimeout = 3 * time.Second
+	// readOutTime is how long a connection that can't be written to is read.
+	readOutTime = time.Second
 	// writeTimeout bounds how long a peer may not read.
 	writeTimeout = 10 * time.Second
 )
@@ -43,6 +45,8 @@
 
 	writeMu sync.Mutex
 	out     []byte
+	// unwritable says that a write failed, so that none may follow.
+	unwritable bool
 
 	mu      sync.Mutex
 	nextID  uint64
@@ -148,14 +152,16 @@
 		return eris.Wrap(ErrNotSent, err.Error())
 	}
 	c.out = buf
-	if c.err() != nil {
+	if c.unwritable || c.err() != nil {
 		return ErrNotSent
 	}
 	if f.Type != frameHello {
 		_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
 	}
 	if _, err := c.net.Write(buf); err != nil {
-		c.fail(ErrLost)
+		c.unwritable = true
+		// What the peer sent before it closed may still be read.
+		_ = c.net.SetReadDeadline(time.Now().Add(readOutTime))
 		return ErrLost
 	}
 	return nil
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -23,6 +23,7 @@
 	chunks   [][]byte
 	received int64
 	consumed int64
+	credited int64
 	ended    bool
 	err      error
 }
@@ -109,32 +110,38 @@
 
 // Read reads the body. It gives io.EOF only after the whole of it.
 func (s *Stream) Read(p []byte) (int, error) {
-	n, err := s.read(p)
-	if n > 0 {
+	n, credit, err := s.read(p)
+	if credit > 0 {
 		// The window opens again by what was read.
-		_ = s.conn.write(&frame{Type: frameCredit, ID: s.id, Offset: int64(n)})
+		_ = s.conn.write(&frame{Type: frameCredit, ID: s.id, Offset: credit})
 	}
 	return n, err
 }
 
-func (s *Stream) read(p []byte) (int, error) {
+// read also gives the credit that is due to the peer: a part of the window
+// at a time, so that a short body costs no frame.
+func (s *Stream) read(p []byte) (n int, credit int64, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for len(s.chunks) == 0 {
 		if s.ended {
-			return 0, io.EOF
+			return 0, 0, io.EOF
 		}
 		if s.err != nil {
-			return 0, s.err
+			return 0, 0, s.err
 		}
 		s.ready.Wait()
 	}
-	n := copy(p, s.chunks[0])
+	n = copy(p, s.chunks[0])
 	s.consumed += int64(n)
 	if s.chunks[0] = s.chunks[0][n:]; len(s.chunks[0]) == 0 {
 		s.chunks = s.chunks[1:]
 	}
-	return n, nil
+	if due := s.consumed - s.credited; due >= window/4 {
+		s.credited = s.consumed
+		credit = due
+	}
+	return n, credit, nil
 }
 
 // Close gives the stream up; the peer is told when it had not ended.
--- /dev/null
+++ b/internal/shift/meter_test.go
@@ -0,0 +1,122 @@
+package shift
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+// TestCapHoldsInEveryWindow sends random traffic with retries, refusals of
+// other rules and changes of the shares, and looks at every window.
+func TestCapHoldsInEveryWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Float64Range(0, 0.99).Draw(t, "cap")
+		share := rapid.Float64Range(0, limit).Draw(t, "share")
+		first := rapid.Float64Range(0, 0.999).Draw(t, "first")
+		now := time.Now()
+		m := NewMeter(func() float64 { return first }, now)
+		rules := []Rule{{Name: "capped", Share: share, Cap: limit}, {Name: "rest", Share: 1 - share, Cap: 1}}
+		m.Configure(rules, now)
+		var sent []int // per arrival, how often the capped rule was sent to
+		for range rapid.IntRange(1, 300).Draw(t, "arrivals") {
+			m.Arrive(nil)
+			n := 0
+			for range rapid.IntRange(0, 3).Draw(t, "tries") {
+				if m.Take(0) {
+					n++
+				}
+			}
+			sent = append(sent, n)
+			if rapid.IntRange(0, 20).Draw(t, "change") == 0 {
+				rules[0].Share = rapid.Float64Range(0, limit).Draw(t, "new share")
+				m.Configure(rules, now)
+			}
+		}
+		checkWindows(t, sent, limit)
+	})
+}
+
+func checkWindows(t *rapid.T, sent []int, limit float64) {
+	for from := range sent {
+		sum := 0
+		for to := from; to < len(sent); to++ {
+			sum += sent[to]
+			n := to - from + 1
+			if most := int(math.Floor(limit*float64(n)+1e-9)) + 1; sum > most {
+				t.Fatalf("%d of the %d requests from %d on, at most %d by cap %v", sum, n, from, most, limit)
+			}
+		}
+	}
+}
+
+func TestSharesAreMet(t *testing.T) {
+	now := time.Now()
+	m := NewMeter(func() float64 { return 0 }, now)
+	m.Configure([]Rule{{Name: "a", Share: 0.2, Cap: 0.3}, {Name: "b", Share: 0.8, Cap: 1}}, now)
+	counts := map[string]int{}
+	for range 1000 {
+		for _, i := range m.Arrive(nil) {
+			if m.Take(i) {
+				counts[m.Name(i)]++
+				break
+			}
+		}
+	}
+	require.InDelta(t, 200, counts["a"], 2)
+	require.InDelta(t, 800, counts["b"], 2)
+}
+
+func TestCapNearOneDoesNotWaste(t *testing.T) {
+	now := time.Now()
+	m := NewMeter(func() float64 { return 0 }, now)
+	m.Configure([]Rule{{Name: "a", Share: 0.9, Cap: 0.9}}, now)
+	got := 0
+	for range 1000 {
+		m.Arrive(nil)
+		if m.Take(0) {
+			got++
+		}
+	}
+	require.InDelta(t, 900, got, 2)
+}
+
+func TestRamp(t *testing.T) {
+	now := time.Now()
+	m := NewMeter(func() float64 { return 0 }, now)
+	rules := []Rule{{Name: "a", Share: 0, Cap: 1, Ramp: 0.1}, {Name: "b", Share: 1, Cap: 1, Ramp: 0.1}}
+	m.Configure(rules, now)
+	rules[0].Share, rules[1].Share = 0.5, 0.5
+	m.Configure(rules, now)
+	steps := []struct {
+		name   string
+		after  time.Duration
+		frozen bool
+		slow   bool
+		want   float64
+	}{
+		{name: "moves at its pace", after: time.Second, want: 0.1},
+		{name: "stands while frozen", after: time.Second, frozen: true, want: 0.1},
+		{name: "goes on without a jump", after: time.Second, want: 0.2},
+		{name: "is slowed by a refusal", after: time.Second, slow: true, want: 0.25},
+		{name: "reaches its target and stays", after: time.Minute, want: 0.5},
+	}
+	for _, s := range steps {
+		now = now.Add(s.after)
+		if s.slow {
+			m.Slow("a")
+		}
+		m.Advance(now, s.frozen)
+		require.InDelta(t, s.want, m.Shares()["a"], 1e-9, s.name)
+	}
+}
+
+func TestStartingHostJoinsTheRamp(t *testing.T) {
+	now := time.Now()
+	m := NewMeter(func() float64 { return 0 }, now)
+	m.Configure([]Rule{{Name: "a", Share: 0.5, Cap: 0.6, Ramp: 0.01}}, now)
+	m.Adopt(map[string]float64{"a": 0.2, "gone": 1})
+	require.InDelta(t, 0.2, m.Shares()["a"], 1e-9)
+}
--- /dev/null
+++ b/internal/ticket/ticket_test.go
@@ -0,0 +1,131 @@
+package ticket
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	digestA = DigestOf("planning", "POST", "/bookings", []byte("a"))
+	digestB = DigestOf("planning", "POST", "/bookings", []byte("b"))
+	start   = time.Unix(1_800_000_000, 0)
+)
+
+func newTicket(t *testing.T, s *Store) Ticket {
+	minted, err := s.Mint(start)
+	require.NoError(t, err)
+	parsed, err := Parse(minted.String())
+	require.NoError(t, err)
+	require.Equal(t, minted, parsed)
+	return parsed
+}
+
+func TestBegin(t *testing.T) {
+	cases := []struct {
+		name     string
+		prepare  func(s *Store, t *Ticket)
+		digest   Digest
+		after    time.Duration
+		dispatch bool
+		phase    Phase
+		err      error
+	}{
+		{name: "first use", digest: digestA, dispatch: true, phase: Running},
+		{name: "resend while it runs", prepare: use, digest: digestA, phase: Running},
+		{name: "resend after the answer", prepare: func(s *Store, t *Ticket) { use(s, t); s.Finish(*t, Outcome{Status: 200}) }, digest: digestA, phase: Answered},
+		{name: "resend after a doubt", prepare: func(s *Store, t *Ticket) { use(s, t); s.Abandon(*t, false) }, digest: digestA, phase: Doubtful},
+		{name: "resend after it was not run", prepare: func(s *Store, t *Ticket) { use(s, t); s.Abandon(*t, true) }, digest: digestA, dispatch: true, phase: Running},
+		{name: "another request", prepare: use, digest: digestB, err: ErrOther},
+		{name: "another request after the answer", prepare: func(s *Store, t *Ticket) { use(s, t); s.Finish(*t, Outcome{Status: 200}) }, digest: digestB, err: ErrOther},
+		{name: "expired unused", digest: digestA, after: Lifetime, err: ErrExpired},
+		{name: "expired and forgotten", prepare: func(s *Store, t *Ticket) { use(s, t); s.Finish(*t, Outcome{Status: 200}) }, digest: digestA, after: 2 * Lifetime, err: ErrExpired},
+		{name: "forged sequence", prepare: func(_ *Store, t *Ticket) { t.Sequence++ }, digest: digestA, err: ErrForged},
+		{name: "forged expiry", prepare: func(_ *Store, t *Ticket) { t.Expiry++ }, digest: digestA, err: ErrForged},
+		{name: "another incarnation", prepare: func(_ *Store, t *Ticket) { t.Incarnation = "2" }, digest: digestA, err: ErrForged},
+		{name: "unused at a sealed store", prepare: func(s *Store, _ *Ticket) { s.Seal() }, digest: digestA, err: ErrSealed},
+		{name: "answered at a sealed store", prepare: func(s *Store, t *Ticket) { use(s, t); s.Finish(*t, Outcome{Status: 200}); s.Seal() }, digest: digestA, phase: Answered},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			s := NewStore("h", "1", NewKey())
+			minted := newTicket(t, s)
+			if tc.prepare != nil {
+				tc.prepare(s, &minted)
+			}
+			rec, dispatch, err := s.Begin(minted, tc.digest, start.Add(tc.after))
+			require.ErrorIs(t, err, tc.err)
+			require.Equal(t, tc.dispatch, dispatch)
+			require.Equal(t, tc.phase, rec.Phase)
+		})
+	}
+}
+
+func use(s *Store, t *Ticket) { _, _, _ = s.Begin(*t, digestA, start) }
+
+func TestHandover(t *testing.T) {
+	old := NewStore("h", "1", NewKey())
+	answered, running, unused := newTicket(t, old), newTicket(t, old), newTicket(t, old)
+	use(old, &answered)
+	old.Finish(answered, Outcome{Status: 201, Body: []byte("kept")})
+	use(old, &running)
+
+	first, second := FromHandover(old.Handover(true)), FromHandover(old.Handover(false))
+	for name, s := range map[string]*Store{"first": first, "second": second} {
+		rec, dispatch, err := s.Begin(answered, digestA, start)
+		require.NoError(t, err, name)
+		require.False(t, dispatch, name)
+		require.Equal(t, "kept", string(rec.Outcome.Body), name)
+		rec, dispatch, err = s.Begin(running, digestA, start)
+		require.NoError(t, err, name)
+		require.False(t, dispatch, name)
+		require.Equal(t, Doubtful, rec.Phase, name)
+	}
+	_, dispatch, err := first.Begin(unused, digestA, start)
+	require.NoError(t, err)
+	require.True(t, dispatch, "the first heir goes on")
+	_, dispatch, err = second.Begin(unused, digestA, start)
+	require.ErrorIs(t, err, ErrSealed)
+	require.False(t, dispatch, "two heirs must not both dispatch")
+	_, dispatch, err = old.Begin(unused, digestA, start)
+	require.ErrorIs(t, err, ErrSealed)
+	require.False(t, dispatch)
+	_, err = old.Mint(start)
+	require.ErrorIs(t, err, ErrSealed)
+}
+
+func TestLargeAnswersAreNotKept(t *testing.T) {
+	s := NewStore("h", "1", NewKey())
+	minted := newTicket(t, s)
+	use(s, &minted)
+	s.Finish(minted, Outcome{Status: 200, Body: make([]byte, MaxKept+1)})
+	rec, _, err := s.Begin(minted, digestA, start)
+	require.NoError(t, err)
+	require.True(t, rec.Outcome.Partial)
+	require.Empty(t, rec.Outcome.Body)
+}
+
+func TestRecordsAreForgotten(t *testing.T) {
+	s := NewStore("h", "1", NewKey())
+	minted := newTicket(t, s)
+	use(s, &minted)
+	s.Finish(minted, Outcome{Status: 200})
+	later := newTicket(t, s)
+	_, _, _ = s.Begin(later, digestA, start.Add(3*Lifetime))
+	require.Zero(t, s.Len())
+}
+
+func FuzzParse(f *testing.F) {
+	good, _ := NewStore("h", "1", NewKey()).Mint(start)
+	for _, seed := range []string{"", "none", good.String(), strings.Repeat("A", MaxLength+1)} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		parsed, err := Parse(text)
+		if err == nil && len(parsed.MAC) != macSize {
+			t.Fatal("a ticket without a whole MAC")
+		}
+	})
+}
