Prove tickets, configuration, leaving and stopping under faults

Cause: these promises were not proved.

Reads and refused writes of the log are repeated while the platform throttles.

Found and mended: with every second call throttled a change failed at once (failing first, now accepted).

--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"time"
 
+	"github.com/cenkalti/backoff/v5"
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -146,16 +147,18 @@
 // where the result would not hold together; both mean that nothing was
 // written. Any other error leaves the outcome unknown until the id is read.
 func (l *Log) Append(ctx context.Context, s *State, c Change) (*State, uint64, error) {
-	if rev, used, err := l.ByID(ctx, c.ID); err != nil || used {
+	if rev, used, err := l.idUsed(ctx, c.ID); err != nil || used {
 		return s, rev, err
 	}
-	object, err := l.storeLarge(ctx, c)
+	object, err := patiently(ctx, func() (string, error) { return l.storeLarge(ctx, c) })
 	if err != nil {
 		return s, 0, err
 	}
 	for range appendTries {
-		if s, err = l.CatchUp(ctx, s); err != nil {
-			return s, 0, err
+		base := s
+		s, err = patiently(ctx, func() (*State, error) { return l.CatchUp(ctx, base) })
+		if err != nil {
+			return base, 0, err
 		}
 		next, err := l.try(ctx, s, c, object)
 		if err == nil {
@@ -172,6 +175,39 @@
 	return s, 0, eris.Errorf("head moved %d times while appending", appendTries)
 }
 
+// patiently repeats what may be repeated while the platform throttles it.
+func patiently[T any](ctx context.Context, f func() (T, error)) (T, error) {
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = 50 * time.Millisecond
+	pause.MaxInterval = time.Second
+	for {
+		v, err := f()
+		if !errors.Is(err, platform.ErrThrottled) {
+			return v, err
+		}
+		timer := time.NewTimer(pause.NextBackOff())
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return v, err
+		case <-timer.C:
+		}
+	}
+}
+
+// idUsed is ByID that waits while the platform throttles.
+func (l *Log) idUsed(ctx context.Context, id string) (uint64, bool, error) {
+	type use struct {
+		rev  uint64
+		used bool
+	}
+	u, err := patiently(ctx, func() (use, error) {
+		rev, used, err := l.ByID(ctx, id)
+		return use{rev, used}, err
+	})
+	return u.rev, u.used, err
+}
+
 // settle decides what a failed transaction means. A nil error without use
 // says to try again.
 func (l *Log) settle(ctx context.Context, id string, cause error) (uint64, bool, error) {
@@ -180,11 +216,12 @@
 	if errors.As(cause, &conflict) || errors.As(cause, &faulty) {
 		return 0, false, l.nameWinner(ctx, conflict, cause)
 	}
-	rev, used, err := l.ByID(ctx, id)
+	rev, used, err := l.idUsed(ctx, id)
 	if err != nil {
 		return 0, false, err
 	}
-	if used || errors.Is(cause, platform.ErrConflict) {
+	// A throttled transaction, like a failed condition, wrote nothing.
+	if used || errors.Is(cause, platform.ErrConflict) || errors.Is(cause, platform.ErrThrottled) {
 		return rev, used, nil
 	}
 	return 0, false, cause
@@ -362,6 +399,3 @@
 	}
 	return FromSnapshot(snap)
 }
-
-// ReadTimeout bounds one call to the platform.
-const ReadTimeout = 2 * time.Second
--- a/internal/entry/fakenet_test.go
+++ b/internal/entry/fakenet_test.go
@@ -90,6 +90,8 @@
 }
 
 func (e end) dialUpstream(ctx context.Context, _, addr string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
 	return e.Dial(ctx, addr)
 }
 
--- /dev/null
+++ b/internal/entry/spread_test.go
@@ -0,0 +1,280 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/config"
+	"cairndock/internal/platform"
+)
+
+// change makes a change of one rule's share.
+func (c *cluster) change(id string, base uint64, share float64) config.Change {
+	doc := fmt.Sprintf("[[rule]]\nname = \"all\"\nservice = \"planning\"\nselector = \"\"\nshare = %v\n", share)
+	d, err := config.ParseDocument([]byte(doc))
+	require.NoError(c.t, err)
+	change, err := d.Change(id, base)
+	require.NoError(c.t, err)
+	return change
+}
+
+func (c *cluster) revision() uint64 {
+	rev, err := config.NewLog(c.memory, c.memory).Head(context.Background())
+	require.NoError(c.t, err)
+	return rev
+}
+
+// watch notes the revisions of all hosts and fails when one goes back.
+func (c *cluster) watch(stop <-chan struct{}) (went chan string) {
+	went = make(chan string, 1)
+	go func() {
+		seen := map[*Host]uint64{}
+		for {
+			select {
+			case <-stop:
+				close(went)
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+			for _, h := range c.live() {
+				if rev := h.View().Revision(); rev < seen[h] {
+					went <- fmt.Sprintf("%s went from %d to %d", h.Self().Host, seen[h], rev)
+					return
+				} else {
+					seen[h] = rev
+				}
+			}
+		}
+	}()
+	return went
+}
+
+// behind gives the hosts that have not a revision and do not know that
+// theirs may be old.
+func (c *cluster) behind(rev uint64) []string {
+	var out []string
+	for _, h := range c.live() {
+		if h.View().Revision() < rev && !h.Frozen() {
+			out = append(out, h.Self().Host)
+		}
+	}
+	return out
+}
+
+// TestAcceptedIsInForce applies a change under faults. Once it is said to be
+// accepted, every host has it in force or has frozen itself; no host ever
+// goes back; and when the fault is over all have it.
+func TestAcceptedIsInForce(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *cluster) // runs beside the change
+		state string
+	}{
+		{name: "nothing fails", state: StateAccepted},
+		{name: "one zone cut off from the platform", state: StateAccepted, fault: func(c *cluster) {
+			c.cutFromPlatform("sierra-a", 15*time.Second)
+		}},
+		{name: "one zone cut off from everything", state: StateAccepted, fault: func(c *cluster) { c.cutZone("sierra-a", 15*time.Second) }},
+		{name: "a host paused", state: StateAccepted, fault: func(c *cluster) { c.freeze("sierra-a-2", 15*time.Second) }},
+		{name: "platform slow to answer", state: StateAccepted, fault: func(c *cluster) {
+			c.memory.SetFault(func(_ string, after bool) error {
+				if after {
+					time.Sleep(300 * time.Millisecond)
+				}
+				return nil
+			})
+			time.Sleep(10 * time.Second)
+			c.memory.SetFault(nil)
+		}},
+		{name: "the write's answer lost", state: StateAccepted, fault: func(c *cluster) { c.loseAnswers(time.Second) }},
+		{name: "platform throttles every second call", state: StateAccepted, fault: func(c *cluster) {
+			var n atomic.Int64
+			c.memory.SetFault(func(op string, after bool) error {
+				if n.Add(1)%2 == 0 && !after && op != "transact" {
+					return platform.ErrThrottled
+				}
+				return nil
+			})
+			time.Sleep(10 * time.Second)
+			c.memory.SetFault(nil)
+		}},
+		{name: "cut off and a host restarted elsewhere", state: StateAccepted, fault: func(c *cluster) {
+			go c.cutZone("sierra-a", 15*time.Second)
+			c.kill("costa-b-1")
+			c.start("costa-b-1", "costa-b", "costa")
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, anywhere, func(c *cluster) {
+				ctx, stop := context.WithCancel(context.Background())
+				defer stop()
+				went := c.watch(ctx.Done())
+				if tc.fault != nil {
+					go tc.fault(c)
+					time.Sleep(100 * time.Millisecond)
+				}
+				began := time.Now()
+				applied, err := c.applyTrying("under-fault", 1)
+				require.NoError(t, err)
+				t.Logf("%s after %s", applied.State, time.Since(began))
+				require.Equal(t, tc.state, applied.State)
+				require.Empty(t, c.behind(applied.Revision), "accepted, but neither in force nor frozen")
+				time.Sleep(30 * time.Second)
+				for _, h := range c.live() {
+					require.Equal(t, applied.Revision, h.View().Revision(), h.Self().Host)
+					require.False(t, h.Frozen(), h.Self().Host)
+				}
+				stop()
+				require.Empty(t, <-went)
+			})
+		})
+	}
+}
+
+// applyTrying submits a change by the first host and, as the command does,
+// again with the same id while its outcome is not known.
+func (c *cluster) applyTrying(id string, base uint64) (Applied, error) {
+	var applied Applied
+	var err error
+	for range 10 {
+		applied, err = c.host("costa-a-1").Apply(context.Background(), c.change(id, base, 0.9), 10*time.Second)
+		if err == nil {
+			return applied, nil
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	return applied, err
+}
+
+func (c *cluster) cutFromPlatform(zone string, d time.Duration) {
+	for i := range 2 {
+		c.net.Cut(fmt.Sprintf("%s-%d", zone, i+1), "platform")
+	}
+	time.Sleep(d)
+	for i := range 2 {
+		c.net.Heal(fmt.Sprintf("%s-%d", zone, i+1), "platform")
+	}
+}
+
+// TestPlatformDownRefusesChanges: nothing is accepted, nothing is lost.
+func TestPlatformDownRefusesChanges(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		go c.platformDown(20 * time.Second)
+		time.Sleep(100 * time.Millisecond)
+		_, err := c.host("costa-a-1").Apply(context.Background(), c.change("down", 1, 0.9), time.Second)
+		require.Error(t, err)
+		time.Sleep(7 * time.Second)
+		for _, h := range c.live() {
+			require.True(t, h.Frozen(), "frozen: the newest revision can't be known")
+			_, err := ask(h, lookup("/x"))
+			require.NoError(t, err, "and serving")
+		}
+		calls := c.memory.Calls("get")
+		time.Sleep(20 * time.Second)
+		t.Logf("platform calls over the 20 s around its return: %d by %d hosts", c.memory.Calls("get")-calls, len(c.live()))
+		applied, err := c.applyTrying("down", 1)
+		require.NoError(t, err)
+		require.Equal(t, StateAccepted, applied.State)
+	})
+}
+
+// TestRacingChanges: of changes to one object one wins, and the others are
+// told who; changes to different objects all pass; an id counts once.
+func TestRacingChanges(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		hosts := c.live()
+		type result struct {
+			applied Applied
+			err     error
+		}
+		results := make(chan result, len(hosts))
+		for i, h := range hosts {
+			go func() {
+				a, err := h.Apply(context.Background(), c.change(fmt.Sprintf("same-%d", i), 1, 0.5), 0)
+				results <- result{a, err}
+			}()
+		}
+		won, winner := 0, ""
+		var conflicts []*config.Conflict
+		for range hosts {
+			r := <-results
+			var conflict *config.Conflict
+			if errors.As(r.err, &conflict) {
+				conflicts = append(conflicts, conflict)
+				continue
+			}
+			require.NoError(t, r.err)
+			won++
+			winner = r.applied.Change
+		}
+		require.Equal(t, 1, won)
+		for _, conflict := range conflicts {
+			require.Equal(t, winner, conflict.WinnerID)
+			require.Equal(t, "rule/all", conflict.Ref.String())
+		}
+		require.EqualValues(t, 2, c.revision())
+
+		for i, h := range hosts {
+			go func() {
+				doc := fmt.Sprintf("[[zone]]\nname = \"new-%d\"\nregion = \"costa\"\n", i)
+				d, _ := config.ParseDocument([]byte(doc))
+				change, _ := d.Change(fmt.Sprintf("zone-%d", i), 1)
+				a, err := h.Apply(context.Background(), change, 0)
+				results <- result{a, err}
+			}()
+		}
+		for range hosts {
+			require.NoError(t, (<-results).err)
+		}
+		again, err := hosts[0].Apply(context.Background(), c.change(winner, 1, 0.5), 0)
+		require.NoError(t, err)
+		require.EqualValues(t, 2, again.Revision, "the same id is the same change")
+		require.EqualValues(t, 2+len(hosts), c.revision())
+	})
+}
+
+// TestSpreadTime measures from accepted to in force on every host.
+func TestSpreadTime(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		var slowest, sum time.Duration
+		const changes = 100
+		for i := range changes {
+			began := time.Now()
+			applied, err := c.host("costa-a-1").Apply(context.Background(), c.change(fmt.Sprintf("n-%d", i), uint64(i+1), 0.9), 0)
+			require.NoError(t, err)
+			for len(c.behind(applied.Revision)) > 0 {
+				time.Sleep(5 * time.Millisecond)
+			}
+			took := time.Since(began)
+			slowest = max(slowest, took)
+			sum += took
+			time.Sleep(300 * time.Millisecond)
+		}
+		t.Logf("in force everywhere: mean %s, slowest %s of %d changes", sum/changes, slowest, changes)
+		require.Less(t, slowest, 2*time.Second)
+	})
+}
+
+// TestStartsFromPeers: a host that can't ask the platform takes the
+// configuration from peers that are known to be fresh.
+func TestStartsFromPeers(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		c.kill("costa-a-2")
+		c.net.Cut("costa-a-2", "platform")
+		h := c.start("costa-a-2", "costa-a", "costa")
+		time.Sleep(10 * time.Second)
+		require.True(t, h.Ready())
+		require.Equal(t, c.revision(), h.View().Revision())
+		_, err := ask(h, lookup("/x"))
+		require.NoError(t, err)
+		c.net.Heal("costa-a-2", "platform")
+	})
+}
--- /dev/null
+++ b/internal/entry/tickets_test.go
@@ -0,0 +1,217 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/call"
+	"cairndock/internal/standin"
+	"cairndock/internal/verdict"
+)
+
+// booking is a request that must run at most once.
+func booking(ticket string) *call.Request {
+	return &call.Request{
+		Service: "planning", Method: http.MethodPost, Target: "/bookings", Body: []byte("{}"),
+		Ticket: ticket, Deadline: time.Now().Add(testTimeout),
+	}
+}
+
+func (c *cluster) mint(host string) string {
+	t, err := c.host(host).MintTicket("planning")
+	require.NoError(c.t, err)
+	return t.String()
+}
+
+func (c *cluster) runs(ticket string) int {
+	n := 0
+	for _, u := range c.upstreams {
+		n += u.Runs(ticket)
+	}
+	return n
+}
+
+func (c *cluster) faultAll(f standin.Faults) {
+	for _, u := range c.upstreams {
+		u.SetFaults(f)
+	}
+}
+
+// told is what a caller was told last.
+func told(err error) verdict.Verdict {
+	if err == nil {
+		return verdict.Ran
+	}
+	return verdict.From(err).Verdict
+}
+
+// TestAtMostOnce breaks the way of one booking at every point and then
+// resends it by every host. The upstreams' ledger shows how often it ran.
+func TestAtMostOnce(t *testing.T) {
+	const minter = "costa-a-1"
+	cases := []struct {
+		name string
+		// first sends the booking; again comes before the resends.
+		first func(c *cluster, ticket string) error
+		again func(c *cluster)
+		runs  int
+		// last is what the last resend is told.
+		last verdict.Verdict
+	}{
+		{name: "nothing fails", runs: 1, last: verdict.Ran},
+		{name: "first sent by another host", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
+			_, err := ask(c.host("sierra-a-2"), booking(ticket))
+			return err
+		}},
+		{name: "upstream refuses", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
+			c.faultAll(standin.Faults{Shed: true})
+			_, err := ask(c.host(minter), booking(ticket))
+			c.faultAll(standin.Faults{})
+			return err
+		}},
+		{name: "upstream dies before it runs", runs: 0, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
+			c.faultAll(standin.Faults{DropBefore: true})
+			_, err := ask(c.host(minter), booking(ticket))
+			c.faultAll(standin.Faults{})
+			return err
+		}},
+		{name: "upstream dies after it ran", runs: 1, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
+			c.faultAll(standin.Faults{DropAfter: true})
+			_, err := ask(c.host(minter), booking(ticket))
+			c.faultAll(standin.Faults{})
+			return err
+		}},
+		{name: "answer breaks off", runs: 1, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
+			c.faultAll(standin.Faults{Truncate: true})
+			_, err := ask(c.host(minter), booking(ticket))
+			c.faultAll(standin.Faults{})
+			return err
+		}},
+		{name: "caller leaves", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
+			ctx, cancel := context.WithTimeout(context.Background(), testLatency/2)
+			defer cancel()
+			_, err := c.host(minter).Do(ctx, booking(ticket))
+			return err
+		}},
+		{name: "upstream slower than the caller's deadline", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
+			c.faultAll(standin.Faults{Delay: testTimeout})
+			_, err := ask(c.host(minter), booking(ticket))
+			c.faultAll(standin.Faults{})
+			return err
+		}, again: func(*cluster) { time.Sleep(testTimeout) }},
+		{name: "resends race each other", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
+			var wait sync.WaitGroup
+			for _, h := range c.live() {
+				for range 3 {
+					wait.Go(func() { _, _ = ask(h, booking(ticket)) })
+				}
+			}
+			wait.Wait()
+			return nil
+		}},
+		{name: "minter killed after", runs: 1, last: verdict.MayHaveRun, again: func(c *cluster) { c.kill(minter) }},
+		{name: "minter killed and replaced", runs: 1, last: verdict.MayHaveRun, again: func(c *cluster) {
+			c.kill(minter)
+			c.start(minter, "costa-a", "costa")
+			time.Sleep(5 * time.Second)
+		}},
+		{name: "minter killed while it runs", runs: 1, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
+			go func() {
+				// The way there takes 35 ms.
+				time.Sleep(35*time.Millisecond + testLatency/2)
+				c.kill(minter)
+			}()
+			_, err := ask(c.host("sierra-a-1"), booking(ticket))
+			return err
+		}},
+		{name: "minter cut off before the first use", runs: 0, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
+			for _, n := range c.names() {
+				c.net.Cut(minter, n)
+			}
+			_, err := ask(c.host("sierra-a-1"), booking(ticket))
+			return err
+		}},
+		{name: "minter paused for 30 s", runs: 1, last: verdict.Ran, again: func(c *cluster) {
+			c.freeze(minter, 30*time.Second)
+			time.Sleep(5 * time.Second)
+		}},
+		{name: "minter stopped as planned", runs: 1, last: verdict.Ran, again: func(c *cluster) {
+			c.host(minter).Stop(context.Background())
+			c.kill(minter)
+			time.Sleep(2 * time.Second)
+		}},
+		{name: "minter stopped as planned before the first use", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
+			c.host(minter).Stop(context.Background())
+			c.kill(minter)
+			time.Sleep(2 * time.Second)
+			_, err := ask(c.host("sierra-a-1"), booking(ticket))
+			return err
+		}},
+		{name: "resend after expiry", runs: 1, last: verdict.MayHaveRun, again: func(*cluster) { time.Sleep(12 * time.Minute) }},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			inBubble(t, anywhere, func(c *cluster) {
+				ticket := c.mint(minter)
+				first := tc.first
+				if first == nil {
+					first = func(c *cluster, ticket string) error {
+						_, err := ask(c.host(minter), booking(ticket))
+						return err
+					}
+				}
+				c.checkTold(ticket, told(first(c, ticket)))
+				if tc.again != nil {
+					tc.again(c)
+				}
+				time.Sleep(time.Second)
+				var last verdict.Verdict
+				for _, h := range c.live() {
+					_, err := ask(h, booking(ticket))
+					last = told(err)
+					c.checkTold(ticket, last)
+				}
+				require.Equal(t, tc.runs, c.runs(ticket))
+				require.Equal(t, tc.last.String(), last.String())
+				require.Zero(t, c.over())
+			})
+		})
+	}
+}
+
+// checkTold holds what a caller was told against the ledger.
+func (c *cluster) checkTold(ticket string, v verdict.Verdict) {
+	runs := c.runs(ticket)
+	require.LessOrEqual(c.t, runs, 1, "ran twice")
+	if v == verdict.NotRun {
+		require.Zero(c.t, runs, "told not-run")
+	}
+	if v == verdict.Ran {
+		require.Equal(c.t, 1, runs, "told ran")
+	}
+}
+
+func TestTicketsServeOneRequest(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		ticket := c.mint("costa-a-1")
+		one, err := ask(c.host("costa-a-1"), booking(ticket))
+		require.NoError(t, err)
+		for _, h := range c.live() {
+			same, err := ask(h, booking(ticket))
+			require.NoError(t, err)
+			require.Equal(t, one, same)
+			other := booking(ticket)
+			other.Body = []byte(`{"other":1}`)
+			_, err = ask(h, other)
+			require.Equal(t, verdict.TicketConflict, verdict.From(err).Reason, fmt.Sprint(h.Self().Host))
+		}
+		require.Equal(t, 1, c.runs(ticket))
+	})
+}
