Add the load command, which holds what callers were told against ledgers

Change: cairndock load sends open-loop arrivals of several classes, with ramps and tickets, on loopback only and bounded in rate, time and number; it reads the stand-in upstreams' ledgers and fails when a promise broke.

--- a/cmd/load.go
+++ b/cmd/load.go
@@ -2,18 +2,90 @@
 
 import (
 	"context"
+	"encoding/json"
 	"flag"
+	"net/http"
+	"os"
+	"strings"
+	"time"
 
 	"github.com/google/subcommands"
+
+	"cairndock/internal/load"
 )
 
-type loadCmd struct{}
+type loadCmd struct {
+	entry     string
+	upstreams string
+	duration  time.Duration
+	ramp      time.Duration
+	timeout   time.Duration
+	service   string
+	bulk      string
+	lookups   float64
+	bookings  float64
+	downloads float64
+	resend    bool
+	json      bool
+}
+
+func (*loadCmd) Name() string     { return "load" }
+func (*loadCmd) Synopsis() string { return "send a bounded open-loop load to a system on loopback" }
+func (*loadCmd) Usage() string {
+	return "load [--lookups N] [--bookings N] [--downloads N] [--duration D] [--upstreams ADDR,...]\n"
+}
 
-func (*loadCmd) Name() string             { return "load" }
-func (*loadCmd) Synopsis() string         { return "send a bounded load" }
-func (*loadCmd) Usage() string            { return "load\n" }
-func (*loadCmd) SetFlags(_ *flag.FlagSet) {}
+func (c *loadCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.entry, "entry", "127.0.0.1:8080", "caller `address` of any host")
+	f.StringVar(&c.upstreams, "upstreams", "", "`addresses` of stand-in upstreams, to read their ledgers")
+	f.DurationVar(&c.duration, "duration", 10*time.Second, "how long requests arrive")
+	f.DurationVar(&c.ramp, "ramp", 0, "how long the rates rise from nothing")
+	f.DurationVar(&c.timeout, "timeout", 0, "deadline of each request; the service's own by default")
+	f.StringVar(&c.service, "service", "planning", "`service` of lookups and bookings")
+	f.StringVar(&c.bulk, "bulk-service", "documents", "`service` of downloads")
+	f.Float64Var(&c.lookups, "lookups", 200, "lookups per second")
+	f.Float64Var(&c.bookings, "bookings", 0, "bookings with tickets per second")
+	f.Float64Var(&c.downloads, "downloads", 0, "downloads of 1 MB per second")
+	f.BoolVar(&c.resend, "resend", true, "send each booking twice, by two hosts")
+	f.BoolVar(&c.json, "json", false, "print JSON")
+}
+
+// Execute fails when a promise was broken.
+func (c *loadCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	o := load.Options{Entry: c.entry, Duration: c.duration, Classes: c.classes()}
+	if c.upstreams != "" {
+		o.Upstreams = strings.Split(c.upstreams, ",")
+	}
+	if err := o.Check(); err != nil {
+		return usage("load: " + err.Error())
+	}
+	report, err := load.Run(ctx, o)
+	if err != nil {
+		return fail(err)
+	}
+	if c.json {
+		_ = json.NewEncoder(os.Stdout).Encode(report)
+	} else {
+		report.Print(os.Stdout)
+	}
+	if report.Broken() {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
 
-func (*loadCmd) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	return usage("load: not there yet")
+func (c *loadCmd) classes() []load.Class {
+	all := []load.Class{
+		{Name: "lookups", Service: c.service, Method: http.MethodGet, Path: "/tracks/%d", Rate: c.lookups},
+		{Name: "bookings", Service: c.service, Method: http.MethodPost, Path: "/bookings", Body: "{}", Rate: c.bookings, Ticket: true, Resend: c.resend},
+		{Name: "downloads", Service: c.bulk, Method: http.MethodGet, Path: "/bytes/1000000", Rate: c.downloads},
+	}
+	var out []load.Class
+	for _, class := range all {
+		if class.Rate > 0 {
+			class.Ramp, class.Timeout = c.ramp, c.timeout
+			out = append(out, class)
+		}
+	}
+	return out
 }
--- /dev/null
+++ b/internal/load/load.go
@@ -0,0 +1,432 @@
+// Package load sends a bounded open-loop load to a running system and holds
+// what callers were told against the upstreams' ledgers.
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/rotisserie/eris"
+
+	"cairndock/internal/call"
+	"cairndock/internal/verdict"
+)
+
+const (
+	// MaxDuration, MaxRate and MaxOutstanding bound every load.
+	MaxDuration    = 10 * time.Minute
+	MaxRate        = 100_000
+	MaxOutstanding = 4_000
+	// highest is the longest latency told apart, in microseconds.
+	highest = int64(2 * time.Minute / time.Microsecond)
+	digits  = 3
+	// refresh is how often the entries are asked for.
+	refresh = time.Second
+)
+
+// Class is one kind of request within a load.
+type Class struct {
+	Name    string
+	Service string
+	Method  string
+	// Path is the target; %d in it is the request's number.
+	Path string
+	Body string
+	// Rate is the arrivals per second, reached over Ramp from nothing.
+	Rate float64
+	Ramp time.Duration
+	// Ticket makes each request take a ticket first, and Resend makes it
+	// go out twice by two hosts.
+	Ticket bool
+	Resend bool
+	// Timeout is told to the system; zero leaves it to the service.
+	Timeout time.Duration
+}
+
+// Options are a load.
+type Options struct {
+	// Entry is the caller address of any host.
+	Entry    string
+	Classes  []Class
+	Duration time.Duration
+	// Upstreams are the addresses whose ledgers are read at the end.
+	Upstreams []string
+}
+
+// Check gives the faults of the options.
+func (o Options) Check() error {
+	if o.Duration <= 0 || o.Duration > MaxDuration {
+		return eris.Errorf("duration must be above 0 and at most %s", MaxDuration)
+	}
+	sum := 0.0
+	for _, c := range o.Classes {
+		sum += c.Rate
+	}
+	if sum <= 0 || sum > MaxRate {
+		return eris.Errorf("rates must add up to above 0 and at most %d", MaxRate)
+	}
+	for _, addr := range append([]string{o.Entry}, o.Upstreams...) {
+		if err := loopback(addr); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loopback refuses every target but the own machine.
+func loopback(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return eris.Wrapf(err, "target %q", addr)
+	}
+	ip := net.ParseIP(host)
+	if ip == nil || !ip.IsLoopback() {
+		return eris.Errorf("target %q is not a loopback address", addr)
+	}
+	return nil
+}
+
+// Result is what one class got.
+type Result struct {
+	Class    string         `json:"class"`
+	Offered  int            `json:"offered"`
+	Verdicts map[string]int `json:"verdicts"`
+	Zones    map[string]int `json:"zones"`
+	Bytes    int64          `json:"bytes"`
+	// Latencies run from when a request was due, in microseconds.
+	P50  int64 `json:"p50_us"`
+	P99  int64 `json:"p99_us"`
+	P999 int64 `json:"p999_us"`
+	Max  int64 `json:"max_us"`
+	// RefusedP99 is the same for refusals alone.
+	RefusedP99 int64 `json:"refused_p99_us"`
+}
+
+// Report is what a load showed.
+type Report struct {
+	Seconds float64  `json:"seconds"`
+	Results []Result `json:"results"`
+	// Skipped counts arrivals that this program could not send in time.
+	Skipped int `json:"skipped"`
+	// RanTwice, ToldNotRun and Over count broken promises by the ledgers.
+	RanTwice   int `json:"ran_twice"`
+	ToldNotRun int `json:"told_not_run_but_ran"`
+	Over       int `json:"beyond_slots"`
+}
+
+// Broken reports whether a promise was broken.
+func (r Report) Broken() bool { return r.RanTwice+r.ToldNotRun+r.Over > 0 }
+
+type classRun struct {
+	class    Class
+	mu       sync.Mutex
+	result   Result
+	answered *hdrhistogram.Histogram
+	refused  *hdrhistogram.Histogram
+}
+
+type run struct {
+	options Options
+	client  *http.Client
+	hosts   atomic.Pointer[[]string]
+	slots   chan struct{}
+	skipped atomic.Int64
+	wait    sync.WaitGroup
+
+	mu      sync.Mutex
+	tickets map[string]string // ticket to the last verdict told
+}
+
+// Run sends a load and waits for all answers.
+func Run(ctx context.Context, o Options) (Report, error) {
+	if err := o.Check(); err != nil {
+		return Report{}, err
+	}
+	r := &run{
+		options: o, slots: make(chan struct{}, MaxOutstanding), tickets: map[string]string{},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: MaxOutstanding}},
+	}
+	if err := r.lookUp(ctx); err != nil {
+		return Report{}, err
+	}
+	runCtx, cancel := context.WithTimeout(ctx, o.Duration)
+	defer cancel()
+	go r.keepLookingUp(runCtx)
+	began := time.Now()
+	var classes []*classRun
+	var arrivals sync.WaitGroup
+	for _, c := range o.Classes {
+		cr := &classRun{
+			class: c, answered: hdrhistogram.New(1, highest, digits), refused: hdrhistogram.New(1, highest, digits),
+			result: Result{Class: c.Name, Verdicts: map[string]int{}, Zones: map[string]int{}},
+		}
+		classes = append(classes, cr)
+		arrivals.Go(func() { r.arrive(runCtx, ctx, cr) })
+	}
+	arrivals.Wait()
+	r.wait.Wait()
+	report := Report{Seconds: time.Since(began).Seconds(), Skipped: int(r.skipped.Load())}
+	for _, cr := range classes {
+		report.Results = append(report.Results, cr.finish())
+	}
+	return report, r.readLedgers(ctx, &report)
+}
+
+// lookUp asks for the hosts to use, as callers do.
+func (r *run) lookUp(ctx context.Context) error {
+	url := "http://" + r.options.Entry + "/v1/entries?service=" + r.options.Classes[0].Service
+	if known := r.hosts.Load(); known != nil {
+		url = "http://" + (*known)[0] + "/v1/entries?service=" + r.options.Classes[0].Service
+	}
+	var out struct {
+		Entries []struct {
+			Addr string `json:"addr"`
+		} `json:"entries"`
+	}
+	if err := r.getJSON(ctx, url, &out); err != nil {
+		return err
+	}
+	var hosts []string
+	for _, e := range out.Entries {
+		if loopback(e.Addr) == nil {
+			hosts = append(hosts, e.Addr)
+		}
+	}
+	if len(hosts) == 0 {
+		return eris.New("no host on loopback was named")
+	}
+	r.hosts.Store(&hosts)
+	return nil
+}
+
+func (r *run) getJSON(ctx context.Context, url string, out any) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return eris.Wrap(err, "make request")
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return eris.Wrap(err, "ask")
+	}
+	defer resp.Body.Close()
+	return eris.Wrap(json.NewDecoder(resp.Body).Decode(out), "read answer")
+}
+
+func (r *run) keepLookingUp(ctx context.Context) {
+	ticker := time.NewTicker(refresh)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			_ = r.lookUp(ctx) // the hosts known so far go on being used
+		}
+	}
+}
+
+// dueAt is when a class's request i is due: the rate rises evenly over the
+// ramp and stays.
+func dueAt(c Class, i int) time.Duration {
+	ramp := c.Ramp.Seconds()
+	inRamp := c.Rate * ramp / 2
+	n := float64(i)
+	if n < inRamp {
+		return time.Duration(math.Sqrt(2*n*ramp/c.Rate) * float64(time.Second))
+	}
+	return time.Duration((ramp + (n-inRamp)/c.Rate) * float64(time.Second))
+}
+
+func (r *run) arrive(until, ctx context.Context, cr *classRun) {
+	began := time.Now()
+	for i := 0; ; i++ {
+		due := began.Add(dueAt(cr.class, i))
+		if d := time.Until(due); d > 0 {
+			select {
+			case <-until.Done():
+				return
+			case <-time.After(d):
+			}
+		}
+		if until.Err() != nil {
+			return
+		}
+		select {
+		case r.slots <- struct{}{}:
+		default:
+			r.skipped.Add(1)
+			continue
+		}
+		r.wait.Go(func() {
+			defer func() { <-r.slots }()
+			r.one(ctx, cr, i, due)
+		})
+	}
+}
+
+func (r *run) one(ctx context.Context, cr *classRun, i int, due time.Time) {
+	hosts := *r.hosts.Load()
+	// The best few hosts share the load, as callers that cache answers do.
+	host := hosts[i%min(len(hosts), 3)]
+	text := ""
+	if cr.class.Ticket {
+		text = r.ticket(ctx, host, cr.class.Service)
+	}
+	v, zone, n := r.send(ctx, host, cr.class, i, text)
+	if cr.class.Resend && text != "" {
+		v, zone, n = r.send(ctx, hosts[(i+1)%len(hosts)], cr.class, i, text)
+	}
+	if text != "" {
+		r.mu.Lock()
+		r.tickets[text] = v
+		r.mu.Unlock()
+	}
+	cr.note(v, zone, n, time.Since(due))
+}
+
+func (r *run) ticket(ctx context.Context, host, service string) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/tickets?service="+service, nil)
+	if err != nil {
+		return ""
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var out struct {
+		Ticket string `json:"ticket"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&out)
+	return out.Ticket
+}
+
+// The verdicts that the load itself gives.
+const (
+	answered = "answered"
+	broken   = "broken connection"
+)
+
+func (r *run) send(ctx context.Context, host string, c Class, i int, ticket string) (v, zone string, n int64) {
+	path := c.Path
+	if strings.Contains(path, "%d") {
+		path = fmt.Sprintf(path, i)
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+host+"/s/"+c.Service+path, bytes.NewReader([]byte(c.Body)))
+	if err != nil {
+		return broken, "", 0
+	}
+	if ticket != "" {
+		req.Header.Set(call.HeaderTicket, ticket)
+	}
+	if c.Timeout > 0 {
+		req.Header.Set(call.HeaderTimeout, c.Timeout.String())
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return broken, "", 0
+	}
+	defer resp.Body.Close()
+	n, err = io.Copy(io.Discard, resp.Body)
+	if err != nil {
+		return broken, "", n
+	}
+	zone, _, _ = strings.Cut(resp.Header.Get(call.HeaderUpstream), "/")
+	if told := resp.Header.Get(verdict.Header); told != "" {
+		return told, zone, n
+	}
+	return answered, zone, n
+}
+
+func (cr *classRun) note(v, zone string, n int64, took time.Duration) {
+	cr.mu.Lock()
+	defer cr.mu.Unlock()
+	cr.result.Offered++
+	cr.result.Verdicts[v]++
+	if zone != "" {
+		cr.result.Zones[zone]++
+	}
+	us := max(1, min(took.Microseconds(), highest))
+	if v != answered {
+		_ = cr.refused.RecordValue(us)
+		return
+	}
+	cr.result.Bytes += n
+	_ = cr.answered.RecordValue(us)
+}
+
+func (cr *classRun) finish() Result {
+	out := cr.result
+	out.P50, out.P99 = cr.answered.ValueAtPercentile(50), cr.answered.ValueAtPercentile(99)
+	out.P999, out.Max = cr.answered.ValueAtPercentile(99.9), cr.answered.Max()
+	out.RefusedP99 = cr.refused.ValueAtPercentile(99)
+	return out
+}
+
+// readLedgers holds what callers were told against what upstreams ran.
+func (r *run) readLedgers(ctx context.Context, report *Report) error {
+	runs := map[string]int{}
+	for _, addr := range r.options.Upstreams {
+		var ledger struct {
+			Over int `json:"over"`
+		}
+		if err := r.getJSON(ctx, "http://"+addr+"/ledger", &ledger); err != nil {
+			return err
+		}
+		report.Over += ledger.Over
+		var byTicket map[string]int
+		if err := r.getJSON(ctx, "http://"+addr+"/ledger?tickets=all", &byTicket); err != nil {
+			return err
+		}
+		for ticket, n := range byTicket {
+			runs[ticket] += n
+		}
+	}
+	for ticket, v := range r.tickets {
+		if runs[ticket] > 1 {
+			report.RanTwice++
+		}
+		if runs[ticket] > 0 && v == verdict.NotRun.String() {
+			report.ToldNotRun++
+		}
+	}
+	return nil
+}
+
+// Print writes the report as a table.
+func (r Report) Print(w io.Writer) {
+	for _, c := range r.Results {
+		fmt.Fprintf(w, "%s: offered %d (%.0f/s), %.1f MB/s\n", c.Class, c.Offered, float64(c.Offered)/r.Seconds, float64(c.Bytes)/1e6/r.Seconds)
+		for _, name := range sorted(c.Verdicts) {
+			fmt.Fprintf(w, "  %-18s %d (%.2f%%)\n", name, c.Verdicts[name], 100*float64(c.Verdicts[name])/float64(max(1, c.Offered)))
+		}
+		for _, name := range sorted(c.Zones) {
+			fmt.Fprintf(w, "  zone %-13s %.1f%%\n", name, 100*float64(c.Zones[name])/float64(max(1, c.Offered)))
+		}
+		fmt.Fprintf(w, "  p50 %s  p99 %s  p99.9 %s  max %s  refused p99 %s\n", micros(c.P50), micros(c.P99), micros(c.P999), micros(c.Max), micros(c.RefusedP99))
+	}
+	fmt.Fprintf(w, "not sent in time %d; ran twice %d, told not-run but ran %d, beyond a slot %d\n", r.Skipped, r.RanTwice, r.ToldNotRun, r.Over)
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func sorted(m map[string]int) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/internal/load/load_test.go
@@ -0,0 +1,70 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestOptionsAreBounded(t *testing.T) {
+	good := Options{Entry: "127.0.0.1:1", Duration: time.Second, Classes: []Class{{Rate: 1}}}
+	require.NoError(t, good.Check())
+	cases := map[string]func(o *Options){
+		"not loopback":          func(o *Options) { o.Entry = "10.0.0.1:80" },
+		"name":                  func(o *Options) { o.Entry = "example.test:80" },
+		"upstream not loopback": func(o *Options) { o.Upstreams = []string{"192.0.2.1:80"} },
+		"too long":              func(o *Options) { o.Duration = MaxDuration + 1 },
+		"endless":               func(o *Options) { o.Duration = 0 },
+		"too fast":              func(o *Options) { o.Classes = []Class{{Rate: MaxRate + 1}} },
+		"nothing":               func(o *Options) { o.Classes = nil },
+	}
+	for name, change := range cases {
+		o := good
+		change(&o)
+		require.Error(t, o.Check(), name)
+	}
+}
+
+func TestArrivalsFollowTheRamp(t *testing.T) {
+	c := Class{Rate: 100, Ramp: 2 * time.Second}
+	require.Equal(t, 2*time.Second, dueAt(c, 100), "half the rate on average while it rises")
+	require.Equal(t, 3*time.Second, dueAt(c, 200))
+	require.Equal(t, time.Second, dueAt(Class{Rate: 100}, 100))
+}
+
+// TestBrokenPromisesAreFound runs against a system that lies.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	mux.HandleFunc("/v1/entries", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]any{"entries": []map[string]string{{"addr": addr}}})
+	})
+	mux.HandleFunc("/v1/tickets", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"ticket":"t"}`)) })
+	mux.HandleFunc("/s/", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Cairndock-Verdict", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	mux.HandleFunc("/ledger", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Query().Has("tickets") {
+			_, _ = w.Write([]byte(`{"t":2}`))
+			return
+		}
+		_, _ = w.Write([]byte(`{"over":3}`))
+	})
+	report, err := Run(context.Background(), Options{
+		Entry: addr, Duration: 50 * time.Millisecond, Upstreams: []string{addr},
+		Classes: []Class{{Name: "bookings", Service: "s", Method: "POST", Path: "/", Rate: 100, Ticket: true}},
+	})
+	require.NoError(t, err)
+	require.True(t, report.Broken())
+	require.Equal(t, 1, report.RanTwice)
+	require.Equal(t, 1, report.ToldNotRun)
+	require.Equal(t, 3, report.Over)
+}
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -131,6 +131,12 @@
 
 func (u *Upstream) serveLedger(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
+	if r.URL.Query().Has("tickets") {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(u.byTicket)
+		return
+	}
 	ticket := r.URL.Query().Get("ticket")
 	if ticket == "" {
 		_ = json.NewEncoder(w).Encode(u.Ledger())
