Make control cheap at the planned size

Cause: benchmarks at 260,000 blocks, 1,760 sites, 80 zones and 74 hosts showed control work that grew with the product of zones and hosts: each look at a zone walked every known host, every change worked out every service anew, each block of a bulk change copied a path of the prefix table, answers on entries were thrown away four times a second, and a decision weighed all zones.

Change: hosts are indexed by zone and only eight of another zone are kept, a change works out only the services it touches, a bulk change copies the table once, answers hold until the revision or the hosts that answer change, and a decision weighs the eight nearest zones that are left.

--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -69,7 +69,7 @@
 		regions[z.Name] = z.Region
 	}
 	for _, u := range doc.Upstreams {
-		if (c.service != "" && u.Service != c.service) || !selector.Matches(config.LabelSet(u, regions[u.Zone])) {
+		if (c.service != "" && u.Service != c.service) || !selector.Matches(config.Labels(u, regions[u.Zone])) {
 			continue
 		}
 		names = append(names, u.Name)
--- a/internal/config/log.go
+++ b/internal/config/log.go
@@ -328,12 +328,14 @@
 // FromSnapshot makes a state from a snapshot.
 func FromSnapshot(snap Snapshot) (*State, error) {
 	s := NewState()
+	s.ownBlocks = true
 	for _, o := range snap.Objects {
 		if err := s.apply(Edit{Ref: o.Ref, Body: o.Body}, o.Version); err != nil {
 			return nil, eris.Wrapf(err, "load %s", o.Ref)
 		}
 	}
 	s.revision = snap.Revision
+	s.ownBlocks = false
 	return s, nil
 }
 
--- a/internal/config/state.go
+++ b/internal/config/state.go
@@ -39,6 +39,9 @@
 
 	zoneNames []string
 	zoneIndex map[string]uint32
+	// ownBlocks says that blocks is not shared with another state yet, so
+	// that it may be changed in place.
+	ownBlocks bool
 }
 
 // NewState is the empty configuration at revision 0.
@@ -116,6 +119,7 @@
 			return nil, eris.Wrapf(err, "apply %s", e.Ref)
 		}
 	}
+	next.ownBlocks = false
 	return &next, nil
 }
 
@@ -139,8 +143,15 @@
 	if touched[KindLink] {
 		s.links = maps.Clone(s.links)
 	}
+	if s.ownBlocks = len(c.Edits) >= manyEdits; s.ownBlocks {
+		s.blocks = s.blocks.Clone()
+	}
 }
 
+// manyEdits is from how many edits on a change copies the whole prefix table
+// once instead of a path of it for each block.
+const manyEdits = 1000
+
 func (s *State) apply(e Edit, rev uint64) error {
 	s.digest ^= objectHash(e.Ref, s.Version(e.Ref))
 	if len(e.Body) > 0 {
@@ -182,14 +193,23 @@
 		return eris.Wrap(err, "parse block")
 	}
 	if len(e.Body) == 0 {
-		s.blocks = s.blocks.DeletePersist(prefix)
+		if s.ownBlocks {
+			s.blocks.Delete(prefix)
+		} else {
+			s.blocks = s.blocks.DeletePersist(prefix)
+		}
 		return nil
 	}
 	b, err := decode[Block](e.Body)
 	if err != nil {
 		return err
 	}
-	s.blocks = s.blocks.InsertPersist(prefix, blockEntry{version: rev, zone: s.zoneNumber(b.Zone)})
+	entry := blockEntry{version: rev, zone: s.zoneNumber(b.Zone)}
+	if s.ownBlocks {
+		s.blocks.Insert(prefix, entry)
+	} else {
+		s.blocks = s.blocks.InsertPersist(prefix, entry)
+	}
 	return nil
 }
 
--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -61,22 +61,82 @@
 // change was accepted; one that can't be read matches nothing.
 func NewView(s *State, zone string) *View {
 	v := &View{state: s, zone: zone, services: make(map[string]*ServiceView, len(s.services))}
+	all := map[string]bool{}
+	for name := range s.services {
+		all[name] = true
+	}
+	v.build(all)
+	return v
+}
+
+// With gives the view of the state that follows by some changes. Services
+// that no change touches are taken over as they are.
+func (v *View) With(s *State, changes []Change) *View {
+	next := &View{state: s, zone: v.zone, services: make(map[string]*ServiceView, len(s.services))}
+	touched := v.touched(s, changes)
+	if touched == nil {
+		return NewView(s, v.zone)
+	}
+	for name := range s.services {
+		if old, ok := v.services[name]; ok && !touched[name] {
+			next.services[name] = old
+		}
+	}
+	next.build(touched)
+	return next
+}
+
+// touched gives the services that changes are about, before and after; nil
+// is all of them.
+func (v *View) touched(after *State, changes []Change) map[string]bool {
+	out := map[string]bool{}
+	for _, c := range changes {
+		for _, e := range c.Edits {
+			name := e.Ref.Name
+			switch e.Ref.Kind {
+			case KindZone:
+				return nil
+			case KindService:
+				out[name] = true
+			case KindUpstream:
+				out[v.state.upstreams[name].value.Service] = true
+				out[after.upstreams[name].value.Service] = true
+			case KindRule:
+				out[v.state.rules[name].value.Service] = true
+				out[after.rules[name].value.Service] = true
+			}
+		}
+	}
+	return out
+}
+
+// build works out the services of the given names.
+func (v *View) build(names map[string]bool) {
+	if len(names) == 0 {
+		return
+	}
+	s := v.state
 	byService := map[string][]Upstream{}
 	for _, u := range s.upstreams {
-		byService[u.value.Service] = append(byService[u.value.Service], u.value)
+		if names[u.value.Service] {
+			byService[u.value.Service] = append(byService[u.value.Service], u.value)
+		}
 	}
-	for name, svc := range s.services {
-		v.services[name] = newServiceView(svc.value, byService[name], zone)
+	for name := range names {
+		if svc, ok := s.services[name]; ok {
+			v.services[name] = newServiceView(svc.value, byService[name], v.zone)
+		}
 	}
 	for _, r := range s.rules {
-		if svc, ok := v.services[r.value.Service]; ok {
+		if svc, ok := v.services[r.value.Service]; ok && names[svc.Name] {
 			svc.Rules = append(svc.Rules, newRuleView(s, r.value, svc, byService[svc.Name]))
 		}
 	}
-	for _, svc := range v.services {
-		slices.SortFunc(svc.Rules, func(a, b RuleView) int { return strings.Compare(a.Name, b.Name) })
+	for name := range names {
+		if svc, ok := v.services[name]; ok {
+			slices.SortFunc(svc.Rules, func(a, b RuleView) int { return strings.Compare(a.Name, b.Name) })
+		}
 	}
-	return v
 }
 
 func newServiceView(svc Service, all []Upstream, zone string) *ServiceView {
@@ -99,7 +159,7 @@
 	sites := map[string]*Site{}
 	for _, u := range all {
 		region := s.zones[u.Zone].value.Region
-		if !selector.Matches(LabelSet(u, region)) {
+		if !selector.Matches(labelled{&u, region}) {
 			continue
 		}
 		site := sites[u.Zone]
@@ -116,20 +176,49 @@
 	}
 	slices.SortFunc(v.Sites, func(a, b Site) int { return cmp.Compare(a.Zone, b.Zone) })
 	for i, u := range svc.Local {
-		if selector.Matches(LabelSet(u, s.zones[u.Zone].value.Region)) {
+		if selector.Matches(labelled{&u, s.zones[u.Zone].value.Region}) {
 			v.Local = append(v.Local, int32(i))
 		}
 	}
 	return v
 }
 
-// LabelSet adds the labels that every upstream has: name, zone and region.
-func LabelSet(u Upstream, region string) labels.Set {
-	set := labels.Set{"name": u.Name, "zone": u.Zone, "region": region}
-	for k, v := range u.Labels {
-		set[k] = v
+// labelled gives an upstream's labels, with those that every upstream has:
+// name, zone and region. It makes no map of them.
+type labelled struct {
+	upstream *Upstream
+	region   string
+}
+
+// Labels gives the labels that selectors match.
+func Labels(u Upstream, region string) labels.Labels { return labelled{&u, region} }
+
+// Get implements labels.Labels.
+func (l labelled) Get(label string) string {
+	v, _ := l.Lookup(label)
+	return v
+}
+
+// Has implements labels.Labels.
+func (l labelled) Has(label string) bool {
+	_, ok := l.Lookup(label)
+	return ok
+}
+
+// Lookup implements labels.Labels.
+func (l labelled) Lookup(label string) (string, bool) {
+	if v, ok := l.upstream.Labels[label]; ok {
+		return v, true
+	}
+	switch label {
+	case "name":
+		return l.upstream.Name, true
+	case "zone":
+		return l.upstream.Zone, true
+	case "region":
+		return l.region, true
 	}
-	return set
+	return "", false
 }
 
 // Revision is the revision of the state.
--- /dev/null
+++ b/internal/entry/bench_test.go
@@ -0,0 +1,262 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/stretchr/testify/require"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+
+	"cairndock/internal/config"
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/platform"
+	"cairndock/internal/roster"
+	"cairndock/internal/settings"
+	"cairndock/internal/ticket"
+)
+
+// bigState is a configuration of the planned size: zones, blocks over them,
+// and a site of 24 upstreams for each service in each zone.
+func bigState(tb testing.TB, blocks, services, zones int) *config.State {
+	s := config.NewState()
+	var doc config.Document
+	flush := func(id string) {
+		c, err := doc.Change(id, 0)
+		require.NoError(tb, err)
+		s, err = s.With(c.WithRevision(s.Revision() + 1))
+		require.NoError(tb, err)
+		doc = config.Document{}
+	}
+	for z := range zones {
+		doc.Zones = append(doc.Zones, config.Zone{Name: fmt.Sprintf("zone-%02d", z), Region: fmt.Sprintf("region-%02d", z%23)})
+	}
+	for i := range services {
+		svc := fmt.Sprintf("service-%d", i)
+		doc.Services = append(doc.Services, config.Service{
+			Name: svc, Class: config.Interactive, Repeat: config.RepeatSafe, Timeout: config.Duration(time.Second), MaxTimeout: config.Duration(2 * time.Second),
+		})
+		doc.Rules = append(doc.Rules, config.Rule{Name: svc + "-all", Service: svc, Selector: "tier=main", Share: 1})
+		for z := range zones {
+			for u := range 24 {
+				name := fmt.Sprintf("%s-%02d-%02d", svc, z, u)
+				doc.Upstreams = append(doc.Upstreams, config.Upstream{
+					Name: name, Service: svc, Zone: fmt.Sprintf("zone-%02d", z), Addr: name + ":1", Slots: 6,
+					Labels: map[string]string{"tier": "main"}, State: config.StateLive,
+				})
+			}
+		}
+	}
+	flush("objects")
+	for b := range blocks {
+		addr := netip.AddrFrom4([4]byte{byte(1 + b>>16), byte(b >> 8), byte(b), 0})
+		doc.Blocks = append(doc.Blocks, config.Block{CIDR: addr.String() + "/24", Zone: fmt.Sprintf("zone-%02d", b%zones)})
+	}
+	flush("blocks")
+	return s
+}
+
+// bigHost is a host with a configuration of a given size in force.
+func bigHost(tb testing.TB, s *config.State) *Host {
+	memory := platform.NewMemory()
+	set := settings.Settings{
+		Host:    settings.Host{Name: "zone-00-00", Zone: "zone-00", Region: "region-00"},
+		Callers: settings.Callers{TTL: settings.Seconds(5 * time.Second)},
+	}
+	Prepare(&set)
+	h, err := New(Options{
+		Settings: set, Table: memory, Objects: memory, Hosts: memory, Transport: TCP{}, Log: zerolog.Nop(),
+		Traces: sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())),
+	})
+	require.NoError(tb, err)
+	h.peers = member.NewPeers(h.self)
+	h.see(bigRoster(74))
+	h.adoptState(s)
+	for z := 1; z < 80; z++ {
+		for i := range 4 {
+			c := member.Contact{Host: fmt.Sprintf("zone-%02d-%02d", z, i), Zone: fmt.Sprintf("zone-%02d", z), PeerAddr: "10.0.0.1:1", CallerAddr: "10.0.0.1:2"}
+			h.peers.Heard(member.Heartbeat{Contact: c}, time.Now().Add(time.Hour), time.Millisecond)
+		}
+	}
+	return h
+}
+
+func bigRoster(hosts int) roster.Roster {
+	r := roster.Roster{Zone: "zone-00", Epoch: 1}
+	for i := range hosts {
+		r.Members = append(r.Members, roster.Member{
+			Host: fmt.Sprintf("zone-00-%02d", i), Incarnation: "01JABCDEFGHJKMNPQRSTVWXYZ0", PeerAddr: "10.0.0.1:8082", CallerAddr: "10.0.0.1:8080", State: roster.Active,
+		})
+	}
+	return r
+}
+
+func heapMB() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc) / 1e6
+}
+
+// BenchmarkEntries is the look-up of callers, with blocks loaded.
+func BenchmarkEntries(b *testing.B) {
+	for _, blocks := range []int{26_000, 130_000, 260_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			before := heapMB()
+			s := bigState(b, blocks, 1, 80)
+			h := bigHost(b, s)
+			heap := heapMB() - before
+			addrs := make([]netip.Addr, 1024)
+			for i := range addrs {
+				n := i * 251 % blocks
+				addrs[i] = netip.AddrFrom4([4]byte{byte(1 + n>>16), byte(n >> 8), byte(n), 7})
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				if _, err := h.EntriesFor("service-0", addrs[i%len(addrs)]); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(heap, "heap-MB")
+			runtime.KeepAlive(s)
+		})
+	}
+}
+
+// BenchmarkChange is a change put in force, by the size of the configuration.
+func BenchmarkChange(b *testing.B) {
+	for _, services := range []int{2, 10, 22} {
+		b.Run(fmt.Sprintf("sites=%d", services*80), func(b *testing.B) {
+			before := heapMB()
+			h := bigHost(b, bigState(b, 1000, services, 80))
+			heap := heapMB() - before
+			for b.Loop() {
+				doc := config.Document{Rules: []config.Rule{{Name: "service-0-all", Service: "service-0", Selector: "tier=main", Share: 1}}}
+				c, err := doc.Change("c", 0)
+				require.NoError(b, err)
+				require.NoError(b, h.putInForce(context.Background(), []config.Change{c.WithRevision(h.View().Revision() + 1)}))
+			}
+			b.ReportMetric(heap, "heap-MB")
+		})
+	}
+}
+
+// BenchmarkBlockChange is a change of one block among many.
+func BenchmarkBlockChange(b *testing.B) {
+	for _, blocks := range []int{26_000, 130_000, 260_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			h := bigHost(b, bigState(b, blocks, 1, 80))
+			for b.Loop() {
+				doc := config.Document{Blocks: []config.Block{{CIDR: "1.0.0.0/24", Zone: "zone-03"}}}
+				c, err := doc.Change("c", 0)
+				require.NoError(b, err)
+				require.NoError(b, h.putInForce(context.Background(), []config.Change{c.WithRevision(h.View().Revision() + 1)}))
+			}
+		})
+	}
+}
+
+// BenchmarkRosterChange is a new epoch worked out, by the zone's hosts.
+func BenchmarkRosterChange(b *testing.B) {
+	for _, hosts := range []int{2, 20, 74} {
+		b.Run(fmt.Sprintf("hosts=%d", hosts), func(b *testing.B) {
+			h := bigHost(b, bigState(b, 1000, 22, 80))
+			r := bigRoster(hosts)
+			r.Epoch = 10
+			for b.Loop() {
+				r.Epoch++
+				h.see(r)
+			}
+		})
+	}
+}
+
+// BenchmarkHeartbeat is one heartbeat made, encoded, decoded and taken in.
+func BenchmarkHeartbeat(b *testing.B) {
+	for _, services := range []int{2, 10, 22} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			h := bigHost(b, bigState(b, 1000, services, 80))
+			size := 0
+			for b.Loop() {
+				payload, err := peer.Encode(h.heartbeat("zone-01"))
+				require.NoError(b, err)
+				size = len(payload)
+				beat, err := peer.Decode[member.Heartbeat](payload)
+				require.NoError(b, err)
+				beat.Contact.Host = "zone-01-01"
+				h.peers.Heard(beat, time.Now(), time.Millisecond)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// BenchmarkTurn is one turn of a host's own loop, four of them a second.
+func BenchmarkTurn(b *testing.B) {
+	for _, services := range []int{2, 10, 22} {
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			h := bigHost(b, bigState(b, 1000, services, 80))
+			for b.Loop() {
+				h.mu.Lock()
+				h.peers.Due(time.Now())
+				h.mu.Unlock()
+				h.settle()
+				h.refreshDeciders()
+			}
+		})
+	}
+}
+
+// BenchmarkSnapshot is the whole configuration written and read.
+func BenchmarkSnapshot(b *testing.B) {
+	for _, blocks := range []int{26_000, 260_000} {
+		b.Run(fmt.Sprintf("blocks=%d", blocks), func(b *testing.B) {
+			s := bigState(b, blocks, 22, 80)
+			size := 0
+			for b.Loop() {
+				snap, err := s.Snapshot()
+				require.NoError(b, err)
+				payload, err := peer.Encode(snap)
+				require.NoError(b, err)
+				size = len(payload)
+				decoded, err := peer.Decode[config.Snapshot](payload)
+				require.NoError(b, err)
+				_, err = config.FromSnapshot(decoded)
+				require.NoError(b, err)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
+
+// BenchmarkTicket is a ticket minted, used and answered; it also gives the
+// memory that a kept one takes.
+func BenchmarkTicket(b *testing.B) {
+	h := bigHost(b, bigState(b, 10, 1, 80))
+	before, n := heapMB(), 0
+	b.ReportAllocs()
+	for b.Loop() {
+		t, err := h.MintTicket("service-0")
+		require.NoError(b, err)
+		h.useForBench(t.String())
+		n++
+	}
+	b.ReportMetric((heapMB()-before)*1e6/float64(n), "kept-B")
+	require.Equal(b, n, h.tickets.Len())
+}
+
+func (h *Host) useForBench(text string) {
+	t, _ := ticket.Parse(text)
+	h.ticketsMu.Lock()
+	defer h.ticketsMu.Unlock()
+	_, _, _ = h.tickets.Begin(t, ticket.DigestOf("s", "POST", "/", nil), time.Now())
+	h.tickets.Finish(t, ticket.Outcome{Status: 200, Body: []byte("{}"), Upstream: "zone-00/service-0-00-00"})
+}
--- a/internal/entry/configloop.go
+++ b/internal/entry/configloop.go
@@ -142,7 +142,7 @@
 		news = append(news, c)
 	}
 	if len(news) > 0 {
-		h.view.Store(config.NewView(state, h.self.Zone))
+		h.view.Store(h.View().With(state, news))
 		h.recent = append(h.recent, news...)
 		h.recent = h.recent[max(0, len(h.recent)-maxRecent):]
 	}
--- a/internal/entry/entries.go
+++ b/internal/entry/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -37,18 +38,18 @@
 const (
 	maxEntries = 16
 	variants   = 16
-	// entriesAge is how long an answer is used again.
-	entriesAge = 250 * time.Millisecond
 )
 
-// entriesCache keeps answers ready: callers of one zone share a few.
+// entriesCache keeps answers ready: callers of one zone share a few. They
+// hold until the configuration changes, or the hosts that answer do.
 type entriesCache struct {
 	current atomic.Pointer[entriesPage]
 }
 
 type entriesPage struct {
-	madeAt   int64
 	revision uint64
+	// contacts are the hosts that answer, by zone.
+	contacts map[string][]member.Contact
 	answers  sync.Map // entriesKey to []byte
 }
 
@@ -73,7 +74,7 @@
 	if a, ok := page.answers.Load(key); ok {
 		return a.([]byte), nil
 	}
-	answer, err := json.Marshal(h.entriesNow(key))
+	answer, err := json.Marshal(h.entriesOf(page, key))
 	if err != nil {
 		return nil, err
 	}
@@ -89,43 +90,64 @@
 }
 
 func (h *Host) entriesPage(revision uint64) *entriesPage {
-	now := h.now()
 	page := h.entries.current.Load()
-	if page != nil && page.revision == revision && now-page.madeAt < int64(entriesAge) {
+	if page != nil && page.revision == revision {
 		return page
 	}
-	fresh := &entriesPage{madeAt: now, revision: revision}
-	h.entries.current.Store(fresh)
-	return fresh
+	return h.newEntriesPage(revision)
 }
 
-// entriesNow works an answer out: hosts that answer and are not leaving,
-// the caller's zone first, then its region, then the rest.
+func (h *Host) newEntriesPage(revision uint64) *entriesPage {
+	page := &entriesPage{revision: revision, contacts: h.contacts()}
+	h.entries.current.Store(page)
+	return page
+}
+
+// contacts gives the hosts that answer and are not leaving, by zone.
+func (h *Host) contacts() map[string][]member.Contact {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	out := map[string][]member.Contact{h.self.Zone: h.peers.Contacts(h.self.Zone, now, h.leaving.Load())}
+	for _, zone := range h.peers.Zones() {
+		out[zone] = h.peers.Contacts(zone, now, h.leaving.Load())
+	}
+	return out
+}
+
+// refreshEntries drops the answers kept when the hosts that answer changed.
+func (h *Host) refreshEntries() {
+	page := h.entries.current.Load()
+	if page == nil {
+		return
+	}
+	if now := h.contacts(); !maps.EqualFunc(now, page.contacts, slices.Equal[[]member.Contact]) {
+		h.entries.current.Store(&entriesPage{revision: page.revision, contacts: now})
+	}
+}
+
+// entriesNow works an answer out from what is known at this moment.
 func (h *Host) entriesNow(key entriesKey) Entries {
+	return h.entriesOf(&entriesPage{contacts: h.contacts()}, key)
+}
+
+// entriesOf orders a page's hosts for callers: their zone first, then its
+// region, then the rest.
+func (h *Host) entriesOf(page *entriesPage, key entriesKey) Entries {
 	v := h.View()
 	region := v.Region(key.zone)
-	h.mu.Lock()
-	var zones []string
-	byZone := map[string][]member.Contact{}
-	now := time.Now()
-	for _, zone := range append(h.peers.Zones(), h.self.Zone) {
-		if _, seen := byZone[zone]; !seen {
-			byZone[zone] = h.peers.Contacts(zone, now, h.leaving.Load())
-			zones = append(zones, zone)
-		}
-	}
-	h.mu.Unlock()
 	variant := strconv.Itoa(int(key.variant))
-	zones = roster.Rank(variant, zones)
+	zones := roster.Rank(variant, slices.Sorted(maps.Keys(page.contacts)))
 	slices.SortStableFunc(zones, func(a, b string) int {
 		return distance(a, v.Region(a), key.zone, region) - distance(b, v.Region(b), key.zone, region)
 	})
 	out := Entries{Service: key.service, Revision: v.Revision(), TTLMillis: h.ttl().Milliseconds()}
 	for _, zone := range zones {
-		for _, c := range rankContacts(variant, byZone[zone]) {
-			if len(out.Entries) < maxEntries {
-				out.Entries = append(out.Entries, Entry{Host: c.Host, Zone: c.Zone, Addr: c.CallerAddr})
+		for _, c := range rankContacts(variant, page.contacts[zone]) {
+			if len(out.Entries) == maxEntries {
+				return out
 			}
+			out.Entries = append(out.Entries, Entry{Host: c.Host, Zone: c.Zone, Addr: c.CallerAddr})
 		}
 	}
 	return out
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -52,6 +52,7 @@
 	}
 	h.settle()
 	h.refreshDeciders()
+	h.refreshEntries()
 	h.retunePacers()
 }
 
@@ -287,6 +288,7 @@
 		for _, z := range zones {
 			s.decider.SetZone(z.zone, z.report(svc.Name), z.rtt, z.up)
 		}
+		s.decider.Rank()
 		s.mu.Unlock()
 	}
 }
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -24,6 +24,7 @@
 	began := time.Now()
 	h.log.Info().Msg("entry: stop began")
 	h.leaving.Store(true)
+	h.refreshEntries()
 	h.tellAll()
 	h.leaveRoster(ctx, func(r roster.Roster) roster.Roster { return r.WithState(h.self.Host, roster.Leaving) })
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.opts.Settings.Stop.Window))
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -4,7 +4,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 
 	"cairndock/internal/roster"
@@ -30,6 +29,8 @@
 	farPerTick = 16
 	// maxContacts bounds the hosts a zone names to others.
 	maxContacts = 4
+	// maxFarHosts bounds the hosts of another zone that are kept.
+	maxFarHosts = 8
 )
 
 // Contact is how to reach an entry host.
@@ -119,15 +120,19 @@
 type Peers struct {
 	self  Contact
 	peers map[string]Peer
-	heirs map[string]string // incarnation to host
+	// byZone holds each zone's hosts, by name; zones the zones, by name.
+	byZone map[string][]string
+	zones  []string
+	heirs  map[string]string // incarnation to host
 }
 
 // NewPeers makes an empty state.
 func NewPeers(self Contact) *Peers {
-	return &Peers{self: self, peers: map[string]Peer{}, heirs: map[string]string{}}
+	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, heirs: map[string]string{}}
 }
 
-// Learn notes that a host exists.
+// Learn notes that a host exists. Of another zone only a few are kept: those
+// that answer before those that do not.
 func (p *Peers) Learn(c Contact) {
 	if c.Host == "" || c.Host == p.self.Host || c.PeerAddr == "" {
 		return
@@ -136,11 +141,45 @@
 	if known && old.Contact == c {
 		return
 	}
+	if known && old.Contact.Zone != c.Zone {
+		p.Forget(c.Host)
+		known = false
+	}
+	if !known && !p.makeRoom(c.Zone) {
+		return
+	}
+	if !known {
+		p.index(c)
+	}
 	old.Contact = c
 	old.FailedSince = time.Time{}
 	p.peers[c.Host] = old
 }
 
+// makeRoom reports whether one more host of a zone may be kept.
+func (p *Peers) makeRoom(zone string) bool {
+	if zone == p.self.Zone || len(p.byZone[zone]) < maxFarHosts {
+		return true
+	}
+	for _, host := range p.byZone[zone] {
+		if !p.peers[host].FailedSince.IsZero() {
+			p.Forget(host)
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Peers) index(c Contact) {
+	hosts := p.byZone[c.Zone]
+	if hosts == nil {
+		i, _ := slices.BinarySearch(p.zones, c.Zone)
+		p.zones = slices.Insert(p.zones, i, c.Zone)
+	}
+	i, _ := slices.BinarySearch(hosts, c.Host)
+	p.byZone[c.Zone] = slices.Insert(hosts, i, c.Host)
+}
+
 // Asking notes that a heartbeat goes out to a host.
 func (p *Peers) Asking(host string, now time.Time) {
 	if peer, ok := p.peers[host]; ok {
@@ -180,8 +219,17 @@
 	}
 }
 
-// Forget drops hosts that the platform says are gone.
-func (p *Peers) Forget(host string) { delete(p.peers, host) }
+// Forget drops a host.
+func (p *Peers) Forget(host string) {
+	zone := p.peers[host].Contact.Zone
+	delete(p.peers, host)
+	hosts := slices.DeleteFunc(slices.Clone(p.byZone[zone]), func(h string) bool { return h == host })
+	p.byZone[zone] = hosts
+	if len(hosts) == 0 {
+		delete(p.byZone, zone)
+		p.zones = slices.DeleteFunc(slices.Clone(p.zones), func(z string) bool { return z == zone })
+	}
+}
 
 // Get gives a host.
 func (p *Peers) Get(host string) (Peer, bool) {
@@ -209,27 +257,16 @@
 
 // Zone gives the known hosts of a zone, by name.
 func (p *Peers) Zone(zone string) []Peer {
-	var out []Peer
-	for _, peer := range p.peers {
-		if peer.Contact.Zone == zone {
-			out = append(out, peer)
-		}
+	hosts := p.byZone[zone]
+	out := make([]Peer, 0, len(hosts))
+	for _, host := range hosts {
+		out = append(out, p.peers[host])
 	}
-	slices.SortFunc(out, func(a, b Peer) int { return strings.Compare(a.Contact.Host, b.Contact.Host) })
 	return out
 }
 
-// Zones gives the zones of the known hosts, by name.
-func (p *Peers) Zones() []string {
-	var zones []string
-	for _, peer := range p.peers {
-		if !slices.Contains(zones, peer.Contact.Zone) {
-			zones = append(zones, peer.Contact.Zone)
-		}
-	}
-	slices.Sort(zones)
-	return zones
-}
+// Zones gives the zones of the known hosts, by name. It must not be changed.
+func (p *Peers) Zones() []string { return p.zones }
 
 // Due gives the hosts to send a heartbeat to now: a bounded number of the
 // own zone, and a few of each other zone, the longest unasked first.
@@ -280,8 +317,8 @@
 	if zone == p.self.Zone && !selfLeaving {
 		out = append(out, p.self)
 	}
-	for _, peer := range p.Zone(zone) {
-		if len(out) < maxContacts && peer.Up(now) {
+	for _, host := range p.byZone[zone] {
+		if peer := p.peers[host]; len(out) < maxContacts && peer.Up(now) {
 			out = append(out, peer.Contact)
 		}
 	}
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -2,7 +2,9 @@
 package steer
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
 	"cairndock/internal/config"
@@ -22,6 +24,8 @@
 	otherRegionRTT = 50 * time.Millisecond
 	// fullPenalty is how many latencies a full zone's queue counts for.
 	fullPenalty = 4
+	// nearest is how many of the sites that are left one decision weighs.
+	nearest = 8
 	// maxSites bounds the zones of one rule: one bit each in a Plan.
 	maxSites = 128
 )
@@ -44,12 +48,15 @@
 }
 
 type siteState struct {
+	// id is the site's number within the rule, whatever its place.
+	id    int
 	zone  string
 	state *zoneState
 	local bool
 	slots int
 }
 
+// ruleState holds a rule's sites, the nearest first.
 type ruleState struct {
 	name  string
 	sites []siteState
@@ -91,6 +98,7 @@
 		d.rules = append(d.rules, d.newRule(r, zone, region))
 	}
 	d.meter.Configure(rules, now)
+	d.Rank()
 }
 
 func (d *Decider) newRule(r config.RuleView, zone, region string) ruleState {
@@ -100,7 +108,7 @@
 			break
 		}
 		rs.sites = append(rs.sites, siteState{
-			zone: s.Zone, state: d.zone(s, zone, region), local: s.Zone == zone, slots: s.Slots,
+			id: len(rs.sites), zone: s.Zone, state: d.zone(s, zone, region), local: s.Zone == zone, slots: s.Slots,
 		})
 	}
 	return rs
@@ -151,6 +159,14 @@
 	}
 }
 
+// Rank puts each rule's sites in the order of their distance, so that a
+// decision looks at the nearest few only.
+func (d *Decider) Rank() {
+	for _, r := range d.rules {
+		slices.SortStableFunc(r.sites, func(a, b siteState) int { return cmp.Compare(a.state.rtt, b.state.rtt) })
+	}
+}
+
 // Refused notes that a zone had no free slot.
 func (d *Decider) Refused(zone string, now int64) {
 	if z := d.zones[zone]; z != nil {
@@ -210,11 +226,16 @@
 	r := &d.rules[rule]
 	best := -1
 	bestScore := math.MaxFloat64
+	looked := 0
 	for i := range r.sites {
+		if looked == nearest {
+			break
+		}
 		s := &r.sites[i]
-		if p.tried[i>>6]&(1<<(i&63)) != 0 || s.slots == 0 || !s.state.reachable {
+		if p.tried[s.id>>6]&(1<<(s.id&63)) != 0 || s.slots == 0 || !s.state.reachable {
 			continue
 		}
+		looked++
 		if score := d.score(s, now); score < bestScore {
 			best, bestScore = i, score
 		}
@@ -222,8 +243,8 @@
 	if best < 0 {
 		return Choice{}, false
 	}
-	p.tried[best>>6] |= 1 << (best & 63)
 	s := &r.sites[best]
+	p.tried[s.id>>6] |= 1 << (s.id & 63)
 	return Choice{Rule: r.name, Zone: s.zone, Local: s.local, Full: d.use(s, now) >= 1, rule: rule}, true
 }
 
