Keep heartbeats within a budget of bytes

Cause: a heartbeat at 22 services took 1,164 bytes each way, and 16 hosts of other zones could be asked four times a second: up to 77 KB a second where 4 KB are allowed.

Change: slots travel as plain numbers in the order of the services at the revision, only in answers; a zone's hosts only when they changed; integers in their shortest form. Hosts are asked as often as a budget of 4,000 bytes a second allows, by the measured size of an exchange, 30% of it in the own zone. News that a whole zone waits for (acknowledgements, epochs, signs) still goes out at once.

At 80 zones a host of another zone is then asked about every 40 s; requests that fail there, and the slots told with each answer, come sooner.

--- a/internal/config/view.go
+++ b/internal/config/view.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -272,6 +273,11 @@
 // Region gives a zone's region, or "".
 func (v *View) Region(zone string) string { return v.state.zones[zone].value.Region }
 
+// ServiceNames lists the services' names in order.
+func (v *View) ServiceNames() []string {
+	return slices.Sorted(maps.Keys(v.services))
+}
+
 // Zones lists the zones by name.
 func (v *View) Zones() []Zone {
 	out := make([]Zone, 0, len(v.state.zones))
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -186,15 +186,20 @@
 			h := bigHost(b, bigState(b, 1000, services, 80))
 			size := 0
 			for b.Loop() {
-				payload, err := peer.Encode(h.heartbeat("zone-01"))
+				from := member.Contact{Host: "zone-01-01", Zone: "zone-01"}
+				ask, err := peer.Encode(h.ask(from))
 				require.NoError(b, err)
-				size = len(payload)
+				contacts := h.peers.Contacts(h.self.Zone, time.Now(), false)
+				payload, err := peer.Encode(h.answer(member.Heartbeat{Contact: from, ContactsHash: member.HashContacts(contacts)}))
+				require.NoError(b, err)
+				size = len(ask) + len(payload)
 				beat, err := peer.Decode[member.Heartbeat](payload)
 				require.NoError(b, err)
+				h.unpack(&beat)
 				beat.Contact.Host = "zone-01-01"
 				h.peers.Heard(beat, time.Now(), time.Millisecond)
 			}
-			b.ReportMetric(float64(size), "bytes")
+			b.ReportMetric(float64(size), "exchange-bytes")
 		})
 	}
 }
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -68,7 +68,8 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	asked, askedAt := time.Now(), h.now()
-	reply, err := peer.Call[member.Heartbeat](ctx, h.mesh, c.PeerAddr, peer.KindHeartbeat, h.heartbeat(c.Zone))
+	ask := h.ask(c)
+	reply, size, err := peer.CallSized[member.Heartbeat](ctx, h.mesh, c.PeerAddr, peer.KindHeartbeat, ask)
 	if err != nil {
 		h.mu.Lock()
 		h.peers.Failed(c.Host, time.Now())
@@ -80,8 +81,10 @@
 		return
 	}
 	h.heard()
+	h.unpack(&reply)
 	h.mu.Lock()
 	before, _ := h.peers.Get(c.Host)
+	h.peers.Spent(size)
 	h.peers.Heard(reply, asked, time.Since(asked))
 	h.mu.Unlock()
 	if !before.Up(time.Now()) {
@@ -116,11 +119,39 @@
 	}
 }
 
-// heartbeat makes what this host tells a host of a zone.
-func (h *Host) heartbeat(zone string) member.Heartbeat {
+// ask makes the heartbeat that asks a host: who this host is and how far.
+func (h *Host) ask(to member.Contact) member.Heartbeat {
+	b := h.basicBeat(to.Zone)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, _ := h.peers.Get(to.Host)
+	b.ContactsHash = p.ContactsHash
+	return b
+}
+
+// answer makes the heartbeat that answers one: the slots as well, and the
+// zone's hosts when the asker has others.
+func (h *Host) answer(asked member.Heartbeat) member.Heartbeat {
+	b := h.basicBeat(asked.Contact.Zone)
 	free := h.free()
-	v := h.View()
 	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	b.Slots = member.Pack(free)
+	if asked.Contact.Zone != h.self.Zone {
+		b.ZoneSlots = member.Pack(h.zoneFree(free, now))
+	}
+	contacts := h.peers.Contacts(h.self.Zone, now, h.leaving.Load())
+	b.ContactsHash = member.HashContacts(contacts)
+	if b.ContactsHash != asked.ContactsHash {
+		b.Contacts = contacts
+	}
+	return b
+}
+
+// basicBeat makes what every heartbeat to a host of a zone says.
+func (h *Host) basicBeat(zone string) member.Heartbeat {
+	v := h.View()
 	age := int64(-1)
 	if at := h.freshAt.Load(); at > 0 {
 		age = (h.now()-at)/int64(time.Millisecond) + 1
@@ -134,9 +165,7 @@
 		Contact: h.self, Incarnation: h.holder.Incarnation(),
 		Epoch: h.holder.Current().Epoch, Acked: h.acked,
 		Revision: v.Revision(), Digest: v.State().Digest(), FreshAge: age,
-		Leaving: h.leaving.Load(), Free: free, ZoneFree: h.zoneFree(free, now),
-		ZoneHosts: len(h.holder.Current().Active()), Handovers: handovers,
-		Contacts: h.peers.Contacts(h.self.Zone, now, h.leaving.Load()),
+		Leaving: h.leaving.Load(), ZoneHosts: len(h.holder.Current().Active()), Handovers: handovers,
 	}
 	if zone == h.self.Zone {
 		b.Signs = h.ownSigns()
@@ -144,6 +173,18 @@
 	return b
 }
 
+// unpack names the services of an answer's slots. At another revision they
+// can't be told apart, and the next answer will do.
+func (h *Host) unpack(b *member.Heartbeat) {
+	v := h.View()
+	if b.Revision != v.Revision() {
+		return
+	}
+	names := v.ServiceNames()
+	b.Free = member.Unpack(b.Slots, names)
+	b.ZoneFree = member.Unpack(b.ZoneSlots, names)
+}
+
 // ownSigns tells what this host knows of the zone's upstreams; h.mu is held.
 func (h *Host) ownSigns() []member.Sign {
 	var out []member.Sign
@@ -194,7 +235,7 @@
 	// peer lives and no more.
 	h.peers.Heard(b, time.Now(), 0)
 	h.mu.Unlock()
-	_ = w.Send(h.heartbeat(b.Contact.Zone))
+	_ = w.Send(h.answer(b))
 	h.learn(ctx, b)
 }
 
@@ -259,8 +300,8 @@
 	return ok
 }
 
-// tellZone sends a heartbeat to every member of the zone at once: an
-// acknowledgement that all of them wait for.
+// tellZone sends a heartbeat to every known host of the zone at once, with
+// news that all of them wait for: an acknowledgement, a new epoch, a sign.
 func (h *Host) tellZone() {
 	h.mu.Lock()
 	var to []member.Contact
@@ -325,7 +366,7 @@
 				continue
 			}
 			z.up = true
-			at := h.now() - int64(now.Sub(p.HeardAt))
+			at := h.now() - int64(now.Sub(p.ToldAt))
 			if at > z.at {
 				z.at, z.free = at, p.Beat.ZoneFree
 			}
@@ -347,7 +388,7 @@
 	h.mu.Unlock()
 	if changed {
 		h.reconfigure()
-		h.kickNow()
+		h.tellZone()
 	}
 	svc, ok := h.serviceOf(name)
 	if !ok {
@@ -476,6 +517,6 @@
 	h.mu.Unlock()
 	if changed {
 		h.reconfigure()
-		h.kickNow()
+		h.tellZone()
 	}
 }
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -307,6 +307,7 @@
 		return eris.Wrap(err, "write roster")
 	}
 	h.see(r)
+	h.tellZone()
 	return nil
 }
 
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,27 +6,33 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cairndock/internal/roster"
 )
 
 const (
-	// Interval is the time between two heartbeats to a host of the zone.
-	Interval = 500 * time.Millisecond
-	// FarInterval is the time between two to a host of another zone.
+	// Interval is the least time between two heartbeats to a host of the
+	// zone, and FarInterval to a host of another zone.
+	Interval    = 500 * time.Millisecond
 	FarInterval = time.Second
-	// DownAfter is the silence after which a host gets no requests.
+	// DownAfter is the least silence after which a host gets no requests.
 	DownAfter = 2 * time.Second
 	// LostAfter is the silence that must go with the host list's word
 	// before a member's slots are given away.
 	LostAfter = 5 * time.Second
+	// BytesPerSecond is what one host may spend on heartbeats, asking and
+	// answering, both ways. With more hosts each is asked less often.
+	BytesPerSecond = 4000
+	// nearPart is the part of that for the own zone.
+	nearPart = 0.3
+	// firstExchange stands for the size of an exchange until one is known.
+	firstExchange = 300
 	// zoneFanout bounds the hosts of the own zone that one host sends
 	// heartbeats to, and farFanout those of each other zone, so that the
-	// cost of a host does not grow with the fleet.
-	zoneFanout = 8
+	// cost of a host does not grow with its zone.
+	zoneFanout = 4
 	farFanout  = 2
-	// farPerTick bounds the other zones' hosts asked in one interval: with
-	// many zones each is asked less often, within the same budget.
-	farPerTick = 16
 	// maxContacts bounds the hosts a zone names to others.
 	maxContacts = 4
 	// maxFarHosts bounds the hosts of another zone that are kept.
@@ -50,6 +56,28 @@
 	Warm    int    `msgpack:"w"`
 }
 
+// Pack writes slots without the services' names: three numbers for each, in
+// the order of the services at the heartbeat's revision.
+func Pack(free []Free) []uint32 {
+	out := make([]uint32, 0, 3*len(free))
+	for _, f := range free {
+		out = append(out, uint32(f.Free), uint32(f.Held), uint32(f.Warm))
+	}
+	return out
+}
+
+// Unpack reads what Pack wrote, for the services of the same revision.
+func Unpack(packed []uint32, services []string) []Free {
+	if len(packed) != 3*len(services) {
+		return nil
+	}
+	out := make([]Free, 0, len(services))
+	for i, name := range services {
+		out = append(out, Free{Service: name, Free: int(packed[3*i]), Held: int(packed[3*i+1]), Warm: int(packed[3*i+2])})
+	}
+	return out
+}
+
 // Handover says that a host goes on for a stopped one's tickets.
 type Handover struct {
 	Incarnation string `msgpack:"i"`
@@ -81,16 +109,32 @@
 	// FreshAge is how long ago the platform's head is known to have been
 	// Revision, in milliseconds; negative is never.
 	FreshAge int64 `msgpack:"f"`
-	Leaving  bool  `msgpack:"l"`
-	// Free and ZoneFree are this host's slots and its zone's.
-	Free     []Free `msgpack:"s"`
-	ZoneFree []Free `msgpack:"z"`
+	Leaving  bool  `msgpack:"l,omitempty"`
+	// Slots and ZoneSlots are this host's slots and its zone's, packed.
+	// They are in answers only.
+	Slots     []uint32 `msgpack:"s,omitempty"`
+	ZoneSlots []uint32 `msgpack:"z,omitempty"`
+	// Free and ZoneFree are the same unpacked; they do not travel.
+	Free     []Free `msgpack:"-"`
+	ZoneFree []Free `msgpack:"-"`
 	// ZoneHosts is how many hosts of the zone hold slots.
-	ZoneHosts int       `msgpack:"n"`
-	Contacts  []Contact `msgpack:"o"`
+	ZoneHosts int `msgpack:"n"`
+	// Contacts are in an answer only when their hash is not the one that
+	// the asker has.
+	Contacts     []Contact `msgpack:"o,omitempty"`
+	ContactsHash uint64    `msgpack:"q"`
 	// Signs are told within the zone only.
-	Signs     []Sign     `msgpack:"g"`
-	Handovers []Handover `msgpack:"t"`
+	Signs     []Sign     `msgpack:"g,omitempty"`
+	Handovers []Handover `msgpack:"t,omitempty"`
+}
+
+// HashContacts gives a hash of the hosts that a zone names.
+func HashContacts(contacts []Contact) uint64 {
+	h := xxhash.New()
+	for _, c := range contacts {
+		_, _ = h.WriteString(c.Host + "\x00" + c.PeerAddr + "\x00" + c.CallerAddr + "\x00")
+	}
+	return h.Sum64()
 }
 
 // Peer is another entry host. It is immutable.
@@ -100,21 +144,26 @@
 	Beat Heartbeat
 	// HeardAt is when Beat was asked for.
 	HeardAt time.Time
+	// ToldAt is when it was asked for the slots it told last.
+	ToldAt time.Time
 	// AskedAt is when a heartbeat was last sent to it.
 	AskedAt time.Time
 	RTT     time.Duration
+	// Every is how often it is asked now.
+	Every time.Duration
+	// ContactsHash is of the hosts it named last.
+	ContactsHash uint64
 	// FailedSince is when it stopped answering; zero when it answers.
 	FailedSince time.Time
 }
 
-// Up reports whether requests may be sent to the peer.
+// Up reports whether requests may be sent to the peer. One that is asked
+// rarely may be silent for longer; a request that fails there ends it.
 func (p Peer) Up(now time.Time) bool {
-	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < DownAfter+p.slack() && p.FailedSince.IsZero() && !p.Beat.Leaving
+	silence := max(DownAfter, 2*p.Every) + 2*p.RTT
+	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < silence && p.FailedSince.IsZero() && !p.Beat.Leaving
 }
 
-// slack allows a far host that is asked rarely to be silent for longer.
-func (p Peer) slack() time.Duration { return 2 * p.RTT }
-
 // Peers is what one host knows of the others. It is a plain state; the
 // caller brings locks and time.
 type Peers struct {
@@ -124,11 +173,15 @@
 	byZone map[string][]string
 	zones  []string
 	heirs  map[string]string // incarnation to host
+	// exchange is the moving average of an exchange's size in bytes.
+	exchange float64
+	// every is how often hosts are asked now: true for the own zone.
+	every map[bool]time.Duration
 }
 
 // NewPeers makes an empty state.
 func NewPeers(self Contact) *Peers {
-	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, heirs: map[string]string{}}
+	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, heirs: map[string]string{}, exchange: firstExchange, every: map[bool]time.Duration{}}
 }
 
 // Learn notes that a host exists. Of another zone only a few are kept: those
@@ -180,10 +233,23 @@
 	p.byZone[c.Zone] = slices.Insert(hosts, i, c.Host)
 }
 
+// Spent notes the size of an exchange in bytes.
+func (p *Peers) Spent(bytes int) { p.exchange += (float64(bytes) - p.exchange) / 16 }
+
+// intervals gives how often hosts of the own zone and of the others may be
+// asked, so that asking and being asked stay within the budget.
+func (p *Peers) intervals(near, far int) (nearEvery, farEvery time.Duration) {
+	perSecond := BytesPerSecond / (2 * p.exchange)
+	nearEvery = time.Duration(float64(near) / (perSecond * nearPart) * float64(time.Second))
+	farEvery = time.Duration(float64(far) / (perSecond * (1 - nearPart)) * float64(time.Second))
+	return max(Interval, nearEvery), max(FarInterval, farEvery)
+}
+
 // Asking notes that a heartbeat goes out to a host.
 func (p *Peers) Asking(host string, now time.Time) {
 	if peer, ok := p.peers[host]; ok {
 		peer.AskedAt = now
+		peer.Every = p.every[peer.Contact.Zone == p.self.Zone]
 		p.peers[host] = peer
 	}
 }
@@ -196,7 +262,14 @@
 	if !ok || askedAt.Before(peer.HeardAt) {
 		return
 	}
+	if b.Slots == nil {
+		// An asker tells nothing of its slots; what it said last holds.
+		b.Free, b.ZoneFree, b.ZoneHosts = peer.Beat.Free, peer.Beat.ZoneFree, peer.Beat.ZoneHosts
+	}
 	peer.Beat, peer.HeardAt, peer.FailedSince = b, askedAt, time.Time{}
+	if b.Slots != nil {
+		peer.ContactsHash, peer.ToldAt = b.ContactsHash, askedAt
+	}
 	if rtt > 0 {
 		peer.RTT = smooth(peer.RTT, rtt)
 	}
@@ -269,24 +342,25 @@
 func (p *Peers) Zones() []string { return p.zones }
 
 // Due gives the hosts to send a heartbeat to now: a bounded number of the
-// own zone, and a few of each other zone, the longest unasked first.
+// own zone and of each other zone, within the budget.
 func (p *Peers) Due(now time.Time) []Contact {
-	near := due(p.nearest(p.self.Zone, zoneFanout), now, Interval)
+	near := p.nearest(p.self.Zone, zoneFanout)
 	var far []Peer
-	for _, zone := range p.Zones() {
+	for _, zone := range p.zones {
 		if zone != p.self.Zone {
 			far = append(far, p.nearest(zone, farFanout)...)
 		}
 	}
-	slices.SortStableFunc(far, func(a, b Peer) int { return a.AskedAt.Compare(b.AskedAt) })
-	far = far[:min(len(far), farPerTick)]
-	return append(near, due(far, now, FarInterval)...)
+	nearEvery, farEvery := p.intervals(len(near), len(far))
+	p.every[true], p.every[false] = nearEvery, farEvery
+	out := due(near, now, nearEvery)
+	return append(out, due(far, now, farEvery)...)
 }
 
-func due(peers []Peer, now time.Time, interval time.Duration) []Contact {
+func due(peers []Peer, now time.Time, every time.Duration) []Contact {
 	var out []Contact
 	for _, peer := range peers {
-		if now.Sub(peer.AskedAt) >= interval {
+		if now.Sub(peer.AskedAt) >= every {
 			out = append(out, peer.Contact)
 		}
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -81,6 +81,7 @@
 	var body bytes.Buffer
 	enc := msgpack.NewEncoder(&body)
 	enc.UseArrayEncodedStructs(true)
+	enc.UseCompactInts(true)
 	if err := enc.Encode(f); err != nil {
 		return nil, eris.Wrap(err, "encode frame")
 	}
@@ -124,8 +125,11 @@
 
 // Encode writes a message's payload.
 func Encode(v any) ([]byte, error) {
-	b, err := msgpack.Marshal(v)
-	return b, eris.Wrap(err, "encode message")
+	var body bytes.Buffer
+	enc := msgpack.NewEncoder(&body)
+	enc.UseCompactInts(true)
+	err := enc.Encode(v)
+	return body.Bytes(), eris.Wrap(err, "encode message")
 }
 
 // Decode reads a message's payload.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -171,20 +171,31 @@
 
 // Call sends a message to a peer and decodes its reply into reply.
 func Call[T any](ctx context.Context, m *Mesh, addr string, kind Kind, message any) (T, error) {
+	reply, _, err := CallSized[T](ctx, m, addr, kind, message)
+	return reply, err
+}
+
+// frameOverhead is about what the frames of a call add to its messages: an
+// open, a reply and an end, in bytes.
+const frameOverhead = 40
+
+// CallSized is Call that also gives the bytes exchanged.
+func CallSized[T any](ctx context.Context, m *Mesh, addr string, kind Kind, message any) (T, int, error) {
 	var zero T
 	payload, err := Encode(message)
 	if err != nil {
-		return zero, err
+		return zero, 0, err
 	}
 	c, err := m.Get(ctx, addr)
 	if err != nil {
-		return zero, err
+		return zero, 0, err
 	}
 	reply, err := c.Call(ctx, kind, payload)
 	if err != nil {
-		return zero, err
+		return zero, 0, err
 	}
-	return Decode[T](reply)
+	v, err := Decode[T](reply)
+	return v, len(payload) + len(reply) + frameOverhead, err
 }
 
 // Drop breaks the connection to a peer that no longer answers.
