--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -83,17 +83,25 @@
 	h.heard()
 	h.unpack(&reply)
 	h.mu.Lock()
-	before, _ := h.peers.Get(c.Host)
 	h.peers.Spent(size)
-	h.peers.Heard(reply, asked, time.Since(asked))
 	h.mu.Unlock()
-	if !before.Up(time.Now()) {
-		h.refreshDeciders() // a zone may be within reach that was not
-	}
+	h.takeIn(reply, asked, time.Since(asked))
 	h.learn(ctx, reply)
 	h.noteFresh(reply, askedAt)
 }
 
+// takeIn notes a heartbeat. A host that was not up may bring a zone within
+// reach, which decisions must know at once.
+func (h *Host) takeIn(b member.Heartbeat, asked time.Time, rtt time.Duration) {
+	h.mu.Lock()
+	before, _ := h.peers.Get(b.Contact.Host)
+	h.peers.Heard(b, asked, rtt)
+	h.mu.Unlock()
+	if !before.Up(time.Now()) {
+		h.refreshDeciders()
+	}
+}
+
 // noteFresh takes over a peer's proof that its revision is the newest. Its
 // age counts from when this host asked, so that a slow reply only makes the
 // proof older than it is.
@@ -230,11 +238,9 @@
 
 // serveHeartbeat answers a peer's heartbeat with this host's own.
 func (h *Host) serveHeartbeat(ctx context.Context, b member.Heartbeat, w *peer.Responder) {
-	h.mu.Lock()
 	// The time it took to come is not known, so that it proves that the
 	// peer lives and no more.
-	h.peers.Heard(b, time.Now(), 0)
-	h.mu.Unlock()
+	h.takeIn(b, time.Now(), 0)
 	_ = w.Send(h.answer(b))
 	h.learn(ctx, b)
 }
