Hedge slow lookups, and let all failing upstreams rest

Cause: with one slow upstream in six the slowest lookup took 904 ms; with a rule's upstreams all failing, half of them went on being tried, so that 10% of retries were spent there and the other rule stayed below its cap. A zone's own requests since its last report counted as outstanding for ever.

Change: a lookup that takes four times the usual goes to the next choice too, within the budget of retries; own failures and sheds rest an upstream without a bound on how many; requests to a zone are counted until they end.

--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,252 @@
+package config
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/platform"
+)
+
+const good = `
+[[zone]]
+name = "costa-a"
+region = "costa"
+[[service]]
+name = "planning"
+[[upstream]]
+name = "up-1"
+service = "planning"
+zone = "costa-a"
+addr = "127.0.0.1:1"
+slots = 6
+labels = { tier = "main" }
+[[rule]]
+name = "all"
+service = "planning"
+selector = "tier in (main, spare), region=costa"
+share = 0.5
+`
+
+func TestDocumentFaults(t *testing.T) {
+	cases := []struct{ name, doc, want string }{
+		{"unknown key", "[[zone]]\nname = \"a\"\nregion = \"r\"\ncolour = \"red\"", "colour: unknown key"},
+		{"wrong type", "[[upstream]]\nslots = \"six\"", "slots"},
+		{"no region", "[[zone]]\nname = \"a\"", `zone["a"].region: must be set`},
+		{"twice", "[[zone]]\nname = \"a\"\nregion = \"r\"\n[[zone]]\nname = \"a\"\nregion = \"r\"", `zone["a"].name: stands twice`},
+		{"bad class", "[[service]]\nname = \"s\"\nclass = \"fast\"", `service["s"].class: must be interactive or bulk, is "fast"`},
+		{"bad repeat", "[[service]]\nname = \"s\"\nrepeat = \"often\"", `service["s"].repeat`},
+		{"timeout above its bound", "[[service]]\nname = \"s\"\ntimeout = \"1m\"\nmax_timeout = \"1s\"", `service["s"].timeout`},
+		{"no duration", "[[service]]\nname = \"s\"\ntimeout = \"soon\"", "timeout"},
+		{"too many slots", "[[upstream]]\nname = \"u\"\nservice = \"s\"\nzone = \"z\"\naddr = \"1.2.3.4:1\"\nslots = 65", `upstream["u"].slots: must be from 1 to 64, is 65`},
+		{"no port", "[[upstream]]\nname = \"u\"\nservice = \"s\"\nzone = \"z\"\naddr = \"1.2.3.4\"\nslots = 1", `upstream["u"].addr`},
+		{"bad selector", "[[rule]]\nname = \"r\"\nservice = \"s\"\nselector = \"a in\"", `rule["r"].selector`},
+		{"share above the cap", "[[rule]]\nname = \"r\"\nservice = \"s\"\nshare = 0.5\ncap = 0.4", `rule["r"].share: must be at most the cap 0.4, is 0.5`},
+		{"share above a cap of nothing", "[[rule]]\nname = \"r\"\nservice = \"s\"\nshare = 0.5\ncap = 0.0", `rule["r"].share`},
+		{"bad block", "[[block]]\ncidr = \"10.0.0.0\"\nzone = \"z\"", `block["10.0.0.0"].cidr`},
+		{"link without a limit", "[[link]]\nfrom = \"a\"\nto = \"b\"", `link["a>b"].bytes_per_second`},
+		{"unknown kind", "[[remove]]\nkind = \"thing\"\nname = \"x\"", `thing["x"].kind`},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			_, err := ParseDocument([]byte(tc.doc))
+			require.ErrorContains(t, err, tc.want)
+		})
+	}
+	_, err := ParseDocument([]byte("[[zone]]\nname = \"a\"\n[[link]]\nfrom = \"a\"\nto = \"b\""))
+	require.Len(t, strings.Split(err.Error(), "\n"), 2, "every fault at once")
+}
+
+// stateOf puts documents in force one after the other.
+func stateOf(t *testing.T, docs ...string) *State {
+	s := NewState()
+	for i, text := range docs {
+		doc, err := ParseDocument([]byte(text))
+		require.NoError(t, err)
+		c, err := doc.Change(fmt.Sprintf("c%d", i), s.Revision())
+		require.NoError(t, err)
+		require.Nil(t, s.Check(c))
+		s, err = s.With(c.WithRevision(s.Revision() + 1))
+		require.NoError(t, err)
+	}
+	return s
+}
+
+func TestReferences(t *testing.T) {
+	before := stateOf(t, good)
+	cases := []struct{ name, doc, want string }{
+		{"unknown service", "[[rule]]\nname = \"r\"\nservice = \"none\"", `rule["r"].service: unknown service "none"`},
+		{"unknown zone", "[[upstream]]\nname = \"u\"\nservice = \"planning\"\nzone = \"none\"\naddr = \"1.2.3.4:1\"\nslots = 1", `upstream["u"].zone: unknown zone "none"`},
+		{"address twice", "[[upstream]]\nname = \"u\"\nservice = \"planning\"\nzone = \"costa-a\"\naddr = \"127.0.0.1:1\"\nslots = 1", "is also the address of"},
+		{"moved to another zone", "[[zone]]\nname = \"b\"\nregion = \"r\"\n[[upstream]]\nname = \"up-1\"\nservice = \"planning\"\nzone = \"b\"\naddr = \"127.0.0.1:1\"\nslots = 1", `upstream["up-1"].zone: can't move`},
+		{"shares above one", "[[rule]]\nname = \"r\"\nservice = \"planning\"\nshare = 0.6", `service["planning"].rules: shares add up to`},
+		{"service still in use", "[[remove]]\nkind = \"service\"\nname = \"planning\"", "unknown service"},
+		{"block of an unknown zone", "[[block]]\ncidr = \"10.0.0.0/8\"\nzone = \"none\"", `zone["none"].name`},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			doc, err := ParseDocument([]byte(tc.doc))
+			require.NoError(t, err)
+			c, err := doc.Change("next", before.Revision())
+			require.NoError(t, err)
+			after, err := before.With(c.WithRevision(before.Revision() + 1))
+			require.NoError(t, err)
+			require.ErrorContains(t, after.CheckReferences(before), tc.want)
+		})
+	}
+}
+
+func TestViewAndCapOfNothing(t *testing.T) {
+	s := stateOf(t, good, "[[block]]\ncidr = \"10.1.0.0/16\"\nzone = \"costa-a\"",
+		"[[rule]]\nname = \"none\"\nservice = \"planning\"\nshare = 0.0\ncap = 0.0")
+	v := NewView(s, "costa-a")
+	svc, ok := v.Service("planning")
+	require.True(t, ok)
+	rule, ok := svc.Rule("all")
+	require.True(t, ok)
+	require.Equal(t, []Site{{Zone: "costa-a", Region: "costa", Slots: 6}}, rule.Sites)
+	require.InDelta(t, 1, rule.MaxShare(), 0)
+	rule, ok = svc.Rule("none")
+	require.True(t, ok)
+	require.Zero(t, rule.MaxShare(), "a cap of 0 is not taken for one that is not set")
+	require.Equal(t, "costa-a", v.CallerZone(netip.MustParseAddr("10.1.2.3")))
+	require.Empty(t, v.CallerZone(netip.MustParseAddr("10.2.0.1")))
+}
+
+// TestViewFollows: a view that follows by changes is the one made anew.
+func TestViewFollows(t *testing.T) {
+	steps := []string{
+		"[[service]]\nname = \"documents\"",
+		"[[upstream]]\nname = \"up-2\"\nservice = \"documents\"\nzone = \"costa-a\"\naddr = \"127.0.0.1:2\"\nslots = 2",
+		"[[rule]]\nname = \"docs\"\nservice = \"documents\"\nselector = \"zone=costa-a\"\nshare = 1.0",
+		"[[upstream]]\nname = \"up-1\"\nservice = \"planning\"\nzone = \"costa-a\"\naddr = \"127.0.0.1:1\"\nslots = 6\nstate = \"leaving\"",
+		"[[rule]]\nname = \"docs\"\nservice = \"planning\"\nselector = \"\"",
+		"[[zone]]\nname = \"costa-a\"\nregion = \"other\"",
+		"[[remove]]\nkind = \"upstream\"\nname = \"up-2\"",
+		"[[remove]]\nkind = \"service\"\nname = \"documents\"",
+	}
+	s := stateOf(t, good)
+	v := NewView(s, "costa-a")
+	for _, text := range steps {
+		doc, err := ParseDocument([]byte(text))
+		require.NoError(t, err)
+		c, err := doc.Change("c", s.Revision())
+		require.NoError(t, err)
+		c = c.WithRevision(s.Revision() + 1)
+		s, err = s.With(c)
+		require.NoError(t, err)
+		v = v.With(s, []Change{c})
+		require.Equal(t, NewView(s, "costa-a").services, v.services, text)
+	}
+}
+
+func TestSnapshotIsTheState(t *testing.T) {
+	s := stateOf(t, good, "[[block]]\ncidr = \"10.1.0.0/16\"\nzone = \"costa-a\"\n[[link]]\nfrom = \"a\"\nto = \"b\"\nbytes_per_second = 5", "[[remove]]\nkind = \"rule\"\nname = \"all\"")
+	snap, err := s.Snapshot()
+	require.NoError(t, err)
+	again, err := FromSnapshot(snap)
+	require.NoError(t, err)
+	require.Equal(t, s.Revision(), again.Revision())
+	require.Equal(t, s.Digest(), again.Digest())
+	require.Equal(t, s.Document(), again.Document())
+}
+
+func TestDocumentRoundTrip(t *testing.T) {
+	s := stateOf(t, good)
+	doc := s.Document()
+	c, err := doc.Change("again", 0)
+	require.NoError(t, err)
+	require.Nil(t, s.Check(c), "the versions it gives are those it takes")
+	s = stateOf(t, good, "[[zone]]\nname = \"costa-a\"\nregion = \"moved\"")
+	conflict := s.Check(c)
+	require.NotNil(t, conflict)
+	require.Equal(t, "zone/costa-a", conflict.Ref.String())
+}
+
+// TestAppendUnderFaults: whatever fails, a change is in the log once or not
+// at all, and sending it again by its id settles which.
+func TestAppendUnderFaults(t *testing.T) {
+	errDown := errors.New("down")
+	cases := []struct {
+		name  string
+		fault func(op string, after bool) error
+	}{
+		{"nothing", nil},
+		{"write refused", func(op string, after bool) error {
+			if op == "transact" && !after {
+				return errDown
+			}
+			return nil
+		}},
+		{"write's answer lost", func(op string, after bool) error {
+			if op == "transact" && after {
+				return errDown
+			}
+			return nil
+		}},
+		{"everything down", func(string, bool) error { return errDown }},
+		{"large change's object refused", func(op string, after bool) error {
+			if op == "put-object" && !after {
+				return errDown
+			}
+			return nil
+		}},
+	}
+	for _, tc := range cases {
+		for _, large := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/large=%v", tc.name, large), func(t *testing.T) {
+				ctx := context.Background()
+				m := platform.NewMemory()
+				log := NewLog(m, m)
+				m.SetFault(tc.fault)
+				c := changeOf(t, large)
+				_, _, _ = log.Append(ctx, NewState(), c)
+				m.SetFault(nil)
+				s, rev, err := log.Append(ctx, NewState(), c)
+				require.NoError(t, err)
+				require.EqualValues(t, 1, rev)
+				s, err = log.CatchUp(ctx, s)
+				require.NoError(t, err)
+				require.EqualValues(t, 1, s.Revision())
+				head, err := log.Head(ctx)
+				require.NoError(t, err)
+				require.EqualValues(t, 1, head)
+				require.NoError(t, log.SaveSnapshot(ctx, s))
+				loaded, err := log.Load(ctx)
+				require.NoError(t, err)
+				require.Equal(t, s.Digest(), loaded.Digest())
+			})
+		}
+	}
+}
+
+func changeOf(t *testing.T, large bool) Change {
+	var doc Document
+	zones := 1
+	if large {
+		zones = 10_000
+	}
+	for i := range zones {
+		doc.Zones = append(doc.Zones, Zone{Name: fmt.Sprintf("zone-%d", i), Region: "region"})
+	}
+	c, err := doc.Change("id", 0)
+	require.NoError(t, err)
+	return c
+}
+
+func FuzzSelector(f *testing.F) {
+	for _, seed := range []string{"", "a=b", "a in (b,c),!d", "a notin", "zone==x", "((("} {
+		f.Add(seed)
+	}
+	f.Fuzz(func(t *testing.T, selector string) {
+		doc := Document{Rules: []Rule{{Name: "r", Service: "s", Selector: selector}}}
+		_ = doc.check() // must not panic
+		v := newRuleView(NewState(), doc.Rules[0], &ServiceView{}, nil)
+		require.Empty(t, v.Sites)
+	})
+}
--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -65,6 +66,8 @@
 	last  *verdict.Error
 	// doubt says that a try may have run: the final verdict can't be less.
 	doubt bool
+	// sends counts the sendings; it and spent are under state's lock, since
+	// a hedge runs beside the first try.
 	sends int
 	// spent says that the budget of retries is used up.
 	spent bool
@@ -73,7 +76,7 @@
 }
 
 func (d *dispatcher) run(ctx context.Context) (*call.Answer, error) {
-	for d.sends < maxTries {
+	for d.mayTry() {
 		choice, ok := d.next()
 		if !ok {
 			break
@@ -82,13 +85,10 @@
 			d.mayQueueAt(choice)
 			continue
 		}
-		answer, err := prime(d.offer(ctx, choice, time.Time{}))
+		answer, err := d.try(ctx, choice)
 		if err == nil {
 			return answer, nil
 		}
-		if d.spent {
-			break
-		}
 		if !d.goOn(ctx, choice, err) {
 			return nil, d.final()
 		}
@@ -96,12 +96,19 @@
 	return d.queue(ctx)
 }
 
+// mayTry reports whether the request may be sent once more.
+func (d *dispatcher) mayTry() bool {
+	d.state.mu.Lock()
+	defer d.state.mu.Unlock()
+	return d.sends < maxTries && !d.spent
+}
+
 // queue waits for a slot at the best zone that was full, for a part of the
 // time left. A rule that has come to its cap meanwhile is passed over.
 func (d *dispatcher) queue(ctx context.Context) (*call.Answer, error) {
 	left := time.Until(d.req.Deadline)
 	for _, choice := range d.queueAt {
-		if ctx.Err() != nil || d.spent {
+		if ctx.Err() != nil || !d.mayTry() {
 			break
 		}
 		answer, err := prime(d.offer(ctx, choice, time.Now().Add(left/queuePart)))
@@ -200,17 +207,14 @@
 // slot there; the zero time is not at all.
 func (d *dispatcher) offer(ctx context.Context, c steer.Choice, until time.Time) (*call.Answer, error) {
 	if !c.Local {
-		if err := d.commit(c); err != nil {
-			return nil, err
-		}
-		return d.host.forward(ctx, d.req, c.Zone, c.Rule, until)
+		return d.offerPeers(ctx, c, until)
 	}
 	// Locally the slot is taken first: a request that finds none was not
 	// sent, and uses no room under the cap.
 	lease, err := d.host.acquire(ctx, d.req.Service, c.Rule, until)
 	if err != nil {
 		if d.host.matesMayHelp(d.req.Service) {
-			return d.offerMates(ctx, c, until)
+			return d.offerPeers(ctx, c, until)
 		}
 		return nil, err
 	}
@@ -218,16 +222,51 @@
 		d.state.gate.Release(lease, slot.Unused, 0)
 		return nil, err
 	}
-	return d.host.send(ctx, d.state, lease, d.req)
+	return d.untilEnd(c)(d.host.send(ctx, d.state, lease, d.req))
 }
 
-// offerMates passes the request to a host of the own zone that said it has
-// a free slot.
-func (d *dispatcher) offerMates(ctx context.Context, c steer.Choice, until time.Time) (*call.Answer, error) {
+// offerPeers passes the request to a host of the choice's zone; of the own
+// zone, when this host is full, to one that said it has a free slot.
+func (d *dispatcher) offerPeers(ctx context.Context, c steer.Choice, until time.Time) (*call.Answer, error) {
 	if err := d.commit(c); err != nil {
 		return nil, err
 	}
-	return d.host.forward(ctx, d.req, c.Zone, c.Rule, until)
+	return d.untilEnd(c)(d.host.forward(ctx, d.req, c.Zone, c.Rule, until))
+}
+
+// untilEnd counts a committed request as outstanding until its answer is
+// read or it has failed.
+func (d *dispatcher) untilEnd(c steer.Choice) func(*call.Answer, error) (*call.Answer, error) {
+	var once sync.Once
+	ended := func() {
+		once.Do(func() {
+			d.state.mu.Lock()
+			defer d.state.mu.Unlock()
+			d.state.decider.Ended(c.Zone)
+		})
+	}
+	return func(a *call.Answer, err error) (*call.Answer, error) {
+		if err != nil {
+			ended()
+			return nil, err
+		}
+		out := *a
+		out.Body = endBody{a.Body, ended}
+		return &out, nil
+	}
+}
+
+// endBody does something once its body is closed.
+type endBody struct {
+	io.ReadCloser
+	end func()
+}
+
+// Close closes the body and then does the rest.
+func (b endBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.end()
+	return err
 }
 
 // goOn notes a failed try and says whether another may follow.
--- /dev/null
+++ b/internal/entry/hedge.go
@@ -0,0 +1,117 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"cairndock/internal/call"
+	"cairndock/internal/config"
+	"cairndock/internal/steer"
+	"cairndock/internal/verdict"
+)
+
+const (
+	// hedgeAfter is how many usual latencies a lookup may take before a
+	// second one is sent, and hedgeLeast the least time.
+	hedgeAfter = 4
+	hedgeLeast = 10 * time.Millisecond
+)
+
+// attempt is how one of two tries ended.
+type attempt struct {
+	answer *call.Answer
+	err    error
+	first  bool
+}
+
+// try offers the request to a zone. A lookup that takes much longer than
+// usual is also offered to the next choice, within the budget of retries;
+// the first answer wins and the other try is cancelled.
+func (d *dispatcher) try(ctx context.Context, c steer.Choice) (*call.Answer, error) {
+	delay, ok := d.hedgeDelay()
+	if !ok {
+		return prime(d.offer(ctx, c, time.Time{}))
+	}
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	results := make(chan attempt, 2)
+	go func() {
+		answer, err := prime(d.offer(firstCtx, c, time.Time{}))
+		results <- attempt{answer, err, true}
+	}()
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case r := <-results:
+		return finish(r, cancelFirst)
+	case <-timer.C:
+	}
+	next, ok := d.next()
+	if !ok || next.Full {
+		return finish(<-results, cancelFirst)
+	}
+	secondCtx, cancelSecond := context.WithCancel(ctx)
+	go func() {
+		answer, err := prime(d.offer(secondCtx, next, time.Time{}))
+		results <- attempt{answer, err, false}
+	}()
+	return race(results, cancelFirst, cancelSecond)
+}
+
+// hedgeDelay gives how long a lookup usually takes at most, and whether a
+// second one may follow at all.
+func (d *dispatcher) hedgeDelay() (time.Duration, bool) {
+	if d.req.Ticket != "" || d.svc.Class != config.Interactive || !d.svc.Repeat.Allows(d.req.Method) {
+		return 0, false
+	}
+	_, _, latency := d.state.usage()
+	if latency == 0 {
+		return 0, false
+	}
+	return max(hedgeLeast, hedgeAfter*latency), true
+}
+
+// race waits for the first answer of two tries. When both fail, one that
+// may have run decides the verdict.
+func race(results <-chan attempt, cancelFirst, cancelSecond context.CancelFunc) (*call.Answer, error) {
+	won := <-results
+	if won.err != nil {
+		other := <-results
+		if other.err == nil || verdict.From(won.err).Verdict == verdict.NotRun {
+			won = other
+		}
+		if won.err != nil {
+			cancelFirst()
+			cancelSecond()
+			return nil, won.err
+		}
+		return finish(won, both(cancelFirst, cancelSecond))
+	}
+	cancelWon, cancelLost := cancelFirst, cancelSecond
+	if !won.first {
+		cancelWon, cancelLost = cancelSecond, cancelFirst
+	}
+	cancelLost()
+	go func() {
+		if lost := <-results; lost.err == nil {
+			_ = lost.answer.Body.Close()
+		}
+	}()
+	return finish(won, cancelWon)
+}
+
+func both(a, b context.CancelFunc) context.CancelFunc {
+	return func() {
+		a()
+		b()
+	}
+}
+
+func finish(a attempt, cancel context.CancelFunc) (*call.Answer, error) {
+	if a.err != nil {
+		cancel()
+		return nil, a.err
+	}
+	out := *a.answer
+	out.Body = endBody{a.answer.Body, cancel}
+	return &out, nil
+}
--- /dev/null
+++ b/internal/platform/contract_test.go
@@ -0,0 +1,129 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/platform"
+	"cairndock/internal/settings"
+	"cairndock/internal/standin"
+)
+
+// table, objects and hosts are what the contracts are about.
+type table interface {
+	Get(ctx context.Context, key platform.Key) (platform.Row, error)
+	Transact(ctx context.Context, writes []platform.Write) error
+	List(ctx context.Context, partition, after string, limit int) ([]platform.Row, error)
+}
+
+type objects interface {
+	PutObject(ctx context.Context, name string, body []byte) error
+	GetObject(ctx context.Context, name string) ([]byte, error)
+}
+
+type hosts interface {
+	Hosts(ctx context.Context) ([]platform.HostState, error)
+}
+
+// both runs a contract against the fake and, through its published
+// protocols, the real adapters.
+func both(t *testing.T, contract func(t *testing.T, m *platform.Memory, tb table, ob objects, hs hosts)) {
+	t.Run("fake", func(t *testing.T) {
+		m := platform.NewMemory()
+		contract(t, m, m, m, m)
+	})
+	t.Run("adapter", func(t *testing.T) {
+		m := platform.NewMemory()
+		p := standin.Platform{Memory: m}
+		tables, objs, list := httptest.NewServer(p.TableHandler()), httptest.NewServer(p.ObjectHandler()), httptest.NewServer(p.HostsHandler())
+		t.Cleanup(tables.Close)
+		t.Cleanup(objs.Close)
+		t.Cleanup(list.Close)
+		s := settings.Platform{
+			TableEndpoint: tables.URL, Table: "t", ObjectEndpoint: objs.URL, Bucket: "b", HostsURL: list.URL,
+			Region: "local", AccessKey: "a", SecretKey: "s",
+		}
+		contract(t, m, platform.NewTable(s), platform.NewObjects(s), platform.NewHostList(s))
+	})
+}
+
+func key(partition, sort string) platform.Key {
+	return platform.Key{Partition: partition, Sort: sort}
+}
+
+func TestTableContract(t *testing.T) {
+	both(t, func(t *testing.T, m *platform.Memory, tb table, _ objects, _ hosts) {
+		ctx := context.Background()
+		_, err := tb.Get(ctx, key("p", "a"))
+		require.ErrorIs(t, err, platform.ErrNotFound)
+
+		require.NoError(t, tb.Transact(ctx, []platform.Write{{Key: key("p", "a"), Body: []byte("1")}, {Key: key("p", "b"), Body: []byte{0, 255}}}))
+		row, err := tb.Get(ctx, key("p", "b"))
+		require.NoError(t, err)
+		require.Equal(t, platform.Row{Key: key("p", "b"), Version: 1, Body: []byte{0, 255}}, row)
+
+		// One condition that fails keeps all rows as they are.
+		for _, version := range []int64{0, 2} {
+			err = tb.Transact(ctx, []platform.Write{{Key: key("p", "new"), Body: []byte("x")}, {Key: key("p", "a"), IfVersion: version, Body: []byte("x")}})
+			require.ErrorIs(t, err, platform.ErrConflict)
+		}
+		_, err = tb.Get(ctx, key("p", "new"))
+		require.ErrorIs(t, err, platform.ErrNotFound)
+
+		require.NoError(t, tb.Transact(ctx, []platform.Write{{Key: key("p", "a"), IfVersion: 1, Body: []byte("2")}}))
+		row, err = tb.Get(ctx, key("p", "a"))
+		require.NoError(t, err)
+		require.EqualValues(t, 2, row.Version)
+
+		for i := range 5 {
+			require.NoError(t, tb.Transact(ctx, []platform.Write{{Key: key("log", fmt.Sprintf("%03d", i)), Body: []byte("x")}}))
+		}
+		rows, err := tb.List(ctx, "log", "001", 2)
+		require.NoError(t, err)
+		require.Len(t, rows, 2)
+		require.Equal(t, "002", rows[0].Key.Sort)
+		require.Equal(t, "003", rows[1].Key.Sort)
+
+		m.SetFault(func(string, bool) error { return platform.ErrThrottled })
+		_, err = tb.Get(ctx, key("p", "a"))
+		require.ErrorIs(t, err, platform.ErrThrottled)
+		require.ErrorIs(t, tb.Transact(ctx, []platform.Write{{Key: key("p", "c")}}), platform.ErrThrottled)
+		m.SetFault(nil)
+		_, err = tb.Get(ctx, key("p", "c"))
+		require.ErrorIs(t, err, platform.ErrNotFound, "a throttled write wrote nothing")
+	})
+}
+
+func TestObjectContract(t *testing.T) {
+	both(t, func(t *testing.T, m *platform.Memory, _ table, ob objects, _ hosts) {
+		ctx := context.Background()
+		_, err := ob.GetObject(ctx, "a/b")
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		for _, body := range [][]byte{{}, {0, 1, 255}, make([]byte, 1<<20)} {
+			require.NoError(t, ob.PutObject(ctx, "a/b", body))
+			got, err := ob.GetObject(ctx, "a/b")
+			require.NoError(t, err)
+			require.Equal(t, len(body), len(got))
+		}
+		m.SetFault(func(string, bool) error { return platform.ErrThrottled })
+		_, err = ob.GetObject(ctx, "a/b")
+		require.ErrorIs(t, err, platform.ErrThrottled)
+	})
+}
+
+func TestHostListContract(t *testing.T) {
+	both(t, func(t *testing.T, m *platform.Memory, _ table, _ objects, hs hosts) {
+		m.SetHost("b", platform.Leaving)
+		m.SetHost("a", platform.Live)
+		got, err := hs.Hosts(context.Background())
+		require.NoError(t, err)
+		require.Equal(t, []platform.HostState{{Name: "a", State: platform.Live}, {Name: "b", State: platform.Leaving}}, got)
+		m.SetFault(func(string, bool) error { return platform.ErrThrottled })
+		_, err = hs.Hosts(context.Background())
+		require.Error(t, err)
+	})
+}
--- a/internal/slot/pool.go
+++ b/internal/slot/pool.go
@@ -32,13 +32,15 @@
 	// row; each further one doubles it, up to failPauseMax.
 	failPause    = 200 * time.Millisecond
 	failPauseMax = 5 * time.Second
+	// shedPause and shedPauseMax are the same for one that sheds even when
+	// it is sent one request at a time.
+	shedPause    = 100 * time.Millisecond
+	shedPauseMax = 2 * time.Second
 	// reportAge is the age at which a load report no longer counts.
 	reportAge = 5 * time.Second
 	// reportWeight is how much a fresh report of full load can worsen an
 	// upstream's score: it may double it, and no more.
 	reportWeight = 1.0
-	// ejectShare is the largest part of a pool that may rest at once.
-	ejectShare = 0.5
 )
 
 // Spec describes an upstream to a pool.
@@ -72,6 +74,7 @@
 	limit      float64
 	latency    float64 // moving average, in seconds
 	failures   int
+	sheds      int // in a row, while the limit was at its least
 	restUntil  int64
 	backoffAt  int64
 	report     float64 // reported load, 0 to 1
@@ -96,7 +99,6 @@
 	members map[string]*Member
 	order   []*Member
 	rules   map[string]*rule
-	resting int
 	// held and out are sums over the members.
 	held int
 	out  int
@@ -196,27 +198,29 @@
 	if !r.admits(now) {
 		return Lease{}, Capped
 	}
-	best := p.best(r, now)
-	if best == nil {
+	m := best(r, now)
+	if m == nil {
 		return Lease{}, Full
 	}
-	best.out++
+	m.out++
 	r.out++
 	p.out++
 	if r.rate >= 0 {
 		r.credit--
 	}
-	return Lease{member: best, rule: r}, Granted
+	return Lease{member: m, rule: r}, Granted
 }
 
-func (p *Pool) best(r *rule, now int64) *Member {
+func best(r *rule, now int64) *Member {
 	var best *Member
 	bestScore := math.MaxFloat64
 	for _, m := range r.members {
 		if m.leaving || m.out >= m.allowed() {
 			continue
 		}
-		if m.restUntil > now && float64(p.resting) <= ejectShare*float64(len(p.order)) {
+		// Rest comes of own failures alone, never of a health report, so that
+		// all may rest at once; after it one request at a time is tried.
+		if m.restUntil > now {
 			continue
 		}
 		if score := m.score(now); score < bestScore {
@@ -272,17 +276,17 @@
 	p.out--
 	switch outcome {
 	case Success:
-		p.succeeded(m, latency)
+		m.succeeded(latency)
 	case Shed:
 		m.backOff(now)
 	case Failure:
-		p.failed(m, now)
+		m.failed(now)
 	case Unused:
 	}
 }
 
-func (p *Pool) succeeded(m *Member, latency time.Duration) {
-	p.wake(m)
+func (m *Member) succeeded(latency time.Duration) {
+	m.wake()
 	seconds := latency.Seconds()
 	if m.latency == 0 {
 		m.latency = seconds
@@ -294,18 +298,13 @@
 }
 
 // wake ends an upstream's rest after a success.
-func (p *Pool) wake(m *Member) {
-	if m.failures > 0 {
-		p.resting--
-	}
+func (m *Member) wake() {
 	m.failures = 0
+	m.sheds = 0
 	m.restUntil = 0
 }
 
-func (p *Pool) failed(m *Member, now int64) {
-	if m.failures == 0 {
-		p.resting++
-	}
+func (m *Member) failed(now int64) {
 	m.failures++
 	pause := failPause << min(m.failures-1, 8)
 	m.restUntil = now + int64(min(pause, failPauseMax))
@@ -317,6 +316,12 @@
 		return
 	}
 	m.backoffAt = now
+	if m.limit <= 1 {
+		// One at a time is too much: it rests.
+		pause := shedPause << min(m.sheds, 8)
+		m.sheds++
+		m.restUntil = now + int64(min(pause, shedPauseMax))
+	}
 	m.limit = math.Max(1, m.limit*backoffFactor)
 }
 
@@ -332,7 +337,7 @@
 // Restarted makes an upstream start cold again.
 func (p *Pool) Restarted(upstream string) {
 	if m := p.members[upstream]; m != nil {
-		p.wake(m)
+		m.wake()
 		m.limit = 1
 	}
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -40,8 +40,10 @@
 
 type zoneState struct {
 	rtt float64 // seconds
-	// sent counts requests sent since the report.
-	sent      int
+	// out counts this host's own requests there, and reported how many of
+	// them the report may have counted.
+	out       int
+	reported  int
 	report    Report
 	refusedAt int64
 	reachable bool
@@ -155,7 +157,7 @@
 	}
 	if r.At > z.report.At {
 		z.report = r
-		z.sent = 0
+		z.reported = z.out
 	}
 }
 
@@ -279,10 +281,10 @@
 		return 1
 	}
 	fresh := 1 - float64(now-z.report.At)/float64(reportAge)
-	if z.report.Held == 0 || fresh <= 0 {
+	if z.report.At == 0 || fresh <= 0 {
 		return 0.5
 	}
-	known := ratio(z.report.Held-z.report.Free+z.sent, z.report.Held)
+	known := ratio(z.report.Held-z.report.Free+max(0, z.out-z.reported), z.report.Held)
 	return 0.5 + (known-0.5)*fresh
 }
 
@@ -301,11 +303,19 @@
 		return false
 	}
 	if z := d.zones[c.Zone]; z != nil {
-		z.sent++
+		z.out++
 	}
 	return true
 }
 
+// Ended notes that a committed request is over.
+func (d *Decider) Ended(zone string) {
+	if z := d.zones[zone]; z != nil {
+		z.out--
+		z.reported = min(z.reported, z.out)
+	}
+}
+
 // Budget bounds retries and hedges as a share of a service's requests.
 type Budget struct {
 	share  float64
