--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -31,9 +31,17 @@
 	// platformTimeout bounds one call to the platform.
 	platformTimeout = 2 * time.Second
 	maxRosterRows   = 1000
-	// discoverInterval is the time between two looks at all zones' rosters
-	// while some zone can't be reached.
+	// memberBytes is about the size of one member in a roster's row.
+	memberBytes = 110
+	// discoverInterval is the time between the first two looks at all zones'
+	// rosters while some zone can't be reached. It doubles up to
+	// maxDiscover, so that a zone that is gone for long costs little.
 	discoverInterval = 5 * time.Second
+	maxDiscover      = 5 * time.Minute
+	// rosterBytes is what a poller may spend on reading the roster, in
+	// bytes per second: a large one is read less often. Its writer tells
+	// the zone of each new epoch anyway.
+	rosterBytes = 2000
 )
 
 // call makes one call to the platform, within the host's own rate.
@@ -65,8 +73,8 @@
 	pause := newBackoff()
 	var looked looks
 	for {
-		wait := rosterInterval
 		err := h.rosterTurn(ctx, &looked)
+		wait := max(rosterInterval, time.Duration(looked.bytes)*time.Second/rosterBytes)
 		if err != nil {
 			wait = pause.NextBackOff()
 			h.log.Debug().Err(err).Msg("roster: turn failed")
@@ -90,8 +98,15 @@
 	}
 }
 
-// looks is when the roster loop last read the host list and all rosters.
-type looks struct{ hosts, zones time.Time }
+// looks is when the roster loop last read the host list and all rosters, and
+// what it found.
+type looks struct {
+	hosts, zones time.Time
+	// every is the time until the next look at all rosters.
+	every time.Duration
+	// bytes is the size of the zone's roster.
+	bytes int
+}
 
 func (h *Host) rosterTurn(ctx context.Context, looked *looks) error {
 	if !h.hasJoined() {
@@ -103,9 +118,11 @@
 	if !h.isPoller() {
 		return nil
 	}
-	if _, _, err := h.readRoster(ctx); err != nil {
+	r, _, err := h.readRoster(ctx)
+	if err != nil {
 		return err
 	}
+	looked.bytes = memberBytes * len(r.Members)
 	if time.Since(looked.hosts) < hostsInterval {
 		return nil
 	}
@@ -116,10 +133,15 @@
 // discover learns the hosts of other zones from their rosters, as long as
 // some configured zone has no host that answers. Heartbeats name the rest.
 func (h *Host) discover(ctx context.Context, looked *looks) error {
-	if time.Since(looked.zones) < discoverInterval || !h.missesZone() {
+	if !h.missesZone() {
+		looked.every = 0
+		return nil
+	}
+	if time.Since(looked.zones) < looked.every {
 		return nil
 	}
 	looked.zones = time.Now()
+	looked.every = max(discoverInterval, min(2*looked.every, maxDiscover))
 	var rows []platform.Row
 	err := h.call(ctx, func(ctx context.Context) (err error) {
 		rows, err = h.opts.Table.List(ctx, partitionRoster, "", maxRosterRows)
