--- a/cmd/load.go
+++ b/cmd/load.go
@@ -50,6 +50,7 @@
 	f.Float64Var(&c.downloads, "downloads", 0, "downloads of 1 MB per second")
 	f.BoolVar(&c.resend, "resend", true, "send each booking twice, by two hosts")
 	f.Float64Var(&c.changes.Rate, "changes", 0, "configuration changes per second, beside the load")
+	f.BoolVar(&c.changes.Everywhere, "everywhere", false, "time each change until it is in force in every zone")
 	f.StringVar(&c.changes.Operator, "operator", "127.0.0.1:8081", "operator `address` of a host, for changes")
 	f.StringVar(&c.changes.Token, "token", os.Getenv(envToken), "operator's `token`, for changes")
 	f.StringVar(&c.changes.Rule, "rule", "documents-all", "`rule` that is changed, of the bulk service")
--- a/internal/entry/cluster_test.go
+++ b/internal/entry/cluster_test.go
@@ -306,9 +306,13 @@
 	doubt   int
 	wrong   int
 	slowest time.Duration
+	slow    int // above slowAfter
 	reasons map[verdict.Reason]int
 }
 
+// slowAfter is three times a warm upstream's latency.
+const slowAfter = 3 * testLatency
+
 // load sends lookups to the live hosts in turn, whatever becomes of them.
 func (c *cluster) load(perSecond int, d time.Duration) *counts {
 	out := &counts{}
@@ -341,6 +345,9 @@
 		o.wrong++
 	case err == nil:
 		o.good++
+		if time.Since(began) > slowAfter {
+			o.slow++
+		}
 	case verdict.From(err).Verdict == verdict.NotRun:
 		o.refused++
 	default:
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -182,7 +182,7 @@
 	}
 	h.self = member.Contact{Host: s.Host.Name, Zone: s.Host.Zone, PeerAddr: s.Peers.Advertise, CallerAddr: s.Callers.Advertise}
 	h.client = upstream.New(o.DialUpstream, h.hear)
-	h.tickets = ticket.NewStore(s.Host.Name, incarnation, ticket.NewKey())
+	h.tickets = ticket.NewStore(s.Host.Name, s.Host.Zone, incarnation, ticket.NewKey())
 	h.holder = roster.NewHolder(s.Host.Name, incarnation, s.Host.Zone)
 	hello := peer.Hello{Host: s.Host.Name, Zone: s.Host.Zone, Incarnation: incarnation}
 	h.mesh = peer.NewMesh(hello, o.Transport, h)
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -42,11 +42,19 @@
 	if store := h.storeOf(t); store != nil {
 		return h.useTicket(ctx, store, t, req)
 	}
-	to, ok := h.minterOf(t)
+	return h.askMinter(ctx, t, req, false)
+}
+
+// askMinter passes a ticket's request to its minter, or to a host of the
+// minter's zone, which knows it and passes it on once.
+func (h *Host) askMinter(ctx context.Context, t ticket.Ticket, req *call.Request, passed bool) (*call.Answer, error) {
+	to, ok := h.minterOf(t, passed)
 	if !ok {
 		return nil, verdict.New(verdict.MayHaveRun, verdict.TicketUnknown, "the ticket's host %s can't be reached", t.Host)
 	}
-	return h.exchange(ctx, to, peer.KindTicket, newForward(ctx, req, "", time.Time{}))
+	msg := newForward(ctx, req, "", time.Time{})
+	msg.Passed = passed
+	return h.exchange(ctx, to, peer.KindTicket, msg)
 }
 
 // storeOf gives the store that a ticket belongs to, if it is here.
@@ -60,15 +68,21 @@
 }
 
 // minterOf finds the host that minted a ticket, or the one that a leaving
-// minter handed its tickets to.
-func (h *Host) minterOf(t ticket.Ticket) (member.Contact, bool) {
+// minter handed its tickets to; where neither is known, one of its zone,
+// unless this host was asked as such.
+func (h *Host) minterOf(t ticket.Ticket, passed bool) (member.Contact, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if heir, ok := h.peers.Heir(t.Incarnation); ok {
 		return heir, true
 	}
-	p, ok := h.peers.Get(t.Host)
-	return p.Contact, ok
+	if p, ok := h.peers.Get(t.Host); ok {
+		return p.Contact, true
+	}
+	if contacts := h.peers.Contacts(t.Zone, time.Now(), true); !passed && len(contacts) > 0 {
+		return contacts[0], true
+	}
+	return member.Contact{}, false
 }
 
 // useTicket runs a ticket's request, or gives what became of it.
@@ -189,8 +203,10 @@
 	switch {
 	case err != nil:
 		err = verdict.New(verdict.NotRun, verdict.BadTicket, "%s: %v", call.HeaderTicket, err)
+	case store == nil && !msg.Passed:
+		answer, err = h.askMinter(ctx, t, req, true)
 	case store == nil:
-		err = verdict.New(verdict.MayHaveRun, verdict.TicketUnknown, "the ticket's host was replaced")
+		err = verdict.New(verdict.MayHaveRun, verdict.TicketUnknown, "%s has not the ticket", h.self.Host)
 	default:
 		answer, err = h.useTicket(ctx, store, t, req)
 	}
--- a/internal/entry/tickets_test.go
+++ b/internal/entry/tickets_test.go
@@ -215,3 +215,21 @@
 		require.Equal(t, 1, c.runs(ticket))
 	})
 }
+
+// TestTicketsFindTheirMinterByZone: a host that does not know the minter
+// asks one of its zone.
+func TestTicketsFindTheirMinterByZone(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		ticket := c.mint("costa-a-1")
+		far := c.host("sierra-a-1")
+		far.mu.Lock()
+		far.peers.Forget("costa-a-1")
+		far.mu.Unlock()
+		one, err := ask(far, booking(ticket))
+		require.NoError(t, err)
+		two, err := ask(c.host("costa-a-1"), booking(ticket))
+		require.NoError(t, err)
+		require.Equal(t, one, two)
+		require.Equal(t, 1, c.runs(ticket))
+	})
+}
--- a/internal/load/changes.go
+++ b/internal/load/changes.go
@@ -19,6 +19,8 @@
 	Token    string
 	// Rate is the changes per second.
 	Rate float64
+	// Everywhere waits until each change is in force in every zone.
+	Everywhere bool
 	// Service and Rule name the rule that is changed; it must exist.
 	Service string
 	Rule    string
@@ -28,7 +30,8 @@
 type ChangeResult struct {
 	Accepted int `json:"accepted"`
 	Failed   int `json:"failed"`
-	// P50 and P99 are from sending to acceptance in the log, in microseconds.
+	// P50 and P99 are from sending to being in force in every zone, or only
+	// to acceptance in the log where zones can't be asked, in microseconds.
 	P50 int64 `json:"p50_us"`
 	P99 int64 `json:"p99_us"`
 }
@@ -62,6 +65,13 @@
 	}
 }
 
+func (c Changes) wait() string {
+	if c.Everywhere {
+		return "6s"
+	}
+	return "0s"
+}
+
 // send changes the rule's ramp, which moves no traffic.
 func (c Changes) send(ctx context.Context, i int) error {
 	status := struct {
@@ -71,7 +81,7 @@
 		return err
 	}
 	doc := fmt.Sprintf("[[rule]]\nname = %q\nservice = %q\nselector = \"tier=main\"\nshare = 1.0\nramp = %d.0\n", c.Rule, c.Service, 1+i%2)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+c.Operator+"/v1/config?wait=0s", strings.NewReader(doc))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+c.Operator+"/v1/config?wait="+c.wait(), strings.NewReader(doc))
 	if err != nil {
 		return eris.Wrap(err, "make request")
 	}
--- a/internal/ticket/ticket.go
+++ b/internal/ticket/ticket.go
@@ -56,7 +56,9 @@
 
 // Ticket is the right to have one request run at most once.
 type Ticket struct {
-	Host        string
+	Host string
+	// Zone is where the host is, for hosts that do not know it.
+	Zone        string
 	Incarnation string
 	Sequence    uint64
 	Expiry      int64 // Unix seconds
@@ -91,7 +93,7 @@
 // guess it.
 func (t Ticket) mac(key Key) []byte {
 	h := hmac.New(sha256.New, key)
-	h.Write([]byte(t.Host + "\x00" + t.Incarnation + "\x00"))
+	h.Write([]byte(t.Host + "\x00" + t.Zone + "\x00" + t.Incarnation + "\x00"))
 	var num [16]byte
 	binary.BigEndian.PutUint64(num[:8], t.Sequence)
 	binary.BigEndian.PutUint64(num[8:], uint64(t.Expiry))
@@ -146,6 +148,7 @@
 // brings locks and time.
 type Store struct {
 	host        string
+	zone        string
 	incarnation string
 	key         Key
 	sequence    uint64
@@ -156,8 +159,8 @@
 }
 
 // NewStore makes an empty store.
-func NewStore(host, incarnation string, key Key) *Store {
-	return &Store{host: host, incarnation: incarnation, key: key, records: map[uint64]Record{}}
+func NewStore(host, zone, incarnation string, key Key) *Store {
+	return &Store{host: host, zone: zone, incarnation: incarnation, key: key, records: map[uint64]Record{}}
 }
 
 // Mint makes a ticket. Nothing is kept until it is used.
@@ -166,7 +169,7 @@
 		return Ticket{}, ErrSealed
 	}
 	s.sequence++
-	t := Ticket{Host: s.host, Incarnation: s.incarnation, Sequence: s.sequence, Expiry: now.Add(Lifetime).Unix()}
+	t := Ticket{Host: s.host, Zone: s.zone, Incarnation: s.incarnation, Sequence: s.sequence, Expiry: now.Add(Lifetime).Unix()}
 	t.MAC = t.mac(s.key)
 	return t, nil
 }
@@ -249,6 +252,7 @@
 // Handover is a store on its way to another host.
 type Handover struct {
 	Host        string            `msgpack:"h"`
+	Zone        string            `msgpack:"z"`
 	Incarnation string            `msgpack:"i"`
 	Key         []byte            `msgpack:"k"`
 	Records     map[uint64]Record `msgpack:"r"`
@@ -272,13 +276,13 @@
 		}
 		records[seq] = rec
 	}
-	return Handover{Host: s.host, Incarnation: s.incarnation, Key: slices.Clone(s.key), Records: records, Sealed: !first}
+	return Handover{Host: s.host, Zone: s.zone, Incarnation: s.incarnation, Key: slices.Clone(s.key), Records: records, Sealed: !first}
 }
 
 // FromHandover makes the store that goes on for another host. It mints no
 // tickets of its own.
 func FromHandover(h Handover) *Store {
-	s := NewStore(h.Host, h.Incarnation, h.Key)
+	s := NewStore(h.Host, h.Zone, h.Incarnation, h.Key)
 	s.sealed = h.Sealed
 	if h.Records != nil {
 		s.records = h.Records
--- a/internal/ticket/ticket_test.go
+++ b/internal/ticket/ticket_test.go
@@ -50,7 +50,7 @@
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			s := NewStore("h", "1", NewKey())
+			s := NewStore("h", "z", "1", NewKey())
 			minted := newTicket(t, s)
 			if tc.prepare != nil {
 				tc.prepare(s, &minted)
@@ -66,7 +66,7 @@
 func use(s *Store, t *Ticket) { _, _, _ = s.Begin(*t, digestA, start) }
 
 func TestHandover(t *testing.T) {
-	old := NewStore("h", "1", NewKey())
+	old := NewStore("h", "z", "1", NewKey())
 	answered, running, unused := newTicket(t, old), newTicket(t, old), newTicket(t, old)
 	use(old, &answered)
 	old.Finish(answered, Outcome{Status: 201, Body: []byte("kept")})
@@ -97,7 +97,7 @@
 }
 
 func TestLargeAnswersAreNotKept(t *testing.T) {
-	s := NewStore("h", "1", NewKey())
+	s := NewStore("h", "z", "1", NewKey())
 	minted := newTicket(t, s)
 	use(s, &minted)
 	s.Finish(minted, Outcome{Status: 200, Body: make([]byte, MaxKept+1)})
@@ -108,7 +108,7 @@
 }
 
 func TestRecordsAreForgotten(t *testing.T) {
-	s := NewStore("h", "1", NewKey())
+	s := NewStore("h", "z", "1", NewKey())
 	minted := newTicket(t, s)
 	use(s, &minted)
 	s.Finish(minted, Outcome{Status: 200})
@@ -118,7 +118,7 @@
 }
 
 func FuzzParse(f *testing.F) {
-	good, _ := NewStore("h", "1", NewKey()).Mint(start)
+	good, _ := NewStore("h", "z", "1", NewKey()).Mint(start)
 	for _, seed := range []string{"", "none", good.String(), strings.Repeat("A", MaxLength+1)} {
 		f.Add(seed)
 	}
