--- a/cmd/load.go
+++ b/cmd/load.go
@@ -105,7 +105,7 @@
 
 func (c *loadCmd) classes() []load.Class {
 	all := []load.Class{
-		{Name: "lookups", Service: c.service, Method: http.MethodGet, Path: "/tracks/%d", Rate: c.lookups},
+		{Name: "lookups", Service: c.service, Method: http.MethodGet, Path: "/tracks/%d", Rate: c.lookups, Echo: true},
 		{Name: "bookings", Service: c.service, Method: http.MethodPost, Path: "/bookings", Body: "{}", Rate: c.bookings, Ticket: true, Resend: c.resend},
 		{Name: "downloads", Service: c.bulk, Method: http.MethodGet, Path: "/bytes/1000000", Rate: c.downloads},
 	}
--- a/cmd/quickstart.go
+++ b/cmd/quickstart.go
@@ -74,7 +74,7 @@
 		return fail(err)
 	}
 	report.Print(os.Stdout)
-	if len(report.Broken) > 0 {
+	if report.Broken() {
 		return subcommands.ExitFailure
 	}
 	return subcommands.ExitSuccess
--- /dev/null
+++ b/internal/entry/progress.go
@@ -0,0 +1,219 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"cairndock/internal/config"
+	"cairndock/internal/member"
+	"cairndock/internal/peer"
+	"cairndock/internal/roster"
+)
+
+const (
+	// confirmPause is the time between two looks at a change's progress.
+	confirmPause = 100 * time.Millisecond
+	// appendTimeout bounds the acceptance of a change.
+	appendTimeout = 10 * time.Second
+)
+
+// ZoneProgress says whether a zone has a change in force.
+type ZoneProgress struct {
+	Zone string `json:"zone"`
+	// Confirmed says that every live host of the zone has it in force.
+	Confirmed bool `json:"confirmed"`
+	// Lapsed says that the zone can't be asked, and that each of its hosts
+	// either has the change or has certainly frozen itself by now.
+	Lapsed bool `json:"lapsed,omitempty"`
+	// Lagging names hosts that do not have it yet.
+	Lagging []string `json:"lagging,omitempty"`
+}
+
+// Applied is the answer to a change.
+type Applied struct {
+	// State is accepted or pending.
+	State    string         `json:"state"`
+	Revision uint64         `json:"revision"`
+	Change   string         `json:"change"`
+	Zones    []ZoneProgress `json:"zones"`
+}
+
+// The states of Applied.
+const (
+	StateAccepted = "accepted"
+	StatePending  = "pending"
+)
+
+// Apply accepts a change and waits, for the given time at most, for every
+// zone to have it in force.
+func (h *Host) Apply(ctx context.Context, c config.Change, wait time.Duration) (Applied, error) {
+	appendCtx, cancel := context.WithTimeout(ctx, appendTimeout)
+	defer cancel()
+	if err := h.limiter.Wait(appendCtx); err != nil {
+		return Applied{}, eris.Wrap(err, "wait for the platform's rate")
+	}
+	state, rev, err := h.configLog.Append(appendCtx, h.View().State(), c)
+	if err != nil {
+		return Applied{}, err
+	}
+	accepted := time.Now()
+	h.forceTo(ctx, state, c)
+	waitCtx, stop := context.WithTimeout(ctx, wait)
+	defer stop()
+	return h.await(waitCtx, rev, c.ID, accepted), nil
+}
+
+// forceTo puts the state that an append gave in force here and pushes the
+// change to every zone.
+func (h *Host) forceTo(ctx context.Context, state *config.State, c config.Change) {
+	if state.Revision() <= h.View().Revision() {
+		return
+	}
+	change := c.WithRevision(state.Revision())
+	if h.View().Revision()+1 == change.Revision {
+		_ = h.putInForce(ctx, []config.Change{change})
+	} else {
+		h.adoptState(state)
+	}
+	for _, contact := range h.zoneContacts() {
+		go h.push(context.WithoutCancel(ctx), contact, []config.Change{change})
+	}
+}
+
+// zoneContacts gives one host of each other zone.
+func (h *Host) zoneContacts() []member.Contact {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := time.Now()
+	var out []member.Contact
+	for _, zone := range h.peers.Zones() {
+		if zone == h.self.Zone {
+			continue
+		}
+		if contacts := h.peers.Contacts(zone, now, false); len(contacts) > 0 {
+			out = append(out, contacts[0])
+		}
+	}
+	return out
+}
+
+// await asks every zone until each has the revision in force, or can't be
+// asked and has frozen itself.
+func (h *Host) await(ctx context.Context, rev uint64, id string, accepted time.Time) Applied {
+	for {
+		a := h.Progress(ctx, rev, id, accepted)
+		if a.State == StateAccepted || !sleep(ctx, confirmPause) {
+			return a
+		}
+	}
+}
+
+// Progress says which zones have a revision in force. Accepted is when it
+// was accepted, or a later time.
+func (h *Host) Progress(ctx context.Context, rev uint64, id string, accepted time.Time) Applied {
+	a := Applied{State: StateAccepted, Revision: rev, Change: id}
+	lapsed := time.Since(accepted) > FreezeAfter+time.Second
+	for _, zone := range h.knownZones() {
+		p := h.zoneProgress(ctx, zone, rev)
+		p.Lapsed = lapsed && !p.Confirmed
+		if !p.Confirmed && !p.Lapsed {
+			a.State = StatePending
+		}
+		a.Zones = append(a.Zones, p)
+	}
+	return a
+}
+
+// knownZones are the configured zones and those with hosts.
+func (h *Host) knownZones() []string {
+	zones := []string{h.self.Zone}
+	for _, z := range h.View().Zones() {
+		zones = append(zones, z.Name)
+	}
+	h.mu.Lock()
+	zones = append(zones, h.peers.Zones()...)
+	h.mu.Unlock()
+	slices.Sort(zones)
+	return slices.Compact(zones)
+}
+
+func (h *Host) zoneProgress(ctx context.Context, zone string, rev uint64) ZoneProgress {
+	if zone == h.self.Zone {
+		return h.ownProgress(rev)
+	}
+	h.mu.Lock()
+	contacts := h.peers.Contacts(zone, time.Now(), false)
+	h.mu.Unlock()
+	for _, c := range contacts {
+		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
+		reply, err := peer.Call[ZoneProgress](callCtx, h.mesh, c.PeerAddr, peer.KindConfirm, rev)
+		cancel()
+		if err == nil {
+			return reply
+		}
+	}
+	return ZoneProgress{Zone: zone}
+}
+
+// ownProgress looks at the zone's live members, as they said in their last
+// heartbeats or in reply to a push.
+func (h *Host) ownProgress(rev uint64) ZoneProgress {
+	p := ZoneProgress{Zone: h.self.Zone}
+	if h.View().Revision() < rev {
+		p.Lagging = append(p.Lagging, h.self.Host)
+	}
+	h.mu.Lock()
+	now := time.Now()
+	for _, m := range h.holder.Current().Members {
+		if m.Host == h.self.Host || m.State == roster.Gone {
+			continue
+		}
+		mate, known := h.peers.Get(m.Host)
+		// A silent host may still serve, by an older configuration.
+		if !known || mate.Beat.Revision < rev {
+			if known && now.Sub(mate.HeardAt) > FreezeAfter+member.LostAfter {
+				continue
+			}
+			p.Lagging = append(p.Lagging, m.Host)
+		}
+	}
+	h.mu.Unlock()
+	p.Confirmed = len(p.Lagging) == 0
+	if !p.Confirmed {
+		h.kickLagging(p.Lagging)
+	}
+	return p
+}
+
+// kickLagging asks hosts that seem to lag for a heartbeat now.
+func (h *Host) kickLagging(hosts []string) {
+	for _, host := range hosts {
+		h.mu.Lock()
+		p, ok := h.peers.Get(host)
+		h.mu.Unlock()
+		if ok && time.Since(p.AskedAt) > confirmPause {
+			h.mu.Lock()
+			h.peers.Asking(host, time.Now())
+			h.mu.Unlock()
+			go h.beatOne(context.Background(), p.Contact)
+		}
+	}
+}
+
+// ChangeProgress gives the progress of a change by its id.
+func (h *Host) ChangeProgress(ctx context.Context, id string) (Applied, bool, error) {
+	var rev uint64
+	var found bool
+	err := h.call(ctx, func(ctx context.Context) (err error) {
+		rev, found, err = h.configLog.ByID(ctx, id)
+		return err
+	})
+	if err != nil || !found {
+		return Applied{}, false, err
+	}
+	// When it was accepted is not known here; now is later.
+	return h.Progress(ctx, rev, id, time.Now()), true, nil
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -53,6 +54,9 @@
 	Resend bool
 	// Timeout is told to the system; zero leaves it to the service.
 	Timeout time.Duration
+	// Echo says that the answer holds the request's path, so that an answer
+	// to another request is seen.
+	Echo bool
 }
 
 // Options are a load.
@@ -120,6 +124,9 @@
 	Results []Result `json:"results"`
 	// Skipped counts arrivals that this program could not send in time.
 	Skipped int `json:"skipped"`
+	// Wrong counts answers to another request; a resend's answer that
+	// differs from the first counts too.
+	Wrong int `json:"wrong_answers"`
 	// RanTwice, ToldNotRun and Over count broken promises by the ledgers.
 	RanTwice   int `json:"ran_twice"`
 	ToldNotRun int `json:"told_not_run_but_ran"`
@@ -129,7 +136,7 @@
 }
 
 // Broken reports whether a promise was broken.
-func (r Report) Broken() bool { return r.RanTwice+r.ToldNotRun+r.Over > 0 }
+func (r Report) Broken() bool { return r.Wrong+r.RanTwice+r.ToldNotRun+r.Over > 0 }
 
 type classRun struct {
 	class    Class
@@ -145,6 +152,7 @@
 	hosts   atomic.Pointer[[]string]
 	slots   chan struct{}
 	skipped atomic.Int64
+	wrong   atomic.Int64
 	wait    sync.WaitGroup
 
 	mu      sync.Mutex
@@ -179,7 +187,7 @@
 	}
 	arrivals.Wait()
 	r.wait.Wait()
-	report := Report{Seconds: time.Since(began).Seconds(), Skipped: int(r.skipped.Load())}
+	report := Report{Seconds: time.Since(began).Seconds(), Skipped: int(r.skipped.Load()), Wrong: int(r.wrong.Load())}
 	for _, cr := range classes {
 		report.Results = append(report.Results, cr.finish())
 	}
@@ -286,16 +294,20 @@
 	if cr.class.Ticket {
 		text = r.ticket(ctx, host, cr.class.Service)
 	}
-	v, zone, n := r.send(ctx, host, cr.class, i, text)
+	got := r.send(ctx, host, cr.class, i, text)
 	if cr.class.Resend && text != "" {
-		v, zone, n = r.send(ctx, hosts[(i+1)%len(hosts)], cr.class, i, text)
+		again := r.send(ctx, hosts[(i+1)%len(hosts)], cr.class, i, text)
+		if got.verdict == answered && again.verdict == answered && !bytes.Equal(got.body, again.body) {
+			r.wrong.Add(1)
+		}
+		got = again
 	}
 	if text != "" {
 		r.mu.Lock()
-		r.tickets[text] = v
+		r.tickets[text] = got.verdict
 		r.mu.Unlock()
 	}
-	cr.note(v, zone, n, time.Since(due))
+	cr.note(got, time.Since(due))
 }
 
 func (r *run) ticket(ctx context.Context, host, service string) string {
@@ -321,14 +333,26 @@
 	broken   = "broken connection"
 )
 
-func (r *run) send(ctx context.Context, host string, c Class, i int, ticket string) (v, zone string, n int64) {
+// reply is what one request got.
+type reply struct {
+	verdict string
+	zone    string
+	bytes   int64
+	// body is the beginning of the answer.
+	body []byte
+}
+
+// maxBody bounds what is kept of an answer, to compare it.
+const maxBody = 4 << 10
+
+func (r *run) send(ctx context.Context, host string, c Class, i int, ticket string) reply {
 	path := c.Path
 	if strings.Contains(path, "%d") {
 		path = fmt.Sprintf(path, i)
 	}
 	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+host+"/s/"+c.Service+path, bytes.NewReader([]byte(c.Body)))
 	if err != nil {
-		return broken, "", 0
+		return reply{verdict: broken}
 	}
 	if ticket != "" {
 		req.Header.Set(call.HeaderTicket, ticket)
@@ -338,34 +362,47 @@
 	}
 	resp, err := r.client.Do(req)
 	if err != nil {
-		return broken, "", 0
+		return reply{verdict: broken}
 	}
 	defer resp.Body.Close()
-	n, err = io.Copy(io.Discard, resp.Body)
-	if err != nil {
-		return broken, "", n
+	out := readReply(resp)
+	if c.Echo && out.verdict == answered && !bytes.Contains(out.body, []byte(strconv.Quote(path))) {
+		r.wrong.Add(1)
 	}
-	zone, _, _ = strings.Cut(resp.Header.Get(call.HeaderUpstream), "/")
+	return out
+}
+
+func readReply(resp *http.Response) reply {
+	out := reply{verdict: answered}
+	out.zone, _, _ = strings.Cut(resp.Header.Get(call.HeaderUpstream), "/")
 	if told := resp.Header.Get(verdict.Header); told != "" {
-		return told, zone, n
+		out.verdict = told
+	}
+	var err error
+	if out.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody)); err == nil {
+		out.bytes, err = io.Copy(io.Discard, resp.Body)
 	}
-	return answered, zone, n
+	out.bytes += int64(len(out.body))
+	if err != nil {
+		out.verdict = broken
+	}
+	return out
 }
 
-func (cr *classRun) note(v, zone string, n int64, took time.Duration) {
+func (cr *classRun) note(got reply, took time.Duration) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
 	cr.result.Offered++
-	cr.result.Verdicts[v]++
-	if zone != "" {
-		cr.result.Zones[zone]++
+	cr.result.Verdicts[got.verdict]++
+	if got.zone != "" {
+		cr.result.Zones[got.zone]++
 	}
 	us := max(1, min(took.Microseconds(), highest))
-	if v != answered {
+	if got.verdict != answered {
 		_ = cr.refused.RecordValue(us)
 		return
 	}
-	cr.result.Bytes += n
+	cr.result.Bytes += got.bytes
 	_ = cr.answered.RecordValue(us)
 }
 
@@ -422,7 +459,7 @@
 	if c := r.Changes; c != nil {
 		fmt.Fprintf(w, "changes: accepted %d, failed %d, p50 %s  p99 %s\n", c.Accepted, c.Failed, micros(c.P50), micros(c.P99))
 	}
-	fmt.Fprintf(w, "not sent in time %d; ran twice %d, told not-run but ran %d, beyond a slot %d\n", r.Skipped, r.RanTwice, r.ToldNotRun, r.Over)
+	fmt.Fprintf(w, "not sent in time %d; wrong answers %d, ran twice %d, told not-run but ran %d, beyond a slot %d\n", r.Skipped, r.Wrong, r.RanTwice, r.ToldNotRun, r.Over)
 }
 
 func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -64,7 +64,26 @@
 	})
 	require.NoError(t, err)
 	require.True(t, report.Broken())
+	require.Zero(t, report.Wrong)
 	require.Equal(t, 1, report.RanTwice)
 	require.Equal(t, 1, report.ToldNotRun)
 	require.Equal(t, 3, report.Over)
 }
+
+// TestWrongAnswersAreFound runs against a system that mixes answers up.
+func TestWrongAnswersAreFound(t *testing.T) {
+	mux := http.NewServeMux()
+	server := httptest.NewServer(mux)
+	defer server.Close()
+	addr := server.Listener.Addr().String()
+	mux.HandleFunc("/v1/entries", func(w http.ResponseWriter, _ *http.Request) {
+		_ = json.NewEncoder(w).Encode(map[string]any{"entries": []map[string]string{{"addr": addr}}})
+	})
+	mux.HandleFunc("/s/", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"path":"/tracks/1"}`)) })
+	report, err := Run(context.Background(), Options{
+		Entry: addr, Duration: 50 * time.Millisecond,
+		Classes: []Class{{Name: "lookups", Service: "s", Method: "GET", Path: "/tracks/%d", Rate: 100, Echo: true}},
+	})
+	require.NoError(t, err)
+	require.Equal(t, report.Results[0].Offered-1, report.Wrong, "all but the one that it fits")
+}
