Take hosts that left the platform's list for dead too, and forget old heirs

Cause: a list of live and leaving hosts may simply drop the dead; such members were never taken out of the roster. Tickets taken over were kept for ever.

Stores and heirs are forgotten once their tickets have expired. Tests for exit codes and for settings, which name every fault at once.

In the new case of the fault table all slots come back and none is exceeded.

--- /dev/null
+++ b/cmd/cmd_test.go
@@ -0,0 +1,89 @@
+package cmd
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/google/subcommands"
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	goodSettings = `
+[host]
+name = "h"
+zone = "z"
+region = "r"
+[callers]
+listen = "127.0.0.1:0"
+[operators]
+listen = "127.0.0.1:0"
+token = "0123456789abcdef"
+[peers]
+listen = "127.0.0.1:0"
+[platform]
+table_endpoint = "http://127.0.0.1:1"
+object_endpoint = "http://127.0.0.1:1"
+hosts_url = "http://127.0.0.1:1"
+access_key = "a"
+secret_key = "b"
+`
+	goodConfig = "[[zone]]\nname = \"a\"\nregion = \"r\"\n"
+)
+
+func write(t *testing.T, text string) string {
+	name := filepath.Join(t.TempDir(), "file.toml")
+	require.NoError(t, os.WriteFile(name, []byte(text), 0o600))
+	return name
+}
+
+func TestCheckExitCodes(t *testing.T) {
+	cases := []struct {
+		name string
+		cmd  checkCmd
+		want subcommands.ExitStatus
+	}{
+		{"good settings", checkCmd{settings: write(t, goodSettings)}, 0},
+		{"good config", checkCmd{config: write(t, goodConfig)}, 0},
+		{"unknown key", checkCmd{settings: write(t, goodSettings+"colour = 1\n")}, 1},
+		{"missing values", checkCmd{settings: write(t, "[host]\nname = \"h\"\n")}, 1},
+		{"bad config", checkCmd{config: write(t, "[[zone]]\nname = \"a\"\n")}, 1},
+		{"no such file", checkCmd{config: "none"}, 1},
+		{"neither", checkCmd{}, 2},
+		{"both", checkCmd{settings: "a", config: "b"}, 2},
+	}
+	for _, tc := range cases {
+		require.Equal(t, tc.want, tc.cmd.Execute(context.Background(), nil), tc.name)
+	}
+}
+
+// TestApplyExitCodes submits to hosts that answer in each way.
+func TestApplyExitCodes(t *testing.T) {
+	file := write(t, goodConfig)
+	cases := []struct {
+		name, body string
+		status     int
+		want       subcommands.ExitStatus
+	}{
+		{"accepted", `{"state":"accepted","revision":2}`, 200, 0},
+		{"pending", `{"state":"pending","revision":2}`, 202, 0},
+		{"conflict", `{"object":{"kind":"zone","name":"a"},"winner_revision":2}`, 409, 3},
+		{"bad token", `{}`, 401, 1},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				w.WriteHeader(tc.status)
+				_, _ = w.Write([]byte(tc.body))
+			}))
+			defer server.Close()
+			c := &applyCmd{client: client{addr: server.Listener.Addr().String()}, file: file, base: "1"}
+			require.Equal(t, tc.want, c.Execute(context.Background(), nil))
+		})
+	}
+	require.EqualValues(t, 2, (&applyCmd{}).Execute(context.Background(), nil))
+}
--- a/cmd/quickstart.go
+++ b/cmd/quickstart.go
@@ -63,6 +63,11 @@
 		log.Info().Str("role", "operator").Str("addr", srv.OperatorAddr()).Str("host", name).Str("token", s.Token).Msg("quickstart: listening")
 		log.Info().Str("role", "peer").Str("addr", srv.Host().Self().PeerAddr).Str("host", name).Msg("quickstart: listening")
 	}
+	for role, url := range map[string]string{
+		"table": s.Platform.TableEndpoint, "objects": s.Platform.ObjectEndpoint, "hosts": s.Platform.HostsURL,
+	} {
+		log.Info().Str("role", role).Str("addr", url).Msg("quickstart: listening")
+	}
 	for i, u := range s.Upstreams {
 		log.Info().Str("role", "upstream").Str("addr", s.UpstreamAddrs[i]).Str("upstream", u.Name).Msg("quickstart: listening")
 	}
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -50,6 +50,7 @@
 	h.settle()
 	h.refreshDeciders()
 	h.refreshEntries()
+	h.forgetAdopted(now)
 	h.retunePacers()
 }
 
@@ -244,7 +245,7 @@
 	for _, c := range b.Contacts {
 		h.peers.Learn(c)
 	}
-	h.peers.NoteHeirs(b.Handovers)
+	h.peers.NoteHeirs(b.Handovers, time.Now())
 	newer := false
 	if b.Contact.Zone == h.self.Zone {
 		h.holder.Ack(b.Contact.Host, b.Incarnation, b.Acked)
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -109,6 +109,7 @@
 	ticketsMu sync.Mutex
 	tickets   *ticket.Store
 	adopted   map[string]*ticket.Store
+	adoptedAt map[string]time.Time
 	handovers []member.Handover
 
 	pacersMu sync.Mutex
@@ -177,6 +178,7 @@
 		platHost:    map[string]platform.State{},
 		goneAt:      map[string]time.Time{},
 		adopted:     map[string]*ticket.Store{},
+		adoptedAt:   map[string]time.Time{},
 		pacers:      map[string]*link.Pacer{},
 		kick:        make(chan struct{}, 1),
 	}
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -21,6 +21,9 @@
 	// zone's roster, and hostsInterval at the platform's host list.
 	rosterInterval = time.Second
 	hostsInterval  = 2 * time.Second
+	// unlistedAfter is the silence after which a member is dead that this
+	// host never saw in the list.
+	unlistedAfter = time.Minute
 	// deadMargin is how much longer than the longest deadline a gone member
 	// stays in the roster.
 	deadMargin = 2 * time.Second
@@ -345,16 +348,16 @@
 		return eris.Wrap(err, "read host list")
 	}
 	h.noteHosts(hosts)
-	gone := map[string]bool{}
+	listed := map[string]platform.State{}
 	for _, s := range hosts {
-		gone[s.Name] = s.State == platform.Gone
+		listed[s.Name] = s.State
 	}
 	r, version, err := h.readRoster(ctx)
 	if err != nil {
 		return err
 	}
 	for _, m := range r.Members {
-		if next, ok := h.withoutDead(r, m, gone[m.Host]); ok {
+		if next, ok := h.withoutDead(r, m, listed); ok {
 			return h.writeRoster(ctx, next, version)
 		}
 	}
@@ -362,7 +365,7 @@
 }
 
 // withoutDead gives the roster that follows when a member is gone.
-func (h *Host) withoutDead(r roster.Roster, m roster.Member, gone bool) (roster.Roster, bool) {
+func (h *Host) withoutDead(r roster.Roster, m roster.Member, listed map[string]platform.State) (roster.Roster, bool) {
 	if m.Host == h.self.Host {
 		return r, false
 	}
@@ -377,14 +380,27 @@
 		delete(h.goneAt, m.Host)
 		return r.Without(m.Host), true
 	}
-	p, known := h.peers.Get(m.Host)
-	silent := !known || time.Since(p.HeardAt) > member.LostAfter
-	if !gone || !silent {
+	if !h.isGone(m.Host, listed) {
 		return r, false
 	}
 	return r.WithState(m.Host, roster.Gone), true
 }
 
+// isGone puts silence and the host list together. The list may name the dead
+// or drop them; one that it does not name yet was just started. h.mu is held.
+func (h *Host) isGone(host string, listed map[string]platform.State) bool {
+	silence := member.LostAfter
+	state, named := listed[host]
+	if _, before := h.platHost[host]; !named && !before {
+		silence = unlistedAfter
+	}
+	if named && state != platform.Gone {
+		return false
+	}
+	p, known := h.peers.Get(host)
+	return !known || time.Since(p.HeardAt) > silence
+}
+
 // fetchRoster takes the zone's roster from a host that has a newer one.
 func (h *Host) fetchRoster(ctx context.Context, from member.Contact) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
--- a/internal/entry/slots_test.go
+++ b/internal/entry/slots_test.go
@@ -100,6 +100,11 @@
 	}{
 		{"nothing fails", func(*cluster) {}, 0},
 		{"host killed", func(c *cluster) { c.kill("costa-a-1") }, 0},
+		{"host killed and dropped from the list", func(c *cluster) {
+			c.host("costa-a-1").Close()
+			c.forget("costa-a-1")
+			c.memory.DropHost("costa-a-1")
+		}, 0},
 		{"host killed and restarted", func(c *cluster) {
 			c.kill("costa-a-1")
 			time.Sleep(500 * time.Millisecond)
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"github.com/oklog/ulid/v2"
@@ -263,6 +264,7 @@
 		// Asked again for the same store, this host keeps what it has done.
 		if h.adopted[s.Incarnation] == nil {
 			h.adopted[s.Incarnation] = ticket.FromHandover(s)
+			h.adoptedAt[s.Incarnation] = time.Now()
 			h.handovers = append(h.handovers[:len(h.handovers):len(h.handovers)],
 				member.Handover{Incarnation: s.Incarnation, Host: h.self.Host})
 		}
@@ -271,3 +273,17 @@
 	_ = w.Send(true)
 	h.kickNow()
 }
+
+// forgetAdopted drops the tickets of stopped hosts once all have expired.
+func (h *Host) forgetAdopted(now time.Time) {
+	h.ticketsMu.Lock()
+	defer h.ticketsMu.Unlock()
+	for incarnation, at := range h.adoptedAt {
+		if now.Sub(at) < 2*ticket.Lifetime {
+			continue
+		}
+		delete(h.adopted, incarnation)
+		delete(h.adoptedAt, incarnation)
+		h.handovers = slices.DeleteFunc(slices.Clone(h.handovers), func(o member.Handover) bool { return o.Incarnation == incarnation })
+	}
+}
--- a/internal/load/changes.go
+++ b/internal/load/changes.go
@@ -57,7 +57,9 @@
 		}
 		began := time.Now()
 		if err := c.send(ctx, i); err != nil {
-			out.Failed++
+			if ctx.Err() == nil {
+				out.Failed++
+			}
 			continue
 		}
 		out.Accepted++
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -3,6 +3,7 @@
 package member
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -172,7 +173,7 @@
 	// byZone holds each zone's hosts, by name; zones the zones, by name.
 	byZone map[string][]string
 	zones  []string
-	heirs  map[string]string // incarnation to host
+	heirs  map[string]heir // by incarnation
 	// exchange is the moving average of an exchange's size in bytes.
 	exchange float64
 	// every is how often hosts are asked now: true for the own zone.
@@ -181,7 +182,7 @@
 
 // NewPeers makes an empty state.
 func NewPeers(self Contact) *Peers {
-	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, heirs: map[string]string{}, exchange: firstExchange, every: map[bool]time.Duration{}}
+	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, heirs: map[string]heir{}, exchange: firstExchange, every: map[bool]time.Duration{}}
 }
 
 // Learn notes that a host exists. Of another zone only a few are kept: those
@@ -312,19 +313,32 @@
 
 // Heir gives the host that goes on for a stopped incarnation's tickets.
 func (p *Peers) Heir(incarnation string) (Contact, bool) {
-	host, ok := p.heirs[incarnation]
+	h, ok := p.heirs[incarnation]
 	if !ok {
 		return Contact{}, false
 	}
-	peer, ok := p.peers[host]
+	peer, ok := p.peers[h.host]
 	return peer.Contact, ok
 }
 
-// NoteHeirs takes in who goes on for whom. Hosts tell what they know on, so
-// that it reaches hosts that never talk to the heir.
-func (p *Peers) NoteHeirs(hs []Handover) {
+// heir is who goes on for a stopped incarnation, and when that was told last.
+type heir struct {
+	host   string
+	toldAt time.Time
+}
+
+// heirAge is how long an heir is remembered after it told of it last: it
+// tells for as long as the tickets matter.
+const heirAge = 5 * time.Minute
+
+// NoteHeirs takes in who goes on for whom, and forgets what is no longer
+// told.
+func (p *Peers) NoteHeirs(hs []Handover, now time.Time) {
 	for _, h := range hs {
-		p.heirs[h.Incarnation] = h.Host
+		p.heirs[h.Incarnation] = heir{h.Host, now}
+	}
+	if len(hs) > 0 {
+		maps.DeleteFunc(p.heirs, func(_ string, h heir) bool { return now.Sub(h.toldAt) > heirAge })
 	}
 }
 
--- a/internal/platform/memory.go
+++ b/internal/platform/memory.go
@@ -140,6 +140,13 @@
 	m.hosts[name] = state
 }
 
+// DropHost removes a line of the host list.
+func (m *Memory) DropHost(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.hosts, name)
+}
+
 // Hosts reads the host list.
 func (m *Memory) Hosts(ctx context.Context) (hosts []HostState, err error) {
 	err = m.run(ctx, "hosts", func() error {
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -53,6 +53,8 @@
 	Token     string
 	Servers   []*server.Server
 	Upstreams []*standin.Upstream
+	// Platform says how further hosts reach the platform stand-in.
+	Platform settings.Platform
 	// UpstreamAddrs are the addresses of Upstreams, in the same order.
 	UpstreamAddrs []string
 
@@ -60,7 +62,6 @@
 	ctx     context.Context
 	cancel  context.CancelFunc
 	closers []func()
-	prep    settings.Platform
 }
 
 // Start starts everything and waits until every host is ready.
@@ -109,7 +110,7 @@
 	if err != nil {
 		return err
 	}
-	s.prep = settings.Platform{
+	s.Platform = settings.Platform{
 		TableEndpoint: table, ObjectEndpoint: objects, HostsURL: hosts,
 		Table: "cairndock", Bucket: "cairndock", Region: "local", AccessKey: "stand-in", SecretKey: "stand-in",
 	}
@@ -192,7 +193,7 @@
 	if err != nil {
 		return err
 	}
-	log := config.NewLog(platform.NewTable(s.prep), platform.NewObjects(s.prep))
+	log := config.NewLog(platform.NewTable(s.Platform), platform.NewObjects(s.Platform))
 	_, _, err = log.Append(s.ctx, config.NewState(), change)
 	return err
 }
@@ -218,7 +219,7 @@
 		Callers:   settings.Callers{Listen: loopback},
 		Operators: settings.Operators{Listen: loopback, Token: s.Token},
 		Peers:     settings.Peers{Listen: loopback},
-		Platform:  s.prep,
+		Platform:  s.Platform,
 	}
 	if len(s.Servers) == 0 {
 		set.Callers.Listen = settings.Default(s.options.CallerAddr, loopback)
--- /dev/null
+++ b/internal/server/server_test.go
@@ -0,0 +1,35 @@
+package server
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/settings"
+)
+
+// TestEveryFaultAtOnce names the key of each value that is missing or wrong.
+func TestEveryFaultAtOnce(t *testing.T) {
+	s := settings.Settings{
+		Callers:   settings.Callers{MaxBody: 1 << 30},
+		Operators: settings.Operators{Token: "short"},
+		Telemetry: settings.Telemetry{LogLevel: "loud", Traces: "otlp", TraceShare: 2},
+		Peers:     settings.Peers{TLS: settings.TLS{Key: "only"}},
+	}
+	err := Prepare(&s)
+	require.Error(t, err)
+	lines := strings.Split(err.Error(), "\n")
+	for _, key := range []string{
+		"host.name", "host.zone", "host.region", "callers.listen", "callers.max_body", "operators.listen", "operators.token",
+		"peers.listen", "peers.tls.certificate", "peers.tls.ca", "platform.table_endpoint", "platform.object_endpoint",
+		"platform.hosts_url", "platform.access_key", "platform.secret_key",
+		"telemetry.log_level", "telemetry.otlp_endpoint", "telemetry.trace_share",
+	} {
+		found := false
+		for _, line := range lines {
+			found = found || strings.HasPrefix(line, key+": ")
+		}
+		require.True(t, found, "%s in %v", key, lines)
+	}
+}
