Lend unused parts of a link between a region's hosts

Cause: bundles over a limited link used 48.5% of it: the even split left half to a host that had no bulk slots. Seen by a new test that sends lookups beside four endless downloads over 1 MB/s.

Change: hosts lend what they do not use for 2 s at a time; the lender reduces itself first and counts longer than the borrower, by a second.

--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -14,7 +14,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"cairndock/internal/call"
-	"cairndock/internal/config"
 	"cairndock/internal/link"
 	"cairndock/internal/member"
 	"cairndock/internal/peer"
@@ -290,88 +289,3 @@
 		}
 	}
 }
-
-// pace waits until n bytes may go to a zone, when it is in another region
-// and the link there has a limit.
-func (h *Host) pace(ctx context.Context, service, zone string, n int) error {
-	v := h.View()
-	region := v.Region(zone)
-	if region == h.region || region == "" {
-		return nil
-	}
-	l, ok := v.Link(h.region, region)
-	if !ok {
-		return nil
-	}
-	class := link.Interactive
-	if svc, ok := v.Service(service); ok && svc.Class == config.Bulk {
-		class = link.Bulk
-	}
-	return h.pacer(l).Wait(ctx, class, n)
-}
-
-// chunkTo gives how much to send to a zone at once.
-func (h *Host) chunkTo(zone string) int {
-	v := h.View()
-	region := v.Region(zone)
-	if l, ok := v.Link(h.region, region); ok && region != h.region {
-		return h.pacer(l).Chunk()
-	}
-	return link.Chunk
-}
-
-func (h *Host) pacer(l config.Link) *link.Pacer {
-	h.pacersMu.Lock()
-	defer h.pacersMu.Unlock()
-	p := h.pacers[l.To]
-	if p == nil {
-		p = link.NewPacer(h.linkPart(l), l.ReservedShare())
-		h.pacers[l.To] = p
-	}
-	return p
-}
-
-// linkPart is this host's even part of a link among the region's hosts.
-func (h *Host) linkPart(l config.Link) float64 {
-	return float64(l.BytesPerSecond) / float64(h.regionHosts())
-}
-
-// regionHosts counts the hosts that may send on the region's links. A zone
-// that said nothing yet counts as large as the own.
-func (h *Host) regionHosts() int {
-	v := h.View()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	own := max(1, len(h.holder.Current().Members))
-	total := own
-	for _, z := range v.Zones() {
-		if z.Region != h.region || z.Name == h.self.Zone {
-			continue
-		}
-		hosts := 0
-		for _, p := range h.peers.Zone(z.Name) {
-			hosts = max(hosts, p.Beat.ZoneHosts)
-		}
-		if hosts == 0 {
-			hosts = own
-		}
-		total += hosts
-	}
-	return total
-}
-
-// retunePacers follows changes of the links and of the region's hosts.
-func (h *Host) retunePacers() {
-	v := h.View()
-	h.pacersMu.Lock()
-	pacers := make(map[string]*link.Pacer, len(h.pacers))
-	for to, p := range h.pacers {
-		pacers[to] = p
-	}
-	h.pacersMu.Unlock()
-	for to, p := range pacers {
-		if l, ok := v.Link(h.region, to); ok {
-			p.Configure(h.linkPart(l), l.ReservedShare())
-		}
-	}
-}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -17,7 +17,6 @@
 	"golang.org/x/time/rate"
 
 	"cairndock/internal/config"
-	"cairndock/internal/link"
 	"cairndock/internal/member"
 	"cairndock/internal/peer"
 	"cairndock/internal/platform"
@@ -113,7 +112,7 @@
 	handovers []member.Handover
 
 	pacersMu sync.Mutex
-	pacers   map[string]*link.Pacer
+	pacers   map[string]*pacedLink
 
 	// awakeAt is when the host's loop last turned with its slots known to be
 	// its own, and contactAt when anyone last answered; as read by now.
@@ -179,7 +178,7 @@
 		goneAt:      map[string]time.Time{},
 		adopted:     map[string]*ticket.Store{},
 		adoptedAt:   map[string]time.Time{},
-		pacers:      map[string]*link.Pacer{},
+		pacers:      map[string]*pacedLink{},
 		kick:        make(chan struct{}, 1),
 	}
 	h.self = member.Contact{Host: s.Host.Name, Zone: s.Host.Zone, PeerAddr: s.Peers.Advertise, CallerAddr: s.Callers.Advertise}
--- /dev/null
+++ b/internal/entry/links_test.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/call"
+	"cairndock/internal/link"
+)
+
+const (
+	linkLimit = 1_000_000 // bytes per second
+	bundle    = 400_000   // bytes
+	linkRules = `
+[[rule]]
+name = "far"
+service = "planning"
+selector = "zone=sierra-a"
+share = 1.0
+[[service]]
+name = "documents"
+class = "bulk"
+repeat = "safe"
+timeout = "60s"
+max_timeout = "60s"
+[[upstream]]
+name = "up-sierra-docs"
+service = "documents"
+zone = "sierra-a"
+addr = "up-sierra-docs:1"
+slots = 4
+[[rule]]
+name = "docs"
+service = "documents"
+selector = ""
+share = 1.0
+[[link]]
+from = "sierra"
+to = "costa"
+bytes_per_second = 1000000
+`
+)
+
+// TestLookupsBesideBundles sends lookups over a limited link, alone and
+// beside bundles that would fill it.
+func TestLookupsBesideBundles(t *testing.T) {
+	inBubble(t, linkRules, func(c *cluster) {
+		docs := c.startUpstream("up-sierra-docs", "1")
+		docs.Latency = 0
+		time.Sleep(3 * time.Second)
+		alone := c.farLookups(5 * time.Second)
+
+		ctx, stop := context.WithCancel(context.Background())
+		var downloads sync.WaitGroup
+		for range 4 {
+			downloads.Go(func() { c.download(ctx) })
+		}
+		time.Sleep(3 * time.Second)
+		before := c.sentBy("sierra-a")
+		var most int64
+		sampled := make(chan struct{})
+		go func() {
+			defer close(sampled)
+			for range 8 {
+				at := c.sentBy("sierra-a")
+				time.Sleep(time.Second)
+				most = max(most, c.sentBy("sierra-a")-at)
+			}
+		}()
+		beside := c.farLookups(8 * time.Second)
+		<-sampled
+		perSecond := float64(c.sentBy("sierra-a")-before) / 8
+		stop()
+		downloads.Wait()
+
+		t.Logf("lookups' p99 alone %s, beside bundles %s; link used %.0f B/s, at most %d in a second, of %d", alone, beside, perSecond, most, linkLimit)
+		require.LessOrEqual(t, beside, alone*6/5)
+		require.LessOrEqual(t, most, int64(linkLimit))
+		require.GreaterOrEqual(t, perSecond, 0.8*linkLimit)
+	})
+}
+
+// farLookups sends lookups from one host to the far zone and gives their p99.
+func (c *cluster) farLookups(d time.Duration) time.Duration {
+	var mu sync.Mutex
+	var took []time.Duration
+	var wait sync.WaitGroup
+	for i := range int(d / (50 * time.Millisecond)) {
+		wait.Go(func() {
+			began := time.Now()
+			_, err := ask(c.host("costa-a-1"), lookup(fmt.Sprintf("/tracks/%d", i)))
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				took = append(took, time.Since(began))
+			}
+		})
+		time.Sleep(50 * time.Millisecond)
+	}
+	wait.Wait()
+	slices.Sort(took)
+	require.NotEmpty(c.t, took)
+	return took[len(took)*99/100]
+}
+
+// download takes one bundle after another until ctx ends.
+func (c *cluster) download(ctx context.Context) {
+	for ctx.Err() == nil {
+		req := &call.Request{
+			Service: "documents", Method: http.MethodGet, Target: fmt.Sprintf("/bytes/%d", bundle), Deadline: time.Now().Add(time.Minute),
+		}
+		a, err := c.host("costa-a-2").Do(ctx, req)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		_, _ = io.Copy(io.Discard, a.Body)
+		_ = a.Body.Close()
+	}
+}
+
+// sentBy sums the bytes that a zone's hosts put on the link to costa.
+func (c *cluster) sentBy(zone string) int64 {
+	var sum int64
+	for i := range 2 {
+		h := c.host(fmt.Sprintf("%s-%d", zone, i+1))
+		h.pacersMu.Lock()
+		if p := h.pacers["costa"]; p != nil {
+			sum += p.Sent(link.Interactive) + p.Sent(link.Bulk)
+		}
+		h.pacersMu.Unlock()
+	}
+	return sum
+}
--- a/internal/entry/serve.go
+++ b/internal/entry/serve.go
@@ -33,6 +33,8 @@
 		serve(payload, func(m pushMsg) { h.servePush(ctx, from, m, w) })
 	case peer.KindConfirm:
 		serve(payload, func(rev uint64) { _ = w.Send(h.ownProgress(rev)) })
+	case peer.KindLend:
+		serve(payload, func(m lendMsg) { h.serveLend(m, w) })
 	case peer.KindDrain:
 		serve(payload, func(m drainMsg) { h.serveDrain(ctx, m, w) })
 	case peer.KindHandover:
--- a/internal/link/bucket.go
+++ b/internal/link/bucket.go
@@ -51,7 +51,7 @@
 
 // Configure changes the limit.
 func (b *Bucket) Configure(limit, reserved float64) {
-	b.rate = limit / (1 + burst.Seconds() + debt.Seconds())
+	b.rate = max(1, limit) / (1 + burst.Seconds() + debt.Seconds())
 	b.reserved = reserved
 }
 
@@ -118,6 +118,11 @@
 	bucket *Bucket
 	start  time.Time
 	sent   [2]int64
+	// waited says that something had to wait since the last Demand, which
+	// was asked at askedAt, when sentThen bytes had been sent.
+	waited   bool
+	askedAt  time.Duration
+	sentThen int64
 }
 
 // NewPacer makes a pacer for a limit in bytes per second.
@@ -168,10 +173,27 @@
 	d := p.bucket.Take(class, n, int64(time.Since(p.start)))
 	if d == 0 {
 		p.sent[class] += int64(n)
+	} else {
+		p.waited = true
 	}
 	return d
 }
 
+// Demand gives the bytes per second sent since it was last asked, and
+// whether more would have been sent at a higher rate.
+func (p *Pacer) Demand() (used float64, more bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Since(p.start)
+	total := p.sent[Interactive] + p.sent[Bulk]
+	if elapsed := (now - p.askedAt).Seconds(); elapsed > 0 {
+		used = float64(total-p.sentThen) / elapsed
+	}
+	more = p.waited
+	p.waited, p.askedAt, p.sentThen = false, now, total
+	return used, more
+}
+
 // Sent gives the bytes let through so far, by class.
 func (p *Pacer) Sent(class Class) int64 {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/link/loans_test.go
@@ -0,0 +1,49 @@
+package link
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestLoansNeverAddUp plays two hosts whose messages are late or lost and
+// which are paused at will: together they never have more than both parts.
+func TestLoansNeverAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const part = 1_000_000.0
+		type message struct {
+			lender int
+			rate   float64
+			asked  time.Time
+		}
+		now := time.Now()
+		hosts := []*Loans{NewLoans(), NewLoans()}
+		names := []string{"a", "b"}
+		var onTheWay []message
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			lender := rapid.IntRange(0, 1).Draw(t, "lender")
+			switch rapid.IntRange(0, 2).Draw(t, "step") {
+			case 0: // the other asks; its question may have been long on its way
+				asked := now.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "late")) * time.Millisecond)
+				used := rapid.Float64Range(0, part).Draw(t, "used")
+				spare := hosts[lender].Spare(part, used, now)
+				if rate := hosts[lender].Lend(names[1-lender], spare, now); rate > 0 {
+					onTheWay = append(onTheWay, message{lender, rate, asked})
+				}
+			case 1: // an answer comes, at any time, or never
+				if len(onTheWay) > 0 {
+					i := rapid.IntRange(0, len(onTheWay)-1).Draw(t, "answer")
+					m := onTheWay[i]
+					hosts[1-m.lender].Borrowed(names[m.lender], m.rate, m.asked)
+					onTheWay = append(onTheWay[:i], onTheWay[i+1:]...)
+				}
+			case 2:
+				now = now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "passes")) * time.Millisecond)
+			}
+			if both := hosts[0].Balance(now) + hosts[1].Balance(now); both > 1e-6 {
+				t.Fatalf("%v bytes per second more than both parts", both)
+			}
+		}
+	})
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -39,6 +39,8 @@
 	KindConfirm
 	// KindHandover gives a leaving host's tickets to another.
 	KindHandover
+	// KindLend asks for a part of a link.
+	KindLend
 	// KindDrain asks what is still outstanding at leaving upstreams.
 	KindDrain
 )
