Count a request to its rule by name, and never serve from an old configuration alone

Change: counting looks the rule up by name; callers are served once the host had a configuration that was known to be the newest. A change's progress asks all zones at once, which one after another would take 2.8 s at 80 zones (worked out). An unused field of requests is gone.

--- a/cmd/status.go
+++ b/cmd/status.go
@@ -36,10 +36,14 @@
 
 func printStatus(s entry.Status) {
 	fmt.Printf("host %s in %s: revision %d, proved newest %d ms ago", s.Host, s.Zone, s.Revision, s.FreshMillis)
-	for word, on := range map[string]bool{", FROZEN": s.Frozen, ", LEAVING": s.Leaving, ", NOT READY": !s.Ready} {
-		if on {
-			fmt.Print(word)
-		}
+	if s.Frozen {
+		fmt.Print(", FROZEN")
+	}
+	if s.Leaving {
+		fmt.Print(", LEAVING")
+	}
+	if !s.Ready {
+		fmt.Print(", NOT READY")
 	}
 	fmt.Println()
 	t := tabwriter.NewWriter(os.Stdout, 0, 4, 2, ' ', 0)
--- a/internal/call/call.go
+++ b/internal/call/call.go
@@ -42,8 +42,6 @@
 	Deadline time.Time
 	// Ticket is the caller's ticket, or empty.
 	Ticket string
-	// Zone is the caller's zone by its block, or empty.
-	Zone string
 }
 
 // Answer is an upstream's answer. Body must be closed.
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -47,7 +47,9 @@
 
 // Host is what serves the requests.
 type Host interface {
-	Ready() bool
+	// Serving reports whether the host ever had a configuration that was
+	// known to be the newest; one that leaves still serves.
+	Serving() bool
 	View() *config.View
 	InFlight() func()
 	Do(ctx context.Context, req *call.Request) (*call.Answer, error)
@@ -180,7 +182,7 @@
 }
 
 func (s *Server) tickets(c echo.Context) error {
-	if !s.host.Ready() {
+	if !s.host.Serving() {
 		return s.fail(c, notReady())
 	}
 	t, err := s.host.MintTicket(c.QueryParam("service"))
@@ -226,9 +228,7 @@
 func (s *Server) request(c echo.Context, began time.Time) (*call.Request, error) {
 	r := c.Request()
 	name := c.Param("service")
-	// A host that leaves still serves what comes, so that only one which
-	// never had a configuration refuses.
-	if s.host.View().Revision() == 0 {
+	if !s.host.Serving() {
 		return nil, notReady()
 	}
 	svc, ok := s.host.View().Service(name)
@@ -255,7 +255,7 @@
 	}
 	return &call.Request{
 		Service: name, Method: r.Method, Target: targetOf(r, name), Header: cleanHeader(r.Header),
-		Body: body, Deadline: deadline, Ticket: text, Zone: s.host.View().CallerZone(s.callerAddr(r)),
+		Body: body, Deadline: deadline, Ticket: text,
 	}, nil
 }
 
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -34,7 +34,7 @@
 	got    *call.Request
 }
 
-func (h *fakeHost) Ready() bool        { return h.view.Revision() > 0 }
+func (h *fakeHost) Serving() bool      { return h.view.Revision() > 0 }
 func (h *fakeHost) View() *config.View { return h.view }
 func (h *fakeHost) InFlight() func()   { return func() {} }
 
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -235,9 +235,13 @@
 // View is the configuration in force.
 func (h *Host) View() *config.View { return h.view.Load() }
 
-// Ready reports whether the host serves callers: it has a configuration
-// that was known to be the newest, and it is not leaving.
-func (h *Host) Ready() bool { return h.ready.Load() && !h.leaving.Load() }
+// Serving reports whether the host ever had a configuration that was known
+// to be the newest. An old one alone is never served from.
+func (h *Host) Serving() bool { return h.ready.Load() }
+
+// Ready reports whether callers should come: the host serves, and it is not
+// leaving.
+func (h *Host) Ready() bool { return h.Serving() && !h.leaving.Load() }
 
 // Frozen reports whether the configuration may no longer be the newest.
 func (h *Host) Frozen() bool {
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -116,13 +117,19 @@
 func (h *Host) Progress(ctx context.Context, rev uint64, id string, accepted time.Time) Applied {
 	a := Applied{State: StateAccepted, Revision: rev, Change: id}
 	lapsed := time.Since(accepted) > FreezeAfter+time.Second
-	for _, zone := range h.knownZones() {
-		p := h.zoneProgress(ctx, zone, rev)
+	zones := h.knownZones()
+	a.Zones = make([]ZoneProgress, len(zones))
+	var asked sync.WaitGroup
+	for i, zone := range zones {
+		asked.Go(func() { a.Zones[i] = h.zoneProgress(ctx, zone, rev) })
+	}
+	asked.Wait()
+	for i := range a.Zones {
+		p := &a.Zones[i]
 		p.Lapsed = lapsed && !p.Confirmed
 		if !p.Confirmed && !p.Lapsed {
 			a.State = StatePending
 		}
-		a.Zones = append(a.Zones, p)
 	}
 	return a
 }
--- a/internal/shift/meter.go
+++ b/internal/shift/meter.go
@@ -182,8 +182,23 @@
 	return ra.deficit > rb.deficit
 }
 
-// Has reports whether a rule's cap leaves room for a request.
+// Index gives the place of a rule, negative when there is none. Places
+// change with the configuration; names do not.
+func (m *Meter) Index(rule string) int32 {
+	for i := range m.rules {
+		if m.rules[i].Name == rule {
+			return int32(i)
+		}
+	}
+	return -1
+}
+
+// Has reports whether there is a rule at a place and its cap leaves room for
+// a request.
 func (m *Meter) Has(i int32) bool {
+	if i < 0 || int(i) >= len(m.rules) {
+		return false
+	}
 	r := &m.rules[i]
 	return r.Cap >= 1 || r.credit >= 1
 }
--- a/internal/steer/steer.go
+++ b/internal/steer/steer.go
@@ -194,7 +194,6 @@
 	Local bool
 	// Full says that the zone reported no free slot just now.
 	Full bool
-	rule int32
 }
 
 // Begin counts a request that arrived.
@@ -247,7 +246,7 @@
 	}
 	s := &r.sites[best]
 	p.tried[s.id>>6] |= 1 << (s.id & 63)
-	return Choice{Rule: r.name, Zone: s.zone, Local: s.local, Full: d.use(s, now) >= 1, rule: rule}, true
+	return Choice{Rule: r.name, Zone: s.zone, Local: s.local, Full: d.use(s, now) >= 1}, true
 }
 
 // score is the expected time at a zone, in seconds. Where the service
@@ -298,7 +297,8 @@
 // Commit counts a request as sent to the choice's rule. It reports false
 // when the rule's cap has no room; nothing may then be sent.
 func (d *Decider) Commit(p *Plan, c Choice) bool {
-	if !d.meter.Take(c.rule) {
+	// By name, as the rules may have changed since the choice was made.
+	if !d.meter.Take(d.meter.Index(c.Rule)) {
 		p.Capped = true
 		return false
 	}
--- a/internal/steer/steer_test.go
+++ b/internal/steer/steer_test.go
@@ -118,6 +118,20 @@
 	require.Len(t, seen, 80)
 }
 
+// TestRulesChangeUnderARequest: a choice made before a change of the rules is
+// counted to its own rule, or to none.
+func TestRulesChangeUnderARequest(t *testing.T) {
+	d := newDecider(config.PreferLatency, 2)
+	var p Plan
+	d.Begin(&p)
+	c, ok := d.Next(&p, int64(time.Hour))
+	require.True(t, ok)
+	d.Configure(&config.ServiceView{Service: config.Service{Name: "s"}}, zoneName(0), "near", time.Now())
+	require.False(t, d.Commit(&p, c), "the rule is gone")
+	_, ok = d.Next(&p, int64(time.Hour))
+	require.False(t, ok)
+}
+
 func TestRetryBudget(t *testing.T) {
 	b := Budget{share: 0.1}
 	retries := 0
