Let the test of held slots fail at once

Cause: without the release on the upstream's close the test hung until its time-out of 90 s instead of failing.

Change: the handler is let go when the test ends.

--- a/internal/upstream/client_test.go
+++ b/internal/upstream/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"testing"
 	"time"
 
@@ -23,8 +24,12 @@
 	began  chan struct{}
 	finish chan struct{}
 	ended  chan struct{}
+	once   sync.Once
 }
 
+// letFinish lets the handler end.
+func (h *handled) letFinish() { h.once.Do(func() { close(h.finish) }) }
+
 // newHandled serves requests that go on until told to finish, whatever the
 // client does.
 func newHandled(t *testing.T) *handled {
@@ -36,6 +41,7 @@
 		close(h.ended)
 	}))
 	t.Cleanup(h.server.Close)
+	t.Cleanup(h.letFinish) // runs first
 	return h
 }
 
@@ -69,7 +75,7 @@
 		t.Fatal("slot was free while the request ran")
 	case <-time.After(50 * time.Millisecond):
 	}
-	close(h.finish)
+	h.letFinish()
 	<-h.ended
 	require.Equal(t, slot.Failure, <-free)
 }
