Fence an isolated host at once, and use the field's words

Cause: read again: a host that nobody answered was to stop sending after 4 s, but stayed valid for as long as a paused one, 2 s more, which is past the 5 s of silence after which its slots may be given away.

Change: validity ends at once. Names that were metaphors (awake, heir, mate, kick, ripe) became validated, successor, others, wake and step.

--- a/internal/entry/dispatch.go
+++ b/internal/entry/dispatch.go
@@ -219,7 +219,7 @@
 	// sent, and uses no room under the cap.
 	lease, err := d.host.acquire(ctx, d.req.Service, c.Rule, until)
 	if err != nil {
-		if d.host.matesMayHelp(d.req.Service) {
+		if d.host.zonePeersMayHelp(d.req.Service) {
 			return d.offerPeers(ctx, c, until)
 		}
 		return nil, err
@@ -351,7 +351,7 @@
 	gate := h.serviceFor(name).gate
 	lease, refusal := gate.Acquire(ctx, rule, until)
 	// Only now, as the host may have been paused while the request waited.
-	if refusal == slot.Granted && !h.awake() {
+	if refusal == slot.Granted && !h.validated() {
 		gate.Release(lease, slot.Unused, 0)
 		return lease, verdict.New(verdict.NotRun, verdict.NotReady, "host was paused").WithRetryAfter(comeBack)
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -179,9 +179,9 @@
 	return best, bestFree >= 0
 }
 
-// matesMayHelp reports whether a host of the own zone said that it has a
+// zonePeersMayHelp reports whether a host of the own zone said that it has a
 // free slot.
-func (h *Host) matesMayHelp(service string) bool {
+func (h *Host) zonePeersMayHelp(service string) bool {
 	_, ok := h.pickPeer(h.self.Zone, service)
 	return ok
 }
@@ -221,7 +221,7 @@
 	}
 	until := time.Now().Add(time.Duration(msg.WaitMillis) * time.Millisecond)
 	lease, err := h.acquire(ctx, msg.Service, msg.Rule, time.Time{})
-	if err != nil && verdict.From(err).Reason == verdict.Full && !msg.Passed && h.matesMayHelp(msg.Service) {
+	if err != nil && verdict.From(err).Reason == verdict.Full && !msg.Passed && h.zonePeersMayHelp(msg.Service) {
 		answer, err := h.forward(ctx, req, h.self.Zone, msg.Rule, time.Time{})
 		if err == nil || verdict.From(err).Verdict != verdict.NotRun {
 			return answer, err
--- a/internal/entry/heartbeat.go
+++ b/internal/entry/heartbeat.go
@@ -15,7 +15,7 @@
 	beatTimeout = 1500 * time.Millisecond
 )
 
-// beatLoop is the host's own pulse: it sends heartbeats, settles rosters,
+// beatLoop is the host's own loop: it sends heartbeats, settles rosters,
 // moves ramps on and notices when the host was paused.
 func (h *Host) beatLoop(ctx context.Context) {
 	ticker := time.NewTicker(tick)
@@ -26,13 +26,13 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-		case <-h.kick:
+		case <-h.wake:
 		}
 	}
 }
 
 func (h *Host) turn(ctx context.Context) {
-	h.stayAwake(ctx)
+	h.keepValidated(ctx)
 	now := time.Now()
 	h.mu.Lock()
 	due := h.peers.Due(now)
@@ -64,10 +64,10 @@
 	}
 }
 
-// kickNow makes the pulse come early, to spread news.
-func (h *Host) kickNow() {
+// turnNow makes the loop turn early, to spread news.
+func (h *Host) turnNow() {
 	select {
-	case h.kick <- struct{}{}:
+	case h.wake <- struct{}{}:
 	default:
 	}
 }
@@ -245,7 +245,7 @@
 	for _, c := range b.Contacts {
 		h.peers.Learn(c)
 	}
-	h.peers.NoteHeirs(b.Handovers, time.Now())
+	h.peers.NoteSuccessors(b.Handovers, time.Now())
 	newer := false
 	if b.Contact.Zone == h.self.Zone {
 		h.holder.Ack(b.Contact.Host, b.Incarnation, b.Acked)
@@ -280,9 +280,9 @@
 	}
 	settled := h.holder.Settle(now, longest)
 	// Slots become usable service by service, as their deadlines pass.
-	ripe := h.holder.Ripe(now)
-	moved := ripe != h.ripe
-	h.ripe = ripe
+	step := h.holder.SettleStep(now)
+	moved := step != h.settleStep
+	h.settleStep = step
 	h.mu.Unlock()
 	if settled || moved {
 		h.reconfigure()
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -96,8 +96,8 @@
 	instances map[string]string
 	departed  map[instanceKey]struct{}
 	probing   map[string]struct{} // upstreams that this host probes
-	// ripe is what the holder said last of the time since a death.
-	ripe int
+	// settleStep is the last step seen of the holder on its way to settle.
+	settleStep int
 	// configured is the roster epoch that the gates were configured by.
 	configured uint64
 	platHost   map[string]platform.State
@@ -114,15 +114,15 @@
 	pacersMu sync.Mutex
 	pacers   map[string]*pacedLink
 
-	// awakeAt is when the host's loop last turned with its slots known to be
+	// validatedAt is when the host's loop last turned with its slots known to be
 	// its own, and contactAt when anyone last answered; as read by now.
-	awakeAt   atomic.Int64
-	contactAt atomic.Int64
-	reviving  atomic.Bool
-	leaving   atomic.Bool
-	inFlight  atomic.Int64
-	entries   entriesCache
-	kick      chan struct{}
+	validatedAt  atomic.Int64
+	contactAt    atomic.Int64
+	revalidating atomic.Bool
+	leaving      atomic.Bool
+	inFlight     atomic.Int64
+	entries      entriesCache
+	wake         chan struct{}
 
 	stop context.CancelFunc
 	wait sync.WaitGroup
@@ -142,9 +142,9 @@
 const (
 	// tick is the pace of the host's own loop.
 	tick = 250 * time.Millisecond
-	// maxSleep is the longest gap between two turns of the loop before the
+	// maxPause is the longest gap between two turns of the loop before the
 	// host takes itself for paused and asks anew what it may still do.
-	maxSleep = 2 * time.Second
+	maxPause = 2 * time.Second
 	// maxIsolation is the longest silence of peers, platform and upstreams
 	// all together before the host takes itself for cut off from everything.
 	// It is below member.LostAfter, the silence after which a host that the
@@ -179,7 +179,7 @@
 		adopted:     map[string]*ticket.Store{},
 		adoptedAt:   map[string]time.Time{},
 		pacers:      map[string]*pacedLink{},
-		kick:        make(chan struct{}, 1),
+		wake:        make(chan struct{}, 1),
 	}
 	h.self = member.Contact{Host: s.Host.Name, Zone: s.Host.Zone, PeerAddr: s.Peers.Advertise, CallerAddr: s.Callers.Advertise}
 	h.client = upstream.New(o.DialUpstream, h.hear)
@@ -201,7 +201,7 @@
 	h.self.PeerAddr = settings.Default(h.self.PeerAddr, addr)
 	h.self.CallerAddr = settings.Default(h.self.CallerAddr, callerAddr)
 	h.peers = member.NewPeers(h.self)
-	h.awakeAt.Store(h.now())
+	h.validatedAt.Store(h.now())
 	h.contactAt.Store(h.now())
 	ctx, h.stop = context.WithCancel(ctx)
 	h.registerMetrics()
@@ -358,32 +358,35 @@
 	return 0
 }
 
-// awake reports whether the host may send new work to upstreams. A host
+// validated reports whether the host may send new work to upstreams. A host
 // that was paused, or that nobody answered for a while, may have lost its
 // slots to others since, and must ask first.
-func (h *Host) awake() bool {
-	return h.now()-h.awakeAt.Load() < int64(maxSleep)
+func (h *Host) validated() bool {
+	return h.now()-h.validatedAt.Load() < int64(maxPause)
 }
 
 // heard notes that somebody answered.
 func (h *Host) heard() { h.contactAt.Store(h.now()) }
 
-// stayAwake keeps the host awake from turn to turn, or has it ask for the
-// roster when it may have lost its slots.
-func (h *Host) stayAwake(ctx context.Context) {
+// keepValidated keeps the host validated from turn to turn, or has it ask for
+// the roster when it may have lost its slots.
+func (h *Host) keepValidated(ctx context.Context) {
 	isolated := h.now()-h.contactAt.Load() > int64(maxIsolation)
-	if h.awake() && !isolated {
-		h.awakeAt.Store(h.now())
+	if h.validated() && !isolated {
+		h.validatedAt.Store(h.now())
 		return
 	}
-	if !h.reviving.CompareAndSwap(false, true) {
+	// Not a moment longer: what is admitted now may run for its deadline,
+	// and its slots may be given away after member.LostAfter and as long.
+	h.validatedAt.Store(0)
+	if !h.revalidating.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
-		defer h.reviving.Store(false)
-		if h.reawaken(ctx) {
+		defer h.revalidating.Store(false)
+		if h.revalidate(ctx) {
 			h.heard()
-			h.awakeAt.Store(h.now())
+			h.validatedAt.Store(h.now())
 		}
 	}()
 }
--- a/internal/entry/links.go
+++ b/internal/entry/links.go
@@ -121,7 +121,7 @@
 
 // borrow asks the region's hosts for what they do not use of a link.
 func (h *Host) borrow(ctx context.Context, p *pacedLink, to string) {
-	for _, c := range h.regionMates() {
+	for _, c := range h.regionPeers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, link.Term/2)
 			defer cancel()
@@ -137,8 +137,8 @@
 	}
 }
 
-// regionMates gives the other hosts of the region that answer.
-func (h *Host) regionMates() []member.Contact {
+// regionPeers gives the other hosts of the region that answer.
+func (h *Host) regionPeers() []member.Contact {
 	v := h.View()
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -178,10 +178,10 @@
 		if m.Host == h.self.Host || m.State == roster.Gone {
 			continue
 		}
-		mate, known := h.peers.Get(m.Host)
+		other, known := h.peers.Get(m.Host)
 		// A silent host may still serve, by an older configuration.
-		if !known || mate.Beat.Revision < rev {
-			if known && now.Sub(mate.HeardAt) > FreezeAfter+member.LostAfter {
+		if !known || other.Beat.Revision < rev {
+			if known && now.Sub(other.HeardAt) > FreezeAfter+member.LostAfter {
 				continue
 			}
 			p.Lagging = append(p.Lagging, m.Host)
@@ -190,13 +190,13 @@
 	h.mu.Unlock()
 	p.Confirmed = len(p.Lagging) == 0
 	if !p.Confirmed {
-		h.kickLagging(p.Lagging)
+		h.askLagging(p.Lagging)
 	}
 	return p
 }
 
-// kickLagging asks hosts that seem to lag for a heartbeat now.
-func (h *Host) kickLagging(hosts []string) {
+// askLagging asks hosts that seem to lag for a heartbeat now.
+func (h *Host) askLagging(hosts []string) {
 	for _, host := range hosts {
 		h.mu.Lock()
 		p, ok := h.peers.Get(host)
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -260,7 +260,7 @@
 		h.rejoin()
 	}
 	h.reconfigure()
-	h.kickNow()
+	h.turnNow()
 }
 
 // memberOf reports whether this host holds slots by a roster; h.mu is held.
@@ -314,7 +314,7 @@
 	}
 	h.mu.Unlock()
 	h.reconfigure()
-	h.kickNow()
+	h.turnNow()
 	return nil
 }
 
@@ -412,19 +412,19 @@
 	h.see(r)
 }
 
-// reawaken is called when the host was paused or cut off from everything.
+// revalidate is called when the host was paused or cut off from everything.
 // Its slots may have been given away in the meantime: it sends nothing to
 // upstreams until the table, or a host of its zone, has shown it the roster.
 // A host that is alone waits for the table.
-func (h *Host) reawaken(ctx context.Context) bool {
+func (h *Host) revalidate(ctx context.Context) bool {
 	h.log.Warn().Msg("entry: host was paused or alone, asking for the roster")
 	if _, _, err := h.readRoster(ctx); err == nil {
 		return true
 	}
 	h.mu.Lock()
-	mates := h.peers.Zone(h.self.Zone)
+	others := h.peers.Zone(h.self.Zone)
 	h.mu.Unlock()
-	for _, p := range mates {
+	for _, p := range others {
 		callCtx, cancel := context.WithTimeout(ctx, beatTimeout)
 		r, err := peer.Call[roster.Roster](callCtx, h.mesh, p.Contact.PeerAddr, peer.KindRoster, h.self.Zone)
 		cancel()
--- a/internal/entry/slots_test.go
+++ b/internal/entry/slots_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/member"
 	"cairndock/internal/platform"
 )
 
@@ -28,7 +29,7 @@
 		c.net.Cut(name, o)
 	}
 	time.Sleep(d)
-	h.awakeAt.Store(h.now() - int64(d))
+	h.validatedAt.Store(h.now() - int64(d))
 	for _, o := range others {
 		c.net.Heal(name, o)
 	}
@@ -162,3 +163,30 @@
 		})
 	}
 }
+
+// TestIsolatedHostStopsInTime: a host that nobody answers stops sending to
+// upstreams before its silence can count against it, and starts again once
+// it has seen the roster.
+func TestIsolatedHostStopsInTime(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		h := c.host("costa-a-1")
+		others := append(c.names(), "platform")
+		for _, o := range others {
+			c.net.Cut("costa-a-1", o)
+		}
+		cut := time.Now()
+		for h.validated() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		stopped := time.Since(cut)
+		t.Logf("stopped after %s", stopped)
+		require.Less(t, stopped, member.LostAfter)
+		for _, o := range others {
+			c.net.Heal("costa-a-1", o)
+		}
+		time.Sleep(5 * time.Second)
+		require.True(t, h.validated())
+		_, err := ask(h, lookup("/x"))
+		require.NoError(t, err)
+	})
+}
--- a/internal/entry/tickets.go
+++ b/internal/entry/tickets.go
@@ -74,8 +74,8 @@
 func (h *Host) minterOf(t ticket.Ticket, passed bool) (member.Contact, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if heir, ok := h.peers.Heir(t.Incarnation); ok {
-		return heir, true
+	if successor, ok := h.peers.Successor(t.Incarnation); ok {
+		return successor, true
 	}
 	if p, ok := h.peers.Get(t.Host); ok {
 		return p.Contact, true
@@ -222,7 +222,7 @@
 	h.tickets.Seal()
 	h.ticketsMu.Unlock()
 	first := true
-	for _, to := range h.heirs() {
+	for _, to := range h.successors() {
 		h.ticketsMu.Lock()
 		all := []ticket.Handover{h.tickets.Handover(first)}
 		for _, s := range h.adopted {
@@ -233,7 +233,7 @@
 		_, err := peer.Call[bool](callCtx, h.mesh, to.PeerAddr, peer.KindHandover, all)
 		cancel()
 		if err == nil {
-			h.log.Info().Str("heir", to.Host).Int("tickets", len(all[0].Records)).Msg("ticket: handed over")
+			h.log.Info().Str("successor", to.Host).Int("tickets", len(all[0].Records)).Msg("ticket: handed over")
 			return true
 		}
 		// What was surely never sent leaves the next host the first.
@@ -242,9 +242,9 @@
 	return false
 }
 
-// heirs gives the hosts that may take this host's tickets, those of the own
+// successors gives the hosts that may take this host's tickets, those of the own
 // zone first.
-func (h *Host) heirs() []member.Contact {
+func (h *Host) successors() []member.Contact {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	now := time.Now()
@@ -271,7 +271,7 @@
 	}
 	h.ticketsMu.Unlock()
 	_ = w.Send(true)
-	h.kickNow()
+	h.turnNow()
 }
 
 // forgetAdopted drops the tickets of stopped hosts once all have expired.
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -171,9 +171,9 @@
 	self  Contact
 	peers map[string]Peer
 	// byZone holds each zone's hosts, by name; zones the zones, by name.
-	byZone map[string][]string
-	zones  []string
-	heirs  map[string]heir // by incarnation
+	byZone     map[string][]string
+	zones      []string
+	successors map[string]successor // by incarnation
 	// exchange is the moving average of an exchange's size in bytes.
 	exchange float64
 	// every is how often hosts are asked now: true for the own zone.
@@ -182,7 +182,7 @@
 
 // NewPeers makes an empty state.
 func NewPeers(self Contact) *Peers {
-	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, heirs: map[string]heir{}, exchange: firstExchange, every: map[bool]time.Duration{}}
+	return &Peers{self: self, peers: map[string]Peer{}, byZone: map[string][]string{}, successors: map[string]successor{}, exchange: firstExchange, every: map[bool]time.Duration{}}
 }
 
 // Learn notes that a host exists. Of another zone only a few are kept: those
@@ -311,9 +311,9 @@
 	return peer, ok
 }
 
-// Heir gives the host that goes on for a stopped incarnation's tickets.
-func (p *Peers) Heir(incarnation string) (Contact, bool) {
-	h, ok := p.heirs[incarnation]
+// Successor gives the host that goes on for a stopped incarnation's tickets.
+func (p *Peers) Successor(incarnation string) (Contact, bool) {
+	h, ok := p.successors[incarnation]
 	if !ok {
 		return Contact{}, false
 	}
@@ -321,24 +321,24 @@
 	return peer.Contact, ok
 }
 
-// heir is who goes on for a stopped incarnation, and when that was told last.
-type heir struct {
+// successor is who goes on for a stopped incarnation, and when that was told last.
+type successor struct {
 	host   string
 	toldAt time.Time
 }
 
-// heirAge is how long an heir is remembered after it told of it last: it
+// successorAge is how long an successor is remembered after it told of it last: it
 // tells for as long as the tickets matter.
-const heirAge = 5 * time.Minute
+const successorAge = 5 * time.Minute
 
-// NoteHeirs takes in who goes on for whom, and forgets what is no longer
+// NoteSuccessors takes in who goes on for whom, and forgets what is no longer
 // told.
-func (p *Peers) NoteHeirs(hs []Handover, now time.Time) {
+func (p *Peers) NoteSuccessors(hs []Handover, now time.Time) {
 	for _, h := range hs {
-		p.heirs[h.Incarnation] = heir{h.Host, now}
+		p.successors[h.Incarnation] = successor{h.Host, now}
 	}
 	if len(hs) > 0 {
-		maps.DeleteFunc(p.heirs, func(_ string, h heir) bool { return now.Sub(h.toldAt) > heirAge })
+		maps.DeleteFunc(p.successors, func(_ string, h successor) bool { return now.Sub(h.toldAt) > successorAge })
 	}
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -234,20 +234,20 @@
 	return h.deadSince.IsZero() || now.Sub(h.deadSince) >= deadline
 }
 
-// Ripe changes whenever a slot may have become usable: not at all until all
-// have acknowledged, and then with each second since the last death.
-func (h *Holder) Ripe(now time.Time) int {
+// SettleStep changes whenever a slot may have become usable: not at all until
+// all have acknowledged, and then every settleTick since the last death.
+func (h *Holder) SettleStep(now time.Time) int {
 	if len(h.chain) == 1 || !h.acked() {
 		return 0
 	}
 	if h.deadSince.IsZero() {
 		return 1
 	}
-	return 1 + int(now.Sub(h.deadSince)/ripeStep)
+	return 1 + int(now.Sub(h.deadSince)/settleTick)
 }
 
-// ripeStep is how finely the time since a death is told.
-const ripeStep = 250 * time.Millisecond
+// settleTick is how finely the time since a death is told.
+const settleTick = 250 * time.Millisecond
 
 // member reports whether this incarnation is an active member of r.
 func (h *Holder) member(r Roster) bool {
