--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,124 @@
+package member
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func contact(zone string, i int) Contact {
+	name := fmt.Sprintf("%s-%02d", zone, i)
+	return Contact{Host: name, Zone: zone, PeerAddr: name + ":1", CallerAddr: name + ":2"}
+}
+
+// fleet makes a host that knows a zone of its own and others.
+func fleet(hosts, zones int) *Peers {
+	p := NewPeers(contact("own", 0))
+	for i := 1; i < hosts; i++ {
+		p.Learn(contact("own", i))
+	}
+	for z := range zones {
+		for i := range hosts {
+			p.Learn(contact(fmt.Sprintf("zone-%02d", z), i))
+		}
+	}
+	return p
+}
+
+// TestHeartbeatsKeepTheirBudget counts the exchanges of a minute.
+func TestHeartbeatsKeepTheirBudget(t *testing.T) {
+	for _, tc := range []struct{ hosts, zones, exchange int }{
+		{2, 5, 208}, {74, 79, 332}, {74, 79, 1000}, {300, 300, 332},
+	} {
+		p := fleet(tc.hosts, tc.zones)
+		for range 100 {
+			p.Spent(tc.exchange)
+		}
+		start, asked := time.Now(), 0
+		for now := start; now.Before(start.Add(time.Minute)); now = now.Add(250 * time.Millisecond) {
+			for _, c := range p.Due(now) {
+				p.Asking(c.Host, now)
+				asked++
+			}
+		}
+		// The first turn asks everybody, once; asking is half of the budget.
+		first := zoneFanout + farFanout*tc.zones
+		require.LessOrEqual(t, (asked-first)*tc.exchange, 60*BytesPerSecond/2+zoneFanout*tc.exchange, "%+v", tc)
+		require.Greater(t, asked, first, "%+v", tc)
+	}
+}
+
+func TestOtherZonesStayBounded(t *testing.T) {
+	p := fleet(74, 3)
+	require.Len(t, p.Zone("own"), 73)
+	require.Len(t, p.Zone("zone-01"), maxFarHosts)
+	failed := p.Zone("zone-01")[0].Contact.Host
+	p.Failed(failed, time.Now())
+	p.Learn(contact("zone-01", 73))
+	_, known := p.Get(failed)
+	require.False(t, known, "one that fails makes room")
+	require.Len(t, p.Zone("zone-01"), maxFarHosts)
+	for _, peer := range p.Zone("zone-02") {
+		p.Forget(peer.Contact.Host)
+	}
+	require.Equal(t, []string{"own", "zone-00", "zone-01"}, p.Zones())
+}
+
+func TestUp(t *testing.T) {
+	now := time.Now()
+	c := contact("zone-00", 1)
+	heard := func(p *Peers) { p.Heard(Heartbeat{Contact: c}, now, time.Millisecond) }
+	cases := []struct {
+		name    string
+		prepare func(p *Peers)
+		after   time.Duration
+		want    bool
+	}{
+		{"known only", func(*Peers) {}, 0, false},
+		{"heard", heard, time.Second, true},
+		{"silent", heard, DownAfter + time.Second, false},
+		{"failed", func(p *Peers) { heard(p); p.Failed(c.Host, now) }, 0, false},
+		{"heard again", func(p *Peers) { heard(p); p.Failed(c.Host, now); heard(p) }, 0, true},
+		{"leaving", func(p *Peers) { p.Heard(Heartbeat{Contact: c, Leaving: true}, now, 0) }, 0, false},
+		{"an old word after a new one", func(p *Peers) {
+			p.Heard(Heartbeat{Contact: c, Leaving: true}, now, 0)
+			p.Heard(Heartbeat{Contact: c}, now.Add(-time.Second), 0)
+		}, 0, false},
+	}
+	for _, tc := range cases {
+		p := NewPeers(contact("own", 0))
+		p.Learn(c)
+		tc.prepare(p)
+		peer, ok := p.Get(c.Host)
+		require.True(t, ok)
+		require.Equal(t, tc.want, peer.Up(now.Add(tc.after)), tc.name)
+	}
+}
+
+func TestSlotsTravelPacked(t *testing.T) {
+	free := []Free{{"a", 1, 2, 3}, {"b", 0, 5, 4}}
+	require.Equal(t, free, Unpack(Pack(free), []string{"a", "b"}))
+	require.Nil(t, Unpack(Pack(free), []string{"a"}), "of another revision")
+	p := NewPeers(contact("own", 0))
+	c := contact("zone-00", 1)
+	now := time.Now()
+	p.Heard(Heartbeat{Contact: c, Slots: Pack(free), Free: free, ZoneHosts: 3}, now, time.Millisecond)
+	p.Heard(Heartbeat{Contact: c}, now.Add(time.Second), 0)
+	peer, _ := p.Get(c.Host)
+	require.Equal(t, free, peer.Beat.Free, "asking tells no slots and takes none back")
+}
+
+func TestSuccessors(t *testing.T) {
+	p := NewPeers(contact("own", 0))
+	now := time.Now()
+	p.Learn(contact("own", 1))
+	p.NoteSuccessors([]Handover{{Incarnation: "gone", Host: "own-01"}}, now)
+	c, ok := p.Successor("gone")
+	require.True(t, ok)
+	require.Equal(t, "own-01", c.Host)
+	p.NoteSuccessors([]Handover{{Incarnation: "other", Host: "own-01"}}, now.Add(successorAge+time.Second))
+	_, ok = p.Successor("gone")
+	require.False(t, ok, "forgotten when no longer told")
+}
