Take the revision that a push's reply tells

Cause: a zone of two hosts confirmed a change only after its next heartbeat.

Change: the reply to a push counts.

--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -74,10 +74,14 @@
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	// A host that misses the push sees the revision in the next heartbeat.
-	_, err := peer.Call[pushReply](ctx, h.mesh, to.PeerAddr, peer.KindPush, pushMsg{changes})
+	reply, err := peer.Call[pushReply](ctx, h.mesh, to.PeerAddr, peer.KindPush, pushMsg{changes})
 	if err != nil {
 		h.log.Debug().Str("peer", to.Host).Err(err).Msg("config: push failed")
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers.NoteRevision(to.Host, reply.Revision)
 }
 
 func (h *Host) servePush(ctx context.Context, from peer.Hello, msg pushMsg, w *peer.Responder) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -428,3 +428,12 @@
 	peer.Beat.Free = free
 	p.peers[host] = peer
 }
+
+// NoteRevision takes in a revision that a host told between two heartbeats.
+func (p *Peers) NoteRevision(host string, revision uint64) {
+	peer, ok := p.peers[host]
+	if ok && peer.Beat.Revision < revision {
+		peer.Beat.Revision = revision
+		p.peers[host] = peer
+	}
+}
