Give a change only the revision that it was accepted at

Cause: seen on a last reading of the whole change. When a host is one change behind, submits its own and loses the answer, the append gives back the state with the other's change; forceTo stamped ours with that revision, put it in force here and pushed it. Configurations then differed at one revision.

Change: forceTo takes the revision that the append settled. Beside it, without a change of behaviour: the loop over the zone's hosts that answer stood three times and now serves two of them from one place, the order of a push is keyed by the plain revision instead of a duration's text, and two load tests share their server.

--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -61,26 +61,27 @@
 		return Applied{}, err
 	}
 	accepted := time.Now()
-	h.forceTo(ctx, state, c)
+	h.forceTo(ctx, state, c.WithRevision(rev))
 	waitCtx, stop := context.WithTimeout(ctx, wait)
 	defer stop()
 	return h.await(waitCtx, rev, c.ID, accepted), nil
 }
 
 // forceTo puts the state that an append gave in force here and pushes the
-// change to every zone.
+// change, with the revision it was accepted at, to every zone. After a lost
+// answer the state may end before the change; that comes by the log then.
 func (h *Host) forceTo(ctx context.Context, state *config.State, c config.Change) {
-	if state.Revision() <= h.View().Revision() {
+	before := h.View().Revision()
+	if state.Revision() <= before {
 		return
 	}
-	change := c.WithRevision(state.Revision())
-	if h.View().Revision()+1 == change.Revision {
-		_ = h.putInForce(ctx, []config.Change{change})
+	if before+1 == c.Revision {
+		_ = h.putInForce(ctx, []config.Change{c})
 	} else {
 		h.adoptState(state)
 	}
 	for _, contact := range h.zoneContacts() {
-		go h.push(context.WithoutCancel(ctx), contact, []config.Change{change})
+		go h.push(context.WithoutCancel(ctx), contact, []config.Change{c})
 	}
 }
 
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -198,6 +198,17 @@
 func (h *Host) isPoller() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	ranked := roster.Rank("poll:"+h.self.Zone, h.upInZone())
+	for _, host := range ranked[:min(pollers, len(ranked))] {
+		if host == h.self.Host {
+			return true
+		}
+	}
+	return false
+}
+
+// upInZone gives the zone's hosts that answer, this one first; h.mu is held.
+func (h *Host) upInZone() []string {
 	now := time.Now()
 	hosts := []string{h.self.Host}
 	for _, p := range h.peers.Zone(h.self.Zone) {
@@ -205,13 +216,7 @@
 			hosts = append(hosts, p.Contact.Host)
 		}
 	}
-	ranked := roster.Rank("poll:"+h.self.Zone, hosts)
-	for _, host := range ranked[:min(pollers, len(ranked))] {
-		if host == h.self.Host {
-			return true
-		}
-	}
-	return false
+	return hosts
 }
 
 func rosterKey(zone string) platform.Key {
--- a/internal/entry/signs.go
+++ b/internal/entry/signs.go
@@ -121,12 +121,7 @@
 // probed gives the upstreams that fall to this host to probe.
 func (h *Host) probed() []config.Upstream {
 	h.mu.Lock()
-	hosts := []string{h.self.Host}
-	for _, p := range h.peers.Zone(h.self.Zone) {
-		if p.Up(time.Now()) {
-			hosts = append(hosts, p.Contact.Host)
-		}
-	}
+	hosts := h.upInZone()
 	h.mu.Unlock()
 	var out []config.Upstream
 	probing := map[string]struct{}{}
--- a/internal/entry/spread.go
+++ b/internal/entry/spread.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	"cairndock/internal/config"
@@ -54,7 +55,7 @@
 			names = append(names, p.Contact.Host)
 		}
 	}
-	ranked := roster.Rank("push:"+logName(rev), names)
+	ranked := roster.Rank("push:"+strconv.FormatUint(rev, 10), names)
 	place := slices.Index(ranked, h.self.Host)
 	var out []member.Contact
 	// A host at place p passes on to the places f*p+1 to f*p+f. A host that
@@ -68,8 +69,6 @@
 	return out
 }
 
-func logName(rev uint64) string { return time.Duration(rev).String() }
-
 func (h *Host) push(ctx context.Context, to member.Contact, changes []config.Change) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
--- a/internal/entry/spread_test.go
+++ b/internal/entry/spread_test.go
@@ -300,3 +300,24 @@
 		require.Equal(t, asked-int64(500*time.Millisecond), h.freshAt.Load(), "never older")
 	})
 }
+
+// TestLostAnswerAfterAnothersChange: a host that is one change behind submits
+// its own, whose answer is lost. The other's revision must not be given to it.
+func TestLostAnswerAfterAnothersChange(t *testing.T) {
+	inBubble(t, anywhere, func(c *cluster) {
+		c.apply("others", "[[zone]]\nname = \"new\"\nregion = \"costa\"\n", 1)
+		c.loseAnswers(100 * time.Millisecond)
+		h := c.host("costa-a-1")
+		require.EqualValues(t, 1, h.View().Revision(), "not polled yet")
+		applied, err := h.Apply(context.Background(), c.change("mine", 1, 0.9), 0)
+		require.NoError(t, err)
+		require.EqualValues(t, 3, applied.Revision)
+		time.Sleep(5 * time.Second)
+		log := config.NewLog(c.memory, c.memory)
+		truth, err := log.CatchUp(context.Background(), config.NewState())
+		require.NoError(t, err)
+		for _, h := range c.live() {
+			require.Equal(t, truth.Digest(), h.View().State().Digest(), h.Self().Host)
+		}
+	})
+}
--- a/internal/load/load_test.go
+++ b/internal/load/load_test.go
@@ -37,15 +37,21 @@
 	require.Equal(t, time.Second, dueAt(Class{Rate: 100}, 100))
 }
 
-// TestBrokenPromisesAreFound runs against a system that lies.
-func TestBrokenPromisesAreFound(t *testing.T) {
+// fakeSystem serves a mux that names itself as the one host to use.
+func fakeSystem(t *testing.T) (*http.ServeMux, string) {
 	mux := http.NewServeMux()
 	server := httptest.NewServer(mux)
-	defer server.Close()
+	t.Cleanup(server.Close)
 	addr := server.Listener.Addr().String()
 	mux.HandleFunc("/v1/entries", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(map[string]any{"entries": []map[string]string{{"addr": addr}}})
 	})
+	return mux, addr
+}
+
+// TestBrokenPromisesAreFound runs against a system that lies.
+func TestBrokenPromisesAreFound(t *testing.T) {
+	mux, addr := fakeSystem(t)
 	mux.HandleFunc("/v1/tickets", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"ticket":"t"}`)) })
 	mux.HandleFunc("/s/", func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Cairndock-Verdict", "not-run")
@@ -72,13 +78,7 @@
 
 // TestWrongAnswersAreFound runs against a system that mixes answers up.
 func TestWrongAnswersAreFound(t *testing.T) {
-	mux := http.NewServeMux()
-	server := httptest.NewServer(mux)
-	defer server.Close()
-	addr := server.Listener.Addr().String()
-	mux.HandleFunc("/v1/entries", func(w http.ResponseWriter, _ *http.Request) {
-		_ = json.NewEncoder(w).Encode(map[string]any{"entries": []map[string]string{{"addr": addr}}})
-	})
+	mux, addr := fakeSystem(t)
 	mux.HandleFunc("/s/", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(`{"path":"/tracks/1"}`)) })
 	report, err := Run(context.Background(), Options{
 		Entry: addr, Duration: 50 * time.Millisecond,
