--- /dev/null
+++ b/cmd/gateway.go
@@ -0,0 +1,221 @@
+package cmd
+
+import (
+	"context"
+	"flag"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/oklog/ulid/v2"
+
+	"cairndock/internal/balance"
+	"cairndock/internal/event"
+	"cairndock/internal/exchange"
+	"cairndock/internal/fleet"
+	"cairndock/internal/gateway"
+	"cairndock/internal/instance"
+	"cairndock/internal/retry"
+	"cairndock/internal/settings"
+	"cairndock/internal/telemetry"
+	"cairndock/internal/watch"
+	"cairndock/platform"
+)
+
+const (
+	// upstreamDialTimeout bounds a connection to an upstream; one that
+	// takes longer is cheaper to make elsewhere.
+	upstreamDialTimeout = 500 * time.Millisecond
+	// storeDialTimeout bounds a connection to the platform's store.
+	storeDialTimeout = 800 * time.Millisecond
+	// unacknowledged is how long sent data may go unacknowledged before
+	// the connection is taken for dead.
+	unacknowledged = 1200 * time.Millisecond
+)
+
+type gatewayCmd struct{ settings string }
+
+func (*gatewayCmd) Name() string     { return "gateway" }
+func (*gatewayCmd) Synopsis() string { return "run one gateway host on the users' platform" }
+func (*gatewayCmd) Usage() string    { return "gateway --settings FILE\n" }
+func (c *gatewayCmd) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings `file` (TOML)")
+}
+
+// Execute runs the host until it is asked to stop.
+func (c *gatewayCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.settings == "" {
+		return usage("gateway: --settings must be given")
+	}
+	set, err := settings.LoadGateway(c.settings)
+	if err != nil {
+		return fail(err)
+	}
+	if os.Getenv("GOGC") == "" {
+		debug.SetGCPercent(gcPercent)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	node := newGatewayNode(set, os.Stdout)
+	return node.run(ctx, c.settings, signals)
+}
+
+// gatewayNode is one gateway host put together.
+type gatewayNode struct {
+	settings  settings.Gateway
+	log       *event.Log
+	metrics   *telemetry.Metrics
+	knowledge *gateway.Knowledge
+	intents   *watch.Watcher[gateway.Intent]
+	upstreams *watch.Watcher[instance.Instance]
+	fleet     *fleet.Fleet
+	gateway   *gateway.Gateway
+	server    *gateway.Server
+}
+
+func newGatewayNode(set settings.Gateway, out io.Writer) *gatewayNode {
+	n := &gatewayNode{settings: set, metrics: telemetry.NewMetrics()}
+	n.log = event.New(out, set.Host.Name, n.metrics)
+	n.knowledge = gateway.NewKnowledge(n.log, n.metrics)
+	store := platform.NewStore(set.Store.Address, dialer(storeDialTimeout).DialContext)
+	n.intents = watch.New(platform.Intents(store), gateway.Intents{Knowledge: n.knowledge}, watch.DefaultTiming)
+	n.upstreams = watch.New(platform.Upstreams(store, set.Zones), gateway.Upstreams{Knowledge: n.knowledge}, watch.DefaultTiming)
+	n.fleet = fleet.New(fleet.Options{
+		Self: fleet.Host{
+			Name: set.Host.Name, Zone: set.Host.Zone, Region: set.Host.Region,
+			PeerAddress: set.Listen.Peers, CallerAddress: set.Listen.Callers, Incarnation: ulid.Make().String(),
+		},
+		Registry: platform.Registry{Store: store}, Report: n.log, Status: n.status,
+		Seeds: set.PeerSeeds(), Transport: fleet.TCP{Dialer: dialer(storeDialTimeout)},
+	})
+	n.gateway = n.newGateway()
+	n.server = gateway.NewServer(n.gateway)
+	return n
+}
+
+func dialer(timeout time.Duration) exchange.Dialer {
+	return exchange.Dialer{Timeout: timeout, Unacknowledged: unacknowledged}
+}
+
+func (n *gatewayNode) newGateway() *gateway.Gateway {
+	l := n.settings.Limits
+	place := balance.Place{Zone: n.settings.Host.Zone, Region: n.settings.Host.Region}
+	shares := coldShares{fleet: n.fleet, overshoot: l.WarmUpOvershoot, slack: l.WarmUpSlack}
+	pool := exchange.NewPool(dialer(upstreamDialTimeout).DialContext)
+	return gateway.New(gateway.Options{
+		Knowledge: n.knowledge,
+		Balancer:  balance.New(place, balance.DefaultWeights, shares),
+		Budget:    retry.NewBudget(retry.Limits{Ratio: l.RetryRatio, Window: time.Duration(l.RetryWindow), Slack: l.RetrySlack}),
+		Client:    exchange.NewClient(pool, platform.Protocol{}),
+		Codec:     platform.Codec{},
+		Hosts:     n.fleet,
+		Ages:      gateway.Ages{Intents: n.intents.Age, Upstreams: n.upstreams.Age},
+		Log:       n.log,
+		Metrics:   n.metrics,
+	})
+}
+
+// coldShares turns an upstream's rate into what all hosts may send together.
+type coldShares struct {
+	fleet     *fleet.Fleet
+	overshoot float64
+	slack     float64
+}
+
+// ColdRate gives this host's part.
+func (s coldShares) ColdRate(region string, rate float64) int {
+	return s.fleet.ColdRate(region, rate*s.overshoot+s.slack)
+}
+
+// status is what heartbeats tell of this host.
+func (n *gatewayNode) status() fleet.Status {
+	s := fleet.Status{Ready: n.knowledge.Ready(), Leaving: !n.gateway.Ready() && n.knowledge.Ready()}
+	if t := n.knowledge.Table(); t != nil {
+		s.Config = t.Version
+	}
+	return s
+}
+
+// entries gives the hosts that callers of a zone should use.
+func (n *gatewayNode) entries(name, zone, region string) []string {
+	var allowed []string
+	if t := n.knowledge.Table(); t != nil {
+		allowed = t.HostRegions(name)
+	}
+	return n.fleet.Entries(zone, region, allowed)
+}
+
+func (n *gatewayNode) listen() error {
+	l := n.settings.Listen
+	if err := n.server.Callers(l.Callers); err != nil {
+		return err
+	}
+	if err := n.server.Also(l.Readiness, platform.Readiness(n.gateway.Ready)); err != nil {
+		return err
+	}
+	ttl := time.Duration(n.settings.Limits.DirectoryTTL)
+	if err := n.server.Also(l.Directory, platform.Directory(ttl, n.entries)); err != nil {
+		return err
+	}
+	if l.Metrics == "" {
+		return nil
+	}
+	return n.server.Also(l.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.metrics.Write(w) }))
+}
+
+func (n *gatewayNode) run(ctx context.Context, path string, signals <-chan os.Signal) subcommands.ExitStatus {
+	defer n.log.Close()
+	n.log.Process("start", "zone "+n.settings.Host.Zone)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go n.intents.Run(ctx)
+	go n.upstreams.Run(ctx)
+	if err := n.fleet.Start(ctx); err != nil {
+		return fail(err)
+	}
+	go n.gateway.Run(ctx)
+	if err := n.listen(); err != nil {
+		return fail(err)
+	}
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				n.reload(path)
+				continue
+			}
+			return n.stop(ctx)
+		case err := <-n.server.Failed():
+			return fail(err)
+		}
+	}
+}
+
+// reload checks the settings anew. What they set holds from the next start;
+// a faulty file changes nothing.
+func (n *gatewayNode) reload(path string) {
+	if _, err := settings.LoadGateway(path); err != nil {
+		n.log.Process("reload", "refused: "+err.Error())
+		return
+	}
+	n.log.Process("reload", "settings are sound")
+}
+
+func (n *gatewayNode) stop(ctx context.Context) subcommands.ExitStatus {
+	n.log.Process("stop", "asked to")
+	n.gateway.Leave()
+	go n.fleet.Withdraw(ctx)
+	cut := n.server.Stop(ctx, time.Duration(n.settings.Stop.Grace))
+	n.server.Close()
+	if cut > 0 {
+		n.log.Process("stopped", "requests were cut")
+		return subcommands.ExitFailure
+	}
+	n.log.Process("stopped", "nothing was cut")
+	return subcommands.ExitSuccess
+}
--- /dev/null
+++ b/internal/fleet/beat.go
@@ -0,0 +1,313 @@
+package fleet
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"cairndock/internal/peer"
+)
+
+const (
+	// beatEvery is the pace of heartbeats to a peer that answers, and
+	// retryEvery the one to a peer that does not.
+	beatEvery  = 800 * time.Millisecond
+	retryEvery = 2 * time.Second
+	// tick is the pace of the loop that looks who is due.
+	tick = 200 * time.Millisecond
+	// beatTimeout bounds a heartbeat.
+	beatTimeout = 700 * time.Millisecond
+	// registryEvery is how often the registry is tried until it answers.
+	registryEvery = 500 * time.Millisecond
+)
+
+// Registry is a list of hosts that outlasts them all.
+type Registry interface {
+	// Announce writes the host down, and Withdraw strikes it out.
+	Announce(ctx context.Context, h Host) error
+	Withdraw(ctx context.Context, h Host) error
+	Hosts(ctx context.Context) ([]Host, error)
+}
+
+// Reporter is told what changes about the other hosts.
+type Reporter interface {
+	Lost(kind, name string, err error)
+	Regained(kind, name string, after time.Duration)
+}
+
+// beat is a heartbeat and its answer.
+type beat struct {
+	Host   Host   `msgpack:"h"`
+	Status Status `msgpack:"s"`
+	// Ask says that the sender wants to know of all hosts; the answer then
+	// has Hosts.
+	Ask   bool   `msgpack:"a,omitempty"`
+	Hosts []Host `msgpack:"l,omitempty"`
+}
+
+// Fleet exchanges heartbeats with the other hosts.
+type Fleet struct {
+	registry Registry
+	report   Reporter
+	status   func() Status
+	mesh     *peer.Mesh
+	seeds    []string
+
+	mu      sync.Mutex
+	members *Members
+	next    map[string]time.Time
+	asked   bool
+	wait    sync.WaitGroup
+}
+
+// Options is what a fleet is made of.
+type Options struct {
+	Self     Host
+	Registry Registry
+	Report   Reporter
+	// Status tells the host's own state.
+	Status func() Status
+	// Seeds are peer addresses that may lead to other hosts.
+	Seeds     []string
+	Transport peer.Transport
+}
+
+// New makes a fleet.
+func New(o Options) *Fleet {
+	f := &Fleet{
+		registry: o.Registry, report: o.Report, status: o.Status, seeds: o.Seeds,
+		members: NewMembers(o.Self), next: map[string]time.Time{},
+	}
+	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
+	f.mesh = peer.NewMesh(hello, o.Transport, f)
+	return f
+}
+
+// Start takes heartbeats, and sends them until the context ends.
+func (f *Fleet) Start(ctx context.Context) error {
+	if _, err := f.mesh.Listen(f.members.Self().PeerAddress); err != nil {
+		return err
+	}
+	f.wait.Add(2)
+	go func() {
+		defer f.wait.Done()
+		f.register(ctx)
+	}()
+	go func() {
+		defer f.wait.Done()
+		f.beatLoop(ctx)
+	}()
+	return nil
+}
+
+// Close breaks the connections to other hosts.
+func (f *Fleet) Close() {
+	f.mesh.Close()
+	f.wait.Wait()
+}
+
+// Withdraw strikes the host out of the registry and tells the others that it
+// leaves, as well as it can.
+func (f *Fleet) Withdraw(ctx context.Context) {
+	f.beatAll(ctx)
+	_ = f.registry.Withdraw(ctx, f.members.Self())
+}
+
+// register writes the host down and learns of the others, until both worked.
+func (f *Fleet) register(ctx context.Context) {
+	for ctx.Err() == nil {
+		err := f.registry.Announce(ctx, f.members.Self())
+		if err == nil {
+			var hosts []Host
+			if hosts, err = f.registry.Hosts(ctx); err == nil {
+				f.known(hosts)
+				return
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(registryEvery):
+		}
+	}
+}
+
+func (f *Fleet) known(hosts []Host) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := time.Now()
+	for _, h := range hosts {
+		f.members.Known(h, now)
+	}
+}
+
+func (f *Fleet) beatLoop(ctx context.Context) {
+	f.askSeeds(ctx)
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	last := time.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		now := time.Now()
+		for _, p := range f.due(now) {
+			go f.beatOne(ctx, p.Host.PeerAddress)
+		}
+		f.mu.Lock()
+		dead := f.members.Silent(last, now)
+		f.mu.Unlock()
+		for _, h := range dead {
+			f.report.Lost("peer", h.Name, context.DeadlineExceeded)
+		}
+		last = now
+	}
+}
+
+// askSeeds asks the seeds of a starting host who there is.
+func (f *Fleet) askSeeds(ctx context.Context) {
+	for _, address := range f.seeds {
+		if address != f.members.Self().PeerAddress {
+			go f.beatOne(ctx, address)
+		}
+	}
+}
+
+// due gives the peers whose next heartbeat is due, and sets the one after.
+func (f *Fleet) due(now time.Time) []*Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var due []*Peer
+	for _, p := range f.members.Peers() {
+		name := p.Host.Name
+		if now.Before(f.next[name]) {
+			continue
+		}
+		pause := beatEvery
+		if !p.Alive(now) {
+			pause = retryEvery
+		}
+		f.next[name] = now.Add(pause)
+		due = append(due, p)
+	}
+	return due
+}
+
+func (f *Fleet) beatAll(ctx context.Context) {
+	f.mu.Lock()
+	peers := f.members.Peers()
+	f.mu.Unlock()
+	var wait sync.WaitGroup
+	for _, p := range peers {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			f.beatOne(ctx, p.Host.PeerAddress)
+		}()
+	}
+	wait.Wait()
+}
+
+func (f *Fleet) beatOne(ctx context.Context, address string) {
+	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
+	defer cancel()
+	f.mu.Lock()
+	ask := !f.asked
+	f.mu.Unlock()
+	message := beat{Host: f.members.Self(), Status: f.status(), Ask: ask}
+	reply, err := peer.Call[beat](ctx, f.mesh, address, peer.KindHeartbeat, message)
+	if err != nil {
+		// What a cut holds up must not delay the heartbeats after it.
+		f.mesh.Drop(address)
+		return
+	}
+	f.heard(reply)
+	f.known(reply.Hosts)
+	if ask {
+		f.mu.Lock()
+		f.asked = true
+		f.mu.Unlock()
+	}
+}
+
+func (f *Fleet) heard(b beat) {
+	now := time.Now()
+	f.mu.Lock()
+	back := f.members.Heard(b.Host, b.Status, now)
+	if back {
+		f.next[b.Host.Name] = now.Add(beatEvery)
+	}
+	f.mu.Unlock()
+	if back {
+		f.report.Regained("peer", b.Host.Name, 0)
+	}
+}
+
+// ServePeer answers a heartbeat.
+func (f *Fleet) ServePeer(_ context.Context, _ peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
+	if kind != peer.KindHeartbeat {
+		_ = w.Fail()
+		return
+	}
+	b, err := peer.Decode[beat](payload)
+	if err != nil {
+		_ = w.Fail()
+		return
+	}
+	f.heard(b)
+	reply := beat{Host: f.members.Self(), Status: f.status()}
+	if b.Ask {
+		reply.Hosts = f.hosts()
+	}
+	_ = w.Send(reply)
+}
+
+func (f *Fleet) hosts() []Host {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var hosts []Host
+	for _, p := range f.members.Peers() {
+		hosts = append(hosts, p.Host)
+	}
+	return hosts
+}
+
+// Entries gives the addresses that callers should use.
+func (f *Fleet) Entries(zone, region string, allowed []string) []string {
+	status := f.status()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.Entries(zone, region, status, allowed, time.Now())
+}
+
+// ColdRate gives the host's part of a cold upstream's rate.
+func (f *Fleet) ColdRate(region string, total float64) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.ColdPart(region, total, time.Now())
+}
+
+// Hosts is how many hosts are known, this one included.
+func (f *Fleet) Hosts() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	all, _, _ := f.members.Count("", time.Now())
+	return all
+}
+
+// TCP is the transport of real hosts. Its connections notice a silent cut.
+type TCP struct {
+	Dialer interface {
+		DialContext(ctx context.Context, network, address string) (net.Conn, error)
+	}
+}
+
+// Dial connects to a peer.
+func (t TCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	return t.Dialer.DialContext(ctx, "tcp", address)
+}
+
+// Listen takes connections of peers.
+func (TCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,199 @@
+// Package fleet keeps what a host knows of the other hosts: who there is, who
+// lives, and which part of a limit that holds for all together is its own.
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Host is one gateway host, as it tells of itself.
+type Host struct {
+	Name   string `msgpack:"n" json:"name"`
+	Zone   string `msgpack:"z" json:"zone"`
+	Region string `msgpack:"r" json:"region"`
+	// PeerAddress is where other hosts reach it, and CallerAddress callers.
+	PeerAddress   string `msgpack:"p" json:"peer_address"`
+	CallerAddress string `msgpack:"c" json:"caller_address"`
+	// Incarnation is one life of its process.
+	Incarnation string `msgpack:"i" json:"incarnation"`
+}
+
+// Status is what a heartbeat tells besides.
+type Status struct {
+	// Ready says that callers may come, and Leaving that it will stop.
+	Ready   bool `msgpack:"r,omitempty"`
+	Leaving bool `msgpack:"l,omitempty"`
+	// Config is the version in force.
+	Config int64 `msgpack:"c,omitempty"`
+}
+
+const (
+	// DeadAfter is the silence after which a host is taken for dead.
+	DeadAfter = 2500 * time.Millisecond
+	// forgetAfter is the silence after which a host no longer counts.
+	forgetAfter = time.Minute
+)
+
+// Peer is another host, with what was last heard from it.
+type Peer struct {
+	Host   Host
+	Status Status
+	// HeardAt is when it was last heard from; zero is never.
+	HeardAt time.Time
+	// KnownAt is when the host came to know of it.
+	KnownAt time.Time
+}
+
+// Alive reports whether the peer was heard from lately.
+func (p *Peer) Alive(now time.Time) bool {
+	return !p.HeardAt.IsZero() && now.Sub(p.HeardAt) < DeadAfter
+}
+
+// Members is what one host knows of all. It is a plain state without locks.
+type Members struct {
+	self  Host
+	peers map[string]*Peer
+}
+
+// NewMembers makes the members of a host that knows only itself.
+func NewMembers(self Host) *Members {
+	return &Members{self: self, peers: map[string]*Peer{}}
+}
+
+// Self is the host itself.
+func (m *Members) Self() Host { return m.self }
+
+// Known adds a host that was told of, without a sign of life.
+func (m *Members) Known(h Host, now time.Time) {
+	if h.Name == m.self.Name || h.Name == "" {
+		return
+	}
+	if _, ok := m.peers[h.Name]; !ok {
+		m.peers[h.Name] = &Peer{Host: h, KnownAt: now}
+	}
+}
+
+// Heard takes over a host's own word. It reports whether the host was not
+// alive before, or is in another life.
+func (m *Members) Heard(h Host, s Status, now time.Time) (back bool) {
+	if h.Name == m.self.Name || h.Name == "" {
+		return false
+	}
+	old := m.peers[h.Name]
+	back = old == nil || !old.Alive(now) || old.Host.Incarnation != h.Incarnation
+	known := now
+	if old != nil {
+		known = old.KnownAt
+	}
+	m.peers[h.Name] = &Peer{Host: h, Status: s, HeardAt: now, KnownAt: known}
+	return back
+}
+
+// Silent forgets the peers that were not heard from for long, and gives
+// those that have just been taken for dead since a moment.
+func (m *Members) Silent(since, now time.Time) []Host {
+	var dead []Host
+	for name, p := range m.peers {
+		if p.Alive(since) && !p.Alive(now) {
+			dead = append(dead, p.Host)
+		}
+		if last := later(p.HeardAt, p.KnownAt); now.Sub(last) > forgetAfter {
+			delete(m.peers, name)
+		}
+	}
+	return dead
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// Peers gives all peers in the order of their names.
+func (m *Members) Peers() []*Peer {
+	peers := make([]*Peer, 0, len(m.peers))
+	for _, p := range m.peers {
+		peers = append(peers, p)
+	}
+	slices.SortFunc(peers, func(a, b *Peer) int { return cmp.Compare(a.Host.Name, b.Host.Name) })
+	return peers
+}
+
+// Entries gives the addresses that callers of a zone and region should use:
+// those of ready hosts in the zone, else in the region, else anywhere in the
+// regions allowed. self tells of the host itself.
+func (m *Members) Entries(zone, region string, self Status, allowed []string, now time.Time) []string {
+	var inZone, inRegion, inAllowed, anywhere []string
+	add := func(h Host, s Status) {
+		if !s.Ready || s.Leaving {
+			return
+		}
+		switch {
+		case h.Zone == zone:
+			inZone = append(inZone, h.CallerAddress)
+		case h.Region == region:
+			inRegion = append(inRegion, h.CallerAddress)
+		case slices.Contains(allowed, h.Region):
+			inAllowed = append(inAllowed, h.CallerAddress)
+		default:
+			anywhere = append(anywhere, h.CallerAddress)
+		}
+	}
+	add(m.self, self)
+	for _, p := range m.Peers() {
+		if p.Alive(now) {
+			add(p.Host, p.Status)
+		}
+	}
+	for _, list := range [][]string{inZone, inRegion, inAllowed, anywhere} {
+		if len(list) > 0 {
+			return list
+		}
+	}
+	return nil
+}
+
+// Count gives how many hosts are known in all, how many of them in a region,
+// and how many of those in the region live.
+func (m *Members) Count(region string, now time.Time) (all, inRegion, alive int) {
+	all = 1 + len(m.peers)
+	if m.self.Region == region {
+		inRegion, alive = 1, 1
+	}
+	for _, p := range m.peers {
+		if p.Host.Region != region {
+			continue
+		}
+		inRegion++
+		if p.Alive(now) {
+			alive++
+		}
+	}
+	return all, inRegion, alive
+}
+
+const (
+	// nearPart is the part of a cold upstream's rate that the hosts of its
+	// region share, and farPart the one that the others share, which they
+	// use only when no host of the region seems to live: hosts may differ
+	// in what they believe, and both parts together must hold.
+	nearPart = 0.6
+	farPart  = 0.3
+)
+
+// ColdPart gives the host's part of the requests a second that a cold
+// upstream of a region bears from all hosts together.
+func (m *Members) ColdPart(region string, total float64, now time.Time) int {
+	all, inRegion, alive := m.Count(region, now)
+	if m.self.Region == region {
+		return max(1, int(nearPart*total/float64(max(1, inRegion))))
+	}
+	if alive > 0 {
+		return 0
+	}
+	return max(1, int(farPart*total/float64(max(1, all-inRegion))))
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,254 @@
+// Package gateway serves callers by routes: it takes a request, decides which
+// upstream it goes to, and passes on that upstream's answer or its own final
+// word, with proof of whether the request may have run.
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"cairndock/internal/balance"
+	"cairndock/internal/call"
+	"cairndock/internal/event"
+	"cairndock/internal/exchange"
+	"cairndock/internal/retry"
+	"cairndock/internal/telemetry"
+	"cairndock/internal/verdict"
+)
+
+// Call is what a request's header says in the product's words.
+type Call struct {
+	// ID is the caller's id of the request.
+	ID string
+	// Key is what the request is about, or empty.
+	Key string
+	// Patience is how long the caller waits; zero is not told.
+	Patience time.Duration
+}
+
+// Codec knows how callers and the gateway speak to each other.
+type Codec interface {
+	// Read takes what a request's header says.
+	Read(h http.Header) Call
+	// Refuse writes the gateway's own final word.
+	Refuse(w http.ResponseWriter, c Call, e *verdict.Error)
+}
+
+// Hosts tells of the other hosts.
+type Hosts interface {
+	// Hosts is how many hosts are known, this one included.
+	Hosts() int
+}
+
+// Ages tell how long ago the sources of what the host knows last answered.
+type Ages struct {
+	Intents   func() time.Duration
+	Upstreams func() time.Duration
+}
+
+// Options is what a gateway is made of.
+type Options struct {
+	Knowledge *Knowledge
+	Balancer  *balance.Balancer
+	Budget    *retry.Budget
+	Client    *exchange.Client
+	Codec     Codec
+	Hosts     Hosts
+	Ages      Ages
+	Log       *event.Log
+	Metrics   *telemetry.Metrics
+}
+
+// Gateway serves requests.
+type Gateway struct {
+	Options
+
+	inFlight atomic.Int64
+	stopping atomic.Bool
+}
+
+// New makes a gateway.
+func New(o Options) *Gateway { return &Gateway{Options: o} }
+
+// Ready reports whether callers should come.
+func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.Knowledge.Ready() }
+
+// Leave says that the host is about to stop: callers are asked to go
+// elsewhere with each answer.
+func (g *Gateway) Leave() { g.stopping.Store(true) }
+
+// InFlight is how many requests are being served.
+func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
+
+// ServeHTTP serves one request.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	g.inFlight.Add(1)
+	defer g.inFlight.Add(-1)
+	if g.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := g.Codec.Read(r.Header)
+	d, err := g.prepare(w, r, c, began)
+	if err != nil {
+		g.refuse(w, c, d, err)
+		return
+	}
+	ctx, cancel := d.context(r.Context())
+	defer cancel()
+	answer, err := d.run(ctx)
+	if err != nil {
+		g.refuse(w, c, d, err)
+		return
+	}
+	g.pass(w, d, answer)
+}
+
+// prepare finds the route and reads the request. Whatever is wrong with it,
+// it was not run.
+func (g *Gateway) prepare(w http.ResponseWriter, r *http.Request, c Call, began time.Time) (*dispatch, error) {
+	d := &dispatch{gateway: g, call: c, began: began}
+	table := g.Knowledge.Table()
+	if table == nil || !g.Knowledge.Ready() {
+		return d, verdict.New(verdict.NotRun, verdict.NotReady, "no configuration is known yet").WithRetryAfter(notReadyPause)
+	}
+	d.table = table
+	route, ok := table.Match(hostOf(r.Host), r.URL.Path)
+	if !ok {
+		return d, verdict.New(verdict.NotRun, verdict.UnknownRoute, "no route for %s%s", r.Host, r.URL.Path)
+	}
+	d.route, d.service = route, route.Pick(c.ID)
+	if limit := table.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
+		return d, verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "header is above %d bytes", limit)
+	}
+	body, err := readBody(w, r, table.Limits.BodyBytes, d.deadline())
+	if err != nil {
+		return d, err
+	}
+	d.request = &exchange.Request{
+		ID: c.ID, Method: r.Method, Target: r.URL.RequestURI(), Host: r.Host,
+		Header: call.EndToEnd(r.Header), Body: body,
+	}
+	d.request.Header.Del("Content-Length")
+	return d, nil
+}
+
+// notReadyPause is when a caller comes back to a host that has just started.
+const notReadyPause = 200 * time.Millisecond
+
+func hostOf(hostport string) string {
+	if host, _, err := net.SplitHostPort(hostport); err == nil {
+		return host
+	}
+	return hostport
+}
+
+func headerSize(r *http.Request) int {
+	n := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + 4
+		}
+	}
+	return n
+}
+
+// readBody reads a request's whole body within its limit and deadline.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if limit <= 0 {
+		limit = 1 << 40
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, verdict.New(verdict.NotRun, verdict.BodyStalled, "body did not come in time")
+	case err != nil:
+		w.Header().Set("Connection", "close")
+		return nil, verdict.New(verdict.NotRun, verdict.BadRequest, "body broke off")
+	case int64(len(body)) > limit:
+		w.Header().Set("Connection", "close")
+		return nil, verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body is above %d bytes", limit)
+	}
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// refuse gives the gateway's own final word.
+func (g *Gateway) refuse(w http.ResponseWriter, c Call, d *dispatch, err error) {
+	e := verdict.From(err)
+	g.Metrics.Count(`cairndock_refusals_total{reason="` + string(e.Reason) + `",verdict="` + e.Verdict.String() + `"}`)
+	g.Codec.Refuse(w, c, e)
+	d.logFinal(e.Reason.Status(), e)
+}
+
+// pass passes an upstream's answer on. One that breaks off breaks the
+// caller's connection, so that it can't look whole.
+func (g *Gateway) pass(w http.ResponseWriter, d *dispatch, a *answer) {
+	defer a.close()
+	h := w.Header()
+	closing := h.Get("Connection")
+	for name, values := range call.EndToEnd(a.header) {
+		h[name] = values
+	}
+	if closing != "" {
+		h.Set("Connection", closing)
+	}
+	if !isHead(d.request.Method) {
+		a.setLength(h)
+	}
+	if h.Get("Content-Type") == "" {
+		h["Content-Type"] = nil // nothing is guessed from the body
+	}
+	w.WriteHeader(a.status)
+	err := a.copyTo(w)
+	g.Metrics.Observe(`cairndock_request_seconds{service="`+d.service+`"}`, time.Since(d.began).Seconds())
+	if err != nil {
+		g.Metrics.Count("cairndock_answers_broken_total")
+		d.logFinal(a.status, verdict.New(verdict.MayHaveRun, verdict.AnswerTruncated, "%v", err))
+		panic(http.ErrAbortHandler)
+	}
+	d.logFinal(a.status, nil)
+}
+
+// forget drops what is kept of upstreams that are gone.
+func (g *Gateway) forget() {
+	set := g.Knowledge.Set()
+	known := func(id string) bool {
+		_, ok := set.Get(id)
+		return ok
+	}
+	g.Balancer.Keep(known)
+	g.Client.Pool().Forget(known)
+}
+
+// forgetEvery is the pace at which what is kept of gone upstreams is dropped.
+const forgetEvery = 2 * time.Second
+
+// Run tidies up until the context ends.
+func (g *Gateway) Run(ctx context.Context) {
+	ticker := time.NewTicker(forgetEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.forget()
+		}
+	}
+}
+
+func isHead(method string) bool { return strings.EqualFold(method, http.MethodHead) }
--- /dev/null
+++ b/internal/gateway/server.go
@@ -0,0 +1,109 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// headerTimeout bounds the reading of a request's header, and
+	// idleTimeout the rest of a caller's connection.
+	headerTimeout = 5 * time.Second
+	idleTimeout   = 60 * time.Second
+	// maxHeader bounds a request's header that is read at all, in bytes.
+	maxHeader = 64 << 10
+	// exitMargin is the time kept between the last answer and the kill.
+	exitMargin = 400 * time.Millisecond
+	// exitPoll is how often a stopping host looks whether all is answered.
+	exitPoll = 20 * time.Millisecond
+)
+
+// Server is a gateway's listeners.
+type Server struct {
+	gateway *Gateway
+	callers *http.Server
+	others  []*http.Server
+	failed  chan error
+}
+
+// NewServer makes a server without listeners.
+func NewServer(g *Gateway) *Server {
+	return &Server{
+		gateway: g,
+		callers: &http.Server{
+			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
+		},
+		failed: make(chan error, 8),
+	}
+}
+
+// Callers takes callers at an address.
+func (s *Server) Callers(address string) error { return s.serve(s.callers, address) }
+
+// Also serves something else at an address.
+func (s *Server) Also(address string, h http.Handler) error {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	s.others = append(s.others, server)
+	return s.serve(server, address)
+}
+
+func (s *Server) serve(server *http.Server, address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen")
+	}
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			s.failed <- err
+		}
+	}()
+	return nil
+}
+
+// Failed gives the error that ended a listener.
+func (s *Server) Failed() <-chan error { return s.failed }
+
+// Stop takes the host out of service: it asks callers to go elsewhere, takes
+// those that still come for a part of the grace, and then finishes what is
+// being served. It gives the number of requests it had to cut.
+func (s *Server) Stop(ctx context.Context, grace time.Duration) int64 {
+	began := time.Now()
+	s.gateway.Leave()
+	sleep(ctx, acceptFor(grace))
+	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
+	defer cancel()
+	// Closes the listener and the connections that rest, and waits.
+	_ = s.callers.Shutdown(ctx)
+	for s.gateway.InFlight() > 0 && ctx.Err() == nil {
+		sleep(ctx, exitPoll)
+	}
+	return s.gateway.InFlight()
+}
+
+// acceptPart is the part of the grace in which a leaving host still takes
+// callers: they keep what the directory told them for a while.
+const acceptPart = 0.45
+
+func acceptFor(grace time.Duration) time.Duration {
+	return time.Duration(acceptPart * float64(grace))
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+// Close ends all listeners at once.
+func (s *Server) Close() {
+	_ = s.callers.Close()
+	for _, other := range s.others {
+		_ = other.Close()
+	}
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -40,25 +40,33 @@
 
 // The reasons, each with one HTTP status.
 const (
-	UnknownService  Reason = "unknown-service"
-	BadTicket       Reason = "bad-ticket"
-	BadTimeout      Reason = "bad-timeout"
-	BadRequest      Reason = "bad-request"
-	TicketConflict  Reason = "ticket-conflict"
-	TicketRunning   Reason = "ticket-running"
-	TicketUnknown   Reason = "ticket-unknown"
-	BodyTooLarge    Reason = "body-too-large"
-	HeaderTooLarge  Reason = "header-too-large"
-	BodyStalled     Reason = "body-stalled"
-	Full            Reason = "full"
-	Capped          Reason = "capped"
-	NoUpstream      Reason = "no-upstream"
-	NotReady        Reason = "not-ready"
-	Stopping        Reason = "stopping"
-	DeadlineLapsed  Reason = "deadline-lapsed"
-	CallerLeft      Reason = "caller-left"
-	UpstreamFailed  Reason = "upstream-failed"
-	UpstreamShed    Reason = "upstream-shed"
+	UnknownService Reason = "unknown-service"
+	BadTicket      Reason = "bad-ticket"
+	BadTimeout     Reason = "bad-timeout"
+	BadRequest     Reason = "bad-request"
+	TicketConflict Reason = "ticket-conflict"
+	TicketRunning  Reason = "ticket-running"
+	TicketUnknown  Reason = "ticket-unknown"
+	BodyTooLarge   Reason = "body-too-large"
+	HeaderTooLarge Reason = "header-too-large"
+	BodyStalled    Reason = "body-stalled"
+	Full           Reason = "full"
+	Capped         Reason = "capped"
+	NoUpstream     Reason = "no-upstream"
+	NotReady       Reason = "not-ready"
+	Stopping       Reason = "stopping"
+	DeadlineLapsed Reason = "deadline-lapsed"
+	CallerLeft     Reason = "caller-left"
+	UpstreamFailed Reason = "upstream-failed"
+	UpstreamShed   Reason = "upstream-shed"
+	// Unreachable says that no connection to the upstream was made.
+	Unreachable Reason = "unreachable"
+	// Misdirected says that another instance has the address now.
+	Misdirected Reason = "misdirected"
+	// UnknownRoute says that no route matches the host and path.
+	UnknownRoute Reason = "unknown-route"
+	// Warming says that the upstreams are cold and have their share.
+	Warming         Reason = "warming"
 	PeerFailed      Reason = "peer-failed"
 	AnswerTruncated Reason = "answer-truncated"
 	AnswerNotKept   Reason = "answer-not-kept"
@@ -84,6 +92,10 @@
 	CallerLeft:      http.StatusGatewayTimeout,
 	UpstreamFailed:  http.StatusBadGateway,
 	UpstreamShed:    http.StatusServiceUnavailable,
+	Unreachable:     http.StatusServiceUnavailable,
+	Misdirected:     http.StatusServiceUnavailable,
+	UnknownRoute:    http.StatusNotFound,
+	Warming:         http.StatusServiceUnavailable,
 	PeerFailed:      http.StatusBadGateway,
 	AnswerTruncated: http.StatusBadGateway,
 	AnswerNotKept:   http.StatusGone,
