--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -5,6 +5,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -15,28 +16,26 @@
 	"cairndock/internal/instance"
 )
 
-// Weights weigh what speaks for and against an upstream. They are costs in
-// one unit: the spread of a key's preferences over all upstreams is Affinity.
+// Weights weigh what speaks for and against an upstream as the home of a
+// key. They are costs in one unit: the spread of a key's preferences over all
+// upstreams is Affinity.
 type Weights struct {
 	// Affinity spreads a key's preferences from 0 to itself.
 	Affinity float64
 	// OtherRegion and OtherZone are what distance costs.
 	OtherRegion float64
 	OtherZone   float64
-	// Load is what an upstream's load costs, in its capacities.
-	Load float64
-	// Above is the load from which an upstream costs Steep more for each
-	// capacity.
-	Above float64
-	Steep float64
-	// Full is the load from which an upstream takes nothing more.
+	// Homes is how many upstreams a key may go to. A request elsewhere
+	// works so much longer that it takes more than it relieves.
+	Homes int
+	// Busy is the load, in capacities, from which a request goes to the
+	// key's next home, and Full the one from which a home takes nothing.
+	Busy float64
 	Full float64
 }
 
-// DefaultWeights were measured: strict homes, and load only near the full.
-var DefaultWeights = Weights{
-	Affinity: 10, OtherRegion: 2, OtherZone: 0, Load: 2, Above: 0.8, Steep: 10, Full: 1.3,
-}
+// DefaultWeights were measured, see docs/design/platform.md.
+var DefaultWeights = Weights{Affinity: 10, OtherRegion: 2, Homes: 2, Busy: 1.2, Full: 3}
 
 // Place says where a host is.
 type Place struct{ Zone, Region string }
@@ -111,7 +110,6 @@
 	member *instance.Member
 	state  *state
 	cost   float64
-	hash   float64
 	load   float64
 }
 
@@ -120,85 +118,95 @@
 func (b *Balancer) Choose(q Query) (Choice, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	options, reason := b.options(q)
+	options := b.options(q)
 	if len(options) == 0 {
+		return Choice{}, Nobody
+	}
+	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(x.cost, y.cost) })
+	homes := options[:min(len(options), b.weights.Homes)]
+	rank, reason := b.pick(homes, q)
+	if reason != Chosen {
 		return Choice{}, reason
 	}
-	slices.SortFunc(options, func(x, y option) int {
-		switch {
-		case x.cost < y.cost:
-			return -1
-		case x.cost > y.cost:
-			return 1
-		default:
-			return 0
+	o := homes[rank]
+	o.state.outstanding++
+	c := Choice{Instance: o.member, Load: o.load, LoadAge: -1, Rank: rank, Cold: q.Now.Before(o.member.ColdUntil)}
+	if !o.state.toldAt.IsZero() {
+		c.LoadAge = q.Now.Sub(o.state.toldAt)
+	}
+	return c, Chosen
+}
+
+// pick gives the first home that is not busy, else the one with the least
+// load that is not full.
+func (b *Balancer) pick(homes []option, q Query) (int, Reason) {
+	reason := Full
+	best := -1
+	for i, o := range homes {
+		if o.load >= b.weights.Full {
+			continue
 		}
-	})
-	reason = Full
-	for _, o := range options {
-		cold := q.Now.Before(o.member.ColdUntil)
-		if cold && !o.state.takeCold(q.Now, b.shares.ColdRate(o.member.Region, q.ColdRate)) {
+		if best >= 0 && o.load >= homes[best].load {
+			continue
+		}
+		if !b.mayTake(o, q) {
 			reason = Cold
 			continue
 		}
-		o.state.outstanding++
-		return b.choice(o, options, q.Now, cold), Chosen
+		best = i
+		if o.load < b.weights.Busy {
+			break
+		}
 	}
-	return Choice{}, reason
+	if best < 0 {
+		return 0, reason
+	}
+	if o := homes[best]; q.Now.Before(o.member.ColdUntil) {
+		o.state.coldSends = append(o.state.coldSends, q.Now)
+	}
+	return best, Chosen
 }
 
-func (b *Balancer) choice(o option, all []option, now time.Time, cold bool) Choice {
-	c := Choice{Instance: o.member, Load: o.load, LoadAge: -1, Cold: cold}
-	if !o.state.toldAt.IsZero() {
-		c.LoadAge = now.Sub(o.state.toldAt)
-	}
-	for _, other := range all {
-		if other.hash < o.hash {
-			c.Rank++
-		}
+// mayTake reports whether the host may send to an upstream now: to a cold
+// one only its share.
+func (b *Balancer) mayTake(o option, q Query) bool {
+	if !q.Now.Before(o.member.ColdUntil) {
+		return true
 	}
-	return c
+	return o.state.coldSent(q.Now) < b.shares.ColdRate(o.member.Region, q.ColdRate)
 }
 
-func (b *Balancer) options(q Query) ([]option, Reason) {
+func (b *Balancer) options(q Query) []option {
 	key := xxhash.Sum64String(q.Key)
 	options := make([]option, 0, len(q.Candidates))
-	reason := Nobody
-	ejected := 0
 	for _, m := range q.Candidates {
 		if slices.Contains(q.Tried, m.ID) || (q.Allows != nil && !q.Allows(m.Region)) {
 			continue
 		}
 		s := b.state(m.ID)
-		o := b.cost(m, s, key, q.Now)
-		if o.load >= b.weights.Full {
-			reason = Full
-			continue
-		}
+		o := option{member: m, state: s, load: s.load(q.Now, m.Capacity), cost: b.cost(m, key^s.seed)}
 		if q.Now.Before(s.ejectedUntil) {
 			// An ejected upstream is the last choice, and no more than that:
 			// a wrong belief must not empty a service.
-			o.cost += 4 * b.weights.Affinity
-			ejected++
+			o.cost += ejectedCost * b.weights.Affinity
 		}
 		options = append(options, o)
 	}
-	return options, reason
+	return options
 }
 
-func (b *Balancer) cost(m *instance.Member, s *state, key uint64, now time.Time) option {
-	o := option{member: m, state: s, hash: unit(mix(key ^ s.seed)), load: s.load(now, m.Capacity)}
-	o.cost = o.hash*b.weights.Affinity + o.load*b.weights.Load
+// ejectedCost puts ejected upstreams behind all others.
+const ejectedCost = 4
+
+func (b *Balancer) cost(m *instance.Member, hash uint64) float64 {
+	cost := unit(mix(hash)) * b.weights.Affinity
 	switch {
 	case m.Region != b.place.Region:
-		o.cost += b.weights.OtherRegion
+		cost += b.weights.OtherRegion
 	case m.Zone != b.place.Zone:
-		o.cost += b.weights.OtherZone
-	}
-	if o.load > b.weights.Above {
-		o.cost += (o.load - b.weights.Above) * b.weights.Steep
+		cost += b.weights.OtherZone
 	}
-	return o
+	return cost
 }
 
 func (b *Balancer) state(id string) *state {
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -72,9 +72,9 @@
 	s.ejectedUntil = now.Add(min(pause, maxEjection))
 }
 
-// takeCold counts a request to the cold upstream, unless the host has sent
-// its share of the last second.
-func (s *state) takeCold(now time.Time, share int) bool {
+// coldSent is how many requests the host sent in the last second or so while
+// the upstream was cold.
+func (s *state) coldSent(now time.Time) int {
 	kept := s.coldSends[:0]
 	for _, at := range s.coldSends {
 		if now.Sub(at) < coldWindow {
@@ -82,9 +82,5 @@
 		}
 	}
 	s.coldSends = kept
-	if len(kept) >= share {
-		return false
-	}
-	s.coldSends = append(s.coldSends, now)
-	return true
+	return len(kept)
 }
