Let one host a region watch the store, and relay to the others

Change: replicas of the store's tables that hosts ask of each other, the store only by one host a region and by whoever finds its relay failing or behind what others know; no second attempt for a caller that left. Conclusion: knowledge now outlives a host's own way to the store.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -19,7 +19,6 @@
 	"cairndock/internal/exchange"
 	"cairndock/internal/fleet"
 	"cairndock/internal/gateway"
-	"cairndock/internal/instance"
 	"cairndock/internal/retry"
 	"cairndock/internal/settings"
 	"cairndock/internal/telemetry"
@@ -65,14 +64,24 @@
 	return node.run(ctx, c.settings, signals)
 }
 
+// The tables that hosts watch and relay.
+const (
+	intentTable = iota
+	upstreamTable
+	tableCount
+)
+
+// freshFor is the age up to which a host's knowledge helps others.
+const freshFor = 3 * time.Second
+
 // gatewayNode is one gateway host put together.
 type gatewayNode struct {
 	settings  settings.Gateway
 	log       *event.Log
 	metrics   *telemetry.Metrics
 	knowledge *gateway.Knowledge
-	intents   *watch.Watcher[gateway.Intent]
-	upstreams *watch.Watcher[instance.Instance]
+	tables    [tableCount]fleet.Table
+	watchers  [tableCount]*watch.Watcher
 	fleet     *fleet.Fleet
 	gateway   *gateway.Gateway
 	server    *gateway.Server
@@ -81,10 +90,10 @@
 func newGatewayNode(set settings.Gateway, out io.Writer) *gatewayNode {
 	n := &gatewayNode{settings: set, metrics: telemetry.NewMetrics()}
 	n.log = event.New(out, set.Host.Name, n.metrics)
-	n.knowledge = gateway.NewKnowledge(n.log, n.metrics)
+	n.knowledge = gateway.NewKnowledge(platform.Decoder{Zones: set.Zones}, n.log, n.metrics)
 	store := platform.NewStore(set.Store.Address, dialer(storeDialTimeout).DialContext)
-	n.intents = watch.New(platform.Intents(store), gateway.Intents{Knowledge: n.knowledge}, watch.DefaultTiming)
-	n.upstreams = watch.New(platform.Upstreams(store, set.Zones), gateway.Upstreams{Knowledge: n.knowledge}, watch.DefaultTiming)
+	n.tables[intentTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.Intents(store)}
+	n.tables[upstreamTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.Upstreams(store)}
 	n.fleet = fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: set.Host.Name, Zone: set.Host.Zone, Region: set.Host.Region,
@@ -92,12 +101,22 @@
 		},
 		Registry: platform.Registry{Store: store}, Report: n.log, Status: n.status,
 		Seeds: set.PeerSeeds(), Transport: fleet.TCP{Dialer: dialer(storeDialTimeout)},
+		Tables: n.tables[:],
 	})
+	n.watch(intentTable, gateway.Intents{Knowledge: n.knowledge})
+	n.watch(upstreamTable, gateway.Upstreams{Knowledge: n.knowledge})
 	n.gateway = n.newGateway()
 	n.server = gateway.NewServer(n.gateway)
 	return n
 }
 
+// watch makes the watcher of a table.
+func (n *gatewayNode) watch(table int, sink watch.Sink) {
+	route := func() []watch.Named { return n.fleet.Sources(table) }
+	newest := func() (int64, time.Duration) { return n.fleet.Newest(table) }
+	n.watchers[table] = watch.New(n.tables[table].Replica, route, newest, sink, watch.DefaultTiming)
+}
+
 func dialer(timeout time.Duration) exchange.Dialer {
 	return exchange.Dialer{Timeout: timeout, Unacknowledged: unacknowledged}
 }
@@ -114,7 +133,7 @@
 		Client:    exchange.NewClient(pool, platform.Protocol{}),
 		Codec:     platform.Codec{},
 		Hosts:     n.fleet,
-		Ages:      gateway.Ages{Intents: n.intents.Age, Upstreams: n.upstreams.Age},
+		Ages:      gateway.Ages{Intents: n.tables[intentTable].Replica.Age, Upstreams: n.tables[upstreamTable].Replica.Age},
 		Log:       n.log,
 		Metrics:   n.metrics,
 	})
@@ -135,8 +154,10 @@
 // status is what heartbeats tell of this host.
 func (n *gatewayNode) status() fleet.Status {
 	s := fleet.Status{Ready: n.knowledge.Ready(), Leaving: !n.gateway.Ready() && n.knowledge.Ready()}
-	if t := n.knowledge.Table(); t != nil {
-		s.Config = t.Version
+	s.Fresh = true
+	for _, t := range n.tables {
+		s.Changes = append(s.Changes, t.Replica.LastChange())
+		s.Fresh = s.Fresh && t.Replica.Age() < freshFor
 	}
 	return s
 }
@@ -173,8 +194,9 @@
 	n.log.Process("start", "zone "+n.settings.Host.Zone)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go n.intents.Run(ctx)
-	go n.upstreams.Run(ctx)
+	for _, w := range n.watchers {
+		go w.Run(ctx)
+	}
 	if err := n.fleet.Start(ctx); err != nil {
 		return fail(err)
 	}
--- a/internal/event/kinds.go
+++ b/internal/event/kinds.go
@@ -1,6 +1,10 @@
 package event
 
-import "time"
+import (
+	"time"
+
+	"cairndock/internal/instance"
+)
 
 // ms gives a duration in milliseconds, as all durations are written.
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
@@ -80,18 +84,18 @@
 	}
 }
 
-// BadRecord writes that a record of a source can't be read.
-func (l *Log) BadRecord(source, key string, version int64, fault error) {
-	if e := l.belief("bad-record"); e != nil {
-		e.Str("source", source).Str("key", key).Int64("version", version).Err(fault).Msg("watch: record can't be read, the last good one stays")
+// BadRow writes that a row of a table can't be read.
+func (l *Log) BadRow(table, key string, version int64, fault error) {
+	if e := l.belief("bad-row"); e != nil {
+		e.Str("table", table).Str("key", key).Int64("version", version).Err(fault).Msg("watch: row can't be read, the last good one stays")
 	}
 }
 
 // Upstream writes what became of an upstream.
-func (l *Log) Upstream(id, service, zone, state string, version int64, cold time.Duration) {
+func (l *Log) Upstream(id string, in instance.Instance, state string, version int64) {
 	if e := l.belief("upstream"); e != nil {
-		e.Str("upstream", id).Str("service", service).Str("zone", zone).Str("state", state).
-			Int64("version", version).Float64("cold_ms", ms(cold)).Msg("upstream: changed")
+		e.Str("upstream", id).Str("service", in.Service).Str("zone", in.Zone).Str("state", state).
+			Int64("version", version).Float64("cold_ms", ms(in.ColdLeft)).Msg("upstream: changed")
 	}
 }
 
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -54,7 +54,10 @@
 	mesh     *peer.Mesh
 	seeds    []string
 
+	tables []Table
+
 	mu      sync.Mutex
+	newest  []noted
 	members *Members
 	next    map[string]time.Time
 	asked   bool
@@ -71,6 +74,8 @@
 	// Seeds are peer addresses that may lead to other hosts.
 	Seeds     []string
 	Transport peer.Transport
+	// Tables are those that hosts relay, by their numbers.
+	Tables []Table
 }
 
 // New makes a fleet.
@@ -78,6 +83,7 @@
 	f := &Fleet{
 		registry: o.Registry, report: o.Report, status: o.Status, seeds: o.Seeds,
 		members: NewMembers(o.Self), next: map[string]time.Time{},
+		tables: o.Tables, newest: make([]noted, len(o.Tables)),
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
@@ -236,6 +242,7 @@
 	now := time.Now()
 	f.mu.Lock()
 	back := f.members.Heard(b.Host, b.Status, now)
+	f.noteChanges(b.Status, now)
 	if back {
 		f.next[b.Host.Name] = now.Add(beatEvery)
 	}
@@ -245,12 +252,19 @@
 	}
 }
 
-// ServePeer answers a heartbeat.
-func (f *Fleet) ServePeer(_ context.Context, _ peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
-	if kind != peer.KindHeartbeat {
+// ServePeer answers other hosts.
+func (f *Fleet) ServePeer(ctx context.Context, _ peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
+	switch kind {
+	case peer.KindHeartbeat:
+		f.serveBeat(payload, w)
+	case peer.KindChanges:
+		f.serveRelay(ctx, payload, w)
+	default:
 		_ = w.Fail()
-		return
 	}
+}
+
+func (f *Fleet) serveBeat(payload []byte, w *peer.Responder) {
 	b, err := peer.Decode[beat](payload)
 	if err != nil {
 		_ = w.Fail()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -25,8 +25,11 @@
 	// Ready says that callers may come, and Leaving that it will stop.
 	Ready   bool `msgpack:"r,omitempty"`
 	Leaving bool `msgpack:"l,omitempty"`
-	// Config is the version in force.
-	Config int64 `msgpack:"c,omitempty"`
+	// Changes has the version of the last change known of each table, in
+	// the order of the tables' numbers, and Fresh says that the store has
+	// confirmed them lately.
+	Changes []int64 `msgpack:"c,omitempty"`
+	Fresh   bool    `msgpack:"f,omitempty"`
 }
 
 const (
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -30,6 +30,8 @@
 	route   *route.Route
 	service string
 	request *exchange.Request
+	// caller ends when the caller leaves.
+	caller context.Context
 
 	tried []string
 	// doubt is the failure after which the request may have run.
@@ -53,6 +55,7 @@
 // repeated, when its caller leaves. One that may not is left to its end: to
 // break it off would only make its outcome unknown.
 func (d *dispatch) context(caller context.Context) (context.Context, context.CancelFunc) {
+	d.caller = caller
 	if d.route.Repeat != route.Repeatable {
 		caller = context.WithoutCancel(caller)
 	}
@@ -113,7 +116,7 @@
 	if e.Verdict != verdict.NotRun {
 		d.doubt = e
 	}
-	if ctx.Err() != nil || len(d.tried) >= max(1, d.route.Attempts) {
+	if ctx.Err() != nil || d.caller.Err() != nil || len(d.tried) >= max(1, d.route.Attempts) {
 		return false
 	}
 	if d.doubt != nil && d.route.Repeat != route.Repeatable {
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -21,9 +21,16 @@
 	Evacuate string
 }
 
+// Decoder reads rows in the product's words.
+type Decoder interface {
+	Intent(key string, value []byte) (Intent, error)
+	Instance(key string, value []byte) (instance.Instance, error)
+}
+
 // Knowledge is what the host knows of operators' intent and of the upstreams
 // that run. Readers take what is current without a lock.
 type Knowledge struct {
+	decoder Decoder
 	log     *event.Log
 	metrics *telemetry.Metrics
 
@@ -32,12 +39,13 @@
 
 	mu        sync.Mutex
 	registry  *instance.Registry
-	evacuated map[string]string // record's key to zone
+	evacuated map[string]string // row's key to zone
+	seeded    bool
 }
 
 // NewKnowledge makes the knowledge of a host that has just started.
-func NewKnowledge(log *event.Log, m *telemetry.Metrics) *Knowledge {
-	k := &Knowledge{log: log, metrics: m, evacuated: map[string]string{}}
+func NewKnowledge(d Decoder, log *event.Log, m *telemetry.Metrics) *Knowledge {
+	k := &Knowledge{decoder: d, log: log, metrics: m, evacuated: map[string]string{}}
 	k.registry = instance.NewRegistry(k.warmUp)
 	k.set.Store(k.registry.Set())
 	return k
@@ -61,7 +69,7 @@
 func (k *Knowledge) Ready() bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.table.Load() != nil && k.registry.Seeded()
+	return k.table.Load() != nil && k.seeded
 }
 
 // adopt puts a configuration in force unless a newer one is.
@@ -81,45 +89,27 @@
 	Knowledge *Knowledge
 }
 
-// Replace takes everything that operators want.
-func (i Intents) Replace(records []watch.Record[Intent], version int64) {
-	k := i.Knowledge
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	evacuated := map[string]string{}
-	for _, r := range records {
-		if r.Fault != nil {
-			k.fault("intent", r.Key, r.Version, r.Fault)
-			if zone, ok := k.evacuated[r.Key]; ok {
-				evacuated[r.Key] = zone
-			}
-			continue
-		}
-		if r.Value.Table != nil {
-			k.adopt(r.Value.Table)
-			continue
-		}
-		evacuated[r.Key] = r.Value.Evacuate
-	}
-	k.evacuate(evacuated, version)
-}
-
 // Apply takes changes of what operators want.
-func (i Intents) Apply(records []watch.Record[Intent], version int64) {
+func (i Intents) Apply(rows []watch.Row, _ bool) {
 	k := i.Knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	evacuated := maps.Clone(k.evacuated)
-	for _, r := range records {
-		switch {
-		case r.Fault != nil:
-			k.fault("intent", r.Key, r.Version, r.Fault)
-		case r.Gone:
+	version := int64(0)
+	for _, r := range rows {
+		version = max(version, r.Version)
+		if r.Gone {
 			delete(evacuated, r.Key)
-		case r.Value.Table != nil:
-			k.adopt(r.Value.Table)
+			continue
+		}
+		intent, err := k.decoder.Intent(r.Key, r.Value)
+		switch {
+		case err != nil:
+			k.fault("intent", r, err)
+		case intent.Table != nil:
+			k.adopt(intent.Table)
 		default:
-			evacuated[r.Key] = r.Value.Evacuate
+			evacuated[r.Key] = intent.Evacuate
 		}
 	}
 	k.evacuate(evacuated, version)
@@ -139,24 +129,23 @@
 	k.log.Evacuated(slices.Sorted(maps.Keys(zones)), version)
 }
 
-func (k *Knowledge) fault(source, key string, version int64, err error) {
-	k.metrics.Count(`cairndock_bad_records_total{source="` + source + `"}`)
-	k.log.BadRecord(source, key, version, err)
+// fault notes a row that can't be read; the last good one stays.
+func (k *Knowledge) fault(table string, r watch.Row, err error) {
+	k.metrics.Count(`cairndock_bad_rows_total{table="` + table + `"}`)
+	k.log.BadRow(table, r.Key, r.Version, err)
 }
 
-// Lost says that the source stopped answering.
-func (i Intents) Lost(err error) { i.Knowledge.lost("intent", err) }
+// Lost says that a source stopped answering.
+func (i Intents) Lost(source string, err error) { i.Knowledge.lost("intent", source, err) }
 
-// Regained says that the source answers again.
-func (i Intents) Regained(after time.Duration) { i.Knowledge.regained("intent", after) }
-
-func (k *Knowledge) lost(name string, err error) {
-	k.metrics.Count(`cairndock_source_lost_total{source="` + name + `"}`)
-	k.log.Lost("source", name, err)
+// Regained says that a source answers again.
+func (i Intents) Regained(source string, after time.Duration) {
+	i.Knowledge.log.Regained("intent source", source, after)
 }
 
-func (k *Knowledge) regained(name string, after time.Duration) {
-	k.log.Regained("source", name, after)
+func (k *Knowledge) lost(table, source string, err error) {
+	k.metrics.Count(`cairndock_source_lost_total{table="` + table + `"}`)
+	k.log.Lost(table+" source", source, err)
 }
 
 // Upstreams takes which upstreams run.
@@ -164,56 +153,47 @@
 	Knowledge *Knowledge
 }
 
-// Replace takes all upstreams that run.
-func (u Upstreams) Replace(records []watch.Record[instance.Instance], _ int64) {
-	k := u.Knowledge
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	list := make([]instance.Instance, 0, len(records))
-	for _, r := range records {
-		if r.Fault == nil {
-			list = append(list, r.Value)
-			continue
-		}
-		k.fault("upstream", r.Key, r.Version, r.Fault)
-		if old, ok := k.set.Load().Get(r.Key); ok {
-			list = append(list, old.Instance)
-		}
-	}
-	k.registry.Replace(list, time.Now())
-	k.publish()
-}
-
 // Apply takes changes of which upstreams run.
-func (u Upstreams) Apply(records []watch.Record[instance.Instance], _ int64) {
+func (u Upstreams) Apply(rows []watch.Row, whole bool) {
 	k := u.Knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	for _, r := range records {
-		switch {
-		case r.Fault != nil:
-			k.fault("upstream", r.Key, r.Version, r.Fault)
-		case r.Gone:
-			k.registry.Remove(r.Key)
-			k.log.Upstream(r.Key, "", "", "gone", r.Version, 0)
-		default:
-			k.registry.Put(r.Value, now)
-			k.log.Upstream(r.Key, r.Value.Service, r.Value.Zone, stateName(r.Value), r.Version, r.Value.ColdLeft)
-		}
+	for _, r := range rows {
+		k.upstream(r, now)
+	}
+	if whole && !k.seeded {
+		k.seeded = true
+		k.registry.Seed()
 	}
 	k.publish()
 }
 
-func stateName(in instance.Instance) string {
+func (k *Knowledge) upstream(r watch.Row, now time.Time) {
+	if r.Gone {
+		k.registry.Remove(r.Key)
+		k.log.Upstream(r.Key, instance.Instance{}, "gone", r.Version)
+		return
+	}
+	in, err := k.decoder.Instance(r.Key, r.Value)
+	if err != nil {
+		k.fault("upstream", r, err)
+		return
+	}
+	k.registry.Put(in, now)
+	state := "ready"
 	if in.Draining {
-		return "draining"
+		state = "draining"
+	}
+	if k.seeded {
+		k.log.Upstream(r.Key, in, state, r.Version)
 	}
-	return "ready"
 }
 
-// Lost says that the source stopped answering.
-func (u Upstreams) Lost(err error) { u.Knowledge.lost("upstream", err) }
+// Lost says that a source stopped answering.
+func (u Upstreams) Lost(source string, err error) { u.Knowledge.lost("upstream", source, err) }
 
-// Regained says that the source answers again.
-func (u Upstreams) Regained(after time.Duration) { u.Knowledge.regained("upstream", after) }
+// Regained says that a source answers again.
+func (u Upstreams) Regained(source string, after time.Duration) {
+	u.Knowledge.log.Regained("upstream source", source, after)
+}
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -69,18 +69,9 @@
 	return &Registry{members: map[string]*Member{}, evacuated: map[string]bool{}, warmUp: warmUp}
 }
 
-// Seeded reports whether the whole list was ever read.
-func (r *Registry) Seeded() bool { return r.seeded }
-
-// Replace takes over a whole list: what is missing from it is gone.
-func (r *Registry) Replace(list []Instance, now time.Time) {
-	old := r.members
-	r.members = make(map[string]*Member, len(list))
-	for _, in := range list {
-		r.members[in.ID] = r.member(old[in.ID], in, now)
-	}
-	r.seeded = true
-}
+// Seed says that all instances were told that run already: one that comes
+// from now on has just started.
+func (r *Registry) Seed() { r.seeded = true }
 
 // Put takes over one instance.
 func (r *Registry) Put(in Instance, now time.Time) {
--- /dev/null
+++ b/internal/watch/replica.go
@@ -0,0 +1,208 @@
+package watch
+
+import (
+	"context"
+	"math"
+	"sync"
+	"time"
+)
+
+// tombstoneFor is how long a replica remembers that a row is gone.
+const tombstoneFor = time.Minute
+
+// Never is the age of what was never heard.
+const Never = time.Duration(math.MaxInt64)
+
+// Replica is a table as far as it is known here. It is a source for others.
+type Replica struct {
+	mu      sync.Mutex
+	rows    map[string]Row
+	goneAt  map[string]time.Time
+	version int64
+	// changedAt is the version of the last change that a source told; a
+	// removal that only a whole reading showed is not among them.
+	changedAt int64
+	// floor is the version from which on all changes are known.
+	floor  int64
+	synced bool
+	// freshAt is when the store last said that the replica is up to date.
+	freshAt time.Time
+	changed chan struct{}
+}
+
+// NewReplica makes an empty replica.
+func NewReplica() *Replica {
+	return &Replica{rows: map[string]Row{}, goneAt: map[string]time.Time{}, changed: make(chan struct{})}
+}
+
+// Version is the version that the replica is as of.
+func (r *Replica) Version() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.version
+}
+
+// LastChange is the version of the last change that the replica knows.
+func (r *Replica) LastChange() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changedAt
+}
+
+// Age is how long ago the store last said that the replica is up to date.
+func (r *Replica) Age() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.age(time.Now())
+}
+
+func (r *Replica) age(now time.Time) time.Duration {
+	if r.freshAt.IsZero() {
+		return Never
+	}
+	return max(0, now.Sub(r.freshAt))
+}
+
+// replace takes over a whole reading and gives what it changes; what is
+// missing from it is gone. A reading older than the replica is not taken.
+func (r *Replica) replace(p Page, now time.Time) ([]Row, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if p.Version < r.version {
+		return nil, false
+	}
+	listed := make(map[string]bool, len(p.Rows))
+	var changes []Row
+	for _, row := range p.Rows {
+		listed[row.Key] = true
+		if r.put(row, now) {
+			r.changedAt = max(r.changedAt, row.Version)
+			changes = append(changes, row)
+		}
+	}
+	for key, row := range r.rows {
+		if row.Gone || listed[key] {
+			continue
+		}
+		gone := Row{Key: key, Version: p.Version, Gone: true}
+		r.put(gone, now)
+		changes = append(changes, gone)
+	}
+	if !r.synced {
+		r.floor, r.synced = p.Version, true
+	}
+	r.advance(p, len(changes) > 0, now)
+	return changes, true
+}
+
+// apply takes over changes and gives those that are news.
+func (r *Replica) apply(p Page, now time.Time) []Row {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changes []Row
+	for _, row := range p.Rows {
+		if r.put(row, now) {
+			r.changedAt = max(r.changedAt, row.Version)
+			changes = append(changes, row)
+		}
+	}
+	r.advance(p, len(changes) > 0, now)
+	return changes
+}
+
+// put takes over one row unless a newer one is known; r.mu is held.
+func (r *Replica) put(row Row, now time.Time) bool {
+	old, known := r.rows[row.Key]
+	if known && row.Version <= old.Version {
+		return false
+	}
+	if !known && row.Gone {
+		return false
+	}
+	r.rows[row.Key] = row
+	delete(r.goneAt, row.Key)
+	if row.Gone {
+		r.goneAt[row.Key] = now
+	}
+	return true
+}
+
+// advance notes how far the replica is and how fresh; r.mu is held. A page
+// of a source that is behind proves nothing about now.
+func (r *Replica) advance(p Page, changed bool, now time.Time) {
+	if p.Version >= r.version {
+		r.version = p.Version
+		if at := now.Add(-p.Age); at.After(r.freshAt) {
+			r.freshAt = at
+		}
+	}
+	r.prune(now)
+	if changed {
+		close(r.changed)
+		r.changed = make(chan struct{})
+	}
+}
+
+func (r *Replica) prune(now time.Time) {
+	for key, at := range r.goneAt {
+		if now.Sub(at) < tombstoneFor {
+			continue
+		}
+		r.floor = max(r.floor, r.rows[key].Version)
+		delete(r.rows, key)
+		delete(r.goneAt, key)
+	}
+}
+
+// List gives all rows.
+func (r *Replica) List(context.Context) (Page, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.synced {
+		return Page{}, ErrGap
+	}
+	page := r.page()
+	for _, row := range r.rows {
+		if !row.Gone {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, nil
+}
+
+func (r *Replica) page() Page { return Page{Version: r.version, Age: r.age(time.Now())} }
+
+// Changes waits for changes after a version.
+func (r *Replica) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		page, changed, err := r.since(after)
+		if err != nil || len(page.Rows) > 0 {
+			return page, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			page, _, err = r.since(after)
+			return page, err
+		case <-ctx.Done():
+			return Page{}, ctx.Err()
+		}
+	}
+}
+
+func (r *Replica) since(after int64) (Page, <-chan struct{}, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.synced || after < r.floor {
+		return Page{}, nil, ErrGap
+	}
+	page := r.page()
+	for _, row := range r.rows {
+		if row.Version > after {
+			page.Rows = append(page.Rows, row)
+		}
+	}
+	return page, r.changed, nil
+}
--- /dev/null
+++ b/internal/watch/watcher.go
@@ -0,0 +1,256 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/rotisserie/eris"
+)
+
+// Sink takes what a watcher learns, from one goroutine.
+type Sink interface {
+	// Apply brings changes. whole says that they come of a whole reading.
+	Apply(rows []Row, whole bool)
+	// Lost says that no source answers any more, and Regained that one
+	// answers again after a time.
+	Lost(source string, err error)
+	Regained(source string, after time.Duration)
+}
+
+// Named is a source with a name for the log.
+type Named struct {
+	Name   string
+	Source Source
+	// Relay says that the source is another host's replica, which may be
+	// old itself.
+	Relay bool
+}
+
+// Route tells a watcher which sources to ask, the best first.
+type Route func() []Named
+
+// Newest tells the version of the newest change that any other host is known
+// to have, and for how long that has been known.
+type Newest func() (version int64, since time.Duration)
+
+// Timing sets a watcher's pace.
+type Timing struct {
+	// Wait is how long the store holds a question for changes, and
+	// RelayWait how long another host does. A change that comes while a
+	// connection is dead is seen at most Wait and Slack later.
+	Wait      time.Duration
+	RelayWait time.Duration
+	// Slack is how much longer an answer may take than the source holds it.
+	Slack time.Duration
+	// Retry is the pause after a source's first failure; it doubles up to
+	// MaxRetry.
+	Retry    time.Duration
+	MaxRetry time.Duration
+	// MaxAge is the age from which on what a relay says counts as a failure.
+	MaxAge time.Duration
+	// Behind is how long another host may have had a change before the
+	// source that did not tell it counts as failed.
+	Behind time.Duration
+}
+
+// DefaultTiming suits bounds of two seconds and more after the store is back
+// in reach.
+var DefaultTiming = Timing{
+	Wait: 2500 * time.Millisecond, RelayWait: 600 * time.Millisecond, Slack: 500 * time.Millisecond,
+	Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, MaxAge: 3500 * time.Millisecond,
+	Behind: 300 * time.Millisecond,
+}
+
+// Watcher keeps one replica up to date.
+type Watcher struct {
+	replica *Replica
+	route   Route
+	newest  Newest
+	sink    Sink
+	timing  Timing
+
+	sources map[string]*standing
+	lostAt  time.Time
+	// listed says that the last answer was a whole reading.
+	listed bool
+}
+
+// standing is how a source did lately.
+type standing struct {
+	retry  time.Duration
+	tryAt  time.Time
+	failed bool
+}
+
+// New makes a watcher of a replica.
+func New(replica *Replica, route Route, newest Newest, sink Sink, timing Timing) *Watcher {
+	return &Watcher{replica: replica, route: route, newest: newest, sink: sink, timing: timing, sources: map[string]*standing{}}
+}
+
+// Run follows the table until the context ends.
+func (w *Watcher) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		named, wait := w.next(time.Now())
+		if wait > 0 {
+			sleep(ctx, wait)
+			continue
+		}
+		err := w.ask(ctx, named)
+		if ctx.Err() != nil {
+			return
+		}
+		w.note(named, err)
+	}
+}
+
+// idle is the pause when no source can be asked.
+const idle = 50 * time.Millisecond
+
+// next gives the best source that may be asked now, or how long to wait.
+func (w *Watcher) next(now time.Time) (Named, time.Duration) {
+	for _, named := range w.route() {
+		s := w.sources[named.Name]
+		if s == nil || !now.Before(s.tryAt) {
+			return named, 0
+		}
+	}
+	return Named{}, idle
+}
+
+func (w *Watcher) ask(ctx context.Context, n Named) error {
+	wait := w.timing.Wait
+	if n.Relay {
+		wait = w.timing.RelayWait
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait+w.timing.Slack)
+	defer cancel()
+	if !w.synced() {
+		return w.list(ctx, n)
+	}
+	stop := w.whenBehind(ctx, cancel)
+	defer stop()
+	page, err := n.Source.Changes(ctx, w.replica.Version(), wait)
+	if errors.Is(err, ErrGap) && !w.listed {
+		return w.list(ctx, n)
+	}
+	if err != nil {
+		return err
+	}
+	w.listed = false
+	if changes := w.replica.apply(page, time.Now()); len(changes) > 0 {
+		w.sink.Apply(changes, false)
+	}
+	return w.judge(n, page)
+}
+
+func (w *Watcher) synced() bool {
+	w.replica.mu.Lock()
+	defer w.replica.mu.Unlock()
+	return w.replica.synced
+}
+
+// list reads everything. A reading that is older than what is known is not
+// taken: the source may answer from a copy that lags.
+func (w *Watcher) list(ctx context.Context, n Named) error {
+	page, err := n.Source.List(ctx)
+	if err != nil {
+		return err
+	}
+	changes, ok := w.replica.replace(page, time.Now())
+	if !ok {
+		return eris.Errorf("source is at version %d, %d is known", page.Version, w.replica.Version())
+	}
+	w.listed = true
+	w.sink.Apply(changes, true)
+	return w.judge(n, page)
+}
+
+// judge decides whether an answer is as good as the store's own.
+func (w *Watcher) judge(n Named, p Page) error {
+	if !n.Relay {
+		return nil
+	}
+	if p.Age > w.timing.MaxAge {
+		return eris.Errorf("relay is %s old", p.Age.Round(time.Millisecond))
+	}
+	if known := w.replica.Version(); p.Version < known {
+		return eris.Errorf("relay is at version %d, %d is known", p.Version, known)
+	}
+	if w.behind() {
+		return errBehind
+	}
+	return nil
+}
+
+var errBehind = eris.New("other hosts know newer changes")
+
+// behind reports whether another host has long known a change that this one
+// does not: the source it listens to is then dead, or lags.
+func (w *Watcher) behind() bool {
+	version, since := w.newest()
+	return version > w.replica.Version() && since > w.timing.Behind
+}
+
+// behindEvery is how often a watcher that waits looks whether it is behind.
+const behindEvery = 150 * time.Millisecond
+
+// whenBehind gives up waiting for a source as soon as others know more.
+func (w *Watcher) whenBehind(ctx context.Context, cancel context.CancelFunc) (stop func()) {
+	done := make(chan struct{})
+	go func() {
+		ticker := time.NewTicker(behindEvery)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-ctx.Done():
+				return
+			case <-ticker.C:
+			}
+			if w.behind() {
+				cancel()
+				return
+			}
+		}
+	}()
+	return func() { close(done) }
+}
+
+// note takes down how a source did, and tells the sink when knowledge grows
+// old and when it is fresh again.
+func (w *Watcher) note(n Named, err error) {
+	now := time.Now()
+	s := w.sources[n.Name]
+	if s == nil {
+		s = &standing{retry: w.timing.Retry}
+		w.sources[n.Name] = s
+	}
+	if err != nil {
+		s.tryAt = now.Add(s.retry/2 + rand.N(s.retry/2+1))
+		s.retry = min(s.retry*2, w.timing.MaxRetry)
+		if !s.failed {
+			s.failed = true
+			w.sink.Lost(n.Name, err)
+		}
+		if w.lostAt.IsZero() {
+			w.lostAt = now
+		}
+		return
+	}
+	s.retry = w.timing.Retry
+	if s.failed {
+		s.failed = false
+		w.sink.Regained(n.Name, now.Sub(w.lostAt))
+	}
+	w.lostAt = time.Time{}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
