--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,173 @@
+package balance_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/balance"
+	"cairndock/internal/instance"
+)
+
+// fixedShare is a host's part of a cold upstream's rate.
+type fixedShare int
+
+func (f fixedShare) ColdRate(string, float64) int { return int(f) }
+
+func member(id, zone, region string) *instance.Member {
+	return &instance.Member{Instance: instance.Instance{ID: id, Service: "s", Zone: zone, Region: region, Capacity: 4}}
+}
+
+func fleet(n int) []*instance.Member {
+	var out []*instance.Member
+	for i := range n {
+		region := []string{"west", "east"}[i%2]
+		out = append(out, member("i-"+strconv.Itoa(i), region+"-1", region))
+	}
+	return out
+}
+
+func newBalancer(share int) *balance.Balancer {
+	return balance.New(balance.Place{Zone: "west-1", Region: "west"}, balance.DefaultWeights, fixedShare(share))
+}
+
+func choose(t *testing.T, b *balance.Balancer, q balance.Query) balance.Choice {
+	t.Helper()
+	c, reason := b.Choose(q)
+	require.Equal(t, balance.Chosen, reason)
+	return c
+}
+
+func TestAKeyStaysAtItsHome(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(12)
+	for key := range 50 {
+		q := balance.Query{Key: strconv.Itoa(key), Candidates: all, Now: now}
+		home := choose(t, b, q).Instance.ID
+		b.Done(home, balance.Answered, now)
+		for range 5 {
+			c := choose(t, b, q)
+			require.Equal(t, home, c.Instance.ID)
+			require.Zero(t, c.Rank)
+			b.Done(home, balance.Answered, now)
+		}
+	}
+}
+
+func TestOnlyTheKeysOfAnUpstreamThatIsGoneMove(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(12)
+	for key := range 200 {
+		q := balance.Query{Key: strconv.Itoa(key), Candidates: all, Now: now}
+		before := choose(t, b, q).Instance.ID
+		b.Done(before, balance.Answered, now)
+		q.Candidates = all[1:]
+		after := choose(t, b, q).Instance.ID
+		b.Done(after, balance.Answered, now)
+		if before != all[0].ID {
+			require.Equal(t, before, after)
+		}
+	}
+}
+
+// Under overload a request elsewhere takes more than it relieves: a key is
+// served at two upstreams and refused beyond them.
+func TestABusyHomeHandsToTheSecondAndNoFurther(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(12)
+	q := balance.Query{Key: "k", Candidates: all, Now: now}
+	used := map[string]int{}
+	for {
+		c, reason := b.Choose(q)
+		if reason != balance.Chosen {
+			require.Equal(t, balance.Full, reason)
+			break
+		}
+		used[c.Instance.ID]++
+		require.Less(t, used[c.Instance.ID], 100)
+	}
+	require.Len(t, used, balance.DefaultWeights.Homes)
+	// Another key's home has room.
+	for key := range 20 {
+		q.Key = "other" + strconv.Itoa(key)
+		if c, reason := b.Choose(q); reason == balance.Chosen {
+			b.Done(c.Instance.ID, balance.Answered, now)
+			return
+		}
+	}
+	t.Fatal("no other key was served")
+}
+
+func TestWhatOthersHaveThereCounts(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(12)
+	q := balance.Query{Key: "k", Candidates: all, Now: now}
+	home := choose(t, b, q).Instance.ID
+	b.Done(home, balance.Answered, now)
+	b.Told(home, 4, 4, now)
+	second := choose(t, b, q)
+	require.NotEqual(t, home, second.Instance.ID)
+	require.Equal(t, 1, second.Rank)
+	// What it told grows old and counts for nothing.
+	q.Now = now.Add(2 * time.Second)
+	require.Equal(t, home, choose(t, b, q).Instance.ID)
+}
+
+func TestAColdUpstreamGetsTheHostsShareInAnySecond(t *testing.T) {
+	b, now := newBalancer(3), time.Now()
+	cold := member("cold", "west-1", "west")
+	cold.ColdUntil = now.Add(10 * time.Second)
+	sent := []time.Time{}
+	for at := now; at.Before(cold.ColdUntil); at = at.Add(20 * time.Millisecond) {
+		c, reason := b.Choose(balance.Query{Key: "k", Candidates: []*instance.Member{cold}, Now: at})
+		if reason == balance.Chosen {
+			b.Done(c.Instance.ID, balance.Answered, at)
+			sent = append(sent, at)
+			continue
+		}
+		require.Equal(t, balance.Cold, reason)
+	}
+	for i := range sent {
+		if i >= 3 {
+			require.Greater(t, sent[i].Sub(sent[i-3]), time.Second)
+		}
+	}
+	require.Greater(t, len(sent), 20)
+	// Warm, it takes what it has room for.
+	_, reason := b.Choose(balance.Query{Key: "k", Candidates: []*instance.Member{cold}, Now: cold.ColdUntil})
+	require.Equal(t, balance.Chosen, reason)
+}
+
+func TestARequestStaysInItsRegions(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(12)
+	for key := range 100 {
+		q := balance.Query{Key: strconv.Itoa(key), Candidates: all, Now: now, Allows: func(r string) bool { return r == "east" }}
+		c := choose(t, b, q)
+		require.Equal(t, "east", c.Instance.Region)
+		b.Done(c.Instance.ID, balance.Answered, now)
+	}
+	_, reason := b.Choose(balance.Query{Key: "k", Candidates: all, Now: now, Allows: func(string) bool { return false }})
+	require.Equal(t, balance.Nobody, reason)
+}
+
+func TestAFailingUpstreamIsTheLastChoiceForAWhile(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(4)
+	q := balance.Query{Key: "k", Candidates: all, Now: now}
+	home := choose(t, b, q).Instance.ID
+	b.Done(home, balance.Unreachable, now)
+	require.NotEqual(t, home, choose(t, b, q).Instance.ID)
+	// Alone, it is tried all the same: a wrong belief empties no service.
+	for _, m := range all {
+		if m.ID == home {
+			q.Candidates = []*instance.Member{m}
+		}
+	}
+	require.Equal(t, home, choose(t, b, q).Instance.ID)
+	q.Candidates, q.Now = all, now.Add(time.Second)
+	require.Equal(t, home, choose(t, b, q).Instance.ID)
+}
+
+func TestAnUpstreamIsNotTriedTwice(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), fleet(2)
+	q := balance.Query{Key: "k", Candidates: all, Now: now, Tried: []string{all[0].ID, all[1].ID}}
+	_, reason := b.Choose(q)
+	require.Equal(t, balance.Nobody, reason)
+}
--- /dev/null
+++ b/internal/event/event_test.go
@@ -0,0 +1,117 @@
+package event_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/event"
+	"cairndock/internal/telemetry"
+)
+
+// buffer is a writer that can be read while it is written.
+type buffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (b *buffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.b.Write(p)
+}
+
+func (b *buffer) lines(t *testing.T) []map[string]any {
+	t.Helper()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var out []map[string]any
+	for line := range strings.Lines(b.b.String()) {
+		var m map[string]any
+		require.NoError(t, json.Unmarshal([]byte(line), &m))
+		out = append(out, m)
+	}
+	return out
+}
+
+// stuck is a reader that stopped reading.
+type stuck struct{ release chan struct{} }
+
+func (s stuck) Write(p []byte) (int, error) {
+	<-s.release
+	return len(p), nil
+}
+
+func sampledID(t *testing.T) string {
+	t.Helper()
+	for i := range 10_000 {
+		if id := strconv.Itoa(i); event.Sampled(id) {
+			return id
+		}
+	}
+	t.Fatal("no id is sampled")
+	return ""
+}
+
+func TestAFailedRequestIsToldWithWhatDecidedIt(t *testing.T) {
+	var b buffer
+	l := event.New(&b, "host-1", telemetry.NewMetrics())
+	l.Attempt(event.Attempt{Request: "r1", Route: "route", Service: "s", Upstream: "i-1", Number: 1, Config: 7, Load: 0.5, LoadAge: 20 * time.Millisecond, Outcome: "upstream-failed", Failed: true, Took: time.Second, Detail: "reset"})
+	l.Final(event.Final{Request: "r1", Config: 7, Status: 502, Verdict: "may-have-run", Reason: "upstream-failed", Failed: true})
+	l.Close()
+	lines := b.lines(t)
+	require.Len(t, lines, 2)
+	require.Equal(t, "host-1", lines[0]["host"])
+	require.Equal(t, "r1", lines[0]["request"])
+	require.EqualValues(t, 20, lines[0]["load_age_ms"])
+	require.EqualValues(t, 1000, lines[0]["took_ms"])
+	require.Equal(t, "may-have-run", lines[1]["verdict"])
+}
+
+func TestOnlySampledSuccessesAreTold(t *testing.T) {
+	var b buffer
+	l := event.New(&b, "h", telemetry.NewMetrics())
+	id := sampledID(t)
+	l.Final(event.Final{Request: id})
+	l.Final(event.Final{Request: id + "-unlikely-1"})
+	l.Final(event.Final{Request: id + "-unlikely-2"})
+	l.Close()
+	require.Equal(t, id, b.lines(t)[0]["request"])
+	require.LessOrEqual(t, len(b.lines(t)), 2)
+}
+
+func TestAReaderThatStopsReadingDelaysNothing(t *testing.T) {
+	s := stuck{release: make(chan struct{})}
+	m := telemetry.NewMetrics()
+	l := event.New(s, "h", m)
+	began := time.Now()
+	for i := range 20_000 {
+		l.Final(event.Final{Request: strconv.Itoa(i), Failed: true})
+		l.Config(int64(i), 1)
+	}
+	l.Close()
+	require.Less(t, time.Since(began), 2*time.Second)
+	var text bytes.Buffer
+	m.Write(&text)
+	require.Contains(t, text.String(), "cairndock_log_lines_left_out_total")
+	close(s.release)
+}
+
+func TestAFloodOfFailuresLeavesRoomForBeliefs(t *testing.T) {
+	var b buffer
+	l := event.New(&b, "h", telemetry.NewMetrics())
+	for i := range 5_000 {
+		l.Final(event.Final{Request: strconv.Itoa(i), Failed: true})
+	}
+	l.Lost("source", "store", nil)
+	l.Close()
+	lines := b.lines(t)
+	require.Less(t, len(lines), 400)
+	require.Equal(t, "lost", lines[len(lines)-1]["event"])
+}
--- /dev/null
+++ b/internal/fleet/fleet_test.go
@@ -0,0 +1,243 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/peer"
+	"cairndock/internal/watch"
+)
+
+func host(name, zone, region string) Host {
+	return Host{Name: name, Zone: zone, Region: region, CallerAddress: name + ":80", Incarnation: "1"}
+}
+
+var readyStatus = Status{Ready: true}
+
+// nine gives the members of nine hosts in three regions, as one sees them.
+func nine(self string, now time.Time) *Members {
+	var m *Members
+	var all []Host
+	for _, region := range []string{"west", "east", "south"} {
+		for i := range 3 {
+			all = append(all, host(fmt.Sprint(region, i), region+"-"+fmt.Sprint(i/2), region))
+		}
+	}
+	for _, h := range all {
+		if h.Name == self {
+			m = NewMembers(h)
+		}
+	}
+	for _, h := range all {
+		m.Heard(h, readyStatus, now)
+	}
+	return m
+}
+
+func TestEntriesAreTheNearestLivingHosts(t *testing.T) {
+	now := time.Now()
+	m := nine("west0", now)
+	require.Equal(t, []string{"west0:80", "west1:80"}, m.Entries("west-0", "west", readyStatus, nil, now))
+	require.Equal(t, []string{"west2:80"}, m.Entries("west-1", "west", readyStatus, nil, now))
+	m.Heard(host("west2", "west-1", "west"), Status{Ready: true, Leaving: true}, now)
+	require.Equal(t, []string{"west0:80", "west1:80"}, m.Entries("west-1", "west", readyStatus, nil, now), "the region when the zone has none")
+	later := now.Add(DeadAfter)
+	require.Equal(t, []string{"west0:80"}, m.Entries("east-0", "east", readyStatus, nil, later), "the dead are not named")
+	require.Empty(t, m.Entries("east-0", "east", Status{}, nil, later))
+}
+
+func TestEntriesPreferTheRegionsAllowed(t *testing.T) {
+	now := time.Now()
+	m := nine("west0", now)
+	require.Equal(t, []string{"south0:80", "south1:80", "south2:80"}, m.Entries("north-0", "north", readyStatus, []string{"south"}, now))
+}
+
+// Whatever the hosts believe of each other, together they send a cold
+// upstream no more than its rate.
+func TestColdPartsAddUpUnderAnyBeliefs(t *testing.T) {
+	now := time.Now()
+	const total = 26
+	names := []string{"west0", "west1", "west2", "east0", "east1", "east2", "south0", "south1", "south2"}
+	for beliefs := range 1 << 3 {
+		sum := 0
+		for i, name := range names {
+			m := nine(name, now)
+			at := now
+			if beliefs>>(i%3)&1 == 1 { // this one hears nobody
+				at = now.Add(DeadAfter + time.Second)
+			}
+			sum += m.ColdPart("west", total, at)
+		}
+		require.LessOrEqual(t, sum, total)
+		require.Positive(t, sum)
+	}
+}
+
+func TestOneHostOfARegionAsksTheStore(t *testing.T) {
+	now := time.Now()
+	watchers := map[string]bool{}
+	for _, name := range []string{"west0", "west1", "west2"} {
+		h, self := nine(name, now).watcher(now)
+		require.Equal(t, self, h.Name == name)
+		watchers[h.Name] = true
+	}
+	require.Len(t, watchers, 1)
+	// When it is silent, another takes its place.
+	var gone string
+	for name := range watchers {
+		gone = name
+	}
+	for _, name := range []string{"west0", "west1", "west2"} {
+		if name == gone {
+			continue
+		}
+		m := nine(name, now)
+		later := now.Add(DeadAfter)
+		m.Heard(host("west0", "west-0", "west"), readyStatus, later)
+		m.Heard(host("west1", "west-0", "west"), readyStatus, later)
+		m.Heard(host("west2", "west-1", "west"), readyStatus, later)
+		delete(m.peers, gone)
+		h, _ := m.watcher(later)
+		require.NotEqual(t, gone, h.Name)
+	}
+}
+
+func TestAHostThatIsSilentIsToldOnceAndForgottenLater(t *testing.T) {
+	now := time.Now()
+	m := nine("west0", now)
+	dead := m.Silent(now, now.Add(DeadAfter))
+	require.Len(t, dead, 8)
+	require.Empty(t, m.Silent(now.Add(DeadAfter), now.Add(DeadAfter+time.Second)))
+	all, _, _ := m.Count("west", now.Add(DeadAfter))
+	require.Equal(t, 9, all, "limits stay split over hosts that may only be silent")
+	m.Silent(now, now.Add(2*forgetAfter))
+	all, _, _ = m.Count("west", now)
+	require.Equal(t, 1, all)
+}
+
+func TestARestartIsANewLife(t *testing.T) {
+	now := time.Now()
+	m := nine("west0", now)
+	h := host("west1", "west-0", "west")
+	require.False(t, m.Heard(h, readyStatus, now))
+	h.Incarnation = "2"
+	require.True(t, m.Heard(h, readyStatus, now))
+}
+
+// registry is a list of hosts in memory.
+type registry struct {
+	mu    sync.Mutex
+	hosts map[string]Host
+	down  bool
+}
+
+func (r *registry) Announce(_ context.Context, h Host) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return errors.New("down")
+	}
+	r.hosts[h.Name] = h
+	return nil
+}
+
+func (r *registry) Withdraw(_ context.Context, h Host) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.hosts, h.Name)
+	return nil
+}
+
+func (r *registry) Hosts(context.Context) ([]Host, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var out []Host
+	for _, h := range r.hosts {
+		out = append(out, h)
+	}
+	return out, nil
+}
+
+// quiet reports nothing.
+type quiet struct{}
+
+func (quiet) Lost(string, string, error)            {}
+func (quiet) Regained(string, string, time.Duration) {}
+
+// freeAddress gives an address that nobody listens at.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+type plainTCP struct{}
+
+func (plainTCP) Dial(ctx context.Context, address string) (net.Conn, error) {
+	var d net.Dialer
+	return d.DialContext(ctx, "tcp", address)
+}
+func (plainTCP) Listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+
+func startFleet(t *testing.T, r Registry, h Host, seeds []string, tables ...Table) *Fleet {
+	t.Helper()
+	h.PeerAddress = freeAddress(t)
+	f := New(Options{Self: h, Registry: r, Report: quiet{}, Status: func() Status { return readyStatus }, Seeds: seeds, Transport: plainTCP{}, Tables: tables})
+	ctx, cancel := context.WithCancel(t.Context())
+	require.NoError(t, f.Start(ctx))
+	t.Cleanup(func() {
+		cancel()
+		f.Close()
+	})
+	return f
+}
+
+func TestHostsFindEachOtherByTheRegistry(t *testing.T) {
+	r := &registry{hosts: map[string]Host{}}
+	a := startFleet(t, r, host("a", "z", "west"), nil)
+	b := startFleet(t, r, host("b", "z", "west"), nil)
+	for _, f := range []*Fleet{a, b} {
+		require.Eventually(t, func() bool { return len(f.Entries("z", "west", nil)) == 2 }, 3*time.Second, 20*time.Millisecond)
+	}
+}
+
+func TestHostsFindEachOtherBySeedsWhenTheRegistryIsDown(t *testing.T) {
+	r := &registry{hosts: map[string]Host{}, down: true}
+	a := startFleet(t, r, host("a", "z", "west"), nil)
+	b := startFleet(t, r, host("b", "z", "west"), []string{a.members.Self().PeerAddress})
+	c := startFleet(t, r, host("c", "z", "west"), []string{a.members.Self().PeerAddress})
+	for _, f := range []*Fleet{a, b, c} {
+		require.Eventually(t, func() bool { return len(f.Entries("z", "west", nil)) >= 2 }, 3*time.Second, 20*time.Millisecond)
+	}
+}
+
+func TestATableIsRelayed(t *testing.T) {
+	r := &registry{hosts: map[string]Host{}}
+	replica := watch.NewReplica()
+	store := watch.NewReplica()
+	a := startFleet(t, r, host("a", "z", "west"), nil, Table{Replica: replica, Store: store})
+	b := startFleet(t, r, host("b", "z", "west"), nil, Table{Replica: watch.NewReplica(), Store: store})
+	from := relay{fleet: b, address: a.members.Self().PeerAddress}
+	_, err := from.List(t.Context())
+	require.ErrorIs(t, err, watch.ErrGap, "a host that knows nothing says so")
+	require.Eventually(t, func() bool { return len(b.Sources(0)) >= 1 }, time.Second, 10*time.Millisecond)
+}
+
+func TestFrameOfAnUnknownKindFails(t *testing.T) {
+	r := &registry{hosts: map[string]Host{}}
+	a := startFleet(t, r, host("a", "z", "west"), nil)
+	b := startFleet(t, r, host("b", "z", "west"), nil)
+	_, err := peer.Call[relayReply](t.Context(), b.mesh, a.members.Self().PeerAddress, peer.KindTicket, beat{})
+	require.Error(t, err)
+	_, err = peer.Call[relayReply](t.Context(), b.mesh, a.members.Self().PeerAddress, peer.KindChanges, relayRequest{Table: 7})
+	require.Error(t, err)
+}
--- /dev/null
+++ b/internal/retry/budget_test.go
@@ -0,0 +1,57 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/retry"
+)
+
+var limits = retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
+
+// All hosts together stay within the limit in every window, whatever they
+// are asked for.
+func TestRepeatsStayWithinTheirPartInEveryWindow(t *testing.T) {
+	const hosts = 9
+	start := time.Now()
+	budgets := make([]*retry.Budget, hosts)
+	for i := range budgets {
+		budgets[i] = retry.NewBudget(limits)
+	}
+	var taken []time.Time
+	const step, requestsPerStep = 100 * time.Millisecond, 4
+	for at := start; at.Sub(start) < time.Minute; at = at.Add(step) {
+		for _, b := range budgets {
+			for range requestsPerStep {
+				b.Request("s", at)
+				if b.Take("s", hosts, at) {
+					taken = append(taken, at)
+				}
+			}
+		}
+	}
+	requests := float64(hosts*requestsPerStep) * float64(limits.Window/step)
+	allowed := limits.Ratio*requests + limits.Slack
+	for i, first := range taken {
+		n := 0
+		for _, at := range taken[i:] {
+			if at.Sub(first) < limits.Window {
+				n++
+			}
+		}
+		require.LessOrEqual(t, float64(n), allowed)
+	}
+	require.NotEmpty(t, taken)
+}
+
+func TestABudgetRecoversAndServicesAreApart(t *testing.T) {
+	b, now := retry.NewBudget(limits), time.Now()
+	for b.Take("a", 9, now) {
+	}
+	require.True(t, b.Take("b", 9, now))
+	require.False(t, b.Take("a", 9, now.Add(5*time.Second)))
+	require.True(t, b.Take("a", 9, now.Add(11*time.Second)))
+	require.True(t, b.Take("a", 9, now.Add(time.Hour)), "after a long rest too")
+}
--- /dev/null
+++ b/internal/watch/watch_test.go
@@ -0,0 +1,338 @@
+package watch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// fakeStore is a table with the faults of a store.
+type fakeStore struct {
+	mu      sync.Mutex
+	replica *Replica
+	// lag is how many versions behind whole readings are.
+	stale   *Page
+	gap     bool
+	down    error
+	silent  bool
+	calls   int
+	lists   int
+	version int64
+}
+
+func newFakeStore() *fakeStore {
+	s := &fakeStore{replica: NewReplica()}
+	s.replica.replace(Page{Version: 1}, time.Now())
+	s.version = 1
+	return s
+}
+
+func (s *fakeStore) put(key, value string) {
+	s.mu.Lock()
+	s.version++
+	v := s.version
+	s.mu.Unlock()
+	s.replica.apply(Page{Version: v, Rows: []Row{{Key: key, Value: []byte(value), Version: v}}}, time.Now())
+}
+
+func (s *fakeStore) remove(key string) {
+	s.mu.Lock()
+	s.version++
+	v := s.version
+	s.mu.Unlock()
+	s.replica.apply(Page{Version: v, Rows: []Row{{Key: key, Version: v, Gone: true}}}, time.Now())
+}
+
+func (s *fakeStore) set(f func(*fakeStore)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+func (s *fakeStore) enter(ctx context.Context) error {
+	s.mu.Lock()
+	s.calls++
+	down, silent := s.down, s.silent
+	s.mu.Unlock()
+	if silent {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return down
+}
+
+func (s *fakeStore) List(ctx context.Context) (Page, error) {
+	if err := s.enter(ctx); err != nil {
+		return Page{}, err
+	}
+	s.mu.Lock()
+	s.lists++
+	stale := s.stale
+	s.mu.Unlock()
+	if stale != nil {
+		return *stale, nil
+	}
+	p, err := s.replica.List(ctx)
+	p.Age = 0
+	return p, err
+}
+
+func (s *fakeStore) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+	if err := s.enter(ctx); err != nil {
+		return Page{}, err
+	}
+	s.mu.Lock()
+	gap := s.gap
+	s.mu.Unlock()
+	if gap {
+		return Page{}, ErrGap
+	}
+	p, err := s.replica.Changes(ctx, after, wait)
+	p.Age = 0
+	return p, err
+}
+
+// recorder is a sink that keeps what it was told.
+type recorder struct {
+	mu       sync.Mutex
+	rows     map[string]string
+	lost     []string
+	regained []string
+}
+
+func (r *recorder) Apply(rows []Row, _ bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.rows == nil {
+		r.rows = map[string]string{}
+	}
+	for _, row := range rows {
+		if row.Gone {
+			delete(r.rows, row.Key)
+			continue
+		}
+		r.rows[row.Key] = string(row.Value)
+	}
+}
+
+func (r *recorder) Lost(source string, _ error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lost = append(r.lost, source)
+}
+
+func (r *recorder) Regained(source string, _ time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.regained = append(r.regained, source)
+}
+
+func (r *recorder) value(key string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.rows[key]
+}
+
+func nobodyKnowsMore() (int64, time.Duration) { return 0, 0 }
+
+// follow runs a watcher in a bubble of fake time.
+func follow(t *testing.T, newest Newest, sources ...Named) (*recorder, *Replica) {
+	t.Helper()
+	r := &recorder{}
+	replica := NewReplica()
+	w := New(replica, func() []Named { return sources }, newest, r, DefaultTiming)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		w.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	return r, replica
+}
+
+func TestAChangeIsSeenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		require.Equal(t, "1", r.value("a"))
+		s.put("a", "2")
+		s.put("b", "3")
+		s.remove("a")
+		synctest.Wait()
+		require.Equal(t, "", r.value("a"))
+		require.Equal(t, "3", r.value("b"))
+		time.Sleep(20 * time.Second)
+		require.LessOrEqual(t, s.calls, 14, "a calm table costs a call each wait")
+	})
+}
+
+func TestAStoreThatIsDownIsAskedSparinglyAndFoundAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		s.set(func(s *fakeStore) { s.down, s.calls = errors.New("503"), 0 })
+		time.Sleep(10 * time.Second)
+		s.set(func(s *fakeStore) { s.down = nil })
+		require.Less(t, s.calls, 25)
+		require.Equal(t, []string{"store"}, r.lost, "told once")
+		s.put("a", "1")
+		time.Sleep(DefaultTiming.MaxRetry)
+		require.Equal(t, "1", r.value("a"))
+		require.Equal(t, []string{"store"}, r.regained)
+	})
+}
+
+func TestADeadConnectionCostsNoMoreThanTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		s.set(func(s *fakeStore) { s.silent = true })
+		time.Sleep(DefaultTiming.Wait + time.Millisecond) // the next question is swallowed
+		s.set(func(s *fakeStore) { s.silent = false })
+		s.put("a", "1")
+		time.Sleep(DefaultTiming.Wait + DefaultTiming.Slack + DefaultTiming.Retry)
+		require.Equal(t, "1", r.value("a"))
+	})
+}
+
+func TestAGapIsFilledByAWholeReading(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		s.put("b", "1")
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		s.set(func(s *fakeStore) { s.silent = true })
+		time.Sleep(DefaultTiming.Wait + time.Millisecond)
+		s.set(func(s *fakeStore) { s.silent, s.gap = false, true })
+		s.remove("a")
+		s.put("b", "2")
+		time.Sleep(DefaultTiming.Wait + DefaultTiming.Slack + time.Second)
+		require.Equal(t, "", r.value("a"), "what a whole reading lacks is gone")
+		require.Equal(t, "2", r.value("b"))
+		require.Less(t, s.lists, 10, "a store that lags is not asked again and again")
+	})
+}
+
+func TestAReadingThatLagsNeverTakesKnowledgeBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "old")
+		stale, _ := s.replica.List(t.Context())
+		s.put("a", "new")
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		s.set(func(s *fakeStore) { s.stale, s.gap = &stale, true })
+		s.put("x", "wakes the watcher")
+		time.Sleep(5 * time.Second)
+		require.Equal(t, "new", r.value("a"))
+		s.set(func(s *fakeStore) { s.stale, s.gap = nil, false })
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "new", r.value("a"))
+	})
+}
+
+func TestARelayCarriesOnWhenTheStoreIsOutOfReach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		cut := &fakeStore{down: errors.New("unreachable")}
+		peer, peersReplica := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		require.Equal(t, "1", peer.value("a"))
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: cut}, Named{Name: "peer", Source: peersReplica, Relay: true})
+		time.Sleep(time.Second)
+		require.Equal(t, "1", r.value("a"))
+		s.put("a", "2")
+		synctest.Wait()
+		require.Equal(t, "2", r.value("a"), "a host without the store learns by its peer at once")
+	})
+}
+
+func TestAnOldRelayIsNotTrustedAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		cut := &fakeStore{down: errors.New("unreachable")}
+		old := NewReplica()
+		old.replace(Page{Version: 1, Age: time.Minute}, time.Now())
+		_ = cut
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "peer", Source: old, Relay: true}, Named{Name: "store", Source: s})
+		s.put("a", "1")
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "1", r.value("a"))
+		require.Contains(t, r.lost, "peer")
+	})
+}
+
+// A relay whose own feed is dead answers in time and says nothing new; the
+// heartbeats of other hosts show that there is news.
+func TestAHostThatIsBehindOthersAsksElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		dead := NewReplica()
+		dead.replace(Page{Version: 1}, time.Now())
+		began := time.Now()
+		newest := func() (int64, time.Duration) {
+			if time.Since(began) < time.Second {
+				return 0, 0
+			}
+			return 2, time.Since(began) - time.Second
+		}
+		r, _ := follow(t, newest, Named{Name: "peer", Source: dead, Relay: true}, Named{Name: "store", Source: s})
+		time.Sleep(time.Second)
+		s.put("a", "1")
+		time.Sleep(DefaultTiming.Behind + 300*time.Millisecond)
+		require.Equal(t, "1", r.value("a"))
+	})
+}
+
+func TestReplicaServesChangesSinceAnyVersionItKnows(t *testing.T) {
+	now := time.Now()
+	r := NewReplica()
+	_, err := r.List(t.Context())
+	require.ErrorIs(t, err, ErrGap, "an empty replica says nothing rather than that nothing is there")
+	r.replace(Page{Version: 5, Rows: []Row{{Key: "a", Version: 3}, {Key: "b", Version: 4}}}, now)
+	_, err = r.Changes(t.Context(), 4, 0)
+	require.ErrorIs(t, err, ErrGap)
+	changes, ok := r.replace(Page{Version: 9, Rows: []Row{{Key: "b", Version: 8}}}, now)
+	require.True(t, ok)
+	require.Len(t, changes, 2)
+	p, err := r.Changes(t.Context(), 5, 0)
+	require.NoError(t, err)
+	require.ElementsMatch(t, []Row{{Key: "a", Version: 9, Gone: true}, {Key: "b", Version: 8}}, p.Rows)
+	// A row that was removed does not come back by an older word.
+	require.Empty(t, r.apply(Page{Version: 9, Rows: []Row{{Key: "a", Version: 7}}}, now))
+	// Once the tombstone is forgotten, older versions are a gap.
+	r.apply(Page{Version: 10, Rows: []Row{{Key: "c", Version: 10}}}, now.Add(2*tombstoneFor))
+	_, err = r.Changes(t.Context(), 5, 0)
+	require.ErrorIs(t, err, ErrGap)
+}
+
+func TestRelaysOfRelaysOnlyGrowOlder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a, b := NewReplica(), NewReplica()
+		a.replace(Page{Version: 1}, time.Now())
+		b.replace(Page{Version: 1}, time.Now())
+		for range 20 {
+			time.Sleep(time.Second)
+			pa, _ := a.Changes(t.Context(), 1, 0)
+			b.apply(pa, time.Now())
+			pb, _ := b.Changes(t.Context(), 1, 0)
+			a.apply(pb, time.Now())
+		}
+		require.Equal(t, 20*time.Second, a.Age())
+	})
+}
