Let a region keep as many keys as it has capacity for

Change: a region's part of its keys follows its part of the capacity; the second home is taken from 1.5 capacities of load on. Conclusion: distance is weighed against capacity, not by a constant.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -123,7 +123,7 @@
 
 func (n *gatewayNode) newGateway() *gateway.Gateway {
 	l := n.settings.Limits
-	place := balance.Place{Zone: n.settings.Host.Zone, Region: n.settings.Host.Region}
+	place := balance.Place{Zone: n.settings.Host.Zone, Region: n.settings.Host.Region, Regions: n.settings.Regions()}
 	shares := coldShares{fleet: n.fleet, overshoot: l.WarmUpOvershoot, slack: l.WarmUpSlack}
 	pool := exchange.NewPool(dialer(upstreamDialTimeout).DialContext)
 	return gateway.New(gateway.Options{
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -22,9 +22,11 @@
 type Weights struct {
 	// Affinity spreads a key's preferences from 0 to itself.
 	Affinity float64
-	// OtherRegion and OtherZone are what distance costs.
-	OtherRegion float64
-	OtherZone   float64
+	// Away is what it costs to leave the side, the own region or the others,
+	// that a key belongs to, and OtherZone what another zone of the own
+	// region costs.
+	Away      float64
+	OtherZone float64
 	// Homes is how many upstreams a key may go to. A request elsewhere
 	// works so much longer that it takes more than it relieves.
 	Homes int
@@ -35,10 +37,15 @@
 }
 
 // DefaultWeights were measured, see docs/design/platform.md.
-var DefaultWeights = Weights{Affinity: 10, OtherRegion: 2, Homes: 2, Busy: 1.2, Full: 3}
+var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.5, Full: 3}
 
 // Place says where a host is.
-type Place struct{ Zone, Region string }
+type Place struct {
+	Zone   string
+	Region string
+	// Regions is how many regions there are.
+	Regions int
+}
 
 // Shares gives the host's part of what all hosts may send together.
 type Shares interface {
@@ -178,13 +185,14 @@
 
 func (b *Balancer) options(q Query) []option {
 	key := xxhash.Sum64String(q.Key)
+	near := b.isNear(key, q)
 	options := make([]option, 0, len(q.Candidates))
 	for _, m := range q.Candidates {
-		if slices.Contains(q.Tried, m.ID) || (q.Allows != nil && !q.Allows(m.Region)) {
+		if slices.Contains(q.Tried, m.ID) || !q.allows(m.Region) {
 			continue
 		}
 		s := b.state(m.ID)
-		o := option{member: m, state: s, load: s.load(q.Now, m.Capacity), cost: b.cost(m, key^s.seed)}
+		o := option{member: m, state: s, load: s.load(q.Now, m.Capacity), cost: b.cost(m, key^s.seed, near)}
 		if q.Now.Before(s.ejectedUntil) {
 			// An ejected upstream is the last choice, and no more than that:
 			// a wrong belief must not empty a service.
@@ -198,12 +206,36 @@
 // ejectedCost puts ejected upstreams behind all others.
 const ejectedCost = 4
 
-func (b *Balancer) cost(m *instance.Member, hash uint64) float64 {
+func (q Query) allows(region string) bool { return q.Allows == nil || q.Allows(region) }
+
+// isNear decides whether a key belongs to the own region. Each region keeps
+// as large a part of its keys as it has capacity for, on the assumption that
+// all regions ask for about the same; the rest belongs to the others, so that
+// a region with few upstreams is not overloaded while others have room.
+func (b *Balancer) isNear(key uint64, q Query) bool {
+	own, all := 0, 0
+	for _, m := range q.Candidates {
+		if !q.allows(m.Region) {
+			continue
+		}
+		all += m.Capacity
+		if m.Region == b.place.Region {
+			own += m.Capacity
+		}
+	}
+	part := float64(own) * float64(b.place.Regions) / float64(max(1, all))
+	return unit(mix(key+nearSalt)) < part
+}
+
+// nearSalt keeps a key's side apart from its order of upstreams.
+const nearSalt = 0x9e3779b97f4a7c15
+
+func (b *Balancer) cost(m *instance.Member, hash uint64, near bool) float64 {
 	cost := unit(mix(hash)) * b.weights.Affinity
-	switch {
-	case m.Region != b.place.Region:
-		cost += b.weights.OtherRegion
-	case m.Zone != b.place.Zone:
+	if (m.Region == b.place.Region) != near {
+		cost += b.weights.Away
+	}
+	if m.Region == b.place.Region && m.Zone != b.place.Zone {
 		cost += b.weights.OtherZone
 	}
 	return cost
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -168,7 +168,7 @@
 // quiet reports nothing.
 type quiet struct{}
 
-func (quiet) Lost(string, string, error)            {}
+func (quiet) Lost(string, string, error)             {}
 func (quiet) Regained(string, string, time.Duration) {}
 
 // freeAddress gives an address that nobody listens at.
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -126,3 +126,12 @@
 	}
 	return seeds
 }
+
+// Regions is how many regions the zones lie in.
+func (g Gateway) Regions() int {
+	regions := map[string]bool{g.Host.Region: true}
+	for _, region := range g.Zones {
+		regions[region] = true
+	}
+	return len(regions)
+}
