Bound how old a relayed table may be by the tightest bound

Change: all waits of a watcher are parts of the tightest bound; a relay answers at once when it has grown old. Conclusion: 'how old may this be' now has one number, from the settings.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -71,15 +71,13 @@
 	tableCount
 )
 
-// freshFor is the age up to which a host's knowledge helps others.
-const freshFor = 3 * time.Second
-
 // gatewayNode is one gateway host put together.
 type gatewayNode struct {
 	settings  settings.Gateway
 	log       *event.Log
 	metrics   *telemetry.Metrics
 	knowledge *gateway.Knowledge
+	timing    watch.Timing
 	tables    [tableCount]fleet.Table
 	watchers  [tableCount]*watch.Watcher
 	fleet     *fleet.Fleet
@@ -89,6 +87,7 @@
 
 func newGatewayNode(set settings.Gateway, out io.Writer) *gatewayNode {
 	n := &gatewayNode{settings: set, metrics: telemetry.NewMetrics()}
+	n.timing = watch.TimingFor(set.Limits.Staleness())
 	n.log = event.New(out, set.Host.Name, n.metrics)
 	n.knowledge = gateway.NewKnowledge(platform.Decoder{Zones: set.Zones}, n.log, n.metrics)
 	store := platform.NewStore(set.Store.Address, dialer(storeDialTimeout).DialContext)
@@ -101,7 +100,7 @@
 		},
 		Registry: platform.Registry{Store: store}, Report: n.log, Status: n.status,
 		Seeds: set.PeerSeeds(), Transport: fleet.TCP{Dialer: dialer(storeDialTimeout)},
-		Tables: n.tables[:],
+		Tables: n.tables[:], MaxAge: n.timing.MaxAge,
 	})
 	n.watch(intentTable, gateway.Intents{Knowledge: n.knowledge})
 	n.watch(upstreamTable, gateway.Upstreams{Knowledge: n.knowledge})
@@ -114,7 +113,7 @@
 func (n *gatewayNode) watch(table int, sink watch.Sink) {
 	route := func() []watch.Named { return n.fleet.Sources(table) }
 	newest := func() (int64, time.Duration) { return n.fleet.Newest(table) }
-	n.watchers[table] = watch.New(n.tables[table].Replica, route, newest, sink, watch.DefaultTiming)
+	n.watchers[table] = watch.New(n.tables[table].Replica, route, newest, sink, n.timing)
 }
 
 func dialer(timeout time.Duration) exchange.Dialer {
@@ -147,8 +146,8 @@
 }
 
 // ColdRate gives this host's part.
-func (s coldShares) ColdRate(region string, rate float64) int {
-	return s.fleet.ColdRate(region, rate*s.overshoot+s.slack)
+func (s coldShares) ColdRate(upstream, region string, rate float64) int {
+	return s.fleet.ColdRate(upstream, region, rate*s.overshoot+s.slack)
 }
 
 // status is what heartbeats tell of this host.
@@ -157,7 +156,7 @@
 	s.Fresh = true
 	for _, t := range n.tables {
 		s.Changes = append(s.Changes, t.Replica.LastChange())
-		s.Fresh = s.Fresh && t.Replica.Age() < freshFor
+		s.Fresh = s.Fresh && t.Replica.Age() < n.timing.MaxAge
 	}
 	return s
 }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -50,8 +50,8 @@
 // Shares gives the host's part of what all hosts may send together.
 type Shares interface {
 	// ColdRate is how many requests a second this host may send to a cold
-	// instance of a region, of a rate that holds for all hosts together.
-	ColdRate(region string, total float64) int
+	// upstream of a region, of a rate that holds for all hosts together.
+	ColdRate(upstream, region string, total float64) int
 }
 
 // Reason says why no upstream was chosen.
@@ -180,7 +180,7 @@
 	if !q.Now.Before(o.member.ColdUntil) {
 		return true
 	}
-	return o.state.coldSent(q.Now) < b.shares.ColdRate(o.member.Region, q.ColdRate)
+	return o.state.coldSent(q.Now) < b.shares.ColdRate(o.member.ID, o.member.Region, q.ColdRate)
 }
 
 func (b *Balancer) options(q Query) []option {
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -55,6 +55,7 @@
 	seeds    []string
 
 	tables []Table
+	maxAge time.Duration
 
 	mu      sync.Mutex
 	newest  []noted
@@ -76,6 +77,8 @@
 	Transport peer.Transport
 	// Tables are those that hosts relay, by their numbers.
 	Tables []Table
+	// MaxAge is the age up to which a relayed table is of use.
+	MaxAge time.Duration
 }
 
 // New makes a fleet.
@@ -83,7 +86,7 @@
 	f := &Fleet{
 		registry: o.Registry, report: o.Report, status: o.Status, seeds: o.Seeds,
 		members: NewMembers(o.Self), next: map[string]time.Time{},
-		tables: o.Tables, newest: make([]noted, len(o.Tables)),
+		tables: o.Tables, maxAge: o.MaxAge, newest: make([]noted, len(o.Tables)),
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
@@ -297,10 +300,10 @@
 }
 
 // ColdRate gives the host's part of a cold upstream's rate.
-func (f *Fleet) ColdRate(region string, total float64) int {
+func (f *Fleet) ColdRate(upstream, region string, total float64) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.members.ColdPart(region, total, time.Now())
+	return f.members.ColdPart(upstream, region, total, time.Now())
 }
 
 // Hosts is how many hosts are known, this one included.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Host is one gateway host, as it tells of itself.
@@ -190,13 +192,40 @@
 
 // ColdPart gives the host's part of the requests a second that a cold
 // upstream of a region bears from all hosts together.
-func (m *Members) ColdPart(region string, total float64, now time.Time) int {
-	all, inRegion, alive := m.Count(region, now)
-	if m.self.Region == region {
-		return max(1, int(nearPart*total/float64(max(1, inRegion))))
+func (m *Members) ColdPart(upstream, region string, total float64, now time.Time) int {
+	near := m.self.Region == region
+	if near {
+		return m.part(upstream, int(nearPart*total), func(r string) bool { return r == region })
 	}
-	if alive > 0 {
+	if _, _, alive := m.Count(region, now); alive > 0 {
 		return 0
 	}
-	return max(1, int(farPart*total/float64(max(1, all-inRegion))))
+	return m.part(upstream, int(farPart*total), func(r string) bool { return r != region })
+}
+
+// part splits a number evenly over the hosts of some regions, this one
+// included. When there are more hosts than the number, each upstream has its
+// own few hosts that get one each.
+func (m *Members) part(upstream string, number int, in func(region string) bool) int {
+	hosts, before := 1, 0
+	own := pairRank(m.self.Name, upstream)
+	for _, p := range m.peers {
+		if !in(p.Host.Region) {
+			continue
+		}
+		hosts++
+		if pairRank(p.Host.Name, upstream) < own {
+			before++
+		}
+	}
+	if hosts <= number {
+		return number / hosts
+	}
+	if before < max(1, number) {
+		return 1
+	}
+	return 0
 }
+
+// pairRank orders hosts differently for each upstream.
+func pairRank(host, upstream string) uint64 { return xxhash.Sum64String(host + "/" + upstream) }
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -21,6 +21,8 @@
 	Whole bool          `msgpack:"w,omitempty"`
 	After int64         `msgpack:"a,omitempty"`
 	Wait  time.Duration `msgpack:"d,omitempty"`
+	// MaxAge is the age from which on the answer should not wait.
+	MaxAge time.Duration `msgpack:"m,omitempty"`
 }
 
 // relayReply is the answer; Gap says that the changes are no longer known.
@@ -46,7 +48,7 @@
 
 // Changes waits for changes that the other host learns of.
 func (r relay) Changes(ctx context.Context, after int64, wait time.Duration) (watch.Page, error) {
-	return r.ask(ctx, relayRequest{Table: r.table, After: after, Wait: wait})
+	return r.ask(ctx, relayRequest{Table: r.table, After: after, Wait: wait, MaxAge: r.fleet.maxAge})
 }
 
 func (r relay) ask(ctx context.Context, q relayRequest) (watch.Page, error) {
@@ -72,7 +74,7 @@
 	if q.Whole {
 		page, err = replica.List(ctx)
 	} else {
-		page, err = replica.Changes(ctx, q.After, min(q.Wait, maxRelayWait))
+		page, err = replica.ChangesWithin(ctx, q.After, min(q.Wait, maxRelayWait), q.MaxAge)
 	}
 	if err != nil && !errors.Is(err, watch.ErrGap) {
 		_ = w.Fail()
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -102,7 +102,7 @@
 			delete(evacuated, r.Key)
 			continue
 		}
-		intent, err := k.decoder.Intent(r.Key, r.Value)
+		intent, err := k.readIntent(r)
 		switch {
 		case err != nil:
 			k.fault("intent", r, err)
@@ -115,6 +115,14 @@
 	k.evacuate(evacuated, version)
 }
 
+func (k *Knowledge) readIntent(r watch.Row) (Intent, error) {
+	value, err := r.Bytes()
+	if err != nil {
+		return Intent{}, err
+	}
+	return k.decoder.Intent(r.Key, value)
+}
+
 func (k *Knowledge) evacuate(by map[string]string, version int64) {
 	if maps.Equal(by, k.evacuated) {
 		return
@@ -175,7 +183,12 @@
 		k.log.Upstream(r.Key, instance.Instance{}, "gone", r.Version)
 		return
 	}
-	in, err := k.decoder.Instance(r.Key, r.Value)
+	value, err := r.Bytes()
+	if err != nil {
+		k.fault("upstream", r, err)
+		return
+	}
+	in, err := k.decoder.Instance(r.Key, value)
 	if err != nil {
 		k.fault("upstream", r, err)
 		return
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -51,6 +51,11 @@
 	// upstream gets in a second: its rate by the first, plus the second.
 	WarmUpOvershoot float64 `toml:"warm_up_overshoot"`
 	WarmUpSlack     float64 `toml:"warm_up_slack"`
+	// ApplyWithin is how soon a configuration, and DrainWithin how soon an
+	// upstream's leaving, must be in force on every host that reaches the
+	// store.
+	ApplyWithin Duration `toml:"apply_within"`
+	DrainWithin Duration `toml:"drain_within"`
 	// DirectoryTTL is the longest time that callers may keep an answer of
 	// the directory.
 	DirectoryTTL Duration `toml:"directory_ttl"`
@@ -84,13 +89,19 @@
 	defaultOvershoot    = 1.0
 	defaultDirectoryTTL = 2 * time.Second
 	defaultGrace        = 6 * time.Second
+	defaultWithin       = 2 * time.Second
 )
 
+// minWithin is the least bound that a watcher's waits can be cut from.
+const minWithin = 500 * time.Millisecond
+
 func (g *Gateway) fill() {
 	l := &g.Limits
 	l.RetryRatio = Default(l.RetryRatio, defaultRetryRatio)
 	l.RetryWindow = Default(l.RetryWindow, Seconds(defaultRetryWindow))
 	l.WarmUpOvershoot = Default(l.WarmUpOvershoot, defaultOvershoot)
+	l.ApplyWithin = Default(l.ApplyWithin, Seconds(defaultWithin))
+	l.DrainWithin = Default(l.DrainWithin, Seconds(defaultWithin))
 	l.DirectoryTTL = Default(l.DirectoryTTL, Seconds(defaultDirectoryTTL))
 	g.Stop.Grace = Default(g.Stop.Grace, Seconds(defaultGrace))
 }
@@ -108,6 +119,8 @@
 	f.Require(g.Limits.RetryRatio >= 0, "limits.retry_ratio", "must not be below 0")
 	f.Require(g.Limits.RetryWindow > 0, "limits.retry_window", "must be above 0")
 	f.Require(g.Limits.WarmUpOvershoot > 0, "limits.warm_up_overshoot", "must be above 0")
+	f.Require(time.Duration(g.Limits.ApplyWithin) >= minWithin, "limits.apply_within", "must be 500ms or more")
+	f.Require(time.Duration(g.Limits.DrainWithin) >= minWithin, "limits.drain_within", "must be 500ms or more")
 	f.Require(g.Stop.Grace > 0, "stop.grace", "must be above 0")
 	return errors.Join(f...)
 }
@@ -135,3 +148,8 @@
 	}
 	return len(regions)
 }
+
+// Staleness is how old what a host knows may be while the store is in reach.
+func (l GatewayLimits) Staleness() time.Duration {
+	return time.Duration(min(l.ApplyWithin, l.DrainWithin))
+}
--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -119,7 +119,7 @@
 	if !known && row.Gone {
 		return false
 	}
-	r.rows[row.Key] = row
+	r.rows[row.Key] = row.packed()
 	delete(r.goneAt, row.Key)
 	if row.Gone {
 		r.goneAt[row.Key] = now
@@ -192,6 +192,13 @@
 	}
 }
 
+// ChangesWithin is Changes that answers at once when the replica has grown
+// old, so that whoever asks can look for a better source.
+func (r *Replica) ChangesWithin(ctx context.Context, after int64, wait, maxAge time.Duration) (Page, error) {
+	left := maxAge - r.Age() + time.Millisecond
+	return r.Changes(ctx, after, max(0, min(wait, left)))
+}
+
 func (r *Replica) since(after int64) (Page, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/watch/row.go
+++ b/internal/watch/row.go
@@ -26,6 +26,8 @@
 	Version int64 `msgpack:"r"`
 	// Gone says that the row was removed.
 	Gone bool `msgpack:"g,omitempty"`
+	// Packed says that Value is compressed.
+	Packed bool `msgpack:"p,omitempty"`
 }
 
 // Page is an answer of a source.
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -38,12 +38,15 @@
 // Timing sets a watcher's pace.
 type Timing struct {
 	// Wait is how long the store holds a question for changes, and
-	// RelayWait how long another host does. A change that comes while a
-	// connection is dead is seen at most Wait and Slack later.
+	// RelayWait how long another host does.
 	Wait      time.Duration
 	RelayWait time.Duration
-	// Slack is how much longer an answer may take than the source holds it.
-	Slack time.Duration
+	// Slack is how much longer the store's answer may take than it holds
+	// the question; it doubles up to MaxSlack while answers are late.
+	// RelaySlack is that of another host.
+	Slack      time.Duration
+	MaxSlack   time.Duration
+	RelaySlack time.Duration
 	// Retry is the pause after a source's first failure; it doubles up to
 	// MaxRetry.
 	Retry    time.Duration
@@ -55,12 +58,26 @@
 	Behind time.Duration
 }
 
-// DefaultTiming suits bounds of two seconds and more after the store is back
-// in reach.
-var DefaultTiming = Timing{
-	Wait: 2500 * time.Millisecond, RelayWait: 600 * time.Millisecond, Slack: 500 * time.Millisecond,
-	Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, MaxAge: 3500 * time.Millisecond,
-	Behind: 300 * time.Millisecond,
+// The parts of the staleness allowed that a watcher's waits may take. A relay
+// that dies in silence is found after the waits of one question, and a relay
+// whose own way to the store dies in silence by its age; what is left over
+// is for asking the store oneself.
+const (
+	waitPart       = 0.55
+	maxAgePart     = 0.7
+	relayWaitPart  = 0.3
+	relaySlackPart = 0.15
+)
+
+// TimingFor gives the timing with which no host that reaches the store is
+// staler than a bound.
+func TimingFor(staleness time.Duration) Timing {
+	part := func(p float64) time.Duration { return time.Duration(p * float64(staleness)) }
+	return Timing{
+		Wait: part(waitPart), MaxAge: part(maxAgePart), RelayWait: part(relayWaitPart), RelaySlack: part(relaySlackPart),
+		Slack: 500 * time.Millisecond, MaxSlack: 2 * time.Second,
+		Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, Behind: 300 * time.Millisecond,
+	}
 }
 
 // Watcher keeps one replica up to date.
@@ -72,16 +89,17 @@
 	timing  Timing
 
 	sources map[string]*standing
-	lostAt  time.Time
 	// listed says that the last answer was a whole reading.
 	listed bool
 }
 
 // standing is how a source did lately.
 type standing struct {
-	retry  time.Duration
-	tryAt  time.Time
-	failed bool
+	retry time.Duration
+	slack time.Duration
+	tryAt time.Time
+	// lostAt is when it stopped answering; zero while it answers.
+	lostAt time.Time
 }
 
 // New makes a watcher of a replica.
@@ -120,11 +138,11 @@
 }
 
 func (w *Watcher) ask(ctx context.Context, n Named) error {
-	wait := w.timing.Wait
+	wait, slack := w.timing.Wait, w.standing(n).slack
 	if n.Relay {
-		wait = w.timing.RelayWait
+		wait, slack = w.timing.RelayWait, w.timing.RelaySlack
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+w.timing.Slack)
+	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	if !w.synced() {
 		return w.list(ctx, n)
@@ -219,33 +237,37 @@
 	return func() { close(done) }
 }
 
-// note takes down how a source did, and tells the sink when knowledge grows
-// old and when it is fresh again.
-func (w *Watcher) note(n Named, err error) {
-	now := time.Now()
+func (w *Watcher) standing(n Named) *standing {
 	s := w.sources[n.Name]
 	if s == nil {
-		s = &standing{retry: w.timing.Retry}
+		s = &standing{retry: w.timing.Retry, slack: w.timing.Slack}
 		w.sources[n.Name] = s
 	}
-	if err != nil {
-		s.tryAt = now.Add(s.retry/2 + rand.N(s.retry/2+1))
-		s.retry = min(s.retry*2, w.timing.MaxRetry)
-		if !s.failed {
-			s.failed = true
-			w.sink.Lost(n.Name, err)
-		}
-		if w.lostAt.IsZero() {
-			w.lostAt = now
+	return s
+}
+
+// note takes down how a source did, and tells the sink when it stops
+// answering and when it answers again.
+func (w *Watcher) note(n Named, err error) {
+	now := time.Now()
+	s := w.standing(n)
+	if err == nil {
+		s.retry, s.slack = w.timing.Retry, w.timing.Slack
+		if !s.lostAt.IsZero() {
+			w.sink.Regained(n.Name, now.Sub(s.lostAt))
+			s.lostAt = time.Time{}
 		}
 		return
 	}
-	s.retry = w.timing.Retry
-	if s.failed {
-		s.failed = false
-		w.sink.Regained(n.Name, now.Sub(w.lostAt))
+	if errors.Is(err, context.DeadlineExceeded) {
+		s.slack = min(2*s.slack, w.timing.MaxSlack)
+	}
+	s.tryAt = now.Add(s.retry/2 + rand.N(s.retry/2+1))
+	s.retry = min(s.retry*2, w.timing.MaxRetry)
+	if s.lostAt.IsZero() {
+		s.lostAt = now
+		w.sink.Lost(n.Name, err)
 	}
-	w.lostAt = time.Time{}
 }
 
 func sleep(ctx context.Context, d time.Duration) {
