Follow a request through the logs to its cause

Cause: on-call engineers have only logs and metrics, and lines had times to the second and refusals did not say what was full.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -21,7 +21,7 @@
 	c.Register(c.HelpCommand(), "")
 	c.Register(c.FlagsCommand(), "")
 	for _, command := range []subcommands.Command{
-		&quickstartCmd{}, &serveCmd{}, &gatewayCmd{}, &checkCmd{}, &applyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{}, &loadCmd{}, &standinCmd{}, &versionCmd{},
+		&quickstartCmd{}, &serveCmd{}, &gatewayCmd{}, &checkCmd{}, &applyCmd{}, &statusCmd{}, &explainCmd{}, &drainCmd{}, &loadCmd{}, &standinCmd{}, &traceCmd{}, &versionCmd{},
 	} {
 		c.Register(command, "")
 	}
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -71,6 +71,9 @@
 	tableCount
 )
 
+// tableNames are the tables' names in metrics.
+var tableNames = [tableCount]string{"intent", "upstream"}
+
 // gatewayNode is one gateway host put together.
 type gatewayNode struct {
 	settings  settings.Gateway
@@ -106,9 +109,21 @@
 	n.watch(upstreamTable, gateway.Upstreams{Knowledge: n.knowledge})
 	n.gateway = n.newGateway()
 	n.server = gateway.NewServer(n.gateway)
+	n.registerGauges()
 	return n
 }
 
+// registerGauges registers the figures that are read when metrics are.
+func (n *gatewayNode) registerGauges() {
+	n.metrics.Gauge("cairndock_requests_in_flight", func() float64 { return float64(n.gateway.InFlight()) })
+	n.metrics.Gauge("cairndock_hosts_known", func() float64 { return float64(n.fleet.Hosts()) })
+	n.metrics.Gauge("cairndock_upstreams_known", func() float64 { return float64(n.knowledge.Set().Len()) })
+	for table, name := range tableNames {
+		n.metrics.Gauge(`cairndock_table_age_seconds{table="`+name+`"}`, func() float64 { return n.tables[table].Replica.Age().Seconds() })
+		n.metrics.Gauge(`cairndock_table_version{table="`+name+`"}`, func() float64 { return float64(n.tables[table].Replica.Version()) })
+	}
+}
+
 // watch makes the watcher of a table.
 func (n *gatewayNode) watch(table int, sink watch.Sink) {
 	route := func() []watch.Named { return n.fleet.Sources(table) }
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -121,7 +121,8 @@
 }
 
 // Choose chooses an upstream and counts the request as outstanding there
-// until Done.
+// until Done. When it refuses, the choice is the key's first home, so that
+// the log can tell what was full or cold.
 func (b *Balancer) Choose(q Query) (Choice, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -132,16 +133,15 @@
 	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(x.cost, y.cost) })
 	homes := options[:min(len(options), b.weights.Homes)]
 	rank, reason := b.pick(homes, q)
-	if reason != Chosen {
-		return Choice{}, reason
-	}
 	o := homes[rank]
-	o.state.outstanding++
+	if reason == Chosen {
+		o.state.outstanding++
+	}
 	c := Choice{Instance: o.member, Load: o.load, LoadAge: -1, Rank: rank, Cold: q.Now.Before(o.member.ColdUntil)}
 	if !o.state.toldAt.IsZero() {
 		c.LoadAge = q.Now.Sub(o.state.toldAt)
 	}
-	return c, Chosen
+	return c, reason
 }
 
 // pick gives the first home that is not busy, else the one with the least
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -53,11 +53,23 @@
 		failures: rate.NewLimiter(failuresPerSecond, 2*failuresPerSecond),
 		sampled:  rate.NewLimiter(sampledPerSecond, 2*sampledPerSecond),
 	}
-	l.out = zerolog.New(enqueuer{l}).With().Timestamp().Str("host", host).Logger()
+	l.out = zerolog.New(enqueuer{l}).With().Str("host", host).Logger().Hook(stamp{})
 	go l.write(w)
 	return l
 }
 
+// timeFormat is that of a line's time: an order among the lines of several
+// hosts needs more than seconds.
+const timeFormat = "2006-01-02T15:04:05.000Z07:00"
+
+// stamp writes a line's time.
+type stamp struct{}
+
+// Run adds the time.
+func (stamp) Run(e *zerolog.Event, _ zerolog.Level, _ string) {
+	e.Str("time", time.Now().UTC().Format(timeFormat))
+}
+
 // enqueuer hands lines to the writer, or leaves them out.
 type enqueuer struct{ log *Log }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -94,14 +94,20 @@
 	case balance.Chosen:
 		return choice, nil
 	case balance.Full:
-		return choice, verdict.New(verdict.NotRun, verdict.Full, "all upstreams of %s are full", d.service).WithRetryAfter(busyPause)
+		return choice, d.refused(verdict.Full, choice)
 	case balance.Cold:
-		return choice, verdict.New(verdict.NotRun, verdict.Warming, "upstreams of %s are cold or full", d.service).WithRetryAfter(busyPause)
+		return choice, d.refused(verdict.Warming, choice)
 	default:
 		return choice, verdict.New(verdict.NotRun, verdict.NoUpstream, "no upstream of %s may serve this", d.service).WithRetryAfter(busyPause)
 	}
 }
 
+// refused tells what the first home of the request's key was like.
+func (d *dispatch) refused(reason verdict.Reason, c balance.Choice) error {
+	return verdict.New(verdict.NotRun, reason, "home %s has load %.2f, told %d ms ago, cold %t",
+		c.Instance.ID, c.Load, c.LoadAge.Milliseconds(), c.Cold).WithRetryAfter(busyPause)
+}
+
 func (d *dispatch) allows() func(string) bool {
 	if len(d.route.Regions) == 0 {
 		return nil
