--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -37,7 +37,7 @@
 }
 
 // DefaultWeights were measured, see docs/design/platform.md.
-var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.5, Full: 3}
+var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.3, Full: 1.6}
 
 // Place says where a host is.
 type Place struct {
