--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -5,6 +5,7 @@
 	"flag"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -200,7 +201,17 @@
 	if l.Metrics == "" {
 		return nil
 	}
-	return n.server.Also(l.Metrics, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { n.metrics.Write(w) }))
+	return n.server.Also(l.Metrics, n.figures())
+}
+
+// figures serves the metrics, and profiles for those who look for what holds
+// memory or time.
+func (n *gatewayNode) figures() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { n.metrics.Write(w) })
+	mux.HandleFunc("/debug/pprof/", pprof.Index)
+	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	return mux
 }
 
 func (n *gatewayNode) run(ctx context.Context, path string, signals <-chan os.Signal) subcommands.ExitStatus {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"os"
 	"strconv"
@@ -247,6 +248,7 @@
 	if after-before < 20 {
 		w.breach("recovery: only %d requests were served in the second after all faults", after-before)
 	}
+	w.profile()
 	cancel()
 	wait.Wait()
 	time.Sleep(500 * time.Millisecond) // what still runs must not run later either
@@ -263,6 +265,27 @@
 	return w.breaches
 }
 
+// profile keeps a heap profile of a host under load.
+func (w *world) profile() {
+	dir := os.Getenv("SOAK_LOGS")
+	if dir == "" {
+		return
+	}
+	resp, err := http.Get("http://" + w.hosts[0].metrics + "/debug/pprof/heap?gc=1")
+	if err != nil {
+		w.t.Log(err)
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, err := io.ReadAll(resp.Body)
+	if err == nil {
+		err = os.WriteFile(fmt.Sprintf("%s/seed-%d.heap", dir, w.seed), text, 0o600)
+	}
+	if err != nil {
+		w.t.Log(err)
+	}
+}
+
 // keep writes a host's log where it outlives the run.
 func keep(t *testing.T, seed uint64, h *host) {
 	dir := os.Getenv("SOAK_LOGS")
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -27,6 +27,7 @@
 	callers   string
 	directory string
 	readiness string
+	metrics   string
 	store     *proxy
 
 	mu  sync.Mutex
@@ -59,6 +60,7 @@
 readiness = %q
 directory = %q
 peers = %q
+metrics = %q
 [store]
 address = %q
 [zones]
@@ -81,9 +83,9 @@
 func newHost(t *testing.T, name, zone, region, store string) *host {
 	t.Helper()
 	h := &host{t: t, name: name, zone: zone, store: newProxy(t, store), log: &bytes.Buffer{}}
-	h.callers, h.directory, h.readiness = freeAddress(t), freeAddress(t), freeAddress(t)
+	h.callers, h.directory, h.readiness, h.metrics = freeAddress(t), freeAddress(t), freeAddress(t), freeAddress(t)
 	h.settings = filepath.Join(t.TempDir(), name+".toml")
-	text := fmt.Sprintf(settingsText, name, zone, region, h.callers, h.readiness, h.directory, freeAddress(t), h.store.address())
+	text := fmt.Sprintf(settingsText, name, zone, region, h.callers, h.readiness, h.directory, freeAddress(t), h.metrics, h.store.address())
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -30,7 +30,6 @@
 
 	mu    sync.Mutex
 	mode  mode
-	gate  chan struct{} // closed while bytes pass
 	conns map[net.Conn]struct{}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -62,7 +62,6 @@
 	storeHarm time.Time // when the last fault of the store ended, or far ahead
 	evacuated map[string]bool
 	breaches  []string
-	wait      sync.WaitGroup
 	// told is what callers were told of requests that may not be repeated.
 	promised map[string]string
 	served   int
