Keep large answers in the region first

Change: where a service has large and small answers, a region's capacity goes to the keys of the large ones first.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -77,6 +77,10 @@
 	Candidates []*instance.Member
 	// Allows says in which regions the request may be served; nil is all.
 	Allows func(region string) bool
+	// Bulk says that the answer is large, and Mixed that the service also
+	// serves answers of the other sort.
+	Bulk  bool
+	Mixed bool
 	// Tried are the ids of upstreams that it was sent to before.
 	Tried []string
 	// ColdRate is how many requests a second a cold upstream bears from
@@ -224,9 +228,23 @@
 		}
 	}
 	part := float64(own) * float64(b.place.Regions) / float64(max(1, all))
+	if q.Mixed {
+		part = mixedPart(part, q.Bulk)
+	}
 	return unit(mix(key+nearSalt)) < part
 }
 
+// mixedPart gives large answers the region's capacity first, as the bytes of
+// the others cost little on their way, on the assumption that a service gets
+// as many requests of each sort.
+func mixedPart(part float64, bulk bool) float64 {
+	large := min(1, 2*part)
+	if bulk {
+		return large
+	}
+	return 2*part - large
+}
+
 // nearSalt keeps a key's side apart from its order of upstreams.
 const nearSalt = 0x9e3779b97f4a7c15
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -199,3 +199,30 @@
 	_, reason := b.Choose(q)
 	require.Equal(t, balance.Nobody, reason)
 }
+
+// A region with half the capacity that its keys need serves the large answers
+// itself and leaves the small ones to others.
+func TestLargeAnswersStayNearFirst(t *testing.T) {
+	b, now := newBalancer(1), time.Now()
+	var all []*instance.Member
+	for i := range 12 {
+		region := "east"
+		if i < 3 {
+			region = "west"
+		}
+		all = append(all, member("i-"+strconv.Itoa(i), region+"-1", region))
+	}
+	near := map[bool]int{}
+	const keys = 500
+	for key := range keys {
+		for _, bulk := range []bool{true, false} {
+			c := choose(t, b, balance.Query{Key: strconv.Itoa(key), Candidates: all, Now: now, Bulk: bulk, Mixed: true})
+			b.Done(c.Instance.ID, balance.Answered, now)
+			if c.Instance.Region == "west" {
+				near[bulk]++
+			}
+		}
+	}
+	require.Greater(t, near[true], keys*7/10)
+	require.Less(t, near[false], keys*3/10)
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -86,6 +86,8 @@
 		Key:        d.call.Key,
 		Candidates: d.gateway.Knowledge.Set().Service(d.service),
 		Allows:     d.allows(),
+		Bulk:       d.route.Bulk,
+		Mixed:      d.table.Mixed(d.service),
 		Tried:      d.tried,
 		ColdRate:   d.table.Service(d.service).WarmUpRate,
 		Now:        time.Now(),
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -49,6 +49,8 @@
 	Attempts int
 	// Priority is the rank under overload; 0 is the most urgent.
 	Priority int
+	// Bulk says that answers are large.
+	Bulk bool
 	// Sticky says that upstreams work faster on objects seen lately.
 	Sticky bool
 	// Regions are those in which the route may be served; empty is any.
@@ -93,7 +95,9 @@
 
 	byHost   map[string][]*Route
 	services map[string]Service
-	routes   int
+	// mixed has the services that serve large answers and small ones.
+	mixed  map[string]bool
+	routes int
 }
 
 // NewTable makes a table.
@@ -109,9 +113,32 @@
 	for _, s := range services {
 		t.services[s.Name] = s
 	}
+	t.mixed = mixedServices(routes)
 	return t
 }
 
+// mixedServices gives the services whose main routes, those that send them
+// most of their requests, have large answers and small ones.
+func mixedServices(routes []Route) map[string]bool {
+	bulk, small := map[string]bool{}, map[string]bool{}
+	for _, r := range routes {
+		main := slices.MaxFunc(r.Backends, func(a, b Backend) int { return cmp.Compare(a.Weight, b.Weight) })
+		if r.Bulk {
+			bulk[main.Service] = true
+		} else {
+			small[main.Service] = true
+		}
+	}
+	mixed := map[string]bool{}
+	for service := range bulk {
+		mixed[service] = small[service]
+	}
+	return mixed
+}
+
+// Mixed reports whether a service serves large answers and small ones.
+func (t *Table) Mixed(service string) bool { return t.mixed[service] }
+
 func longestFirst(a, b *Route) int {
 	return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
 }
