--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -49,6 +49,9 @@
 
 // Execute runs the host until it is asked to stop.
 func (c *gatewayCmd) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	// First of all: a request to reload must not end a process that starts.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	if c.settings == "" {
 		return usage("gateway: --settings must be given")
 	}
@@ -59,8 +62,6 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
 	node := newGatewayNode(set, os.Stdout)
 	return node.run(ctx, c.settings, signals)
 }
--- /dev/null
+++ b/internal/entry/capacity.go
@@ -0,0 +1,109 @@
+package entry
+
+import (
+	"time"
+
+	"cairndock/internal/config"
+	"cairndock/internal/platform"
+	"cairndock/internal/slot"
+)
+
+// reconfigure works out anew what the host may use, after a change of the
+// configuration, the roster or an upstream's state.
+func (h *Host) reconfigure() {
+	now := time.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	v := h.View()
+	h.configured = h.holder.Current().Epoch
+	for _, svc := range v.Services() {
+		s := h.serviceFor(svc.Name)
+		s.gate.Configure(h.specs(svc, now), h.ruleSpecs(svc, now))
+		s.mu.Lock()
+		s.decider.Configure(svc, h.self.Zone, h.region, now)
+		s.mu.Unlock()
+	}
+	h.services.Range(func(name, s any) bool {
+		if _, ok := v.Service(name.(string)); !ok {
+			s.(*service).gate.Configure(nil, nil)
+		}
+		return true
+	})
+}
+
+// specs gives what the host holds of a service's upstreams; h.mu is held.
+func (h *Host) specs(svc *config.ServiceView, now time.Time) []slot.Spec {
+	specs := make([]slot.Spec, 0, len(svc.Local))
+	for _, u := range svc.Local {
+		held := h.holder.Held(u.Name, u.Slots, time.Duration(svc.MaxTimeout), now)
+		specs = append(specs, slot.Spec{Name: u.Name, Held: held.Count(), Leaving: h.isLeaving(u)})
+	}
+	return specs
+}
+
+// isLeaving puts the three signs together: the configuration, the
+// platform's host list and the upstream's own word. h.mu is held.
+func (h *Host) isLeaving(u config.Upstream) bool {
+	if u.State == config.StateLeaving {
+		return true
+	}
+	if state := h.platHost[u.Name]; state == platform.Leaving || state == platform.Gone {
+		return true
+	}
+	_, departed := h.departed[instanceKey{u.Name, h.instances[u.Name]}]
+	return departed
+}
+
+// ruleSpecs gives the host's part of each rule's limits; h.mu is held.
+func (h *Host) ruleSpecs(svc *config.ServiceView, now time.Time) []slot.RuleSpec {
+	longest := time.Duration(svc.MaxTimeout)
+	specs := make([]slot.RuleSpec, 0, len(svc.Rules))
+	for _, r := range svc.Rules {
+		spec := slot.RuleSpec{Name: r.Name, Members: r.Local, InFlight: -1, Rate: -1}
+		if r.InFlight > 0 {
+			spec.InFlight = h.holder.Part("rule:"+r.Name, zonePart(r, h.self.Zone), longest, now)
+		}
+		if r.Rate > 0 {
+			spec.Rate = r.Rate * zoneShare(r, h.self.Zone) * h.holder.Fraction(now, longest)
+		}
+		specs = append(specs, spec)
+	}
+	return specs
+}
+
+// zoneShare is a zone's part of a rule's slots.
+func zoneShare(r config.RuleView, zone string) float64 {
+	total, own := 0, 0
+	for _, s := range r.Sites {
+		total += s.Slots
+		if s.Zone == zone {
+			own = s.Slots
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return float64(own) / float64(total)
+}
+
+// zonePart splits a rule's in-flight limit over its zones in proportion to
+// their slots. Every host computes the same split, which sums to the limit:
+// each zone gets what its slots add to the rounded running sum.
+func zonePart(r config.RuleView, zone string) int {
+	total := 0
+	for _, s := range r.Sites {
+		total += s.Slots
+	}
+	if total == 0 {
+		return 0
+	}
+	sum := 0
+	for _, s := range r.Sites {
+		before := r.InFlight * sum / total
+		sum += s.Slots
+		if s.Zone == zone {
+			return r.InFlight*sum/total - before
+		}
+	}
+	return 0
+}
--- a/internal/entry/host.go
+++ b/internal/entry/host.go
@@ -5,13 +5,11 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/oklog/ulid/v2"
-	"github.com/rotisserie/eris"
 	"github.com/rs/zerolog"
 	"go.opentelemetry.io/otel/trace"
 	"golang.org/x/time/rate"
@@ -258,167 +256,9 @@
 	return s.(*service)
 }
 
-// reconfigure works out anew what the host may use, after a change of the
-// configuration, the roster or an upstream's state.
-func (h *Host) reconfigure() {
-	now := time.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	v := h.View()
-	h.configured = h.holder.Current().Epoch
-	for _, svc := range v.Services() {
-		s := h.serviceFor(svc.Name)
-		s.gate.Configure(h.specs(svc, now), h.ruleSpecs(svc, now))
-		s.mu.Lock()
-		s.decider.Configure(svc, h.self.Zone, h.region, now)
-		s.mu.Unlock()
-	}
-	h.services.Range(func(name, s any) bool {
-		if _, ok := v.Service(name.(string)); !ok {
-			s.(*service).gate.Configure(nil, nil)
-		}
-		return true
-	})
-}
-
-// specs gives what the host holds of a service's upstreams; h.mu is held.
-func (h *Host) specs(svc *config.ServiceView, now time.Time) []slot.Spec {
-	specs := make([]slot.Spec, 0, len(svc.Local))
-	for _, u := range svc.Local {
-		held := h.holder.Held(u.Name, u.Slots, time.Duration(svc.MaxTimeout), now)
-		specs = append(specs, slot.Spec{Name: u.Name, Held: held.Count(), Leaving: h.isLeaving(u)})
-	}
-	return specs
-}
-
-// isLeaving puts the three signs together: the configuration, the
-// platform's host list and the upstream's own word. h.mu is held.
-func (h *Host) isLeaving(u config.Upstream) bool {
-	if u.State == config.StateLeaving {
-		return true
-	}
-	if state := h.platHost[u.Name]; state == platform.Leaving || state == platform.Gone {
-		return true
-	}
-	_, departed := h.departed[instanceKey{u.Name, h.instances[u.Name]}]
-	return departed
-}
-
-// ruleSpecs gives the host's part of each rule's limits; h.mu is held.
-func (h *Host) ruleSpecs(svc *config.ServiceView, now time.Time) []slot.RuleSpec {
-	longest := time.Duration(svc.MaxTimeout)
-	specs := make([]slot.RuleSpec, 0, len(svc.Rules))
-	for _, r := range svc.Rules {
-		spec := slot.RuleSpec{Name: r.Name, Members: r.Local, InFlight: -1, Rate: -1}
-		if r.InFlight > 0 {
-			spec.InFlight = h.holder.Part("rule:"+r.Name, zonePart(r, h.self.Zone), longest, now)
-		}
-		if r.Rate > 0 {
-			spec.Rate = r.Rate * zoneShare(r, h.self.Zone) * h.holder.Fraction(now, longest)
-		}
-		specs = append(specs, spec)
-	}
-	return specs
-}
-
-// zoneShare is a zone's part of a rule's slots.
-func zoneShare(r config.RuleView, zone string) float64 {
-	total, own := 0, 0
-	for _, s := range r.Sites {
-		total += s.Slots
-		if s.Zone == zone {
-			own = s.Slots
-		}
-	}
-	if total == 0 {
-		return 0
-	}
-	return float64(own) / float64(total)
-}
-
-// zonePart splits a rule's in-flight limit over its zones in proportion to
-// their slots. Every host computes the same split, which sums to the limit:
-// each zone gets what its slots add to the rounded running sum.
-func zonePart(r config.RuleView, zone string) int {
-	total := 0
-	for _, s := range r.Sites {
-		total += s.Slots
-	}
-	if total == 0 {
-		return 0
-	}
-	sum := 0
-	for _, s := range r.Sites {
-		before := r.InFlight * sum / total
-		sum += s.Slots
-		if s.Zone == zone {
-			return r.InFlight*sum/total - before
-		}
-	}
-	return 0
-}
-
-// validated reports whether the host may send new work to upstreams. A host
-// that was paused, or that nobody answered for a while, may have lost its
-// slots to others since, and must ask first.
-func (h *Host) validated() bool {
-	return h.now()-h.validatedAt.Load() < int64(maxPause)
-}
-
-// heard notes that somebody answered.
-func (h *Host) heard() { h.contactAt.Store(h.now()) }
-
-// keepValidated keeps the host validated from turn to turn, or has it ask for
-// the roster when it may have lost its slots.
-func (h *Host) keepValidated(ctx context.Context) {
-	isolated := h.now()-h.contactAt.Load() > int64(maxIsolation)
-	if h.validated() && !isolated {
-		h.validatedAt.Store(h.now())
-		return
-	}
-	// Not a moment longer: what is admitted now may run for its deadline,
-	// and its slots may be given away after member.LostAfter and as long.
-	h.validatedAt.Store(0)
-	if !h.revalidating.CompareAndSwap(false, true) {
-		return
-	}
-	go func() {
-		defer h.revalidating.Store(false)
-		if h.revalidate(ctx) {
-			h.heard()
-			h.validatedAt.Store(h.now())
-		}
-	}()
-}
-
-// longest is the longest deadline of any service.
-func (h *Host) longest() time.Duration {
-	longest := time.Duration(0)
-	for _, svc := range h.View().Services() {
-		longest = max(longest, time.Duration(svc.MaxTimeout))
-	}
-	return longest
-}
-
 // clockStart is what the host's clock reads when the host is made; above
 // zero, so that zero is always long ago.
 const clockStart = int64(time.Hour)
 
 // now reads the host's monotonic clock, in nanoseconds.
 func (h *Host) now() int64 { return clockStart + int64(time.Since(h.made)) }
-
-// TCP is the transport that hosts use but for tests.
-type TCP struct{}
-
-// Dial makes a TCP connection.
-func (TCP) Dial(ctx context.Context, addr string) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", addr)
-	return c, eris.Wrap(err, "dial peer")
-}
-
-// Listen listens for TCP connections.
-func (TCP) Listen(addr string) (net.Listener, error) {
-	l, err := net.Listen("tcp", addr)
-	return l, eris.Wrap(err, "listen")
-}
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -12,7 +12,6 @@
 	"cairndock/internal/peer"
 	"cairndock/internal/platform"
 	"cairndock/internal/roster"
-	"cairndock/internal/settings"
 )
 
 const (
@@ -268,144 +267,6 @@
 	h.turnNow()
 }
 
-// memberOf reports whether this host holds slots by a roster; h.mu is held.
-func (h *Host) memberOf(r roster.Roster) bool {
-	m, ok := r.Member(h.self.Host)
-	return ok && m.Incarnation == h.holder.Incarnation() && m.State == roster.Active
-}
-
-// rejoin drops every slot and joins again: the roster says that this host
-// died, so that its slots belong to others.
-func (h *Host) rejoin() {
-	h.log.Warn().Msg("roster: was taken for dead, joining again")
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	cur := h.holder.Current()
-	h.holder = roster.NewHolder(h.self.Host, newIncarnation(), h.self.Zone)
-	h.holder.See(cur, time.Now())
-	h.joined = false
-}
-
-// join writes this host into its zone's roster.
-func (h *Host) join(ctx context.Context) error {
-	r, version, err := h.readRoster(ctx)
-	if err != nil {
-		return err
-	}
-	old, known := r.Member(h.self.Host)
-	h.mu.Lock()
-	incarnation := h.holder.Incarnation()
-	h.mu.Unlock()
-	if known && old.Incarnation == incarnation && old.State == roster.Active {
-		return h.markJoined(false)
-	}
-	me := roster.Member{
-		Host: h.self.Host, Incarnation: incarnation, PeerAddr: h.self.PeerAddr,
-		CallerAddr: h.self.CallerAddr, State: roster.Active,
-	}
-	if err := h.writeRoster(ctx, r.WithMember(me), version); err != nil {
-		return err
-	}
-	return h.markJoined(known)
-}
-
-// markJoined notes the membership. Where an earlier incarnation was a
-// member, its requests may be outstanding still.
-func (h *Host) markJoined(replaced bool) error {
-	h.mu.Lock()
-	h.joined = true
-	if replaced {
-		h.holder.Replaced(time.Now())
-	}
-	h.mu.Unlock()
-	h.reconfigure()
-	h.turnNow()
-	return nil
-}
-
-// writeRoster writes the zone's next roster. When its answer is lost, the
-// next turn reads what became of it.
-func (h *Host) writeRoster(ctx context.Context, r roster.Roster, version int64) error {
-	body, err := peer.Encode(r)
-	if err != nil {
-		return err
-	}
-	err = h.call(ctx, func(ctx context.Context) error {
-		return h.opts.Table.Transact(ctx, []platform.Write{{Key: rosterKey(r.Zone), IfVersion: version, Body: body}})
-	})
-	if err != nil {
-		return eris.Wrap(err, "write roster")
-	}
-	h.see(r)
-	h.tellZone()
-	return nil
-}
-
-// lookAtHosts reads the platform's host list and takes members out of the
-// roster that it says are gone and that are silent as well.
-func (h *Host) lookAtHosts(ctx context.Context) error {
-	var hosts []platform.HostState
-	err := h.call(ctx, func(ctx context.Context) (err error) {
-		hosts, err = h.opts.Hosts.Hosts(ctx)
-		return err
-	})
-	if err != nil {
-		return eris.Wrap(err, "read host list")
-	}
-	h.noteHosts(hosts)
-	listed := map[string]platform.State{}
-	for _, s := range hosts {
-		listed[s.Name] = s.State
-	}
-	r, version, err := h.readRoster(ctx)
-	if err != nil {
-		return err
-	}
-	for _, m := range r.Members {
-		if next, ok := h.withoutDead(r, m, listed); ok {
-			return h.writeRoster(ctx, next, version)
-		}
-	}
-	return nil
-}
-
-// withoutDead gives the roster that follows when a member is gone.
-func (h *Host) withoutDead(r roster.Roster, m roster.Member, listed map[string]platform.State) (roster.Roster, bool) {
-	if m.Host == h.self.Host {
-		return r, false
-	}
-	longest := h.longest()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if m.State == roster.Gone {
-		since, seen := h.goneAt[m.Host]
-		if !seen || time.Since(since) < longest+deadMargin {
-			return r, false
-		}
-		delete(h.goneAt, m.Host)
-		return r.Without(m.Host), true
-	}
-	if !h.isGone(m.Host, listed) {
-		return r, false
-	}
-	return r.WithState(m.Host, roster.Gone), true
-}
-
-// isGone puts silence and the host list together. The list may name the dead
-// or drop them; one that it does not name yet was just started. h.mu is held.
-func (h *Host) isGone(host string, listed map[string]platform.State) bool {
-	silence := member.LostAfter
-	state, named := listed[host]
-	if _, before := h.platHost[host]; !named && !before {
-		silence = unlistedAfter
-	}
-	if named && state != platform.Gone {
-		return false
-	}
-	p, known := h.peers.Get(host)
-	return !known || time.Since(p.HeardAt) > silence
-}
-
 // fetchRoster takes the zone's roster from a host that has a newer one.
 func (h *Host) fetchRoster(ctx context.Context, from member.Contact) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
@@ -440,24 +301,3 @@
 	}
 	return false
 }
-
-// Prepare fills the defaults of a host's settings.
-func Prepare(s *settings.Settings) {
-	s.Stop.Window = settings.Default(s.Stop.Window, settings.Seconds(5*time.Minute))
-	s.Stop.Grace = settings.Default(s.Stop.Grace, settings.Seconds(2*time.Second))
-	s.Platform.CallsPerSecond = settings.Default(s.Platform.CallsPerSecond, 5)
-	s.Platform.Region = settings.Default(s.Platform.Region, "local")
-	s.Platform.Table = settings.Default(s.Platform.Table, "cairndock")
-	s.Platform.Bucket = settings.Default(s.Platform.Bucket, "cairndock")
-}
-
-// Check notes the faults of a host's settings.
-func Check(s settings.Settings, f *settings.Faults) {
-	f.Require(s.Host.Name != "", "host.name", "must be set")
-	f.Require(s.Host.Zone != "", "host.zone", "must be set")
-	f.Require(s.Host.Region != "", "host.region", "must be set")
-	f.Require(s.Peers.Listen != "", "peers.listen", "must be set")
-	f.Require(s.Platform.CallsPerSecond > 0, "platform.calls_per_second", "must be above 0")
-	f.Require(s.Stop.Window > 0, "stop.window", "must be above 0")
-	f.Require(s.Stop.Grace >= 0, "stop.grace", "must not be negative")
-}
--- /dev/null
+++ b/internal/entry/validity.go
@@ -0,0 +1,48 @@
+package entry
+
+import (
+	"context"
+	"time"
+)
+
+// validated reports whether the host may send new work to upstreams. A host
+// that was paused, or that nobody answered for a while, may have lost its
+// slots to others since, and must ask first.
+func (h *Host) validated() bool {
+	return h.now()-h.validatedAt.Load() < int64(maxPause)
+}
+
+// heard notes that somebody answered.
+func (h *Host) heard() { h.contactAt.Store(h.now()) }
+
+// keepValidated keeps the host validated from turn to turn, or has it ask for
+// the roster when it may have lost its slots.
+func (h *Host) keepValidated(ctx context.Context) {
+	isolated := h.now()-h.contactAt.Load() > int64(maxIsolation)
+	if h.validated() && !isolated {
+		h.validatedAt.Store(h.now())
+		return
+	}
+	// Not a moment longer: what is admitted now may run for its deadline,
+	// and its slots may be given away after member.LostAfter and as long.
+	h.validatedAt.Store(0)
+	if !h.revalidating.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer h.revalidating.Store(false)
+		if h.revalidate(ctx) {
+			h.heard()
+			h.validatedAt.Store(h.now())
+		}
+	}()
+}
+
+// longest is the longest deadline of any service.
+func (h *Host) longest() time.Duration {
+	longest := time.Duration(0)
+	for _, svc := range h.View().Services() {
+		longest = max(longest, time.Duration(svc.MaxTimeout))
+	}
+	return longest
+}
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -6,14 +6,9 @@
 	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
 	"math"
 	"net"
 	"net/http"
-	"slices"
-	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,7 +16,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/rotisserie/eris"
 
-	"cairndock/internal/call"
 	"cairndock/internal/verdict"
 )
 
@@ -102,42 +96,6 @@
 	return nil
 }
 
-// Result is what one class got.
-type Result struct {
-	Class    string         `json:"class"`
-	Offered  int            `json:"offered"`
-	Verdicts map[string]int `json:"verdicts"`
-	Zones    map[string]int `json:"zones"`
-	Bytes    int64          `json:"bytes"`
-	// Latencies run from when a request was due, in microseconds.
-	P50  int64 `json:"p50_us"`
-	P99  int64 `json:"p99_us"`
-	P999 int64 `json:"p999_us"`
-	Max  int64 `json:"max_us"`
-	// RefusedP99 is the same for refusals alone.
-	RefusedP99 int64 `json:"refused_p99_us"`
-}
-
-// Report is what a load showed.
-type Report struct {
-	Seconds float64  `json:"seconds"`
-	Results []Result `json:"results"`
-	// Skipped counts arrivals that this program could not send in time.
-	Skipped int `json:"skipped"`
-	// Wrong counts answers to another request; a resend's answer that
-	// differs from the first counts too.
-	Wrong int `json:"wrong_answers"`
-	// RanTwice, ToldNotRun and Over count broken promises by the ledgers.
-	RanTwice   int `json:"ran_twice"`
-	ToldNotRun int `json:"told_not_run_but_ran"`
-	Over       int `json:"beyond_slots"`
-	// Changes is what configuration changes beside the load got, if any.
-	Changes *ChangeResult `json:"changes,omitempty"`
-}
-
-// Broken reports whether a promise was broken.
-func (r Report) Broken() bool { return r.Wrong+r.RanTwice+r.ToldNotRun+r.Over > 0 }
-
 type classRun struct {
 	class    Class
 	mu       sync.Mutex
@@ -310,85 +268,15 @@
 	cr.note(got, time.Since(due))
 }
 
-func (r *run) ticket(ctx context.Context, host, service string) string {
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/tickets?service="+service, nil)
-	if err != nil {
-		return ""
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return ""
-	}
-	defer resp.Body.Close()
-	var out struct {
-		Ticket string `json:"ticket"`
-	}
-	_ = json.NewDecoder(resp.Body).Decode(&out)
-	return out.Ticket
-}
-
 // The verdicts that the load itself gives.
 const (
 	answered = "answered"
 	broken   = "broken connection"
 )
 
-// reply is what one request got.
-type reply struct {
-	verdict string
-	zone    string
-	bytes   int64
-	// body is the beginning of the answer.
-	body []byte
-}
-
 // maxBody bounds what is kept of an answer, to compare it.
 const maxBody = 4 << 10
 
-func (r *run) send(ctx context.Context, host string, c Class, i int, ticket string) reply {
-	path := c.Path
-	if strings.Contains(path, "%d") {
-		path = fmt.Sprintf(path, i)
-	}
-	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+host+"/s/"+c.Service+path, bytes.NewReader([]byte(c.Body)))
-	if err != nil {
-		return reply{verdict: broken}
-	}
-	if ticket != "" {
-		req.Header.Set(call.HeaderTicket, ticket)
-	}
-	if c.Timeout > 0 {
-		req.Header.Set(call.HeaderTimeout, c.Timeout.String())
-	}
-	resp, err := r.client.Do(req)
-	if err != nil {
-		return reply{verdict: broken}
-	}
-	defer resp.Body.Close()
-	out := readReply(resp)
-	if c.Echo && out.verdict == answered && !bytes.Contains(out.body, []byte(strconv.Quote(path))) {
-		r.wrong.Add(1)
-	}
-	return out
-}
-
-func readReply(resp *http.Response) reply {
-	out := reply{verdict: answered}
-	out.zone, _, _ = strings.Cut(resp.Header.Get(call.HeaderUpstream), "/")
-	if told := resp.Header.Get(verdict.Header); told != "" {
-		out.verdict = told
-	}
-	var err error
-	if out.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody)); err == nil {
-		out.bytes, err = io.Copy(io.Discard, resp.Body)
-	}
-	out.bytes += int64(len(out.body))
-	if err != nil {
-		out.verdict = broken
-	}
-	return out
-}
-
 func (cr *classRun) note(got reply, took time.Duration) {
 	cr.mu.Lock()
 	defer cr.mu.Unlock()
@@ -443,32 +331,3 @@
 	}
 	return nil
 }
-
-// Print writes the report as a table.
-func (r Report) Print(w io.Writer) {
-	for _, c := range r.Results {
-		fmt.Fprintf(w, "%s: offered %d (%.0f/s), %.1f MB/s\n", c.Class, c.Offered, float64(c.Offered)/r.Seconds, float64(c.Bytes)/1e6/r.Seconds)
-		for _, name := range sorted(c.Verdicts) {
-			fmt.Fprintf(w, "  %-18s %d (%.2f%%)\n", name, c.Verdicts[name], 100*float64(c.Verdicts[name])/float64(max(1, c.Offered)))
-		}
-		for _, name := range sorted(c.Zones) {
-			fmt.Fprintf(w, "  zone %-13s %.1f%%\n", name, 100*float64(c.Zones[name])/float64(max(1, c.Offered)))
-		}
-		fmt.Fprintf(w, "  p50 %s  p99 %s  p99.9 %s  max %s  refused p99 %s\n", micros(c.P50), micros(c.P99), micros(c.P999), micros(c.Max), micros(c.RefusedP99))
-	}
-	if c := r.Changes; c != nil {
-		fmt.Fprintf(w, "changes: accepted %d, failed %d, p50 %s  p99 %s\n", c.Accepted, c.Failed, micros(c.P50), micros(c.P99))
-	}
-	fmt.Fprintf(w, "not sent in time %d; wrong answers %d, ran twice %d, told not-run but ran %d, beyond a slot %d\n", r.Skipped, r.Wrong, r.RanTwice, r.ToldNotRun, r.Over)
-}
-
-func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
-
-func sorted(m map[string]int) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
--- /dev/null
+++ b/internal/load/request.go
@@ -0,0 +1,85 @@
+package load
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"cairndock/internal/call"
+	"cairndock/internal/verdict"
+)
+
+func (r *run) ticket(ctx context.Context, host, service string) string {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+host+"/v1/tickets?service="+service, nil)
+	if err != nil {
+		return ""
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return ""
+	}
+	defer resp.Body.Close()
+	var out struct {
+		Ticket string `json:"ticket"`
+	}
+	_ = json.NewDecoder(resp.Body).Decode(&out)
+	return out.Ticket
+}
+
+// reply is what one request got.
+type reply struct {
+	verdict string
+	zone    string
+	bytes   int64
+	// body is the beginning of the answer.
+	body []byte
+}
+
+func (r *run) send(ctx context.Context, host string, c Class, i int, ticket string) reply {
+	path := c.Path
+	if strings.Contains(path, "%d") {
+		path = fmt.Sprintf(path, i)
+	}
+	req, err := http.NewRequestWithContext(ctx, c.Method, "http://"+host+"/s/"+c.Service+path, bytes.NewReader([]byte(c.Body)))
+	if err != nil {
+		return reply{verdict: broken}
+	}
+	if ticket != "" {
+		req.Header.Set(call.HeaderTicket, ticket)
+	}
+	if c.Timeout > 0 {
+		req.Header.Set(call.HeaderTimeout, c.Timeout.String())
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return reply{verdict: broken}
+	}
+	defer resp.Body.Close()
+	out := readReply(resp)
+	if c.Echo && out.verdict == answered && !bytes.Contains(out.body, []byte(strconv.Quote(path))) {
+		r.wrong.Add(1)
+	}
+	return out
+}
+
+func readReply(resp *http.Response) reply {
+	out := reply{verdict: answered}
+	out.zone, _, _ = strings.Cut(resp.Header.Get(call.HeaderUpstream), "/")
+	if told := resp.Header.Get(verdict.Header); told != "" {
+		out.verdict = told
+	}
+	var err error
+	if out.body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody)); err == nil {
+		out.bytes, err = io.Copy(io.Discard, resp.Body)
+	}
+	out.bytes += int64(len(out.body))
+	if err != nil {
+		out.verdict = broken
+	}
+	return out
+}
