--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -32,12 +32,23 @@
 	Homes int
 	// Busy is the load, in capacities, from which a request goes to the
 	// key's next home, and Full the one from which a home takes nothing.
-	Busy float64
-	Full float64
+	// Each rank of priority is refused Yield earlier than the one before, so
+	// that the more urgent find room.
+	Busy  float64
+	Full  float64
+	Yield float64
+}
+
+// lowestRank is the priority from which on all are refused alike.
+const lowestRank = 3
+
+// full gives the load from which a home takes no request of a priority.
+func (w Weights) full(priority int) float64 {
+	return w.Full - w.Yield*float64(max(0, min(priority, lowestRank)))
 }
 
 // DefaultWeights were measured, see docs/design/platform.md.
-var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.3, Full: 1.6}
+var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.3, Full: 1.85, Yield: 0.25}
 
 // Place says where a host is.
 type Place struct {
@@ -81,6 +92,8 @@
 	// serves answers of the other sort.
 	Bulk  bool
 	Mixed bool
+	// Priority is the request's rank under load; 0 is the most urgent.
+	Priority int
 	// Tried are the ids of upstreams that it was sent to before.
 	Tried []string
 	// ColdRate is how many requests a second a cold upstream bears from
@@ -154,7 +167,7 @@
 	reason := Full
 	best := -1
 	for i, o := range homes {
-		if o.load >= b.weights.Full {
+		if o.load >= b.weights.full(q.Priority) {
 			continue
 		}
 		if best >= 0 && o.load >= homes[best].load {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -226,3 +226,26 @@
 	require.Greater(t, near[true], keys*7/10)
 	require.Less(t, near[false], keys*3/10)
 }
+
+// Under load the less urgent are refused first.
+func TestTheMoreUrgentFindRoom(t *testing.T) {
+	now, all := time.Now(), fleet(12)
+	taken := make([]int, 4)
+	for priority := range taken {
+		b := newBalancer(1)
+		q := balance.Query{Key: "k", Candidates: all, Now: now, Priority: priority}
+		for {
+			if _, reason := b.Choose(q); reason != balance.Chosen {
+				require.Equal(t, balance.Full, reason)
+				break
+			}
+			taken[priority]++
+		}
+		// What the less urgent leave, a more urgent request takes.
+		q.Priority = 0
+		_, reason := b.Choose(q)
+		require.Equal(t, priority != 0, reason == balance.Chosen)
+	}
+	require.IsDecreasing(t, taken)
+	require.Positive(t, taken[3])
+}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -86,6 +86,7 @@
 		Key:        d.call.Key,
 		Candidates: d.gateway.Knowledge.Set().Service(d.service),
 		Allows:     d.allows(),
+		Priority:   d.route.Priority,
 		Bulk:       d.route.Bulk,
 		Mixed:      d.table.Mixed(d.service),
 		Tried:      d.tried,
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -37,7 +37,6 @@
 type Set struct {
 	byID      map[string]*Member
 	byService map[string][]*Member
-	evacuated map[string]bool
 }
 
 // Service gives the instances of a service that may receive new work, in
@@ -118,7 +117,6 @@
 	s := &Set{
 		byID:      make(map[string]*Member, len(r.members)),
 		byService: map[string][]*Member{},
-		evacuated: r.evacuated,
 	}
 	for id, m := range r.members {
 		s.byID[id] = m
