Take the lock off the way of a request

Cause: each request asked Ready under the mutex that is also held while a large configuration is decoded; two fields were written and never read; the soak took an upstream out in two places alike. Change: an atomic flag; the fields are gone; one takeUpstream. Conclusion: behaviour as before.

--- a/internal/exchange/conn.go
+++ b/internal/exchange/conn.go
@@ -62,8 +62,6 @@
 	reader *bufio.Reader
 	// usable is until when it may rest; zero is forever.
 	usable time.Time
-	// used says that it has carried a request before.
-	used bool
 }
 
 func newConn(c net.Conn) *conn {
--- a/internal/exchange/pool.go
+++ b/internal/exchange/pool.go
@@ -72,7 +72,6 @@
 		rest = maxRest
 	}
 	c.usable = time.Now().Add(rest)
-	c.used = true
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[instance]) >= maxIdle {
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -36,7 +36,6 @@
 	tried []string
 	// doubt is the failure after which the request may have run.
 	doubt *verdict.Error
-	last  *verdict.Error
 }
 
 // deadline is when the request must have its final answer.
@@ -121,7 +120,6 @@
 // again decides whether a failed request is sent once more.
 func (d *dispatch) again(ctx context.Context, err error) bool {
 	e := verdict.From(err)
-	d.last = e
 	if e.Verdict != verdict.NotRun {
 		d.doubt = e
 	}
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -36,11 +36,12 @@
 
 	table atomic.Pointer[route.Table]
 	set   atomic.Pointer[instance.Set]
+	// seeded says that all upstreams were read once.
+	seeded atomic.Bool
 
 	mu        sync.Mutex
 	registry  *instance.Registry
 	evacuated map[string]string // row's key to zone
-	seeded    bool
 }
 
 // NewKnowledge makes the knowledge of a host that has just started.
@@ -67,9 +68,7 @@
 
 // Ready reports whether the host knows enough to serve.
 func (k *Knowledge) Ready() bool {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.table.Load() != nil && k.seeded
+	return k.table.Load() != nil && k.seeded.Load()
 }
 
 // adopt puts a configuration in force unless a newer one is.
@@ -170,11 +169,14 @@
 	for _, r := range rows {
 		k.upstream(r, now)
 	}
-	if whole && !k.seeded {
-		k.seeded = true
+	first := whole && !k.seeded.Load()
+	if first {
 		k.registry.Seed()
 	}
 	k.publish()
+	if first {
+		k.seeded.Store(true)
+	}
 }
 
 func (k *Knowledge) upstream(r watch.Row, now time.Time) {
@@ -198,7 +200,7 @@
 	if in.Draining {
 		state = "draining"
 	}
-	if k.seeded {
+	if k.seeded.Load() {
 		k.log.Upstream(r.Key, in, state, r.Version)
 	}
 }
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -90,15 +90,24 @@
 	time.Sleep(w.between(20*time.Millisecond, time.Second))
 }
 
-func (w *world) drainUpstream() {
+// takeUpstream takes one out of the living, unless too few would be left.
+func (w *world) takeUpstream() *upstream {
 	w.mu.Lock()
 	few := len(w.order) < 6
 	w.mu.Unlock()
 	if few {
-		return
+		return nil
 	}
 	u := w.anyUpstream()
 	w.remove(u)
+	return u
+}
+
+func (w *world) drainUpstream() {
+	u := w.takeUpstream()
+	if u == nil {
+		return
+	}
 	w.addUpstream(u.zone)
 	w.store.Put("servers", u.id, u.row("draining"))
 	u.noWorkFrom.Store(time.Now().Add(drainIn + slackIn).UnixNano())
@@ -179,14 +188,10 @@
 }
 
 func (w *world) crashUpstream() {
-	w.mu.Lock()
-	few := len(w.order) < 6
-	w.mu.Unlock()
-	if few {
+	u := w.takeUpstream()
+	if u == nil {
 		return
 	}
-	u := w.anyUpstream()
-	w.remove(u)
 	u.end()
 	time.Sleep(w.between(100*time.Millisecond, 3*time.Second))
 	w.store.Delete("servers", u.id)
