Keep upstreams whose entries lapsed while the store was away

Cause: while the store is down, upstreams can't write heartbeats, and some of their entries are dropped. Change: a replica tells when its store came back after 2.5 s away; an entry missing then, of an upstream that had not said that it leaves, has 2.2 s to come back before it is taken for gone. An upstream that is seen again under its id within a minute is not taken for cold. Tests: TestEntriesThatLapsedWhileTheSourceWasAwayMayComeBack, TestALapsedEntryThatDoesNotComeBackIsGone, TestAnEntryThatComesBackHasNotStartedAnew, TestAStoreThatWasAwayIsToldApartFromOneThatHesitates.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -155,7 +155,7 @@
 	w.version++
 	value, err := json.Marshal(r)
 	require.NoError(w.t, err)
-	gateway.Intents{Knowledge: w.knowledge}.Apply([]watch.Row{{Key: key, Value: value, Version: w.version}}, false)
+	gateway.Intents{Knowledge: w.knowledge}.Apply(watch.Update{Rows: []watch.Row{{Key: key, Value: value, Version: w.version}}})
 }
 
 func (w *world) routes(rs ...route.Route) {
@@ -197,7 +197,7 @@
 	value, err := json.Marshal(instance.Instance{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Region: "r", Capacity: 2})
 	require.NoError(w.t, err)
 	w.version++
-	gateway.Upstreams{Knowledge: w.knowledge}.Apply([]watch.Row{{Key: id, Value: value, Version: w.version}}, true)
+	gateway.Upstreams{Knowledge: w.knowledge}.Apply(watch.Update{Rows: []watch.Row{{Key: id, Value: value, Version: w.version}}, Whole: true})
 	return &count
 }
 
@@ -409,7 +409,7 @@
 	resp, _ := w.get()
 	require.Equal(t, 503, resp.StatusCode)
 	require.Zero(t, n.Load())
-	gateway.Intents{Knowledge: w.knowledge}.Apply([]watch.Row{{Key: "evacuate", Version: 99, Gone: true}}, false)
+	gateway.Intents{Knowledge: w.knowledge}.Apply(watch.Update{Rows: []watch.Row{{Key: "evacuate", Version: 99, Gone: true}}})
 	resp, _ = w.get()
 	require.Equal(t, 200, resp.StatusCode)
 }
@@ -421,7 +421,7 @@
 	w.intent("config", intentRow{Version: 4})
 	resp, _ := w.get()
 	require.Equal(t, 200, resp.StatusCode)
-	gateway.Intents{Knowledge: w.knowledge}.Apply([]watch.Row{{Key: "config", Value: []byte("{"), Version: 50}}, false)
+	gateway.Intents{Knowledge: w.knowledge}.Apply(watch.Update{Rows: []watch.Row{{Key: "config", Value: []byte("{"), Version: 50}}})
 	resp, _ = w.get()
 	require.Equal(t, 200, resp.StatusCode)
 	require.Eventually(t, func() bool { return strings.Contains(w.log.String(), "bad-row") }, time.Second, time.Millisecond)
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -89,13 +89,13 @@
 }
 
 // Apply takes changes of what operators want.
-func (i Intents) Apply(rows []watch.Row, _ bool) {
+func (i Intents) Apply(u watch.Update) {
 	k := i.Knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	evacuated := maps.Clone(k.evacuated)
 	version := int64(0)
-	for _, r := range rows {
+	for _, r := range u.Rows {
 		version = max(version, r.Version)
 		if r.Gone {
 			delete(evacuated, r.Key)
@@ -161,15 +161,19 @@
 }
 
 // Apply takes changes of which upstreams run.
-func (u Upstreams) Apply(rows []watch.Row, whole bool) {
+func (u Upstreams) Apply(update watch.Update) {
 	k := u.Knowledge
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now := time.Now()
-	for _, r := range rows {
-		k.upstream(r, now)
+	lapsed := false
+	for _, r := range update.Rows {
+		lapsed = k.upstream(r, now, update.Returned) || lapsed
 	}
-	first := whole && !k.seeded.Load()
+	if lapsed {
+		time.AfterFunc(update.Returned.Add(instance.LapseGrace).Sub(now), k.expire)
+	}
+	first := update.Whole && !k.seeded.Load()
 	if first {
 		k.registry.Seed()
 	}
@@ -179,21 +183,37 @@
 	}
 }
 
-func (k *Knowledge) upstream(r watch.Row, now time.Time) {
+// expire forgets the upstreams whose entries lapsed and did not come back.
+func (k *Knowledge) expire() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for _, in := range k.registry.Expire(time.Now()) {
+		k.log.Upstream(in.ID, in, "gone, entry did not come back", 0)
+	}
+	k.publish()
+}
+
+// upstream takes over one row; k.mu is held. It reports whether the upstream's
+// entry lapsed and it is kept for now.
+func (k *Knowledge) upstream(r watch.Row, now, returned time.Time) (lapsed bool) {
 	if r.Gone {
-		k.registry.Remove(r.Key)
-		k.log.Upstream(r.Key, instance.Instance{}, "gone", r.Version)
-		return
+		lapsed = k.registry.Remove(r.Key, now, returned)
+		state := "gone"
+		if lapsed {
+			state = "entry lapsed"
+		}
+		k.log.Upstream(r.Key, instance.Instance{}, state, r.Version)
+		return lapsed
 	}
 	value, err := r.Bytes()
 	if err != nil {
 		k.fault("upstream", r, err)
-		return
+		return false
 	}
 	in, err := k.decoder.Instance(r.Key, value)
 	if err != nil {
 		k.fault("upstream", r, err)
-		return
+		return false
 	}
 	k.registry.Put(in, now)
 	state := "ready"
@@ -203,6 +223,7 @@
 	if k.seeded.Load() {
 		k.log.Upstream(r.Key, in, state, r.Version)
 	}
+	return false
 }
 
 // Lost says that a source stopped answering.
--- a/internal/instance/instance.go
+++ b/internal/instance/instance.go
@@ -30,6 +30,9 @@
 	Instance
 	// ColdUntil is when the instance is taken for warm.
 	ColdUntil time.Time
+	// GoneAt is when an instance whose entry lapsed is taken for gone;
+	// zero while it has an entry.
+	GoneAt time.Time
 }
 
 // Set is the instances known at one moment. It is not changed after it is
@@ -58,6 +61,8 @@
 	members   map[string]*Member
 	evacuated map[string]bool
 	seeded    bool
+	// removed has what is remembered of instances that were removed.
+	removed map[string]removal
 	// warmUp gives how long an instance of a service stays cold.
 	warmUp func(service string) time.Duration
 }
@@ -65,28 +70,90 @@
 // NewRegistry makes an empty registry. warmUp gives how long an instance of
 // a service stays cold after its start.
 func NewRegistry(warmUp func(service string) time.Duration) *Registry {
-	return &Registry{members: map[string]*Member{}, evacuated: map[string]bool{}, warmUp: warmUp}
+	return &Registry{
+		members: map[string]*Member{}, evacuated: map[string]bool{}, removed: map[string]removal{}, warmUp: warmUp,
+	}
 }
 
 // Seed says that all instances were told that run already: one that comes
 // from now on has just started.
 func (r *Registry) Seed() { r.seeded = true }
 
+// removal is what is remembered of an instance that was removed.
+type removal struct {
+	at        time.Time
+	coldUntil time.Time
+}
+
+const (
+	// LapseGrace is how long after their source's return the entries that
+	// lapsed meanwhile may take to come back.
+	LapseGrace = 2200 * time.Millisecond
+	// rememberFor is how long a removed instance is remembered: one whose
+	// entry comes back in that time has not started anew.
+	rememberFor = time.Minute
+)
+
 // Put takes over one instance.
 func (r *Registry) Put(in Instance, now time.Time) {
 	r.members[in.ID] = r.member(r.members[in.ID], in, now)
+	delete(r.removed, in.ID)
+}
+
+// Remove forgets an instance whose entry is gone. returned is when the source
+// last came back after it had been away, or zero: entries lapse while their
+// source can't take heartbeats, so one that is missing soon after may belong
+// to an instance that lives. It stays until its heartbeat has had time to
+// arrive, unless it had said that it leaves. The result says whether it stays.
+func (r *Registry) Remove(id string, now, returned time.Time) (stays bool) {
+	m := r.members[id]
+	if m == nil {
+		return false
+	}
+	grace := returned.Add(LapseGrace)
+	if returned.IsZero() || m.Draining || !now.Before(grace) {
+		r.remove(m, now)
+		return false
+	}
+	lapsed := *m
+	lapsed.GoneAt = grace
+	r.members[id] = &lapsed
+	return true
+}
+
+func (r *Registry) remove(m *Member, now time.Time) {
+	delete(r.members, m.ID)
+	for id, past := range r.removed {
+		if now.Sub(past.at) >= rememberFor {
+			delete(r.removed, id)
+		}
+	}
+	r.removed[m.ID] = removal{at: now, coldUntil: m.ColdUntil}
 }
 
-// Remove forgets an instance that is gone.
-func (r *Registry) Remove(id string) { delete(r.members, id) }
+// Expire forgets the instances whose entries lapsed and did not come back in
+// time, and gives them.
+func (r *Registry) Expire(now time.Time) []Instance {
+	var gone []Instance
+	for _, m := range r.members {
+		if !m.GoneAt.IsZero() && !now.Before(m.GoneAt) {
+			gone = append(gone, m.Instance)
+			r.remove(m, now)
+		}
+	}
+	return gone
+}
 
 // member decides how long an instance is cold. One that appears while the
 // host runs has just started, whatever it says of itself.
 func (r *Registry) member(old *Member, in Instance, now time.Time) *Member {
 	m := &Member{Instance: in}
+	past, wasRemoved := r.removed[in.ID]
 	switch {
 	case old != nil:
 		m.ColdUntil = old.ColdUntil
+	case wasRemoved:
+		m.ColdUntil = past.coldUntil
 	case r.seeded:
 		m.ColdUntil = now.Add(r.warmUp(in.Service))
 	}
--- a/internal/instance/instance_test.go
+++ b/internal/instance/instance_test.go
@@ -82,7 +82,7 @@
 	require.Equal(t, warmUp, coldFor(t, r, "a", back))
 	require.Zero(t, coldFor(t, r, "b", back))
 
-	r.Remove("a")
+	r.Remove("a", now, time.Time{})
 	require.Equal(t, []string{"b"}, ids(r.Set()))
 }
 
@@ -96,3 +96,60 @@
 	m, _ := before.Get("a")
 	require.True(t, m.ColdUntil.IsZero())
 }
+
+func TestEntriesThatLapsedWhileTheSourceWasAwayMayComeBack(t *testing.T) {
+	start := time.Now()
+	for _, c := range []struct {
+		name     string
+		draining bool
+		// returned is how long before the removal the source came back;
+		// negative is never.
+		returned time.Duration
+		stays    bool
+	}{
+		{"the source was never away", false, -1, false},
+		{"just after its return", false, 100 * time.Millisecond, true},
+		{"long after its return", false, instance.LapseGrace, false},
+		{"had said that it leaves", true, 100 * time.Millisecond, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := registry()
+			in := ready("a", "z")
+			in.Draining = c.draining
+			r.Put(in, start)
+			r.Seed()
+			var returned time.Time
+			if c.returned >= 0 {
+				returned = start.Add(-c.returned)
+			}
+			require.Equal(t, c.stays, r.Remove("a", start, returned))
+			_, known := r.Set().Get("a")
+			require.Equal(t, c.stays, known)
+		})
+	}
+}
+
+func TestALapsedEntryThatDoesNotComeBackIsGone(t *testing.T) {
+	now := time.Now()
+	r := registry()
+	r.Put(ready("back", "z"), now)
+	r.Put(ready("gone", "z"), now)
+	r.Seed()
+	require.True(t, r.Remove("back", now, now))
+	require.True(t, r.Remove("gone", now, now))
+	r.Put(ready("back", "z"), now.Add(time.Second))
+	require.Empty(t, r.Expire(now.Add(instance.LapseGrace-time.Millisecond)))
+	require.Equal(t, []instance.Instance{ready("gone", "z")}, r.Expire(now.Add(instance.LapseGrace)))
+	require.Equal(t, []string{"back"}, ids(r.Set()))
+	require.Zero(t, coldFor(t, r, "back", now), "it has not started anew")
+}
+
+func TestAnEntryThatComesBackHasNotStartedAnew(t *testing.T) {
+	now := time.Now()
+	r := registry()
+	r.Put(ready("a", "z"), now)
+	r.Seed()
+	require.False(t, r.Remove("a", now, time.Time{}))
+	r.Put(ready("a", "z"), now.Add(3*time.Second))
+	require.Zero(t, coldFor(t, r, "a", now.Add(3*time.Second)))
+}
--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -10,6 +10,10 @@
 // tombstoneFor is how long a replica remembers that a row is gone.
 const tombstoneFor = time.Minute
 
+// AwayAfter is the silence after which a store counts as having been away.
+// Entries lapse after three heartbeats of 1 to 1.5 s without a write.
+const AwayAfter = 2500 * time.Millisecond
+
 // Never is the age of what was never heard.
 const Never = time.Duration(math.MaxInt64)
 
@@ -27,7 +31,9 @@
 	synced bool
 	// freshAt is when the store last said that the replica is up to date.
 	freshAt time.Time
-	changed chan struct{}
+	// returnedAt is when it last said so after AwayAfter without a word.
+	returnedAt time.Time
+	changed    chan struct{}
 }
 
 // NewReplica makes an empty replica.
@@ -49,6 +55,14 @@
 	return r.changedAt
 }
 
+// Returned is when the store was last in reach again after it had been away;
+// zero is never.
+func (r *Replica) Returned() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.returnedAt
+}
+
 // Age is how long ago the store last said that the replica is up to date.
 func (r *Replica) Age() time.Duration {
 	r.mu.Lock()
@@ -133,6 +147,9 @@
 	if p.Version >= r.version {
 		r.version = p.Version
 		if at := now.Add(-p.Age); at.After(r.freshAt) {
+			if !r.freshAt.IsZero() && at.Sub(r.freshAt) >= AwayAfter {
+				r.returnedAt = now
+			}
 			r.freshAt = at
 		}
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -119,13 +119,13 @@
 	regained []string
 }
 
-func (r *recorder) Apply(rows []Row, _ bool) {
+func (r *recorder) Apply(u Update) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.rows == nil {
 		r.rows = map[string]string{}
 	}
-	for _, row := range rows {
+	for _, row := range u.Rows {
 		if row.Gone {
 			delete(r.rows, row.Key)
 			continue
@@ -428,3 +428,16 @@
 	_, err = Row{Value: []byte("rubbish"), Packed: true}.Bytes()
 	require.Error(t, err)
 }
+
+func TestAStoreThatWasAwayIsToldApartFromOneThatHesitates(t *testing.T) {
+	start := time.Now()
+	r := NewReplica()
+	r.replace(Page{Version: 1}, start)
+	require.Zero(t, r.Returned(), "the first reading is no return")
+	soon := start.Add(AwayAfter - time.Millisecond)
+	r.apply(Page{Version: 1}, soon)
+	require.Zero(t, r.Returned())
+	late := soon.Add(AwayAfter + time.Second)
+	r.apply(Page{Version: 1, Age: 100 * time.Millisecond}, late)
+	require.Equal(t, late, r.Returned())
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -11,14 +11,24 @@
 
 // Sink takes what a watcher learns, from one goroutine.
 type Sink interface {
-	// Apply brings changes. whole says that they come of a whole reading.
-	Apply(rows []Row, whole bool)
+	Apply(Update)
 	// Lost says that no source answers any more, and Regained that one
 	// answers again after a time.
 	Lost(source string, err error)
 	Regained(source string, after time.Duration)
 }
 
+// Update is what a watcher learned at once.
+type Update struct {
+	// Rows are the rows that changed.
+	Rows []Row
+	// Whole says that they come of a whole reading.
+	Whole bool
+	// Returned is when the table's store was last in reach again after
+	// it had been out of reach for AwayAfter; zero is never.
+	Returned time.Time
+}
+
 // Named is a source with a name for the log.
 type Named struct {
 	Name   string
@@ -158,7 +168,7 @@
 	}
 	w.listed = false
 	if changes := w.replica.apply(page, time.Now()); len(changes) > 0 {
-		w.sink.Apply(changes, false)
+		w.sink.Apply(Update{Rows: changes, Returned: w.replica.Returned()})
 	}
 	return w.judge(n, page)
 }
@@ -181,7 +191,7 @@
 		return eris.Errorf("source is at version %d, %d is known", page.Version, w.replica.Version())
 	}
 	w.listed = true
-	w.sink.Apply(changes, true)
+	w.sink.Apply(Update{Rows: changes, Whole: true, Returned: w.replica.Returned()})
 	return w.judge(n, page)
 }
 
