Judge upstreams by what requests show, and tell the region's hosts

Also: requests without a key all had one home in each region; that upstream got 7.4 times the mean. Change: package health. Failures, and answers that take 4 times the median of their service, speak against an upstream; hosts of a region add up what they saw in 1.6 s, told in heartbeats, at once when it is bad. Three bad ends, with at most 1.5 times as many good ones, eject it for 2 s, doubling up to 8. When more than half of a request's upstreams are ejected, none counts as such. A request without a key has a home by its id. The log tells an attempt's key, and each ejection with what spoke for it. Tests: internal/health, TestRequestsWithoutAKeyAreSpread.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -20,6 +20,7 @@
 	"cairndock/internal/exchange"
 	"cairndock/internal/fleet"
 	"cairndock/internal/gateway"
+	"cairndock/internal/health"
 	"cairndock/internal/retry"
 	"cairndock/internal/settings"
 	"cairndock/internal/telemetry"
@@ -82,6 +83,7 @@
 	log       *event.Log
 	metrics   *telemetry.Metrics
 	knowledge *gateway.Knowledge
+	judge     *health.Judge
 	timing    watch.Timing
 	tables    [tableCount]fleet.Table
 	watchers  [tableCount]*watch.Watcher
@@ -94,6 +96,7 @@
 	n := &gatewayNode{settings: set, metrics: telemetry.NewMetrics()}
 	n.timing = watch.TimingFor(set.Limits.Staleness())
 	n.log = event.New(out, set.Host.Name, n.metrics)
+	n.judge = health.New(n)
 	n.knowledge = gateway.NewKnowledge(platform.Decoder{Zones: set.Zones}, n.log, n.metrics)
 	store := platform.NewStore(set.Store.Address, dialer(storeDialTimeout).DialContext)
 	n.tables[intentTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.Intents(store)}
@@ -103,7 +106,7 @@
 			Name: set.Host.Name, Zone: set.Host.Zone, Region: set.Host.Region,
 			PeerAddress: set.Listen.Peers, CallerAddress: set.Listen.Callers, Incarnation: ulid.Make().String(),
 		},
-		Registry: platform.Registry{Store: store}, Report: n.log, Status: n.status,
+		Registry: platform.Registry{Store: store}, Report: n.log, Judge: n.judge, Status: n.status,
 		Seeds: set.PeerSeeds(), Transport: fleet.TCP{Dialer: dialer(storeDialTimeout)},
 		Tables: n.tables[:], MaxAge: n.timing.MaxAge,
 	})
@@ -144,7 +147,8 @@
 	pool := exchange.NewPool(dialer(upstreamDialTimeout).DialContext)
 	return gateway.New(gateway.Options{
 		Knowledge: n.knowledge,
-		Balancer:  balance.New(place, balance.DefaultWeights, shares),
+		Balancer:  balance.New(place, balance.DefaultWeights, shares, n.judge),
+		Judge:     n.judge,
 		Budget:    retry.NewBudget(retry.Limits{Ratio: l.RetryRatio, Window: time.Duration(l.RetryWindow), Slack: l.RetrySlack}),
 		Client:    exchange.NewClient(pool, platform.Protocol{}),
 		Codec:     platform.Codec{},
@@ -167,9 +171,16 @@
 	return s.fleet.ColdRate(upstream, region, rate*s.overshoot+s.slack)
 }
 
+// Suspected tells the region's hosts soon what was seen of an upstream.
+func (n *gatewayNode) Suspected() { n.fleet.Hurry() }
+
+// Ejected logs that an upstream is avoided.
+func (n *gatewayNode) Ejected(f health.Finding) { n.log.Ejected(f) }
+
 // status is what heartbeats tell of this host.
 func (n *gatewayNode) status() fleet.Status {
 	s := fleet.Status{Ready: n.knowledge.Ready(), Leaving: !n.gateway.Ready() && n.knowledge.Ready()}
+	s.Suspects = n.judge.Suspects(time.Now())
 	s.Fresh = true
 	for _, t := range n.tables {
 		s.Changes = append(s.Changes, t.Replica.LastChange())
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -65,6 +65,11 @@
 	ColdRate(upstream, region string, total float64) int
 }
 
+// Judge says which upstreams requests show to be unwell.
+type Judge interface {
+	Ejected(upstream string, now time.Time) bool
+}
+
 // Reason says why no upstream was chosen.
 type Reason uint8
 
@@ -119,14 +124,15 @@
 	place   Place
 	weights Weights
 	shares  Shares
+	judge   Judge
 
 	mu     sync.Mutex
 	states map[string]*state
 }
 
 // New makes a balancer for a host at a place.
-func New(place Place, weights Weights, shares Shares) *Balancer {
-	return &Balancer{place: place, weights: weights, shares: shares, states: map[string]*state{}}
+func New(place Place, weights Weights, shares Shares, judge Judge) *Balancer {
+	return &Balancer{place: place, weights: weights, shares: shares, judge: judge, states: map[string]*state{}}
 }
 
 // option is one candidate with its cost.
@@ -135,6 +141,8 @@
 	state  *state
 	cost   float64
 	load   float64
+	// ejected says that the upstream seems to be unwell.
+	ejected bool
 }
 
 // Choose chooses an upstream and counts the request as outstanding there
@@ -204,22 +212,41 @@
 	key := xxhash.Sum64String(q.Key)
 	near := b.isNear(key, q)
 	options := make([]option, 0, len(q.Candidates))
+	ejected := 0
 	for _, m := range q.Candidates {
 		if slices.Contains(q.Tried, m.ID) || !q.allows(m.Region) {
 			continue
 		}
 		s := b.state(m.ID)
 		o := option{member: m, state: s, load: s.load(q.Now, m.Capacity), cost: b.cost(m, key^s.seed, near)}
-		if q.Now.Before(s.ejectedUntil) {
-			// An ejected upstream is the last choice, and no more than that:
-			// a wrong belief must not empty a service.
-			o.cost += ejectedCost * b.weights.Affinity
+		if q.Now.Before(s.ejectedUntil) || b.judge.Ejected(m.ID, q.Now) {
+			o.ejected = true
+			ejected++
 		}
 		options = append(options, o)
 	}
+	b.avoid(options, ejected)
 	return options
 }
 
+// avoid makes ejected upstreams the last choice, and no more than that, so
+// that a wrong belief does not empty a service. When most are ejected, the
+// fault is not theirs, or the others could not take their load.
+func (b *Balancer) avoid(options []option, ejected int) {
+	if ejected == 0 || float64(ejected) > maxEjected*float64(len(options)) {
+		return
+	}
+	for i := range options {
+		if options[i].ejected {
+			options[i].cost += ejectedCost * b.weights.Affinity
+		}
+	}
+}
+
+// maxEjected is the part of a request's upstreams above which ejections do
+// not count.
+const maxEjected = 0.5
+
 // ejectedCost puts ejected upstreams behind all others.
 const ejectedCost = 4
 
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -16,6 +16,11 @@
 
 func (f fixedShare) ColdRate(string, string, float64) int { return int(f) }
 
+// nobody is a judge that suspects no upstream.
+type nobody struct{}
+
+func (nobody) Ejected(string, time.Time) bool { return false }
+
 func member(id, zone, region string) *instance.Member {
 	return &instance.Member{Instance: instance.Instance{ID: id, Service: "s", Zone: zone, Region: region, Capacity: 4}}
 }
@@ -30,7 +35,7 @@
 }
 
 func newBalancer(share int) *balance.Balancer {
-	return balance.New(balance.Place{Zone: "west-1", Region: "west", Regions: 2}, balance.DefaultWeights, fixedShare(share))
+	return balance.New(balance.Place{Zone: "west-1", Region: "west", Regions: 2}, balance.DefaultWeights, fixedShare(share), nobody{})
 }
 
 func choose(t *testing.T, b *balance.Balancer, q balance.Query) balance.Choice {
--- a/internal/event/kinds.go
+++ b/internal/event/kinds.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cairndock/internal/health"
 	"cairndock/internal/instance"
 )
 
@@ -16,6 +17,8 @@
 	Service  string
 	Upstream string
 	Zone     string
+	// Key is what the request is about.
+	Key string
 	// Number counts the request's attempts from 1.
 	Number int
 	// Config is the version of the configuration that decided it.
@@ -41,7 +44,7 @@
 		return
 	}
 	e.Str("route", a.Route).Str("service", a.Service).Str("upstream", a.Upstream).Str("zone", a.Zone).
-		Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Float64("load_age_ms", ms(a.LoadAge)).
+		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Float64("load_age_ms", ms(a.LoadAge)).
 		Int("rank", a.Rank).Bool("cold", a.Cold).Str("outcome", a.Outcome).Int("status", a.Status).
 		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Msg("request: attempt ended")
 }
@@ -91,6 +94,16 @@
 	}
 }
 
+// Ejected writes that an upstream is avoided for a time, and what speaks
+// against it.
+func (l *Log) Ejected(f health.Finding) {
+	l.metrics.Count("cairndock_ejections_total")
+	if e := l.belief("ejected"); e != nil {
+		e.Str("upstream", f.Upstream).Int("bad", f.Bad).Int("good", f.Good).Int("hosts", f.Hosts).
+			Float64("for_ms", ms(f.For)).Msg("upstream: avoided for a time")
+	}
+}
+
 // Upstream writes what became of an upstream.
 func (l *Log) Upstream(id string, in instance.Instance, state string, version int64) {
 	if e := l.belief("upstream"); e != nil {
--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"cairndock/internal/health"
 	"cairndock/internal/peer"
 )
 
@@ -36,6 +37,11 @@
 	Regained(kind, name string, after time.Duration)
 }
 
+// Judge takes what the hosts of the own region saw of upstreams.
+type Judge interface {
+	Take(host string, suspects []health.Suspect, now time.Time)
+}
+
 // beat is a heartbeat and its answer.
 type beat struct {
 	Host   Host   `msgpack:"h"`
@@ -50,6 +56,7 @@
 type Fleet struct {
 	registry Registry
 	report   Reporter
+	judge    Judge
 	status   func() Status
 	mesh     *peer.Mesh
 	seeds    []string
@@ -61,6 +68,7 @@
 	newest  []noted
 	members *Members
 	next    map[string]time.Time
+	hurried time.Time
 	asked   bool
 	wait    sync.WaitGroup
 }
@@ -70,6 +78,7 @@
 	Self     Host
 	Registry Registry
 	Report   Reporter
+	Judge    Judge
 	// Status tells the host's own state.
 	Status func() Status
 	// Seeds are peer addresses that may lead to other hosts.
@@ -84,7 +93,7 @@
 // New makes a fleet.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		registry: o.Registry, report: o.Report, status: o.Status, seeds: o.Seeds,
+		registry: o.Registry, report: o.Report, judge: o.Judge, status: o.Status, seeds: o.Seeds,
 		members: NewMembers(o.Self), next: map[string]time.Time{},
 		tables: o.Tables, maxAge: o.MaxAge, newest: make([]noted, len(o.Tables)),
 	}
@@ -204,6 +213,35 @@
 	return due
 }
 
+const (
+	// hurryEvery bounds how often the hosts of the region are told news out
+	// of turn, for each hurryHosts of them.
+	hurryEvery = 250 * time.Millisecond
+	hurryHosts = 30
+)
+
+// Hurry tells the hosts of the own region soon what the host's status says
+// now.
+func (f *Fleet) Hurry() {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var peers []string
+	for _, p := range f.members.Peers() {
+		if p.Host.Region == f.members.Self().Region && p.Alive(now) {
+			peers = append(peers, p.Host.Name)
+		}
+	}
+	pause := hurryEvery * time.Duration(1+len(peers)/hurryHosts)
+	if now.Sub(f.hurried) < pause {
+		return
+	}
+	f.hurried = now
+	for _, name := range peers {
+		f.next[name] = now
+	}
+}
+
 func (f *Fleet) beatAll(ctx context.Context) {
 	f.mu.Lock()
 	peers := f.members.Peers()
@@ -253,6 +291,9 @@
 	if back {
 		f.report.Regained("peer", b.Host.Name, 0)
 	}
+	if f.judge != nil && b.Host.Region == f.members.Self().Region {
+		f.judge.Take(b.Host.Name, b.Status.Suspects, now)
+	}
 }
 
 // ServePeer answers other hosts.
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cairndock/internal/health"
 )
 
 // Host is one gateway host, as it tells of itself.
@@ -32,6 +34,8 @@
 	// confirmed them lately.
 	Changes []int64 `msgpack:"c,omitempty"`
 	Fresh   bool    `msgpack:"f,omitempty"`
+	// Suspects are the upstreams that seem to be unwell.
+	Suspects []health.Suspect `msgpack:"u,omitempty"`
 }
 
 const (
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -82,7 +82,7 @@
 // choose finds the next upstream.
 func (d *dispatch) choose() (balance.Choice, error) {
 	choice, reason := d.gateway.Balancer.Choose(balance.Query{
-		Key:        d.call.Key,
+		Key:        d.key(),
 		Candidates: d.gateway.Knowledge.Set().Service(d.service),
 		Allows:     d.allows(),
 		Priority:   d.route.Priority,
@@ -104,6 +104,16 @@
 	}
 }
 
+// key is what decides the request's homes. A request that is about nothing in
+// particular has homes of its own, so that such requests do not all meet at
+// the same upstreams.
+func (d *dispatch) key() string {
+	if d.call.Key != "" {
+		return d.call.Key
+	}
+	return d.call.ID
+}
+
 // refused tells what the first home of the request's key was like.
 func (d *dispatch) refused(reason verdict.Reason, c balance.Choice) error {
 	return verdict.New(verdict.NotRun, reason, "home %s has load %.2f, told %d ms ago, cold %t",
@@ -153,10 +163,12 @@
 	in := c.Instance
 	d.tried = append(d.tried, in.ID)
 	target := exchange.Target{Instance: in.ID, Address: in.Address}
+	watch := d.watch(c, began)
 	a, err := d.gateway.Client.Send(ctx, target, d.request)
 	if err == nil {
 		a, err = d.judge(in.ID, a)
 	}
+	watch.ended(a, err)
 	if err != nil {
 		e := verdict.From(err)
 		d.gateway.Balancer.Done(in.ID, outcomeOf(e), time.Now())
@@ -242,7 +254,7 @@
 func (d *dispatch) logAttempt(c balance.Choice, began time.Time, status int, e *verdict.Error) {
 	ev := event.Attempt{
 		Request: d.call.ID, Route: d.route.Name, Service: d.service, Upstream: c.Instance.ID, Zone: c.Instance.Zone,
-		Number: len(d.tried), Config: d.table.Version, Load: c.Load, LoadAge: c.LoadAge, Rank: c.Rank, Cold: c.Cold,
+		Key: d.call.Key, Number: len(d.tried), Config: d.table.Version, Load: c.Load, LoadAge: c.LoadAge, Rank: c.Rank, Cold: c.Cold,
 		Outcome: "answered", Status: status, Took: time.Since(began),
 	}
 	if e != nil {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"cairndock/internal/call"
 	"cairndock/internal/event"
 	"cairndock/internal/exchange"
+	"cairndock/internal/health"
 	"cairndock/internal/retry"
 	"cairndock/internal/telemetry"
 	"cairndock/internal/verdict"
@@ -57,6 +58,7 @@
 type Options struct {
 	Knowledge *Knowledge
 	Balancer  *balance.Balancer
+	Judge     *health.Judge
 	Budget    *retry.Budget
 	Client    *exchange.Client
 	Codec     Codec
@@ -231,6 +233,7 @@
 		return ok
 	}
 	g.Balancer.Keep(known)
+	g.Judge.Keep(known)
 	g.Client.Pool().Forget(known)
 }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -24,6 +24,7 @@
 	"cairndock/internal/event"
 	"cairndock/internal/exchange"
 	"cairndock/internal/gateway"
+	"cairndock/internal/health"
 	"cairndock/internal/instance"
 	"cairndock/internal/retry"
 	"cairndock/internal/route"
@@ -125,6 +126,11 @@
 	return l.b.String()
 }
 
+// reporter is a judge's, without other hosts.
+type reporter struct{ *event.Log }
+
+func (reporter) Suspected() {}
+
 type one struct{}
 
 func (one) Hosts() int                           { return 1 }
@@ -139,12 +145,13 @@
 	w.knowledge = gateway.NewKnowledge(decoder{}, log, m)
 	dial := exchange.Dialer{Timeout: 200 * time.Millisecond, Unacknowledged: time.Second}
 	age := func() time.Duration { return 0 }
+	judge := health.New(reporter{log})
 	w.gateway = gateway.New(gateway.Options{
-		Knowledge: w.knowledge,
-		Balancer:  balance.New(balance.Place{Zone: "z", Region: "r", Regions: 1}, balance.DefaultWeights, one{}),
-		Budget:    retry.NewBudget(retry.Limits{Ratio: 1, Window: time.Second, Slack: 100}),
-		Client:    exchange.NewClient(exchange.NewPool(dial.DialContext), protocol{}),
-		Codec:     codec{}, Hosts: one{}, Ages: gateway.Ages{Intents: age, Upstreams: age}, Log: log, Metrics: m,
+		Knowledge: w.knowledge, Judge: judge,
+		Balancer: balance.New(balance.Place{Zone: "z", Region: "r", Regions: 1}, balance.DefaultWeights, one{}, judge),
+		Budget:   retry.NewBudget(retry.Limits{Ratio: 1, Window: time.Second, Slack: 100}),
+		Client:   exchange.NewClient(exchange.NewPool(dial.DialContext), protocol{}),
+		Codec:    codec{}, Hosts: one{}, Ages: gateway.Ages{Intents: age, Upstreams: age}, Log: log, Metrics: m,
 	})
 	w.server = httptest.NewServer(w.gateway)
 	t.Cleanup(w.server.Close)
@@ -479,3 +486,21 @@
 	require.Eventually(t, func() bool { return strings.Count(w.log.String(), `"request":"id-1"`) == 2 }, time.Second, time.Millisecond)
 	require.Contains(t, w.log.String(), `"upstream":"i-1"`)
 }
+
+func TestRequestsWithoutAKeyAreSpread(t *testing.T) {
+	w := newWorld(t)
+	w.routes(usual(route.Repeatable))
+	counts := []*atomic.Int64{w.upstream(sound), w.upstream(sound), w.upstream(sound), w.upstream(sound)}
+	for i := range 100 {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, w.server.URL+"/x/", nil)
+		require.NoError(t, err)
+		r.Host = "a.example"
+		r.Header.Set(headerID, strconv.Itoa(i))
+		resp, err := http.DefaultClient.Do(r)
+		require.NoError(t, err)
+		require.NoError(t, resp.Body.Close())
+	}
+	for _, c := range counts {
+		require.Greater(t, c.Load(), int64(10))
+	}
+}
--- /dev/null
+++ b/internal/health/judge_test.go
@@ -0,0 +1,136 @@
+package health_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/health"
+)
+
+// findings records what a judge finds.
+type findings struct {
+	ejected   []health.Finding
+	suspected int
+}
+
+func (f *findings) Suspected()               { f.suspected++ }
+func (f *findings) Ejected(x health.Finding) { f.ejected = append(f.ejected, x) }
+
+func newJudge() (*health.Judge, *findings) {
+	f := &findings{}
+	return health.New(f), f
+}
+
+func TestAnUpstreamIsAvoidedForWhatRequestsShow(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		bad, good int
+		ejected   bool
+	}{
+		{"nothing bad", 0, 10, false},
+		{"too little to tell", 2, 0, false},
+		{"fails all", 3, 0, true},
+		{"fails every third", 4, 8, false},
+		{"fails half", 4, 4, true},
+		{"loses an answer now and then", 3, 40, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			j, findings := newJudge()
+			now := time.Now()
+			for range c.good {
+				j.Good("s", "i", time.Millisecond, now)
+			}
+			for range c.bad {
+				j.Bad("i", now)
+			}
+			require.Equal(t, c.ejected, j.Ejected("i", now))
+			require.Equal(t, c.ejected, len(findings.ejected) == 1)
+		})
+	}
+}
+
+// One host of a large fleet sees an upstream too seldom to judge it.
+func TestHostsAddUpWhatTheySaw(t *testing.T) {
+	now := time.Now()
+	j, findings := newJudge()
+	j.Bad("i", now)
+	j.Take("a", []health.Suspect{{Upstream: "i", Bad: 1}}, now)
+	require.False(t, j.Ejected("i", now))
+	j.Take("a", []health.Suspect{{Upstream: "i", Bad: 1}}, now)
+	require.False(t, j.Ejected("i", now), "the same word again is no news")
+	j.Take("b", []health.Suspect{{Upstream: "i", Bad: 1}}, now)
+	require.True(t, j.Ejected("i", now))
+	require.Equal(t, []health.Finding{{Upstream: "i", Bad: 3, Hosts: 3, For: 2 * time.Second}}, findings.ejected)
+}
+
+func TestWhatOthersFoundGoodSpeaksForAnUpstream(t *testing.T) {
+	now := time.Now()
+	j, _ := newJudge()
+	j.Take("a", []health.Suspect{{Upstream: "i", Good: 5}}, now)
+	j.Take("b", []health.Suspect{{Upstream: "i", Bad: 3}}, now)
+	require.False(t, j.Ejected("i", now))
+}
+
+func TestAHostTellsWhatItSawOfSuspects(t *testing.T) {
+	now := time.Now()
+	j, _ := newJudge()
+	j.Good("s", "sound", time.Millisecond, now)
+	j.Good("s", "doubted", time.Millisecond, now)
+	j.Bad("bad", now)
+	j.Take("a", []health.Suspect{{Upstream: "doubted", Bad: 1}}, now)
+	require.ElementsMatch(t, []health.Suspect{{Upstream: "bad", Bad: 1}, {Upstream: "doubted", Good: 1}}, j.Suspects(now))
+	require.Empty(t, j.Suspects(now.Add(5*time.Second)), "evidence grows old")
+}
+
+func TestAnEjectionEndsAndGrowsWhenTheUpstreamIsStillBad(t *testing.T) {
+	now := time.Now()
+	j, findings := newJudge()
+	fail := func(at time.Time) {
+		for range 3 {
+			j.Bad("i", at)
+		}
+	}
+	fail(now)
+	j.Take("a", []health.Suspect{{Upstream: "i", Bad: 9}}, now.Add(time.Second)) // seen before the ejection
+	end := now.Add(2 * time.Second)
+	require.False(t, j.Ejected("i", end))
+	j.Bad("i", end)
+	require.False(t, j.Ejected("i", end), "it begins anew")
+	fail(end)
+	require.Equal(t, 4*time.Second, (findings.ejected)[1].For)
+	require.True(t, j.Ejected("i", end.Add(3*time.Second)))
+	fail(end.Add(20 * time.Second))
+	require.Equal(t, 2*time.Second, (findings.ejected)[2].For, "long ago is forgiven")
+}
+
+func TestPatienceFollowsWhatIsUsualForTheService(t *testing.T) {
+	now := time.Now()
+	j, _ := newJudge()
+	require.Zero(t, j.Patience("s", 0))
+	for range 64 {
+		j.Good("s", "i", 100*time.Millisecond, now)
+	}
+	require.Equal(t, 400*time.Millisecond, j.Patience("s", 0))
+	require.Equal(t, 800*time.Millisecond, j.Patience("s", 2), "a queue is no fault")
+	for range 64 {
+		j.Slow("s", time.Second)
+	}
+	require.Equal(t, 4*time.Second, j.Patience("s", 0), "all are slow")
+	for range 64 {
+		j.Good("s", "i", time.Millisecond, now)
+	}
+	require.Equal(t, 250*time.Millisecond, j.Patience("s", 0))
+	require.Zero(t, j.Patience("other", 0))
+}
+
+func TestUpstreamsThatAreGoneAreForgotten(t *testing.T) {
+	now := time.Now()
+	j, _ := newJudge()
+	for range 3 {
+		j.Bad("i", now)
+	}
+	j.Keep(func(string) bool { return false })
+	require.False(t, j.Ejected("i", now))
+}
