Pause between news from the store and the next question to it

Change: after news from the store a watcher waits 0.06 of the staleness allowed (150 ms at 2.5 s) before it asks again, so that a burst is one answer. Test: TestABurstOfChangesCostsFewCalls; the bound on staleness holds with it (TestNoHostThatReachesTheStoreIsStalerThanTheBound).

--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -441,3 +442,19 @@
 	r.apply(Page{Version: 1, Age: 100 * time.Millisecond}, late)
 	require.Equal(t, late, r.Returned())
 }
+
+func TestABurstOfChangesCostsFewCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		s.set(func(s *fakeStore) { s.calls = 0 })
+		for i := range 50 {
+			s.put("a", strconv.Itoa(i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(timing.Settle)
+		require.Equal(t, "49", r.value("a"))
+		require.LessOrEqual(t, s.asked(), 6)
+	})
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -61,6 +61,9 @@
 	// MaxRetry.
 	Retry    time.Duration
 	MaxRetry time.Duration
+	// Settle is the pause between news from the store and the next question
+	// to it: changes come in bursts, and each answer is a call that costs.
+	Settle time.Duration
 	// MaxAge is the age from which on what a relay says counts as a failure.
 	MaxAge time.Duration
 	// Behind is how long another host may have had a change before the
@@ -77,6 +80,7 @@
 	maxAgePart     = 0.7
 	relayWaitPart  = 0.3
 	relaySlackPart = 0.15
+	settlePart     = 0.06
 )
 
 // TimingFor gives the timing with which no host that reaches the store is
@@ -85,7 +89,8 @@
 	part := func(p float64) time.Duration { return time.Duration(p * float64(staleness)) }
 	return Timing{
 		Wait: part(waitPart), MaxAge: part(maxAgePart), RelayWait: part(relayWaitPart), RelaySlack: part(relaySlackPart),
-		Slack: 500 * time.Millisecond, MaxSlack: 2 * time.Second,
+		Settle: part(settlePart),
+		Slack:  500 * time.Millisecond, MaxSlack: 2 * time.Second,
 		Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, Behind: 300 * time.Millisecond,
 	}
 }
@@ -125,11 +130,14 @@
 			sleep(ctx, wait)
 			continue
 		}
-		err := w.ask(ctx, named)
+		news, err := w.ask(ctx, named)
 		if ctx.Err() != nil {
 			return
 		}
 		w.note(named, err)
+		if news && !named.Relay {
+			sleep(ctx, w.timing.Settle)
+		}
 	}
 }
 
@@ -147,7 +155,8 @@
 	return Named{}, idle
 }
 
-func (w *Watcher) ask(ctx context.Context, n Named) error {
+// ask asks one source. news says that it told of changes.
+func (w *Watcher) ask(ctx context.Context, n Named) (news bool, err error) {
 	wait, slack := w.timing.Wait, w.standing(n).slack
 	if n.Relay {
 		wait, slack = w.timing.RelayWait, w.timing.RelaySlack
@@ -155,22 +164,23 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	if !w.synced() {
-		return w.list(ctx, n)
+		return false, w.list(ctx, n)
 	}
 	stop := w.whenBehind(ctx, cancel)
 	defer stop()
 	page, err := n.Source.Changes(ctx, w.replica.Version(), wait)
 	if errors.Is(err, ErrGap) && !w.listed {
-		return w.list(ctx, n)
+		return false, w.list(ctx, n)
 	}
 	if err != nil {
-		return err
+		return false, err
 	}
 	w.listed = false
-	if changes := w.replica.apply(page, time.Now()); len(changes) > 0 {
+	changes := w.replica.apply(page, time.Now())
+	if len(changes) > 0 {
 		w.sink.Apply(Update{Rows: changes, Returned: w.replica.Returned()})
 	}
-	return w.judge(n, page)
+	return len(changes) > 0, w.judge(n, page)
 }
 
 func (w *Watcher) synced() bool {
