Exchange heartbeats with the own region and two hosts of each other

Cause: heartbeats were a full mesh: at 80 hosts each asked 79 others 1.25 times a second, 25 KB/s a host, two thirds of it between regions, and at its start every host asked all others for the list of all hosts at once. Change: a host follows all hosts of its own region, and of each other region the first two that live, in an order of its own; the dead before them are tried on. One peer at a time is asked for all hosts at the start, and one of each other region for that region's living hosts each 15 s, so that limits stay split over all hosts known. Only hosts that are followed are told as lost. Tests: TestAHostFollowsItsRegionAndAFewOfEachOther, TestTheDeadOfAnotherRegionAreReplaced, TestHostsThatOthersTellOfAreNotForgotten, TestAHostAsksAllAtFirstAndThenOneOfEachRegionNowAndThen. TestAHostThatIsSilentIsToldOnceAndForgottenLater now expects the followed hosts (6 of 8): that the others are not told as lost is the change itself.

--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -46,9 +46,9 @@
 type beat struct {
 	Host   Host   `msgpack:"h"`
 	Status Status `msgpack:"s"`
-	// Ask says that the sender wants to know of all hosts; the answer then
-	// has Hosts.
-	Ask   bool   `msgpack:"a,omitempty"`
+	// Ask says that the sender wants to know of other hosts. The answer
+	// then has Hosts.
+	Ask   asking `msgpack:"a,omitempty"`
 	Hosts []Host `msgpack:"l,omitempty"`
 }
 
@@ -69,7 +69,10 @@
 	members *Members
 	next    map[string]time.Time
 	hurried time.Time
+	// asked says that some peer has told of the others, and askedAt when
+	// each other region was last asked for its hosts.
 	asked   bool
+	askedAt map[string]time.Time
 	wait    sync.WaitGroup
 }
 
@@ -94,7 +97,7 @@
 func New(o Options) *Fleet {
 	f := &Fleet{
 		registry: o.Registry, report: o.Report, judge: o.Judge, status: o.Status, seeds: o.Seeds,
-		members: NewMembers(o.Self), next: map[string]time.Time{},
+		members: NewMembers(o.Self), next: map[string]time.Time{}, askedAt: map[string]time.Time{},
 		tables: o.Tables, maxAge: o.MaxAge, newest: make([]noted, len(o.Tables)),
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
@@ -172,7 +175,7 @@
 		}
 		now := time.Now()
 		for _, p := range f.due(now) {
-			go f.beatOne(ctx, p.Host.PeerAddress)
+			go f.beatOne(ctx, p.Host)
 		}
 		f.mu.Lock()
 		dead := f.members.Silent(last, now)
@@ -188,7 +191,7 @@
 func (f *Fleet) askSeeds(ctx context.Context) {
 	for _, address := range f.seeds {
 		if address != f.members.Self().PeerAddress {
-			go f.beatOne(ctx, address)
+			go f.beatOne(ctx, Host{PeerAddress: address})
 		}
 	}
 }
@@ -198,7 +201,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var due []*Peer
-	for _, p := range f.members.Peers() {
+	for _, p := range f.members.Contacts(now) {
 		name := p.Host.Name
 		if now.Before(f.next[name]) {
 			continue
@@ -213,35 +216,6 @@
 	return due
 }
 
-const (
-	// hurryEvery bounds how often the hosts of the region are told news out
-	// of turn, for each hurryHosts of them.
-	hurryEvery = 250 * time.Millisecond
-	hurryHosts = 30
-)
-
-// Hurry tells the hosts of the own region soon what the host's status says
-// now.
-func (f *Fleet) Hurry() {
-	now := time.Now()
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var peers []string
-	for _, p := range f.members.Peers() {
-		if p.Host.Region == f.members.Self().Region && p.Alive(now) {
-			peers = append(peers, p.Host.Name)
-		}
-	}
-	pause := hurryEvery * time.Duration(1+len(peers)/hurryHosts)
-	if now.Sub(f.hurried) < pause {
-		return
-	}
-	f.hurried = now
-	for _, name := range peers {
-		f.next[name] = now
-	}
-}
-
 func (f *Fleet) beatAll(ctx context.Context) {
 	f.mu.Lock()
 	peers := f.members.Peers()
@@ -251,28 +225,30 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			f.beatOne(ctx, p.Host.PeerAddress)
+			f.beatOne(ctx, p.Host)
 		}()
 	}
 	wait.Wait()
 }
 
-func (f *Fleet) beatOne(ctx context.Context, address string) {
+// beatOne exchanges a heartbeat with a host; of a seed only the address is
+// known.
+func (f *Fleet) beatOne(ctx context.Context, to Host) {
 	ctx, cancel := context.WithTimeout(ctx, beatTimeout)
 	defer cancel()
 	f.mu.Lock()
-	ask := !f.asked
+	ask := f.ask(to.Region, time.Now())
 	f.mu.Unlock()
 	message := beat{Host: f.members.Self(), Status: f.status(), Ask: ask}
-	reply, err := peer.Call[beat](ctx, f.mesh, address, peer.KindHeartbeat, message)
+	reply, err := peer.Call[beat](ctx, f.mesh, to.PeerAddress, peer.KindHeartbeat, message)
 	if err != nil {
 		// What a cut holds up must not delay the heartbeats after it.
-		f.mesh.Drop(address)
+		f.mesh.Drop(to.PeerAddress)
 		return
 	}
 	f.heard(reply)
 	f.known(reply.Hosts)
-	if ask {
+	if ask == askAll {
 		f.mu.Lock()
 		f.asked = true
 		f.mu.Unlock()
@@ -316,15 +292,18 @@
 	}
 	f.heard(b)
 	reply := beat{Host: f.members.Self(), Status: f.status()}
-	if b.Ask {
-		reply.Hosts = f.hosts()
+	if b.Ask != askNothing {
+		reply.Hosts = f.hosts(b.Ask)
 	}
 	_ = w.Send(reply)
 }
 
-func (f *Fleet) hosts() []Host {
+func (f *Fleet) hosts(ask asking) []Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if ask == askRegion {
+		return f.members.Region(time.Now())
+	}
 	var hosts []Host
 	for _, p := range f.members.Peers() {
 		hosts = append(hosts, p.Host)
--- /dev/null
+++ b/internal/fleet/contacts.go
@@ -0,0 +1,119 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// farFanout is how many living hosts of each other region a host exchanges
+// heartbeats with, so that heartbeats between regions grow with hosts and not
+// with their square. About as many of each region choose this one.
+const farFanout = 2
+
+// Contacts gives the peers that the host exchanges heartbeats with: all of
+// its own region, and of each other region the first in an order of its own
+// until enough of them live. The dead before those are tried again, too.
+func (m *Members) Contacts(now time.Time) []*Peer {
+	far := map[string][]*Peer{}
+	var contacts []*Peer
+	for _, p := range m.Peers() {
+		p.followed = p.Host.Region == m.self.Region
+		if p.followed {
+			contacts = append(contacts, p)
+			continue
+		}
+		far[p.Host.Region] = append(far[p.Host.Region], p)
+	}
+	for _, peers := range far {
+		contacts = append(contacts, m.nearest(peers, now)...)
+	}
+	return contacts
+}
+
+// nearest gives the first peers of another region until farFanout of them
+// live, and marks them as followed.
+func (m *Members) nearest(peers []*Peer, now time.Time) []*Peer {
+	slices.SortFunc(peers, func(a, b *Peer) int {
+		return cmp.Compare(pairRank(m.self.Name, a.Host.Name), pairRank(m.self.Name, b.Host.Name))
+	})
+	alive := 0
+	for i, p := range peers {
+		p.followed = true
+		if p.Alive(now) {
+			alive++
+		}
+		if alive == farFanout {
+			return peers[:i+1]
+		}
+	}
+	return peers
+}
+
+// Region gives the hosts of the own region that live, this one included.
+func (m *Members) Region(now time.Time) []Host {
+	hosts := []Host{m.self}
+	for _, p := range m.Peers() {
+		if p.Host.Region == m.self.Region && p.Alive(now) {
+			hosts = append(hosts, p.Host)
+		}
+	}
+	return hosts
+}
+
+// askEvery is how often a host asks one of each other region which hosts live
+// there. It is far below forgetAfter.
+const askEvery = 15 * time.Second
+
+// asking is what a heartbeat wants to know of other hosts.
+type asking uint8
+
+const (
+	askNothing asking = iota
+	// askRegion asks for the hosts that live in the other's region.
+	askRegion
+	// askAll asks for all hosts that the other knows.
+	askAll
+)
+
+// ask decides what a heartbeat to a peer asks for, and notes it; f.mu is held.
+// A host that has just started asks one after the other for all hosts, until
+// one has answered.
+func (f *Fleet) ask(region string, now time.Time) asking {
+	every, what := askEvery, askRegion
+	if !f.asked {
+		region, every, what = "", beatTimeout, askAll
+	}
+	if f.asked && (region == "" || region == f.members.Self().Region) {
+		return askNothing
+	}
+	if now.Sub(f.askedAt[region]) < every {
+		return askNothing
+	}
+	f.askedAt[region] = now
+	return what
+}
+
+const (
+	// hurryEvery bounds how often the hosts of the region are told news out
+	// of turn, for each hurryHosts of them.
+	hurryEvery = 250 * time.Millisecond
+	hurryHosts = 30
+)
+
+// Hurry tells the hosts of the own region soon what the host's status says
+// now.
+func (f *Fleet) Hurry() {
+	now := time.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	region := f.members.Region(now)
+	pause := hurryEvery * time.Duration(1+len(region)/hurryHosts)
+	if now.Sub(f.hurried) < pause {
+		return
+	}
+	f.hurried = now
+	for _, h := range region {
+		f.next[h.Name] = now
+	}
+}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -51,8 +51,10 @@
 	Status Status
 	// HeardAt is when it was last heard from; zero is never.
 	HeardAt time.Time
-	// KnownAt is when the host came to know of it.
+	// KnownAt is when the host was last told of it.
 	KnownAt time.Time
+	// followed says that the host exchanges heartbeats with it.
+	followed bool
 }
 
 // Alive reports whether the peer was heard from lately.
@@ -79,33 +81,37 @@
 	if h.Name == m.self.Name || h.Name == "" {
 		return
 	}
-	if _, ok := m.peers[h.Name]; !ok {
-		m.peers[h.Name] = &Peer{Host: h, KnownAt: now}
+	p := m.peers[h.Name]
+	if p == nil {
+		p = &Peer{Host: h}
+		m.peers[h.Name] = p
 	}
+	p.KnownAt = now
 }
 
-// Heard takes over a host's own word. It reports whether the host was not
-// alive before, or is in another life.
+// Heard takes over a host's own word. It reports whether the host is one that
+// this one exchanges heartbeats with, and was not alive before or is in
+// another life.
 func (m *Members) Heard(h Host, s Status, now time.Time) (back bool) {
 	if h.Name == m.self.Name || h.Name == "" {
 		return false
 	}
+	p := Peer{Host: h, Status: s, HeardAt: now, KnownAt: now, followed: h.Region == m.self.Region}
 	old := m.peers[h.Name]
-	back = old == nil || !old.Alive(now) || old.Host.Incarnation != h.Incarnation
-	known := now
 	if old != nil {
-		known = old.KnownAt
+		p.followed = p.followed || old.followed
 	}
-	m.peers[h.Name] = &Peer{Host: h, Status: s, HeardAt: now, KnownAt: known}
-	return back
+	m.peers[h.Name] = &p
+	return p.followed && (old == nil || !old.Alive(now) || old.Host.Incarnation != h.Incarnation)
 }
 
-// Silent forgets the peers that were not heard from for long, and gives
-// those that have just been taken for dead since a moment.
+// Silent forgets the peers that were not heard of for long, and gives those
+// that this host exchanges heartbeats with and that have just been taken for
+// dead since a moment.
 func (m *Members) Silent(since, now time.Time) []Host {
 	var dead []Host
 	for name, p := range m.peers {
-		if p.Alive(since) && !p.Alive(now) {
+		if p.followed && p.Alive(since) && !p.Alive(now) {
 			dead = append(dead, p.Host)
 		}
 		if last := later(p.HeardAt, p.KnownAt); now.Sub(last) > forgetAfter {
