Hold less memory for each link between hosts

Cause: each connection between hosts had a read buffer of 64 KB; a host has one each way with every host that it follows. Change: 4 KB. Larger frames are read past the buffer as before.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -58,6 +58,11 @@
 	wait    sync.WaitGroup
 }
 
+// readBuffer is a connection's buffer for reading, in bytes. What a frame has
+// beyond it is read past the buffer, so that a larger one would only hold
+// memory: a host has a connection each way with every peer it follows.
+const readBuffer = 4 << 10
+
 // newConn shows itself to the peer and learns who it is.
 func newConn(ctx context.Context, nc net.Conn, self Hello, h Handler) (*Conn, error) {
 	c := &Conn{
@@ -67,7 +72,7 @@
 		serving: map[uint64]*Responder{},
 		done:    make(chan struct{}),
 	}
-	reader := bufio.NewReaderSize(nc, 64<<10)
+	reader := bufio.NewReaderSize(nc, readBuffer)
 	if err := c.handshake(self, reader); err != nil {
 		_ = nc.Close()
 		return nil, eris.Wrap(err, "handshake")
