Spill from a busy home only to one that has room

Cause: at 1.3 capacities a request went to its key's second home whenever that was less loaded. Change: a second home takes such a request only below a load of 0.9. Also learnt, by logging every attempt: an upstream is fast on an object from the start of its first request on, so holding back others meanwhile gains nothing; it keeps a bounded number of objects, the last used. Test: TestABusyHomeSpillsOnlyToOneWithRoom.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -37,6 +37,9 @@
 	Busy  float64
 	Full  float64
 	Yield float64
+	// Spill is the load from which a home other than the first takes no
+	// request because the first is busy.
+	Spill float64
 }
 
 // lowestRank is the priority from which on all are refused alike.
@@ -48,7 +51,7 @@
 }
 
 // DefaultWeights were measured, see docs/design/platform.md.
-var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.3, Full: 1.85, Yield: 0.25}
+var DefaultWeights = Weights{Affinity: 10, Away: 3, Homes: 2, Busy: 1.3, Full: 1.85, Yield: 0.25, Spill: 0.9}
 
 // Place says where a host is.
 type Place struct {
@@ -178,7 +181,7 @@
 		if o.load >= b.weights.full(q.Priority) {
 			continue
 		}
-		if best >= 0 && o.load >= homes[best].load {
+		if best >= 0 && (o.load >= homes[best].load || o.load >= b.weights.Spill) {
 			continue
 		}
 		if !b.mayTake(o, q) {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -254,3 +254,29 @@
 	require.IsDecreasing(t, taken)
 	require.Positive(t, taken[3])
 }
+
+// A request that its busy home has room for goes to the next one only if that
+// is not busy, too: there its object is not warm, and takes three times as long.
+func TestABusyHomeSpillsOnlyToOneWithRoom(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		second int
+		rank   int
+	}{
+		{"the next has room", 2, 1},
+		{"the next is less busy", 4, 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b, now, all := newBalancer(1), time.Now(), fleet(2)
+			q := balance.Query{Key: "k", Candidates: all, Now: now}
+			first := choose(t, b, q).Instance.ID
+			second := all[0].ID
+			if second == first {
+				second = all[1].ID
+			}
+			b.Told(first, 6, 0, now) // 6 of 4
+			b.Told(second, c.second, 0, now)
+			require.Equal(t, c.rank, choose(t, b, q).Rank)
+		})
+	}
+}
