Ask the store less when it is down, and never stop at a gap after the start

At the start each host asked for changes before it had heard which host of its region does. Found by the test of it: when the history was forgotten between a host's first reading and its first question, the host took the gap for one it had just filled, at every question, and learnt nothing more from the store. Tests: TestAFallbackAsksTheStoreLessOften, TestAGapRightAfterTheFirstReadingIsFilledToo (failing first). TestAChangeIsSeenAtOnce waits for the pause after the start.

--- a/internal/entry/configloop.go
+++ b/internal/entry/configloop.go
@@ -7,6 +7,7 @@
 	"github.com/rotisserie/eris"
 
 	"cairndock/internal/config"
+	"cairndock/internal/pause"
 )
 
 const (
@@ -21,7 +22,7 @@
 
 // platformLoop looks for new changes and proves that there are none.
 func (h *Host) platformLoop(ctx context.Context) {
-	pause := newBackoff()
+	retry := newBackoff()
 	failing := false
 	for {
 		wait := h.pollWait()
@@ -31,11 +32,11 @@
 			h.log.Warn().Err(err).Bool("failing", failing).Msg("config: asking the platform")
 		}
 		if err != nil {
-			wait = pause.NextBackOff()
+			wait = retry.NextBackOff()
 		} else {
-			pause.Reset()
+			retry.Reset()
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 	}
--- a/internal/entry/progress.go
+++ b/internal/entry/progress.go
@@ -10,6 +10,7 @@
 
 	"cairndock/internal/config"
 	"cairndock/internal/member"
+	"cairndock/internal/pause"
 	"cairndock/internal/peer"
 	"cairndock/internal/roster"
 )
@@ -107,7 +108,7 @@
 func (h *Host) await(ctx context.Context, rev uint64, id string, accepted time.Time) Applied {
 	for {
 		a := h.Progress(ctx, rev, id, accepted)
-		if a.State == StateAccepted || !sleep(ctx, confirmPause) {
+		if a.State == StateAccepted || !pause.For(ctx, confirmPause) {
 			return a
 		}
 	}
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -9,6 +9,7 @@
 	"github.com/rotisserie/eris"
 
 	"cairndock/internal/member"
+	"cairndock/internal/pause"
 	"cairndock/internal/peer"
 	"cairndock/internal/platform"
 	"cairndock/internal/roster"
@@ -72,34 +73,23 @@
 
 // rosterLoop joins the zone's roster, follows it and takes dead members out.
 func (h *Host) rosterLoop(ctx context.Context) {
-	pause := newBackoff()
+	retry := newBackoff()
 	var looked looks
 	for {
 		err := h.rosterTurn(ctx, &looked)
 		wait := max(rosterInterval, time.Duration(looked.bytes)*time.Second/rosterBytes)
 		if err != nil {
-			wait = pause.NextBackOff()
+			wait = retry.NextBackOff()
 			h.log.Debug().Err(err).Msg("roster: turn failed")
 		} else {
-			pause.Reset()
+			retry.Reset()
 		}
-		if !sleep(ctx, wait) {
+		if !pause.For(ctx, wait) {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // looks is when the roster loop last read the host list and all rosters, and
 // what it found.
 type looks struct {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cairndock/internal/pause"
 	"cairndock/internal/roster"
 )
 
@@ -29,7 +30,7 @@
 	h.leaveRoster(ctx, func(r roster.Roster) roster.Roster { return r.WithState(h.self.Host, roster.Leaving) })
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.opts.Settings.Stop.Window))
 	defer cancel()
-	sleep(ctx, time.Duration(h.opts.Settings.Stop.Grace))
+	pause.For(ctx, time.Duration(h.opts.Settings.Stop.Grace))
 	h.waitIdle(ctx)
 	report := StopReport{Cut: h.inFlight.Load()}
 	report.HandedOver = h.handOver(context.WithoutCancel(ctx))
@@ -78,7 +79,7 @@
 			return
 		}
 		h.log.Warn().Err(err).Msg("roster: could not leave")
-		if !sleep(ctx, tick) {
+		if !pause.For(ctx, tick) {
 			return
 		}
 	}
@@ -93,9 +94,9 @@
 
 // waitIdle waits until nothing is in flight.
 func (h *Host) waitIdle(ctx context.Context) {
-	const pause = 20 * time.Millisecond
+	const poll = 20 * time.Millisecond
 	for h.inFlight.Load() > 0 || h.outstanding() > 0 || h.runningTickets() > 0 {
-		if !sleep(ctx, pause) {
+		if !pause.For(ctx, poll) {
 			return
 		}
 	}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -109,6 +109,7 @@
 	if self {
 		return append([]watch.Named{store}, f.relays(table, f.members.fresh(now), "")...)
 	}
+	store.Fallback = true
 	first := f.relay(table, watcher)
 	sources := []watch.Named{first, store}
 	return append(sources, f.relays(table, f.members.fresh(now), first.Name)...)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cairndock/internal/pause"
 )
 
 const (
@@ -74,13 +76,13 @@
 func (s *Server) Stop(ctx context.Context, grace time.Duration) int64 {
 	began := time.Now()
 	s.gateway.Leave()
-	sleep(ctx, acceptFor(grace))
+	pause.For(ctx, acceptFor(grace))
 	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
 	defer cancel()
 	// Closes the listener and the connections that rest, and waits.
 	_ = s.callers.Shutdown(ctx)
 	for s.gateway.InFlight() > 0 && ctx.Err() == nil {
-		sleep(ctx, exitPoll)
+		pause.For(ctx, exitPoll)
 	}
 	return s.gateway.InFlight()
 }
@@ -93,13 +95,6 @@
 	return time.Duration(acceptPart * float64(grace))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // Close ends all listeners at once.
 func (s *Server) Close() {
 	_ = s.callers.Close()
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,10 +6,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
-
-	"cairndock/internal/roster"
 )
 
 const (
@@ -40,104 +36,6 @@
 	maxFarHosts = 8
 )
 
-// Contact is how to reach an entry host.
-type Contact struct {
-	Host       string `msgpack:"h"`
-	Zone       string `msgpack:"z"`
-	PeerAddr   string `msgpack:"p"`
-	CallerAddr string `msgpack:"c"`
-}
-
-// Free is a host's slots for one service: how many could be taken now, are
-// held, and are trusted to the upstreams as warm as they are.
-type Free struct {
-	Service string `msgpack:"s"`
-	Free    int    `msgpack:"f"`
-	Held    int    `msgpack:"h"`
-	Warm    int    `msgpack:"w"`
-}
-
-// Pack writes slots without the services' names: three numbers for each, in
-// the order of the services at the heartbeat's revision.
-func Pack(free []Free) []uint32 {
-	out := make([]uint32, 0, 3*len(free))
-	for _, f := range free {
-		out = append(out, uint32(f.Free), uint32(f.Held), uint32(f.Warm))
-	}
-	return out
-}
-
-// Unpack reads what Pack wrote, for the services of the same revision.
-func Unpack(packed []uint32, services []string) []Free {
-	if len(packed) != 3*len(services) {
-		return nil
-	}
-	out := make([]Free, 0, len(services))
-	for i, name := range services {
-		out = append(out, Free{Service: name, Free: int(packed[3*i]), Held: int(packed[3*i+1]), Warm: int(packed[3*i+2])})
-	}
-	return out
-}
-
-// Handover says that a host goes on for a stopped one's tickets.
-type Handover struct {
-	Incarnation string `msgpack:"i"`
-	Host        string `msgpack:"h"`
-}
-
-// Sign is what a host knows of an upstream's instance.
-type Sign struct {
-	Upstream string `msgpack:"u"`
-	Instance string `msgpack:"i"`
-	// Leaving says that this instance wants no new work.
-	Leaving bool `msgpack:"l"`
-	// Seen says that the host itself probes the upstream and last saw this
-	// instance.
-	Seen bool `msgpack:"s"`
-}
-
-// Heartbeat is what hosts tell each other. Asking and answering are alike.
-type Heartbeat struct {
-	Contact     Contact `msgpack:"c"`
-	Incarnation string  `msgpack:"i"`
-	// Epoch is the newest roster epoch seen, and Acked the one beyond which
-	// this host holds no slots. Both are of the host's own zone.
-	Epoch uint64 `msgpack:"e"`
-	Acked uint64 `msgpack:"a"`
-	// Revision and Digest say which configuration is in force here.
-	Revision uint64 `msgpack:"r"`
-	Digest   uint64 `msgpack:"d"`
-	// FreshAge is how long ago the platform's head is known to have been
-	// Revision, in milliseconds; negative is never.
-	FreshAge int64 `msgpack:"f"`
-	Leaving  bool  `msgpack:"l,omitempty"`
-	// Slots and ZoneSlots are this host's slots and its zone's, packed.
-	// They are in answers only.
-	Slots     []uint32 `msgpack:"s,omitempty"`
-	ZoneSlots []uint32 `msgpack:"z,omitempty"`
-	// Free and ZoneFree are the same unpacked; they do not travel.
-	Free     []Free `msgpack:"-"`
-	ZoneFree []Free `msgpack:"-"`
-	// ZoneHosts is how many hosts of the zone hold slots.
-	ZoneHosts int `msgpack:"n"`
-	// Contacts are in an answer only when their hash is not the one that
-	// the asker has.
-	Contacts     []Contact `msgpack:"o,omitempty"`
-	ContactsHash uint64    `msgpack:"q"`
-	// Signs are told within the zone only.
-	Signs     []Sign     `msgpack:"g,omitempty"`
-	Handovers []Handover `msgpack:"t,omitempty"`
-}
-
-// HashContacts gives a hash of the hosts that a zone names.
-func HashContacts(contacts []Contact) uint64 {
-	h := xxhash.New()
-	for _, c := range contacts {
-		_, _ = h.WriteString(c.Host + "\x00" + c.PeerAddr + "\x00" + c.CallerAddr + "\x00")
-	}
-	return h.Sum64()
-}
-
 // Peer is another entry host. It is immutable.
 type Peer struct {
 	Contact Contact
@@ -234,27 +132,6 @@
 	p.byZone[c.Zone] = slices.Insert(hosts, i, c.Host)
 }
 
-// Spent notes the size of an exchange in bytes.
-func (p *Peers) Spent(bytes int) { p.exchange += (float64(bytes) - p.exchange) / 16 }
-
-// intervals gives how often hosts of the own zone and of the others may be
-// asked, so that asking and being asked stay within the budget.
-func (p *Peers) intervals(near, far int) (nearEvery, farEvery time.Duration) {
-	perSecond := BytesPerSecond / (2 * p.exchange)
-	nearEvery = time.Duration(float64(near) / (perSecond * nearPart) * float64(time.Second))
-	farEvery = time.Duration(float64(far) / (perSecond * (1 - nearPart)) * float64(time.Second))
-	return max(Interval, nearEvery), max(FarInterval, farEvery)
-}
-
-// Asking notes that a heartbeat goes out to a host.
-func (p *Peers) Asking(host string, now time.Time) {
-	if peer, ok := p.peers[host]; ok {
-		peer.AskedAt = now
-		peer.Every = p.every[peer.Contact.Zone == p.self.Zone]
-		p.peers[host] = peer
-	}
-}
-
 // Heard takes in a heartbeat that was asked for at a time, or that came by
 // itself, with rtt zero.
 func (p *Peers) Heard(b Heartbeat, askedAt time.Time, rtt time.Duration) {
@@ -355,50 +232,6 @@
 // Zones gives the zones of the known hosts, by name. It must not be changed.
 func (p *Peers) Zones() []string { return p.zones }
 
-// Due gives the hosts to send a heartbeat to now: a bounded number of the
-// own zone and of each other zone, within the budget.
-func (p *Peers) Due(now time.Time) []Contact {
-	near := p.nearest(p.self.Zone, zoneFanout)
-	var far []Peer
-	for _, zone := range p.zones {
-		if zone != p.self.Zone {
-			far = append(far, p.nearest(zone, farFanout)...)
-		}
-	}
-	nearEvery, farEvery := p.intervals(len(near), len(far))
-	p.every[true], p.every[false] = nearEvery, farEvery
-	out := due(near, now, nearEvery)
-	return append(out, due(far, now, farEvery)...)
-}
-
-func due(peers []Peer, now time.Time, every time.Duration) []Contact {
-	var out []Contact
-	for _, peer := range peers {
-		if now.Sub(peer.AskedAt) >= every {
-			out = append(out, peer.Contact)
-		}
-	}
-	return out
-}
-
-// nearest gives the hosts of a zone that this host watches: those first in
-// its own rendezvous order, so that every host is watched by several.
-func (p *Peers) nearest(zone string, n int) []Peer {
-	all := p.Zone(zone)
-	if len(all) <= n {
-		return all
-	}
-	names := make([]string, 0, len(all))
-	for _, peer := range all {
-		names = append(names, peer.Contact.Host)
-	}
-	var out []Peer
-	for _, name := range roster.Rank(p.self.Host, names)[:n] {
-		out = append(out, p.peers[name])
-	}
-	return out
-}
-
 // Contacts gives the hosts that a zone's hosts name to others.
 func (p *Peers) Contacts(zone string, now time.Time, selfLeaving bool) []Contact {
 	var out []Contact
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -223,7 +224,9 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
+			began := time.Now()
 			f.run(w)
+			w.record.Fault(began, f.name)
 		}()
 		time.Sleep(w.between(gap/2, 3*gap/2))
 	}
@@ -251,6 +254,11 @@
 			w.watchVersions(ctx, h)
 		}()
 	}
+	wait.Add(1)
+	go func() {
+		defer wait.Done()
+		w.countAlive(ctx)
+	}()
 	time.Sleep(touch) // so that all hosts are calm
 	w.phase("planned", planned, length, 600*time.Millisecond)
 	w.phase("all", append(append([]fault{}, planned...), unplanned...), length, 400*time.Millisecond)
@@ -270,6 +278,7 @@
 	wait.Wait()
 	time.Sleep(500 * time.Millisecond) // what still runs must not run later either
 	w.settle()
+	w.report()
 	t.Logf("seed %d: %d served, %d not, %d broken promises", seed, after, failed, len(w.breaches))
 	if len(w.breaches) > 0 {
 		for _, h := range w.hosts {
@@ -280,6 +289,39 @@
 	return w.breaches
 }
 
+// countAlive notes once a second how many hosts and upstreams run.
+func (w *world) countAlive(ctx context.Context) {
+	for ctx.Err() == nil {
+		alive := 0
+		for _, h := range w.hosts {
+			if h.running() {
+				alive++
+			}
+		}
+		w.mu.Lock()
+		upstreams := len(w.order)
+		w.mu.Unlock()
+		w.record.Alive(alive, upstreams)
+		time.Sleep(time.Second)
+	}
+}
+
+// report writes the run as a page into the folder of SOAK_REPORT.
+func (w *world) report() {
+	dir := os.Getenv("SOAK_REPORT")
+	if dir == "" {
+		return
+	}
+	f, err := os.Create(fmt.Sprintf("%s/seed-%d.html", dir, w.seed))
+	if err != nil {
+		w.t.Log(err)
+		return
+	}
+	if err := errors.Join(w.record.Write(f), f.Close()); err != nil {
+		w.t.Log(err)
+	}
+}
+
 // profile keeps a heap profile of a host under load.
 func (w *world) profile() {
 	dir := os.Getenv("SOAK_LOGS")
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -197,6 +197,18 @@
 	return h.harms == 0 && !h.stopping && time.Since(h.harmedAt) > touch && time.Since(h.startedAt) > touch
 }
 
+// running reports whether the host's process runs.
+func (h *host) running() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	select {
+	case <-h.ended:
+		return false
+	default:
+		return true
+	}
+}
+
 func (h *host) lifeNumber() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -18,6 +18,7 @@
 	"time"
 
 	"cairndock/cmd"
+	"cairndock/internal/report"
 	"cairndock/platform/platformtest"
 )
 
@@ -47,6 +48,7 @@
 	t      *testing.T
 	seed   uint64
 	rand   *rand.Rand
+	record *report.Recorder
 	store  *platformtest.Store
 	server *httptest.Server
 	hosts  []*host
@@ -79,7 +81,7 @@
 func newWorld(t *testing.T, seed uint64, hosts int) *world {
 	t.Helper()
 	w := &world{
-		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), store: platformtest.New(), ledger: &ledger{runs: map[string]int{}},
+		t: t, seed: seed, record: report.New(fmt.Sprintf("Fault soak, seed %d, %d hosts", seed, hosts)), rand: rand.New(rand.NewPCG(seed, seed)), store: platformtest.New(), ledger: &ledger{runs: map[string]int{}},
 		upstreams: map[string]*upstream{}, ackedAt: map[int]time.Time{}, evacuated: map[string]bool{}, promised: map[string]string{},
 	}
 	w.server = httptest.NewServer(w.store)
@@ -240,14 +242,15 @@
 	req.Header.Set("X-Cairndock-Request-Id", id)
 	req.Header.Set("X-Cairndock-Affinity-Key", strconv.Itoa(r.IntN(40)))
 	req.Header.Set("X-Cairndock-Deadline-Ms", "2000")
+	began := time.Now()
 	resp, err := c.Do(req)
 	if err != nil {
-		w.count(false)
+		w.count(began, report.Failed)
 		return
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
-	w.count(resp.StatusCode == http.StatusOK && err == nil)
+	w.count(began, outcomeOf(resp.StatusCode, err))
 	switch {
 	case err != nil:
 	case resp.StatusCode == http.StatusOK && string(text) != body(id):
@@ -261,10 +264,22 @@
 	}
 }
 
-func (w *world) count(ok bool) {
+func outcomeOf(status int, err error) report.Outcome {
+	switch {
+	case err == nil && status == http.StatusOK:
+		return report.Served
+	case err == nil && status == http.StatusServiceUnavailable:
+		return report.Refused
+	default:
+		return report.Failed
+	}
+}
+
+func (w *world) count(began time.Time, o report.Outcome) {
+	w.record.Request(began, time.Since(began), o)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if ok {
+	if o == report.Served {
 		w.served++
 	} else {
 		w.failed++
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -49,6 +49,11 @@
 	Name       string `json:"name"`
 	Error      string `json:"error"`
 	State      string `json:"state"`
+	// Bad, Good, Hosts and For are those of an upstream that is avoided.
+	Bad   int     `json:"bad"`
+	Good  int     `json:"good"`
+	Hosts int     `json:"hosts"`
+	For   float64 `json:"for_ms"`
 }
 
 // Trail is what logs tell of one request.
@@ -56,7 +61,8 @@
 	// Lines are the request's own, in the order of time.
 	Lines []Line
 	// Around are what the same hosts came to believe shortly before: lost
-	// dependencies, and the states of the upstreams it was sent to.
+	// dependencies, and the states and ejections of the upstreams it was
+	// sent to.
 	Around []Line
 }
 
@@ -78,7 +84,7 @@
 		case !ok:
 		case line.Request == request:
 			t.Lines = append(t.Lines, line)
-		case line.Event == "lost" || line.Event == "upstream":
+		case line.Event == "lost" || line.Event == "upstream" || line.Event == "ejected":
 			beliefs = append(beliefs, line)
 		}
 	}
@@ -149,8 +155,11 @@
 }
 
 func belief(l Line) string {
-	if l.Event == "lost" {
+	switch l.Event {
+	case "lost":
 		return fmt.Sprintf("lost %s %s: %s", l.Dependency, l.Name, l.Error)
+	case "ejected":
+		return fmt.Sprintf("avoids upstream %s for %.0f ms: %d ends bad and %d good, bad ones seen by %d hosts", l.Upstream, l.For, l.Bad, l.Good, l.Hosts)
 	}
 	return fmt.Sprintf("upstream %s is %s", l.Upstream, l.State)
 }
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -198,6 +198,7 @@
 		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
 		synctest.Wait()
 		require.Equal(t, "1", r.value("a"))
+		time.Sleep(timing.SettleFirst)
 		s.put("a", "2")
 		s.put("b", "3")
 		s.remove("a")
@@ -247,6 +248,7 @@
 		s.put("b", "1")
 		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
 		synctest.Wait()
+		time.Sleep(timing.SettleFirst)
 		s.set(func(s *fakeStore) { s.silent = true })
 		time.Sleep(timing.Wait + time.Millisecond)
 		s.set(func(s *fakeStore) { s.silent, s.gap = false, true })
@@ -458,3 +460,41 @@
 		require.LessOrEqual(t, s.asked(), 6)
 	})
 }
+
+// When the store is down every host finds its relay old. Those that only fall
+// back to the store must not make its calls grow with hosts, and still find
+// it soon after its return.
+func TestAFallbackAsksTheStoreLessOften(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, old := newFakeStore(), newFakeStore()
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "relay", Source: old, Relay: true}, Named{Name: "store", Source: s, Fallback: true})
+		time.Sleep(timing.SettleFirst)
+		old.set(func(s *fakeStore) { s.down = errors.New("old") })
+		s.set(func(s *fakeStore) { s.down, s.calls = errors.New("503"), 0 })
+		time.Sleep(20 * time.Second)
+		require.LessOrEqual(t, s.asked(), 16)
+		s.set(func(s *fakeStore) { s.down = nil })
+		s.put("a", "1")
+		time.Sleep(timing.MaxFallbackRetry)
+		require.Equal(t, "1", r.value("a"))
+	})
+}
+
+// The history may be forgotten between the first reading and the first
+// question for changes.
+func TestAGapRightAfterTheFirstReadingIsFilledToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		s.put("a", "1")
+		r, _ := follow(t, nobodyKnowsMore, Named{Name: "store", Source: s})
+		synctest.Wait()
+		s.set(func(s *fakeStore) { s.gap = true })
+		s.remove("a")
+		s.put("b", "2")
+		time.Sleep(2 * time.Second)
+		s.set(func(s *fakeStore) { s.gap = false })
+		require.Equal(t, "", r.value("a"))
+		require.Equal(t, "2", r.value("b"))
+		require.Less(t, s.listed(), 5)
+	})
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cairndock/internal/pause"
 )
 
 // Sink takes what a watcher learns, from one goroutine.
@@ -36,6 +38,10 @@
 	// Relay says that the source is another host's replica, which may be
 	// old itself.
 	Relay bool
+	// Fallback says that the host asks the store only because its relay
+	// fails. When the store itself is down, all hosts come to that, so they
+	// ask less often than the ones that others rely on.
+	Fallback bool
 }
 
 // Route tells a watcher which sources to ask, the best first.
@@ -58,12 +64,16 @@
 	MaxSlack   time.Duration
 	RelaySlack time.Duration
 	// Retry is the pause after a source's first failure; it doubles up to
-	// MaxRetry.
-	Retry    time.Duration
-	MaxRetry time.Duration
+	// MaxRetry, or to MaxFallbackRetry for a fallback.
+	Retry            time.Duration
+	MaxRetry         time.Duration
+	MaxFallbackRetry time.Duration
 	// Settle is the pause between news from the store and the next question
 	// to it: changes come in bursts, and each answer is a call that costs.
 	Settle time.Duration
+	// SettleFirst is the pause after the first whole reading of the store: a
+	// host that has just started learns meanwhile which host asks the store.
+	SettleFirst time.Duration
 	// MaxAge is the age from which on what a relay says counts as a failure.
 	MaxAge time.Duration
 	// Behind is how long another host may have had a change before the
@@ -81,6 +91,7 @@
 	relayWaitPart  = 0.3
 	relaySlackPart = 0.15
 	settlePart     = 0.06
+	firstPart      = 0.2
 )
 
 // TimingFor gives the timing with which no host that reaches the store is
@@ -89,9 +100,9 @@
 	part := func(p float64) time.Duration { return time.Duration(p * float64(staleness)) }
 	return Timing{
 		Wait: part(waitPart), MaxAge: part(maxAgePart), RelayWait: part(relayWaitPart), RelaySlack: part(relaySlackPart),
-		Settle: part(settlePart),
-		Slack:  500 * time.Millisecond, MaxSlack: 2 * time.Second,
-		Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, Behind: 300 * time.Millisecond,
+		Settle: part(settlePart), SettleFirst: part(firstPart),
+		Slack: 500 * time.Millisecond, MaxSlack: 2 * time.Second,
+		Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, MaxFallbackRetry: 2400 * time.Millisecond, Behind: 300 * time.Millisecond,
 	}
 }
 
@@ -104,8 +115,9 @@
 	timing  Timing
 
 	sources map[string]*standing
-	// listed says that the last answer was a whole reading.
-	listed bool
+	// listedAt is when the last answer was a whole reading; zero when it
+	// told of changes.
+	listedAt time.Time
 }
 
 // standing is how a source did lately.
@@ -127,7 +139,7 @@
 	for ctx.Err() == nil {
 		named, wait := w.next(time.Now())
 		if wait > 0 {
-			sleep(ctx, wait)
+			pause.For(ctx, wait)
 			continue
 		}
 		news, err := w.ask(ctx, named)
@@ -135,12 +147,24 @@
 			return
 		}
 		w.note(named, err)
-		if news && !named.Relay {
-			sleep(ctx, w.timing.Settle)
+		if err == nil && !named.Relay {
+			pause.For(ctx, w.settle(news))
 		}
 	}
 }
 
+// settle is the pause after an answer of the store.
+func (w *Watcher) settle(n news) time.Duration {
+	switch n {
+	case newsFirst:
+		return w.timing.SettleFirst
+	case newsChanges:
+		return w.timing.Settle
+	default:
+		return 0
+	}
+}
+
 // idle is the pause when no source can be asked.
 const idle = 50 * time.Millisecond
 
@@ -155,8 +179,18 @@
 	return Named{}, idle
 }
 
-// ask asks one source. news says that it told of changes.
-func (w *Watcher) ask(ctx context.Context, n Named) (news bool, err error) {
+// news is what an answer brought.
+type news uint8
+
+const (
+	newsNone news = iota
+	newsChanges
+	// newsFirst is the first whole reading.
+	newsFirst
+)
+
+// ask asks one source.
+func (w *Watcher) ask(ctx context.Context, n Named) (news, error) {
 	wait, slack := w.timing.Wait, w.standing(n).slack
 	if n.Relay {
 		wait, slack = w.timing.RelayWait, w.timing.RelaySlack
@@ -164,23 +198,24 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+slack)
 	defer cancel()
 	if !w.synced() {
-		return false, w.list(ctx, n)
+		return newsFirst, w.list(ctx, n)
 	}
 	stop := w.whenBehind(ctx, cancel)
 	defer stop()
 	page, err := n.Source.Changes(ctx, w.replica.Version(), wait)
-	if errors.Is(err, ErrGap) && !w.listed {
-		return false, w.list(ctx, n)
+	if errors.Is(err, ErrGap) && time.Since(w.listedAt) >= w.timing.Wait {
+		return newsNone, w.list(ctx, n)
 	}
 	if err != nil {
-		return false, err
+		return newsNone, err
 	}
-	w.listed = false
+	w.listedAt = time.Time{}
 	changes := w.replica.apply(page, time.Now())
-	if len(changes) > 0 {
-		w.sink.Apply(Update{Rows: changes, Returned: w.replica.Returned()})
+	if len(changes) == 0 {
+		return newsNone, w.judge(n, page)
 	}
-	return len(changes) > 0, w.judge(n, page)
+	w.sink.Apply(Update{Rows: changes, Returned: w.replica.Returned()})
+	return newsChanges, w.judge(n, page)
 }
 
 func (w *Watcher) synced() bool {
@@ -200,7 +235,7 @@
 	if !ok {
 		return eris.Errorf("source is at version %d, %d is known", page.Version, w.replica.Version())
 	}
-	w.listed = true
+	w.listedAt = time.Now()
 	w.sink.Apply(Update{Rows: changes, Whole: true, Returned: w.replica.Returned()})
 	return w.judge(n, page)
 }
@@ -257,6 +292,13 @@
 	return func() { close(done) }
 }
 
+func (w *Watcher) maxRetry(n Named) time.Duration {
+	if n.Fallback {
+		return w.timing.MaxFallbackRetry
+	}
+	return w.timing.MaxRetry
+}
+
 func (w *Watcher) standing(n Named) *standing {
 	s := w.sources[n.Name]
 	if s == nil {
@@ -283,16 +325,9 @@
 		s.slack = min(2*s.slack, w.timing.MaxSlack)
 	}
 	s.tryAt = now.Add(s.retry/2 + rand.N(s.retry/2+1))
-	s.retry = min(s.retry*2, w.timing.MaxRetry)
+	s.retry = min(s.retry*2, w.maxRetry(n))
 	if s.lostAt.IsZero() {
 		s.lostAt = now
 		w.sink.Lost(n.Name, err)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
