Relay changes along a tree of a region's hosts

One host of each region sent each change to all others, 99 of them, and its link of 10 Mbit/s carried 3.9 MB/s in the busiest second. Before there is a configuration no host is ready, so that each took itself for the one that asks the store. Change: the hosts of a region form a tree in the order of their names' hashes, six to a relay; each asks only hosts before it, so that no ring can form. A relay answers whenever the store confirms what it knows, so that ages do not add up over the levels and questions to relays are fewer. A host that is not ready also relies on hosts that are not.

--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -113,7 +113,7 @@
 	now := time.Now()
 	watchers := map[string]bool{}
 	for _, name := range []string{"west0", "west1", "west2"} {
-		h, self := nine(name, now).watcher(now)
+		h, self := nine(name, now).source(true, now)
 		require.Equal(t, self, h.Name == name)
 		watchers[h.Name] = true
 	}
@@ -133,11 +133,86 @@
 		m.Heard(host("west1", "west-0", "west"), readyStatus, later)
 		m.Heard(host("west2", "west-1", "west"), readyStatus, later)
 		delete(m.peers, gone)
-		h, _ := m.watcher(later)
+		h, _ := m.source(true, later)
 		require.NotEqual(t, gone, h.Name)
 	}
 }
 
+// No host of a large region has to send a change to more than a few others.
+func TestTheHostsOfARegionFormATree(t *testing.T) {
+	now := time.Now()
+	const hosts = 100
+	sources := map[string]string{}
+	children := map[string]int{}
+	for i := range hosts {
+		m := NewMembers(host(fmt.Sprint("west", i), "west-0", "west"))
+		for j := range hosts {
+			m.Heard(host(fmt.Sprint("west", j), "west-0", "west"), readyStatus, now)
+		}
+		h, self := m.source(true, now)
+		if self {
+			continue
+		}
+		sources[m.Self().Name] = h.Name
+		children[h.Name]++
+	}
+	require.Len(t, sources, hosts-1, "one asks the store")
+	for name, n := range children {
+		require.LessOrEqual(t, n, relayFanout, name)
+	}
+	for name := range sources {
+		depth := 0
+		for at, ok := sources[name]; ok; at, ok = sources[at] {
+			depth++
+		}
+		require.LessOrEqual(t, depth, 3)
+	}
+}
+
+// Hosts that differ in what they believe must not ask each other in a ring.
+func TestSourcesNeverFormARing(t *testing.T) {
+	now := time.Now()
+	for beliefs := range 1 << 6 {
+		sources := map[string]string{}
+		for i := range 3 {
+			m := NewMembers(host(fmt.Sprint("west", i), "west-0", "west"))
+			for j := range 3 {
+				if i != j && beliefs>>(2*i+(j+3-i)%3-1)&1 == 1 {
+					m.Heard(host(fmt.Sprint("west", j), "west-0", "west"), readyStatus, now)
+				}
+			}
+			if h, self := m.source(true, now); !self {
+				sources[m.Self().Name] = h.Name
+			}
+		}
+		for name := range sources {
+			at := name
+			for range 3 {
+				at = sources[at]
+				require.NotEqual(t, name, at)
+			}
+		}
+	}
+}
+
+// Before there is a configuration no host is ready, and still only one asks.
+func TestHostsThatStartTogetherAskOneHost(t *testing.T) {
+	now := time.Now()
+	asking := 0
+	for _, name := range []string{"west0", "west1", "west2"} {
+		m := nine(name, now)
+		for _, p := range m.Peers() {
+			m.Heard(p.Host, Status{}, now)
+		}
+		if _, self := m.source(false, now); self {
+			asking++
+		}
+		_, self := m.source(true, now)
+		require.True(t, self, "a host that is ready relies on none that is not")
+	}
+	require.Equal(t, 1, asking)
+}
+
 func TestAHostThatIsSilentIsToldOnceAndForgottenLater(t *testing.T) {
 	now := time.Now()
 	m := nine("west0", now)
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -97,20 +97,21 @@
 const otherRelays = 2
 
 // Sources gives the sources of a table, the best first. One host of a region
-// asks the store, and the others ask that host, so that the store's load
-// grows with regions and not with hosts. Whoever finds its first source
+// asks the store, and the others ask that host or one that asks it, so that the
+// store's load grows with regions and not with hosts. Whoever finds its first source
 // failing asks the store, and then hosts of other regions.
 func (f *Fleet) Sources(table int) []watch.Named {
 	store := watch.Named{Name: storeName, Source: f.tables[table].Store}
+	selfReady := f.status().Ready
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := time.Now()
-	watcher, self := f.members.watcher(now)
+	source, self := f.members.source(selfReady, now)
 	if self {
 		return append([]watch.Named{store}, f.relays(table, f.members.fresh(now), "")...)
 	}
 	store.Fallback = true
-	first := f.relay(table, watcher)
+	first := f.relay(table, source)
 	sources := []watch.Named{first, store}
 	return append(sources, f.relays(table, f.members.fresh(now), first.Name)...)
 }
@@ -159,20 +160,31 @@
 	}
 }
 
-// watcher gives the live host of the own region that asks the store, and
-// whether it is the host itself. All hosts that see the same hosts alive
-// come to the same.
-func (m *Members) watcher(now time.Time) (Host, bool) {
-	best, self := m.self, true
+// relayFanout is how many hosts ask one relay, so that none has to send a
+// change to all hosts of a large region.
+const relayFanout = 6
+
+// source gives the live host of the own region that this one asks, or says
+// that it asks the store itself. The region's hosts form a tree in an order
+// that does not depend on what they do: the first asks the store, and each
+// other one asks a host before it. So no two ever ask each other, whatever
+// they believe of who lives. selfReady says that this host knows enough to
+// serve; before that it also asks hosts that do not yet.
+func (m *Members) source(selfReady bool, now time.Time) (Host, bool) {
+	var before []Host
 	for _, p := range m.peers {
-		if p.Host.Region != m.self.Region || !p.Alive(now) || p.Status.Leaving || !p.Status.Ready {
+		if p.Host.Region != m.self.Region || !p.Alive(now) || p.Status.Leaving || (selfReady && !p.Status.Ready) {
 			continue
 		}
-		if rank(p.Host) < rank(best) {
-			best, self = p.Host, false
+		if rank(p.Host) < rank(m.self) {
+			before = append(before, p.Host)
 		}
 	}
-	return best, self
+	if len(before) == 0 {
+		return m.self, true
+	}
+	slices.SortFunc(before, func(a, b Host) int { return cmp.Compare(rank(a), rank(b)) })
+	return before[(len(before)-1)/relayFanout], false
 }
 
 // rank orders hosts without regard to anything they do.
--- a/internal/watch/replica.go
+++ b/internal/watch/replica.go
@@ -33,12 +33,15 @@
 	freshAt time.Time
 	// returnedAt is when it last said so after AwayAfter without a word.
 	returnedAt time.Time
-	changed    chan struct{}
+	// changed is closed at the next change, and confirmed when the store
+	// next says that the replica is up to date.
+	changed   chan struct{}
+	confirmed chan struct{}
 }
 
 // NewReplica makes an empty replica.
 func NewReplica() *Replica {
-	return &Replica{rows: map[string]Row{}, goneAt: map[string]time.Time{}, changed: make(chan struct{})}
+	return &Replica{rows: map[string]Row{}, goneAt: map[string]time.Time{}, changed: make(chan struct{}), confirmed: make(chan struct{})}
 }
 
 // Version is the version that the replica is as of.
@@ -151,6 +154,8 @@
 				r.returnedAt = now
 			}
 			r.freshAt = at
+			close(r.confirmed)
+			r.confirmed = make(chan struct{})
 		}
 	}
 	r.prune(now)
@@ -191,6 +196,23 @@
 
 // Changes waits for changes after a version.
 func (r *Replica) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+	return r.await(ctx, after, wait, nil)
+}
+
+// ChangesWithin is Changes for another host. It answers as well when the store
+// confirms the replica, so that a host that asks by way of others is hardly
+// older than they are, and at once when the replica has grown old, so that it
+// can look for a better source.
+func (r *Replica) ChangesWithin(ctx context.Context, after int64, wait, maxAge time.Duration) (Page, error) {
+	r.mu.Lock()
+	confirmed := r.confirmed
+	left := maxAge - r.age(time.Now()) + time.Millisecond
+	r.mu.Unlock()
+	return r.await(ctx, after, max(0, min(wait, left)), confirmed)
+}
+
+// await waits for changes after a version, or for a sign, or for a time.
+func (r *Replica) await(ctx context.Context, after int64, wait time.Duration, sign <-chan struct{}) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -200,22 +222,17 @@
 		}
 		select {
 		case <-changed:
+			continue
+		case <-sign:
 		case <-timer.C:
-			page, _, err = r.since(after)
-			return page, err
 		case <-ctx.Done():
 			return Page{}, ctx.Err()
 		}
+		page, _, err = r.since(after)
+		return page, err
 	}
 }
 
-// ChangesWithin is Changes that answers at once when the replica has grown
-// old, so that whoever asks can look for a better source.
-func (r *Replica) ChangesWithin(ctx context.Context, after int64, wait, maxAge time.Duration) (Page, error) {
-	left := maxAge - r.Age() + time.Millisecond
-	return r.Changes(ctx, after, max(0, min(wait, left)))
-}
-
 func (r *Replica) since(after int64) (Page, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -498,3 +498,25 @@
 		require.Less(t, s.listed(), 5)
 	})
 }
+
+// A host that asks by way of others learns of the store's word when they do.
+func TestARelayAnswersWhenTheStoreConfirmsIt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := NewReplica()
+		r.replace(Page{Version: 1}, time.Now())
+		time.Sleep(500 * time.Millisecond)
+		answered := make(chan Page)
+		go func() {
+			p, err := r.ChangesWithin(t.Context(), 1, timing.RelayWait, timing.MaxAge)
+			require.NoError(t, err)
+			answered <- p
+		}()
+		time.Sleep(100 * time.Millisecond)
+		r.apply(Page{Version: 1}, time.Now())
+		began := time.Now()
+		p := <-answered
+		require.Zero(t, time.Since(began))
+		require.Zero(t, p.Age)
+		require.Empty(t, p.Rows)
+	})
+}
--- a/internal/watch/watcher.go
+++ b/internal/watch/watcher.go
@@ -82,14 +82,17 @@
 }
 
 // The parts of the staleness allowed that a watcher's waits may take. A relay
-// that dies in silence is found after the waits of one question, and a relay
-// whose own way to the store dies in silence by its age; what is left over
-// is for asking the store oneself.
+// answers whenever the store has confirmed what it knows, so a question to it
+// waits a little longer than one to the store. One that dies in silence is
+// found after the waits of one question, and one whose own way to the store
+// dies in silence by its age; what is left over is for asking the store
+// oneself.
 const (
-	waitPart       = 0.55
+	waitPart       = 0.5
 	maxAgePart     = 0.7
-	relayWaitPart  = 0.3
-	relaySlackPart = 0.15
+	relayWaitPart  = 0.6
+	relaySlackPart = 0.1
+	behindPart     = 0.2
 	settlePart     = 0.06
 	firstPart      = 0.2
 )
@@ -102,7 +105,7 @@
 		Wait: part(waitPart), MaxAge: part(maxAgePart), RelayWait: part(relayWaitPart), RelaySlack: part(relaySlackPart),
 		Settle: part(settlePart), SettleFirst: part(firstPart),
 		Slack: 500 * time.Millisecond, MaxSlack: 2 * time.Second,
-		Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, MaxFallbackRetry: 2400 * time.Millisecond, Behind: 300 * time.Millisecond,
+		Retry: 100 * time.Millisecond, MaxRetry: 800 * time.Millisecond, MaxFallbackRetry: 2400 * time.Millisecond, Behind: part(behindPart),
 	}
 }
 
