--- a/internal/report/page.go
+++ b/internal/report/page.go
@@ -21,12 +21,15 @@
 	plotHeight = 7 * vg.Centimeter
 )
 
+// headroom keeps the lines of a plot clear of its legend.
+const headroom = 1.3
+
 // The colours of a plot's lines, and of the marks of faults.
 var (
 	blue      = color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff}
 	orange    = color.RGBA{R: 0xe6, G: 0x7e, B: 0x22, A: 0xff}
 	red       = color.RGBA{R: 0xc0, G: 0x39, B: 0x2b, A: 0xff}
-	faultMark = color.RGBA{R: 0xc0, G: 0x39, B: 0x2b, A: 0x40}
+	faultMark = color.NRGBA{R: 0xc0, G: 0x39, B: 0x2b, A: 0x40}
 )
 
 // line is one line of a plot.
@@ -102,6 +105,16 @@
 }
 
 func (c chart) draw(seconds []second, faults []Fault) (template.HTML, error) {
+	p, err := c.plot(seconds, faults)
+	if err != nil {
+		return "", err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	return svgOf(canvas)
+}
+
+func (c chart) plot(seconds []second, faults []Fault) (*plot.Plot, error) {
 	p := plot.New()
 	p.Title.Text = c.title
 	p.X.Label.Text = "seconds"
@@ -117,24 +130,23 @@
 		}
 		drawn, err := plotter.NewLine(points)
 		if err != nil {
-			return "", err
+			return nil, err
 		}
 		drawn.Color = l.color
 		p.Add(drawn)
 		p.Legend.Add(l.name, drawn)
 	}
+	p.Y.Max = headroom * highest
 	for _, f := range faults {
 		at := f.At.Seconds()
 		mark, err := plotter.NewLine(plotter.XYs{{X: at, Y: 0}, {X: at, Y: highest}})
 		if err != nil {
-			return "", err
+			return nil, err
 		}
 		mark.Color = faultMark
 		p.Add(mark)
 	}
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	return svgOf(canvas)
+	return p, nil
 }
 
 // svgOf gives a canvas as an element of a page, without the XML declaration.
