Count answers that break off against their upstream; prove what is avoided

Cause: a broken body was noted as a failure of the attempt, but its header had already counted as good. Two types and two methods had one name each for two things (evidence, judge). Change: a body that breaks off speaks against its upstream. The gateway's part is an observation, the check of an answer is accept, the sum is weigh.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -163,12 +163,12 @@
 	in := c.Instance
 	d.tried = append(d.tried, in.ID)
 	target := exchange.Target{Instance: in.ID, Address: in.Address}
-	watch := d.watch(c, began)
+	observed := d.observe(c, began)
 	a, err := d.gateway.Client.Send(ctx, target, d.request)
 	if err == nil {
-		a, err = d.judge(in.ID, a)
+		a, err = d.accept(in.ID, a)
 	}
-	watch.ended(a, err)
+	observed.ended(a, err)
 	if err != nil {
 		e := verdict.From(err)
 		d.gateway.Balancer.Done(in.ID, outcomeOf(e), time.Now())
@@ -182,6 +182,9 @@
 		if ctx.Err() != nil {
 			e.Reason = verdict.DeadlineLapsed
 		}
+		if speaksAgainst(e.Reason) {
+			d.gateway.Judge.Bad(in.ID, time.Now())
+		}
 		d.logAttempt(c, began, a.Status, e)
 		return nil, e
 	}
@@ -211,8 +214,8 @@
 	}
 }
 
-// judge decides whether an answer may be passed on.
-func (d *dispatch) judge(id string, a *exchange.Answer) (*exchange.Answer, error) {
+// accept decides whether an answer may be passed on.
+func (d *dispatch) accept(id string, a *exchange.Answer) (*exchange.Answer, error) {
 	if l := a.Sign.Load; l.Known {
 		d.gateway.Balancer.Told(id, l.Running, l.Waiting, time.Now())
 	}
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -504,3 +504,52 @@
 		require.Greater(t, c.Load(), int64(10))
 	}
 }
+
+func silent(net.Conn, *http.Request) { time.Sleep(2 * time.Second) }
+
+func cutShort(c net.Conn, r *http.Request) {
+	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nGenuine: 1\r\nContent-Length: 50\r\n\r\nhalf", r.Header.Get(headerID))
+}
+
+// An upstream that is silent, or breaks its answers off, is avoided, though
+// neither ends its connections nor fails its health check.
+func TestAnUpstreamThatRequestsShowToBeUnwellIsAvoided(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		fail func(net.Conn, *http.Request)
+	}{
+		{"silent", silent},
+		{"breaks off", cutShort},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newWorld(t)
+			w.routes(usual(route.Once))
+			w.upstream(sound)
+			send := func(key int) int {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, w.server.URL+"/x/", nil)
+				require.NoError(t, err)
+				r.Host = "a.example"
+				r.Header.Set(headerID, strconv.Itoa(key))
+				r.Header.Set(headerKey, strconv.Itoa(key))
+				resp, err := http.DefaultClient.Do(r)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				return resp.StatusCode
+			}
+			for key := range 64 { // what is usual
+				require.Equal(t, http.StatusOK, send(key))
+			}
+			failing := w.upstream(c.fail)
+			for key := 0; failing.Load() < 3; key++ {
+				require.Less(t, key, 200)
+				send(key)
+			}
+			require.Eventually(t, func() bool { return strings.Contains(w.log.String(), "avoided for a time") }, time.Second, 10*time.Millisecond)
+			before := failing.Load()
+			for key := range 30 {
+				require.Equal(t, http.StatusOK, send(key))
+			}
+			require.Equal(t, before, failing.Load())
+		})
+	}
+}
--- a/internal/gateway/evidence.go
+++ b/internal/gateway/observation.go
@@ -9,8 +9,8 @@
 	"cairndock/internal/verdict"
 )
 
-// evidence watches one attempt for what it shows of its upstream's health.
-type evidence struct {
+// observation watches one attempt for what it shows of its upstream's health.
+type observation struct {
 	dispatch *dispatch
 	upstream string
 	began    time.Time
@@ -19,30 +19,30 @@
 	overdue *time.Timer
 }
 
-func (d *dispatch) watch(c balance.Choice, began time.Time) *evidence {
-	e := &evidence{dispatch: d, upstream: c.Instance.ID, began: began}
+func (d *dispatch) observe(c balance.Choice, began time.Time) *observation {
+	o := &observation{dispatch: d, upstream: c.Instance.ID, began: began}
 	judge := d.gateway.Judge
 	if patience := judge.Patience(d.service, c.Load); patience > 0 {
-		e.overdue = time.AfterFunc(patience, func() { judge.Bad(e.upstream, time.Now()) })
+		o.overdue = time.AfterFunc(patience, func() { judge.Bad(o.upstream, time.Now()) })
 	}
-	return e
+	return o
 }
 
 // ended notes how the attempt ended. An attempt that was overdue has been
 // counted already.
-func (e *evidence) ended(a *exchange.Answer, err error) {
+func (o *observation) ended(a *exchange.Answer, err error) {
 	now := time.Now()
-	took := now.Sub(e.began)
-	judge := e.dispatch.gateway.Judge
-	if e.overdue != nil && !e.overdue.Stop() {
-		judge.Slow(e.dispatch.service, took)
+	took := now.Sub(o.began)
+	judge := o.dispatch.gateway.Judge
+	if o.overdue != nil && !o.overdue.Stop() {
+		judge.Slow(o.dispatch.service, took)
 		return
 	}
 	switch {
 	case err == nil && a.Status < http.StatusInternalServerError:
-		judge.Good(e.dispatch.service, e.upstream, took, now)
+		judge.Good(o.dispatch.service, o.upstream, took, now)
 	case err == nil, speaksAgainst(verdict.From(err).Reason):
-		judge.Bad(e.upstream, now)
+		judge.Bad(o.upstream, now)
 	}
 }
 
--- a/internal/health/judge.go
+++ b/internal/health/judge.go
@@ -117,7 +117,7 @@
 	j.mu.Lock()
 	e := j.evidence(upstream)
 	e.own.add(now, 1, 0)
-	finding, found := e.judge(upstream, now)
+	finding, found := e.weigh(upstream, now)
 	j.mu.Unlock()
 	j.report.Suspected()
 	if found {
@@ -138,7 +138,7 @@
 			e.others = map[string]told{}
 		}
 		e.others[host] = told{bad: s.Bad, good: s.Good, at: now}
-		if f, found := e.judge(s.Upstream, now); found {
+		if f, found := e.weigh(s.Upstream, now); found {
 			findings = append(findings, f)
 		}
 	}
@@ -214,9 +214,9 @@
 	return false
 }
 
-// judge adds all evidence up, and ejects the upstream when it speaks against
+// weigh adds all evidence up, and ejects the upstream when it speaks against
 // it. What was seen before an ejection does not count again.
-func (e *evidence) judge(upstream string, now time.Time) (Finding, bool) {
+func (e *evidence) weigh(upstream string, now time.Time) (Finding, bool) {
 	if now.Before(e.ejectedUntil) {
 		return Finding{}, false
 	}
