Send a repeatable request elsewhere when its answer is overdue

Cause: an answer may be lost without a sign (answer_lost, hanging upstreams). Change: an answer is overdue after 4 times the service's median, as for the judging of health. A request that may be repeated, with attempts left and as much time again, is then sent to its key's next home, if the budget of repeats allows; the first attempt is given up. What may not be repeated waits as before. Test: TestARequestWhoseAnswerIsOverdueIsServedElsewhereIfItMayBeRepeated.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -34,6 +34,9 @@
 	caller context.Context
 
 	tried []string
+	// resend says that an attempt was given up for another, which the
+	// budget has granted.
+	resend bool
 	// doubt is the failure after which the request may have run.
 	doubt *verdict.Error
 }
@@ -139,6 +142,10 @@
 	if d.doubt != nil && d.route.Repeat != route.Repeatable {
 		return false
 	}
+	if d.resend {
+		d.resend = false
+		return true
+	}
 	return d.gateway.Budget.Take(d.service, d.gateway.Hosts.Hosts(), time.Now())
 }
 
@@ -163,13 +170,21 @@
 	in := c.Instance
 	d.tried = append(d.tried, in.ID)
 	target := exchange.Target{Instance: in.ID, Address: in.Address}
-	observed := d.observe(c, began)
+	// An answer that is passed on needs the context; the request's own ends it.
+	ctx, giveUp := context.WithCancel(ctx)
+	observed := d.observe(c, began, giveUp)
 	a, err := d.gateway.Client.Send(ctx, target, d.request)
 	if err == nil {
 		a, err = d.accept(in.ID, a)
 	}
-	observed.ended(a, err)
+	if observed.ended(a, err) {
+		if err == nil { // it came in the same moment
+			_ = a.Body.Close()
+		}
+		d.resend, err = true, overdue(in.ID)
+	}
 	if err != nil {
+		giveUp()
 		e := verdict.From(err)
 		d.gateway.Balancer.Done(in.ID, outcomeOf(e), time.Now())
 		d.logAttempt(c, began, 0, e)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -505,7 +505,7 @@
 	}
 }
 
-func silent(net.Conn, *http.Request) { time.Sleep(2 * time.Second) }
+func silent(net.Conn, *http.Request) { time.Sleep(3 * time.Second) }
 
 func cutShort(c net.Conn, r *http.Request) {
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nGenuine: 1\r\nContent-Length: 50\r\n\r\nhalf", r.Header.Get(headerID))
@@ -553,3 +553,47 @@
 		})
 	}
 }
+
+// An answer may be lost without a sign. What may be repeated is then sent to
+// another upstream in time, and what may not never is.
+func TestARequestWhoseAnswerIsOverdueIsServedElsewhereIfItMayBeRepeated(t *testing.T) {
+	for _, repeat := range []route.Repeat{route.Repeatable, route.Once} {
+		t.Run(fmt.Sprint(repeat), func(t *testing.T) {
+			w := newWorld(t)
+			usual := usual(repeat)
+			usual.Timeout = time.Second
+			w.routes(usual)
+			good := w.upstream(sound)
+			send := func(key int) int {
+				r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, w.server.URL+"/x/", nil)
+				require.NoError(t, err)
+				r.Host = "a.example"
+				r.Header.Set(headerID, strconv.Itoa(key))
+				r.Header.Set(headerKey, strconv.Itoa(key))
+				resp, err := http.DefaultClient.Do(r)
+				require.NoError(t, err)
+				require.NoError(t, resp.Body.Close())
+				return resp.StatusCode
+			}
+			for key := range 64 { // what is usual
+				require.Equal(t, http.StatusOK, send(key))
+			}
+			lost := w.upstream(silent)
+			status := 0
+			before := good.Load()
+			for key := 0; lost.Load() == 0; key++ {
+				require.Less(t, key, 200)
+				before = good.Load()
+				status = send(key)
+			}
+			if repeat == route.Once {
+				require.Equal(t, http.StatusGatewayTimeout, status)
+				require.Equal(t, before, good.Load())
+				return
+			}
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, before+1, good.Load())
+			require.Contains(t, w.log.String(), "another upstream is tried")
+		})
+	}
+}
