Let one heartbeat exchange do for both hosts

Cause: an exchange tells both hosts the same, and both began one each 0.8 s. Change: a host that has taken a heartbeat puts off its own to that host. Test: TestAHeartbeatTakenPutsOffTheOwn.

--- a/internal/fleet/beat.go
+++ b/internal/fleet/beat.go
@@ -291,6 +291,7 @@
 		return
 	}
 	f.heard(b)
+	f.postpone(b.Host.Name)
 	reply := beat{Host: f.members.Self(), Status: f.status()}
 	if b.Ask != askNothing {
 		reply.Hosts = f.hosts(b.Ask)
@@ -298,6 +299,14 @@
 	_ = w.Send(reply)
 }
 
+// postpone puts off the own heartbeat to a host that has just sent one: the
+// answer to it tells both the same.
+func (f *Fleet) postpone(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.next[name] = time.Now().Add(beatEvery)
+}
+
 func (f *Fleet) hosts(ask asking) []Host {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -305,6 +305,19 @@
 	require.Equal(t, askRegion, f.ask("east", now.Add(askEvery)))
 }
 
+// One exchange tells both hosts; the other need not begin one as well.
+func TestAHeartbeatTakenPutsOffTheOwn(t *testing.T) {
+	f := New(Options{Self: host("west0", "west-0", "west")})
+	other := host("west1", "west-0", "west")
+	now := time.Now()
+	f.members.Heard(other, readyStatus, now)
+	f.next[other.Name] = now
+	f.postpone(other.Name)
+	require.Empty(t, f.due(now.Add(beatEvery/2)))
+	require.Len(t, f.due(now.Add(2*beatEvery)), 1)
+	require.Less(t, beatEvery+tick+beatTimeout, DeadAfter, "a host that only answers is not taken for dead")
+}
+
 func TestARestartIsANewLife(t *testing.T) {
 	now := time.Now()
 	m := nine("west0", now)
