--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -280,3 +280,33 @@
 		})
 	}
 }
+
+// ejecting is a judge that suspects one upstream.
+type ejecting string
+
+func (e ejecting) Ejected(upstream string, _ time.Time) bool { return upstream == string(e) }
+
+func TestAnEjectedUpstreamIsAvoidedWhileTheOthersHaveRoom(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		load    int
+		avoided bool
+	}{
+		{"the others have room", 1, true},
+		{"the others are busy", 3, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			now, all := time.Now(), fleet(4)
+			q := balance.Query{Key: "k", Candidates: all, Now: now}
+			home := choose(t, newBalancer(1), q).Instance.ID
+			place := balance.Place{Zone: "west-1", Region: "west", Regions: 2}
+			b := balance.New(place, balance.DefaultWeights, fixedShare(1), ejecting(home))
+			for _, m := range all {
+				if m.ID != home {
+					b.Told(m.ID, c.load, 0, now)
+				}
+			}
+			require.Equal(t, c.avoided, choose(t, b, q).Instance.ID != home)
+		})
+	}
+}
