--- /dev/null
+++ b/internal/entry/entrytest/faults.go
@@ -0,0 +1,112 @@
+package entrytest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/config"
+	"cairndock/internal/platform"
+	"cairndock/internal/standin"
+)
+
+// Freeze cuts a host off from everything and, when it wakes, makes its own
+// loop look as if it had stood still.
+func (c *Cluster) Freeze(name string, d time.Duration) {
+	h := c.Host(name)
+	others := append(c.Names(), "platform")
+	for _, o := range others {
+		c.Net.Cut(name, o)
+	}
+	time.Sleep(d)
+	h.Distrust()
+	for _, o := range others {
+		c.Net.Heal(name, o)
+	}
+}
+
+// Names gives the names of all hosts and upstreams.
+func (c *Cluster) Names() []string {
+	var names []string
+	for name := range c.Upstreams {
+		names = append(names, name)
+	}
+	for _, z := range zones {
+		for i := range z.hosts {
+			names = append(names, fmt.Sprintf("%s-%d", z.zone, i+1))
+		}
+	}
+	return names
+}
+
+// CutZone cuts a zone off from everything outside it.
+func (c *Cluster) CutZone(zone string, d time.Duration) {
+	inside := func(name string) bool {
+		return name == zone+"-1" || name == zone+"-2" || name == "up-"+zone+"-1" || name == "up-"+zone+"-2"
+	}
+	outside := append(c.Names(), "platform")
+	each := func(f func(a, b string)) {
+		for _, a := range c.Names() {
+			for _, b := range outside {
+				if inside(a) && !inside(b) {
+					f(a, b)
+				}
+			}
+		}
+	}
+	each(c.Net.Cut)
+	time.Sleep(d)
+	each(c.Net.Heal)
+}
+
+// StoreDown has the platform's store fail every call for a time.
+func (c *Cluster) StoreDown(d time.Duration) {
+	c.Memory.SetFault(func(string, bool) error { return errors.New("platform is down") })
+	time.Sleep(d)
+	c.Memory.SetFault(nil)
+}
+
+// LoseAnswers makes writes take effect without an answer.
+func (c *Cluster) LoseAnswers(d time.Duration) {
+	c.Memory.SetFault(func(op string, after bool) error {
+		if op == "transact" && after {
+			return errors.New("answer lost")
+		}
+		return nil
+	})
+	time.AfterFunc(d, func() { c.Memory.SetFault(nil) })
+}
+
+// GoneAfter has the platform's list call a host gone after a time.
+func (c *Cluster) GoneAfter(name string, d time.Duration) {
+	time.AfterFunc(d, func() { c.Memory.SetHost(name, platform.Gone) })
+}
+
+// FaultAll gives every upstream the same faults.
+func (c *Cluster) FaultAll(f standin.Faults) {
+	for _, u := range c.Upstreams {
+		u.SetFaults(f)
+	}
+}
+
+// Revision is the newest revision of the configuration.
+func (c *Cluster) Revision() uint64 {
+	rev, err := config.NewLog(c.Memory, c.Memory).Head(context.Background())
+	require.NoError(c.T, err)
+	return rev
+}
+
+// RunsIn sums the runs of a zone's upstreams.
+func (c *Cluster) RunsIn(zone string) int {
+	n := 0
+	for name, u := range c.Upstreams {
+		if strings.HasPrefix(name, "up-"+zone) {
+			n += u.Ledger().Runs
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/entry/entrytest/load.go
@@ -0,0 +1,97 @@
+package entrytest
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"cairndock/internal/call"
+	"cairndock/internal/entry"
+	"cairndock/internal/verdict"
+)
+
+// Counts are what a load got.
+type Counts struct {
+	// Good are whole answers, Refused those proved not to have run, Doubt
+	// those that may have run, and Wrong the answers to other requests.
+	Good    int
+	Refused int
+	Doubt   int
+	Wrong   int
+	// Slowest is the longest time to an outcome, and Slow how many answers
+	// took longer than slowAfter.
+	Slowest time.Duration
+	Slow    int
+	// Reasons counts what was not answered.
+	Reasons map[verdict.Reason]int
+
+	mu sync.Mutex
+}
+
+// slowAfter is three times a warm upstream's latency.
+const slowAfter = 3 * Latency
+
+// Load sends lookups to the live hosts in turn, whatever becomes of them.
+func (c *Cluster) Load(perSecond int, d time.Duration) *Counts {
+	out := &Counts{}
+	var wait sync.WaitGroup
+	pause := time.Second / time.Duration(perSecond)
+	for i := range int(d / pause) {
+		hosts := c.Live()
+		h := hosts[i%len(hosts)]
+		wait.Go(func() { out.One(h, fmt.Sprintf("/tracks/%d", i)) })
+		time.Sleep(pause)
+	}
+	wait.Wait()
+	return out
+}
+
+// One sends a lookup to a host and counts its outcome.
+func (o *Counts) One(h *entry.Host, path string) {
+	began := time.Now()
+	body, err := Ask(h, Lookup(path))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.Slowest = max(o.Slowest, time.Since(began))
+	if err != nil {
+		if o.Reasons == nil {
+			o.Reasons = map[verdict.Reason]int{}
+		}
+		o.Reasons[verdict.From(err).Reason]++
+	}
+	switch {
+	case err == nil && !strings.Contains(body, `"path":"`+path+`"`):
+		o.Wrong++
+	case err == nil:
+		o.Good++
+		if time.Since(began) > slowAfter {
+			o.Slow++
+		}
+	case verdict.From(err).Verdict == verdict.NotRun:
+		o.Refused++
+	default:
+		o.Doubt++
+	}
+}
+
+// Lookup is a request that may be repeated.
+func Lookup(path string) *call.Request {
+	return &call.Request{Service: "planning", Method: http.MethodGet, Target: path, Deadline: time.Now().Add(Timeout)}
+}
+
+// Ask sends a request to a host and gives the whole answer.
+func Ask(h *entry.Host, req *call.Request) (string, error) {
+	ctx, cancel := context.WithDeadline(context.Background(), req.Deadline)
+	defer cancel()
+	a, err := h.Do(ctx, req)
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	body, err := io.ReadAll(a.Body)
+	return string(body), err
+}
--- a/internal/entry/fakenet_test.go
+++ b/internal/entry/entrytest/network.go
@@ -1,4 +1,4 @@
-package entry
+package entrytest
 
 import (
 	"context"
@@ -10,10 +10,10 @@
 	"time"
 )
 
-// fakeNet is a network in memory whose links can be slow, cut and healed.
+// Network is a network in memory whose links can be slow, cut and healed.
 // Addresses are "name:port", and a link's ends are names. What is written
 // while a link is cut arrives, late, when it heals.
-type fakeNet struct {
+type Network struct {
 	mu        sync.Mutex
 	listeners map[string]*fakeListener
 	cut       map[[2]string]bool
@@ -21,8 +21,8 @@
 	delay     func(from, to string) time.Duration
 }
 
-func newFakeNet(delay func(from, to string) time.Duration) *fakeNet {
-	return &fakeNet{listeners: map[string]*fakeListener{}, cut: map[[2]string]bool{}, delay: delay}
+func newNetwork(delay func(from, to string) time.Duration) *Network {
+	return &Network{listeners: map[string]*fakeListener{}, cut: map[[2]string]bool{}, delay: delay}
 }
 
 func nameOf(addr string) string {
@@ -30,21 +30,21 @@
 	return host
 }
 
-func (n *fakeNet) isCut(a, b string) bool {
+func (n *Network) isCut(a, b string) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return n.cut[[2]string{a, b}] || n.cut[[2]string{b, a}]
 }
 
 // Cut stops all traffic between two names.
-func (n *fakeNet) Cut(a, b string) {
+func (n *Network) Cut(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.cut[[2]string{a, b}] = true
 }
 
 // Heal lets traffic pass again, what is waiting first.
-func (n *fakeNet) Heal(a, b string) {
+func (n *Network) Heal(a, b string) {
 	n.mu.Lock()
 	delete(n.cut, [2]string{a, b})
 	delete(n.cut, [2]string{b, a})
@@ -57,7 +57,7 @@
 
 // end is what one name sees of the network.
 type end struct {
-	net  *fakeNet
+	net  *Network
 	name string
 }
 
@@ -105,7 +105,7 @@
 }
 
 type fakeListener struct {
-	net    *fakeNet
+	net    *Network
 	addr   string
 	accept chan net.Conn
 	done   chan struct{}
@@ -142,7 +142,7 @@
 
 // flow is one direction of a connection.
 type flow struct {
-	net      *fakeNet
+	net      *Network
 	from, to string
 	mu       sync.Mutex
 	ready    sync.Cond
@@ -153,7 +153,7 @@
 	deadline time.Time
 }
 
-func (n *fakeNet) newFlow(from, to string) *flow {
+func (n *Network) newFlow(from, to string) *flow {
 	f := &flow{net: n, from: from, to: to}
 	f.ready.L = &f.mu
 	n.mu.Lock()
--- /dev/null
+++ b/internal/entry/entrytest/slots_test.go
@@ -0,0 +1,85 @@
+package entrytest
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/platform"
+)
+
+// TestSlotsAreConserved offers more than the capacity while hosts, the
+// platform and links fail. No upstream may ever see a request for which it
+// has no slot, and all capacity must come back.
+func TestSlotsAreConserved(t *testing.T) {
+	cases := []struct {
+		name  string
+		fault func(c *Cluster)
+		// lasts is how long the load goes on beside the fault; 20 s by default.
+		lasts time.Duration
+	}{
+		{"nothing fails", func(*Cluster) {}, 0},
+		{"host killed", func(c *Cluster) { c.Kill("costa-a-1") }, 0},
+		{"host killed and dropped from the list", func(c *Cluster) {
+			c.Host("costa-a-1").Close()
+			c.Forget("costa-a-1")
+			c.Memory.DropHost("costa-a-1")
+		}, 0},
+		{"host killed and restarted", func(c *Cluster) {
+			c.Kill("costa-a-1")
+			time.Sleep(500 * time.Millisecond)
+			c.Start("costa-a-1", "costa-a", "costa")
+		}, 0},
+		{"host paused for 30 s", func(c *Cluster) { c.Freeze("costa-a-1", 30*time.Second) }, 35 * time.Second},
+		{"host paused for 30 s and taken for gone", func(c *Cluster) {
+			c.GoneAfter("costa-a-1", 4*time.Second)
+			c.Freeze("costa-a-1", 30*time.Second)
+			c.Memory.SetHost("costa-a-1", platform.Live)
+		}, 35 * time.Second},
+		{"roster write whose answer is lost", func(c *Cluster) {
+			c.LoseAnswers(5 * time.Second)
+			c.Kill("costa-a-1")
+			time.Sleep(200 * time.Millisecond)
+			c.Start("costa-a-1", "costa-a", "costa")
+		}, 0},
+		{"platform down", func(c *Cluster) { c.StoreDown(12 * time.Second) }, 0},
+		{"zone cut off", func(c *Cluster) { c.CutZone("costa-a", 12*time.Second) }, 0},
+		{"platform down and host restarted", func(c *Cluster) {
+			c.Kill("costa-a-1")
+			go c.StoreDown(10 * time.Second)
+			time.Sleep(time.Second)
+			c.Start("costa-a-1", "costa-a", "costa")
+		}, 0},
+		{"zone cut off and host killed in it", func(c *Cluster) {
+			go c.CutZone("costa-a", 12*time.Second)
+			time.Sleep(5 * time.Second)
+			c.Kill("costa-a-2")
+		}, 0},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			Run(t, Anywhere, func(c *Cluster) {
+				const perSecond = 150 // of a capacity of 120
+				before := c.Load(perSecond, 4*time.Second)
+				settled := make(chan time.Duration, 1)
+				go func() {
+					time.Sleep(time.Second)
+					tc.fault(c)
+					settled <- c.WaitSettled(time.Minute)
+				}()
+				lasts := max(tc.lasts, 20*time.Second)
+				during := c.Load(perSecond, lasts)
+				back := <-settled
+				after := c.Load(perSecond, 4*time.Second)
+				t.Logf("answered per second: before %d, during %d, after %d; refused %d, in doubt %d; all slots held %s after the fault",
+					before.Good/4, during.Good/int(lasts.Seconds()), after.Good/4, during.Refused, during.Doubt, back)
+				require.Zero(t, c.Over(), "requests beyond a slot")
+				require.Zero(t, before.Wrong+during.Wrong+after.Wrong, "answers of another request")
+				require.NotEqual(t, time.Duration(-1), back, "slots lost for good: %d of %d held", c.Held(), c.Slots())
+				require.Greater(t, after.Good, before.Good*9/10, "capacity lost for good")
+			})
+		})
+	}
+}
--- /dev/null
+++ b/internal/entry/export_test.go
@@ -0,0 +1,84 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"cairndock/internal/call"
+	"cairndock/internal/link"
+	"cairndock/internal/member"
+	"cairndock/internal/steer"
+)
+
+// What tests of a whole cluster look at inside a host.
+
+// Tick is the pace of a host's own loop.
+const Tick = tick
+
+// Validated reports whether the host may send new work to upstreams.
+func (h *Host) Validated() bool { return h.validated() }
+
+// CanSend reports whether the host has somewhere to send requests to.
+func (h *Host) CanSend() bool { return h.canSend() }
+
+// Forget drops what the host knows of another.
+func (h *Host) Forget(host string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.peers.Forget(host)
+}
+
+// Hears reports whether another host answers this one.
+func (h *Host) Hears(host string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	p, known := h.peers.Get(host)
+	return known && p.Up(time.Now())
+}
+
+// SentTo is how many bytes the host put on its link to a region.
+func (h *Host) SentTo(region string) int64 {
+	h.pacersMu.Lock()
+	defer h.pacersMu.Unlock()
+	p := h.pacers[region]
+	if p == nil {
+		return 0
+	}
+	return p.Sent(link.Interactive) + p.Sent(link.Bulk)
+}
+
+// Now reads the host's clock, and FreshAt when its configuration was last
+// known to be the newest.
+func (h *Host) Now() int64 { return h.now() }
+
+// FreshAt is when the configuration was last known to be the newest.
+func (h *Host) FreshAt() int64 { return h.freshAt.Load() }
+
+// SetFreshAt makes the proof of the configuration's age as old as that.
+func (h *Host) SetFreshAt(at int64) { h.freshAt.Store(at) }
+
+// NoteFresh takes in a peer's proof.
+func (h *Host) NoteFresh(b member.Heartbeat, askedAt int64) { h.noteFresh(b, askedAt) }
+
+// FillQueue takes every slot of a service that the host holds, and every
+// place in its queue, until the context ends.
+func (h *Host) FillQueue(ctx context.Context, service, rule string) {
+	gate := h.serviceFor(service).gate
+	for range gate.Load().Held {
+		_, _ = gate.Acquire(ctx, rule, time.Time{})
+	}
+	for range gate.Load().Held {
+		go gate.Acquire(ctx, rule, time.Now().Add(time.Minute))
+	}
+}
+
+// QueueAt has a request wait at zones that were found full, in their order.
+func (h *Host) QueueAt(ctx context.Context, req *call.Request, full ...steer.Choice) (*call.Answer, error) {
+	svc, _ := h.View().Service(req.Service)
+	d := &dispatcher{host: h, svc: svc, state: h.serviceFor(req.Service), req: req}
+	d.state.decider.Begin(&d.plan)
+	for _, c := range full {
+		d.mayQueueAt(c)
+	}
+	return d.queue(ctx)
+}
--- /dev/null
+++ b/internal/entry/host_test.go
@@ -0,0 +1,81 @@
+package entry_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/entry"
+	"cairndock/internal/entry/entrytest"
+	"cairndock/internal/member"
+	"cairndock/internal/steer"
+)
+
+// TestIsolatedHostStopsInTime: a host that nobody answers stops sending to
+// upstreams before its silence can count against it, and starts again once
+// it has seen the roster.
+func TestIsolatedHostStopsInTime(t *testing.T) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		h := c.Host("costa-a-1")
+		others := append(c.Names(), "platform")
+		for _, o := range others {
+			c.Net.Cut("costa-a-1", o)
+		}
+		cut := time.Now()
+		for h.Validated() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		stopped := time.Since(cut)
+		t.Logf("stopped after %s", stopped)
+		require.Less(t, stopped, member.LostAfter)
+		for _, o := range others {
+			c.Net.Heal("costa-a-1", o)
+		}
+		time.Sleep(5 * time.Second)
+		require.True(t, h.Validated())
+		_, err := entrytest.Ask(h, entrytest.Lookup("/x"))
+		require.NoError(t, err)
+	})
+}
+
+// TestFullQueueIsPassedOver: a request that finds the queue of the nearest
+// full zone full as well waits at the next one, instead of being refused.
+func TestFullQueueIsPassedOver(t *testing.T) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		h := c.Host("costa-a-1")
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for _, other := range c.Live() {
+			if other.Self().Zone == h.Self().Zone {
+				other.FillQueue(ctx, "planning", "all")
+			}
+		}
+		synctest.Wait()
+		answer, err := h.QueueAt(ctx, entrytest.Lookup("/tracks/1"),
+			steer.Choice{Rule: "all", Zone: "costa-a", Local: true, Full: true},
+			steer.Choice{Rule: "all", Zone: "costa-b", Full: true})
+		require.NoError(t, err)
+		require.NoError(t, answer.Body.Close())
+	})
+}
+
+// TestStartingHostOpensOnceItCanSend: callers are told to come back until
+// the host holds slots or hears from a host that does.
+func TestStartingHostOpensOnceItCanSend(t *testing.T) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		h := c.Host("costa-a-1")
+		h.Stop(context.Background())
+		c.Forget("costa-a-1")
+		h.Close()
+		h = c.Start("costa-a-1", "costa-a", "costa")
+		started := time.Now()
+		for !h.Serving() {
+			time.Sleep(time.Millisecond)
+		}
+		require.True(t, h.CanSend(), "is ready, and can't send")
+		require.Less(t, time.Since(started), 2*entry.Tick)
+	})
+}
--- a/internal/entry/limits_test.go
+++ b/internal/entry/limits_test.go
@@ -1,4 +1,4 @@
-package entry
+package entry_test
 
 import (
 	"context"
@@ -29,22 +29,22 @@
 						case <-time.After(5 * time.Millisecond):
 						}
 						out := 0
-						for _, u := range c.upstreams {
+						for _, u := range c.Upstreams {
 							out += u.Ledger().Outstanding
 						}
 						most = max(most, out)
 					}
 				}()
 				time.AfterFunc(3*time.Second, func() {
-					c.kill("costa-a-2")
-					c.start("costa-a-2", "costa-a", "costa")
+					c.Kill("costa-a-2")
+					c.Start("costa-a-2", "costa-a", "costa")
 				})
-				out := c.load(100, 10*time.Second)
+				out := c.Load(100, 10*time.Second)
 				close(stop)
 				<-sampled
-				t.Logf("at most %d outstanding of %d allowed, %d answered", most, limit, out.good)
+				t.Logf("at most %d outstanding of %d allowed, %d answered", most, limit, out.Good)
 				require.LessOrEqual(t, most, limit)
-				require.Positive(t, out.good)
+				require.Positive(t, out.Good)
 			})
 		})
 	}
@@ -54,11 +54,11 @@
 func TestRateLimit(t *testing.T) {
 	inBubble(t, "[[rule]]\nname = \"all\"\nservice = \"planning\"\nselector = \"\"\nshare = 1.0\nrate = 20.0\n", func(c *cluster) {
 		const seconds = 15
-		out := c.load(100, seconds*time.Second)
-		t.Logf("%d ran in %d s at a limit of 20/s, %d answered", c.runsIn(""), seconds, out.good)
+		out := c.Load(100, seconds*time.Second)
+		t.Logf("%d ran in %d s at a limit of 20/s, %d answered", c.RunsIn(""), seconds, out.Good)
 		// One request of credit for each of the 5 hosts.
-		require.LessOrEqual(t, c.runsIn(""), 20*seconds+5)
-		require.GreaterOrEqual(t, out.good, 20*seconds*3/4)
+		require.LessOrEqual(t, c.RunsIn(""), 20*seconds+5)
+		require.GreaterOrEqual(t, out.Good, 20*seconds*3/4)
 	})
 }
 
@@ -83,25 +83,25 @@
 	for _, ramp := range []float64{0, 0.05} {
 		t.Run(fmt.Sprintf("ramp=%v", ramp), func(t *testing.T) {
 			inBubble(t, fmt.Sprintf(rules, 1.0, ramp, 0.0, ramp), func(c *cluster) {
-				for name, u := range c.upstreams {
+				for name, u := range c.Upstreams {
 					if strings.HasPrefix(name, "up-sierra") {
 						u.ColdRuns, u.ColdFactor = 40, 5
 					}
 				}
-				c.load(50, 3*time.Second)
+				c.Load(50, 3*time.Second)
 				doc, err := config.ParseDocument(fmt.Appendf(nil, rules, 0.5, ramp, 0.5, ramp))
 				require.NoError(t, err)
-				change, err := doc.Change("shift", c.revision())
+				change, err := doc.Change("shift", c.Revision())
 				require.NoError(t, err)
-				_, err = c.host("costa-a-1").Apply(context.Background(), change, 0)
+				_, err = c.Host("costa-a-1").Apply(context.Background(), change, 0)
 				require.NoError(t, err)
-				first := c.load(50, 5*time.Second)
-				rest := c.load(50, 15*time.Second)
+				first := c.Load(50, 5*time.Second)
+				rest := c.Load(50, 15*time.Second)
 				t.Logf("first 5 s: answered %d, refused %d, slower than 300 ms %d, slowest %s; then 15 s: answered %d, refused %d, slow %d; new zone ran %d",
-					first.good, first.refused, first.slow, first.slowest, rest.good, rest.refused, rest.slow, c.runsIn("sierra-a"))
-				slow[ramp] = first.slow + first.refused
-				require.Zero(t, c.over())
-				require.Positive(t, c.runsIn("sierra-a"))
+					first.Good, first.Refused, first.Slow, first.Slowest, rest.Good, rest.Refused, rest.Slow, c.RunsIn("sierra-a"))
+				slow[ramp] = first.Slow + first.Refused
+				require.Zero(t, c.Over())
+				require.Positive(t, c.RunsIn("sierra-a"))
 			})
 		})
 	}
--- a/internal/entry/links_test.go
+++ b/internal/entry/links_test.go
@@ -1,4 +1,4 @@
-package entry
+package entry_test
 
 import (
 	"context"
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/call"
-	"cairndock/internal/link"
+	"cairndock/internal/entry/entrytest"
 	"cairndock/internal/verdict"
 )
 
@@ -60,7 +60,7 @@
 // beside bundles that would fill it.
 func TestLookupsBesideBundles(t *testing.T) {
 	inBubble(t, linkRules, func(c *cluster) {
-		docs := c.startUpstream("up-sierra-docs", "1")
+		docs := c.StartUpstream("up-sierra-docs", "1")
 		docs.Latency = 0
 		time.Sleep(3 * time.Second)
 		alone := c.farLookups(measured)
@@ -105,7 +105,7 @@
 	for i := range int(d / (50 * time.Millisecond)) {
 		wait.Go(func() {
 			began := time.Now()
-			_, err := ask(c.host("costa-a-1"), lookup(fmt.Sprintf("/tracks/%d", i)))
+			_, err := entrytest.Ask(c.Host("costa-a-1"), entrytest.Lookup(fmt.Sprintf("/tracks/%d", i)))
 			mu.Lock()
 			defer mu.Unlock()
 			if err != nil {
@@ -118,8 +118,8 @@
 	}
 	wait.Wait()
 	slices.Sort(took)
-	require.NotEmpty(c.t, took)
-	assert.Empty(c.t, failed, "lookups that were not served")
+	require.NotEmpty(c.T, took)
+	assert.Empty(c.T, failed, "lookups that were not served")
 	return took[len(took)*99/100]
 }
 
@@ -129,7 +129,7 @@
 		req := &call.Request{
 			Service: "documents", Method: http.MethodGet, Target: fmt.Sprintf("/bytes/%d", bundle), Deadline: time.Now().Add(time.Minute),
 		}
-		a, err := c.host("costa-a-2").Do(ctx, req)
+		a, err := c.Host("costa-a-2").Do(ctx, req)
 		if err != nil {
 			time.Sleep(50 * time.Millisecond)
 			continue
@@ -143,12 +143,7 @@
 func (c *cluster) sentBy(zone string) int64 {
 	var sum int64
 	for i := range 2 {
-		h := c.host(fmt.Sprintf("%s-%d", zone, i+1))
-		h.pacersMu.Lock()
-		if p := h.pacers["costa"]; p != nil {
-			sum += p.Sent(link.Interactive) + p.Sent(link.Bulk)
-		}
-		h.pacersMu.Unlock()
+		sum += c.Host(fmt.Sprintf("%s-%d", zone, i+1)).SentTo("costa")
 	}
 	return sum
 }
--- a/internal/entry/policy_test.go
+++ b/internal/entry/policy_test.go
@@ -1,4 +1,4 @@
-package entry
+package entry_test
 
 import (
 	"context"
@@ -10,6 +10,8 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/config"
+	"cairndock/internal/entry"
+	"cairndock/internal/entry/entrytest"
 	"cairndock/internal/standin"
 )
 
@@ -27,17 +29,6 @@
 share = 0.7
 `
 
-// runsIn sums the runs of a zone's upstreams.
-func (c *cluster) runsIn(zone string) int {
-	n := 0
-	for name, u := range c.upstreams {
-		if strings.HasPrefix(name, "up-"+zone) {
-			n += u.Ledger().Runs
-		}
-	}
-	return n
-}
-
 // TestCapHoldsOverTheFleet: through failover, retries, restarts and a change
 // in mid-flight, a rule never gets more than its cap of what all hosts were
 // asked, and one request for each host that counts.
@@ -50,51 +41,51 @@
 	}{
 		{"nothing fails", func(*cluster) {}, 5},
 		{"the other rule's zones fail", func(c *cluster) {
-			for name, u := range c.upstreams {
+			for name, u := range c.Upstreams {
 				if strings.HasPrefix(name, "up-costa") {
 					u.SetFaults(standin.Faults{DropBefore: true})
 				}
 			}
 		}, 5},
 		{"the other rule's upstreams shed", func(c *cluster) {
-			for name, u := range c.upstreams {
+			for name, u := range c.Upstreams {
 				if strings.HasPrefix(name, "up-costa") {
 					u.SetFaults(standin.Faults{Shed: true})
 				}
 			}
 		}, 5},
 		{"a host restarted", func(c *cluster) {
-			c.kill("costa-a-1")
-			c.start("costa-a-1", "costa-a", "costa")
+			c.Kill("costa-a-1")
+			c.Start("costa-a-1", "costa-a", "costa")
 		}, 6},
-		{"platform down", func(c *cluster) { c.platformDown(10 * time.Second) }, 5},
+		{"platform down", func(c *cluster) { c.StoreDown(10 * time.Second) }, 5},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			inBubble(t, fmt.Sprintf(capped, 0.4), func(c *cluster) {
 				time.AfterFunc(time.Second, func() { tc.fault(c) })
-				out := c.load(60, 15*time.Second)
-				offered := out.good + out.refused + out.doubt
-				runs := c.runsIn("sierra-a")
-				t.Logf("%d of %d ran at the capped zone (%.1f%%), %d answered, else %v", runs, offered, 100*float64(runs)/float64(offered), out.good, out.reasons)
+				out := c.Load(60, 15*time.Second)
+				offered := out.Good + out.Refused + out.Doubt
+				runs := c.RunsIn("sierra-a")
+				t.Logf("%d of %d ran at the capped zone (%.1f%%), %d answered, else %v", runs, offered, 100*float64(runs)/float64(offered), out.Good, out.Reasons)
 				require.LessOrEqual(t, float64(runs), 0.4*float64(offered)+float64(tc.hosts))
-				require.Zero(t, c.over())
+				require.Zero(t, c.Over())
 
 				// A lower cap holds for all that comes after it is accepted.
 				doc := strings.Replace(fmt.Sprintf(capped, 0.1), "share = 0.3", "share = 0.1", 1)
 				d, err := config.ParseDocument([]byte(doc))
 				require.NoError(t, err)
-				change, err := d.Change("lower", c.revision())
+				change, err := d.Change("lower", c.Revision())
 				require.NoError(t, err)
-				applied, err := c.hosts["sierra-a-1"].Apply(context.Background(), change, 10*time.Second)
+				applied, err := c.Host("sierra-a-1").Apply(context.Background(), change, 10*time.Second)
 				require.NoError(t, err)
-				require.Equal(t, StateAccepted, applied.State)
-				time.Sleep(testTimeout)
-				before := c.runsIn("sierra-a")
-				out = c.load(60, 10*time.Second)
-				offered = out.good + out.refused + out.doubt
-				runs = c.runsIn("sierra-a") - before
+				require.Equal(t, entry.StateAccepted, applied.State)
+				time.Sleep(entrytest.Timeout)
+				before := c.RunsIn("sierra-a")
+				out = c.Load(60, 10*time.Second)
+				offered = out.Good + out.Refused + out.Doubt
+				runs = c.RunsIn("sierra-a") - before
 				t.Logf("then %d of %d", runs, offered)
 				require.LessOrEqual(t, float64(runs), 0.1*float64(offered)+float64(tc.hosts))
 			})
@@ -104,17 +95,17 @@
 
 // TestOverload offers twice the capacity.
 func TestOverload(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
 		const capacity = 120
-		c.load(capacity, 3*time.Second) // the upstreams warm up
-		before := c.runsIn("")
-		out := c.load(2*capacity, 15*time.Second)
-		ran := float64(c.runsIn("")-before) / 15
-		t.Logf("answered %d/s of a capacity of %d/s, ran %.0f/s, slowest %s", out.good/15, capacity, ran, out.slowest)
-		require.GreaterOrEqual(t, out.good/15, capacity*90/100)
-		require.Zero(t, out.doubt, "what was admitted is answered within its deadline")
-		require.LessOrEqual(t, ran, float64(out.good)/15*1.05, "retries add no load")
-		require.Zero(t, c.over())
+		c.Load(capacity, 3*time.Second) // the upstreams warm up
+		before := c.RunsIn("")
+		out := c.Load(2*capacity, 15*time.Second)
+		ran := float64(c.RunsIn("")-before) / 15
+		t.Logf("answered %d/s of a capacity of %d/s, ran %.0f/s, slowest %s", out.Good/15, capacity, ran, out.Slowest)
+		require.GreaterOrEqual(t, out.Good/15, capacity*90/100)
+		require.Zero(t, out.Doubt, "what was admitted is answered within its deadline")
+		require.LessOrEqual(t, ran, float64(out.Good)/15*1.05, "retries add no load")
+		require.Zero(t, c.Over())
 	})
 }
 
@@ -125,10 +116,10 @@
 	goodput := map[string]int{}
 	for name, lie := range map[string]func(c *cluster){
 		"true": func(*cluster) {},
-		"zero": func(c *cluster) { c.faultAll(standin.Faults{ReportLoad: &zero}) },
-		"full": func(c *cluster) { c.faultAll(standin.Faults{ReportLoad: &one}) },
+		"zero": func(c *cluster) { c.FaultAll(standin.Faults{ReportLoad: &zero}) },
+		"full": func(c *cluster) { c.FaultAll(standin.Faults{ReportLoad: &one}) },
 		"half of them full": func(c *cluster) {
-			for name, u := range c.upstreams {
+			for name, u := range c.Upstreams {
 				if strings.HasSuffix(name, "-1") {
 					u.SetFaults(standin.Faults{ReportLoad: &one})
 				}
@@ -137,18 +128,18 @@
 		"heartbeats of another zone stop": func(c *cluster) {
 			for _, a := range []string{"costa-a-1", "costa-a-2", "costa-b-1"} {
 				for _, b := range []string{"sierra-a-1", "sierra-a-2"} {
-					c.net.Cut(a, b)
+					c.Net.Cut(a, b)
 				}
 			}
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			inBubble(t, anywhere, func(c *cluster) {
+			inBubble(t, entrytest.Anywhere, func(c *cluster) {
 				lie(c)
-				out := c.load(110, 10*time.Second)
-				goodput[name] = out.good
-				t.Logf("answered %d, refused %d, in doubt %d", out.good, out.refused, out.doubt)
-				require.Zero(t, c.over())
+				out := c.Load(110, 10*time.Second)
+				goodput[name] = out.Good
+				t.Logf("answered %d, refused %d, in doubt %d", out.Good, out.Refused, out.Doubt)
+				require.Zero(t, c.Over())
 			})
 		})
 	}
@@ -159,15 +150,15 @@
 
 // TestSlowUpstream: one upstream in six is slow. Requests go around it.
 func TestSlowUpstream(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
-		c.load(60, 3*time.Second)
-		c.upstreams["up-costa-a-1"].SetFaults(standin.Faults{Delay: 600 * time.Millisecond})
-		c.load(60, 3*time.Second)
-		before, slow := c.runsIn(""), c.upstreams["up-costa-a-1"].Ledger().Runs
-		out := c.load(60, 10*time.Second)
-		share := float64(c.upstreams["up-costa-a-1"].Ledger().Runs-slow) / float64(c.runsIn("")-before)
-		t.Logf("the slow one got %.1f%% of the requests; answered %d, slowest %s", 100*share, out.good, out.slowest)
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		c.Load(60, 3*time.Second)
+		c.Upstreams["up-costa-a-1"].SetFaults(standin.Faults{Delay: 600 * time.Millisecond})
+		c.Load(60, 3*time.Second)
+		before, slow := c.RunsIn(""), c.Upstreams["up-costa-a-1"].Ledger().Runs
+		out := c.Load(60, 10*time.Second)
+		share := float64(c.Upstreams["up-costa-a-1"].Ledger().Runs-slow) / float64(c.RunsIn("")-before)
+		t.Logf("the slow one got %.1f%% of the requests; answered %d, slowest %s", 100*share, out.Good, out.Slowest)
 		require.Less(t, share, 0.08)
-		require.Zero(t, out.doubt)
+		require.Zero(t, out.Doubt)
 	})
 }
--- a/internal/entry/rosterloop.go
+++ b/internal/entry/rosterloop.go
@@ -18,9 +18,11 @@
 const (
 	partitionRoster = "roster"
 	// rosterInterval is the time between two looks of a poller at the
-	// zone's roster, and hostsInterval at the platform's host list.
+	// zone's roster.
 	rosterInterval = time.Second
-	hostsInterval  = 2 * time.Second
+	// HostsInterval is the time between two looks of a poller at the
+	// platform's host list.
+	HostsInterval = 2 * time.Second
 	// unlistedAfter is the silence after which a member is dead that this
 	// host never saw in the list.
 	unlistedAfter = time.Minute
@@ -115,7 +117,7 @@
 		return err
 	}
 	looked.bytes = memberBytes * len(r.Members)
-	if time.Since(looked.hosts) < hostsInterval {
+	if time.Since(looked.hosts) < HostsInterval {
 		return nil
 	}
 	looked.hosts = time.Now()
--- a/internal/entry/spread_test.go
+++ b/internal/entry/spread_test.go
@@ -1,4 +1,4 @@
-package entry
+package entry_test
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/config"
+	"cairndock/internal/entry"
+	"cairndock/internal/entry/entrytest"
 	"cairndock/internal/member"
 	"cairndock/internal/platform"
 )
@@ -19,23 +21,17 @@
 func (c *cluster) change(id string, base uint64, share float64) config.Change {
 	doc := fmt.Sprintf("[[rule]]\nname = \"all\"\nservice = \"planning\"\nselector = \"\"\nshare = %v\n", share)
 	d, err := config.ParseDocument([]byte(doc))
-	require.NoError(c.t, err)
+	require.NoError(c.T, err)
 	change, err := d.Change(id, base)
-	require.NoError(c.t, err)
+	require.NoError(c.T, err)
 	return change
 }
 
-func (c *cluster) revision() uint64 {
-	rev, err := config.NewLog(c.memory, c.memory).Head(context.Background())
-	require.NoError(c.t, err)
-	return rev
-}
-
 // watch notes the revisions of all hosts and fails when one goes back.
 func (c *cluster) watch(stop <-chan struct{}) (went chan string) {
 	went = make(chan string, 1)
 	go func() {
-		seen := map[*Host]uint64{}
+		seen := map[*entry.Host]uint64{}
 		for {
 			select {
 			case <-stop:
@@ -43,7 +39,7 @@
 				return
 			case <-time.After(20 * time.Millisecond):
 			}
-			for _, h := range c.live() {
+			for _, h := range c.Live() {
 				if rev := h.View().Revision(); rev < seen[h] {
 					went <- fmt.Sprintf("%s went from %d to %d", h.Self().Host, seen[h], rev)
 					return
@@ -60,7 +56,7 @@
 // theirs may be old.
 func (c *cluster) behind(rev uint64) []string {
 	var out []string
-	for _, h := range c.live() {
+	for _, h := range c.Live() {
 		if h.View().Revision() < rev && !h.Frozen() {
 			out = append(out, h.Self().Host)
 		}
@@ -77,44 +73,44 @@
 		fault func(c *cluster) // runs beside the change
 		state string
 	}{
-		{name: "nothing fails", state: StateAccepted},
-		{name: "one zone cut off from the platform", state: StateAccepted, fault: func(c *cluster) {
+		{name: "nothing fails", state: entry.StateAccepted},
+		{name: "one zone cut off from the platform", state: entry.StateAccepted, fault: func(c *cluster) {
 			c.cutFromPlatform("sierra-a", 15*time.Second)
 		}},
-		{name: "one zone cut off from everything", state: StateAccepted, fault: func(c *cluster) { c.cutZone("sierra-a", 15*time.Second) }},
-		{name: "a host paused", state: StateAccepted, fault: func(c *cluster) { c.freeze("sierra-a-2", 15*time.Second) }},
-		{name: "platform slow to answer", state: StateAccepted, fault: func(c *cluster) {
-			c.memory.SetFault(func(_ string, after bool) error {
+		{name: "one zone cut off from everything", state: entry.StateAccepted, fault: func(c *cluster) { c.CutZone("sierra-a", 15*time.Second) }},
+		{name: "a host paused", state: entry.StateAccepted, fault: func(c *cluster) { c.Freeze("sierra-a-2", 15*time.Second) }},
+		{name: "platform slow to answer", state: entry.StateAccepted, fault: func(c *cluster) {
+			c.Memory.SetFault(func(_ string, after bool) error {
 				if after {
 					time.Sleep(300 * time.Millisecond)
 				}
 				return nil
 			})
 			time.Sleep(10 * time.Second)
-			c.memory.SetFault(nil)
+			c.Memory.SetFault(nil)
 		}},
-		{name: "the write's answer lost", state: StateAccepted, fault: func(c *cluster) { c.loseAnswers(time.Second) }},
-		{name: "platform throttles every second call", state: StateAccepted, fault: func(c *cluster) {
+		{name: "the write's answer lost", state: entry.StateAccepted, fault: func(c *cluster) { c.LoseAnswers(time.Second) }},
+		{name: "platform throttles every second call", state: entry.StateAccepted, fault: func(c *cluster) {
 			var n atomic.Int64
-			c.memory.SetFault(func(op string, after bool) error {
+			c.Memory.SetFault(func(op string, after bool) error {
 				if n.Add(1)%2 == 0 && !after && op != "transact" {
 					return platform.ErrThrottled
 				}
 				return nil
 			})
 			time.Sleep(10 * time.Second)
-			c.memory.SetFault(nil)
+			c.Memory.SetFault(nil)
 		}},
-		{name: "cut off and a host restarted elsewhere", state: StateAccepted, fault: func(c *cluster) {
-			go c.cutZone("sierra-a", 15*time.Second)
-			c.kill("costa-b-1")
-			c.start("costa-b-1", "costa-b", "costa")
+		{name: "cut off and a host restarted elsewhere", state: entry.StateAccepted, fault: func(c *cluster) {
+			go c.CutZone("sierra-a", 15*time.Second)
+			c.Kill("costa-b-1")
+			c.Start("costa-b-1", "costa-b", "costa")
 		}},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			inBubble(t, anywhere, func(c *cluster) {
+			inBubble(t, entrytest.Anywhere, func(c *cluster) {
 				ctx, stop := context.WithCancel(context.Background())
 				defer stop()
 				went := c.watch(ctx.Done())
@@ -129,7 +125,7 @@
 				require.Equal(t, tc.state, applied.State)
 				require.Empty(t, c.behind(applied.Revision), "accepted, but neither in force nor frozen")
 				time.Sleep(30 * time.Second)
-				for _, h := range c.live() {
+				for _, h := range c.Live() {
 					require.Equal(t, applied.Revision, h.View().Revision(), h.Self().Host)
 					require.False(t, h.Frozen(), h.Self().Host)
 				}
@@ -142,11 +138,11 @@
 
 // applyTrying submits a change by the first host and, as the command does,
 // again with the same id while its outcome is not known.
-func (c *cluster) applyTrying(id string, base uint64) (Applied, error) {
-	var applied Applied
+func (c *cluster) applyTrying(id string, base uint64) (entry.Applied, error) {
+	var applied entry.Applied
 	var err error
 	for range 10 {
-		applied, err = c.host("costa-a-1").Apply(context.Background(), c.change(id, base, 0.9), 10*time.Second)
+		applied, err = c.Host("costa-a-1").Apply(context.Background(), c.change(id, base, 0.9), 10*time.Second)
 		if err == nil {
 			return applied, nil
 		}
@@ -157,43 +153,43 @@
 
 func (c *cluster) cutFromPlatform(zone string, d time.Duration) {
 	for i := range 2 {
-		c.net.Cut(fmt.Sprintf("%s-%d", zone, i+1), "platform")
+		c.Net.Cut(fmt.Sprintf("%s-%d", zone, i+1), "platform")
 	}
 	time.Sleep(d)
 	for i := range 2 {
-		c.net.Heal(fmt.Sprintf("%s-%d", zone, i+1), "platform")
+		c.Net.Heal(fmt.Sprintf("%s-%d", zone, i+1), "platform")
 	}
 }
 
 // TestPlatformDownRefusesChanges: nothing is accepted, nothing is lost.
 func TestPlatformDownRefusesChanges(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
-		go c.platformDown(20 * time.Second)
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		go c.StoreDown(20 * time.Second)
 		time.Sleep(100 * time.Millisecond)
-		_, err := c.host("costa-a-1").Apply(context.Background(), c.change("down", 1, 0.9), time.Second)
+		_, err := c.Host("costa-a-1").Apply(context.Background(), c.change("down", 1, 0.9), time.Second)
 		require.Error(t, err)
 		time.Sleep(7 * time.Second)
-		for _, h := range c.live() {
+		for _, h := range c.Live() {
 			require.True(t, h.Frozen(), "frozen: the newest revision can't be known")
-			_, err := ask(h, lookup("/x"))
+			_, err := entrytest.Ask(h, entrytest.Lookup("/x"))
 			require.NoError(t, err, "and serving")
 		}
-		calls := c.memory.Calls("get")
+		calls := c.Memory.Calls("get")
 		time.Sleep(20 * time.Second)
-		t.Logf("platform calls over the 20 s around its return: %d by %d hosts", c.memory.Calls("get")-calls, len(c.live()))
+		t.Logf("platform calls over the 20 s around its return: %d by %d hosts", c.Memory.Calls("get")-calls, len(c.Live()))
 		applied, err := c.applyTrying("down", 1)
 		require.NoError(t, err)
-		require.Equal(t, StateAccepted, applied.State)
+		require.Equal(t, entry.StateAccepted, applied.State)
 	})
 }
 
 // TestRacingChanges: of changes to one object one wins, and the others are
 // told who; changes to different objects all pass; an id counts once.
 func TestRacingChanges(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
-		hosts := c.live()
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		hosts := c.Live()
 		type result struct {
-			applied Applied
+			applied entry.Applied
 			err     error
 		}
 		results := make(chan result, len(hosts))
@@ -221,7 +217,7 @@
 			require.Equal(t, winner, conflict.WinnerID)
 			require.Equal(t, "rule/all", conflict.Ref.String())
 		}
-		require.EqualValues(t, 2, c.revision())
+		require.EqualValues(t, 2, c.Revision())
 
 		for i, h := range hosts {
 			go func() {
@@ -238,18 +234,18 @@
 		again, err := hosts[0].Apply(context.Background(), c.change(winner, 1, 0.5), 0)
 		require.NoError(t, err)
 		require.EqualValues(t, 2, again.Revision, "the same id is the same change")
-		require.EqualValues(t, 2+len(hosts), c.revision())
+		require.EqualValues(t, 2+len(hosts), c.Revision())
 	})
 }
 
 // TestSpreadTime measures from accepted to in force on every host.
 func TestSpreadTime(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
 		var slowest, sum time.Duration
 		const changes = 100
 		for i := range changes {
 			began := time.Now()
-			applied, err := c.host("costa-a-1").Apply(context.Background(), c.change(fmt.Sprintf("n-%d", i), uint64(i+1), 0.9), 0)
+			applied, err := c.Host("costa-a-1").Apply(context.Background(), c.change(fmt.Sprintf("n-%d", i), uint64(i+1), 0.9), 0)
 			require.NoError(t, err)
 			for len(c.behind(applied.Revision)) > 0 {
 				time.Sleep(5 * time.Millisecond)
@@ -267,56 +263,56 @@
 // TestStartsFromPeers: a host that can't ask the platform takes the
 // configuration from peers that are known to be fresh.
 func TestStartsFromPeers(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
-		c.kill("costa-a-2")
-		c.net.Cut("costa-a-2", "platform")
-		h := c.start("costa-a-2", "costa-a", "costa")
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		c.Kill("costa-a-2")
+		c.Net.Cut("costa-a-2", "platform")
+		h := c.Start("costa-a-2", "costa-a", "costa")
 		time.Sleep(10 * time.Second)
 		require.True(t, h.Ready())
-		require.Equal(t, c.revision(), h.View().Revision())
-		_, err := ask(h, lookup("/x"))
+		require.Equal(t, c.Revision(), h.View().Revision())
+		_, err := entrytest.Ask(h, entrytest.Lookup("/x"))
 		require.NoError(t, err)
-		c.net.Heal("costa-a-2", "platform")
+		c.Net.Heal("costa-a-2", "platform")
 	})
 }
 
 // TestFreshnessNeedsTheRevision: a peer that is ahead proves nothing about
 // this host's revision, and a proof is as old as the way it came was long.
 func TestFreshnessNeedsTheRevision(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
-		h := c.host("costa-a-1")
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		h := c.Host("costa-a-1")
 		rev := h.View().Revision()
-		h.freshAt.Store(1)
-		asked := h.now()
-		h.noteFresh(member.Heartbeat{Revision: rev + 1, FreshAge: 0}, asked)
-		require.EqualValues(t, 1, h.freshAt.Load(), "the peer is ahead")
-		h.noteFresh(member.Heartbeat{Revision: rev, FreshAge: -1}, asked)
-		require.EqualValues(t, 1, h.freshAt.Load(), "the peer was never fresh")
+		h.SetFreshAt(1)
+		asked := h.Now()
+		h.NoteFresh(member.Heartbeat{Revision: rev + 1, FreshAge: 0}, asked)
+		require.EqualValues(t, 1, h.FreshAt(), "the peer is ahead")
+		h.NoteFresh(member.Heartbeat{Revision: rev, FreshAge: -1}, asked)
+		require.EqualValues(t, 1, h.FreshAt(), "the peer was never fresh")
 		time.Sleep(3 * time.Second)
-		h.freshAt.Store(1)
-		h.noteFresh(member.Heartbeat{Revision: rev, FreshAge: 500}, asked)
-		require.Equal(t, asked-int64(500*time.Millisecond), h.freshAt.Load())
-		h.noteFresh(member.Heartbeat{Revision: rev, FreshAge: 1000}, asked)
-		require.Equal(t, asked-int64(500*time.Millisecond), h.freshAt.Load(), "never older")
+		h.SetFreshAt(1)
+		h.NoteFresh(member.Heartbeat{Revision: rev, FreshAge: 500}, asked)
+		require.Equal(t, asked-int64(500*time.Millisecond), h.FreshAt())
+		h.NoteFresh(member.Heartbeat{Revision: rev, FreshAge: 1000}, asked)
+		require.Equal(t, asked-int64(500*time.Millisecond), h.FreshAt(), "never older")
 	})
 }
 
 // TestLostAnswerAfterAnothersChange: a host that is one change behind submits
 // its own, whose answer is lost. The other's revision must not be given to it.
 func TestLostAnswerAfterAnothersChange(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
-		c.apply("others", "[[zone]]\nname = \"new\"\nregion = \"costa\"\n", 1)
-		c.loseAnswers(100 * time.Millisecond)
-		h := c.host("costa-a-1")
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
+		c.Apply("others", "[[zone]]\nname = \"new\"\nregion = \"costa\"\n", 1)
+		c.LoseAnswers(100 * time.Millisecond)
+		h := c.Host("costa-a-1")
 		require.EqualValues(t, 1, h.View().Revision(), "not polled yet")
 		applied, err := h.Apply(context.Background(), c.change("mine", 1, 0.9), 0)
 		require.NoError(t, err)
 		require.EqualValues(t, 3, applied.Revision)
 		time.Sleep(5 * time.Second)
-		log := config.NewLog(c.memory, c.memory)
+		log := config.NewLog(c.Memory, c.Memory)
 		truth, err := log.CatchUp(context.Background(), config.NewState())
 		require.NoError(t, err)
-		for _, h := range c.live() {
+		for _, h := range c.Live() {
 			require.Equal(t, truth.Digest(), h.View().State().Digest(), h.Self().Host)
 		}
 	})
--- a/internal/entry/tickets_test.go
+++ b/internal/entry/tickets_test.go
@@ -1,4 +1,4 @@
-package entry
+package entry_test
 
 import (
 	"context"
@@ -11,6 +11,8 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/call"
+	"cairndock/internal/entry"
+	"cairndock/internal/entry/entrytest"
 	"cairndock/internal/standin"
 	"cairndock/internal/verdict"
 )
@@ -19,30 +21,24 @@
 func booking(ticket string) *call.Request {
 	return &call.Request{
 		Service: "planning", Method: http.MethodPost, Target: "/bookings", Body: []byte("{}"),
-		Ticket: ticket, Deadline: time.Now().Add(testTimeout),
+		Ticket: ticket, Deadline: time.Now().Add(entrytest.Timeout),
 	}
 }
 
 func (c *cluster) mint(host string) string {
-	t, err := c.host(host).MintTicket("planning")
-	require.NoError(c.t, err)
+	t, err := c.Host(host).MintTicket("planning")
+	require.NoError(c.T, err)
 	return t.String()
 }
 
 func (c *cluster) runs(ticket string) int {
 	n := 0
-	for _, u := range c.upstreams {
+	for _, u := range c.Upstreams {
 		n += u.Runs(ticket)
 	}
 	return n
 }
 
-func (c *cluster) faultAll(f standin.Faults) {
-	for _, u := range c.upstreams {
-		u.SetFaults(f)
-	}
-}
-
 // told is what a caller was told last.
 func told(err error) verdict.Verdict {
 	if err == nil {
@@ -66,91 +62,91 @@
 	}{
 		{name: "nothing fails", runs: 1, last: verdict.Ran},
 		{name: "first sent by another host", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
-			_, err := ask(c.host("sierra-a-2"), booking(ticket))
+			_, err := entrytest.Ask(c.Host("sierra-a-2"), booking(ticket))
 			return err
 		}},
 		{name: "upstream refuses", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
-			c.faultAll(standin.Faults{Shed: true})
-			_, err := ask(c.host(minter), booking(ticket))
-			c.faultAll(standin.Faults{})
+			c.FaultAll(standin.Faults{Shed: true})
+			_, err := entrytest.Ask(c.Host(minter), booking(ticket))
+			c.FaultAll(standin.Faults{})
 			return err
 		}},
 		{name: "upstream dies before it runs", runs: 0, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
-			c.faultAll(standin.Faults{DropBefore: true})
-			_, err := ask(c.host(minter), booking(ticket))
-			c.faultAll(standin.Faults{})
+			c.FaultAll(standin.Faults{DropBefore: true})
+			_, err := entrytest.Ask(c.Host(minter), booking(ticket))
+			c.FaultAll(standin.Faults{})
 			return err
 		}},
 		{name: "upstream dies after it ran", runs: 1, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
-			c.faultAll(standin.Faults{DropAfter: true})
-			_, err := ask(c.host(minter), booking(ticket))
-			c.faultAll(standin.Faults{})
+			c.FaultAll(standin.Faults{DropAfter: true})
+			_, err := entrytest.Ask(c.Host(minter), booking(ticket))
+			c.FaultAll(standin.Faults{})
 			return err
 		}},
 		{name: "answer breaks off", runs: 1, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
-			c.faultAll(standin.Faults{Truncate: true})
-			_, err := ask(c.host(minter), booking(ticket))
-			c.faultAll(standin.Faults{})
+			c.FaultAll(standin.Faults{Truncate: true})
+			_, err := entrytest.Ask(c.Host(minter), booking(ticket))
+			c.FaultAll(standin.Faults{})
 			return err
 		}},
 		{name: "caller leaves", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
-			ctx, cancel := context.WithTimeout(context.Background(), testLatency/2)
+			ctx, cancel := context.WithTimeout(context.Background(), entrytest.Latency/2)
 			defer cancel()
-			_, err := c.host(minter).Do(ctx, booking(ticket))
+			_, err := c.Host(minter).Do(ctx, booking(ticket))
 			return err
 		}},
 		{name: "upstream slower than the caller's deadline", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
-			c.faultAll(standin.Faults{Delay: testTimeout})
-			_, err := ask(c.host(minter), booking(ticket))
-			c.faultAll(standin.Faults{})
+			c.FaultAll(standin.Faults{Delay: entrytest.Timeout})
+			_, err := entrytest.Ask(c.Host(minter), booking(ticket))
+			c.FaultAll(standin.Faults{})
 			return err
-		}, again: func(*cluster) { time.Sleep(testTimeout) }},
+		}, again: func(*cluster) { time.Sleep(entrytest.Timeout) }},
 		{name: "resends race each other", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
 			var wait sync.WaitGroup
-			for _, h := range c.live() {
+			for _, h := range c.Live() {
 				for range 3 {
-					wait.Go(func() { _, _ = ask(h, booking(ticket)) })
+					wait.Go(func() { _, _ = entrytest.Ask(h, booking(ticket)) })
 				}
 			}
 			wait.Wait()
 			return nil
 		}},
-		{name: "minter killed after", runs: 1, last: verdict.MayHaveRun, again: func(c *cluster) { c.kill(minter) }},
+		{name: "minter killed after", runs: 1, last: verdict.MayHaveRun, again: func(c *cluster) { c.Kill(minter) }},
 		{name: "minter killed and replaced", runs: 1, last: verdict.MayHaveRun, again: func(c *cluster) {
-			c.kill(minter)
-			c.start(minter, "costa-a", "costa")
+			c.Kill(minter)
+			c.Start(minter, "costa-a", "costa")
 			time.Sleep(5 * time.Second)
 		}},
 		{name: "minter killed while it runs", runs: 1, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
 			go func() {
 				// The way there takes 35 ms.
-				time.Sleep(35*time.Millisecond + testLatency/2)
-				c.kill(minter)
+				time.Sleep(35*time.Millisecond + entrytest.Latency/2)
+				c.Kill(minter)
 			}()
-			_, err := ask(c.host("sierra-a-1"), booking(ticket))
+			_, err := entrytest.Ask(c.Host("sierra-a-1"), booking(ticket))
 			return err
 		}},
 		{name: "minter cut off before the first use", runs: 0, last: verdict.MayHaveRun, first: func(c *cluster, ticket string) error {
-			for _, n := range c.names() {
-				c.net.Cut(minter, n)
+			for _, n := range c.Names() {
+				c.Net.Cut(minter, n)
 			}
-			_, err := ask(c.host("sierra-a-1"), booking(ticket))
+			_, err := entrytest.Ask(c.Host("sierra-a-1"), booking(ticket))
 			return err
 		}},
 		{name: "minter paused for 30 s", runs: 1, last: verdict.Ran, again: func(c *cluster) {
-			c.freeze(minter, 30*time.Second)
+			c.Freeze(minter, 30*time.Second)
 			time.Sleep(5 * time.Second)
 		}},
 		{name: "minter stopped as planned", runs: 1, last: verdict.Ran, again: func(c *cluster) {
-			c.host(minter).Stop(context.Background())
-			c.kill(minter)
+			c.Host(minter).Stop(context.Background())
+			c.Kill(minter)
 			time.Sleep(2 * time.Second)
 		}},
 		{name: "minter stopped as planned before the first use", runs: 1, last: verdict.Ran, first: func(c *cluster, ticket string) error {
-			c.host(minter).Stop(context.Background())
-			c.kill(minter)
+			c.Host(minter).Stop(context.Background())
+			c.Kill(minter)
 			time.Sleep(2 * time.Second)
-			_, err := ask(c.host("sierra-a-1"), booking(ticket))
+			_, err := entrytest.Ask(c.Host("sierra-a-1"), booking(ticket))
 			return err
 		}},
 		{name: "resend after expiry", runs: 1, last: verdict.MayHaveRun, again: func(*cluster) { time.Sleep(12 * time.Minute) }},
@@ -158,12 +154,12 @@
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			inBubble(t, anywhere, func(c *cluster) {
+			inBubble(t, entrytest.Anywhere, func(c *cluster) {
 				ticket := c.mint(minter)
 				first := tc.first
 				if first == nil {
 					first = func(c *cluster, ticket string) error {
-						_, err := ask(c.host(minter), booking(ticket))
+						_, err := entrytest.Ask(c.Host(minter), booking(ticket))
 						return err
 					}
 				}
@@ -173,14 +169,14 @@
 				}
 				time.Sleep(time.Second)
 				var last verdict.Verdict
-				for _, h := range c.live() {
-					_, err := ask(h, booking(ticket))
+				for _, h := range c.Live() {
+					_, err := entrytest.Ask(h, booking(ticket))
 					last = told(err)
 					c.checkTold(ticket, last)
 				}
 				require.Equal(t, tc.runs, c.runs(ticket))
 				require.Equal(t, tc.last.String(), last.String())
-				require.Zero(t, c.over())
+				require.Zero(t, c.Over())
 			})
 		})
 	}
@@ -189,40 +185,37 @@
 // checkTold holds what a caller was told against the ledger.
 func (c *cluster) checkTold(ticket string, v verdict.Verdict) {
 	runs := c.runs(ticket)
-	require.LessOrEqual(c.t, runs, 1, "ran twice")
+	require.LessOrEqual(c.T, runs, 1, "ran twice")
 	if v == verdict.NotRun {
-		require.Zero(c.t, runs, "told not-run")
+		require.Zero(c.T, runs, "told not-run")
 	}
 	if v == verdict.Ran {
-		require.Equal(c.t, 1, runs, "told ran")
+		require.Equal(c.T, 1, runs, "told ran")
 	}
 }
 
 func TestTicketsServeOneRequest(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
 		ticket := c.mint("costa-a-1")
-		one, err := ask(c.host("costa-a-1"), booking(ticket))
+		one, err := entrytest.Ask(c.Host("costa-a-1"), booking(ticket))
 		require.NoError(t, err)
-		for _, h := range c.live() {
-			same, err := ask(h, booking(ticket))
+		for _, h := range c.Live() {
+			same, err := entrytest.Ask(h, booking(ticket))
 			require.NoError(t, err)
 			require.Equal(t, one, same)
 			other := booking(ticket)
 			other.Body = []byte(`{"other":1}`)
-			_, err = ask(h, other)
+			_, err = entrytest.Ask(h, other)
 			require.Equal(t, verdict.TicketConflict, verdict.From(err).Reason, fmt.Sprint(h.Self().Host))
 		}
 		require.Equal(t, 1, c.runs(ticket))
 	})
 }
 
-// hears waits until a host answers this one.
-func (h *Host) hears(name string, limit time.Duration) bool {
-	for began := time.Now(); time.Since(began) < limit; time.Sleep(tick) {
-		h.mu.Lock()
-		p, known := h.peers.Get(name)
-		h.mu.Unlock()
-		if known && p.Up(time.Now()) {
+// hears waits until a host answers another.
+func hears(h *entry.Host, name string, limit time.Duration) bool {
+	for began := time.Now(); time.Since(began) < limit; time.Sleep(entry.Tick) {
+		if h.Hears(name) {
 			return true
 		}
 	}
@@ -232,16 +225,14 @@
 // TestTicketsFindTheirMinterByZone: a host that does not know the minter
 // asks one of its zone.
 func TestTicketsFindTheirMinterByZone(t *testing.T) {
-	inBubble(t, anywhere, func(c *cluster) {
+	inBubble(t, entrytest.Anywhere, func(c *cluster) {
 		ticket := c.mint("costa-a-1")
-		far := c.host("sierra-a-1")
-		require.True(t, far.hears("costa-a-2", 5*time.Second), "no other host of the minter's zone is known")
-		far.mu.Lock()
-		far.peers.Forget("costa-a-1")
-		far.mu.Unlock()
-		one, err := ask(far, booking(ticket))
+		far := c.Host("sierra-a-1")
+		require.True(t, hears(far, "costa-a-2", 5*time.Second), "no other host of the minter's zone is known")
+		far.Forget("costa-a-1")
+		one, err := entrytest.Ask(far, booking(ticket))
 		require.NoError(t, err)
-		two, err := ask(c.host("costa-a-1"), booking(ticket))
+		two, err := entrytest.Ask(c.Host("costa-a-1"), booking(ticket))
 		require.NoError(t, err)
 		require.Equal(t, one, two)
 		require.Equal(t, 1, c.runs(ticket))
--- a/internal/entry/validity.go
+++ b/internal/entry/validity.go
@@ -38,6 +38,10 @@
 	}()
 }
 
+// Distrust makes the host ask for its zone's roster before it sends anything
+// more, as it does when its own loop shows that it was paused.
+func (h *Host) Distrust() { h.validatedAt.Store(0) }
+
 // longest is the longest deadline of any service.
 func (h *Host) longest() time.Duration {
 	longest := time.Duration(0)
