Choose among all upstreams for requests that gain nothing from a home

Cause: a request without a key, or on a route whose upstreams keep nothing, had two homes by its id and was refused when both were full, while the rest of its service had room. The users' two sites have keys on every route, so they never showed it; a deployment without keys does.

Change: such a request goes to the least loaded of a few upstreams of its own zone, then of its region, and to any other before it is refused. The part of a region's requests that others serve is by capacity, as before. balance.go is split by duty (homes, ejected, anywhere); the unused cost of another zone is gone.

--- /dev/null
+++ b/internal/balance/anywhere.go
@@ -0,0 +1,84 @@
+package balance
+
+import "cairndock/internal/instance"
+
+const (
+	// choices is how many upstreams a request that gains nothing from its
+	// homes compares: enough to find one that is free, and few enough that
+	// hosts that know the same loads do not all pick the same.
+	choices = 3
+)
+
+// tier is a part of the sorted options, which take a request below a load.
+type tier struct {
+	from, to int
+	limit    float64
+}
+
+// pickAnywhere gives the least loaded of the first few upstreams of the own
+// zone, then of the key's side. When those are busy it looks at the whole
+// side and then at the other; only when all are at their limit is the request
+// refused.
+func (b *Balancer) pickAnywhere(options []option, q Query) (int, Reason) {
+	zone := below(options, b.weights.Affinity/2)
+	side := below(options, b.weights.Affinity)
+	w, full := b.weights, b.weights.full(q.Priority)
+	tiers := [...]tier{
+		{0, min(choices, zone), w.Spill},
+		{zone, min(zone+choices, side), w.Spill},
+		{0, side, min(full, w.Busy)},
+		{side, len(options), min(full, w.Spill)},
+		{0, len(options), full},
+	}
+	reason := Full
+	for _, t := range tiers {
+		var best int
+		best, reason = b.leastLoaded(options[t.from:t.to], q, t.limit)
+		if best >= 0 {
+			return t.from + best, Chosen
+		}
+	}
+	return 0, reason
+}
+
+// below is how many of the sorted options cost less than a bound.
+func below(options []option, bound float64) int {
+	for i, o := range options {
+		if o.cost >= bound {
+			return i
+		}
+	}
+	return len(options)
+}
+
+// leastLoaded gives the option with the least load below a limit that may
+// take the request, or -1 and what is wrong with the others.
+func (b *Balancer) leastLoaded(options []option, q Query, limit float64) (int, Reason) {
+	best, reason := -1, Full
+	for i, o := range options {
+		if o.load >= limit || best >= 0 && o.load >= options[best].load {
+			continue
+		}
+		if !b.mayTake(o, q) {
+			reason = Cold
+			continue
+		}
+		best = i
+	}
+	return best, reason
+}
+
+// anywhereCost orders upstreams for a request that gains nothing from its
+// homes: those of the own zone, of the rest of the key's side, and of the
+// other side, each by chance.
+func (b *Balancer) anywhereCost(m *instance.Member, hash uint64, near bool) float64 {
+	half := b.weights.Affinity / 2
+	cost := unit(mix(hash)) * half
+	if m.Region == b.place.Region && m.Zone != b.place.Zone {
+		cost += half
+	}
+	if (m.Region == b.place.Region) != near {
+		cost += b.weights.Affinity
+	}
+	return cost
+}
--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -23,10 +23,8 @@
 	// Affinity spreads a key's preferences from 0 to itself.
 	Affinity float64
 	// Away is what it costs to leave the side, the own region or the others,
-	// that a key belongs to, and OtherZone what another zone of the own
-	// region costs.
-	Away      float64
-	OtherZone float64
+	// that a key belongs to.
+	Away float64
 	// Homes is how many upstreams a key may go to. A request elsewhere
 	// works so much longer that it takes more than it relieves.
 	Homes int
@@ -90,8 +88,11 @@
 
 // Query is what a choice is made for.
 type Query struct {
-	// Key is what the request is about, or empty.
+	// Key is what the request is about, or what else spreads requests.
 	Key string
+	// Anywhere says that an upstream that served the key before is no better
+	// for it.
+	Anywhere bool
 	// Candidates are the upstreams of the service.
 	Candidates []*instance.Member
 	// Allows says in which regions the request may be served; nil is all.
@@ -159,11 +160,10 @@
 		return Choice{}, Nobody
 	}
 	slices.SortFunc(options, func(x, y option) int { return cmp.Compare(x.cost, y.cost) })
-	homes := options[:min(len(options), b.weights.Homes)]
-	rank, reason := b.pick(homes, q)
-	o := homes[rank]
+	rank, reason := b.rank(options, q)
+	o := options[rank]
 	if reason == Chosen {
-		o.state.outstanding++
+		o.state.sent(q.Now, o.member.ColdUntil)
 	}
 	c := Choice{Instance: o.member, Load: o.load, LoadAge: -1, Rank: rank, Cold: q.Now.Before(o.member.ColdUntil)}
 	if !o.state.toldAt.IsZero() {
@@ -172,34 +172,12 @@
 	return c, reason
 }
 
-// pick gives the first home that is not busy, else the one with the least
-// load that is not full.
-func (b *Balancer) pick(homes []option, q Query) (int, Reason) {
-	reason := Full
-	best := -1
-	for i, o := range homes {
-		if o.load >= b.weights.full(q.Priority) {
-			continue
-		}
-		if best >= 0 && (o.load >= homes[best].load || o.load >= b.weights.Spill) {
-			continue
-		}
-		if !b.mayTake(o, q) {
-			reason = Cold
-			continue
-		}
-		best = i
-		if o.load < b.weights.Busy {
-			break
-		}
-	}
-	if best < 0 {
-		return 0, reason
+// rank gives the place of the option that the request goes to.
+func (b *Balancer) rank(options []option, q Query) (int, Reason) {
+	if q.Anywhere {
+		return b.pickAnywhere(options, q)
 	}
-	if o := homes[best]; q.Now.Before(o.member.ColdUntil) {
-		o.state.coldSends = append(o.state.coldSends, q.Now)
-	}
-	return best, Chosen
+	return b.pickHome(options[:min(len(options), b.weights.Homes)], q)
 }
 
 // mayTake reports whether the host may send to an upstream now: to a cold
@@ -214,6 +192,10 @@
 func (b *Balancer) options(q Query) []option {
 	key := xxhash.Sum64String(q.Key)
 	near := b.isNear(key, q)
+	cost := b.homeCost
+	if q.Anywhere {
+		cost = b.anywhereCost
+	}
 	options := make([]option, 0, len(q.Candidates))
 	ejected := 0
 	for _, m := range q.Candidates {
@@ -221,7 +203,7 @@
 			continue
 		}
 		s := b.state(m.ID)
-		o := option{member: m, state: s, load: s.load(q.Now, m.Capacity), cost: b.cost(m, key^s.seed, near)}
+		o := option{member: m, state: s, load: s.load(q.Now, m.Capacity), cost: cost(m, key^s.seed, near)}
 		if q.Now.Before(s.ejectedUntil) || b.judge.Ejected(m.ID, q.Now) {
 			o.ejected = true
 			ejected++
@@ -232,92 +214,8 @@
 	return options
 }
 
-// avoid makes ejected upstreams the last choice, and no more than that, so
-// that a wrong belief does not empty a service. When most are ejected, the
-// fault is not theirs; and when the others are busy they could not take their
-// load, of which each request would take longer there at first.
-func (b *Balancer) avoid(options []option, ejected int) {
-	if ejected == 0 || float64(ejected) > maxEjected*float64(len(options)) || soundLoad(options) > maxSoundLoad {
-		return
-	}
-	for i := range options {
-		if options[i].ejected {
-			options[i].cost += ejectedCost * b.weights.Affinity
-		}
-	}
-}
-
-// maxEjected is the part of a request's upstreams above which ejections do
-// not count, and maxSoundLoad the mean load of the others.
-const (
-	maxEjected   = 0.5
-	maxSoundLoad = 0.6
-)
-
-// soundLoad is the mean load of the upstreams that are not ejected.
-func soundLoad(options []option) float64 {
-	sum, n := 0.0, 0
-	for _, o := range options {
-		if !o.ejected {
-			sum += o.load
-			n++
-		}
-	}
-	return sum / float64(max(1, n))
-}
-
-// ejectedCost puts ejected upstreams behind all others.
-const ejectedCost = 4
-
 func (q Query) allows(region string) bool { return q.Allows == nil || q.Allows(region) }
 
-// isNear decides whether a key belongs to the own region. Each region keeps
-// as large a part of its keys as it has capacity for, on the assumption that
-// all regions ask for about the same; the rest belongs to the others, so that
-// a region with few upstreams is not overloaded while others have room.
-func (b *Balancer) isNear(key uint64, q Query) bool {
-	own, all := 0, 0
-	for _, m := range q.Candidates {
-		if !q.allows(m.Region) {
-			continue
-		}
-		all += m.Capacity
-		if m.Region == b.place.Region {
-			own += m.Capacity
-		}
-	}
-	part := float64(own) * float64(b.place.Regions) / float64(max(1, all))
-	if q.Mixed {
-		part = mixedPart(part, q.Bulk)
-	}
-	return unit(mix(key+nearSalt)) < part
-}
-
-// mixedPart gives large answers the region's capacity first, as the bytes of
-// the others cost little on their way, on the assumption that a service gets
-// as many requests of each sort.
-func mixedPart(part float64, bulk bool) float64 {
-	large := min(1, 2*part)
-	if bulk {
-		return large
-	}
-	return 2*part - large
-}
-
-// nearSalt keeps a key's side apart from its order of upstreams.
-const nearSalt = 0x9e3779b97f4a7c15
-
-func (b *Balancer) cost(m *instance.Member, hash uint64, near bool) float64 {
-	cost := unit(mix(hash)) * b.weights.Affinity
-	if (m.Region == b.place.Region) != near {
-		cost += b.weights.Away
-	}
-	if m.Region == b.place.Region && m.Zone != b.place.Zone {
-		cost += b.weights.OtherZone
-	}
-	return cost
-}
-
 func (b *Balancer) state(id string) *state {
 	s := b.states[id]
 	if s == nil {
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -310,3 +310,47 @@
 		})
 	}
 }
+
+// twoZones is a region with two zones, and another region.
+func twoZones() []*instance.Member {
+	var all []*instance.Member
+	for i := range 4 {
+		n := strconv.Itoa(i)
+		all = append(all, member("own-"+n, "west-1", "west"), member("near-"+n, "west-2", "west"),
+			member("far-"+n, "east-1", "east"), member("further-"+n, "east-2", "east"))
+	}
+	return all
+}
+
+// A request that gains nothing from its homes is refused only when no
+// upstream at all has room.
+func TestARequestWithoutHomesFindsTheLastRoom(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), twoZones()
+	placed := 0
+	for request := 0; ; request++ {
+		require.Less(t, request, 1000)
+		_, reason := b.Choose(balance.Query{Key: strconv.Itoa(request), Anywhere: true, Candidates: all, Now: now})
+		if reason != balance.Chosen {
+			require.Equal(t, balance.Full, reason)
+			break
+		}
+		placed++
+	}
+	room := float64(len(all)*all[0].Capacity) * balance.DefaultWeights.Full
+	require.GreaterOrEqual(t, float64(placed), room)
+}
+
+// It stays in its own zone while that has room, and is spread there.
+func TestARequestWithoutHomesStaysNearWhileThereIsRoom(t *testing.T) {
+	b, now, all := newBalancer(1), time.Now(), twoZones()
+	used := map[string]int{}
+	const requests = 8 // half of the zone's capacity
+	for request := range requests {
+		c := choose(t, b, balance.Query{Key: strconv.Itoa(request), Anywhere: true, Candidates: all[:8], Now: now})
+		used[c.Instance.ID]++
+		require.Equal(t, "west-1", c.Instance.Zone)
+	}
+	for id, n := range used {
+		require.LessOrEqual(t, n, all[0].Capacity, id)
+	}
+}
--- a/internal/balance/state.go
+++ b/internal/balance/state.go
@@ -46,6 +46,14 @@
 	return requests / float64(max(1, capacity))
 }
 
+// sent counts a request that is sent to the upstream.
+func (s *state) sent(now, coldUntil time.Time) {
+	s.outstanding++
+	if now.Before(coldUntil) {
+		s.coldSends = append(s.coldSends, now)
+	}
+}
+
 func (s *state) told(load int, now time.Time) {
 	s.toldLoad, s.ownThen, s.toldAt = load, s.outstanding, now
 }
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -86,6 +86,7 @@
 func (d *dispatch) choose() (balance.Choice, error) {
 	choice, reason := d.gateway.Balancer.Choose(balance.Query{
 		Key:        d.key(),
+		Anywhere:   d.call.Key == "" || !d.route.Sticky,
 		Candidates: d.gateway.Knowledge.Set().Service(d.service),
 		Allows:     d.allows(),
 		Priority:   d.route.Priority,
