Hold callers' connections to the limits of the configuration in force

Change: a listener of its own holds each connection to the newest limits, also one that rests already; http.Server's own are fixed at its start. What is being served is never cut by them.

TestAPlannedStopCutsNothing no longer frees its port before it listens.

--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -78,6 +78,8 @@
 	Version  int64
 	Routes   []route.Route
 	Evacuate string
+	// Limits bound callers' connections; sizes are always the same.
+	Limits route.Limits
 }
 
 func (decoder) Intent(_ string, value []byte) (gateway.Intent, error) {
@@ -89,7 +91,8 @@
 		return gateway.Intent{Evacuate: r.Evacuate}, nil
 	}
 	services := []route.Service{{Name: "s", WarmUp: time.Second, WarmUpRate: 5}}
-	return gateway.Intent{Table: route.NewTable(r.Version, r.Routes, services, route.Limits{BodyBytes: 1000, HeaderBytes: 2000})}, nil
+	r.Limits.BodyBytes, r.Limits.HeaderBytes = 1000, 2000
+	return gateway.Intent{Table: route.NewTable(r.Version, r.Routes, services, r.Limits)}, nil
 }
 
 func (decoder) Instance(_ string, value []byte) (instance.Instance, error) {
@@ -442,11 +445,8 @@
 		sound(c, r)
 	})
 	s := gateway.NewServer(w.gateway)
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	address := l.Addr().String()
-	require.NoError(t, l.Close())
-	require.NoError(t, s.Callers(address))
+	require.NoError(t, s.Callers("127.0.0.1:0"))
+	address := s.CallerAddress()
 	w.server.URL = "http://" + address
 	type result struct {
 		resp *http.Response
@@ -471,7 +471,7 @@
 		require.Equal(t, "whole", r.body)
 	}
 	require.Zero(t, <-cut)
-	_, err = net.DialTimeout("tcp", address, 100*time.Millisecond)
+	_, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
 	require.Error(t, err)
 }
 
--- a/internal/gateway/knowledge.go
+++ b/internal/gateway/knowledge.go
@@ -63,6 +63,15 @@
 // Table is the configuration in force, or nil.
 func (k *Knowledge) Table() *route.Table { return k.table.Load() }
 
+// Limits are what callers are held to now; zero values are no limits.
+func (k *Knowledge) Limits() route.Limits {
+	t := k.table.Load()
+	if t == nil {
+		return route.Limits{}
+	}
+	return t.Limits
+}
+
 // Set is the upstreams known.
 func (k *Knowledge) Set() *instance.Set { return k.set.Load() }
 
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// headerTimeout bounds the reading of a request's header, and
-	// idleTimeout the rest of a caller's connection.
-	headerTimeout = 5 * time.Second
-	idleTimeout   = 60 * time.Second
 	// maxHeader bounds a request's header that is read at all, in bytes.
 	maxHeader = 64 << 10
 	// exitMargin is the time kept between the last answer and the kill.
@@ -31,40 +27,53 @@
 	callers *http.Server
 	others  []*http.Server
 	failed  chan error
+	// address is where callers are taken.
+	address string
 }
 
+// CallerAddress is where callers are taken, once they are.
+func (s *Server) CallerAddress() string { return s.address }
+
 // NewServer makes a server without listeners.
 func NewServer(g *Gateway) *Server {
 	return &Server{
 		gateway: g,
-		callers: &http.Server{
-			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		},
-		failed: make(chan error, 8),
+		// How long connections may rest, and headers take, is up to
+		// callerListener.
+		callers: &http.Server{Handler: g, MaxHeaderBytes: maxHeader, ConnState: noteState},
+		failed:  make(chan error, 8),
 	}
 }
 
 // Callers takes callers at an address.
-func (s *Server) Callers(address string) error { return s.serve(s.callers, address) }
+func (s *Server) Callers(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return eris.Wrap(err, "listen for callers")
+	}
+	s.address = l.Addr().String()
+	s.serve(s.callers, callerListener{l, s.gateway.Knowledge.Limits})
+	return nil
+}
 
 // Also serves something else at an address.
 func (s *Server) Also(address string, h http.Handler) error {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
-	s.others = append(s.others, server)
-	return s.serve(server, address)
-}
-
-func (s *Server) serve(server *http.Server, address string) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	s.others = append(s.others, server)
+	s.serve(server, l)
+	return nil
+}
+
+func (s *Server) serve(server *http.Server, l net.Listener) {
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 			s.failed <- err
 		}
 	}()
-	return nil
 }
 
 // Failed gives the error that ended a listener.
