Give callers of a stopping host a final answer before it ends

Cause: what a stopping host could not finish within its grace saw its connection close without an answer, and its caller did not learn whether it ran.

Change: at the end of the grace requests are given up with a final answer: 503 with a time to come back where nothing ran, else 504. The reason 'interrupted' tells them from callers that left; 'trace' says so in words.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -53,15 +53,20 @@
 	return d.began.Add(hold)
 }
 
-// context ends at the request's deadline and, if the request may be
-// repeated, when its caller leaves. One that may not is left to its end: to
+// context ends at the request's deadline, when the host must end and, if the
+// request may be repeated, when its caller leaves. One that may not is left to its end: to
 // break it off would only make its outcome unknown.
 func (d *dispatch) context(caller context.Context) (context.Context, context.CancelFunc) {
 	d.caller = caller
 	if d.route.Repeat != route.Repeatable {
 		caller = context.WithoutCancel(caller)
 	}
-	return context.WithDeadline(caller, d.deadline())
+	ctx, cancel := context.WithDeadline(caller, d.deadline())
+	stop := context.AfterFunc(d.gateway.ending, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
 }
 
 // run sends the request until it has an answer or must be given up.
@@ -152,9 +157,9 @@
 
 // final is the verdict over all attempts: one doubt is enough.
 func (d *dispatch) final(err error) error {
-	e := verdict.From(err)
+	e := d.interrupted(verdict.From(err))
 	if d.doubt != nil {
-		return d.doubt
+		return d.interrupted(d.doubt)
 	}
 	if e.Verdict != verdict.NotRun {
 		return e
@@ -165,6 +170,19 @@
 	return e
 }
 
+// interrupted tells a request that the host gave up at its own end from one
+// whose caller left.
+func (d *dispatch) interrupted(e *verdict.Error) *verdict.Error {
+	if e.Reason != verdict.CallerLeft || d.caller.Err() != nil || d.gateway.ending.Err() == nil {
+		return e
+	}
+	reason := verdict.Interrupted
+	if e.Verdict == verdict.NotRun {
+		reason = verdict.Stopping
+	}
+	return verdict.New(e.Verdict, reason, "the host is stopping").WithUpstream(e.Upstream)
+}
+
 // attempt sends the request to one upstream.
 func (d *dispatch) attempt(ctx context.Context, c balance.Choice) (*answer, error) {
 	began := time.Now()
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -74,10 +74,17 @@
 
 	inFlight atomic.Int64
 	stopping atomic.Bool
+	// ending is over when what is still being served must be given up.
+	ending context.Context
+	end    context.CancelFunc
 }
 
 // New makes a gateway.
-func New(o Options) *Gateway { return &Gateway{Options: o} }
+func New(o Options) *Gateway {
+	g := &Gateway{Options: o}
+	g.ending, g.end = context.WithCancel(context.Background())
+	return g
+}
 
 // Ready reports whether callers should come.
 func (g *Gateway) Ready() bool { return !g.stopping.Load() && g.Knowledge.Ready() }
@@ -86,6 +93,10 @@
 // elsewhere with each answer.
 func (g *Gateway) Leave() { g.stopping.Store(true) }
 
+// GiveUp gives up what is still being served: each caller gets a final answer
+// that says whether its request may have run.
+func (g *Gateway) GiveUp() { g.end() }
+
 // InFlight is how many requests are being served.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -475,6 +475,31 @@
 	require.Error(t, err)
 }
 
+// What a stopping host can't finish gets a final answer, not a connection that
+// closes.
+func TestAStopTellsWhatItCouldNotFinish(t *testing.T) {
+	w := newWorld(t)
+	long := usual(route.Once)
+	long.Timeout = time.Minute
+	w.routes(long)
+	w.upstream(func(c net.Conn, r *http.Request) {
+		time.Sleep(3 * time.Second)
+		sound(c, r)
+	})
+	s := gateway.NewServer(w.gateway)
+	t.Cleanup(s.Close)
+	require.NoError(t, s.Callers("127.0.0.1:0"))
+	w.server.URL = "http://" + s.CallerAddress()
+	cut := make(chan int64, 1)
+	time.AfterFunc(50*time.Millisecond, func() { cut <- s.Stop(t.Context(), time.Second) })
+	resp, _, err := w.do(t.Context(), http.MethodPost, "/x/", "b")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	require.Equal(t, verdict.MayHaveRun.String(), resp.Header.Get("Verdict"))
+	require.Equal(t, string(verdict.Interrupted), resp.Header.Get("Reason"))
+	require.EqualValues(t, 1, <-cut)
+}
+
 func TestAFailureIsToldInTheLogByItsID(t *testing.T) {
 	w := newWorld(t)
 	w.routes(usual(route.Once))
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -15,8 +15,10 @@
 const (
 	// maxHeader bounds a request's header that is read at all, in bytes.
 	maxHeader = 64 << 10
-	// exitMargin is the time kept between the last answer and the kill.
+	// exitMargin is the time kept between the last answer and the kill, and
+	// lastWords the part of it in which callers are told what was given up.
 	exitMargin = 400 * time.Millisecond
+	lastWords  = 150 * time.Millisecond
 	// exitPoll is how often a stopping host looks whether all is answered.
 	exitPoll = 20 * time.Millisecond
 )
@@ -81,7 +83,7 @@
 
 // Stop takes the host out of service: it asks callers to go elsewhere, takes
 // those that still come for a part of the grace, and then finishes what is
-// being served. It gives the number of requests it had to cut.
+// being served. It gives the number of requests it had to give up.
 func (s *Server) Stop(ctx context.Context, grace time.Duration) int64 {
 	began := time.Now()
 	s.gateway.Leave()
@@ -90,10 +92,22 @@
 	defer cancel()
 	// Closes the listener and the connections that rest, and waits.
 	_ = s.callers.Shutdown(ctx)
+	s.waitIdle(ctx)
+	cut := s.gateway.InFlight()
+	if cut > 0 {
+		s.gateway.GiveUp()
+		last, cancel := context.WithTimeout(context.WithoutCancel(ctx), lastWords)
+		defer cancel()
+		s.waitIdle(last)
+	}
+	return cut
+}
+
+// waitIdle waits until nothing is being served.
+func (s *Server) waitIdle(ctx context.Context) {
 	for s.gateway.InFlight() > 0 && ctx.Err() == nil {
 		pause.For(ctx, exitPoll)
 	}
-	return s.gateway.InFlight()
 }
 
 // acceptPart is the part of the grace in which a leaving host still takes
--- a/internal/trail/cause.go
+++ b/internal/trail/cause.go
@@ -29,7 +29,7 @@
 	failed := t.lastFailure()
 	switch final.Reason {
 	case "full":
-		return "refused for overload: both homes of its key were full, nothing ran"
+		return "refused for overload: every upstream that it may go to was full, nothing ran"
 	case "warming":
 		return "refused: the homes of its key were cold and had their share of requests, nothing ran"
 	case "no-upstream":
@@ -46,6 +46,10 @@
 		return "another instance has the address of upstream " + failed.Upstream + ", which is gone"
 	case "deadline-lapsed":
 		return fmt.Sprintf("time ran out waiting for upstream %s: it was slow, was lost, or its answer was", failed.Upstream)
+	case "stopping":
+		return "the host had to end before the request was sent anywhere, nothing ran"
+	case "interrupted":
+		return "the host had to end before the answer came: the request takes longer than the grace of a planned stop"
 	case "caller-left":
 		return "its caller left before there was an answer"
 	case "upstream-failed", "answer-truncated":
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -63,6 +63,8 @@
 	Unreachable Reason = "unreachable"
 	// Misdirected says that another instance has the address now.
 	Misdirected Reason = "misdirected"
+	// Interrupted says that the host had to end before the answer came.
+	Interrupted Reason = "interrupted"
 	// UnknownRoute says that no route matches the host and path.
 	UnknownRoute Reason = "unknown-route"
 	// Warming says that the upstreams are cold and have their share.
@@ -89,6 +91,7 @@
 	NotReady:        http.StatusServiceUnavailable,
 	Stopping:        http.StatusServiceUnavailable,
 	DeadlineLapsed:  http.StatusGatewayTimeout,
+	Interrupted:     http.StatusGatewayTimeout,
 	CallerLeft:      http.StatusGatewayTimeout,
 	UpstreamFailed:  http.StatusBadGateway,
 	UpstreamShed:    http.StatusServiceUnavailable,
