Start on deployments that do not tell every bound

Cause: the settings template wrote each bound of the platform without asking whether it was told. Bounds belong to rules that may not be in force; a gap without a value is filled with nothing, so that 'retry_ratio = ' was no TOML and no process started. The users' four site files tell all of them. Found by copies of a site file without one group of rules each (retry, drain, places).

How stale a host may be is the tightest of the bounds that are told, evacuations now among them.

--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -51,11 +51,13 @@
 	// upstream gets in a second: its rate by the first, plus the second.
 	WarmUpOvershoot float64 `toml:"warm_up_overshoot"`
 	WarmUpSlack     float64 `toml:"warm_up_slack"`
-	// ApplyWithin is how soon a configuration, and DrainWithin how soon an
-	// upstream's leaving, must be in force on every host that reaches the
-	// store.
-	ApplyWithin Duration `toml:"apply_within"`
-	DrainWithin Duration `toml:"drain_within"`
+	// ApplyWithin is how soon a configuration, DrainWithin how soon an
+	// upstream's leaving, and EvacuateWithin how soon a zone's evacuation
+	// must be in force on every host that reaches the store. Zero is no bound
+	// of its own.
+	ApplyWithin    Duration `toml:"apply_within"`
+	DrainWithin    Duration `toml:"drain_within"`
+	EvacuateWithin Duration `toml:"evacuate_within"`
 	// DirectoryTTL is the longest time that callers may keep an answer of
 	// the directory.
 	DirectoryTTL Duration `toml:"directory_ttl"`
@@ -67,10 +69,10 @@
 	Grace Duration `toml:"grace"`
 }
 
-// LoadGateway reads a gateway's settings from a TOML file, fills defaults
+// LoadGateway reads a gateway's settings from a TOML file over the defaults
 // and names every fault at once.
 func LoadGateway(path string) (Gateway, error) {
-	var g Gateway
+	g := defaultGateway()
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return g, eris.Wrap(err, "read settings")
@@ -78,7 +80,6 @@
 	if err := tomlfile.Decode(text, &g); err != nil {
 		return g, err
 	}
-	g.fill()
 	return g, g.check()
 }
 
@@ -95,15 +96,16 @@
 // minWithin is the least bound that a watcher's waits can be cut from.
 const minWithin = 500 * time.Millisecond
 
-func (g *Gateway) fill() {
-	l := &g.Limits
-	l.RetryRatio = Default(l.RetryRatio, defaultRetryRatio)
-	l.RetryWindow = Default(l.RetryWindow, Seconds(defaultRetryWindow))
-	l.WarmUpOvershoot = Default(l.WarmUpOvershoot, defaultOvershoot)
-	l.ApplyWithin = Default(l.ApplyWithin, Seconds(defaultWithin))
-	l.DrainWithin = Default(l.DrainWithin, Seconds(defaultWithin))
-	l.DirectoryTTL = Default(l.DirectoryTTL, Seconds(defaultDirectoryTTL))
-	g.Stop.Grace = Default(g.Stop.Grace, Seconds(defaultGrace))
+// defaultGateway is what holds where the file says nothing; a zero in the file
+// is a zero.
+func defaultGateway() Gateway {
+	return Gateway{
+		Limits: GatewayLimits{
+			RetryRatio: defaultRetryRatio, RetryWindow: Seconds(defaultRetryWindow), WarmUpOvershoot: defaultOvershoot,
+			DirectoryTTL: Seconds(defaultDirectoryTTL),
+		},
+		Stop: GatewayStop{Grace: Seconds(defaultGrace)},
+	}
 }
 
 func (g *Gateway) check() error {
@@ -119,12 +121,18 @@
 	f.Require(g.Limits.RetryRatio >= 0, "limits.retry_ratio", "must not be below 0")
 	f.Require(g.Limits.RetryWindow > 0, "limits.retry_window", "must be above 0")
 	f.Require(g.Limits.WarmUpOvershoot > 0, "limits.warm_up_overshoot", "must be above 0")
-	f.Require(time.Duration(g.Limits.ApplyWithin) >= minWithin, "limits.apply_within", "must be 500ms or more")
-	f.Require(time.Duration(g.Limits.DrainWithin) >= minWithin, "limits.drain_within", "must be 500ms or more")
+	checkWithin(&f, "limits.apply_within", g.Limits.ApplyWithin)
+	checkWithin(&f, "limits.drain_within", g.Limits.DrainWithin)
+	checkWithin(&f, "limits.evacuate_within", g.Limits.EvacuateWithin)
+	f.Require(g.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
 	f.Require(g.Stop.Grace > 0, "stop.grace", "must be above 0")
 	return errors.Join(f...)
 }
 
+func checkWithin(f *Faults, key string, d Duration) {
+	f.Require(d == 0 || time.Duration(d) >= minWithin, key, "must be 500ms or more")
+}
+
 // PeerSeeds gives the peer addresses that the seeds lead to.
 func (g Gateway) PeerSeeds() []string {
 	_, port, err := net.SplitHostPort(g.Listen.Peers)
@@ -149,7 +157,17 @@
 	return len(regions)
 }
 
-// Staleness is how old what a host knows may be while the store is in reach.
+// Staleness is how old what a host knows may be while the store is in reach:
+// the tightest of the bounds that are set.
 func (l GatewayLimits) Staleness() time.Duration {
-	return time.Duration(min(l.ApplyWithin, l.DrainWithin))
+	tightest := time.Duration(0)
+	for _, d := range []Duration{l.ApplyWithin, l.DrainWithin, l.EvacuateWithin} {
+		if within := time.Duration(d); within > 0 && (tightest == 0 || within < tightest) {
+			tightest = within
+		}
+	}
+	if tightest == 0 {
+		return defaultWithin
+	}
+	return tightest
 }
--- /dev/null
+++ b/internal/settings/gateway_test.go
@@ -0,0 +1,76 @@
+package settings_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/settings"
+)
+
+const leastSettings = `
+[host]
+name = "h"
+zone = "z"
+region = "r"
+[listen]
+callers = "127.0.0.1:1"
+readiness = "127.0.0.1:2"
+directory = "127.0.0.1:3"
+peers = "127.0.0.1:4"
+[store]
+address = "127.0.0.1:5"
+`
+
+func load(t *testing.T, text string) (settings.Gateway, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "gateway.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return settings.LoadGateway(path)
+}
+
+// A platform tells only the bounds that are in force.
+func TestWhatTheFileLeavesOutHasADefault(t *testing.T) {
+	g, err := load(t, leastSettings)
+	require.NoError(t, err)
+	require.Positive(t, g.Limits.RetryRatio)
+	require.Positive(t, g.Limits.WarmUpOvershoot)
+	require.Positive(t, g.Limits.DirectoryTTL)
+	require.Positive(t, g.Stop.Grace)
+	require.Equal(t, 2*time.Second, g.Limits.Staleness())
+}
+
+func TestAZeroInTheFileIsAZero(t *testing.T) {
+	g, err := load(t, leastSettings+"[limits]\nretry_ratio = 0\n")
+	require.NoError(t, err)
+	require.Zero(t, g.Limits.RetryRatio)
+}
+
+func TestTheTightestBoundDecidesHowStaleAHostMayBe(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		`apply_within = "3s"`: 3 * time.Second,
+		"apply_within = \"3s\"\ndrain_within = \"1500ms\"\nevacuate_within = \"5s\"": 1500 * time.Millisecond,
+		"drain_within = \"3s\"\nevacuate_within = \"1s\"":                            time.Second,
+	} {
+		g, err := load(t, leastSettings+"[limits]\n"+text+"\n")
+		require.NoError(t, err)
+		require.Equal(t, want, g.Limits.Staleness(), text)
+	}
+}
+
+func TestEveryFaultNamesItsKey(t *testing.T) {
+	for key, text := range map[string]string{
+		"host.name":              "[host]\nzone = \"z\"",
+		"limits.apply_within":    leastSettings + "[limits]\napply_within = \"10ms\"",
+		"limits.evacuate_within": leastSettings + "[limits]\nevacuate_within = \"10ms\"",
+		"limits.retry_window":    leastSettings + "[limits]\nretry_window = \"0s\"",
+		"limits.retries":         leastSettings + "[limits]\nretries = 3",
+		"stop.grace":             leastSettings + "[stop]\ngrace = \"-1s\"",
+	} {
+		_, err := load(t, text)
+		require.ErrorContains(t, err, key)
+	}
+}
