Make a span for each request and each attempt in the gateway

The house style asks for traces with a span for each hop; the gateway had none. A request's span continues the caller's W3C trace, each attempt is a child, and the upstream is told of its span when the trace is kept; else no header is changed. Off by default (telemetry.traces).

Tests: TestEachHopIsASpanOfTheCallersTrace, TestATraceThatIsNotKeptChangesNoHeader.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"io"
 	"net/http"
@@ -14,6 +15,8 @@
 
 	"github.com/google/subcommands"
 	"github.com/oklog/ulid/v2"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
 
 	"cairndock/internal/balance"
 	"cairndock/internal/event"
@@ -63,10 +66,26 @@
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	node := newGatewayNode(set, os.Stdout)
+	traces, err := gatewayTraces(ctx, &set.Telemetry)
+	if err != nil {
+		return fail(err)
+	}
+	defer func() { _ = traces.Shutdown(context.WithoutCancel(ctx)) }()
+	node := newGatewayNode(set, os.Stdout, telemetry.Tracer(traces))
 	return node.run(ctx, c.settings, signals)
 }
 
+// gatewayTraces checks where traces go and opens the way there.
+func gatewayTraces(ctx context.Context, t *settings.Telemetry) (*sdktrace.TracerProvider, error) {
+	telemetry.Default(t)
+	var f settings.Faults
+	telemetry.Check(*t, &f)
+	if err := errors.Join(f...); err != nil {
+		return nil, err
+	}
+	return telemetry.NewProvider(ctx, *t, os.Stdout)
+}
+
 // The tables that hosts watch and relay.
 const (
 	intentTable = iota
@@ -82,6 +101,7 @@
 	settings  settings.Gateway
 	log       *event.Log
 	metrics   *telemetry.Metrics
+	tracer    trace.Tracer
 	knowledge *gateway.Knowledge
 	judge     *health.Judge
 	timing    watch.Timing
@@ -92,8 +112,8 @@
 	server    *gateway.Server
 }
 
-func newGatewayNode(set settings.Gateway, out io.Writer) *gatewayNode {
-	n := &gatewayNode{settings: set, metrics: telemetry.NewMetrics()}
+func newGatewayNode(set settings.Gateway, out io.Writer, tracer trace.Tracer) *gatewayNode {
+	n := &gatewayNode{settings: set, metrics: telemetry.NewMetrics(), tracer: tracer}
 	n.timing = watch.TimingFor(set.Limits.Staleness())
 	n.log = event.New(out, set.Host.Name, n.metrics)
 	n.judge = health.New(n)
@@ -156,6 +176,7 @@
 		Ages:      gateway.Ages{Intents: n.tables[intentTable].Replica.Age, Upstreams: n.tables[upstreamTable].Replica.Age},
 		Log:       n.log,
 		Metrics:   n.metrics,
+		Tracer:    n.tracer,
 	})
 }
 
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -185,6 +185,14 @@
 
 // attempt sends the request to one upstream.
 func (d *dispatch) attempt(ctx context.Context, c balance.Choice) (*answer, error) {
+	ctx, span := d.startAttempt(ctx, c)
+	a, err := d.send(ctx, c)
+	endSpan(span, err)
+	return a, err
+}
+
+// send sends the request and reads the beginning of the answer.
+func (d *dispatch) send(ctx context.Context, c balance.Choice) (*answer, error) {
 	began := time.Now()
 	in := c.Instance
 	d.tried = append(d.tried, in.ID)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.opentelemetry.io/otel/trace"
+
 	"cairndock/internal/balance"
 	"cairndock/internal/call"
 	"cairndock/internal/event"
@@ -66,6 +68,8 @@
 	Ages      Ages
 	Log       *event.Log
 	Metrics   *telemetry.Metrics
+	// Tracer makes a span for each request and each attempt.
+	Tracer trace.Tracer
 }
 
 // Gateway serves requests.
@@ -109,12 +113,15 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := g.Codec.Read(r.Header)
+	traced, span := g.startRequest(r, c)
+	var err error
+	defer func() { endSpan(span, err) }()
 	d, err := g.prepare(w, r, c, began)
 	if err != nil {
 		g.refuse(w, c, d, err)
 		return
 	}
-	ctx, cancel := d.context(r.Context())
+	ctx, cancel := d.context(traced)
 	defer cancel()
 	answer, err := d.run(ctx)
 	if err != nil {
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -19,6 +19,8 @@
 
 	"github.com/rotisserie/eris"
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
 	"cairndock/internal/balance"
 	"cairndock/internal/event"
@@ -139,7 +141,9 @@
 func (one) Hosts() int                           { return 1 }
 func (one) ColdRate(string, string, float64) int { return 100 }
 
-func newWorld(t *testing.T) *world {
+func newWorld(t *testing.T) *world { return newTracedWorld(t, noop.NewTracerProvider()) }
+
+func newTracedWorld(t *testing.T, traces trace.TracerProvider) *world {
 	t.Helper()
 	w := &world{t: t, log: &lines{}}
 	m := telemetry.NewMetrics()
@@ -155,6 +159,7 @@
 		Budget:   retry.NewBudget(retry.Limits{Ratio: 1, Window: time.Second, Slack: 100}),
 		Client:   exchange.NewClient(exchange.NewPool(dial.DialContext), protocol{}),
 		Codec:    codec{}, Hosts: one{}, Ages: gateway.Ages{Intents: age, Upstreams: age}, Log: log, Metrics: m,
+		Tracer: telemetry.Tracer(traces),
 	})
 	w.server = httptest.NewServer(w.gateway)
 	t.Cleanup(w.server.Close)
--- a/internal/settings/gateway.go
+++ b/internal/settings/gateway.go
@@ -23,6 +23,8 @@
 	Zones  map[string]string `toml:"zones"`
 	Limits GatewayLimits     `toml:"limits"`
 	Stop   GatewayStop       `toml:"stop"`
+	// Telemetry says where traces go; logs always go to standard output.
+	Telemetry Telemetry `toml:"telemetry"`
 }
 
 // GatewayListen names the addresses to listen at.
