--- a/cmd/quickstart.go
+++ b/cmd/quickstart.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -17,6 +18,7 @@
 type quickstartCmd struct {
 	callerAddr   string
 	operatorAddr string
+	latency      time.Duration
 	once         bool
 	logLevel     string
 }
@@ -24,12 +26,13 @@
 func (*quickstartCmd) Name() string     { return "quickstart" }
 func (*quickstartCmd) Synopsis() string { return "run a whole small system in one process" }
 func (*quickstartCmd) Usage() string {
-	return "quickstart [--once] [--caller-addr ADDR] [--operator-addr ADDR]\n"
+	return "quickstart [--once] [--caller-addr ADDR] [--operator-addr ADDR] [--latency D]\n"
 }
 
 func (c *quickstartCmd) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.callerAddr, "caller-addr", "127.0.0.1:8080", "`address` of the first host for callers")
 	f.StringVar(&c.operatorAddr, "operator-addr", "127.0.0.1:8081", "`address` of the first host for operators")
+	f.DurationVar(&c.latency, "latency", quickstart.PlanningLatency, "how long an upstream of the planning service takes for a request")
 	f.BoolVar(&c.once, "once", false, "send a few hundred requests, print a table and exit")
 	f.StringVar(&c.logLevel, "log-level", "info", "debug, info, warn or error")
 }
@@ -42,7 +45,7 @@
 	if c.once {
 		log = telemetry.NewLogger(os.Stderr, "error")
 	}
-	s, err := quickstart.Start(ctx, quickstart.Options{CallerAddr: c.callerAddr, OperatorAddr: c.operatorAddr, Log: log})
+	s, err := quickstart.Start(ctx, quickstart.Options{CallerAddr: c.callerAddr, OperatorAddr: c.operatorAddr, Latency: c.latency, Log: log})
 	if err != nil {
 		return fail(err)
 	}
--- a/internal/quickstart/quickstart.go
+++ b/internal/quickstart/quickstart.go
@@ -36,14 +36,22 @@
 	documentsPerZone = 2
 	slotsPerUpstream = 6
 	loopback         = "127.0.0.1:0"
+
+	// PlanningLatency is how long an upstream of the planning service takes
+	// unless the options say otherwise, and documentsLatency one of the other.
+	PlanningLatency  = 5 * time.Millisecond
+	documentsLatency = 10 * time.Millisecond
 )
 
 // Options say where the first host listens.
 type Options struct {
 	CallerAddr   string
 	OperatorAddr string
-	Log          zerolog.Logger
-	Traces       *sdktrace.TracerProvider
+	// Latency is how long an upstream of the planning service takes; zero is
+	// PlanningLatency.
+	Latency time.Duration
+	Log     zerolog.Logger
+	Traces  *sdktrace.TracerProvider
 }
 
 // System is a running quick start.
@@ -73,6 +81,7 @@
 		}
 		o.Traces = tp
 	}
+	o.Latency = settings.Default(o.Latency, PlanningLatency)
 	s := &System{Memory: platform.NewMemory(), Token: rand.Text(), options: o}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	for _, step := range []func() error{s.startPlatform, s.startUpstreams, s.writeConfig, s.startHosts, s.waitReady} {
@@ -123,12 +132,12 @@
 	for _, region := range regions {
 		for _, zone := range zonesOf(region) {
 			for i := range planningPerZone {
-				if err := s.startUpstream(Planning, zone, i, 5*time.Millisecond); err != nil {
+				if err := s.startUpstream(Planning, zone, i, s.options.Latency); err != nil {
 					return err
 				}
 			}
 			for i := range documentsPerZone {
-				if err := s.startUpstream(Documents, zone, i, 10*time.Millisecond); err != nil {
+				if err := s.startUpstream(Documents, zone, i, documentsLatency); err != nil {
 					return err
 				}
 			}
