Keep the known hosts in order instead of sorting them at each look-up

Cause: each look-up in the directory, and each tick of 200 ms, sorted all hosts known. At the planned 5,900 hosts that is 2.3 ms for a look-up, of which 966 a second come to a host (2.2 cores), and 7.7 ms for a tick (3.9% of a core, of 4.5% allowed for all control).

Change: an index by name, zone, region and this host's own order, made anew when a host comes or goes. What is answered is the same.

Benchmarks at 5,900 hosts, before and after: look-up 2,273 and 6.2 us, hosts due a heartbeat 7,712 and 18.5 us.

--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,41 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// planned is one host's view of a fleet of the planned size: 5,900 hosts in 23
+// regions and 80 zones.
+func planned(now time.Time) *Members {
+	const hosts, zones, regions = 5900, 80, 23
+	host := func(i int) Host {
+		zone := i % zones
+		return Host{
+			Name: fmt.Sprintf("host-%d", i), Zone: fmt.Sprintf("zone-%d", zone), Region: fmt.Sprintf("region-%d", zone%regions),
+			CallerAddress: fmt.Sprintf("10.%d.%d.%d:80", zone, i/250, i%250),
+		}
+	}
+	m := NewMembers(host(0))
+	for i := 1; i < hosts; i++ {
+		m.Heard(host(i), Status{Ready: true, Fresh: true}, now)
+	}
+	return m
+}
+
+func BenchmarkContactsAtPlannedSize(b *testing.B) {
+	now := time.Now()
+	m := planned(now)
+	for b.Loop() {
+		m.Contacts(now)
+	}
+}
+
+func BenchmarkEntriesAtPlannedSize(b *testing.B) {
+	now := time.Now()
+	m := planned(now)
+	for b.Loop() {
+		m.Entries("zone-3", "region-3", Status{Ready: true}, nil, now)
+	}
+}
--- a/internal/fleet/contacts.go
+++ b/internal/fleet/contacts.go
@@ -1,10 +1,6 @@
 package fleet
 
-import (
-	"cmp"
-	"slices"
-	"time"
-)
+import "time"
 
 // farFanout is how many living hosts of each other region a host exchanges
 // heartbeats with, so that heartbeats between regions grow with hosts and not
@@ -15,36 +11,37 @@
 // its own region, and of each other region the first in an order of its own
 // until enough of them live. The dead before those are tried again, too.
 func (m *Members) Contacts(now time.Time) []*Peer {
-	far := map[string][]*Peer{}
-	var contacts []*Peer
-	for _, p := range m.Peers() {
-		p.followed = p.Host.Region == m.self.Region
-		if p.followed {
-			contacts = append(contacts, p)
-			continue
+	x := m.indexed()
+	contacts := m.peersOf(x.byRegion[m.self.Region])
+	for _, name := range m.followedFar {
+		if p := m.peers[name]; p != nil {
+			p.followed = false
 		}
-		far[p.Host.Region] = append(far[p.Host.Region], p)
 	}
-	for _, peers := range far {
-		contacts = append(contacts, m.nearest(peers, now)...)
+	m.followedFar = m.followedFar[:0]
+	for _, names := range x.far {
+		contacts = append(contacts, m.nearest(names, now)...)
+	}
+	for _, p := range contacts {
+		p.followed = true
 	}
 	return contacts
 }
 
 // nearest gives the first peers of another region until farFanout of them
-// live, and marks them as followed.
-func (m *Members) nearest(peers []*Peer, now time.Time) []*Peer {
-	slices.SortFunc(peers, func(a, b *Peer) int {
-		return cmp.Compare(pairRank(m.self.Name, a.Host.Name), pairRank(m.self.Name, b.Host.Name))
-	})
+// live, and notes that they are followed.
+func (m *Members) nearest(names []string, now time.Time) []*Peer {
+	var peers []*Peer
 	alive := 0
-	for i, p := range peers {
-		p.followed = true
+	for _, name := range names {
+		p := m.peers[name]
+		peers = append(peers, p)
+		m.followedFar = append(m.followedFar, name)
 		if p.Alive(now) {
 			alive++
 		}
 		if alive == farFanout {
-			return peers[:i+1]
+			break
 		}
 	}
 	return peers
@@ -53,8 +50,8 @@
 // Region gives the hosts of the own region that live, this one included.
 func (m *Members) Region(now time.Time) []Host {
 	hosts := []Host{m.self}
-	for _, p := range m.Peers() {
-		if p.Host.Region == m.self.Region && p.Alive(now) {
+	for _, p := range m.peersOf(m.indexed().byRegion[m.self.Region]) {
+		if p.Alive(now) {
 			hosts = append(hosts, p.Host)
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -3,8 +3,6 @@
 package fleet
 
 import (
-	"cmp"
-	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -38,6 +36,9 @@
 	Suspects []health.Suspect `msgpack:"u,omitempty"`
 }
 
+// takesCallers reports whether callers should come.
+func (s Status) takesCallers() bool { return s.Ready && !s.Leaving }
+
 const (
 	// DeadAfter is the silence after which a host is taken for dead.
 	DeadAfter = 2500 * time.Millisecond
@@ -66,6 +67,10 @@
 type Members struct {
 	self  Host
 	peers map[string]*Peer
+	// index is nil after a host has come or gone.
+	index *index
+	// followedFar names the hosts of other regions that are followed.
+	followedFar []string
 }
 
 // NewMembers makes the members of a host that knows only itself.
@@ -85,6 +90,7 @@
 	if p == nil {
 		p = &Peer{Host: h}
 		m.peers[h.Name] = p
+		m.index = nil
 	}
 	p.KnownAt = now
 }
@@ -101,6 +107,9 @@
 	if old != nil {
 		p.followed = p.followed || old.followed
 	}
+	if old == nil || old.Host.Zone != h.Zone || old.Host.Region != h.Region {
+		m.index = nil
+	}
 	m.peers[h.Name] = &p
 	return p.followed && (old == nil || !old.Alive(now) || old.Host.Incarnation != h.Incarnation)
 }
@@ -115,12 +124,17 @@
 			dead = append(dead, p.Host)
 		}
 		if last := later(p.HeardAt, p.KnownAt); now.Sub(last) > forgetAfter {
-			delete(m.peers, name)
+			m.forget(name)
 		}
 	}
 	return dead
 }
 
+func (m *Members) forget(name string) {
+	delete(m.peers, name)
+	m.index = nil
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -130,46 +144,43 @@
 
 // Peers gives all peers in the order of their names.
 func (m *Members) Peers() []*Peer {
-	peers := make([]*Peer, 0, len(m.peers))
-	for _, p := range m.peers {
-		peers = append(peers, p)
-	}
-	slices.SortFunc(peers, func(a, b *Peer) int { return cmp.Compare(a.Host.Name, b.Host.Name) })
-	return peers
+	return m.peersOf(m.indexed().names)
 }
 
 // Entries gives the addresses that callers of a zone and region should use:
-// those of ready hosts in the zone, else in the region, else anywhere in the
-// regions allowed. self tells of the host itself.
+// those of ready hosts in the zone, else in the region, else in the regions
+// allowed, else anywhere. self tells of the host itself.
 func (m *Members) Entries(zone, region string, self Status, allowed []string, now time.Time) []string {
-	var inZone, inRegion, inAllowed, anywhere []string
-	add := func(h Host, s Status) {
-		if !s.Ready || s.Leaving {
-			return
-		}
-		switch {
-		case h.Zone == zone:
-			inZone = append(inZone, h.CallerAddress)
-		case h.Region == region:
-			inRegion = append(inRegion, h.CallerAddress)
-		case slices.Contains(allowed, h.Region):
-			inAllowed = append(inAllowed, h.CallerAddress)
-		default:
-			anywhere = append(anywhere, h.CallerAddress)
-		}
+	x := m.indexed()
+	if found := m.ready(x.byZone[zone], m.self.Zone == zone, self, now); len(found) > 0 {
+		return found
 	}
-	add(m.self, self)
-	for _, p := range m.Peers() {
-		if p.Alive(now) {
-			add(p.Host, p.Status)
-		}
+	if found := m.ready(x.byRegion[region], m.self.Region == region, self, now); len(found) > 0 {
+		return found
+	}
+	var found []string
+	for _, r := range allowed {
+		found = append(found, m.ready(x.byRegion[r], m.self.Region == r, self, now)...)
+	}
+	if len(found) > 0 {
+		return found
+	}
+	return m.ready(x.names, true, self, now)
+}
+
+// ready gives the callers' addresses of those among some hosts that live and
+// take callers, this one first if it is among them.
+func (m *Members) ready(names []string, withSelf bool, self Status, now time.Time) []string {
+	var addresses []string
+	if withSelf && self.takesCallers() {
+		addresses = append(addresses, m.self.CallerAddress)
 	}
-	for _, list := range [][]string{inZone, inRegion, inAllowed, anywhere} {
-		if len(list) > 0 {
-			return list
+	for _, name := range names {
+		if p := m.peers[name]; p.Alive(now) && p.Status.takesCallers() {
+			addresses = append(addresses, p.Host.CallerAddress)
 		}
 	}
-	return nil
+	return addresses
 }
 
 // Count gives how many hosts are known in all, how many of them in a region,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -132,7 +132,7 @@
 		m.Heard(host("west0", "west-0", "west"), readyStatus, later)
 		m.Heard(host("west1", "west-0", "west"), readyStatus, later)
 		m.Heard(host("west2", "west-1", "west"), readyStatus, later)
-		delete(m.peers, gone)
+		m.forget(gone)
 		h, _ := m.source(true, later)
 		require.NotEqual(t, gone, h.Name)
 	}
