Tell callers refused for load to come back later, and not together

Cause: a caller refused for load was told 150 ms, whoever it was.

Change: 350 to 750 ms, by chance. Other failures that did not run keep 150 ms. The refusal itself is given at once, as before.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
@@ -17,10 +18,19 @@
 const (
 	// defaultTimeout bounds a request whose caller and route tell no bound.
 	defaultTimeout = 30 * time.Second
-	// busyPause is when a caller comes back after a refusal for load.
-	busyPause = 150 * time.Millisecond
+	// busyPause is when a caller comes back after a refusal for load, at the
+	// earliest, and busySpread how much later at the most: those that were
+	// refused together should not come back together.
+	busyPause  = 350 * time.Millisecond
+	busySpread = 400 * time.Millisecond
+	// soonPause is when a caller comes back whose request failed for another
+	// reason and did not run: an upstream that was gone, mostly.
+	soonPause = 150 * time.Millisecond
 )
 
+// comeBack is when a caller that was refused for load should come back.
+func comeBack() time.Duration { return busyPause + rand.N(busySpread) }
+
 // dispatch takes one request through its attempts.
 type dispatch struct {
 	gateway *Gateway
@@ -109,7 +119,7 @@
 	case balance.Cold:
 		return choice, d.refused(verdict.Warming, choice)
 	default:
-		return choice, verdict.New(verdict.NotRun, verdict.NoUpstream, "no upstream of %s may serve this", d.service).WithRetryAfter(busyPause)
+		return choice, verdict.New(verdict.NotRun, verdict.NoUpstream, "no upstream of %s may serve this", d.service).WithRetryAfter(comeBack())
 	}
 }
 
@@ -126,7 +136,7 @@
 // refused tells what the first home of the request's key was like.
 func (d *dispatch) refused(reason verdict.Reason, c balance.Choice) error {
 	return verdict.New(verdict.NotRun, reason, "home %s has load %.2f, told %d ms ago, cold %t",
-		c.Instance.ID, c.Load, c.LoadAge.Milliseconds(), c.Cold).WithRetryAfter(busyPause)
+		c.Instance.ID, c.Load, c.LoadAge.Milliseconds(), c.Cold).WithRetryAfter(comeBack())
 }
 
 func (d *dispatch) allows() func(string) bool {
@@ -164,10 +174,14 @@
 	if e.Verdict != verdict.NotRun {
 		return e
 	}
-	if e.RetryAfter == 0 {
-		return e.WithRetryAfter(busyPause)
+	switch {
+	case e.RetryAfter > 0:
+		return e
+	case e.Reason == verdict.UpstreamShed:
+		return e.WithRetryAfter(comeBack())
+	default:
+		return e.WithRetryAfter(soonPause)
 	}
-	return e
 }
 
 // interrupted tells a request that the host gave up at its own end from one
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -366,6 +366,24 @@
 
 // A caller that leaves: a request that may be repeated is cancelled at the
 // upstream; one that may not is left to its end, but is never sent again.
+// Callers that were refused together come back one after the other.
+func TestRefusedCallersAreToldDifferentTimesToComeBack(t *testing.T) {
+	w := newWorld(t)
+	w.routes(usual(route.Once))
+	w.upstream(shed)
+	times := map[string]bool{}
+	for range 8 {
+		resp, _ := w.get()
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		again, err := time.ParseDuration(resp.Header.Get("Retry"))
+		require.NoError(t, err)
+		require.GreaterOrEqual(t, again, 350*time.Millisecond)
+		require.Less(t, again, 750*time.Millisecond)
+		times[again.String()] = true
+	}
+	require.Greater(t, len(times), 4)
+}
+
 func TestACallerThatLeaves(t *testing.T) {
 	t.Run("repeatable", func(t *testing.T) {
 		w := newWorld(t)
