Tell a planned stop from an exit in the soak, also under load

Cause: the harness told that a process had ended before it read whether that was wanted. Whoever had stopped it had by then cleared that mark for the next process; so the stop counted as an exit, and the host was started twice.

Change: the mark is read first. One comment of the gateway is wrapped; no other code.

--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -64,8 +64,8 @@
 }
 
 // context ends at the request's deadline, when the host must end and, if the
-// request may be repeated, when its caller leaves. One that may not is left to its end: to
-// break it off would only make its outcome unknown.
+// request may be repeated, when its caller leaves. One that may not is left to
+// its end: to break it off would only make its outcome unknown.
 func (d *dispatch) context(caller context.Context) (context.Context, context.CancelFunc) {
 	d.caller = caller
 	if d.route.Repeat != route.Repeatable {
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -373,9 +373,10 @@
 
 // failedSeeds are those that ever broke a promise, each with its cause.
 var failedSeeds = map[uint64]string{
-	79:   "a reload that came while a host read its settings ended the process: it now asks for the signal first",
-	78:   "not the product: a host's port was taken by an outgoing connection while it was down, and the harness did not start it again",
-	1015: "not the product: the harness asked for version 0, which never was",
+	79:    "a reload that came while a host read its settings ended the process: it now asks for the signal first",
+	78:    "not the product: a host's port was taken by an outgoing connection while it was down, and the harness did not start it again",
+	1015:  "not the product: the harness asked for version 0, which never was",
+	88047: "not the product: under load the harness took a planned stop for an exit of the host's own, and started it twice",
 }
 
 // TestSoak plays a short seeded run; SOAK_SEEDS=50 plays as many fresh seeds
--- a/internal/soak/host_test.go
+++ b/internal/soak/host_test.go
@@ -129,10 +129,11 @@
 
 func (h *host) supervise(cmd *exec.Cmd, ended chan struct{}) {
 	err := cmd.Wait()
-	close(ended)
+	// Before anybody is told: whoever ended it then starts the next.
 	h.mu.Lock()
 	wanted := h.wanted
 	h.mu.Unlock()
+	close(ended)
 	if wanted {
 		return
 	}
