--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -15,7 +15,6 @@
 
 	"github.com/google/subcommands"
 	"github.com/oklog/ulid/v2"
-	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 	"go.opentelemetry.io/otel/trace"
 
 	"cairndock/internal/balance"
@@ -59,14 +58,14 @@
 	if c.settings == "" {
 		return usage("gateway: --settings must be given")
 	}
-	set, err := settings.LoadGateway(c.settings)
+	set, err := loadGateway(c.settings)
 	if err != nil {
 		return fail(err)
 	}
 	if os.Getenv("GOGC") == "" {
 		debug.SetGCPercent(gcPercent)
 	}
-	traces, err := gatewayTraces(ctx, &set.Telemetry)
+	traces, err := telemetry.NewProvider(ctx, set.Telemetry, os.Stdout)
 	if err != nil {
 		return fail(err)
 	}
@@ -75,15 +74,13 @@
 	return node.run(ctx, c.settings, signals)
 }
 
-// gatewayTraces checks where traces go and opens the way there.
-func gatewayTraces(ctx context.Context, t *settings.Telemetry) (*sdktrace.TracerProvider, error) {
-	telemetry.Default(t)
+// loadGateway reads the settings and names the faults of every section.
+func loadGateway(path string) (settings.Gateway, error) {
+	set, err := settings.LoadGateway(path)
+	telemetry.Default(&set.Telemetry)
 	var f settings.Faults
-	telemetry.Check(*t, &f)
-	if err := errors.Join(f...); err != nil {
-		return nil, err
-	}
-	return telemetry.NewProvider(ctx, *t, os.Stdout)
+	telemetry.Check(set.Telemetry, &f)
+	return set, errors.Join(append([]error{err}, f...)...)
 }
 
 // The tables that hosts watch and relay.
@@ -279,7 +276,7 @@
 // reload checks the settings anew. What they set holds from the next start;
 // a faulty file changes nothing.
 func (n *gatewayNode) reload(path string) {
-	if _, err := settings.LoadGateway(path); err != nil {
+	if _, err := loadGateway(path); err != nil {
 		n.log.Process("reload", "refused: "+err.Error())
 		return
 	}
--- a/internal/gateway/dispatch.go
+++ b/internal/gateway/dispatch.go
@@ -167,10 +167,11 @@
 
 // final is the verdict over all attempts: one doubt is enough.
 func (d *dispatch) final(err error) error {
-	e := d.interrupted(verdict.From(err))
+	e := verdict.From(err)
 	if d.doubt != nil {
-		return d.interrupted(d.doubt)
+		e = d.doubt
 	}
+	e = d.interrupted(e)
 	if e.Verdict != verdict.NotRun {
 		return e
 	}
--- a/internal/watch/watch_test.go
+++ b/internal/watch/watch_test.go
@@ -316,22 +316,30 @@
 	})
 }
 
+// behindADeadRelay follows a relay that hears nothing more of its store, until
+// a second has passed: from then on other hosts tell of version 2.
+func behindADeadRelay(t *testing.T) (*fakeStore, *recorder) {
+	t.Helper()
+	s := newFakeStore()
+	dead := NewReplica()
+	dead.replace(Page{Version: 1}, time.Now())
+	began := time.Now()
+	newest := func() (int64, time.Duration) {
+		if time.Since(began) < time.Second {
+			return 0, 0
+		}
+		return 2, time.Since(began) - time.Second
+	}
+	r, _ := follow(t, newest, Named{Name: "peer", Source: dead, Relay: true}, Named{Name: "store", Source: s})
+	time.Sleep(time.Second)
+	return s, r
+}
+
 // A relay whose own feed is dead answers in time and says nothing new; the
 // heartbeats of other hosts show that there is news.
 func TestAHostThatIsBehindOthersAsksElsewhere(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newFakeStore()
-		dead := NewReplica()
-		dead.replace(Page{Version: 1}, time.Now())
-		began := time.Now()
-		newest := func() (int64, time.Duration) {
-			if time.Since(began) < time.Second {
-				return 0, 0
-			}
-			return 2, time.Since(began) - time.Second
-		}
-		r, _ := follow(t, newest, Named{Name: "peer", Source: dead, Relay: true}, Named{Name: "store", Source: s})
-		time.Sleep(time.Second)
+		s, r := behindADeadRelay(t)
 		s.put("a", "1")
 		time.Sleep(timing.Behind + 300*time.Millisecond)
 		require.Equal(t, "1", r.value("a"))
@@ -343,18 +351,7 @@
 func TestAHostThatIsBehindHearsAStoreThatIsSlow(t *testing.T) {
 	const slow = 400 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
-		s := newFakeStore()
-		dead := NewReplica()
-		dead.replace(Page{Version: 1}, time.Now())
-		began := time.Now()
-		newest := func() (int64, time.Duration) {
-			if time.Since(began) < time.Second {
-				return 0, 0
-			}
-			return 2, time.Since(began) - time.Second
-		}
-		r, _ := follow(t, newest, Named{Name: "peer", Source: dead, Relay: true}, Named{Name: "store", Source: s})
-		time.Sleep(time.Second)
+		s, r := behindADeadRelay(t)
 		s.put("a", "1")
 		s.set(func(f *fakeStore) { f.slow = slow })
 		time.Sleep(timing.Behind + 300*time.Millisecond + slow)
