Log whether a client could still get its response, and why the host closed it

A final line was written whether or not the response reached the wire, and nothing said that the host itself had closed a client's connection. Final lines now have client (connected, left or cut), and a request that is read on a connection that the host had closed writes a cut line with the cause (idle, header or server) and how long before, and counts in cairndock_requests_cut_total. No decision changes.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -73,6 +73,18 @@
 		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Msg("request: attempt ended")
 }
 
+// ClientEnd says whether a client can still get the response to its request.
+type ClientEnd string
+
+const (
+	// ClientConnected is a client whose connection is open.
+	ClientConnected ClientEnd = "connected"
+	// ClientLeft is a client that closed its connection.
+	ClientLeft ClientEnd = "left"
+	// ClientCut is a client whose connection the host itself closed.
+	ClientCut ClientEnd = "cut"
+)
+
 // Final describes the response that the client got.
 type Final struct {
 	// Request is the id that the client gave the request.
@@ -89,8 +101,11 @@
 	// long ago a source last confirmed them.
 	ConfigAge    time.Duration
 	UpstreamsAge time.Duration
-	// Status is the HTTP status that the client got.
+	// Status is the HTTP status of the response, which the client got if Client
+	// is ClientConnected.
 	Status int
+	// Client says whether the client could still get it.
+	Client ClientEnd
 	// Verdict says whether the request may have run (verdict.Verdict).
 	Verdict string
 	// Reason is the reason of a response that the gateway generated
@@ -112,10 +127,26 @@
 	}
 	e.Str("route", f.Route).Str("service", f.Service).Int("attempts", f.Attempts).Int64("config", f.Config).
 		Float64("config_age_ms", ms(f.ConfigAge)).Float64("upstreams_age_ms", ms(f.UpstreamsAge)).
-		Int("status", f.Status).Str("verdict", f.Verdict).Str("reason", f.Reason).
+		Int("status", f.Status).Str("client", string(f.Client)).Str("verdict", f.Verdict).Str("reason", f.Reason).
 		Float64("took_ms", ms(f.Took)).Str("detail", f.Detail).Msg("request: final response")
 }
 
+// Cut describes a request that was read on a client's connection that the host
+// had closed.
+type Cut struct {
+	// Cause is why it was closed: idle, header or server.
+	Cause string
+	// ClosedFor is how long it had been closed.
+	ClosedFor time.Duration
+}
+
+// Cut logs that a request was read whose client can't get a response, and
+// counts it.
+func (l *Log) Cut(c Cut) {
+	l.metrics.Count(`cairndock_requests_cut_total{cause="` + c.Cause + `"}`)
+	l.event("cut", l.failures).Str("cause", c.Cause).Float64("closed_ms", ms(c.ClosedFor)).Msg("client: the connection was closed under a request")
+}
+
 // Config logs that a version of the operator configuration was applied.
 func (l *Log) Config(version int64, routes int) {
 	l.stateEvent("config").Int64("version", version).Int("routes", routes).Msg("config: applied")
--- a/internal/gateway/proxy/clientconn.go
+++ b/internal/gateway/proxy/clientconn.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/route"
 )
 
@@ -31,12 +33,29 @@
 	idle
 )
 
+// closeCause is why the host closed a client's connection.
+type closeCause string
+
+const (
+	// stillOpen is the cause of a connection that the host has not closed.
+	stillOpen closeCause = ""
+	// idleEnd: it was idle for longer than the limit.
+	idleEnd closeCause = "idle"
+	// headerEnd: a request's header took longer than the limit.
+	headerEnd closeCause = "header"
+	// serverEnd: http.Server closed it, after a response or at a stop.
+	serverEnd closeCause = "server"
+)
+
 // clientListener holds clients' connections to the limits in force. Those of
 // http.Server are fixed when it starts; these change with the configuration,
 // also for connections that are idle already.
 type clientListener struct {
 	net.Listener
 	limits func() route.Limits
+	// cut is told of requests that were read on a connection that the host had
+	// closed.
+	cut func(eventlog.Cut)
 }
 
 // Accept accepts a connection.
@@ -45,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clientConn{Conn: nc, limits: l.limits, since: time.Now()}
+	c := &clientConn{Conn: nc, limits: l.limits, cut: l.cut, since: time.Now()}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.timer = time.AfterFunc(phaseTimeout(c.phase, c.limits()), c.expire)
@@ -56,12 +75,16 @@
 type clientConn struct {
 	net.Conn
 	limits func() route.Limits
+	cut    func(eventlog.Cut)
 
 	mu    sync.Mutex
 	phase phase
 	// since is when the phase began.
 	since time.Time
 	timer *time.Timer
+	// closed is why the host closed the connection, and closedAt when.
+	closed   closeCause
+	closedAt time.Time
 }
 
 // noteState is the http.Server's ConnState hook: it follows the server's view
@@ -74,6 +97,7 @@
 	switch state {
 	case http.StateActive:
 		c.enter(serving)
+		c.reportCut()
 	case http.StateIdle:
 		c.enter(idle)
 	case http.StateHijacked, http.StateClosed:
@@ -136,5 +160,61 @@
 		c.timer.Reset(left)
 		return
 	}
+	cause := headerEnd
+	if c.phase == idle {
+		cause = idleEnd
+	}
+	c.noteClosed(cause)
 	_ = c.Conn.Close() // it is given up; there is nobody to report an error to
 }
+
+// Close closes the connection for the http.Server.
+func (c *clientConn) Close() error {
+	c.mu.Lock()
+	c.noteClosed(serverEnd)
+	c.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// noteClosed records the first cause; c.mu is held.
+func (c *clientConn) noteClosed(cause closeCause) {
+	if c.closed == stillOpen {
+		c.closed, c.closedAt = cause, time.Now()
+	}
+}
+
+// reportCut reports a request whose header was read though the host had closed
+// the connection: its client gets no response.
+func (c *clientConn) reportCut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed != stillOpen {
+		c.cut(eventlog.Cut{Cause: string(c.closed), ClosedFor: time.Since(c.closedAt)})
+	}
+}
+
+// clientConnKey is the key of a request's connection in its context.
+type clientConnKey struct{}
+
+// withClientConn is the http.Server's ConnContext hook.
+func withClientConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, clientConnKey{}, nc)
+}
+
+// clientEnd says for the log whether a request's client can still get a
+// response.
+func clientEnd(ctx context.Context) eventlog.ClientEnd {
+	if c, ok := ctx.Value(clientConnKey{}).(*clientConn); ok && c.isClosed() {
+		return eventlog.ClientCut
+	}
+	if ctx.Err() != nil {
+		return eventlog.ClientLeft
+	}
+	return eventlog.ClientConnected
+}
+
+func (c *clientConn) isClosed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closed != stillOpen
+}
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -30,6 +30,7 @@
 	ev := eventlog.Final{
 		Request: f.info.ID, Service: f.service, Attempts: len(f.tried), Status: status, Verdict: verdict.Ran.String(),
 		ConfigAge: f.proxy.ConfigAge(), UpstreamsAge: f.proxy.UpstreamsAge(), Took: time.Since(f.began),
+		Client: clientEnd(f.client),
 	}
 	if f.config != nil {
 		ev.Config = f.config.Version
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -31,7 +31,7 @@
 	return &Server{
 		proxy: p,
 		// clientListener bounds idle connections and slow headers.
-		clients: &http.Server{Handler: p, MaxHeaderBytes: maxHeader, ConnState: noteState},
+		clients: &http.Server{Handler: p, MaxHeaderBytes: maxHeader, ConnState: noteState, ConnContext: withClientConn},
 		failed:  make(chan error, maxListeners),
 	}
 }
@@ -43,7 +43,7 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for clients")
 	}
-	s.serve(s.clients, clientListener{l, s.proxy.State.Limits})
+	s.serve(s.clients, clientListener{l, s.proxy.State.Limits, s.proxy.Log.Cut})
 	return l.Addr(), nil
 }
 
