--- /dev/null
+++ b/internal/gateway/proxy/cut_test.go
@@ -0,0 +1,127 @@
+package proxy_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/proxy"
+)
+
+// Clients saw a kept connection closed with no response to a lookup that an
+// upstream had got. The host was short of processor time:
+//
+//  1. the connection's goroutine read the request's bytes from the kernel, and
+//     was not run again before it had noted that the connection was in use;
+//  2. the end of the idle time (or of the time for a header, or a planned stop)
+//     closed the connection, which still counted as idle;
+//  3. the goroutine ran again, parsed the request and sent it to an upstream.
+//
+// The evidence is the host's own log: a cut line with the cause idle, then a
+// final line with client cut, within a millisecond. Whoever decides to end a
+// connection must know what was read from it.
+
+// lateListener accepts connections whose reads return late.
+type lateListener struct {
+	net.Listener
+	late *atomic.Int64
+}
+
+func (l lateListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return lateConn{c, l.late}, nil
+}
+
+// lateConn returns what it read late nanoseconds later: its reader has taken the
+// bytes from the kernel, but does not run.
+type lateConn struct {
+	net.Conn
+	late *atomic.Int64
+}
+
+func (c lateConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		time.Sleep(time.Duration(c.late.Load()))
+	}
+	return n, err
+}
+
+// connectLate opens a connection to a server of the gateway and sends a first
+// request on it. From then on the server's reads return late.
+func (g *testGateway) connectLate(late time.Duration) (*proxy.Server, net.Conn) {
+	g.t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(g.t, err)
+	s := proxy.NewServer(g.proxy)
+	g.t.Cleanup(s.Close)
+	var delay atomic.Int64
+	s.ServeClients(lateListener{l, &delay})
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(g.t, err)
+	g.t.Cleanup(func() { _ = c.Close() })
+	sendOn(g.t, c)
+	delay.Store(int64(late))
+	return s, c
+}
+
+// requireAnswer reads the response to a request that was sent whole.
+func requireAnswer(t *testing.T, c net.Conn) {
+	t.Helper()
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(5*time.Second)))
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err, "the connection was closed with no response")
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "whole", string(body))
+}
+
+// late is how long reads are delayed; the connection's end falls within it.
+const late = 300 * time.Millisecond
+
+func TestARequestThatWasReadBeforeTheIdleEndIsAnswered(t *testing.T) {
+	g := newTestGateway(t)
+	g.setClientLimits(time.Minute, 200*time.Millisecond)
+	g.addUpstream(healthy)
+	_, c := g.connectLate(late)
+	_, err := io.WriteString(c, rawRequest)
+	require.NoError(t, err)
+	requireAnswer(t, c)
+}
+
+func TestARequestThatWasReadBeforeTheHeadersEndIsAnswered(t *testing.T) {
+	g := newTestGateway(t)
+	g.setClientLimits(250*time.Millisecond, time.Minute)
+	g.addUpstream(healthy)
+	_, c := g.connectLate(late)
+	_, err := io.WriteString(c, rawRequest[:20])
+	require.NoError(t, err)
+	time.Sleep(late + 100*time.Millisecond)
+	_, err = io.WriteString(c, rawRequest[20:])
+	require.NoError(t, err)
+	requireAnswer(t, c)
+}
+
+func TestARequestThatWasReadBeforeAStopClosesIdleConnectionsIsAnswered(t *testing.T) {
+	g := newTestGateway(t)
+	g.setClientLimits(time.Minute, time.Minute)
+	g.addUpstream(healthy)
+	s, c := g.connectLate(late)
+	aborted := make(chan int64, 1)
+	go func() { aborted <- s.Stop(t.Context(), 2*time.Second) }()
+	time.Sleep(800 * time.Millisecond) // idle connections are closed at 0.9 s
+	_, err := io.WriteString(c, rawRequest)
+	require.NoError(t, err)
+	requireAnswer(t, c)
+	require.Zero(t, <-aborted)
+}
--- /dev/null
+++ b/internal/gateway/proxy/export_test.go
@@ -0,0 +1,7 @@
+package proxy
+
+import "net"
+
+// ServeClients accepts clients of a listener, as ListenClients does at an
+// address.
+func (s *Server) ServeClients(l net.Listener) { s.serveClients(l) }
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -43,10 +43,14 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for clients")
 	}
-	s.serve(s.clients, clientListener{l, s.proxy.State.Limits, s.proxy.Log.Cut})
+	s.serveClients(l)
 	return l.Addr(), nil
 }
 
+func (s *Server) serveClients(l net.Listener) {
+	s.serve(s.clients, clientListener{l, s.proxy.State.Limits, s.proxy.Log.Cut})
+}
+
 // Listen serves a handler other than the proxy at an address.
 func (s *Server) Listen(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
