End a client's connection only where it is read, so that what was read is answered

Cause: a connection's idle end, the end of its time for a header and Shutdown at a planned stop closed it from another goroutine than the one that reads it, by what that one had noted last. A request that had been read in between was served and passed on with nobody to answer to, or dropped. Class: the end of something idle is decided apart from what takes it up.

Change: package httpserver has the connections of the clients' listener and of the directory, readiness and metrics listeners. Limits and Drain only set the deadline of reads; a read gives either bytes, which are served, or the end. A stop waits for connections instead of counted requests, so nothing that was read is outside the count. Responses that are written after a stop began say Connection: close, also of requests that came before it.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -131,20 +131,11 @@
 		Float64("took_ms", ms(f.Took)).Str("detail", f.Detail).Msg("request: final response")
 }
 
-// Cut describes a request that was read on a client's connection that the host
-// had closed.
-type Cut struct {
-	// Cause is why it was closed: idle, header or server.
-	Cause string
-	// ClosedFor is how long it had been closed.
-	ClosedFor time.Duration
-}
-
-// Cut logs that a request was read whose client can't get a response, and
-// counts it.
-func (l *Log) Cut(c Cut) {
-	l.metrics.Count(`cairndock_requests_cut_total{cause="` + c.Cause + `"}`)
-	l.event("cut", l.failures).Str("cause", c.Cause).Float64("closed_ms", ms(c.ClosedFor)).Msg("client: the connection was closed under a request")
+// Cut logs that the host closed a client's connection though it had read a
+// request from it, and counts it.
+func (l *Log) Cut() {
+	l.metrics.Count("cairndock_requests_cut_total")
+	l.event("cut", l.failures).Msg("client: the connection was closed under a request")
 }
 
 // Config logs that a version of the operator configuration was applied.
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -1,10 +1,12 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/httpserver"
 	"cairndock/internal/verdict"
 )
 
@@ -24,6 +26,18 @@
 	f.proxy.Log.Attempt(ev)
 }
 
+// clientEnd says whether a request's client can still get a response.
+func clientEnd(client context.Context) eventlog.ClientEnd {
+	switch {
+	case httpserver.ClosedHere(client):
+		return eventlog.ClientCut
+	case client.Err() != nil:
+		return eventlog.ClientLeft
+	default:
+		return eventlog.ClientConnected
+	}
+}
+
 // logFinal writes the response that the client got. e is nil for an upstream's
 // whole response.
 func (f *inflight) logFinal(status int, e *verdict.Error) {
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -100,9 +100,6 @@
 	began := time.Now()
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	if p.draining.Load() {
-		closeAfterResponse(w)
-	}
 	info := p.Codec.ParseRequest(r.Header)
 	client, span := p.startRequest(r, info.ID)
 	f := &inflight{proxy: p, info: info, began: began, client: client}
@@ -122,6 +119,15 @@
 	f.forward(w, resp)
 }
 
+// closeIfDraining is asked right before a response is written: the stop may have
+// begun while the request was served, and a client that is not told to leave
+// sends its next request on a connection that is about to end.
+func (p *Proxy) closeIfDraining(w http.ResponseWriter) {
+	if p.draining.Load() {
+		closeAfterResponse(w)
+	}
+}
+
 // closeAfterResponse makes the server close the client's connection after the
 // response.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
-	"errors"
+	"context"
 	"net"
 	"net/http"
 
 	"github.com/rotisserie/eris"
+
+	"cairndock/internal/httpserver"
 )
 
 const (
@@ -21,8 +23,8 @@
 // platform and operators.
 type Server struct {
 	proxy   *Proxy
-	clients *http.Server
-	others  []*http.Server
+	clients *httpserver.Server
+	others  []*httpserver.Server
 	failed  chan error
 }
 
@@ -30,12 +32,19 @@
 func NewServer(p *Proxy) *Server {
 	return &Server{
 		proxy: p,
-		// clientListener bounds idle connections and slow headers.
-		clients: &http.Server{Handler: p, MaxHeaderBytes: maxHeader, ConnState: noteState, ConnContext: withClientConn},
-		failed:  make(chan error, maxListeners),
+		clients: httpserver.New(httpserver.Options{
+			HTTP: &http.Server{Handler: p, MaxHeaderBytes: maxHeader}, Limits: p.clientLimits, Cut: p.Log.Cut,
+		}),
+		failed: make(chan error, maxListeners),
 	}
 }
 
+// clientLimits are the configuration's limits of clients' connections.
+func (p *Proxy) clientLimits() httpserver.Limits {
+	limits := p.State.Limits()
+	return httpserver.Limits{Header: limits.HeaderTimeout, Idle: limits.IdleTimeout}
+}
+
 // ListenClients accepts clients at an address. It returns the address with the
 // port chosen for port 0.
 func (s *Server) ListenClients(address string) (net.Addr, error) {
@@ -43,29 +52,25 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "listen for clients")
 	}
-	s.serveClients(l)
+	s.serve(s.clients, l)
 	return l.Addr(), nil
 }
 
-func (s *Server) serveClients(l net.Listener) {
-	s.serve(s.clients, clientListener{l, s.proxy.State.Limits, s.proxy.Log.Cut})
-}
-
 // Listen serves a handler other than the proxy at an address.
 func (s *Server) Listen(address string, h http.Handler) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
-	server := &http.Server{Handler: h, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	server := httpserver.New(httpserver.Options{HTTP: &http.Server{Handler: h}})
 	s.others = append(s.others, server)
 	s.serve(server, l)
 	return nil
 }
 
-func (s *Server) serve(server *http.Server, l net.Listener) {
+func (s *Server) serve(server *httpserver.Server, l net.Listener) {
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(l, nil); err != nil {
 			s.failed <- err
 		}
 	}()
@@ -74,11 +79,18 @@
 // Failed gives the errors of listeners that ended by themselves.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-// Close closes all listeners and connections at once. Errors are dropped, as the
-// process ends after it.
+// drainOthers finishes what the listeners other than the clients' have read, as
+// far as the context allows; Close ends the rest.
+func (s *Server) drainOthers(ctx context.Context) {
+	for _, other := range s.others {
+		_ = other.Drain(ctx)
+	}
+}
+
+// Close closes all listeners and connections at once.
 func (s *Server) Close() {
-	_ = s.clients.Close()
+	s.clients.Close()
 	for _, other := range s.others {
-		_ = other.Close()
+		other.Close()
 	}
 }
--- a/internal/gateway/proxy/stop.go
+++ b/internal/gateway/proxy/stop.go
@@ -24,9 +24,10 @@
 	// written; the rest is for the process to exit. Chosen, not measured against
 	// other values.
 	abortGrace = 150 * time.Millisecond
-	// exitPoll is how often a stopping host checks whether requests are in
-	// flight. It delays the exit by as much; chosen, not measured.
-	exitPoll = 20 * time.Millisecond
+	// othersGrace is the part of exitMargin in which the responses of the other
+	// listeners are finished; a look-up takes some milliseconds. Chosen, not
+	// measured.
+	othersGrace = 100 * time.Millisecond
 )
 
 // Stop takes the host out of service within the grace period, the time from
@@ -34,7 +35,7 @@
 //
 //	0                    Drain: not ready, connections close after a response;
 //	                     new requests are still served
-//	drainPart of it      Shutdown: no new connections, idle ones are closed;
+//	drainPart of it      no new connections, those between requests end;
 //	                     requests in flight are served to their end
 //	exitMargin before    abort: requests still in flight get an error response
 //	its end              that says whether they may have run
@@ -46,27 +47,28 @@
 	s.proxy.Drain()
 	pause.For(ctx, time.Duration(drainPart*float64(grace)))
 
-	ctx, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
+	served, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
 	defer cancel()
-	// Its errors are the context's end, after which waitIdle returns and the
-	// abort follows, and a listener that is closed already.
-	_ = s.clients.Shutdown(ctx)
-	s.waitIdle(ctx)
+	aborted := int64(0)
+	if s.clients.Drain(served) != nil {
+		aborted = s.abort(ctx)
+	}
+	ctx, cancel = context.WithTimeout(ctx, othersGrace)
+	defer cancel()
+	s.drainOthers(ctx)
+	return aborted
+}
 
+// abort ends the requests in flight with error responses, and returns how many
+// there were. A connection that has sent a part of a header has none.
+func (s *Server) abort(ctx context.Context) int64 {
 	aborted := s.proxy.InFlight()
 	if aborted == 0 {
 		return 0
 	}
 	s.proxy.abort()
-	ctx, cancel = context.WithTimeout(context.WithoutCancel(ctx), abortGrace)
+	ctx, cancel := context.WithTimeout(ctx, abortGrace)
 	defer cancel()
-	s.waitIdle(ctx)
+	_ = s.clients.Drain(ctx) // Close ends what has not taken its response
 	return aborted
 }
-
-// waitIdle waits until no request is in flight.
-func (s *Server) waitIdle(ctx context.Context) {
-	for s.proxy.InFlight() > 0 && ctx.Err() == nil {
-		pause.For(ctx, exitPoll)
-	}
-}
--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -44,6 +44,7 @@
 		r := <-results
 		require.NoError(t, r.err)
 		require.Equal(t, "whole", r.body)
+		require.True(t, r.resp.Close, "the client is told to leave, also if it came before the stop")
 	}
 	require.Zero(t, <-cut)
 	_, err := net.DialTimeout("tcp", address, 100*time.Millisecond)
--- /dev/null
+++ b/internal/httpserver/httpserver.go
@@ -0,0 +1,233 @@
+package httpserver
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Options are the parts of a Server. Only HTTP is required.
+type Options struct {
+	// HTTP is the server to run. Its hooks ConnState and ConnContext, and its
+	// time-outs of headers and idle connections, are the package's.
+	HTTP *http.Server
+	// Limits gives the limits in force; they may change, also for connections
+	// that wait already. Without it the defaults hold.
+	Limits func() Limits
+	// Cut is told of each request that was read and whose connection the host
+	// closed all the same. It is called for none but those that Close breaks off.
+	Cut func()
+}
+
+// Server runs an http.Server. Its methods may be called concurrently.
+type Server struct {
+	http   *http.Server
+	limits func() Limits
+	cut    func()
+	// drainAt is when Drain was first called; nil before.
+	drainAt atomic.Pointer[time.Time]
+
+	mu        sync.Mutex
+	listeners []net.Listener
+	conns     map[*conn]struct{}
+	// drained is closed when the server drains and has no connection.
+	drained chan struct{}
+}
+
+// New makes a server that does not listen yet.
+func New(o Options) *Server {
+	s := &Server{http: o.HTTP, limits: o.Limits, cut: o.Cut, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
+	if s.limits == nil {
+		s.limits = func() Limits { return Limits{} }
+	}
+	if s.cut == nil {
+		s.cut = func() {}
+	}
+	s.http.Handler = s.closeWhenDraining(s.http.Handler)
+	s.http.ConnState = s.follow
+	s.http.ConnContext = withConn
+	return s
+}
+
+// closeWhenDraining tells clients not to take up their connection again.
+func (s *Server) closeWhenDraining(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if draining, _ := s.drainBegan(); draining {
+			w.Header().Set("Connection", "close")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+// Serve serves a listener, over TLS if there is a configuration of it, until
+// Drain or Close, and then returns nil. Its error is the listener's.
+func (s *Server) Serve(l net.Listener, config *tls.Config) error {
+	if !s.addListener(l) {
+		return l.Close()
+	}
+	l = listener{l, s}
+	if config != nil {
+		l = tls.NewListener(l, config)
+	}
+	err := s.http.Serve(l)
+	if draining, _ := s.drainBegan(); draining || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// addListener reports whether the server takes connections still.
+func (s *Server) addListener(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if draining, _ := s.drainBegan(); draining {
+		return false
+	}
+	s.listeners = append(s.listeners, l)
+	return true
+}
+
+// drainBegan reports whether Drain was called, and when.
+func (s *Server) drainBegan() (bool, time.Time) {
+	if at := s.drainAt.Load(); at != nil {
+		return true, *at
+	}
+	return false, time.Time{}
+}
+
+// listener makes accepted connections the server's.
+type listener struct {
+	net.Listener
+	server *Server
+}
+
+// Accept accepts a connection.
+func (l listener) Accept() (net.Conn, error) {
+	nc, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &conn{Conn: nc, server: l.server}
+	c.begin(fresh)
+	l.server.add(c)
+	return c, nil
+}
+
+func (s *Server) add(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	s.noteDrained()
+}
+
+// noteDrained tells Drain when nothing is left; s.mu is held.
+func (s *Server) noteDrained() {
+	if draining, _ := s.drainBegan(); !draining || len(s.conns) > 0 {
+		return
+	}
+	select {
+	case <-s.drained: // it knows
+	default:
+		close(s.drained)
+	}
+}
+
+// follow is the http.Server's ConnState hook.
+func (s *Server) follow(nc net.Conn, state http.ConnState) {
+	c := unwrap(nc)
+	closed := c.enter(state)
+	switch {
+	case state == http.StateActive && closed:
+		s.cut()
+	case state == http.StateHijacked, state == http.StateClosed:
+		s.remove(c)
+	}
+}
+
+// unwrap gives the connection below TLS. All that the http.Server has come from
+// listener.
+func unwrap(nc net.Conn) *conn {
+	if t, ok := nc.(*tls.Conn); ok {
+		nc = t.NetConn()
+	}
+	return nc.(*conn)
+}
+
+// Drain takes no new connections, ends those that are between requests, and
+// waits until the others have got their responses and ended too. Its error is
+// the context's. It may be called again.
+func (s *Server) Drain(ctx context.Context) error {
+	for _, c := range s.beginDrain() {
+		// An error means that the connection is closed.
+		_ = c.setReadDeadline()
+	}
+	select {
+	case <-s.drained:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// beginDrain closes the listeners and gives the connections that are open. One
+// that is accepted after it ends by itself, as it sees that the server drains.
+func (s *Server) beginDrain() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.drainAt.CompareAndSwap(nil, &now)
+	for _, l := range s.listeners {
+		_ = l.Close() // an error means that it is closed already
+	}
+	s.noteDrained()
+	return s.open()
+}
+
+// open gives the connections that are open; s.mu is held.
+func (s *Server) open() []*conn {
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+// Close closes the listeners and all connections at once, and breaks off what
+// is in flight.
+func (s *Server) Close() {
+	s.mu.Lock()
+	conns := s.open()
+	s.mu.Unlock()
+	for _, c := range conns {
+		if c.isServing() {
+			s.cut()
+		}
+	}
+	_ = s.http.Close() // what it could not close is gone already
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// withConn is the http.Server's ConnContext hook.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, unwrap(nc))
+}
+
+// ClosedHere reports whether this end closed the connection of the request with
+// a context.
+func ClosedHere(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.isClosed()
+}
--- /dev/null
+++ b/internal/httpserver/limits.go
@@ -0,0 +1,45 @@
+package httpserver
+
+import "time"
+
+const (
+	// defaultHeader bounds the reading of a request's header where the limits
+	// say nothing. Chosen, not measured.
+	defaultHeader = 5 * time.Second
+	// defaultIdle bounds the idle time of a connection where the limits say
+	// nothing. Chosen, not measured.
+	defaultIdle = 60 * time.Second
+	// drainIdle is how long an idle connection is still read when the server
+	// drains, so that a request that has arrived is answered rather than reset
+	// with the connection. Chosen, not measured: far above the time that a busy
+	// host takes to run a goroutine, and little beside a drain.
+	drainIdle = 50 * time.Millisecond
+	// drainFresh is how long after its accept a new connection is read when the
+	// server drains. Chosen, not measured: its client sends the first request
+	// within a round trip, 70 ms between the farthest regions.
+	drainFresh = 500 * time.Millisecond
+)
+
+// Limits bound what a client's connection may take. Zero stands for the
+// package's default.
+type Limits struct {
+	// Header is the longest time for a request's header, and for the first byte
+	// on a new connection.
+	Header time.Duration
+	// Idle is the longest time between two requests.
+	Idle time.Duration
+}
+
+func (l Limits) header() time.Duration {
+	if l.Header <= 0 {
+		return defaultHeader
+	}
+	return l.Header
+}
+
+func (l Limits) idle() time.Duration {
+	if l.Idle <= 0 {
+		return defaultIdle
+	}
+	return l.Idle
+}
