Keep an overdue attempt running until another upstream has responded

Cause: an attempt whose response was overdue was canceled as soon as the retry budget granted another one; only then an upstream was looked for. With none, or one that refused, the request had lost a running attempt for nothing and got 504 long before its deadline. Class: something that runs is given up for a replacement that does not exist yet. The log said that another upstream was tried and that a deadline had lapsed, neither of which was so.

Change: attempts run side by side. An overdue request is sent to another upstream beside the first one, if rule, budget and choice allow it; the first response wins, and the other attempt is canceled with the outcome superseded. The budget gets a retry back for which there is no upstream. A traced attempt has headers of its own.

--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"sync/atomic"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
@@ -17,47 +20,76 @@
 // Chosen, not measured.
 const maxRefusal = 16 << 10
 
-// attempt sends the request to one upstream, in a span of its own, and buffers
-// the beginning of the response.
-func (f *inflight) attempt(ctx context.Context, c balance.Choice) (_ *response, err error) {
-	ctx, span := f.startAttempt(ctx, c)
+// errSuperseded cancels an attempt whose request another attempt has answered.
+var errSuperseded = eris.New("another upstream responded first")
+
+// attempt is one attempt of a request at one upstream, in a goroutine of its own.
+type attempt struct {
+	inflight *inflight
+	choice   balance.Choice
+	// number counts the request's attempts from 1.
+	number int
+	began  time.Time
+	cancel context.CancelCauseFunc
+
+	// overdueAfter is the longest time that a response normally takes; zero when
+	// it is not known yet.
+	overdueAfter time.Duration
+	timer        *time.Timer
+	wait         atomic.Uint32
+}
+
+// What became of an attempt's wait for its response (attempt.wait).
+const (
+	// waiting: neither the response nor the timer has come.
+	waiting uint32 = iota
+	// inTime: the attempt ended before the timer.
+	inTime
+	// overdue: the timer came first, and the attempt goes on.
+	overdue
+)
+
+// markOverdue reports whether the response is overdue from now on; not if it
+// has come.
+func (a *attempt) markOverdue() bool { return a.wait.CompareAndSwap(waiting, overdue) }
+
+// settle ends the wait, and reports whether the response was in time.
+func (a *attempt) settle() bool {
+	if a.timer != nil {
+		a.timer.Stop()
+	}
+	return a.wait.CompareAndSwap(waiting, inTime)
+}
+
+// do sends the request to the upstream, in a span, and buffers the beginning of
+// the response. On success the context lives on, as the body is read under it.
+func (a *attempt) do(ctx context.Context) (_ *response, err error) {
+	f := a.inflight
+	ctx, span := f.startAttempt(ctx, a)
 	defer func() { endSpan(span, err) }()
-	began := time.Now()
-	f.tried = append(f.tried, c.Upstream.ID)
-	// On success the context lives on, as the body is read under it; it ends
-	// with the request's own.
-	ctx, cancel := context.WithCancel(ctx)
-	resp, err := f.roundTrip(ctx, cancel, c, began)
+	resp, err := a.roundTrip(ctx, f.tracedRequest(ctx, span))
 	if err != nil {
-		cancel()
+		a.cancel(nil)
 		e := verdict.From(err)
-		f.proxy.release(c.Upstream.ID, outcomeOf(e.Reason))
-		f.logAttempt(c, began, 0, e)
+		f.proxy.release(a.choice.Upstream.ID, outcomeOf(e.Reason))
+		f.logAttempt(a, 0, e)
 		return nil, err
 	}
-	return f.buffer(ctx, c, began, resp)
+	return a.buffer(ctx, resp)
 }
 
 // roundTrip sends the request and waits for a response that may be forwarded.
-// It is canceled when the response is overdue and another upstream is tried.
-func (f *inflight) roundTrip(ctx context.Context, cancel context.CancelFunc, c balance.Choice, began time.Time) (*exchange.Response, error) {
-	u := c.Upstream
-	timer := f.startOverdueTimer(c, cancel)
-	resp, err := f.proxy.Client.Send(ctx, u.ID, u.Address, f.request)
+func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
+	u := a.choice.Upstream
+	resp, err := a.inflight.proxy.Client.Send(ctx, u.ID, u.Address, r)
 	if err == nil {
-		err = f.accept(u.ID, resp)
+		err = a.inflight.accept(u.ID, resp)
 	}
-	state := timer.settle()
-	f.recordHealth(u.ID, state, resp, err, began)
-	if state != replaced {
-		return resp, err
+	a.inflight.recordHealth(u.ID, a.settle(), resp, err, a.began)
+	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
+		return nil, verdict.New(verdict.From(err).Verdict, verdict.Superseded, "%v", errSuperseded).WithUpstream(u.ID)
 	}
-	if err == nil {
-		// It arrived at the moment it was canceled, and is not used.
-		_ = resp.Body.Close()
-	}
-	f.retryGranted = true
-	return nil, verdict.New(verdict.MayHaveRun, verdict.DeadlineLapsed, "the response is overdue, another upstream is tried").WithUpstream(u.ID)
+	return resp, err
 }
 
 // accept returns nil if a response may be forwarded; otherwise it closes it and
@@ -80,9 +112,9 @@
 }
 
 // buffer reads the beginning of a response. One that breaks off there is a
-// failed attempt; any other is released by forward.
-func (f *inflight) buffer(ctx context.Context, c balance.Choice, began time.Time, resp *exchange.Response) (*response, error) {
-	id := c.Upstream.ID
+// failed attempt; any other is released by forward or discard.
+func (a *attempt) buffer(ctx context.Context, resp *exchange.Response) (*response, error) {
+	f, id := a.inflight, a.choice.Upstream.ID
 	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
 	if err != nil {
 		_ = resp.Body.Close() // the attempt has failed already
@@ -91,10 +123,10 @@
 		if isUpstreamFault(e.Reason) {
 			f.proxy.Detector.RecordFailure(id, time.Now())
 		}
-		f.logAttempt(c, began, resp.Status, e)
+		f.logAttempt(a, resp.Status, e)
 		return nil, e
 	}
-	f.logAttempt(c, began, resp.Status, nil)
+	f.logAttempt(a, resp.Status, nil)
 	out := &response{Response: resp, upstream: id, prefix: prefix}
 	if out.whole() {
 		out.Length = int64(len(prefix))
@@ -102,6 +134,12 @@
 	return out, nil
 }
 
+// discard drops a response that is not forwarded.
+func (p *Proxy) discard(resp *response) {
+	_ = resp.Body.Close() // it is not used
+	p.release(resp.upstream, outlier.Canceled)
+}
+
 // release ends a request that the balancer counts as outstanding at an
 // upstream, and records how it ended.
 func (p *Proxy) release(upstream string, o outlier.Outcome) {
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -68,7 +68,7 @@
 		return outlier.Rejected
 	case verdict.Unreachable, verdict.Misdirected:
 		return outlier.Unreachable
-	case verdict.CallerLeft, verdict.DeadlineLapsed:
+	case verdict.CallerLeft, verdict.DeadlineLapsed, verdict.Superseded:
 		return outlier.Canceled
 	default:
 		return outlier.Failed
@@ -88,12 +88,12 @@
 // time. An overdue attempt was recorded as a failure when its timer fired; the
 // time that it took still counts in the service's latency, so that the baseline
 // follows a service that has become slow as a whole.
-func (f *inflight) recordHealth(upstream string, state overdueState, resp *exchange.Response, err error, began time.Time) {
+func (f *inflight) recordHealth(upstream string, inTime bool, resp *exchange.Response, err error, began time.Time) {
 	now := time.Now()
 	took := now.Sub(began)
 	detector := f.proxy.Detector
 	switch {
-	case state != inTime:
+	case !inTime:
 		detector.RecordLatency(f.service, took)
 	case err == nil && resp.Status < http.StatusInternalServerError:
 		detector.RecordSuccess(f.service, upstream, took, now)
--- a/internal/gateway/proxy/doc.go
+++ b/internal/gateway/proxy/doc.go
@@ -10,7 +10,7 @@
 //	why was it refused?       request.go before it was sent, refuse.go after;
 //	                          retryafter.go for when to return
 //	why was it sent there?    choose.go, then package balance
-//	why was it sent twice?    retry.go; overdue.go watches the time
+//	why was it sent twice?    retry.go the rules; hedge.go the attempts
 //	what did a response mean? classify.go; without a response, proof.go of
 //	                          package exchange
 //	how long was it held?     deadline.go
--- a/internal/gateway/proxy/hedge_test.go
+++ b/internal/gateway/proxy/hedge_test.go
@@ -68,3 +68,45 @@
 	}
 	require.Positive(t, refused.Load())
 }
+
+// The response that comes first is forwarded, and the upstream of the other
+// attempt learns that nobody waits for it.
+func TestTheFirstOfTwoResponsesWins(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		second time.Duration
+		hedged bool
+	}{
+		{"the other upstream's", 0, true},
+		{"the overdue one's", time.Second, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g, _ := newOverdueGateway(t)
+			gone := make(chan struct{}, 10)
+			second := g.addUpstream(func(c2 net.Conn, r *http.Request) {
+				if c.second == 0 {
+					healthy(c2, r)
+					return
+				}
+				_, _ = c2.Read(make([]byte, 1)) // until it is canceled
+				gone <- struct{}{}
+			})
+			began := time.Now()
+			for key := 0; second.Load() == 0; key++ {
+				require.Less(t, key, 50)
+				began = time.Now()
+				require.Equal(t, http.StatusOK, g.getKey(key))
+			}
+			took := time.Since(began)
+			require.Less(t, took, 900*time.Millisecond)
+			if c.hedged {
+				return
+			}
+			select {
+			case <-gone:
+			case <-time.After(500 * time.Millisecond):
+				t.Fatal("the upstream works on")
+			}
+		})
+	}
+}
--- a/internal/gateway/proxy/span.go
+++ b/internal/gateway/proxy/span.go
@@ -9,7 +9,7 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
-	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/verdict"
 )
 
@@ -20,21 +20,31 @@
 	return p.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", id)))
 }
 
-// startAttempt begins the span of an attempt. The upstream receives its context
-// only when the trace is sampled; otherwise the request's header is forwarded
-// as it came.
-func (f *inflight) startAttempt(ctx context.Context, c balance.Choice) (context.Context, trace.Span) {
+// startAttempt begins the span of an attempt.
+func (f *inflight) startAttempt(ctx context.Context, a *attempt) (context.Context, trace.Span) {
 	ctx, span := f.proxy.Tracer.Start(ctx, "attempt", trace.WithSpanKind(trace.SpanKindClient))
 	if span.SpanContext().IsSampled() {
 		span.SetAttributes(
-			attribute.String("upstream", c.Upstream.ID), attribute.String("zone", c.Upstream.Zone),
-			attribute.Int("attempt", len(f.tried)+1), attribute.Float64("load", c.Load),
+			attribute.String("upstream", a.choice.Upstream.ID), attribute.String("zone", a.choice.Upstream.Zone),
+			attribute.Int("attempt", a.number), attribute.Float64("load", a.choice.Load),
 		)
-		otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(f.request.Header))
 	}
 	return ctx, span
 }
 
+// tracedRequest is the request of one attempt. The upstream receives the
+// attempt's span only when the trace is sampled, in a header of its own, as two
+// attempts may be sent at a time; otherwise the header is forwarded as it came.
+func (f *inflight) tracedRequest(ctx context.Context, span trace.Span) *exchange.Request {
+	if !span.SpanContext().IsSampled() {
+		return f.request
+	}
+	r := *f.request
+	r.Header = r.Header.Clone()
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(r.Header))
+	return &r
+}
+
 // endSpan ends a span with the verdict on an error, if there is one.
 func endSpan(span trace.Span, err error) {
 	if err != nil && span.IsRecording() {
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -30,6 +30,7 @@
 	verdict.DeadlineLapsed:  "deadline exceeded waiting for upstream {upstream} (no response received)",
 	verdict.Stopping:        "the host was stopping and the request had not been sent to an upstream; it did not run",
 	verdict.Interrupted:     "the host was stopping and the response did not arrive within its grace period",
+	verdict.Superseded:      "another upstream responded before {upstream}",
 	verdict.CallerLeft:      "the client disconnected before there was a response",
 	verdict.UpstreamFailed:  "upstream {upstream} failed: {detail}",
 	verdict.AnswerTruncated: "the response of upstream {upstream} broke off: {detail}",
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -80,6 +80,14 @@
 	return true
 }
 
+// Return gives a retry back that was taken at the same moment and not sent.
+func (b *Budget) Return(service string, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c := b.window(service, now).current()
+	c.retries = max(0, c.retries-1)
+}
+
 // window returns a service's window, advanced to now.
 func (b *Budget) window(service string, now time.Time) *window {
 	w := b.services[service]
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -81,3 +81,12 @@
 		})
 	}
 }
+
+func TestARetryThatWasNotSentGoesBack(t *testing.T) {
+	b, now := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}), time.Now()
+	require.True(t, b.TryRetry("a", 1, now))
+	require.False(t, b.TryRetry("a", 1, now))
+	b.Return("a", now)
+	require.True(t, b.TryRetry("a", 1, now))
+	require.False(t, b.TryRetry("a", 1, now))
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -66,6 +66,8 @@
 	NoUpstream Reason = "no-upstream"
 	// DeadlineLapsed: the deadline passed before a response came.
 	DeadlineLapsed Reason = "deadline-lapsed"
+	// Superseded: another attempt of the request was answered first.
+	Superseded Reason = "superseded"
 	// CallerLeft: the client closed its connection or canceled the request.
 	CallerLeft Reason = "caller-left"
 	// UpstreamFailed: the upstream's response is missing, malformed or unsigned.
