--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -76,6 +76,8 @@
 	log       *logBuffer
 	version   int64
 	upstreams int
+	// capacity is that of the upstreams which are added.
+	capacity int
 }
 
 func newTestGateway(t *testing.T) *testGateway {
@@ -84,7 +86,7 @@
 
 func newTracedGateway(t *testing.T, traces trace.TracerProvider) *testGateway {
 	t.Helper()
-	g := &testGateway{t: t, log: &logBuffer{}}
+	g := &testGateway{t: t, log: &logBuffer{}, capacity: 2}
 	m := telemetry.NewMetrics()
 	log := eventlog.New(g.log, "h", zerolog.InfoLevel, m)
 	t.Cleanup(log.Close)
@@ -154,7 +156,7 @@
 	}()
 	g.upstreams++
 	id := fmt.Sprint("i-", g.upstreams)
-	value, err := json.Marshal(upstream.Registration{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Region: "r", Capacity: 2})
+	value, err := json.Marshal(upstream.Registration{ID: id, Service: "s", Address: l.Addr().String(), Zone: "z", Region: "r", Capacity: g.capacity})
 	require.NoError(g.t, err)
 	g.version++
 	g.state.UpstreamSink().Apply(watch.Update{Rows: []watch.Row{{Key: id, Value: value, Version: g.version}}, Full: true})
