--- /dev/null
+++ b/internal/selector/server/abort/abort_test.go
@@ -0,0 +1,155 @@
+package abort_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/httpserver"
+	"cairndock/internal/selector/server/abort"
+)
+
+// ended is what a handler saw when its request's context ended.
+type ended struct {
+	err     error
+	aborted bool
+}
+
+// startServer serves a handler and gives the address.
+func startServer(t *testing.T, h http.HandlerFunc) (*abort.Server, string) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := abort.New(httpserver.Options{HTTP: &http.Server{Handler: h}})
+	t.Cleanup(s.Close)
+	go func() { _ = s.Serve(l, nil) }()
+	return s, l.Addr().String()
+}
+
+// send sends a request for a path on a new connection.
+func send(t *testing.T, address, path string) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	return c
+}
+
+// stop stops a server whose window has a length.
+func stop(t *testing.T, s *abort.Server, window time.Duration) int64 {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), window)
+	defer cancel()
+	return s.Stop(ctx)
+}
+
+// TestStopCountsWhatItCut has one request of each sort in flight when the
+// window ends.
+func TestStopCountsWhatItCut(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		end      func(w http.ResponseWriter, r *http.Request)
+		cut      int64
+		answered bool
+	}{
+		{"is done within the window", func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }, 0, true},
+		{"gets its own response in the grace", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 0, true},
+		{"is given up", func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			abort.Cut(r.Context())
+		}, 1, true},
+		{"breaks off", func(_ http.ResponseWriter, r *http.Request) {
+			<-r.Context().Done()
+			panic(http.ErrAbortHandler)
+		}, 1, false},
+		{"does not end", func(http.ResponseWriter, *http.Request) { time.Sleep(time.Second) }, 1, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			started := make(chan struct{})
+			s, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+				close(started)
+				c.end(w, r)
+			})
+			conn := send(t, address, "/")
+			<-started
+			require.Equal(t, c.cut, stop(t, s, 200*time.Millisecond))
+			_, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			require.Equal(t, c.answered, err == nil, "%v", err)
+		})
+	}
+}
+
+// A window that is over already, as after a second signal.
+func TestStopAnswersWhatItAbortsAtOnce(t *testing.T) {
+	started := make(chan struct{})
+	s, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		abort.Cut(r.Context())
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	conn := send(t, address, "/")
+	<-started
+	began := time.Now()
+	require.EqualValues(t, 1, stop(t, s, 0))
+	require.Less(t, time.Since(began), time.Second)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+}
+
+// A response that did not say so left its client on a connection that was
+// closed right after it, with the client's next request on the way.
+func TestResponsesToRequestsInFlightTellClientsToLeave(t *testing.T) {
+	started, release := make(chan struct{}), make(chan struct{})
+	s, address := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		close(started)
+		<-release
+		w.WriteHeader(http.StatusOK)
+	})
+	conn := send(t, address, "/")
+	<-started
+	s.CloseAfterResponses()
+	close(release)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	require.NoError(t, err)
+	require.True(t, resp.Close)
+}
+
+// A client that leaves, and a deadline of the request's own, end its context
+// too, but abort nothing.
+func TestAbortedTellsWhyAContextEnded(t *testing.T) {
+	seen := make(chan ended, 1)
+	started := make(chan struct{}, 1)
+	s, address := startServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithTimeout(r.Context(), 3*time.Second)
+		if r.URL.Path == "/deadline" {
+			ctx, cancel = context.WithTimeout(r.Context(), time.Millisecond)
+		}
+		defer cancel()
+		started <- struct{}{}
+		<-ctx.Done()
+		seen <- ended{ctx.Err(), abort.Aborted(ctx)}
+	})
+	send(t, address, "/deadline")
+	<-started
+	require.Equal(t, ended{context.DeadlineExceeded, false}, <-seen)
+	leaving := send(t, address, "/")
+	<-started
+	require.NoError(t, leaving.Close())
+	require.Equal(t, ended{context.Canceled, false}, <-seen)
+	send(t, address, "/")
+	<-started
+	stop(t, s, 0)
+	require.Equal(t, ended{context.Canceled, true}, <-seen)
+}
