End connections of serve where they are read, before a stop counts

Cause: Host.Stop waited until nothing was in flight, handed its tickets over and left, and only then http.Server.Shutdown closed the clients' connections, from another goroutine than the one that reads them. A request that was read meanwhile was served by a host that had left, for a second at most, or dropped; the stop reported that nothing was cut. Operators' requests, and those in flight at the end of the window, got a closed connection.

Change: callers and operators are served by package abort over httpserver, with limits of their own. entry.Options has StopClients, which Host.Stop calls after its grace and before its wait, within the window. What is left at its end gets 503 stopping where it is proved that it did not run, else 504 interrupted, also a request whose body is still on its way. Operators are drained within a second at the end; a change that waits to be in force is then answered as pending, one that did not arrive whole is refused. The report counts what was aborted or closed, and other hosts' requests that are still in flight after the handover.

Existing tests: only Serve and Close are called otherwise.

--- a/internal/selector/caller/caller.go
+++ b/internal/selector/caller/caller.go
@@ -21,8 +21,10 @@
 	"go.opentelemetry.io/otel/propagation"
 	"go.opentelemetry.io/otel/trace"
 
+	"cairndock/internal/httpserver"
 	"cairndock/internal/selector/call"
 	"cairndock/internal/selector/config"
+	"cairndock/internal/selector/server/abort"
 	"cairndock/internal/selector/servesettings"
 	"cairndock/internal/selector/ticket"
 	"cairndock/internal/settings"
@@ -48,10 +50,9 @@
 	// so that a request above the limit is rejected with a verdict instead of
 	// the server's bare 431. Chosen, not measured.
 	headerFactor = 8
-	// readHeaderTimeout limits reading a request's headers. Chosen, not
-	// measured.
-	readHeaderTimeout = 10 * time.Second
-	// idleTimeout closes a client's connection without a request. Chosen, not
+	// headerTimeout limits reading a request's headers. Chosen, not measured.
+	headerTimeout = 10 * time.Second
+	// idleTimeout ends a client's connection without a request. Chosen, not
 	// measured.
 	idleTimeout = 2 * time.Minute
 )
@@ -98,8 +99,9 @@
 	metrics  *telemetry.Metrics
 }
 
-// New makes a server, which does not listen yet.
-func New(s servesettings.Callers, host Host, tp trace.TracerProvider, m *telemetry.Metrics) *http.Server {
+// New makes a server, which does not listen yet. When it aborts a request, the
+// client gets an error response that says what is proved.
+func New(s servesettings.Callers, host Host, tp trace.TracerProvider, m *telemetry.Metrics) *abort.Server {
 	h := &handler{settings: s, host: host, tracer: telemetry.Tracer(tp), metrics: m}
 	e := echo.New()
 	e.HideBanner = true
@@ -108,10 +110,10 @@
 	e.POST("/v1/tickets", h.tickets)
 	e.Any("/s/:service", h.forward)
 	e.Any("/s/:service/*", h.forward)
-	return &http.Server{
-		Handler: e, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
-		MaxHeaderBytes: s.MaxHeader * headerFactor,
-	}
+	return abort.New(httpserver.Options{
+		HTTP:   &http.Server{Handler: e, MaxHeaderBytes: s.MaxHeader * headerFactor},
+		Limits: func() httpserver.Limits { return httpserver.Limits{Header: headerTimeout, Idle: idleTimeout} },
+	})
 }
 
 // rejectUnrouted writes the response to a request that no route matches.
@@ -174,7 +176,7 @@
 	defer cancel()
 	resp, err := h.host.Do(ctx, req)
 	if err != nil {
-		return h.reject(c, err)
+		return h.reject(c, whenAborted(ctx, err))
 	}
 	defer resp.Body.Close()
 	h.metrics.Observe(`cairndock_request_seconds{service="`+req.Service+`"}`, time.Since(began).Seconds())
--- a/internal/selector/caller/caller_test.go
+++ b/internal/selector/caller/caller_test.go
@@ -69,8 +69,8 @@
 	srv := New(set, h, noop.NewTracerProvider(), telemetry.NewMetrics())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = srv.Serve(l) }()
-	t.Cleanup(func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(l, nil) }()
+	t.Cleanup(srv.Close)
 	return l.Addr().String()
 }
 
--- a/internal/selector/caller/request.go
+++ b/internal/selector/caller/request.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/httpheader"
 	"cairndock/internal/selector/call"
 	"cairndock/internal/selector/config"
+	"cairndock/internal/selector/server/abort"
 	"cairndock/internal/selector/ticket"
 	"cairndock/internal/verdict"
 )
@@ -95,9 +96,14 @@
 	// Setting a deadline fails only on a closed connection, which the read
 	// below reports.
 	_ = control.SetReadDeadline(deadline)
+	stop := abort.EndReads(c.Response(), r)
+	defer stop()
 	body, err := io.ReadAll(io.LimitReader(r.Body, h.settings.MaxBody+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.Response().Header().Set("Connection", "close")
+		if abort.Aborted(r.Context()) {
+			return nil, stopped(r.Context(), verdict.NotRun).WithRetryAfter(refusalRetryAfter)
+		}
 		return nil, verdict.New(verdict.NotRun, verdict.BodyStalled, "body did not arrive in time")
 	}
 	if err != nil {
@@ -107,7 +113,9 @@
 		c.Response().Header().Set("Connection", "close")
 		return nil, verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body is above %d bytes", h.settings.MaxBody)
 	}
-	_ = control.SetReadDeadline(time.Time{})
+	if stop() {
+		_ = control.SetReadDeadline(time.Time{})
+	}
 	return body, nil
 }
 
--- a/internal/selector/caller/response.go
+++ b/internal/selector/caller/response.go
@@ -93,14 +93,15 @@
 	}
 }
 
-// notReadyRetryAfter is when a client should return to a host that has no
-// configuration yet. Chosen, not measured: the shortest time that whole seconds
-// can say, and what the entry package sets for every other refusal.
-const notReadyRetryAfter = time.Second
+// refusalRetryAfter is when a client should return to a host that has no
+// configuration yet, or that is stopping. Chosen, not measured: the shortest time
+// that whole seconds can say, and what the entry package sets for every other
+// refusal.
+const refusalRetryAfter = time.Second
 
 // notReady is the error of a host that never had the newest configuration.
 func notReady() *verdict.Error {
-	return verdict.New(verdict.NotRun, verdict.NotReady, "host is not ready").WithRetryAfter(notReadyRetryAfter)
+	return verdict.New(verdict.NotRun, verdict.NotReady, "host is not ready").WithRetryAfter(refusalRetryAfter)
 }
 
 // retryAfter is the value of Retry-After for a pause above 0: whole seconds, as
--- a/internal/selector/entry/host.go
+++ b/internal/selector/entry/host.go
@@ -45,8 +45,13 @@
 	Transport peer.Transport
 	// DialUpstream makes connections to upstreams; nil is TCP.
 	DialUpstream upstream.DialFunc
-	Log          zerolog.Logger
-	Traces       trace.TracerProvider
+	// StopClients ends the clients' connections: it takes no new ones, waits
+	// until each request in flight has its response, aborts what is left when
+	// ctx ends, and returns how many requests it cut. It is nil where the host
+	// has no listener for clients.
+	StopClients func(ctx context.Context) int64
+	Log         zerolog.Logger
+	Traces      trace.TracerProvider
 	// Seed makes the host's random choices repeatable.
 	Seed uint64
 }
@@ -85,10 +90,13 @@
 	directory *directory.Directory
 	drain     *drain.Counter
 
-	serving  atomic.Bool
-	leaving  atomic.Bool
-	inFlight atomic.Int64
-	wake     chan struct{}
+	serving atomic.Bool
+	leaving atomic.Bool
+	// inFlight counts the requests of clients and of other hosts, and ofClients
+	// those of clients alone.
+	inFlight  atomic.Int64
+	ofClients atomic.Int64
+	wake      chan struct{}
 
 	stop context.CancelFunc
 	wait sync.WaitGroup
--- a/internal/selector/entry/stop.go
+++ b/internal/selector/entry/stop.go
@@ -11,15 +11,20 @@
 type StopReport struct {
 	// Waited is how long the stop took.
 	Waited time.Duration
-	// Cut is how many requests were in flight when the window ended.
+	// Cut is how many requests were broken off, or got an error response since
+	// the host stopped, because the window ended.
 	Cut int64
 	// HandedOver is set when another host is the successor for the tickets.
 	HandedOver bool
 }
 
 // Stop takes the host out of service: it is no longer named to clients, leaves
-// the zone's roster, serves what still comes, waits for what is in flight and
-// hands its tickets over. It ends early when ctx does.
+// the zone's roster, serves what still comes, ends the clients' connections,
+// waits for what is in flight and hands its tickets over. It ends early when ctx
+// does.
+//
+// The connections end before the wait: a request that was read from one is not
+// in flight yet, and would be served by a host that has left.
 func (h *Host) Stop(ctx context.Context) StopReport {
 	began := time.Now()
 	h.log.Info().Msg("entry: stop began")
@@ -30,9 +35,10 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(h.opts.Settings.Stop.Window))
 	defer cancel()
 	pause.For(ctx, time.Duration(h.opts.Settings.Stop.Grace))
+	cut := h.stopClients(ctx)
 	h.waitIdle(ctx)
-	report := StopReport{Cut: h.inFlight.Load()}
-	report.HandedOver = h.tickets.HandOver(context.WithoutCancel(ctx))
+	report := StopReport{HandedOver: h.tickets.HandOver(context.WithoutCancel(ctx))}
+	report.Cut = cut + h.uncounted()
 	if report.Cut == 0 && h.services.Outstanding() == 0 {
 		// A host with a slot still taken stays a member, and its slots unused,
 		// until the platform calls it gone.
@@ -48,7 +54,29 @@
 // returns is called.
 func (h *Host) InFlight() func() {
 	h.inFlight.Add(1)
-	return func() { h.inFlight.Add(-1) }
+	h.ofClients.Add(1)
+	return func() {
+		h.ofClients.Add(-1)
+		h.inFlight.Add(-1)
+	}
+}
+
+// stopClients ends the clients' connections, and returns how many requests it
+// cut.
+func (h *Host) stopClients(ctx context.Context) int64 {
+	if h.opts.StopClients == nil {
+		return 0
+	}
+	return h.opts.StopClients(ctx)
+}
+
+// uncounted is how many requests are in flight that stopClients did not count:
+// those of other hosts, whose connections are still to be closed.
+func (h *Host) uncounted() int64 {
+	if h.opts.StopClients == nil {
+		return h.inFlight.Load()
+	}
+	return h.inFlight.Load() - h.ofClients.Load()
 }
 
 // idlePoll is the time between two looks whether a stopping host is idle.
--- a/internal/selector/operator/config.go
+++ b/internal/selector/operator/config.go
@@ -14,6 +14,7 @@
 
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/entry/configsync"
+	"cairndock/internal/selector/server/abort"
 	"cairndock/internal/tomlfile"
 )
 
@@ -55,7 +56,7 @@
 }
 
 func (h *handler) putConfig(c echo.Context) error {
-	change, err := readChange(c.Request())
+	change, err := readChange(c)
 	if err != nil {
 		return err
 	}
@@ -72,6 +73,9 @@
 	case errors.As(err, &fault):
 		return faulty(err)
 	case err != nil:
+		if abort.Aborted(c.Request().Context()) {
+			abort.Cut(c.Request().Context())
+		}
 		h.log.Warn().Err(err).Str("change", change.ID).Msg("operator: outcome of a change is unknown")
 		return rejected(http.StatusServiceUnavailable, "the platform can't be reached; "+
 			"whether the change was accepted is not known; send it again with the same id: "+change.ID)
@@ -97,11 +101,12 @@
 
 // readChange reads a document and the versions that it is based on. Its error is
 // the response.
-func readChange(r *http.Request) (config.Change, error) {
+func readChange(c echo.Context) (config.Change, error) {
 	var none config.Change
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxDocument+1))
-	if err != nil || len(body) > maxDocument {
-		return none, rejected(http.StatusRequestEntityTooLarge, "the document can't be read or is too large")
+	r := c.Request()
+	body, err := readDocument(c)
+	if err != nil {
+		return none, err
 	}
 	doc, err := config.ParseDocument(body)
 	if err != nil {
@@ -129,6 +134,21 @@
 	return change, nil
 }
 
+// readDocument reads the whole body within its limit. Its error is the response.
+func readDocument(c echo.Context) ([]byte, error) {
+	r := c.Request()
+	defer abort.EndReads(c.Response(), r)()
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxDocument+1))
+	switch {
+	case err != nil && abort.Aborted(r.Context()):
+		abort.Cut(r.Context())
+		return nil, rejected(http.StatusServiceUnavailable, "the host is stopping; the change was not accepted")
+	case err != nil || len(body) > maxDocument:
+		return nil, rejected(http.StatusRequestEntityTooLarge, "the document can't be read or is too large")
+	}
+	return body, nil
+}
+
 // ifMatch reads the revision in an If-Match header, and whether there is one.
 func ifMatch(header string) (uint64, bool, error) {
 	if header == "" {
--- a/internal/selector/operator/operator.go
+++ b/internal/selector/operator/operator.go
@@ -19,10 +19,12 @@
 	"github.com/labstack/echo/v4"
 	"github.com/rs/zerolog"
 
+	"cairndock/internal/httpserver"
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/entry"
 	"cairndock/internal/selector/entry/configsync"
 	"cairndock/internal/selector/entry/drain"
+	"cairndock/internal/selector/server/abort"
 	"cairndock/internal/selector/servesettings"
 	"cairndock/internal/selector/tlsfiles"
 	"cairndock/internal/settings"
@@ -30,9 +32,11 @@
 )
 
 const (
-	// readHeaderTimeout limits reading a request's headers. Chosen, not
+	// headerTimeout limits reading a request's headers. Chosen, not measured.
+	headerTimeout = 10 * time.Second
+	// idleTimeout ends an operator's connection without a request. Chosen, not
 	// measured.
-	readHeaderTimeout = 10 * time.Second
+	idleTimeout = 2 * time.Minute
 	// minToken is the shortest token, in characters. Chosen, not measured.
 	minToken = 16
 )
@@ -73,8 +77,9 @@
 	metrics  *telemetry.Metrics
 }
 
-// New makes a server, which does not listen yet.
-func New(s servesettings.Operators, host Host, log zerolog.Logger, m *telemetry.Metrics) *http.Server {
+// New makes a server, which does not listen yet. When it aborts a change that
+// waits to be in force everywhere, the operator is told that it is pending.
+func New(s servesettings.Operators, host Host, log zerolog.Logger, m *telemetry.Metrics) *abort.Server {
 	h := &handler{settings: s, host: host, log: log, metrics: m}
 	e := echo.New()
 	e.HideBanner = true
@@ -87,7 +92,10 @@
 	e.PUT("/v1/config", h.putConfig, h.requireToken)
 	e.GET("/v1/changes/:id", h.changeProgress)
 	e.GET("/v1/drain", h.drainProgress)
-	return &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	return abort.New(httpserver.Options{
+		HTTP:   &http.Server{Handler: e},
+		Limits: func() httpserver.Limits { return httpserver.Limits{Header: headerTimeout, Idle: idleTimeout} },
+	})
 }
 
 // requireToken rejects a request without the settings' token.
--- a/internal/selector/operator/operator_test.go
+++ b/internal/selector/operator/operator_test.go
@@ -57,8 +57,8 @@
 	srv := New(servesettings.Operators{Token: testToken}, h, zerolog.Nop(), telemetry.NewMetrics())
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	go func() { _ = srv.Serve(l) }()
-	t.Cleanup(func() { _ = srv.Close() })
+	go func() { _ = srv.Serve(l, nil) }()
+	t.Cleanup(srv.Close)
 	return "http://" + l.Addr().String()
 }
 
--- a/internal/selector/server/server.go
+++ b/internal/selector/server/server.go
@@ -1,15 +1,13 @@
 // Package server joins the parts of one entry host of `cairndock serve`: it
 // checks the settings of all sections, makes the host with its clients of the
 // platform, and runs it with the listeners for clients (package caller) and for
-// operators (package operator).
+// operators (package operator), up to their planned stop.
 package server
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -20,6 +18,7 @@
 	"cairndock/internal/selector/caller"
 	"cairndock/internal/selector/entry"
 	"cairndock/internal/selector/operator"
+	"cairndock/internal/selector/server/abort"
 	"cairndock/internal/selector/servesettings"
 	"cairndock/internal/selector/store"
 	"cairndock/internal/selector/tlsfiles"
@@ -51,8 +50,8 @@
 	CallerAddr   string
 	OperatorAddr string
 
-	callers   *http.Server
-	operators *http.Server
+	callers   *abort.Server
+	operators *abort.Server
 	failed    chan error
 }
 
@@ -77,6 +76,8 @@
 // Start starts a host and its listeners. The host serves until Stop or Close; ctx
 // ends its background work too.
 func Start(ctx context.Context, o entry.Options) (*Server, error) {
+	s := &Server{failed: make(chan error, 2)} // one for each listener
+	o.StopClients = func(ctx context.Context) int64 { return s.callers.Stop(ctx) }
 	h := entry.New(o)
 	callers, err := net.Listen("tcp", o.Settings.Callers.Listen)
 	if err != nil {
@@ -87,12 +88,9 @@
 		_ = callers.Close()
 		return nil, eris.Wrap(err, "listen for operators")
 	}
-	s := &Server{
-		Host: h, CallerAddr: callers.Addr().String(), OperatorAddr: operators.Addr().String(),
-		callers:   caller.New(o.Settings.Callers, h, o.Traces, h.Metrics()),
-		operators: operator.New(o.Settings.Operators, h, o.Log, h.Metrics()),
-		failed:    make(chan error, 2), // one for each listener
-	}
+	s.Host, s.CallerAddr, s.OperatorAddr = h, callers.Addr().String(), operators.Addr().String()
+	s.callers = caller.New(o.Settings.Callers, h, o.Traces, h.Metrics())
+	s.operators = operator.New(o.Settings.Operators, h, o.Log, h.Metrics())
 	if err := h.Start(ctx, s.CallerAddr); err != nil {
 		_ = callers.Close()
 		_ = operators.Close()
@@ -103,44 +101,43 @@
 	return s, nil
 }
 
-// serve serves a listener until the server is closed, and then returns nil; over
-// mutual TLS if there are files for it.
-func serve(srv *http.Server, l net.Listener, files servesettings.TLS) error {
-	if files.Enabled() {
-		f, err := tlsfiles.Open(files)
-		if err != nil {
-			return err
-		}
-		l = tls.NewListener(l, f.Server())
+// serve serves a listener until the server is stopped or closed, and then
+// returns nil; over mutual TLS if there are files for it.
+func serve(srv *abort.Server, l net.Listener, files servesettings.TLS) error {
+	if !files.Enabled() {
+		return srv.Serve(l, nil)
 	}
-	if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	f, err := tlsfiles.Open(files)
+	if err != nil {
 		return err
 	}
-	return nil
+	return srv.Serve(l, f.Server())
 }
 
-// Failed receives the error that ended a listener, or nil after Close.
+// Failed receives the error that ended a listener, or nil after Stop or Close.
 func (s *Server) Failed() <-chan error { return s.failed }
 
-// closeTimeout limits the last wait for clients' connections, when the host has
-// already waited for its requests in flight. Chosen, not measured.
+// closeTimeout limits the wait for operators' requests, at the end of a stop.
+// Those that wait longer for a change to be in force are aborted. Chosen, not
+// measured.
 const closeTimeout = time.Second
 
 // Stop takes the host out of service as the settings' section [stop] says, and
-// closes it. ctx ends the wait early.
+// closes it. Operators are served to the end, as their requests show how the
+// stop goes. ctx ends the wait early.
 func (s *Server) Stop(ctx context.Context) entry.StopReport {
+	s.callers.CloseAfterResponses()
 	report := s.Host.Stop(ctx)
 	closeCtx, cancel := context.WithTimeout(ctx, closeTimeout)
 	defer cancel()
-	// Its error is the timeout; Close ends what is left.
-	_ = s.callers.Shutdown(closeCtx)
+	report.Cut += s.operators.Stop(closeCtx)
 	s.Close()
 	return report
 }
 
 // Close ends the server at once, as a crash would: requests in flight are cut.
 func (s *Server) Close() {
-	_ = s.callers.Close()
-	_ = s.operators.Close()
+	s.callers.Close()
+	s.operators.Close()
 	s.Host.Close()
 }
