Note a cut request on its response, not in its context

A value in the context made a copy of each request. The note is on the response that package abort wraps anyway; the mapping of errors in package caller has no side effect any more.

--- a/internal/selector/caller/caller.go
+++ b/internal/selector/caller/caller.go
@@ -133,6 +133,9 @@
 // reject writes the response to a request that failed.
 func (h *handler) reject(c echo.Context, err error) error {
 	e := verdict.From(err)
+	if abort.Aborted(c.Request().Context()) && (e.Reason == verdict.Stopping || e.Reason == verdict.Interrupted) {
+		abort.Cut(c.Response())
+	}
 	h.metrics.Count(`cairndock_refusals_total{reason="` + string(e.Reason) + `",verdict="` + e.Verdict.String() + `"}`)
 	writeProblem(c.Response(), e, e.Reason.Status())
 	return nil
--- a/internal/selector/caller/request.go
+++ b/internal/selector/caller/request.go
@@ -102,7 +102,7 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		c.Response().Header().Set("Connection", "close")
 		if abort.Aborted(r.Context()) {
-			return nil, stopped(r.Context(), verdict.NotRun).WithRetryAfter(refusalRetryAfter)
+			return nil, stopped(verdict.NotRun).WithRetryAfter(refusalRetryAfter)
 		}
 		return nil, verdict.New(verdict.NotRun, verdict.BodyStalled, "body did not arrive in time")
 	}
--- a/internal/selector/caller/stop.go
+++ b/internal/selector/caller/stop.go
@@ -18,7 +18,7 @@
 	if !errors.Is(ctx.Err(), context.Canceled) || !abort.Aborted(ctx) || !endsWithContext(e) {
 		return err
 	}
-	return stopped(ctx, e.Verdict).WithUpstream(e.Upstream).WithRetryAfter(e.RetryAfter)
+	return stopped(e.Verdict).WithUpstream(e.Upstream).WithRetryAfter(e.RetryAfter)
 }
 
 // endsWithContext reports whether the end of a request's context has this error:
@@ -33,8 +33,7 @@
 }
 
 // stopped is the error of a request that was cut by the host's stop.
-func stopped(ctx context.Context, v verdict.Verdict) *verdict.Error {
-	abort.Cut(ctx)
+func stopped(v verdict.Verdict) *verdict.Error {
 	reason := verdict.Interrupted
 	if v == verdict.NotRun {
 		reason = verdict.Stopping
--- a/internal/selector/operator/config.go
+++ b/internal/selector/operator/config.go
@@ -74,7 +74,7 @@
 		return faulty(err)
 	case err != nil:
 		if abort.Aborted(c.Request().Context()) {
-			abort.Cut(c.Request().Context())
+			abort.Cut(c.Response())
 		}
 		h.log.Warn().Err(err).Str("change", change.ID).Msg("operator: outcome of a change is unknown")
 		return rejected(http.StatusServiceUnavailable, "the platform can't be reached; "+
@@ -141,7 +141,7 @@
 	body, err := io.ReadAll(io.LimitReader(r.Body, maxDocument+1))
 	switch {
 	case err != nil && abort.Aborted(r.Context()):
-		abort.Cut(r.Context())
+		abort.Cut(c.Response())
 		return nil, rejected(http.StatusServiceUnavailable, "the host is stopping; the change was not accepted")
 	case err != nil || len(body) > maxDocument:
 		return nil, rejected(http.StatusRequestEntityTooLarge, "the document can't be read or is too large")
--- a/internal/selector/server/abort/abort.go
+++ b/internal/selector/server/abort/abort.go
@@ -58,16 +58,18 @@
 // not since its client left or its time was over.
 func Aborted(ctx context.Context) bool { return context.Cause(ctx) == errStopping }
 
-// request is what a handler noted of its request.
-type request struct{ cut bool }
-
-// requestKey is the key of a request in its context.
-type requestKey struct{}
-
-// Cut notes that the request of a context is given up since the host stops.
-func Cut(ctx context.Context) {
-	if req, ok := ctx.Value(requestKey{}).(*request); ok {
-		req.cut = true
+// Cut notes that the request of a response is given up since the host stops.
+func Cut(w http.ResponseWriter) {
+	for {
+		switch v := w.(type) {
+		case *response:
+			v.cut = true
+			return
+		case interface{ Unwrap() http.ResponseWriter }:
+			w = v.Unwrap()
+		default: // not of this package's servers
+			return
+		}
 	}
 }
 
@@ -86,10 +88,10 @@
 // response breaks off ends by a panic.
 func (s *Server) count(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		req, broken := &request{}, true
+		resp, broken := &response{ResponseWriter: w, server: s}, true
 		s.begin()
-		defer func() { s.end(req.cut || broken && Aborted(r.Context())) }()
-		next.ServeHTTP(&response{w, s}, r.WithContext(context.WithValue(r.Context(), requestKey{}, req)))
+		defer func() { s.end(resp.cut || broken && Aborted(r.Context())) }()
+		next.ServeHTTP(resp, r)
 		broken = false
 	})
 }
@@ -115,6 +117,8 @@
 type response struct {
 	http.ResponseWriter
 	server *Server
+	// cut is set when the handler gave the request up since the host stops.
+	cut bool
 }
 
 // WriteHeader begins the response.
--- a/internal/selector/server/abort/abort_test.go
+++ b/internal/selector/server/abort/abort_test.go
@@ -63,9 +63,9 @@
 	}{
 		{"is done within the window", func(http.ResponseWriter, *http.Request) { time.Sleep(50 * time.Millisecond) }, 0, true},
 		{"gets its own response in the grace", func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() }, 0, true},
-		{"is given up", func(_ http.ResponseWriter, r *http.Request) {
+		{"is given up", func(w http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
-			abort.Cut(r.Context())
+			abort.Cut(w)
 		}, 1, true},
 		{"breaks off", func(_ http.ResponseWriter, r *http.Request) {
 			<-r.Context().Done()
@@ -95,7 +95,7 @@
 	s, address := startServer(t, func(w http.ResponseWriter, r *http.Request) {
 		close(started)
 		<-r.Context().Done()
-		abort.Cut(r.Context())
+		abort.Cut(w)
 		w.WriteHeader(http.StatusServiceUnavailable)
 	})
 	conn := send(t, address, "/")
