Accept the connections that wait before a drain closes the listener

Cause: Drain closed the listeners at once. Now listeners close 50 ms later, the time in which idle connections are still read.

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -9,6 +9,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cairndock/internal/pause"
 )
 
 // Options are the parts of a Server. Only HTTP is required.
@@ -34,6 +36,8 @@
 
 	mu        sync.Mutex
 	listeners []net.Listener
+	// listening is set until a drain has closed the listeners.
+	listening bool
 	conns     map[*conn]struct{}
 	// drained is closed when the server drains and has no connection.
 	drained chan struct{}
@@ -41,7 +45,7 @@
 
 // New makes a server that does not listen yet.
 func New(o Options) *Server {
-	s := &Server{http: o.HTTP, limits: o.Limits, cut: o.Cut, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
+	s := &Server{http: o.HTTP, limits: o.Limits, cut: o.Cut, listening: true, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
 	if s.limits == nil {
 		s.limits = func() Limits { return Limits{} }
 	}
@@ -85,7 +89,7 @@
 func (s *Server) addListener(l net.Listener) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if draining, _ := s.drainBegan(); draining {
+	if !s.listening {
 		return false
 	}
 	s.listeners = append(s.listeners, l)
@@ -133,7 +137,7 @@
 
 // noteDrained tells Drain when nothing is left; s.mu is held.
 func (s *Server) noteDrained() {
-	if draining, _ := s.drainBegan(); !draining || len(s.conns) > 0 {
+	if s.listening || len(s.conns) > 0 {
 		return
 	}
 	select {
@@ -168,9 +172,10 @@
 // waits until the others have got their responses and ended too. Its error is
 // the context's. It may be called again.
 func (s *Server) Drain(ctx context.Context) error {
-	for _, c := range s.beginDrain() {
-		// An error means that the connection is closed.
-		_ = c.setReadDeadline()
+	now := time.Now()
+	if s.drainAt.CompareAndSwap(nil, &now) {
+		s.endBetweenRequests()
+		s.closeListeners(ctx)
 	}
 	select {
 	case <-s.drained:
@@ -180,18 +185,30 @@
 	}
 }
 
-// beginDrain closes the listeners and gives the connections that are open. One
-// that is accepted after it ends by itself, as it sees that the server drains.
-func (s *Server) beginDrain() []*conn {
+// endBetweenRequests ends the connections that are between requests. One that
+// is accepted after it ends by itself, as it sees that the server drains.
+func (s *Server) endBetweenRequests() {
+	s.mu.Lock()
+	conns := s.open()
+	s.mu.Unlock()
+	for _, c := range conns {
+		// An error means that the connection is closed.
+		_ = c.setReadDeadline()
+	}
+}
+
+// closeListeners closes the listeners after drainIdle, in which connections that
+// the kernel has made already are accepted: with the listener it would reset
+// them, and the requests that were sent on them.
+func (s *Server) closeListeners(ctx context.Context) {
+	pause.For(ctx, drainIdle)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.drainAt.CompareAndSwap(nil, &now)
 	for _, l := range s.listeners {
 		_ = l.Close() // an error means that it is closed already
 	}
+	s.listening = false
 	s.noteDrained()
-	return s.open()
 }
 
 // open gives the connections that are open; s.mu is held.
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -264,3 +266,71 @@
 	require.Error(t, err)
 	require.EqualValues(t, 1, s.cut.Load())
 }
+
+// queueListener has connections that wait to be accepted, and accepts late.
+// Closing it resets those that wait, as the kernel does.
+type queueListener struct {
+	waiting chan net.Conn
+	closed  chan struct{}
+	once    sync.Once
+}
+
+func (l *queueListener) Accept() (net.Conn, error) {
+	time.Sleep(20 * time.Millisecond)
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case c := <-l.waiting:
+		return c, nil
+	}
+}
+
+func (l *queueListener) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		for len(l.waiting) > 0 {
+			_ = (<-l.waiting).Close()
+		}
+	})
+	return nil
+}
+
+func (l *queueListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// A client's connection may be made, and its request sent, before the server
+// has accepted it; a drain that closed the listener at once reset it.
+func TestDrainAcceptsWhatWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const waiting = 2
+		l := &queueListener{waiting: make(chan net.Conn, waiting), closed: make(chan struct{})}
+		s := httpserver.New(httpserver.Options{HTTP: &http.Server{Handler: http.HandlerFunc(ok)}})
+		statuses := make(chan int, waiting)
+		for range waiting {
+			near, far := net.Pipe()
+			l.waiting <- far
+			go func() { statuses <- statusOn(near) }()
+		}
+		served := make(chan error, 1)
+		go func() { served <- s.Serve(l, nil) }()
+		require.NoError(t, s.Drain(t.Context()))
+		for range waiting {
+			require.Equal(t, http.StatusOK, <-statuses)
+		}
+		require.NoError(t, <-served)
+	})
+}
+
+// statusOn sends a request on a connection and gives the response's status, or
+// 0 without a response.
+func statusOn(c net.Conn) int {
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, request); err != nil {
+		return 0
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return 0
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -9,9 +9,9 @@
 	// defaultIdle bounds the idle time of a connection where the limits say
 	// nothing. Chosen, not measured.
 	defaultIdle = 60 * time.Second
-	// drainIdle is how long an idle connection is still read when the server
-	// drains, so that a request that has arrived is answered rather than reset
-	// with the connection. Chosen, not measured: far above the time that a busy
+	// drainIdle is how long connections are still accepted, and idle ones read,
+	// when the server drains, so that a request that has arrived is answered
+	// rather than reset with its connection. Chosen, not measured: far above the time that a busy
 	// host takes to run a goroutine, and little beside a drain.
 	drainIdle = 50 * time.Millisecond
 	// drainFresh is how long after its accept a new connection is read when the
