Give up the idle connections that went silent with one in use

Cause: open connections can go silent for good, without a reset, while new ones work. The pool of an upstream then held up to eight of them, and each cost a request: it timed out, closed its own connection, and left the next request the next silent one. A request that may run only once is not canceled when it is overdue, so meanwhile others took the rest.

Change: when a request on a reused connection times out or is canceled after minSilence (200 ms) without any byte of a response, or has waited maxSilence (1 s) for the first one and waits on, the pool closes the connections to that upstream that became idle before it was sent. A request that ended sooner says nothing: clients leave at any moment. The verdict of the request is as before, and no failure is counted here.

Besides, two ways in which a request could be written to a connection that the upstream was closing. The upstream counts the idle time from the last byte of its response; the pool counted from when the response was closed, after a slow client had taken it, and anew whenever a request took a connection and found its deadline passed. It now counts from the last byte, once.

--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,10 +20,27 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
-	// idleUntil is when the pool closes the connection; it is set by pool.put.
+	// received is how many bytes were read from the upstream.
+	received atomic.Int64
+	// idleSince is when the connection became idle last; zero for a new one.
+	// idleUntil is when the pool closes it. Both are set by pool.put.
+	idleSince time.Time
 	idleUntil time.Time
 }
 
+func newConn(nc net.Conn) *conn {
+	c := &conn{Conn: nc}
+	c.reader = bufio.NewReaderSize(c, readBuffer)
+	return c
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.received.Add(int64(n))
+	return n, err
+}
+
 // errUnexpectedBytes is the error of an idle connection on which bytes arrived:
 // they belong to no request.
 var errUnexpectedBytes = eris.New("unexpected bytes on an idle connection")
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -110,11 +110,13 @@
 	}
 	left := timeLeft(ctx)
 	if left <= 0 {
-		c.pool.put(upstream, nc, 0)
+		c.pool.giveBack(upstream, nc)
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no time left to send").WithUpstream(upstream)
 	}
 	x := &roundTrip{client: c, conn: nc, upstream: upstream, request: r}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
+	x.silence = watchSilence(c.pool, upstream, nc)
+	defer x.silence.stop()
 	if n, err := nc.Write(x.encode(left)); err != nil {
 		return nil, x.fail(ctx, err, n > 0)
 	}
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -1,7 +1,6 @@
 package exchange
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"net/http"
@@ -49,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, reader: bufio.NewReaderSize(nc, readBuffer)}, nil
+	return newConn(nc), nil
 }
 
 // pop takes the connection that became idle last, or nil.
@@ -71,13 +70,30 @@
 	return nil
 }
 
-// put keeps an idle connection for idleTimeout, or for maxIdleTime when that is
-// zero or longer.
-func (p *pool) put(upstream string, c *conn, idleTimeout time.Duration) {
+// put keeps a connection whose last response was read whole at a time. It stays
+// for idleTimeout from then on, or for maxIdleTime when that is zero or longer:
+// the upstream counts from its last byte, however late the response is closed.
+func (p *pool) put(upstream string, c *conn, since time.Time, idleTimeout time.Duration) {
 	if idleTimeout <= 0 || idleTimeout > maxIdleTime {
 		idleTimeout = maxIdleTime
 	}
-	c.idleUntil = time.Now().Add(idleTimeout)
+	c.idleSince = since
+	c.idleUntil = since.Add(idleTimeout)
+	p.add(upstream, c)
+}
+
+// giveBack keeps a connection that get gave and that was not used. That it was
+// taken proves nothing about it, so it stays no longer than it would have.
+func (p *pool) giveBack(upstream string, c *conn) {
+	if c.idleSince.IsZero() {
+		p.put(upstream, c, time.Now(), 0)
+		return
+	}
+	p.add(upstream, c)
+}
+
+// add adds an idle connection unless there are maxIdle.
+func (p *pool) add(upstream string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[upstream]) >= maxIdle {
@@ -87,6 +103,23 @@
 	p.idle[upstream] = append(p.idle[upstream], c)
 }
 
+// closeIdleSince closes the connections to an upstream that became idle before a
+// time and are idle still.
+func (p *pool) closeIdleSince(upstream string, before time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.idle[upstream] = slices.DeleteFunc(p.idle[upstream], func(c *conn) bool {
+		if !c.idleSince.Before(before) {
+			return false
+		}
+		_ = c.Close()
+		return true
+	})
+	if len(p.idle[upstream]) == 0 {
+		delete(p.idle, upstream)
+	}
+}
+
 // retain closes the idle connections to upstreams that keep rejects, and those
 // that were idle too long.
 func (p *pool) retain(keep func(upstream string) bool) {
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -31,6 +31,8 @@
 	// stop ends the watch on the context; it reports false when the context
 	// has ended and interrupt was started.
 	stop func() bool
+	// silence watches for the first byte of a response.
+	silence *silenceWatch
 }
 
 // past is a deadline that has passed.
@@ -107,6 +109,7 @@
 func (x *roundTrip) fail(ctx context.Context, err error, sent bool) error {
 	x.stop()
 	_ = x.conn.Close() // err says what went wrong first
+	x.silence.ended(err)
 	return responseError(ctx, x.upstream, err, sent)
 }
 
@@ -117,15 +120,16 @@
 	// reusable is false when the response ends its connection.
 	reusable    bool
 	idleTimeout time.Duration
-	whole       bool
-	closed      bool
+	// wholeAt is when the body was read whole; zero before.
+	wholeAt time.Time
+	closed  bool
 }
 
 // Read returns io.EOF only when the whole body was read.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
-	if err == io.EOF {
-		b.whole = true
+	if err == io.EOF && b.wholeAt.IsZero() {
+		b.wholeAt = time.Now()
 	}
 	return n, err
 }
@@ -141,9 +145,9 @@
 	b.closed = true
 	x := b.roundTrip
 	interrupted := !x.stop()
-	if !b.whole || !b.reusable || interrupted || x.conn.reader.Buffered() > 0 {
+	if b.wholeAt.IsZero() || !b.reusable || interrupted || x.conn.reader.Buffered() > 0 {
 		return x.conn.Close()
 	}
-	x.client.pool.put(x.upstream, x.conn, b.idleTimeout)
+	x.client.pool.put(x.upstream, x.conn, b.wholeAt, b.idleTimeout)
 	return nil
 }
--- /dev/null
+++ b/internal/gateway/exchange/silence.go
@@ -0,0 +1,74 @@
+package exchange
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+const (
+	// maxSilence is how long a request waits on a reused connection for the
+	// first byte of its response until the pool gives up the connections that
+	// were idle before it. It is above what most responses take, as each slower
+	// one costs dials, and below the deadlines of requests that are not canceled
+	// when they are overdue. Chosen, not measured.
+	maxSilence = time.Second
+	// minSilence is how long a request that timed out or was canceled must have
+	// waited for that. Clients leave at any moment, which says nothing of the
+	// connection; an overdue attempt is canceled after 250 ms at the least.
+	// Chosen, not measured.
+	minSilence = 200 * time.Millisecond
+)
+
+// silenceWatch finds out that a reused connection is silent: no byte came back
+// since a request was written to it. The upstream may only be slow, but if the
+// connection was cut without a reset, then so were those that were idle at that
+// time, and each would cost a request. So the pool closes them, and the next
+// request dials. It proves nothing about the request or the upstream: both are
+// judged by the request's own end.
+type silenceWatch struct {
+	pool     *pool
+	upstream string
+	conn     *conn
+	// began is when the request was sent, and received what had been read from
+	// the connection then.
+	began    time.Time
+	received int64
+	// timer is nil for a new connection, which is not watched.
+	timer *time.Timer
+}
+
+// watchSilence watches a connection to which a request is about to be written.
+// On a new one silence tells nothing about older ones.
+func watchSilence(p *pool, upstream string, c *conn) *silenceWatch {
+	w := &silenceWatch{pool: p, upstream: upstream, conn: c, began: time.Now(), received: c.received.Load()}
+	if !c.idleSince.IsZero() {
+		w.timer = time.AfterFunc(maxSilence, w.check)
+	}
+	return w
+}
+
+// check gives up the older idle connections unless a byte has come. A late call
+// is harmless: the count of bytes never goes back.
+func (w *silenceWatch) check() {
+	if w.conn.received.Load() == w.received {
+		w.pool.closeIdleSince(w.upstream, w.began)
+	}
+}
+
+// ended is called when the request ended with an error. Only a time-out, which
+// is also how a canceled read ends, is silence; a reset is an answer.
+func (w *silenceWatch) ended(err error) {
+	var ne net.Error
+	timedOut := errors.As(err, &ne) && ne.Timeout()
+	if w.timer != nil && timedOut && time.Since(w.began) >= minSilence {
+		w.check()
+	}
+}
+
+// stop ends the watch.
+func (w *silenceWatch) stop() {
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
--- /dev/null
+++ b/internal/gateway/exchange/silence_test.go
@@ -0,0 +1,262 @@
+package exchange_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/dial/dialtest"
+	"cairndock/internal/gateway/exchange"
+)
+
+// idleConns is how many idle connections the pool keeps to one upstream.
+const idleConns = 8
+
+// memoryUpstream is an upstream on a network in memory, and a client of it.
+type memoryUpstream struct {
+	*dialtest.Network
+	client *exchange.Client
+	// takes is how long a response takes, in nanoseconds.
+	takes atomic.Int64
+	// keepAlive is a header line of each response, or empty.
+	keepAlive string
+	nextID    atomic.Int64
+}
+
+func newMemoryUpstream(t *testing.T) *memoryUpstream {
+	n := dialtest.New()
+	t.Cleanup(func() { require.NoError(t, n.Close()) })
+	u := &memoryUpstream{Network: n, client: exchange.NewClient(n.DialContext, protocol{})}
+	t.Cleanup(func() { u.client.Retain(func(string) bool { return false }) })
+	go func() {
+		for {
+			c, err := n.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return u
+}
+
+func (u *memoryUpstream) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	br := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		time.Sleep(time.Duration(u.takes.Load()))
+		response := strings.Replace(ok(r.Header.Get("Id"), "right"), "\r\n", "\r\n"+u.keepAlive, 1)
+		if _, err := io.WriteString(c, response); err != nil {
+			return
+		}
+	}
+}
+
+// begin sends a request and gives the beginning of its response.
+func (u *memoryUpstream) begin(ctx context.Context) (*exchange.Response, error) {
+	id := fmt.Sprint("r", u.nextID.Add(1))
+	return u.client.Send(ctx, "i", "", &exchange.Request{ID: id, Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {id}}})
+}
+
+// send sends a request that is given up after a time, and reads its response.
+func (u *memoryUpstream) send(ctx context.Context, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := u.begin(ctx)
+	if err != nil {
+		return err
+	}
+	_, err = io.ReadAll(resp.Body)
+	_ = resp.Body.Close() // the body is whole or err says why not
+	return err
+}
+
+// fill makes as many idle connections as the pool keeps.
+func (u *memoryUpstream) fill(t *testing.T) {
+	t.Helper()
+	u.takes.Store(int64(50 * time.Millisecond))
+	var wait sync.WaitGroup
+	for range idleConns {
+		wait.Go(func() { require.NoError(t, u.send(t.Context(), time.Second)) })
+	}
+	wait.Wait()
+	require.Equal(t, idleConns, u.client.Idle())
+}
+
+// Open connections go silent for good while new ones work. A pool of them cost
+// one request for each connection: each timed out, closed its own, and left the
+// next request the next silent one.
+func TestAPoolOfSilentConnectionsCostsOneRequest(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// send sends one request, which ends without a response after 500 ms.
+		send func(u *memoryUpstream) error
+	}{
+		{"deadline", func(u *memoryUpstream) error { return u.send(context.Background(), 500*time.Millisecond) }},
+		{"cancel", func(u *memoryUpstream) error {
+			ctx, cancel := context.WithCancel(context.Background())
+			defer time.AfterFunc(500*time.Millisecond, cancel).Stop()
+			return u.send(ctx, time.Minute)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := newMemoryUpstream(t)
+				u.fill(t)
+				time.Sleep(time.Millisecond)
+				u.Silence()
+				began := time.Now()
+				lost := 0
+				for c.send(u) != nil {
+					lost++
+				}
+				dialed, _ := u.Silent()
+				t.Logf("lost %d requests, %v until one was served, %d silent connections left", lost, time.Since(began), dialed)
+				require.Equal(t, 1, lost)
+				require.Zero(t, dialed)
+			})
+		})
+	}
+}
+
+// A request that may run only once is not canceled when it is overdue: it holds
+// its silent connection until its deadline, and meanwhile other requests took
+// the other silent ones.
+func TestARequestThatWaitsLongGivesUpTheOtherSilentConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newMemoryUpstream(t)
+		u.fill(t)
+		time.Sleep(time.Millisecond)
+		u.Silence()
+		began := time.Now()
+		var lost, lastLost atomic.Int64
+		var wait sync.WaitGroup
+		for i := range 16 {
+			wait.Go(func() {
+				time.Sleep(time.Duration(i) * 600 * time.Millisecond)
+				if u.send(t.Context(), 3*time.Second) != nil {
+					lost.Add(1)
+					lastLost.Store(int64(time.Since(began)))
+				}
+			})
+		}
+		wait.Wait()
+		dialed, _ := u.Silent()
+		t.Logf("lost %d of 16 requests, the last after %v, %d silent connections left", lost.Load(), time.Duration(lastLost.Load()), dialed)
+		require.LessOrEqual(t, lost.Load(), int64(2))
+		require.Zero(t, dialed)
+	})
+}
+
+// An upstream that is only slow has its older idle connections closed as well.
+// That costs no new connections under steady traffic: those that went unused since
+// before the slow request are the ones that no request needs. Each bound is what
+// is measured, and the same as without the watch.
+func TestASlowUpstreamCostsFewDials(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		// every is the time between two requests, and timeout when each is given
+		// up. The upstream takes 90 ms, for 10 of 30 s slow. No response
+		// ends at the moment at which a request begins, so no order is left to chance.
+		every, timeout, slow time.Duration
+		// dials is the most that the client may make.
+		dials int
+	}{
+		{"2 requests a second, all served", 500 * time.Millisecond, 3 * time.Second, 1470 * time.Millisecond, 10},
+		{"20 requests a second, all served", 50 * time.Millisecond, 3 * time.Second, 1470 * time.Millisecond, 36},
+		{"20 requests a second, slightly slow", 50 * time.Millisecond, 3 * time.Second, 870 * time.Millisecond, 24},
+		{"2 requests a second, canceled when overdue", 500 * time.Millisecond, 380 * time.Millisecond, 1470 * time.Millisecond, 27},
+		{"20 requests a second, canceled when overdue", 50 * time.Millisecond, 380 * time.Millisecond, 1470 * time.Millisecond, 207},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := newMemoryUpstream(t)
+				u.fill(t)
+				began := time.Now()
+				var wait sync.WaitGroup
+				served, sent := atomic.Int64{}, 0
+				for ; time.Since(began) < 30*time.Second; sent++ {
+					u.takes.Store(int64(90 * time.Millisecond))
+					if at := time.Since(began); at > 10*time.Second && at < 20*time.Second {
+						u.takes.Store(int64(c.slow))
+					}
+					wait.Go(func() {
+						if u.send(t.Context(), c.timeout) == nil {
+							served.Add(1)
+						}
+					})
+					time.Sleep(c.every)
+				}
+				wait.Wait()
+				t.Logf("%d dials for %d requests, %d served", u.Dials(), sent, served.Load())
+				require.LessOrEqual(t, u.Dials(), c.dials)
+			})
+		})
+	}
+}
+
+// The dearest case: a slow request finds the pool full, and a burst needs
+// all of it afterwards. Each such request costs the whole pool.
+func TestASlowRequestBeforeABurstCostsThePool(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := newMemoryUpstream(t)
+		u.fill(t)
+		for range 5 {
+			time.Sleep(time.Second)
+			u.takes.Store(int64(1200 * time.Millisecond))
+			require.NoError(t, u.send(t.Context(), 3*time.Second))
+			u.fill(t)
+		}
+		t.Logf("%d dials for 53 requests", u.Dials())
+		require.LessOrEqual(t, u.Dials(), idleConns+5*(idleConns-1))
+	})
+}
+
+// The upstream closes an idle connection by its own clock, which starts with the
+// last byte of its response. A client that took its response slowly, and a
+// request that found its deadline passed, each started the pool's clock anew, so
+// that a later request was written to a connection that was being closed.
+func TestAnIdleConnectionIsNotKeptBeyondTheUpstreamsTime(t *testing.T) {
+	for name, use := range map[string]func(t *testing.T, u *memoryUpstream){
+		"response closed late": func(t *testing.T, u *memoryUpstream) {
+			resp, err := u.begin(t.Context())
+			require.NoError(t, err)
+			_, err = io.ReadAll(resp.Body)
+			require.NoError(t, err)
+			time.Sleep(2 * time.Second)
+			require.NoError(t, resp.Body.Close())
+		},
+		"request without time left": func(t *testing.T, u *memoryUpstream) {
+			require.NoError(t, u.send(t.Context(), time.Second))
+			time.Sleep(2 * time.Second)
+			require.Error(t, u.send(t.Context(), 0))
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				u := newMemoryUpstream(t)
+				u.keepAlive = "Keep-Alive: timeout=4\r\n"
+				use(t, u)
+				require.Equal(t, 1, u.client.Idle())
+				time.Sleep(1600 * time.Millisecond) // 3.6 s since the last byte
+				require.NoError(t, u.send(t.Context(), time.Second))
+				require.Equal(t, 2, u.Dials())
+			})
+		})
+	}
+}
