Ping peers and close connections to them that went silent

Cause: open connections between hosts can go silent for good while new ones work. What ended a silent stream was the time-out of its caller alone, and what replaced a silent connection was a failed heartbeat (Mesh.Drop). A host that gets its peer's heartbeats, on the connection that the peer made, postpones its own, so its polls of that relay timed out on one silent connection for ever. A caller without a deadline waited for ever, and so did the accepting end: it kept the connection and a handler for each stream on it.

Change: the dialing end pings each 0.5 s while a stream is open, each 15 s otherwise, and closes the connection after four pings that brought no byte: silenceTimeout, 2.5 s from the opening of a stream. Missed pings are counted, not timed, so that a host that was paused does not take its own pause for the peer's silence. The accepting end closes what brought nothing for 5 s while it serves a stream, for 45 s otherwise, looking each 2.5 s. A slow response or a body that is read slowly is no silence. Hosts of an older version send and answer no pings, which their Hello shows; they are treated as before. A stream on a connection that is closed so ends with ErrLost, as on a reset.

Besides, where a peer's process is stuck, bounds that were not the caller's: - A write waited 10 s for the peer to take a whole frame; it waits silenceTimeout for each 64 KB, so that a large frame on a slow link may take longer.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -33,9 +35,10 @@
 	// failed. A peer that closes right after its response makes a credit frame
 	// fail, and the response must not be lost with it. Chosen, not measured.
 	readOutTime = time.Second
-	// writeTimeout bounds the time in which a peer must take a frame. Chosen,
-	// not measured.
-	writeTimeout = 10 * time.Second
+	// maxWrite is how many bytes are written at once. A peer must take them
+	// within silenceTimeout, a large frame on a slow link may take longer.
+	// Chosen, not measured.
+	maxWrite = 64 << 10
 )
 
 // conn is one connection to a peer, on which both ends open streams.
@@ -44,11 +47,13 @@
 	remote  Hello
 	handler Handler
 
-	// writeMu guards writing to net. It is taken before mu.
-	writeMu sync.Mutex
+	// writing holds the token of the one goroutine that writes to net, which is
+	// taken before mu. A channel, since waiting for it ends with a request's
+	// context: another write may be stuck.
+	writing chan struct{}
 	out     []byte
 	// unwritable is set after a failed write, as half a frame may have left.
-	unwritable bool
+	unwritable atomic.Bool
 
 	mu sync.Mutex
 	// nextID is the ID of the last stream opened here.
@@ -63,25 +68,30 @@
 	// closed is closed when it breaks.
 	closed chan struct{}
 	wg     sync.WaitGroup
+
+	keepAlive keepAlive
 }
 
 // newConn does the handshake on a network connection, made or accepted, and
 // starts to serve the peer's streams. It closes the connection on an error.
-func newConn(ctx context.Context, nc net.Conn, self Hello, h Handler) (*conn, error) {
+func newConn(ctx context.Context, nc net.Conn, self Hello, h Handler, r role) (*conn, error) {
 	c := &conn{
 		net:     nc,
+		writing: make(chan struct{}, 1),
 		handler: h,
 		streams: map[uint64]*Stream{},
 		serving: map[uint64]*Responder{},
 		closed:  make(chan struct{}),
 	}
-	reader := bufio.NewReaderSize(nc, readBuffer)
-	if err := c.handshake(self, reader); err != nil {
+	c.keepAlive.role = r
+	reader := bufio.NewReaderSize(listener{nc, &c.keepAlive.heard}, readBuffer)
+	if err := c.handshake(ctx, self, reader); err != nil {
 		_ = nc.Close()
 		return nil, eris.Wrap(err, "handshake")
 	}
 	c.wg.Add(1)
 	go c.readLoop(context.WithoutCancel(ctx), reader)
+	c.startKeepAlive()
 	return c, nil
 }
 
@@ -101,6 +111,9 @@
 	}
 	c.failed = err
 	close(c.closed)
+	if c.keepAlive.timer != nil {
+		c.keepAlive.timer.Stop()
+	}
 	_ = c.net.Close()
 	for _, s := range c.streams {
 		s.fail(ErrLost)
@@ -119,31 +132,33 @@
 
 // write sends a frame. The error is ErrNotSent if nothing of it left this host.
 func (c *conn) write(f *frame) error {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
+	c.writing <- struct{}{}
+	defer func() { <-c.writing }()
 	return c.writeLocked(f)
 }
 
-// writeLocked is write with c.writeMu held.
+// writeLocked is write with the token of c.writing held.
 func (c *conn) writeLocked(f *frame) error {
 	buf, err := appendFrame(c.out[:0], f)
 	if err != nil {
 		return eris.Wrap(ErrNotSent, err.Error())
 	}
 	c.out = buf
-	if c.unwritable || c.err() != nil {
+	if c.unwritable.Load() || c.err() != nil {
 		return ErrNotSent
 	}
-	if f.Type != frameHello { // the handshake has its own deadline
-		// An error means that the connection is closed, which Write reports.
-		_ = c.net.SetWriteDeadline(time.Now().Add(writeTimeout))
-	}
-	if _, err := c.net.Write(buf); err != nil {
-		c.unwritable = true
-		// An error means that the connection is closed, which the read loop
-		// notices.
-		_ = c.net.SetReadDeadline(time.Now().Add(readOutTime))
-		return ErrLost
+	for part := range slices.Chunk(buf, maxWrite) {
+		if f.Type != frameHello { // the handshake has its own deadline
+			// An error means that the connection is closed, which Write reports.
+			_ = c.net.SetWriteDeadline(time.Now().Add(silenceTimeout))
+		}
+		if _, err := c.net.Write(part); err != nil {
+			c.unwritable.Store(true)
+			// An error means that the connection is closed, which the read loop
+			// notices.
+			_ = c.net.SetReadDeadline(time.Now().Add(readOutTime))
+			return ErrLost
+		}
 	}
 	return nil
 }
@@ -151,7 +166,7 @@
 // open opens a stream and waits for its response. The error is ErrNotSent if
 // the peer cannot have got the request. The stream must be closed.
 func (c *conn) open(ctx context.Context, kind Kind, payload []byte) (*Stream, error) {
-	s, err := c.start(kind, payload)
+	s, err := c.start(ctx, kind, payload)
 	if err != nil {
 		return nil, err
 	}
@@ -168,11 +183,15 @@
 	return s, nil
 }
 
-// start sends a stream's first frame. The ID is taken under the lock for
-// writing, so that IDs rise on the wire.
-func (c *conn) start(kind Kind, payload []byte) (*Stream, error) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
+// start sends a stream's first frame. The ID is taken while no one else writes,
+// so that IDs rise on the wire.
+func (c *conn) start(ctx context.Context, kind Kind, payload []byte) (*Stream, error) {
+	select {
+	case c.writing <- struct{}{}:
+		defer func() { <-c.writing }()
+	case <-ctx.Done():
+		return nil, ErrNotSent
+	}
 	s, err := c.register()
 	if err != nil {
 		return nil, err
@@ -194,5 +213,6 @@
 	c.nextID++
 	s := newStream(c, c.nextID)
 	c.streams[s.id] = s
+	c.expectFrames()
 	return s, nil
 }
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -17,7 +17,8 @@
 //     is never used again on its connection.
 //
 // It owns the connections (Mesh), makes them on demand and dials a peer that
-// cannot be reached at most every redialPause. It does not retry requests and
-// does not encrypt: Transport does, and it must also notice silent partitions.
+// cannot be reached at most every redialPause. It pings the peers of open streams,
+// and each end closes a connection that went silent (silenceTimeout). It does not
+// retry requests and does not encrypt: Transport does.
 // Both `cairndock serve` and `cairndock gateway` use it.
 package peer
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -37,6 +37,9 @@
 	frameCancel
 	// frameCredit permits Offset more bytes of body.
 	frameCredit
+	// framePing asks for a framePong at once. Both are of no stream.
+	framePing
+	framePong
 )
 
 // frame is the unit on the wire, an array of its fields in this order.
@@ -87,7 +90,7 @@
 	if err := msgpack.Unmarshal(body, &f); err != nil {
 		return f, eris.Wrap(errFrame, err.Error())
 	}
-	if f.Type < frameHello || f.Type > frameCredit {
+	if f.Type < frameHello || f.Type > framePong {
 		return f, eris.Wrapf(errFrame, "type %d", f.Type)
 	}
 	if f.Offset < 0 {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -21,15 +22,21 @@
 	Host        string `msgpack:"h"`
 	Zone        string `msgpack:"z"`
 	Incarnation string `msgpack:"i"`
+	// KeepAlive says that the sender answers pings. It is set by this package;
+	// hosts of an older version do not know it.
+	KeepAlive bool `msgpack:"k,omitempty"`
 }
 
 // handshake exchanges Hellos and sets c.remote. Its own is sent while it reads
 // the peer's, as both ends send first and a write may block until it is read.
-func (c *conn) handshake(self Hello, reader *bufio.Reader) error {
+func (c *conn) handshake(ctx context.Context, self Hello, reader *bufio.Reader) error {
 	if err := c.net.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
 		return err
 	}
-	self.Version = protocolVersion
+	// The request that waits for the connection may have less time.
+	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
+	defer stop()
+	self.Version, self.KeepAlive = protocolVersion, true
 	hello, err := Encode(self)
 	if err != nil {
 		return err
@@ -52,5 +59,8 @@
 	if c.remote.Version != protocolVersion {
 		return eris.Wrapf(errFrame, "version %q", c.remote.Version)
 	}
+	if !stop() { // the connection is being closed
+		return context.Cause(ctx)
+	}
 	return c.net.SetDeadline(time.Time{})
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -89,7 +89,7 @@
 // is not logged: whoever connected notices it.
 func (m *Mesh) serveConn(nc net.Conn) {
 	defer m.wg.Done()
-	c, err := newConn(context.Background(), nc, m.self, m.handler)
+	c, err := newConn(context.Background(), nc, m.self, m.handler, accepted)
 	if err != nil {
 		return
 	}
@@ -161,9 +161,10 @@
 	return c, nil
 }
 
-// working returns the connection if there is one that is not broken.
+// working returns the connection if there is one that is not broken. One that
+// can't be written to is only read to its end.
 func (p *dialedPeer) working() *conn {
-	if c := p.conn.Load(); c != nil && c.err() == nil {
+	if c := p.conn.Load(); c != nil && c.err() == nil && !c.unwritable.Load() {
 		return c
 	}
 	return nil
@@ -176,7 +177,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newConn(ctx, nc, m.self, m.handler)
+	c, err := newConn(ctx, nc, m.self, m.handler, dialed)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/readloop.go
+++ b/internal/peer/readloop.go
@@ -51,6 +51,9 @@
 		if r != nil {
 			r.receive(f)
 		}
+	case framePing:
+		c.pong()
+	case framePong: // that it came was noted
 	default:
 		return eris.Wrapf(errFrame, "type %d out of place", f.Type)
 	}
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -177,4 +177,5 @@
 	s.conn.mu.Lock()
 	defer s.conn.mu.Unlock()
 	delete(s.conn.streams, s.id)
+	s.conn.expectNothing()
 }
--- a/internal/peer/stream_test.go
+++ b/internal/peer/stream_test.go
@@ -34,7 +34,7 @@
 			return
 		}
 	}()
-	c, err := newConn(context.Background(), here, Hello{Host: "client"}, echoHandler{})
+	c, err := newConn(context.Background(), here, Hello{Host: "client"}, echoHandler{}, dialed)
 	require.NoError(t, err)
 	t.Cleanup(c.close)
 	s, err := c.open(context.Background(), KindForward, []byte("x"))
