Let a dropped connection serve the streams under way

Cause: a heartbeat that timed out dropped the connection to its peer, and with it every other stream on it: a host of serve cut its clients' forwarded requests, whose responses were on the way, for one late heartbeat. And a request that had taken a connection up, and waited to write its first byte, failed when another goroutine closed it meanwhile, though nothing was sent.

Change: Mesh.Drop leaves the connection to its open streams; new requests dial, and it closes with its last stream, or as silent. A connection that is replaced because it can't be written to is kept in the same way, so Mesh.Close waits for it. A request that ends with ErrNotSent on a connection that was closed under it is sent on another, once. A request whose context has ended is not sent.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -63,6 +63,9 @@
 	// streams are those opened here, and serving those opened by the peer.
 	streams map[uint64]*Stream
 	serving map[uint64]*Responder
+	// retired is set when new requests use another connection; this one closes
+	// when its last stream ends.
+	retired bool
 	// failed is why the connection broke; nil while it works.
 	failed error
 	// closed is closed when it breaks.
@@ -106,6 +109,11 @@
 func (c *conn) fail(err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.failLocked(err)
+}
+
+// failLocked is fail with c.mu held.
+func (c *conn) failLocked(err error) {
 	if c.failed != nil {
 		return
 	}
@@ -123,6 +131,30 @@
 	}
 }
 
+// retire leaves the connection to its open streams, and breaks it when there are
+// none: their responses may be on the way, whatever another request waited for.
+func (c *conn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+	c.closeIfUnused()
+}
+
+// closeIfUnused breaks a retired connection without streams; c.mu is held.
+func (c *conn) closeIfUnused() {
+	if c.retired && len(c.streams) == 0 {
+		c.failLocked(ErrLost)
+	}
+}
+
+// usable reports whether new requests may use the connection. One that can't be
+// written to is only read to its end.
+func (c *conn) usable() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.failed == nil && !c.retired && !c.unwritable.Load()
+}
+
 // err returns why the connection broke; nil while it works.
 func (c *conn) err() error {
 	c.mu.Lock()
@@ -190,6 +222,8 @@
 	case c.writing <- struct{}{}:
 		defer func() { <-c.writing }()
 	case <-ctx.Done():
+	}
+	if ctx.Err() != nil { // also where both were ready
 		return nil, ErrNotSent
 	}
 	s, err := c.register()
@@ -207,7 +241,7 @@
 func (c *conn) register() (*Stream, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failed != nil {
+	if c.failed != nil || c.retired {
 		return nil, ErrNotSent
 	}
 	c.nextID++
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"net"
 	"slices"
@@ -38,6 +39,9 @@
 	mu       sync.Mutex
 	dialed   map[string]*dialedPeer
 	accepted map[*conn]struct{}
+	// retired are connections that were dialed, and serve the last of their
+	// streams beside the one that is in dialed.
+	retired  map[*conn]struct{}
 	closed   bool
 	listener net.Listener
 	wg       sync.WaitGroup
@@ -57,7 +61,7 @@
 // NewMesh returns a mesh that identifies itself as self. The handler serves the
 // streams of peers.
 func NewMesh(self Hello, t Transport, h Handler) *Mesh {
-	return &Mesh{self: self, transport: t, handler: h, dialed: map[string]*dialedPeer{}, accepted: map[*conn]struct{}{}}
+	return &Mesh{self: self, transport: t, handler: h, dialed: map[string]*dialedPeer{}, accepted: map[*conn]struct{}{}, retired: map[*conn]struct{}{}}
 }
 
 // Listen accepts connections at an address, and returns the address in use.
@@ -115,6 +119,15 @@
 	if err != nil {
 		return nil, err
 	}
+	s, err := c.open(ctx, kind, payload)
+	if err == nil || !errors.Is(err, ErrNotSent) || c.usable() {
+		return s, err
+	}
+	// The connection was closed between the two calls, perhaps for another
+	// request's sake. Nothing was sent, so another may carry this one.
+	if c, err = m.connect(ctx, addr); err != nil {
+		return nil, err
+	}
 	return c.open(ctx, kind, payload)
 }
 
@@ -157,14 +170,33 @@
 		return nil, p.err
 	}
 	p.err = nil
-	p.conn.Store(c)
+	if old := p.conn.Swap(c); old != nil && old.err() == nil {
+		m.retire(old)
+	}
 	return c, nil
 }
 
-// working returns the connection if there is one that is not broken. One that
-// can't be written to is only read to its end.
+// retire keeps a connection that was replaced until it breaks.
+func (m *Mesh) retire(c *conn) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
+		go c.close()
+		return
+	}
+	m.retired[c] = struct{}{}
+	m.wg.Go(func() {
+		<-c.closed
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.retired, c)
+	})
+	c.retire()
+}
+
+// working returns the connection if there is one that new requests may use.
 func (p *dialedPeer) working() *conn {
-	if c := p.conn.Load(); c != nil && c.err() == nil && !c.unwritable.Load() {
+	if c := p.conn.Load(); c != nil && c.usable() {
 		return c
 	}
 	return nil
@@ -190,8 +222,9 @@
 	return c, nil
 }
 
-// Drop breaks the connection to a peer that no longer responds. The next
-// request makes a new one.
+// Drop gives up the connection to a peer that no longer responds. The next
+// request makes a new one. Open streams of other requests keep the old one until
+// they end, or it breaks or is found to be silent.
 func (m *Mesh) Drop(addr string) {
 	m.mu.Lock()
 	p := m.dialed[addr]
@@ -200,7 +233,7 @@
 		return
 	}
 	if c := p.conn.Load(); c != nil {
-		c.fail(ErrLost)
+		c.retire()
 	}
 }
 
@@ -213,6 +246,7 @@
 		_ = m.listener.Close()
 	}
 	conns := slices.Collect(maps.Keys(m.accepted))
+	conns = slices.AppendSeq(conns, maps.Keys(m.retired))
 	dialed := slices.Collect(maps.Values(m.dialed))
 	m.mu.Unlock()
 	for _, p := range dialed {
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -178,4 +178,5 @@
 	defer s.conn.mu.Unlock()
 	delete(s.conn.streams, s.id)
 	s.conn.expectNothing()
+	s.conn.closeIfUnused()
 }
