Count a failed dial only if the caller gave it time

Cause: the callers of a peer share its dial. One whose context ended during the dial recorded it as a failure, and for redialPause (0.5 s) every other request to the peer failed at once, though it was there.

Change: a dial that its caller cut off counts only after redialPause.

TestARequestWithLittleTimeLeftDoesNotBarItsPeer on the code before: received unexpected error, not sent (50 ms left, a dial of 100 ms; the next request).

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -164,10 +164,15 @@
 	if p.err != nil && time.Since(p.failedAt) < redialPause {
 		return nil, p.err
 	}
+	began := time.Now()
 	c, err := m.dial(ctx, addr)
 	if err != nil {
-		p.err, p.failedAt = eris.Wrap(ErrNotSent, err.Error()), time.Now()
-		return nil, p.err
+		err = eris.Wrap(ErrNotSent, err.Error())
+		// A caller with little time left says nothing of the peer.
+		if ctx.Err() == nil || time.Since(began) >= redialPause {
+			p.err, p.failedAt = err, time.Now()
+		}
+		return nil, err
 	}
 	p.err = nil
 	if old := p.conn.Swap(c); old != nil && old.err() == nil {
--- a/internal/peer/stuck_test.go
+++ b/internal/peer/stuck_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/dial/dialtest"
+	"cairndock/internal/pause"
 )
 
 // stuckPeer is the other end of a connection to a peer whose process is stuck:
@@ -65,6 +66,36 @@
 	})
 }
 
+// Dialing takes 100 ms here. A request that had less time left failed, and each
+// other request to the peer failed with it for the next half second.
+func TestARequestWithLittleTimeLeftDoesNotBarItsPeer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := dialtest.New()
+		server := NewMesh(Hello{Host: "server"}, memoryTransport{n}, &waitHandler{})
+		defer server.Close()
+		_, err := server.Listen("")
+		require.NoError(t, err)
+		client := NewMesh(Hello{Host: "client"}, slowTransport{memoryTransport{n}}, echoHandler{})
+		defer client.Close()
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		_, err = Call[string](ctx, client, "", KindForward, "x")
+		require.ErrorIs(t, err, ErrNotSent)
+		_, err = Call[string](t.Context(), client, "", KindForward, "x")
+		require.NoError(t, err)
+	})
+}
+
+// slowTransport takes 100 ms to dial.
+type slowTransport struct{ memoryTransport }
+
+func (t slowTransport) Dial(ctx context.Context, addr string) (net.Conn, error) {
+	if !pause.For(ctx, 100*time.Millisecond) {
+		return nil, ctx.Err()
+	}
+	return t.memoryTransport.Dial(ctx, addr)
+}
+
 // While one request's frame is stuck, the others waited for it whatever their own
 // time-outs were.
 func TestARequestBehindAStuckOneEndsInItsOwnTime(t *testing.T) {
