--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -7,8 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
@@ -20,9 +18,6 @@
 // Chosen, not measured.
 const maxRefusal = 16 << 10
 
-// errSuperseded cancels an attempt whose request another attempt has answered.
-var errSuperseded = eris.New("another upstream responded first")
-
 // attempt is one attempt of a request at one upstream, in a goroutine of its own.
 type attempt struct {
 	inflight *inflight
@@ -36,13 +31,16 @@
 	// it is not known yet.
 	overdueAfter time.Duration
 	timer        *time.Timer
-	wait         atomic.Uint32
+	// wait is the waitState, which the attempt's end and its timer set.
+	wait atomic.Uint32
 }
 
-// What became of an attempt's wait for its response (attempt.wait).
+// waitState is what became of an attempt's wait for its response.
+type waitState = uint32
+
 const (
 	// waiting: neither the response nor the timer has come.
-	waiting uint32 = iota
+	waiting waitState = iota
 	// inTime: the attempt ended before the timer.
 	inTime
 	// overdue: the timer came first, and the attempt goes on.
@@ -53,6 +51,8 @@
 // has come.
 func (a *attempt) markOverdue() bool { return a.wait.CompareAndSwap(waiting, overdue) }
 
+func (a *attempt) isOverdue() bool { return a.wait.Load() == overdue }
+
 // settle ends the wait, and reports whether the response was in time.
 func (a *attempt) settle() bool {
 	if a.timer != nil {
@@ -86,8 +86,8 @@
 		err = a.inflight.accept(u.ID, resp)
 	}
 	a.inflight.recordHealth(u.ID, a.settle(), resp, err, a.began)
-	if err != nil && errors.Is(context.Cause(ctx), errSuperseded) {
-		return nil, verdict.New(verdict.From(err).Verdict, verdict.Superseded, "%v", errSuperseded).WithUpstream(u.ID)
+	if err != nil && isSuperseded(ctx) {
+		return nil, superseded(u.ID, verdict.From(err).Verdict)
 	}
 	return resp, err
 }
@@ -118,8 +118,8 @@
 	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
 	if err != nil {
 		_ = resp.Body.Close() // the attempt has failed already
-		f.proxy.release(id, outlier.Failed)
-		e := truncated(id, err, ctx.Err() != nil)
+		e := truncated(ctx, id, err)
+		f.proxy.release(id, outcomeOfTruncated(e.Reason))
 		if isUpstreamFault(e.Reason) {
 			f.proxy.Detector.RecordFailure(id, time.Now())
 		}
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -1,9 +1,13 @@
 package proxy
 
 import (
+	"context"
+	"errors"
 	"net/http"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/verdict"
@@ -40,16 +44,42 @@
 	}
 }
 
-// truncated is the error of a response that broke off before it was buffered.
-// contextEnded says that the gateway itself ended it.
-func truncated(upstream string, err error, contextEnded bool) *verdict.Error {
+// errSuperseded cancels an attempt whose request another attempt has answered.
+var errSuperseded = eris.New("another upstream responded first")
+
+// isSuperseded reports whether that is why an attempt's context ended.
+func isSuperseded(ctx context.Context) bool { return errors.Is(context.Cause(ctx), errSuperseded) }
+
+// superseded is the error of such an attempt.
+func superseded(upstream string, v verdict.Verdict) *verdict.Error {
+	return verdict.New(v, verdict.Superseded, "%v", errSuperseded).WithUpstream(upstream)
+}
+
+// truncated is the error of a response that broke off before it was buffered,
+// or that the gateway itself ended with the attempt's context.
+func truncated(ctx context.Context, upstream string, err error) *verdict.Error {
 	reason := verdict.AnswerTruncated
-	if contextEnded {
+	switch {
+	case isSuperseded(ctx):
+		return superseded(upstream, verdict.MayHaveRun)
+	case errors.Is(ctx.Err(), context.Canceled):
+		reason = verdict.CallerLeft
+	case ctx.Err() != nil:
 		reason = verdict.DeadlineLapsed
 	}
 	return verdict.New(verdict.MayHaveRun, reason, "the response broke off: %v", err).WithUpstream(upstream)
 }
 
+// outcomeOfTruncated gives how such an attempt counts among this host's failures
+// in a row. A body that stalls until the deadline is the upstream's failure; one
+// that nobody waits for any more says nothing of it.
+func outcomeOfTruncated(r verdict.Reason) outlier.Outcome {
+	if r == verdict.Superseded || r == verdict.CallerLeft {
+		return outlier.Canceled
+	}
+	return outlier.Failed
+}
+
 // The outlier detector counts an upstream's failures twice: as evidence that the
 // hosts of a region share (isUpstreamFault, recordHealth), and in a row at this
 // host alone (outcomeOf, outcomeOfForward, release).
--- a/internal/gateway/proxy/classify_test.go
+++ b/internal/gateway/proxy/classify_test.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"context"
 	"errors"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -69,10 +71,29 @@
 }
 
 func TestATruncatedResponseMayHaveRun(t *testing.T) {
-	for reason, contextEnded := range map[verdict.Reason]bool{verdict.AnswerTruncated: false, verdict.DeadlineLapsed: true} {
-		e := truncated("i-1", errors.New("unexpected EOF"), contextEnded)
-		require.Equal(t, verdict.MayHaveRun, e.Verdict)
-		require.Equal(t, reason, e.Reason)
-		require.Equal(t, "i-1", e.Upstream)
+	late, cancelLate := context.WithDeadline(t.Context(), time.Now())
+	defer cancelLate()
+	left, cancelLeft := context.WithCancel(t.Context())
+	cancelLeft()
+	answered, cancelAnswered := context.WithCancelCause(t.Context())
+	cancelAnswered(errSuperseded)
+	for _, c := range []struct {
+		name    string
+		ctx     context.Context
+		reason  verdict.Reason
+		outcome outlier.Outcome
+	}{
+		{"by the upstream", t.Context(), verdict.AnswerTruncated, outlier.Failed},
+		{"at the deadline", late, verdict.DeadlineLapsed, outlier.Failed},
+		{"as the client left", left, verdict.CallerLeft, outlier.Canceled},
+		{"as another attempt was answered", answered, verdict.Superseded, outlier.Canceled},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			e := truncated(c.ctx, "i-1", errors.New("unexpected EOF"))
+			require.Equal(t, verdict.MayHaveRun, e.Verdict)
+			require.Equal(t, c.reason, e.Reason)
+			require.Equal(t, "i-1", e.Upstream)
+			require.Equal(t, c.outcome, outcomeOfTruncated(e.Reason))
+		})
 	}
 }
--- a/internal/gateway/proxy/cut_test.go
+++ b/internal/gateway/proxy/cut_test.go
@@ -23,9 +23,9 @@
 //     closed the connection, which still counted as idle;
 //  3. the goroutine ran again, parsed the request and sent it to an upstream.
 //
-// The evidence is the host's own log: a cut line with the cause idle, then a
-// final line with client cut, within a millisecond. Whoever decides to end a
-// connection must know what was read from it.
+// The evidence is the host's own log: the idle end had closed the connection 12
+// ms before the request was served, and the final line said that the client was
+// cut off. Whoever decides to end a connection must know what was read from it.
 
 // lateListener accepts connections whose reads return late.
 type lateListener struct {
@@ -129,3 +129,45 @@
 	requireAnswer(t, c)
 	require.Zero(t, <-aborted)
 }
+
+// slowAccept returns a connection some time after the kernel made it.
+type slowAccept struct{ net.Listener }
+
+func (l slowAccept) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		time.Sleep(300 * time.Millisecond)
+	}
+	return c, err
+}
+
+// A stop must not count as done while a connection has been accepted that no
+// one knows of yet.
+func TestARequestOnAConnectionThatIsBeingAcceptedAtAStopIsAnswered(t *testing.T) {
+	t.Parallel()
+	g := newTestGateway(t)
+	g.setClientLimits(time.Minute, time.Minute)
+	g.addUpstream(func(c net.Conn, r *http.Request) {
+		time.Sleep(150 * time.Millisecond)
+		healthy(c, r)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := proxy.NewServer(g.proxy)
+	t.Cleanup(s.Close)
+	s.ServeClients(slowAccept{l})
+	stopped := make(chan int64, 1)
+	go func() {
+		n := s.Stop(t.Context(), 2*time.Second)
+		s.Close() // as the process ends
+		stopped <- n
+	}()
+	time.Sleep(800 * time.Millisecond) // the listener is closed from 0.9 s on
+	c, err := net.Dial("tcp", l.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, rawRequest)
+	require.NoError(t, err)
+	requireAnswer(t, c)
+	require.Zero(t, <-stopped)
+}
--- a/internal/gateway/proxy/export_test.go
+++ b/internal/gateway/proxy/export_test.go
@@ -1,7 +1,13 @@
 package proxy
 
-import "net"
+import (
+	"net"
+	"net/http"
+)
 
 // ServeClients accepts clients of a listener, as ListenClients does at an
 // address.
 func (s *Server) ServeClients(l net.Listener) { s.serve(s.clients, l) }
+
+// ServeOther serves a handler of a listener, as Listen does at an address.
+func (s *Server) ServeOther(l net.Listener, h http.Handler) { s.serveOther(l, h) }
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -85,6 +85,11 @@
 }
 
 func newTracedGateway(t *testing.T, traces trace.TracerProvider) *testGateway {
+	t.Helper()
+	return newGateway(t, traces, retry.Limits{Ratio: 1, Window: time.Second, Slack: 100})
+}
+
+func newGateway(t *testing.T, traces trace.TracerProvider, retries retry.Limits) *testGateway {
 	t.Helper()
 	g := &testGateway{t: t, log: &logBuffer{}, capacity: 2}
 	m := telemetry.NewMetrics()
@@ -96,7 +101,7 @@
 	g.proxy = proxy.New(proxy.Options{
 		State: g.state, Detector: detector,
 		Balancer: balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, oneHost{}, detector),
-		Budget:   retry.NewBudget(retry.Limits{Ratio: 1, Window: time.Second, Slack: 100}),
+		Budget:   retry.NewBudget(retries),
 		Client:   exchange.NewClient(dial.New(200*time.Millisecond).DialContext, protocol{}),
 		Codec:    codec{}, Hosts: func() int { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
+	"slices"
 	"time"
 
 	"cairndock/internal/gateway/balance"
@@ -23,6 +26,8 @@
 	attempt *attempt
 	resp    *response
 	err     error
+	// panicked is what the attempt panicked with, and where; nil otherwise.
+	panicked error
 }
 
 // newAttempts has room in its channels for every attempt that the route allows,
@@ -43,20 +48,25 @@
 		a.timer = time.AfterFunc(a.overdueAfter, func() { s.overdue <- a })
 	}
 	s.running = append(s.running, a)
-	go func() {
-		resp, err := a.do(ctx)
-		s.ends <- attemptEnd{a, resp, err}
-	}()
+	go s.do(ctx, a)
 }
 
-// ended takes an attempt off those that run.
-func (s *attempts) ended(a *attempt) {
-	for i, r := range s.running {
-		if r == a {
-			s.running = append(s.running[:i], s.running[i+1:]...)
-			return
+// do makes an attempt. A panic is passed to the goroutine that serves the
+// request, where it ends one connection and not the process.
+func (s *attempts) do(ctx context.Context, a *attempt) {
+	end := attemptEnd{attempt: a}
+	defer func() {
+		if v := recover(); v != nil {
+			end = attemptEnd{attempt: a, panicked: fmt.Errorf("attempt: %v\n%s", v, debug.Stack())}
 		}
-	}
+		s.ends <- end
+	}()
+	end.resp, end.err = a.do(ctx)
+}
+
+// forget takes an attempt that has ended off those that run.
+func (s *attempts) forget(a *attempt) {
+	s.running = slices.DeleteFunc(s.running, func(r *attempt) bool { return r == a })
 }
 
 // take takes the end of an attempt. done is set when the request has its
@@ -64,20 +74,32 @@
 // next one has begun.
 func (s *attempts) take(end attemptEnd) (resp *response, err error, done bool) {
 	f := s.inflight
-	s.ended(end.attempt)
+	s.forget(end.attempt)
+	if end.panicked != nil {
+		panic(end.panicked) // the http.Server logs it and ends the connection
+	}
 	if end.err == nil {
 		return end.resp, nil, true
 	}
 	f.noteFailed(end.err)
-	if len(s.running) > 0 {
+	if s.onTime() {
 		return nil, nil, false
 	}
 	c, err := f.retry(s.ctx, end.err)
-	if err != nil {
+	switch {
+	case err == nil:
+		s.start(c)
+		return nil, nil, false
+	case len(s.running) > 0:
+		return nil, nil, false
+	default:
 		return nil, f.finalVerdict(err), true
 	}
-	s.start(c)
-	return nil, nil, false
+}
+
+// onTime reports whether an attempt runs that is not overdue.
+func (s *attempts) onTime() bool {
+	return slices.ContainsFunc(s.running, func(a *attempt) bool { return !a.isOverdue() })
 }
 
 // hedge sends a request whose response is overdue, which counts as a failure of
@@ -91,7 +113,7 @@
 	}
 	f, now := s.inflight, time.Now()
 	f.proxy.Detector.RecordFailure(a.choice.Upstream.ID, now)
-	if !mayHedge(f.retryState(), f.deadline().Sub(now), a.overdueAfter) {
+	if f.ended(s.ctx) || !mayHedge(f.retryState(), f.deadline().Sub(now), a.overdueAfter) {
 		return
 	}
 	if c, err := f.chooseRetry(now); err == nil {
@@ -111,7 +133,11 @@
 	}
 	go func() {
 		for range left {
-			if end := <-s.ends; end.err == nil {
+			end := <-s.ends
+			switch {
+			case end.panicked != nil:
+				s.inflight.proxy.Log.Process("panic", end.panicked.Error())
+			case end.err == nil:
 				s.inflight.proxy.discard(end.resp)
 			}
 		}
--- a/internal/gateway/proxy/hedge_test.go
+++ b/internal/gateway/proxy/hedge_test.go
@@ -3,13 +3,20 @@
 import (
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 
+	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
+	"cairndock/internal/telemetry"
 )
 
 // Clients got 504 long before their deadline, from hosts that were stopping and
@@ -40,16 +47,33 @@
 func newOverdueGateway(t *testing.T) (g *testGateway, requests *atomic.Int64) {
 	t.Helper()
 	g = newTestGateway(t)
+	var o overdueOnce
+	requests = g.addOverdue(&o, o.respond)
+	return g, requests
+}
+
+// addOverdue puts a route of three attempts in force and adds an upstream whose
+// responses become late once there is a latency baseline.
+func (g *testGateway) addOverdue(o *overdueOnce, respond func(net.Conn, *http.Request)) *atomic.Int64 {
+	g.t.Helper()
 	r := testRoute(route.Repeatable)
-	r.Timeout = 2 * time.Second
+	r.Timeout, r.Attempts = 2*time.Second, 3
 	g.setRoutes(r)
-	var o overdueOnce
-	requests = g.addUpstream(o.respond)
-	for key := range 64 { // for the latency baseline
-		require.Equal(t, http.StatusOK, g.getKey(key))
+	requests := g.addUpstream(respond)
+	for key := range 64 {
+		require.Equal(g.t, http.StatusOK, g.getKey(key))
 	}
 	o.late.Store(true)
-	return g, requests
+	return requests
+}
+
+// requireLogged waits until the log has some texts: an attempt that was
+// superseded ends after its request.
+func (g *testGateway) requireLogged(texts ...string) {
+	g.t.Helper()
+	for _, text := range texts {
+		require.Eventually(g.t, func() bool { return strings.Contains(g.log.String(), text) }, 2*time.Second, 5*time.Millisecond, text)
+	}
 }
 
 func TestAnOverdueAttemptGoesOnWhileThereIsNoOtherUpstream(t *testing.T) {
@@ -110,3 +134,99 @@
 		})
 	}
 }
+
+// A second upstream that refuses leaves an overdue request no worse than if it
+// had been sent nowhere else: a third one is tried.
+func TestAHedgeThatIsRefusedIsFollowedByAnother(t *testing.T) {
+	for key := range 12 { // some prefer the upstreams in this order
+		t.Run(strconv.Itoa(key), func(t *testing.T) {
+			t.Parallel()
+			g := newTestGateway(t)
+			var o overdueOnce
+			g.addOverdue(&o, func(c net.Conn, r *http.Request) {
+				if o.late.Load() {
+					silent(c, r)
+				}
+				healthy(c, r)
+			})
+			g.addUpstream(shedding)
+			g.addUpstream(healthy)
+			require.Equal(t, http.StatusOK, g.getKey(key))
+		})
+	}
+}
+
+// A response that arrives late and stalls is dropped for the one that is whole,
+// which says nothing of a deadline.
+func TestAStalledResponseIsSupersededByAWholeOne(t *testing.T) {
+	g := newTestGateway(t)
+	var o overdueOnce
+	g.addOverdue(&o, func(c net.Conn, r *http.Request) {
+		if !o.late.Load() {
+			healthy(c, r)
+			return
+		}
+		time.Sleep(350 * time.Millisecond)
+		half(c, r, 4, 50)
+		_, _ = c.Read(make([]byte, 1)) // until it is canceled
+	})
+	second := g.addUpstream(func(c net.Conn, r *http.Request) {
+		time.Sleep(300 * time.Millisecond)
+		healthy(c, r)
+	})
+	for key := 0; !strings.Contains(g.log.String(), "superseded"); key++ {
+		require.Less(t, key, 50)
+		require.Equal(t, http.StatusOK, g.getKey(key))
+		time.Sleep(20 * time.Millisecond) // for the log
+	}
+	require.Positive(t, second.Load())
+	require.NotContains(t, g.log.String(), "deadline-lapsed")
+	require.NotContains(t, g.log.String(), "answer-truncated")
+}
+
+// A retry for which there is no upstream is not used up.
+func TestAHedgeWithoutAnUpstreamCostsNoRetry(t *testing.T) {
+	// One retry is left, as a part of the limit is not used.
+	g := newGateway(t, noop.NewTracerProvider(), retry.Limits{Window: time.Minute, Slack: 2})
+	var o overdueOnce
+	g.addOverdue(&o, o.respond)
+	for range 3 {
+		require.Equal(t, http.StatusOK, g.getKey(1))
+	}
+	second := g.addUpstream(healthy)
+	for key := 0; second.Load() == 0; key++ {
+		require.Less(t, key, 50)
+		g.getKey(key)
+	}
+	require.Equal(t, http.StatusOK, g.getKey(1), "the overdue one's")
+}
+
+// Two attempts run at a time, and each upstream gets the span of its own.
+func TestTwoAttemptsAtATimeHaveSpansOfTheirOwn(t *testing.T) {
+	telemetry.UseW3C()
+	g := newTracedGateway(t, sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.AlwaysSample())))
+	var o overdueOnce
+	var spans sync.Map // by request and upstream
+	note := func(r *http.Request) {
+		spans.Store(r.Header.Get(headerID)+r.Header.Get(headerTo), r.Header.Get("Traceparent"))
+	}
+	g.addOverdue(&o, func(c net.Conn, r *http.Request) {
+		note(r)
+		o.respond(c, r)
+	})
+	second := g.addUpstream(func(c net.Conn, r *http.Request) {
+		note(r)
+		healthy(c, r)
+	})
+	for key := 100; ; key++ {
+		require.Less(t, key, 150)
+		require.Equal(t, http.StatusOK, g.getKey(key))
+		one, ok1 := spans.Load(strconv.Itoa(key) + "i-1")
+		two, ok2 := spans.Load(strconv.Itoa(key) + "i-2")
+		if ok1 && ok2 {
+			require.NotEqual(t, one, two)
+			break
+		}
+	}
+	require.Positive(t, second.Load())
+}
--- a/internal/gateway/proxy/hedgerule_test.go
+++ b/internal/gateway/proxy/hedgerule_test.go
@@ -1,12 +1,16 @@
 package proxy
 
 import (
+	"context"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
@@ -39,7 +43,7 @@
 			f := &inflight{
 				proxy: New(Options{Detector: detector, Hosts: func() int { return 1 }, Budget: retry.NewBudget(retry.Limits{Window: time.Second, Slack: c.retries})}),
 				route: &route.Route{Repeat: c.repeat, Attempts: 2, Timeout: time.Minute},
-				tried: []string{"i-1"}, began: time.Now(),
+				tried: []string{"i-1"}, began: time.Now(), client: t.Context(),
 			}
 			canceled := false
 			a := &attempt{
@@ -65,3 +69,46 @@
 		})
 	}
 }
+
+// anyQuota is a balance.WarmUpQuotas.
+type anyQuota struct{}
+
+func (anyQuota) WarmUpQuota(string, string, float64) int { return 1 }
+
+// A response that came too late takes no room at its upstream any more.
+func TestAResponseThatIsDroppedReleasesItsUpstream(t *testing.T) {
+	detector := outlier.New(ignoreEjections{})
+	p := New(Options{Detector: detector, Balancer: balance.New(balance.Location{}, anyQuota{}, detector)})
+	u := &upstream.Upstream{Registration: upstream.Registration{ID: "i-1", Capacity: 1}}
+	q := balance.Query{Upstreams: []*upstream.Upstream{u}, Now: time.Now()}
+	c, reason := p.Balancer.Choose(q)
+	require.Equal(t, balance.Chosen, reason)
+
+	f := &inflight{proxy: p, route: &route.Route{Attempts: 2}}
+	s := f.newAttempts(t.Context())
+	ctx, cancel := context.WithCancelCause(t.Context())
+	a := &attempt{inflight: f, choice: c, cancel: cancel}
+	s.running = []*attempt{a}
+	closed := make(chan struct{})
+	body := closer{strings.NewReader(""), func() { close(closed) }}
+	s.ends <- attemptEnd{attempt: a, resp: &response{Response: &exchange.Response{Body: body}, upstream: "i-1"}}
+	s.abandon()
+	require.True(t, isSuperseded(ctx))
+	<-closed
+	require.Eventually(t, func() bool {
+		c, _ := p.Balancer.Choose(q)
+		defer p.Balancer.Done("i-1")
+		return c.Load == 0
+	}, time.Second, time.Millisecond)
+}
+
+// closer is a body.
+type closer struct {
+	io.Reader
+	close func()
+}
+
+func (c closer) Close() error {
+	c.close()
+	return nil
+}
--- a/internal/gateway/proxy/overdue_test.go
+++ b/internal/gateway/proxy/overdue_test.go
@@ -73,8 +73,7 @@
 			}
 			require.Equal(t, http.StatusOK, status)
 			require.Equal(t, before+1, good.Load())
-			require.Contains(t, g.log.String(), `"outcome":"superseded"`)
-			require.Contains(t, g.log.String(), "another upstream responded first")
+			g.requireLogged(`"outcome":"superseded"`, "another upstream responded first")
 			require.NotContains(t, g.log.String(), `"outcome":"deadline-lapsed"`, "no deadline has passed")
 		})
 	}
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -32,7 +32,8 @@
 	}
 }
 
-// mayRetry is the rule for a request whose only attempt failed. ended is set
+// mayRetry is the rule for a request of which an attempt failed and none is left
+// that is on time. ended is set
 // when there is nobody to serve: the deadline passed, the host aborts or the
 // client left.
 func mayRetry(s retryState, ended bool) bool {
@@ -42,7 +43,7 @@
 // retry chooses the upstream of the next attempt after one failed. Otherwise it
 // gives the error to end the request with.
 func (f *inflight) retry(ctx context.Context, failed error) (balance.Choice, error) {
-	if !mayRetry(f.retryState(), ctx.Err() != nil || f.client.Err() != nil) {
+	if !mayRetry(f.retryState(), f.ended(ctx)) {
 		return balance.Choice{}, failed
 	}
 	c, err := f.chooseRetry(time.Now())
@@ -52,6 +53,9 @@
 	return c, err
 }
 
+// ended reports whether there is nobody to serve.
+func (f *inflight) ended(ctx context.Context) bool { return ctx.Err() != nil || f.client.Err() != nil }
+
 // noteFailed remembers an attempt's error if the request may have run.
 func (f *inflight) noteFailed(err error) {
 	if e := verdict.From(err); e.Verdict != verdict.NotRun {
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 
 	"github.com/rotisserie/eris"
 
@@ -62,10 +63,14 @@
 	if err != nil {
 		return eris.Wrap(err, "listen")
 	}
+	s.serveOther(l, h)
+	return nil
+}
+
+func (s *Server) serveOther(l net.Listener, h http.Handler) {
 	server := httpserver.New(httpserver.Options{HTTP: &http.Server{Handler: h}})
 	s.others = append(s.others, server)
 	s.serve(server, l)
-	return nil
 }
 
 func (s *Server) serve(server *httpserver.Server, l net.Listener) {
@@ -82,9 +87,11 @@
 // drainOthers finishes what the listeners other than the clients' have read, as
 // far as the context allows; Close ends the rest.
 func (s *Server) drainOthers(ctx context.Context) {
+	var wait sync.WaitGroup
 	for _, other := range s.others {
-		_ = other.Drain(ctx)
+		wait.Go(func() { _ = other.Drain(ctx) })
 	}
+	wait.Wait()
 }
 
 // Close closes all listeners and connections at once.
--- a/internal/gateway/proxy/stop.go
+++ b/internal/gateway/proxy/stop.go
@@ -60,12 +60,10 @@
 }
 
 // abort ends the requests in flight with error responses, and returns how many
-// there were. A connection that has sent a part of a header has none.
+// there were. It waits also without any: a request may have been read, or its
+// response not be written to its end.
 func (s *Server) abort(ctx context.Context) int64 {
 	aborted := s.proxy.InFlight()
-	if aborted == 0 {
-		return 0
-	}
 	s.proxy.abort()
 	ctx, cancel := context.WithTimeout(ctx, abortGrace)
 	defer cancel()
--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -65,7 +65,11 @@
 	s, address := g.listen()
 	g.server.URL = "http://" + address
 	cut := make(chan int64, 1)
-	time.AfterFunc(50*time.Millisecond, func() { cut <- s.Stop(t.Context(), time.Second) })
+	time.AfterFunc(50*time.Millisecond, func() {
+		n := s.Stop(t.Context(), time.Second)
+		s.Close() // as the process ends
+		cut <- n
+	})
 	resp, _, err := g.do(t.Context(), http.MethodPost, "/x/", "b")
 	require.NoError(t, err)
 	require.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
@@ -73,3 +77,48 @@
 	require.Equal(t, string(verdict.Interrupted), resp.Header.Get("Reason"))
 	require.EqualValues(t, 1, <-cut)
 }
+
+// A refusal, too, tells the client not to come back on its connection.
+func TestARefusalOfAStoppingHostTellsTheClientToLeave(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Once)) // without an upstream
+	resp, _ := g.get()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.False(t, resp.Close)
+	g.proxy.Drain()
+	resp, _ = g.get()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.True(t, resp.Close)
+}
+
+// The directory, readiness and metrics are answered to the end, whatever a
+// connection of one of the others waits for.
+func TestAStopAnswersOnAllListeners(t *testing.T) {
+	g := newTestGateway(t)
+	s, _ := g.listen()
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(60 * time.Millisecond)
+		w.WriteHeader(http.StatusNoContent)
+	})
+	addresses := make([]string, 2)
+	for i := range addresses {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		addresses[i] = l.Addr().String()
+		s.ServeOther(l, slow)
+	}
+	silent, err := net.Dial("tcp", addresses[0])
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = silent.Close() })
+	asked := make(chan error, 1)
+	time.AfterFunc(440*time.Millisecond, func() { // the stop ends at 0.45 s
+		resp, err := http.Get("http://" + addresses[1])
+		if err == nil {
+			err = resp.Body.Close()
+		}
+		asked <- err
+	})
+	require.Zero(t, s.Stop(t.Context(), time.Second))
+	s.Close()
+	require.NoError(t, <-asked)
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -33,6 +33,8 @@
 	phase phase
 	// since is when the phase began.
 	since time.Time
+	// triedLast is set when the phase is over and what had arrived was read.
+	triedLast bool
 	// readAhead is set when the first byte of the next request was read while
 	// one was served.
 	readAhead bool
@@ -51,22 +53,45 @@
 			return 0, err
 		}
 		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			phaseOver, serverOver := c.over()
+			if serverOver {
+				return 0, err
+			}
+			if !phaseOver {
+				continue // the limits have grown since the deadline was set
+			}
+			n, err = c.readLast(p, err)
+		}
 		if n > 0 {
 			c.noteRead(len(p))
-			return n, err
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
-			return 0, err
-		}
-		phase, server := c.over()
-		if phase {
-			_ = c.Conn.Close() // nobody waits for a response on it
 		}
-		if phase || server {
-			return 0, err
+		return n, err
+	}
+}
+
+// readLast reads what had arrived when the phase was over: a read whose deadline
+// has passed does not look, and a host that was held up would reset a request
+// that came in time. It does so once a phase. With nothing there it closes the
+// connection and returns the error over.
+func (c *conn) readLast(p []byte, over error) (int, error) {
+	if c.tryLast() {
+		_ = c.Conn.SetReadDeadline(time.Now().Add(lastRead)) // Read reports an error
+		if n, err := c.Conn.Read(p); n > 0 {
+			return n, err
 		}
-		// The limits have grown since the deadline was set.
 	}
+	_ = c.Conn.Close() // nobody waits for a response on it
+	return 0, over
+}
+
+// tryLast reports whether the phase may have its last read.
+func (c *conn) tryLast() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tried := c.triedLast
+	c.triedLast = true
+	return !tried
 }
 
 // noteRead follows what the connection does by what was read from it. The server
@@ -85,7 +110,7 @@
 }
 
 // begin begins a phase; c.mu is held.
-func (c *conn) begin(p phase) { c.phase, c.since = p, time.Now() }
+func (c *conn) begin(p phase) { c.phase, c.since, c.triedLast = p, time.Now(), false }
 
 // enter follows the server's view of the connection, and reports whether it was
 // closed already.
@@ -140,7 +165,7 @@
 
 // over reports whether the phase's end has passed, and the http.Server's own
 // deadline.
-func (c *conn) over() (phase, server bool) {
+func (c *conn) over() (phaseOver, serverOver bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
@@ -164,6 +189,16 @@
 	return c.SetReadDeadline(t)
 }
 
+// CloseWrite tells the client that nothing follows a response whose request was
+// not read whole; the http.Server reads on for a time before it closes.
+func (c *conn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return nil
+	}
+	return w.CloseWrite()
+}
+
 // Close closes the connection.
 func (c *conn) Close() error {
 	c.mu.Lock()
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -36,8 +36,10 @@
 
 	mu        sync.Mutex
 	listeners []net.Listener
-	// listening is set until a drain has closed the listeners.
+	// listening is set until a drain has closed the listeners, and accepting is
+	// how many of them are still accepted from.
 	listening bool
+	accepting int
 	conns     map[*conn]struct{}
 	// drained is closed when the server drains and has no connection.
 	drained chan struct{}
@@ -74,6 +76,7 @@
 	if !s.addListener(l) {
 		return l.Close()
 	}
+	defer s.doneAccepting()
 	l = listener{l, s}
 	if config != nil {
 		l = tls.NewListener(l, config)
@@ -93,9 +96,17 @@
 		return false
 	}
 	s.listeners = append(s.listeners, l)
+	s.accepting++
 	return true
 }
 
+func (s *Server) doneAccepting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accepting--
+	s.noteDrained()
+}
+
 // drainBegan reports whether Drain was called, and when.
 func (s *Server) drainBegan() (bool, time.Time) {
 	if at := s.drainAt.Load(); at != nil {
@@ -135,9 +146,11 @@
 	s.noteDrained()
 }
 
-// noteDrained tells Drain when nothing is left; s.mu is held.
+// noteDrained tells Drain when nothing is left; s.mu is held. While a listener
+// is accepted from, a connection may be made that is not in conns yet, closed
+// listener or not.
 func (s *Server) noteDrained() {
-	if s.listening || len(s.conns) > 0 {
+	if s.listening || s.accepting > 0 || len(s.conns) > 0 {
 		return
 	}
 	select {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -133,17 +133,19 @@
 func TestDrainReadsWhatHasBegun(t *testing.T) {
 	for name, before := range map[string]string{"a new connection": "", "a part of a header": request[:8]} {
 		t.Run(name, func(t *testing.T) {
-			s := newServer(t, ok, nil)
-			c := s.connect()
-			c.write(before)
-			time.Sleep(50 * time.Millisecond) // so that it is accepted and read
-			drained := make(chan error, 1)
-			go func() { drained <- s.drain(3 * time.Second) }()
-			time.Sleep(100 * time.Millisecond)
-			c.write(request[len(before):])
-			resp := c.response()
-			require.True(t, resp.Close, "the client is told to leave")
-			require.NoError(t, <-drained)
+			synctest.Test(t, func(t *testing.T) {
+				p := newPipeServer(t, ok, httpserver.Limits{})
+				c := p.connect()
+				c.write(before)
+				time.Sleep(50 * time.Millisecond) // so that it is accepted and read
+				drained := make(chan error, 1)
+				go func() { drained <- p.Drain(t.Context()) }()
+				time.Sleep(100 * time.Millisecond)
+				c.write(request[len(before):])
+				resp := c.response()
+				require.True(t, resp.Close, "the client is told to leave")
+				require.NoError(t, <-drained)
+			})
 		})
 	}
 }
@@ -276,7 +278,11 @@
 }
 
 func (l *queueListener) Accept() (net.Conn, error) {
-	time.Sleep(20 * time.Millisecond)
+	select {
+	case <-l.closed:
+		return nil, net.ErrClosed
+	case <-time.After(20 * time.Millisecond):
+	}
 	select {
 	case <-l.closed:
 		return nil, net.ErrClosed
@@ -297,26 +303,47 @@
 
 func (l *queueListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// pipeServer is a server whose connections are in memory, for tests in a bubble
+// of the runtime's clock.
+type pipeServer struct {
+	*httpserver.Server
+	t        *testing.T
+	listener *queueListener
+}
+
+func newPipeServer(t *testing.T, h http.HandlerFunc, limits httpserver.Limits) *pipeServer {
+	t.Helper()
+	p := &pipeServer{t: t, listener: &queueListener{waiting: make(chan net.Conn, 4), closed: make(chan struct{})}}
+	p.Server = httpserver.New(httpserver.Options{
+		HTTP:   &http.Server{Handler: h},
+		Limits: func() httpserver.Limits { return limits },
+	})
+	go func() { _ = p.Serve(p.listener, nil) }()
+	return p
+}
+
+func (p *pipeServer) connect() *client {
+	near, far := net.Pipe()
+	p.t.Cleanup(func() { _ = near.Close() })
+	p.listener.waiting <- far
+	return &client{near, p.t, bufio.NewReader(near)}
+}
+
 // A client's connection may be made, and its request sent, before the server
 // has accepted it; a drain that closed the listener at once reset it.
 func TestDrainAcceptsWhatWaits(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const waiting = 2
-		l := &queueListener{waiting: make(chan net.Conn, waiting), closed: make(chan struct{})}
-		s := httpserver.New(httpserver.Options{HTTP: &http.Server{Handler: http.HandlerFunc(ok)}})
+		p := newPipeServer(t, ok, httpserver.Limits{})
 		statuses := make(chan int, waiting)
 		for range waiting {
-			near, far := net.Pipe()
-			l.waiting <- far
-			go func() { statuses <- statusOn(near) }()
+			c := p.connect()
+			go func() { statuses <- statusOn(c) }()
 		}
-		served := make(chan error, 1)
-		go func() { served <- s.Serve(l, nil) }()
-		require.NoError(t, s.Drain(t.Context()))
+		require.NoError(t, p.Drain(t.Context()))
 		for range waiting {
 			require.Equal(t, http.StatusOK, <-statuses)
 		}
-		require.NoError(t, <-served)
 	})
 }
 
@@ -334,3 +361,18 @@
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
+
+// The server stops reading a body that is too large to be of use, responds, and
+// tells the client at once that nothing follows.
+func TestTheEndOfAResponseIsToldWhileItsBodyIsUnread(t *testing.T) {
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusRequestEntityTooLarge)
+	}, nil)
+	c := s.connect()
+	c.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 1000000\r\n\r\n")
+	began := time.Now()
+	require.Equal(t, http.StatusRequestEntityTooLarge, c.response().StatusCode)
+	c.requireEnd()
+	require.Less(t, time.Since(began), 400*time.Millisecond, "the server reads on for 500 ms before it closes")
+}
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -16,8 +16,12 @@
 	drainIdle = 50 * time.Millisecond
 	// drainFresh is how long after its accept a new connection is read when the
 	// server drains. Chosen, not measured: its client sends the first request
-	// within a round trip, 70 ms between the farthest regions.
-	drainFresh = 500 * time.Millisecond
+	// within a round trip, 70 ms between the farthest regions. A longer time
+	// would take from that in which requests are finished.
+	drainFresh = 200 * time.Millisecond
+	// lastRead is the deadline of a read of what has arrived already. It only
+	// has to lie ahead when the read begins; chosen, not measured.
+	lastRead = time.Millisecond
 )
 
 // Limits bound what a client's connection may take. Zero stands for the
