Hold the split of a route to its weights under shortage

Cause: no test said that a backend without room keeps its share of the requests, and that what it has no room for is rejected and not moved. Change: a test of route.Pick and the Balancer over 100 random splits (2 to 4 backends, weights from 0, up to 3 upstreams of 1 to 9 capacities, 0.1 to 2 s of work): the share of each backend is within 0.2 of its weight in every window of 200 requests, each request goes to the service that was picked, and a backend's requests end the same way whether the others lack room or not.

--- /dev/null
+++ b/internal/gateway/balance/split_test.go
@@ -0,0 +1,196 @@
+package balance_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/route"
+	"cairndock/internal/gateway/upstream"
+)
+
+const (
+	// splitTrials is how many random splits are tried; each takes a few
+	// milliseconds.
+	splitTrials = 100
+	// splitRequests is how many requests a trial has: several windows.
+	splitRequests = 600
+	// splitWindow and splitTolerance are the platform's bound on the share of
+	// a backend: within 0.2 of its weight in any 200 requests.
+	splitWindow    = 200
+	splitTolerance = 0.2
+	// splitInterval is the time between two requests.
+	splitInterval = 10 * time.Millisecond
+)
+
+// split is a route with several backends, and the upstreams of each.
+type split struct {
+	route     route.Route
+	upstreams map[string][]*upstream.Upstream
+	// served is how long an upstream works on a request.
+	served time.Duration
+}
+
+// newSplit makes a split of two to four backends with random weights, zero
+// included, and up to three upstreams each. They work for 0.1 to 2 s on a
+// request, so that of 100 requests a second from none to most find no room.
+func newSplit(rng *rand.Rand) split {
+	s := split{
+		upstreams: map[string][]*upstream.Upstream{},
+		served:    time.Duration(100+rng.IntN(1900)) * time.Millisecond,
+	}
+	for i := range 2 + rng.IntN(3) {
+		service := fmt.Sprint("s-", i)
+		s.route.Backends = append(s.route.Backends, route.Backend{Service: service, Weight: rng.IntN(101)})
+		for j := range rng.IntN(4) {
+			u := newUpstream(fmt.Sprint(service, "-", j), "west-1", "west")
+			u.Service, u.Capacity = service, 1+rng.IntN(9)
+			s.upstreams[service] = append(s.upstreams[service], u)
+		}
+	}
+	s.route.Backends[0].Weight++ // at least one has a weight
+	return s
+}
+
+// withRoom returns the split with so much capacity everywhere that nothing is
+// rejected, but for one service, which keeps what it has.
+func (s split) withRoom(except string) split {
+	roomy := split{route: s.route, served: s.served, upstreams: map[string][]*upstream.Upstream{}}
+	for _, b := range s.route.Backends {
+		if b.Service == except {
+			roomy.upstreams[b.Service] = s.upstreams[b.Service]
+			continue
+		}
+		u := newUpstream(b.Service+"-roomy", "west-1", "west")
+		u.Service, u.Capacity = b.Service, splitRequests
+		roomy.upstreams[b.Service] = []*upstream.Upstream{u}
+	}
+	return roomy
+}
+
+// outcome is what became of one request.
+type outcome struct {
+	// service is the one that the route picked.
+	service string
+	// upstream has the request; it is empty when it was rejected.
+	upstream string
+	reason   balance.Reason
+}
+
+// send sends the requests of the ids to a split through one host: the route
+// picks a service, and the balancer an upstream of it.
+func (s split) send(t *testing.T, ids []string, noAffinity bool) []outcome {
+	t.Helper()
+	b, now := newBalancer(1), time.Now()
+	var out []outcome
+	ends := map[int]string{}
+	steps := int(s.served / splitInterval)
+	for i, id := range ids {
+		if ended, ok := ends[i]; ok {
+			b.Done(ended)
+		}
+		service := s.route.Pick(id)
+		c, reason := b.Choose(balance.Query{Key: id, NoAffinity: noAffinity, Upstreams: s.upstreams[service], Now: now})
+		o := outcome{service: service, reason: reason}
+		if reason == balance.Chosen {
+			require.Equal(t, service, c.Upstream.Service, "a request goes to the service that its route picked")
+			o.upstream = c.Upstream.ID
+			ends[i+steps] = o.upstream
+		}
+		out = append(out, o)
+		now = now.Add(splitInterval)
+	}
+	return out
+}
+
+// randomIDs returns ids as clients make them.
+func randomIDs(rng *rand.Rand) []string {
+	ids := make([]string, splitRequests)
+	for i := range ids {
+		ids[i] = fmt.Sprintf("%016x", rng.Uint64())
+	}
+	return ids
+}
+
+// requireSharesOfWeights checks the shares of all services in each window.
+func requireSharesOfWeights(t *testing.T, r route.Route, out []outcome) {
+	t.Helper()
+	total := 0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	for _, b := range r.Backends {
+		want, n := float64(b.Weight)/float64(total), 0
+		for i, o := range out {
+			if o.service == b.Service {
+				n++
+			}
+			if i >= splitWindow && out[i-splitWindow].service == b.Service {
+				n--
+			}
+			if i >= splitWindow-1 {
+				require.InDelta(t, want, float64(n)/splitWindow, splitTolerance, "%s at request %d", b.Service, i)
+			}
+		}
+	}
+}
+
+// only returns the outcomes of the requests of one service.
+func only(service string, out []outcome) []outcome {
+	var of []outcome
+	for _, o := range out {
+		if o.service == service {
+			of = append(of, o)
+		}
+	}
+	return of
+}
+
+// requireSameOutcomes checks that a service's requests went the same way in two
+// runs. It names only the first that differs, as there are hundreds.
+func requireSameOutcomes(t *testing.T, want, got []outcome, service string) {
+	t.Helper()
+	require.Len(t, got, len(want), service)
+	for i := range want {
+		require.Equal(t, want[i], got[i], "request %d of %s, beside backends with room", i, service)
+	}
+}
+
+// count returns how many of the outcomes have a reason.
+func count(out []outcome, reason balance.Reason) int {
+	n := 0
+	for _, o := range out {
+		if o.reason == reason {
+			n++
+		}
+	}
+	return n
+}
+
+// A backend that lacks room keeps its share of the requests: what has no room
+// there is rejected, and never sent to another backend. So whether the others
+// have room changes nothing at a backend.
+func TestBackendWithoutRoomKeepsItsShareAndTheOthersTheirs(t *testing.T) {
+	rejectedBesideRoom := 0
+	for seed := range uint64(splitTrials) {
+		rng := rand.New(rand.NewPCG(seed, 0))
+		s, ids, noAffinity := newSplit(rng), randomIDs(rng), seed%2 == 0
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			out := s.send(t, ids, noAffinity)
+			requireSharesOfWeights(t, s.route, out)
+			for _, b := range s.route.Backends {
+				mine := only(b.Service, out)
+				beside := s.withRoom(b.Service).send(t, ids, noAffinity)
+				requireSameOutcomes(t, mine, only(b.Service, beside), b.Service)
+				require.Equal(t, len(ids)-len(mine), count(beside, balance.Chosen)-count(mine, balance.Chosen),
+					"backends with room serve all of their share and no more")
+				rejectedBesideRoom += len(mine) - count(mine, balance.Chosen)
+			}
+		})
+	}
+	require.Greater(t, rejectedBesideRoom, splitTrials*splitRequests/20, "the trials lack room often")
+}
