Pick a backend independently of the log's sample

Cause: Route.Pick and eventlog.Sampled took a remainder of the same hash of the request's id. Where the weights of a split add up to 100, each sampled request was of the first backend, and the log showed no successful request of the others. Change: the high bits of the hash decide in Pick. Result: of the sampled requests of a split of 70 to 30, 1.00 went to the first backend before (the new test fails: "Max difference between 0.7 and 1 allowed is 0.1"), within 0.1 of 0.70 after. The shares of all requests are held by the tests of the split as before.

--- a/internal/gateway/route/route.go
+++ b/internal/gateway/route/route.go
@@ -8,6 +8,7 @@
 package route
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 
@@ -80,7 +81,10 @@
 	if total <= 0 {
 		return r.Backends[0].Service
 	}
-	point := int(xxhash.Sum64String(requestID) % uint64(total))
+	// The high bits of the hash decide. Package eventlog samples requests by a
+	// remainder of the same hash, which says nothing of the high bits.
+	high, _ := bits.Mul64(xxhash.Sum64String(requestID), uint64(total))
+	point := int(high)
 	for _, b := range r.Backends {
 		if point < b.Weight {
 			return b.Service
--- a/internal/gateway/route/route_test.go
+++ b/internal/gateway/route/route_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/route"
 )
 
@@ -58,6 +59,24 @@
 	require.Zero(t, counts["c"])
 }
 
+// The log writes one in a hundred successful requests, by a hash of their id.
+// Where weights added up to 100, it showed the first backend of a route only:
+// the backend was picked by the same remainder of the same hash.
+func TestSampledRequestsGoToEachBackendByItsWeight(t *testing.T) {
+	r := route.Route{Backends: []route.Backend{{Service: "a", Weight: 70}, {Service: "b", Weight: 30}}}
+	counts, sampled := map[string]int{}, 0
+	for i := range 100_000 {
+		id := "request-" + strconv.Itoa(i)
+		if eventlog.Sampled(id) {
+			counts[r.Pick(id)]++
+			sampled++
+		}
+	}
+	require.Greater(t, sampled, 500)
+	require.InDelta(t, 0.7, float64(counts["a"])/float64(sampled), 0.1)
+	require.InDelta(t, 0.3, float64(counts["b"])/float64(sampled), 0.1)
+}
+
 func TestFirstBackendServesAllWithoutWeights(t *testing.T) {
 	r := route.Route{Backends: []route.Backend{{Service: "a"}, {Service: "b"}}}
 	require.Equal(t, "a", r.Pick("x"))
