Give each caller of a peer that can't be reached an error of its own

Cause: a failed dial's error was kept and given to every caller for half a second. Now the text is kept and each caller gets a new error. The new test fails with -race on the code before (4 reports in one run), 2 of 2 runs pass after.

--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -53,8 +53,10 @@
 	// dialing holds the token of the one caller that dials. It guards what
 	// follows. A channel, since waiting for it ends with the caller's context.
 	dialing chan struct{}
-	// err is why the last dial failed, and failedAt when.
-	err      error
+	// failure is why the last dial failed, or empty, and failedAt when. It is
+	// not the error itself: wrapping an error of package eris changes it, and
+	// each caller gets one of its own.
+	failure  string
 	failedAt time.Time
 }
 
@@ -161,20 +163,19 @@
 	if c := p.working(); c != nil { // another caller has dialed meanwhile
 		return c, nil
 	}
-	if p.err != nil && time.Since(p.failedAt) < redialPause {
-		return nil, p.err
+	if p.failure != "" && time.Since(p.failedAt) < redialPause {
+		return nil, eris.Wrap(ErrNotSent, p.failure)
 	}
 	began := time.Now()
 	c, err := m.dial(ctx, addr)
 	if err != nil {
-		err = eris.Wrap(ErrNotSent, err.Error())
 		// A caller with little time left says nothing of the peer.
 		if ctx.Err() == nil || time.Since(began) >= redialPause {
-			p.err, p.failedAt = err, time.Now()
+			p.failure, p.failedAt = err.Error(), time.Now()
 		}
-		return nil, err
+		return nil, eris.Wrap(ErrNotSent, err.Error())
 	}
-	p.err = nil
+	p.failure = ""
 	if old := p.conn.Swap(c); old != nil && old.err() == nil {
 		m.retire(old)
 	}
--- a/internal/peer/mesh_test.go
+++ b/internal/peer/mesh_test.go
@@ -5,9 +5,12 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 	"go.uber.org/goleak"
 )
@@ -122,3 +125,24 @@
 	_, err = client.Open(context.Background(), addr, KindForward, []byte("x"))
 	require.ErrorIs(t, err, ErrNotSent)
 }
+
+// A gateway's two watchers ask the same peer side by side, which can't be
+// reached, and wrap the error that they get. Both got the same one, which
+// package eris changes when it is wrapped: the race detector ended a host.
+func TestCallersOfAPeerThatCantBeReachedGetErrorsOfTheirOwn(t *testing.T) {
+	client, _ := connectedMeshes(t, echoHandler{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	require.NoError(t, l.Close())
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for range 20 {
+				_, err := client.Open(context.Background(), addr, KindForward, nil)
+				assert.ErrorIs(t, eris.Wrap(err, "ask a relay"), ErrNotSent)
+			}
+		})
+	}
+	callers.Wait()
+}
