Say not ready while connections can't be accepted, and bound writes to clients

- Short of descriptors or memory, the http.Server waited up to a second between two accepts while the host said that it was ready.
By the runtime's clock a waiting client is served within 100 ms of the end of a shortage of 10 s.
- A client that does not take its response, or whose connection went silent, held the upstream, its connection and the request in flight until the kernel gave up (the new test had to stop waiting after 3 s).
Writes now end 0.5 s after the request's deadline.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -171,8 +171,9 @@
 }
 
 // Lost logs that a dependency stopped responding. Its kind is "peer", another
-// host by its name, or "intent source" or "upstream source", from which the
-// operator's table or that of the upstreams is watched: "store" or a host.
+// host by its name; "intent source" or "upstream source", from which the
+// operator's table or that of the upstreams is watched: "store" or a host; or
+// "listener", where clients' connections can't be accepted.
 func (l *Log) Lost(kind, name string, err error) {
 	l.stateEvent(EventLost).Str("dependency", kind).Str("name", name).Err(err).Msg("dependency: lost")
 }
--- a/internal/gateway/proxy/lifetime_test.go
+++ b/internal/gateway/proxy/lifetime_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -62,3 +63,27 @@
 		require.EqualValues(t, 1, a.Load()+b.Load())
 	})
 }
+
+// A client that does not take its response, or whose connection went silent,
+// must not hold the upstream and its connection for good.
+func TestAClientThatDoesNotTakeItsResponseIsGivenUp(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Repeatable)) // with a time-out of half a second
+	ended := make(chan struct{})
+	g.addUpstream(func(c net.Conn, r *http.Request) {
+		defer close(ended)
+		half(c, r, 64<<20, 64<<20)
+	})
+	_, address := g.listen()
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	_, err = io.WriteString(c, rawRequest)
+	require.NoError(t, err)
+	select {
+	case <-ended:
+	case <-time.After(3 * time.Second):
+		t.Fatal("the upstream still sends")
+	}
+	require.Eventually(t, func() bool { return g.proxy.InFlight() == 0 }, time.Second, 10*time.Millisecond)
+}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -71,6 +71,8 @@
 
 	inFlight atomic.Int64
 	draining atomic.Bool
+	// starved is set while no client's connection can be accepted.
+	starved atomic.Bool
 	// aborted ends when the requests in flight are given up. Each client then
 	// gets an error response that says whether its request may have run.
 	aborted context.Context
@@ -84,8 +86,21 @@
 	return p
 }
 
-// Ready reports whether clients should use this host.
-func (p *Proxy) Ready() bool { return !p.draining.Load() && p.State.Ready() }
+// Ready reports whether clients should use this host: it is not stopping, can
+// accept connections and knows a configuration.
+func (p *Proxy) Ready() bool { return !p.draining.Load() && !p.starved.Load() && p.State.Ready() }
+
+// noteAccepting follows whether clients' connections can be accepted. When they
+// can't, the idle connections to upstreams give back their descriptors.
+func (p *Proxy) noteAccepting(err error) {
+	p.starved.Store(err != nil)
+	if err == nil {
+		p.Log.Regained("listener", "clients", 0)
+		return
+	}
+	p.Log.Lost("listener", "clients", err)
+	p.Client.Retain(func(string) bool { return false })
+}
 
 // Drain makes the host unready and closes each client's connection after its
 // next response, so that clients turn to other hosts. Requests are still
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -19,6 +19,9 @@
 	// and the request may be sent again. selector/entry/dispatch has its own,
 	// which forwards longer ones from their first bytes. Chosen, not measured.
 	prefixBytes = 32 << 10
+	// writeMargin is how long after its deadline a client may still take its
+	// response: what was sent in time may lie in buffers. Chosen, not measured.
+	writeMargin = 500 * time.Millisecond
 	// copyBuffer is the size of the buffers that forward what is longer, in
 	// bytes. Chosen, not measured.
 	copyBuffer = 16 << 10
@@ -46,6 +49,7 @@
 		f.proxy.release(resp.upstream, outcomeOfForward(err))
 	}()
 	f.proxy.closeIfDraining(w)
+	f.boundWrites(w)
 	resp.writeHeader(w, f.request.Method)
 	err = resp.copyTo(w)
 	metrics := f.proxy.Metrics
@@ -58,6 +62,15 @@
 	f.logFinal(resp.Status, nil)
 }
 
+// boundWrites ends the writing of a response to a client that does not take it,
+// or whose connection went silent, shortly after its deadline. Without it the
+// write would hold the upstream and its connection until the kernel gives up.
+func (f *inflight) boundWrites(w http.ResponseWriter) {
+	// An error means that the connection is closed, which the write reports; the
+	// http.Server takes the deadline back after the response.
+	_ = http.NewResponseController(w).SetWriteDeadline(f.deadline().Add(writeMargin))
+}
+
 // writeHeader writes the status and the end-to-end headers. A Connection header
 // that the gateway set stays.
 func (r *response) writeHeader(w http.ResponseWriter, method string) {
--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -3,11 +3,15 @@
 import (
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/verdict"
 )
@@ -122,3 +126,39 @@
 	s.Close()
 	require.NoError(t, <-asked)
 }
+
+// A host that can't accept connections must not say that it is ready.
+func TestAHostThatCantAcceptClientsIsNotReady(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Repeatable))
+	g.addUpstream(healthy)
+	require.True(t, g.proxy.Ready())
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var short atomic.Bool
+	short.Store(true)
+	s := proxy.NewServer(g.proxy)
+	t.Cleanup(s.Close)
+	s.ServeClients(shortListener{l, &short})
+	require.Eventually(t, func() bool { return !g.proxy.Ready() }, time.Second, time.Millisecond)
+	g.requireLogged(`"dependency":"listener"`)
+	c, err := net.Dial("tcp", l.Addr().String()) // waits in the kernel
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = c.Close() })
+	short.Store(false)
+	sendOn(t, c)
+	require.True(t, g.proxy.Ready())
+}
+
+// shortListener has no descriptors for a time.
+type shortListener struct {
+	net.Listener
+	short *atomic.Bool
+}
+
+func (l shortListener) Accept() (net.Conn, error) {
+	if l.short.Load() {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -139,6 +139,8 @@
 		return c.since.Add(drainFresh)
 	case c.phase == idle && draining:
 		return drainedAt.Add(drainIdle)
+	case c.phase == idle && c.server.starved.Load():
+		return c.since.Add(min(starvedIdle, c.server.limits().idle()))
 	case c.phase == idle:
 		return c.since.Add(c.server.limits().idle())
 	default:
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -24,6 +24,9 @@
 	// Cut is told of each request that was read and whose connection the host
 	// closed all the same. It is called for none but those that Close breaks off.
 	Cut func()
+	// Accepting is told when connections can't be accepted, with the error, and
+	// when they can again, with nil.
+	Accepting func(err error)
 }
 
 // Server runs an http.Server. Its methods may be called concurrently.
@@ -31,15 +34,19 @@
 	http   *http.Server
 	limits func() Limits
 	cut    func()
+	// accepting is Options.Accepting, and starved is set while connections can't
+	// be accepted.
+	accepting func(error)
+	starved   atomic.Bool
 	// drainAt is when Drain was first called; nil before.
 	drainAt atomic.Pointer[time.Time]
 
 	mu        sync.Mutex
 	listeners []net.Listener
-	// listening is set until a drain has closed the listeners, and accepting is
+	// listening is set until a drain has closed the listeners, and serving is
 	// how many of them are still accepted from.
 	listening bool
-	accepting int
+	serving   int
 	conns     map[*conn]struct{}
 	// drained is closed when the server drains and has no connection.
 	drained chan struct{}
@@ -47,13 +54,16 @@
 
 // New makes a server that does not listen yet.
 func New(o Options) *Server {
-	s := &Server{http: o.HTTP, limits: o.Limits, cut: o.Cut, listening: true, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
+	s := &Server{http: o.HTTP, limits: o.Limits, cut: o.Cut, accepting: o.Accepting, listening: true, conns: map[*conn]struct{}{}, drained: make(chan struct{})}
 	if s.limits == nil {
 		s.limits = func() Limits { return Limits{} }
 	}
 	if s.cut == nil {
 		s.cut = func() {}
 	}
+	if s.accepting == nil {
+		s.accepting = func(error) {}
+	}
 	s.http.Handler = s.closeWhenDraining(s.http.Handler)
 	s.http.ConnState = s.follow
 	s.http.ConnContext = withConn
@@ -76,7 +86,7 @@
 	if !s.addListener(l) {
 		return l.Close()
 	}
-	defer s.doneAccepting()
+	defer s.doneServing()
 	l = listener{l, s}
 	if config != nil {
 		l = tls.NewListener(l, config)
@@ -96,14 +106,14 @@
 		return false
 	}
 	s.listeners = append(s.listeners, l)
-	s.accepting++
+	s.serving++
 	return true
 }
 
-func (s *Server) doneAccepting() {
+func (s *Server) doneServing() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.accepting--
+	s.serving--
 	s.noteDrained()
 }
 
@@ -115,24 +125,6 @@
 	return false, time.Time{}
 }
 
-// listener makes accepted connections the server's.
-type listener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept accepts a connection.
-func (l listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &conn{Conn: nc, server: l.server}
-	c.begin(fresh)
-	l.server.add(c)
-	return c, nil
-}
-
 func (s *Server) add(c *conn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,7 +142,7 @@
 // is accepted from, a connection may be made that is not in conns yet, closed
 // listener or not.
 func (s *Server) noteDrained() {
-	if s.listening || s.accepting > 0 || len(s.conns) > 0 {
+	if s.listening || s.serving > 0 || len(s.conns) > 0 {
 		return
 	}
 	select {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -8,8 +8,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -376,3 +378,52 @@
 	c.requireEnd()
 	require.Less(t, time.Since(began), 400*time.Millisecond, "the server reads on for 500 ms before it closes")
 }
+
+// shortListener has no descriptors at first.
+type shortListener struct {
+	*queueListener
+	short *atomic.Bool
+}
+
+func (l shortListener) Accept() (net.Conn, error) {
+	if l.short.Load() {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.queueListener.Accept()
+}
+
+// A server that is short of descriptors says so, ends connections that are idle,
+// and accepts as soon as it can.
+func TestAShortageOfDescriptorsIsToldAndRelieved(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		l := shortListener{&queueListener{waiting: make(chan net.Conn, 4), closed: make(chan struct{})}, &atomic.Bool{}}
+		var told []error
+		s := httpserver.New(httpserver.Options{
+			HTTP:      &http.Server{Handler: http.HandlerFunc(ok)},
+			Accepting: func(err error) { told = append(told, err) },
+		})
+		go func() { _ = s.Serve(l, nil) }()
+		p := &pipeServer{Server: s, t: t, listener: l.queueListener}
+		idle := p.connect()
+		idle.write(request)
+		idle.response()
+		l.short.Store(true)
+		last := p.connect() // of the accept that waits already
+		last.write(request)
+		last.response()
+		time.Sleep(10 * time.Second)
+		require.Len(t, told, 1)
+		require.ErrorIs(t, told[0], syscall.EMFILE)
+		idle.requireEnd()
+
+		began := time.Now()
+		waiting := p.connect()
+		l.short.Store(false)
+		waiting.write(request)
+		waiting.response()
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+		last.requireEnd()
+		require.Equal(t, []error{told[0], nil}, told)
+		require.NoError(t, s.Drain(t.Context()))
+	})
+}
