Check the soak for requests that are cut

Clients counted each transport error as failed and checked nothing of it, and http.Transport sent a GET again by itself when a kept connection was closed, so a request that was passed on while its host closed the client's connection failed no run.

Clients now have connections of their own, know whether a request was sent whole and whether the host closed, and the upstreams' ledger knows where it arrived. Faults of hosts, upstreams and the store are kept as spans, so that the check holds from 4 s before a request until its end. A stop that has to be killed after its grace is a violation too (before, it was killed after 8 s without one); children exit without the race detector's second of sleep.

--- a/internal/gateway/soak/client_test.go
+++ b/internal/gateway/soak/client_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -27,93 +26,123 @@
 	resolveEvery = 10
 )
 
-// client sends requests until the context ends: half of them may not be
-// repeated. It keeps connections open until they break.
-func (w *world) client(ctx context.Context, number int) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 2, ResponseHeaderTimeout: 4 * time.Second}
-	defer transport.CloseIdleConnections()
-	c := &http.Client{Transport: transport, Timeout: 5 * time.Second}
-	r := rand.New(rand.NewPCG(w.seed, uint64(number)))
-	addresses := w.resolve(ctx, c, r)
-	for n := 0; ctx.Err() == nil; n++ {
-		if n%resolveEvery == 0 || len(addresses) == 0 {
-			addresses = w.resolve(ctx, c, r)
+// client is one client: it sends one request at a time, half of which may not be
+// repeated, and checks the responses.
+type client struct {
+	world *world
+	name  string
+	rand  *rand.Rand
+	// directory is for the directories of hosts.
+	directory *http.Client
+	// conns are its connections by the address of the host.
+	conns map[string]*clientConn
+	// requests counts them.
+	requests int
+}
+
+func (w *world) newClient(kind string, number int) *client {
+	return &client{
+		world: w, name: fmt.Sprint(kind, number), conns: map[string]*clientConn{},
+		rand:      rand.New(rand.NewPCG(w.seed, uint64(number))),
+		directory: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
+	}
+}
+
+// close closes all connections. An error means that one is closed already.
+func (c *client) close() {
+	c.directory.CloseIdleConnections()
+	for _, conn := range c.conns {
+		_ = conn.Close()
+	}
+}
+
+// roam sends requests until the context ends, to hosts that the directory
+// names, on connections that it keeps open until they break.
+func (c *client) roam(ctx context.Context) {
+	defer c.close()
+	addresses := c.resolve(ctx)
+	for ctx.Err() == nil {
+		if c.requests%resolveEvery == 0 || len(addresses) == 0 {
+			addresses = c.resolve(ctx)
 		}
 		if len(addresses) == 0 {
 			time.Sleep(50 * time.Millisecond)
 			continue
 		}
-		id := fmt.Sprintf("safe-%d-%d", number, n)
-		if r.IntN(2) == 0 {
-			id = fmt.Sprintf("%s%d-%d", oncePrefix, number, n)
-		}
-		w.send(c, addresses[r.IntN(len(addresses))], id, r)
-		time.Sleep(time.Duration(r.IntN(int(clientPause/time.Millisecond))) * time.Millisecond)
+		c.send(addresses[c.rand.IntN(len(addresses))])
+		time.Sleep(time.Duration(c.rand.IntN(int(clientPause/time.Millisecond))) * time.Millisecond)
 	}
 }
 
 // resolve resolves the host name at one host's directory, as a client of that
 // host's zone. It gives nothing if the host does not respond, which faults may cause.
-func (w *world) resolve(ctx context.Context, c *http.Client, r *rand.Rand) []string {
-	h := w.hosts[r.IntN(len(w.hosts))]
+func (c *client) resolve(ctx context.Context) []string {
+	h := c.world.hosts[c.rand.IntN(len(c.world.hosts))]
 	ctx, cancel := context.WithTimeout(ctx, 500*time.Millisecond)
 	defer cancel()
-	addresses, err := platformtest.Resolve(ctx, c, h.directory, platformtest.Location{Name: hostname, Zone: h.zone.name, Region: h.zone.region})
+	addresses, err := platformtest.Resolve(ctx, c.directory, h.directory, platformtest.Location{Name: hostname, Zone: h.zone.name, Region: h.zone.region})
 	if err != nil {
 		return nil
 	}
 	return addresses
 }
 
-// send sends one request and checks the response.
-func (w *world) send(c *http.Client, address, id string, r *rand.Rand) {
-	req, err := newRequest(address, id)
+// send sends one request to a host and checks the response.
+func (c *client) send(address string) {
+	c.requests++
+	conn, err := c.connection(address)
 	if err != nil {
-		w.violation("harness: request to %s: %v", address, err)
+		c.world.record.request(time.Now(), 0, failed)
 		return
 	}
-	platformtest.Request{ID: id, Key: strconv.Itoa(r.IntN(keys)), Timeout: clientTimeout}.SetHeaders(req.Header)
-	began := time.Now()
-	resp, err := c.Do(req)
-	if err != nil {
-		w.record.request(began, time.Since(began), failed)
-		return
+	m := c.message()
+	idle := time.Since(conn.lastEnd)
+	r := conn.exchange(m)
+	c.world.record.request(r.began, r.ended.Sub(r.began), r.outcome())
+	if r.err == nil {
+		c.world.checkResponse(address, m.id, r)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	text, err := io.ReadAll(resp.Body)
-	w.record.request(began, time.Since(began), outcomeOf(resp.StatusCode, err))
-	if err == nil {
-		w.checkResponse(address, id, resp.StatusCode, string(text))
+	if r.sent && r.closed {
+		c.world.noteClosure(address, m.id, r, conn.requests, idle)
+	}
+	if conn.reader.Buffered() > 0 {
+		c.world.violation("mixed: bytes after the response to %s at %s", m.id, address)
+	}
+	if !r.reusable {
+		_ = conn.Close() // it has failed or ended already
+		delete(c.conns, address)
 	}
 }
 
-// newRequest makes a request of the kind that its id says. A GET has no body,
-// and none can be made anew: net/http repeats a request by itself only then and
-// if the method allows it, and a repeat of one that may run once would count as
-// a violation.
-func newRequest(address, id string) (*http.Request, error) {
-	method, path := http.MethodGet, "/safe/x"
-	var payload io.Reader
-	if strings.HasPrefix(id, oncePrefix) {
-		method, path = http.MethodPost, "/once/x"
-		payload = strings.NewReader("payload of " + id)
+// connection gives the client's connection to a host, or makes it.
+func (c *client) connection(address string) (*clientConn, error) {
+	if conn, ok := c.conns[address]; ok {
+		return conn, nil
 	}
-	req, err := http.NewRequest(method, "http://"+address+path, payload)
-	if err != nil {
-		return nil, err
+	conn, err := dialHost(address)
+	if err == nil {
+		c.conns[address] = conn
 	}
-	req.Host = hostname
-	req.GetBody = nil
-	return req, nil
+	return conn, err
+}
+
+// message makes the client's next request.
+func (c *client) message() message {
+	m := message{id: fmt.Sprintf("safe-%s-%d", c.name, c.requests), key: strconv.Itoa(c.rand.IntN(keys))}
+	if c.rand.IntN(2) == 0 {
+		m.id = fmt.Sprintf("%s%s-%d", oncePrefix, c.name, c.requests)
+		m.body = "payload of " + m.id
+	}
+	return m
 }
 
 // checkResponse checks a whole response: it belongs to the request and the route
 // exists. A refused request is recorded, for checkLedger, as one that must not run.
-func (w *world) checkResponse(address, id string, status int, text string) {
-	switch status {
+func (w *world) checkResponse(address, id string, r result) {
+	switch r.status {
 	case http.StatusOK:
-		if text != body(id) {
-			w.violation("mixed: %s got %.60q", id, text)
+		if r.text != body(id) {
+			w.violation("mixed: %s got %.60q", id, r.text)
 		}
 	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
 		if strings.HasPrefix(id, oncePrefix) {
@@ -125,14 +154,3 @@
 		w.violation("denied: %s got 404 at %s", id, address)
 	}
 }
-
-func outcomeOf(status int, err error) outcome {
-	switch {
-	case err == nil && status == http.StatusOK:
-		return served
-	case err == nil && status == http.StatusServiceUnavailable:
-		return refused
-	default:
-		return failed
-	}
-}
--- /dev/null
+++ b/internal/gateway/soak/cuts_test.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// closure is a request that was sent whole and whose connection the host closed
+// before the response was whole.
+type closure struct {
+	id   string
+	host *host
+	// began is when the request was sent, and ended when its client saw the close.
+	began, ended time.Time
+	// details are for whoever looks for the cause.
+	details string
+}
+
+// noteClosure records a closure, for checkCuts. request is the number of the
+// request on its connection, which was idle for a time before.
+func (w *world) noteClosure(address, id string, r result, request int, idle time.Duration) {
+	h := w.hostAt(address)
+	if h == nil {
+		w.violation("directory: it named %s, where no host is", address)
+		return
+	}
+	h.mu.Lock()
+	details := fmt.Sprintf("request %d on its connection, idle %s before, status %d, %v", request, idle, r.status, r.err)
+	if !h.stopping.IsZero() {
+		details += fmt.Sprintf(", sent %s after SIGTERM", r.began.Sub(h.stopping))
+	}
+	h.mu.Unlock()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closures = append(w.closures, closure{id: id, host: h, began: r.began, ended: r.ended, details: details})
+}
+
+// checkCuts checks that no request was cut: passed on to a sound upstream by a
+// host that closed the client's connection without a response, while neither was
+// in trouble, nor the store. Planned work excuses nothing; a request that crosses
+// the host's close and is not passed on is in order.
+func (w *world) checkCuts() {
+	w.mu.Lock()
+	closures := w.closures
+	w.mu.Unlock()
+	for _, c := range closures {
+		w.ledger.mu.Lock()
+		arrivals := w.ledger.arrivals[c.id]
+		w.ledger.mu.Unlock()
+		for _, a := range arrivals {
+			if w.isCut(c, a) {
+				w.violation("cut: %s was sent to %s at %.3f s, reached %s %s later and its connection was closed after %s: %s", c.id, c.host.name,
+					c.began.Sub(w.record.began).Seconds(), a.upstream.ID, a.at.Sub(c.began), c.ended.Sub(c.began), c.details)
+			}
+		}
+	}
+}
+
+// isCut reports whether nothing but the host explains a closure: no fault was on
+// from calmAfter before the request until its end.
+func (w *world) isCut(c closure, a arrival) bool {
+	from, to := c.began.Add(-calmAfter), c.ended
+	if a.at.After(to) {
+		to = a.at // the host may pass it on only after the close
+	}
+	return !w.storeDisruptions.during(from, to) && !c.host.disruptions.during(from, to) && !a.upstream.disruptions.during(from, to)
+}
+
+// Users saw a request of a kept connection run at an upstream while its host, in
+// a planned stop, closed the connection without a response. The clients counted
+// it among other errors, so that no run failed.
+func TestACutIsFoundUnlessAFaultExplainsIt(t *testing.T) {
+	now := time.Now()
+	ago := func(d time.Duration) time.Time { return now.Add(-d) }
+	past := span{ago(time.Minute), ago(30 * time.Second)}
+	recent := span{ago(10 * time.Second), ago(3 * time.Second)}
+	for name, c := range map[string]struct {
+		host, upstream, store span
+		arrived               bool
+		cut                   bool
+	}{
+		"passed on":                       {arrived: true, cut: true},
+		"not passed on":                   {},
+		"a fault of the host":             {arrived: true, host: recent},
+		"a fault of the upstream":         {arrived: true, upstream: recent},
+		"a fault of the store":            {arrived: true, store: recent},
+		"a fault that is on":              {arrived: true, host: span{from: ago(time.Minute)}},
+		"faults that were over long ago":  {arrived: true, host: past, upstream: past, store: past, cut: true},
+		"a fault that began at the end":   {arrived: true, host: span{from: now}},
+		"a fault that began after it all": {arrived: true, host: span{from: now.Add(time.Minute)}, cut: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h, u := &host{name: "host-0", clients: "here"}, &upstream{}
+			w := &world{record: newRecorder(""), ledger: newLedger(), hosts: []*host{h}}
+			for d, s := range map[*disruptions]span{&h.disruptions: c.host, &u.disruptions: c.upstream, &w.storeDisruptions: c.store} {
+				if !s.from.IsZero() {
+					d.spans = append(d.spans, &s)
+				}
+			}
+			if c.arrived {
+				w.ledger.arrivals["a"] = []arrival{{u, now}}
+			}
+			w.noteClosure("here", "a", result{began: ago(time.Second), ended: ago(500 * time.Millisecond)}, 2, time.Second)
+			w.checkCuts()
+			require.Equal(t, c.cut, len(w.violations) == 1, w.violations)
+		})
+	}
+}
+
+func TestAClientKnowsThatItsConnectionWasClosed(t *testing.T) {
+	for name, response := range map[string]string{
+		"no byte":         "",
+		"half a header":   "HTTP/1.1 200 OK\r\nContent-",
+		"half a response": "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf",
+	} {
+		t.Run(name, func(t *testing.T) {
+			near, far := net.Pipe()
+			go func() {
+				buf := make([]byte, 4<<10)
+				_, _ = far.Read(buf) // the client sees an error of it
+				_, _ = far.Write([]byte(response))
+				_ = far.Close()
+			}()
+			r := newClientConn(near).exchange(message{id: "safe-1"})
+			require.True(t, r.sent)
+			require.True(t, r.closed, r.err)
+			require.Equal(t, closed, r.outcome())
+			require.False(t, r.reusable)
+		})
+	}
+}
--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -4,16 +4,19 @@
 // seed. Meanwhile clients check the responses that they get against what the
 // upstreams did; a guarantee that does not hold is a violation and fails the test.
 //
-//	soak_test.go      the tests, kept seeds, and the course of one run
-//	world_test.go     one run: hosts, upstreams, store, configuration
-//	host_test.go      a gateway process and its supervisor
-//	upstream_test.go  an upstream, and the ledger of what ran
-//	link_test.go      a TCP link with faults
-//	faults_test.go    what operators do, and what goes wrong
-//	client_test.go    clients, and what they check at once
-//	checks_test.go    what is checked beside them and at the end
-//	recorder_test.go  a run second by second, and page_test.go its report
-//	artifacts_test.go logs, heap profiles and reports kept of a run
+//	soak_test.go         the tests, kept seeds, and the course of one run
+//	world_test.go        one run: hosts, upstreams, store, configuration
+//	host_test.go         a gateway process and its supervisor
+//	upstream_test.go     an upstream, and the ledger of what arrived and ran
+//	link_test.go         a TCP link with faults
+//	faults_test.go       what operators do, and what goes wrong
+//	disruptions_test.go  when a host, an upstream or the store had faults
+//	client_test.go       clients, and what they check at once
+//	conn_test.go         a client's connection, and how a request on it ends
+//	cuts_test.go         the check that no request is cut
+//	checks_test.go       what else is checked beside them and at the end
+//	recorder_test.go     a run second by second, and page_test.go its report
+//	artifacts_test.go    logs, heap profiles and reports kept of a run
 //
 // To play one seed again, and keep its hosts' logs and its page:
 //
--- a/internal/gateway/soak/faults_test.go
+++ b/internal/gateway/soak/faults_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"sync"
 	"syscall"
 	"time"
 
@@ -15,39 +14,6 @@
 	run  func(w *world)
 }
 
-// calmAfter is how long a host or the store must have been without faults for
-// rules bound by time to hold. Chosen, not measured: above every bound of the
-// settings.
-const calmAfter = 4 * time.Second
-
-// disruptions counts the faults of a host, or of the store, that are on.
-type disruptions struct {
-	mu sync.Mutex
-	on int
-	// endedAt is when one last ended.
-	endedAt time.Time
-}
-
-// begin counts a fault until the function given is called.
-func (d *disruptions) begin() (end func()) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.on++
-	return func() {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.on--
-		d.endedAt = time.Now()
-	}
-}
-
-// calm reports whether there was none for calmAfter.
-func (d *disruptions) calm() bool {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	return d.on == 0 && time.Since(d.endedAt) > calmAfter
-}
-
 // planned are what operators do on an ordinary day.
 var planned = []fault{
 	{"stop a host", (*world).stopHost},
@@ -74,12 +40,16 @@
 		return
 	}
 	defer h.ending.Unlock()
+	began := time.Now()
 	h.mu.Lock()
-	h.stopping = true
+	h.stopping = began
 	h.mu.Unlock()
 	h.expectExit(true)
 	h.signal(syscall.SIGTERM)
-	h.wait(8 * time.Second)
+	inTime := h.wait(grace + slack)
+	if !inTime && !h.disruptions.during(began.Add(-calmAfter), time.Now()) {
+		w.violation("overrun: %s had to be killed %s after SIGTERM", h.name, time.Since(began))
+	}
 	h.expectExit(false)
 	h.start()
 }
@@ -194,6 +164,7 @@
 
 func (w *world) breakUpstream() {
 	u := w.randomUpstream()
+	defer u.disruptions.begin()()
 	u.defect.Store(int32(1 + w.intN(int(defects)-1)))
 	time.Sleep(w.between(500*time.Millisecond, 3*time.Second))
 	u.defect.Store(int32(sound))
@@ -201,6 +172,7 @@
 
 func (w *world) disruptLink() {
 	u := w.randomUpstream()
+	defer u.disruptions.begin()()
 	u.link.set(w.linkFault())
 	time.Sleep(w.between(500*time.Millisecond, 3*time.Second))
 	u.link.set(pass)
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -42,8 +42,9 @@
 	// that is no violation.
 	ended        chan struct{}
 	exitExpected bool
-	stopping     bool
-	log          *bytes.Buffer
+	// stopping is when the process was told to stop; zero is not yet.
+	stopping time.Time
+	log      *bytes.Buffer
 	// processes counts the processes, and startedAt is when the last started.
 	processes int
 	startedAt time.Time
@@ -107,9 +108,13 @@
 drain_within = "2s"
 directory_ttl = "1s"
 [stop]
-grace = "4s"
+grace = %q
 `
 
+// grace is the time from SIGTERM to the kill. Chosen so that several stops fit
+// into a run.
+const grace = 4 * time.Second
+
 func newHost(t *testing.T, violation func(string, ...any), name string, z zone, store string) *host {
 	t.Helper()
 	h := &host{
@@ -117,7 +122,7 @@
 		clients: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t),
 		settings: filepath.Join(t.TempDir(), name+".toml"),
 	}
-	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address())
+	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), grace)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
@@ -128,10 +133,12 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	cmd := exec.Command(os.Args[0], "gateway", "--settings", h.settings)
-	cmd.Env = append(os.Environ(), childVar+"=1")
+	// A process with the race detector would sleep for a second as it exits,
+	// which is no part of its stop. Races are reported when they are found.
+	cmd.Env = append(os.Environ(), childVar+"=1", "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	require.NoError(h.t, cmd.Start())
-	h.cmd, h.ended, h.stopping = cmd, make(chan struct{}), false
+	h.cmd, h.ended, h.stopping = cmd, make(chan struct{}), time.Time{}
 	h.processes++
 	h.startedAt = time.Now()
 	go h.supervise(cmd, h.ended)
@@ -176,21 +183,27 @@
 	_ = h.cmd.Process.Signal(s)
 }
 
-// wait waits for the process to end, and kills it after a time.
-func (h *host) wait(timeout time.Duration) {
+// wait waits for the process to end, and kills it after a time; it reports
+// whether the process ended before.
+func (h *host) wait(timeout time.Duration) (inTime bool) {
 	h.mu.Lock()
 	cmd, ended := h.cmd, h.ended
 	h.mu.Unlock()
-	timer := time.AfterFunc(timeout, func() { _ = cmd.Process.Kill() })
-	defer timer.Stop()
-	<-ended
+	select {
+	case <-ended:
+		return true
+	case <-time.After(timeout):
+		_ = cmd.Process.Kill() // an error means that it has ended just now
+		<-ended
+		return false
+	}
 }
 
 // calm reports whether rules bound by time hold on the host.
 func (h *host) calm() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return !h.stopping && time.Since(h.startedAt) > calmAfter && h.disruptions.calm()
+	return h.stopping.IsZero() && time.Since(h.startedAt) > calmAfter && h.disruptions.calm()
 }
 
 // running reports whether the host's process runs.
--- a/internal/gateway/soak/page_test.go
+++ b/internal/gateway/soak/page_test.go
@@ -32,6 +32,7 @@
 var (
 	blue      = color.RGBA{R: 0x1f, G: 0x77, B: 0xb4, A: 0xff}
 	orange    = color.RGBA{R: 0xe6, G: 0x7e, B: 0x22, A: 0xff}
+	grey      = color.RGBA{R: 0x7f, G: 0x7f, B: 0x7f, A: 0xff}
 	red       = color.RGBA{R: 0xc0, G: 0x39, B: 0x2b, A: 0xff}
 	faultMark = color.NRGBA{R: 0xc0, G: 0x39, B: 0x2b, A: 0x40}
 )
@@ -58,6 +59,7 @@
 	{"Requests by how they ended", "a second", []plotLine{
 		{"served", blue, func(s second) float64 { return float64(s.ends[served]) }},
 		{"refused", orange, func(s second) float64 { return float64(s.ends[refused]) }},
+		{"closed", grey, func(s second) float64 { return float64(s.ends[closed]) }},
 		{"failed", red, func(s second) float64 { return float64(s.ends[failed]) }},
 	}},
 	{"Processes that run", "", []plotLine{
@@ -73,7 +75,7 @@
 <html lang="en"><head><meta charset="utf-8"><title>{{.Title}}</title>
 <style>body{font-family:sans-serif;margin:2em}td,th{padding:0 1em 0 0;text-align:left}</style></head>
 <body><h1>{{.Title}}</h1>
-<p>{{.Served}} requests served, {{.Refused}} refused, {{.Failed}} failed. Red lines mark where faults began.</p>
+<p>{{.Served}} requests served, {{.Refused}} refused, {{.Closed}} closed, {{.Failed}} failed. Red lines mark where faults began.</p>
 {{range .Plots}}{{.}}
 {{end}}<h2>Faults</h2><table><tr><th>from second</th><th>for</th><th>what</th></tr>
 {{range .Faults}}<tr><td>{{printf "%.1f" .At.Seconds}}</td><td>{{printf "%.1f" .For.Seconds}} s</td><td>{{.Name}}</td></tr>
@@ -82,16 +84,16 @@
 
 // pageContent is what the page shows.
 type pageContent struct {
-	Title                   string
-	Served, Refused, Failed int
-	Plots                   []template.HTML
-	Faults                  []recordedFault
+	Title                           string
+	Served, Refused, Closed, Failed int
+	Plots                           []template.HTML
+	Faults                          []recordedFault
 }
 
 // writePage writes the run as an HTML page.
 func (r *recorder) writePage(w io.Writer) error {
 	ends := r.totals()
-	c := pageContent{Title: r.title, Served: ends[served], Refused: ends[refused], Failed: ends[failed], Faults: r.recordedFaults()}
+	c := pageContent{Title: r.title, Served: ends[served], Refused: ends[refused], Closed: ends[closed], Failed: ends[failed], Faults: r.recordedFaults()}
 	r.mu.Lock()
 	seconds := slices.Clone(r.seconds)
 	r.mu.Unlock()
@@ -168,6 +170,7 @@
 			time.Sleep(time.Second)
 		}
 		r.request(time.Now(), 0, refused)
+		r.request(time.Now(), 0, closed)
 		began := time.Now()
 		time.Sleep(1500 * time.Millisecond)
 		r.fault(began, "host-1 paused")
@@ -182,7 +185,7 @@
 		require.NoError(t, r.writePage(&page))
 		text := page.String()
 		require.Contains(t, text, "soak &lt;seed 7&gt;")
-		require.Contains(t, text, "5 requests served, 1 refused, 1 failed")
+		require.Contains(t, text, "5 requests served, 1 refused, 1 closed, 1 failed")
 		require.Equal(t, 3, strings.Count(text, "<svg"))
 		require.Contains(t, text, "<td>5.0</td><td>1.5 s</td><td>host-1 paused</td>")
 		require.NotContains(t, text, "<?xml")
--- a/internal/gateway/soak/recorder_test.go
+++ b/internal/gateway/soak/recorder_test.go
@@ -14,6 +14,8 @@
 	served outcome = iota
 	// refused is a response that guarantees that the request did not run.
 	refused
+	// closed is a connection that the host closed before a whole response.
+	closed
 	// failed is any other end.
 	failed
 	// outcomes is how many there are.
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -108,8 +108,10 @@
 	wait.Wait()
 	time.Sleep(500 * time.Millisecond) // what still runs must not run later either
 	w.checkLedger()
+	w.checkCuts()
 	w.keep(reportVar, ".html", w.record.writePage)
-	t.Logf("seed %d: %d served, %d not, %d violations", seed, ends[served], ends[refused]+ends[failed], len(w.violations))
+	t.Logf("seed %d: %d served, %d refused, %d closed, %d failed, %d violations",
+		seed, ends[served], ends[refused], ends[closed], ends[failed], len(w.violations))
 	if len(w.violations) > 0 {
 		w.keepLogs()
 	}
@@ -121,7 +123,7 @@
 func (w *world) startTraffic(ctx context.Context) *sync.WaitGroup {
 	var wait sync.WaitGroup
 	for i := range clients {
-		wait.Go(func() { w.client(ctx, i) })
+		wait.Go(func() { w.newClient("roaming-", i).roam(ctx) })
 	}
 	for _, h := range w.hosts {
 		wait.Go(func() { w.watchVersions(ctx, h) })
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -16,10 +16,29 @@
 	"cairndock/platform/platformtest"
 )
 
-// ledger counts how often each request ran, over all upstreams.
+// ledger is what the upstreams know of the requests, by their ids.
 type ledger struct {
-	mu   sync.Mutex
+	mu sync.Mutex
+	// runs counts how often each ran, over all upstreams.
 	runs map[string]int
+	// arrivals are where and when each arrived, refused ones too.
+	arrivals map[string][]arrival
+}
+
+// arrival is a request that reached an upstream that it was meant for.
+type arrival struct {
+	upstream *upstream
+	at       time.Time
+}
+
+func newLedger() *ledger {
+	return &ledger{runs: map[string]int{}, arrivals: map[string][]arrival{}}
+}
+
+func (l *ledger) arrive(id string, u *upstream) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.arrivals[id] = append(l.arrivals[id], arrival{u, time.Now()})
 }
 
 func (l *ledger) run(id string) {
@@ -68,6 +87,8 @@
 	link    *link
 	defect  atomic.Int32
 	running atomic.Int32
+	// disruptions are its faults and those of its link, and its end.
+	disruptions disruptions
 	// noWorkFrom is when it must get no new requests any more, in Unix
 	// nanoseconds; 0 is never.
 	noWorkFrom atomic.Int64
@@ -108,6 +129,7 @@
 	if !ok {
 		return
 	}
+	u.ledger.arrive(id, u)
 	if u.running.Add(1) > refuseAbove || d == shedding {
 		u.running.Add(-1)
 		u.Refuse(w)
@@ -162,8 +184,9 @@
 	}
 }
 
-// end ends the upstream at once.
+// end ends the upstream at once, for good.
 func (u *upstream) end() {
+	_ = u.disruptions.begin() // it never ends
 	_ = u.server.Close()
 	u.link.set(refuse)
 }
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -60,6 +60,8 @@
 	// notRun are the requests that a host refused as not run: the host's
 	// address by the request's id.
 	notRun map[string]string
+	// closures are the requests whose connection was closed without a response.
+	closures []closure
 }
 
 func newWorld(t *testing.T, seed uint64, hosts int) *world {
@@ -67,7 +69,7 @@
 	w := &world{
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)),
 		record: newRecorder(fmt.Sprintf("Fault soak, seed %d, %d hosts", seed, hosts)),
-		store:  platformtest.NewStore(), ledger: &ledger{runs: map[string]int{}},
+		store:  platformtest.NewStore(), ledger: newLedger(),
 		acceptedAt: map[int]time.Time{}, notRun: map[string]string{},
 	}
 	w.server = httptest.NewServer(w.store)
@@ -153,6 +155,16 @@
 
 func (w *world) randomHost() *host { return w.hosts[w.intN(len(w.hosts))] }
 
+// hostAt gives the host that clients reach at an address, or nil.
+func (w *world) hostAt(address string) *host {
+	for _, h := range w.hosts {
+		if h.clients == address {
+			return h
+		}
+	}
+	return nil
+}
+
 func (w *world) intN(n int) int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
