Have clients of the soak cling to their connections

All clients resolved anew every ten requests and left a host that stopped, and their connections were never idle for long, so that none was taken up near its end.

Eight clients for each host now keep to it until it takes no connection, idle between two requests for up to four fifths of the idle limit, half of the times for nearly that long. Bodies have a length or come in chunks, in one to three pieces. The idle limit is 4 s instead of 15 s, so that connections are idle when a stopping host closes those that are.

--- a/internal/gateway/soak/client_test.go
+++ b/internal/gateway/soak/client_test.go
@@ -3,12 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"hash/fnv"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
+	"cairndock/internal/pause"
 	"cairndock/platform/platformtest"
 )
 
@@ -24,6 +26,17 @@
 	// resolveEvery is after how many requests a client resolves the host name
 	// again.
 	resolveEvery = 10
+	// idleShare is the part of the idle limit up to which clients take a
+	// connection up again; from the platform.
+	idleShare = 0.8
+	// lateShare is where the last part of that time begins, which half of the
+	// pauses of a clinging client reach. Chosen, not measured.
+	lateShare = 0.7
+	// maxPieces is the highest number of pieces of a body.
+	maxPieces = 3
+	// maxPiece is the size of the largest piece, in bytes: above a host's read
+	// buffer.
+	maxPiece = 12 << 10
 )
 
 // client is one client: it sends one request at a time, half of which may not be
@@ -40,10 +53,13 @@
 	requests int
 }
 
-func (w *world) newClient(kind string, number int) *client {
+// newClient makes a client whose name no other one has.
+func (w *world) newClient(name string) *client {
+	stream := fnv.New64a()
+	_, _ = stream.Write([]byte(name)) // a hash returns no error
 	return &client{
-		world: w, name: fmt.Sprint(kind, number), conns: map[string]*clientConn{},
-		rand:      rand.New(rand.NewPCG(w.seed, uint64(number))),
+		world: w, name: name, conns: map[string]*clientConn{},
+		rand:      rand.New(rand.NewPCG(w.seed, stream.Sum64())),
 		directory: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}},
 	}
 }
@@ -74,6 +90,31 @@
 	}
 }
 
+// cling sends requests until the context ends, to one host on one connection,
+// whatever the directory says, until the host takes no more. It leaves the
+// connection idle between two requests for up to idleShare of the limit.
+func (c *client) cling(ctx context.Context, address string) {
+	defer c.close()
+	for pause.For(ctx, c.idleTime()) {
+		if c.send(address) {
+			continue
+		}
+		if others := c.resolve(ctx); len(others) > 0 {
+			address = others[c.rand.IntN(len(others))]
+		}
+	}
+}
+
+// idleTime chooses how long a clinging client is idle: any time that is allowed,
+// or nearly the longest.
+func (c *client) idleTime() time.Duration {
+	share := c.rand.Float64() * idleShare
+	if c.rand.IntN(2) == 0 {
+		share = lateShare + c.rand.Float64()*(idleShare-lateShare)
+	}
+	return time.Duration(share * float64(c.world.currentIdleLimit()))
+}
+
 // resolve resolves the host name at one host's directory, as a client of that
 // host's zone. It gives nothing if the host does not respond, which faults may cause.
 func (c *client) resolve(ctx context.Context) []string {
@@ -87,13 +128,14 @@
 	return addresses
 }
 
-// send sends one request to a host and checks the response.
-func (c *client) send(address string) {
+// send sends one request to a host and checks the response. It reports whether
+// the host could be reached.
+func (c *client) send(address string) bool {
 	c.requests++
 	conn, err := c.connection(address)
 	if err != nil {
 		c.world.record.request(time.Now(), 0, failed)
-		return
+		return false
 	}
 	m := c.message()
 	idle := time.Since(conn.lastEnd)
@@ -112,6 +154,7 @@
 		_ = conn.Close() // it has failed or ended already
 		delete(c.conns, address)
 	}
+	return true
 }
 
 // connection gives the client's connection to a host, or makes it.
@@ -131,11 +174,20 @@
 	m := message{id: fmt.Sprintf("safe-%s-%d", c.name, c.requests), key: strconv.Itoa(c.rand.IntN(keys))}
 	if c.rand.IntN(2) == 0 {
 		m.id = fmt.Sprintf("%s%s-%d", oncePrefix, c.name, c.requests)
-		m.body = "payload of " + m.id
+		m.pieces, m.chunked = c.pieces(m.id), c.rand.IntN(2) == 0
 	}
 	return m
 }
 
+// pieces makes the body of a request.
+func (c *client) pieces(id string) []string {
+	pieces := []string{"payload of " + id}
+	for range c.rand.IntN(maxPieces) {
+		pieces = append(pieces, strings.Repeat("x", 1+c.rand.IntN(maxPiece)))
+	}
+	return pieces
+}
+
 // checkResponse checks a whole response: it belongs to the request and the route
 // exists. A refused request is recorded, for checkLedger, as one that must not run.
 func (w *world) checkResponse(address, id string, r result) {
--- a/internal/gateway/soak/conn_test.go
+++ b/internal/gateway/soak/conn_test.go
@@ -11,8 +11,11 @@
 	"strconv"
 	"strings"
 	"syscall"
+	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"cairndock/platform/platformtest"
 )
 
@@ -23,30 +26,59 @@
 	// exchangeTimeout bounds a whole exchange. Chosen, not measured: well above
 	// what clients say they wait.
 	exchangeTimeout = 5 * time.Second
+	// piecePause is the pause before each further write of a request. Chosen, not
+	// measured: so short that requests come in well before any timeout.
+	piecePause = 3 * time.Millisecond
 )
 
 // message is a request as a client sends it.
 type message struct {
-	id   string
-	key  string
-	body string
+	id  string
+	key string
+	// pieces is the body, sent piece by piece with pauses between them; chunked
+	// is set if each is a chunk, else the whole has a length.
+	pieces  []string
+	chunked bool
 }
 
-// text is the message on the wire.
-func (m message) text() string {
+// writes are the bytes of each write by which the message is sent. The first
+// piece that is no chunk goes with the header.
+func (m message) writes() []string {
+	writes := []string{m.head()}
+	for i, p := range m.pieces {
+		switch {
+		case m.chunked:
+			writes = append(writes, fmt.Sprintf("%x\r\n%s\r\n", len(p), p))
+		case i == 0:
+			writes[0] += p
+		default:
+			writes = append(writes, p)
+		}
+	}
+	if m.chunked {
+		writes[len(writes)-1] += "0\r\n\r\n"
+	}
+	return writes
+}
+
+// head is the request line and the header.
+func (m message) head() string {
 	method, path := http.MethodGet, "/safe/x"
 	if strings.HasPrefix(m.id, oncePrefix) {
 		method, path = http.MethodPost, "/once/x"
 	}
 	h := http.Header{}
 	platformtest.Request{ID: m.id, Key: m.key, Timeout: clientTimeout}.SetHeaders(h)
-	if m.body != "" {
-		h.Set("Content-Length", strconv.Itoa(len(m.body)))
+	switch {
+	case m.chunked:
+		h.Set("Transfer-Encoding", "chunked")
+	case len(m.pieces) > 0:
+		h.Set("Content-Length", strconv.Itoa(len(strings.Join(m.pieces, ""))))
 	}
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", method, path, hostname)
 	_ = h.Write(&b) // a bytes.Buffer returns no error
-	return b.String() + "\r\n" + m.body
+	return b.String() + "\r\n"
 }
 
 // clientConn is a client's connection to a host, with one request at a time. It
@@ -119,8 +151,14 @@
 	r := result{began: time.Now()}
 	c.requests++
 	r.err = c.SetDeadline(r.began.Add(exchangeTimeout))
-	if r.err == nil {
-		_, r.err = io.WriteString(c, m.text())
+	for i, text := range m.writes() {
+		if r.err != nil {
+			break
+		}
+		if i > 0 {
+			time.Sleep(piecePause)
+		}
+		_, r.err = io.WriteString(c, text)
 	}
 	if r.err == nil {
 		r.sent = true
@@ -166,3 +204,24 @@
 		return failed
 	}
 }
+
+func TestAMessageIsWholeOnTheWire(t *testing.T) {
+	for name, m := range map[string]message{
+		"no body":     {id: "safe-1", key: "7"},
+		"one piece":   {id: oncePrefix + "1", pieces: []string{"all"}},
+		"pieces":      {id: oncePrefix + "2", pieces: []string{"one", "two", "three"}},
+		"one chunk":   {id: oncePrefix + "3", pieces: []string{"all"}, chunked: true},
+		"some chunks": {id: oncePrefix + "4", pieces: []string{"one", strings.Repeat("x", 300)}, chunked: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			wire := bufio.NewReader(strings.NewReader(strings.Join(m.writes(), "")))
+			r, err := http.ReadRequest(wire)
+			require.NoError(t, err)
+			text, err := io.ReadAll(r.Body)
+			require.NoError(t, err)
+			require.Equal(t, strings.Join(m.pieces, ""), string(text))
+			require.Equal(t, m.chunked, len(r.TransferEncoding) > 0)
+			require.Zero(t, wire.Buffered())
+		})
+	}
+}
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -82,7 +83,7 @@
 	// allGap is shorter than plannedGap, so that more faults overlap.
 	allGap = 400 * time.Millisecond
 	// minServedAfter is how many requests must be served in the second after
-	// all faults; twelve clients send some hundreds.
+	// all faults; the roaming clients send some hundreds.
 	minServedAfter = 20
 )
 
@@ -122,8 +123,11 @@
 // ends.
 func (w *world) startTraffic(ctx context.Context) *sync.WaitGroup {
 	var wait sync.WaitGroup
-	for i := range clients {
-		wait.Go(func() { w.newClient("roaming-", i).roam(ctx) })
+	for i := range roaming {
+		wait.Go(func() { w.newClient(fmt.Sprint("roaming-", i)).roam(ctx) })
+	}
+	for i := range clingingPerHost * len(w.hosts) {
+		wait.Go(func() { w.newClient(fmt.Sprint("clinging-", i)).cling(ctx, w.hosts[i%len(w.hosts)].clients) })
 	}
 	for _, h := range w.hosts {
 		wait.Go(func() { w.watchVersions(ctx, h) })
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -22,8 +22,14 @@
 	upstreams = 9
 	// minUpstreams is the number alive below which no fault takes one away.
 	minUpstreams = 6
-	// clients is how many clients send requests.
-	clients = 12
+	// roaming is how many clients send requests to the hosts that the directory
+	// names.
+	roaming = 12
+	// clingingPerHost is how many clients for each host cling to their connections.
+	clingingPerHost = 8
+	// longIdleLimit is the clients' idle limit to begin with. Chosen: with it,
+	// connections are idle when a stopping host closes those that are.
+	longIdleLimit = 4 * time.Second
 )
 
 // zones are the zones of hosts and upstreams.
@@ -56,6 +62,8 @@
 	// accepted by the store.
 	version    int
 	acceptedAt map[int]time.Time
+	// idleLimit is the clients' idle limit in the newest configuration.
+	idleLimit  time.Duration
 	violations []string
 	// notRun are the requests that a host refused as not run: the host's
 	// address by the request's id.
@@ -70,7 +78,7 @@
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)),
 		record: newRecorder(fmt.Sprintf("Fault soak, seed %d, %d hosts", seed, hosts)),
 		store:  platformtest.NewStore(), ledger: newLedger(),
-		acceptedAt: map[int]time.Time{}, notRun: map[string]string{},
+		acceptedAt: map[int]time.Time{}, notRun: map[string]string{}, idleLimit: longIdleLimit,
 	}
 	w.server = httptest.NewServer(w.store)
 	t.Cleanup(w.server.Close)
@@ -111,11 +119,17 @@
 	w.store.PutConfig(platformtest.Config{
 		Version: w.version, Routes: routes,
 		Services: map[string]platformtest.Service{service: {HealthCheckPath: "/healthz", MaxConnections: 300, WarmUpSeconds: 1, WarmUpRate: 20}},
-		Limits:   platformtest.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: 15000},
+		Limits:   platformtest.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: int(w.idleLimit.Milliseconds())},
 	})
 	w.acceptedAt[w.version] = time.Now()
 }
 
+func (w *world) currentIdleLimit() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.idleLimit
+}
+
 func route(prefix string, kind platformtest.Kind) platformtest.Route {
 	return platformtest.Route{
 		Host: hostname, PathPrefix: prefix, Kind: kind, TimeoutMS: 1500, TargetLatencyMS: 300,
