Stop hosts in series and change the idle limit in the soak

The clients' limits never changed in the soak, stops met only by chance, and a signal came at most once during a stop.

New planned work: two to half of the hosts stopped 0.3 s apart, changes of the idle limit (0.3 to 2 s, or back to 4 s), both beside each other, and up to three more SIGTERM or SIGHUP during a stop. A process that had served and does not end in order when it is stopped (by the signal itself, by the race detector's exit code) is a violation. Each run logs how many requests met a close, and how many of them were passed on.

--- a/internal/gateway/soak/checks_test.go
+++ b/internal/gateway/soak/checks_test.go
@@ -47,6 +47,9 @@
 		due := w.storeDisruptions.calm() && h.calm() && time.Since(accepted) > applyWithin+slack
 		status := w.probe(h, ask)
 		same := h.processNumber() == process
+		if status != 0 && same {
+			h.noteServing(process)
+		}
 		switch {
 		case status == http.StatusNotFound && same && ask <= highest:
 			w.violation("config: %s went back behind version %d", h.name, highest)
--- a/internal/gateway/soak/cuts_test.go
+++ b/internal/gateway/soak/cuts_test.go
@@ -47,10 +47,12 @@
 	w.mu.Lock()
 	closures := w.closures
 	w.mu.Unlock()
+	passedOn := 0
 	for _, c := range closures {
 		w.ledger.mu.Lock()
 		arrivals := w.ledger.arrivals[c.id]
 		w.ledger.mu.Unlock()
+		passedOn += min(1, len(arrivals))
 		for _, a := range arrivals {
 			if w.isCut(c, a) {
 				w.violation("cut: %s was sent to %s at %.3f s, reached %s %s later and its connection was closed after %s: %s", c.id, c.host.name,
@@ -58,6 +60,7 @@
 			}
 		}
 	}
+	w.t.Logf("seed %d: connections were closed under %d requests, %d of them passed on", w.seed, len(closures), passedOn)
 }
 
 // isCut reports whether nothing but the host explains a closure: no fault was on
@@ -95,7 +98,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			h, u := &host{name: "host-0", clients: "here"}, &upstream{}
-			w := &world{record: newRecorder(""), ledger: newLedger(), hosts: []*host{h}}
+			w := &world{t: t, record: newRecorder(""), ledger: newLedger(), hosts: []*host{h}}
 			for d, s := range map[*disruptions]span{&h.disruptions: c.host, &u.disruptions: c.upstream, &w.storeDisruptions: c.store} {
 				if !s.from.IsZero() {
 					d.spans = append(d.spans, &s)
--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -9,7 +9,8 @@
 //	host_test.go         a gateway process and its supervisor
 //	upstream_test.go     an upstream, and the ledger of what arrived and ran
 //	link_test.go         a TCP link with faults
-//	faults_test.go       what operators do, and what goes wrong
+//	planned_test.go      what operators do
+//	faults_test.go       what goes wrong
 //	disruptions_test.go  when a host, an upstream or the store had faults
 //	client_test.go       clients, and what they check at once
 //	conn_test.go         a client's connection, and how a request on it ends
--- a/internal/gateway/soak/faults_test.go
+++ b/internal/gateway/soak/faults_test.go
@@ -8,21 +8,12 @@
 	"cairndock/platform/platformtest"
 )
 
-// fault is one disruption; run returns when it is over.
+// fault is one disruption or planned work; run returns when it is over.
 type fault struct {
 	name string
 	run  func(w *world)
 }
 
-// planned are what operators do on an ordinary day.
-var planned = []fault{
-	{"stop a host", (*world).stopHost},
-	{"reload a host", (*world).reloadHost},
-	{"change the configuration", (*world).changeConfig},
-	{"drain an upstream", (*world).drainUpstream},
-	{"evacuate a zone", (*world).evacuateZone},
-}
-
 // unplanned are what goes wrong.
 var unplanned = []fault{
 	{"kill a host", (*world).killHost},
@@ -34,69 +25,6 @@
 	{"disrupt an upstream's link", (*world).disruptLink},
 }
 
-func (w *world) stopHost() {
-	h := w.randomHost()
-	if !h.ending.TryLock() {
-		return
-	}
-	defer h.ending.Unlock()
-	began := time.Now()
-	h.mu.Lock()
-	h.stopping = began
-	h.mu.Unlock()
-	h.expectExit(true)
-	h.signal(syscall.SIGTERM)
-	inTime := h.wait(grace + slack)
-	if !inTime && !h.disruptions.during(began.Add(-calmAfter), time.Now()) {
-		w.violation("overrun: %s had to be killed %s after SIGTERM", h.name, time.Since(began))
-	}
-	h.expectExit(false)
-	h.start()
-}
-
-// reloadHost passes over a host that has just started: until a process has
-// a handler for the signal the kernel ends it by default, which no program can
-// prevent in its first milliseconds.
-func (w *world) reloadHost() {
-	h := w.randomHost()
-	h.mu.Lock()
-	young := time.Since(h.startedAt) < 300*time.Millisecond
-	h.mu.Unlock()
-	if !young {
-		h.signal(syscall.SIGHUP)
-	}
-}
-
-func (w *world) changeConfig() {
-	w.configure()
-	time.Sleep(w.between(20*time.Millisecond, time.Second))
-}
-
-func (w *world) drainUpstream() {
-	u := w.takeUpstream()
-	if u == nil {
-		return
-	}
-	w.addUpstream(u.zone)
-	w.store.PutUpstream(u.ID, u.row(true))
-	u.noWorkFrom.Store(time.Now().Add(drainWithin + slack).UnixNano())
-	time.Sleep(drainWithin + 2*time.Second)
-	w.store.DeleteUpstream(u.ID)
-	u.end()
-}
-
-func (w *world) evacuateZone() {
-	zone := zones[w.intN(len(zones))].name
-	if !w.evacuating.TryLock() {
-		return
-	}
-	defer w.evacuating.Unlock()
-	w.store.Evacuate(zone)
-	time.Sleep(evacuateWithin + slack)
-	time.Sleep(w.between(time.Second, 2*time.Second))
-	w.store.EndEvacuation(zone)
-}
-
 func (w *world) killHost() {
 	h := w.randomHost()
 	if !h.ending.TryLock() {
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -48,6 +48,8 @@
 	// processes counts the processes, and startedAt is when the last started.
 	processes int
 	startedAt time.Time
+	// served is the number of the last process that responded to a probe.
+	served int
 
 	disruptions disruptions
 }
@@ -199,6 +201,46 @@
 	}
 }
 
+// young reports whether the process has just started.
+func (h *host) young() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return time.Since(h.startedAt) < youngFor
+}
+
+// noteServing records that a process has responded to a client.
+func (h *host) noteServing(process int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.served = process
+}
+
+// serving reports whether the process is known to have responded to a client. One
+// that has not may still be without handlers for signals, however long it takes
+// to start on a busy machine, and loses nothing when a signal ends it.
+func (h *host) serving() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.served == h.processes
+}
+
+// exitAborted is the exit code of a stop that aborted requests.
+const exitAborted = 1
+
+// exitedInOrder reports whether the process, which has ended, did so by itself
+// with an exit code of a stop. The race detector's is another one.
+func (h *host) exitedInOrder() bool {
+	code := h.exit().ExitCode()
+	return code == 0 || code == exitAborted
+}
+
+// exit says how the process ended.
+func (h *host) exit() *os.ProcessState {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.cmd.ProcessState
+}
+
 // calm reports whether rules bound by time hold on the host.
 func (h *host) calm() bool {
 	h.mu.Lock()
