Silence open connections for good in the soak

Open connections may go silent without a reset while new ones work.

Two unplanned faults do so, to an upstream and from a host to the store. At the end of each run all of both go silent at once; every host must serve after it, and the cost is logged and checks nothing.

--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -16,6 +16,7 @@
 //	conn_test.go         a client's connection, and how a request on it ends
 //	cuts_test.go         the check that no request is cut
 //	checks_test.go       what else is checked beside them and at the end
+//	recovery_test.go     what must work after all faults
 //	recorder_test.go     a run second by second, and page_test.go its report
 //	artifacts_test.go    logs, heap profiles and reports kept of a run
 //
--- a/internal/gateway/soak/faults_test.go
+++ b/internal/gateway/soak/faults_test.go
@@ -23,6 +23,8 @@
 	{"crash an upstream", (*world).crashUpstream},
 	{"give an upstream a defect", (*world).breakUpstream},
 	{"disrupt an upstream's link", (*world).disruptLink},
+	{"silence the open connections of an upstream", (*world).silenceUpstream},
+	{"silence the open connections of a host to the store", (*world).silenceHost},
 }
 
 func (w *world) killHost() {
@@ -105,3 +107,18 @@
 	time.Sleep(w.between(500*time.Millisecond, 3*time.Second))
 	u.link.set(pass)
 }
+
+// Connections that go silent for good count as a fault of one moment, like a
+// reset, though hosts may come upon them for as long as they keep them.
+
+func (w *world) silenceUpstream() {
+	u := w.randomUpstream()
+	defer u.disruptions.begin()()
+	u.link.silenceOpen()
+}
+
+func (w *world) silenceHost() {
+	h := w.randomHost()
+	defer h.disruptions.begin()()
+	h.store.silenceOpen()
+}
--- /dev/null
+++ b/internal/gateway/soak/recovery_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// silenceFor is how long a run goes on after all open connections went
+	// silent: above the clients' own wait, so that requests under way have ended.
+	silenceFor = 3 * time.Second
+	// minServedAfter is how many requests must be served in the second after
+	// all faults; the roaming clients send some hundreds.
+	minServedAfter = 20
+)
+
+// checkRecovery checks, after all faults, that every host serves, also after all
+// its connections to upstreams and to the store went silent at once, and that
+// clients are served.
+func (w *world) checkRecovery() {
+	w.awaitService(15 * time.Second)
+	w.silenceAll()
+	w.awaitService(5 * time.Second)
+	before := w.record.totals()
+	time.Sleep(time.Second)
+	ends := w.record.totals()
+	if n := ends[served] - before[served]; n < minServedAfter {
+		w.violation("recovery: only %d requests were served in the second after all faults", n)
+	}
+}
+
+// silenceAll silences all open connections to upstreams and to the store, waits,
+// and logs what that cost.
+func (w *world) silenceAll() {
+	w.mu.Lock()
+	alive := slices.Clone(w.alive)
+	w.mu.Unlock()
+	toUpstreams, toStore := 0, 0
+	before, began := w.record.totals(), time.Now()
+	for _, u := range alive {
+		end := u.disruptions.begin()
+		toUpstreams += u.link.silenceOpen()
+		end()
+	}
+	for _, h := range w.hosts {
+		end := h.disruptions.begin()
+		toStore += h.store.silenceOpen()
+		end()
+	}
+	time.Sleep(silenceFor)
+	ends := w.record.totals()
+	w.record.fault(began, "silence all open connections")
+	w.t.Logf("seed %d: %d connections to upstreams and %d to the store went silent: %d requests served, %d refused, %d closed, %d failed in %s, the last one that failed or was refused began %s after",
+		w.seed, toUpstreams/2, toStore/2, ends[served]-before[served], ends[refused]-before[refused],
+		ends[closed]-before[closed], ends[failed]-before[failed], silenceFor, max(0, w.record.lastFailure().Sub(began)))
+}
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -82,9 +82,6 @@
 	plannedGap = 600 * time.Millisecond
 	// allGap is shorter than plannedGap, so that more faults overlap.
 	allGap = 400 * time.Millisecond
-	// minServedAfter is how many requests must be served in the second after
-	// all faults; the roaming clients send some hundreds.
-	minServedAfter = 20
 )
 
 // run plays one seed and gives the violations.
@@ -97,19 +94,14 @@
 	time.Sleep(calmAfter) // so that all hosts count as calm
 	w.phase("planned", planned, length, plannedGap)
 	w.phase("all", slices.Concat(planned, unplanned), length, allGap)
-	w.awaitService(15 * time.Second)
-	before := w.record.totals()
-	time.Sleep(time.Second)
-	ends := w.record.totals()
-	if n := ends[served] - before[served]; n < minServedAfter {
-		w.violation("recovery: only %d requests were served in the second after all faults", n)
-	}
+	w.checkRecovery()
 	w.keep(logsVar, ".heap", w.writeHeapProfile) // of a host under load
 	cancel()
 	wait.Wait()
 	time.Sleep(500 * time.Millisecond) // what still runs must not run later either
 	w.checkLedger()
 	w.checkCuts()
+	ends := w.record.totals()
 	w.keep(reportVar, ".html", w.record.writePage)
 	t.Logf("seed %d: %d served, %d refused, %d closed, %d failed, %d violations",
 		seed, ends[served], ends[refused], ends[closed], ends[failed], len(w.violations))
