Bound the soak's size, and let it run with many hosts

SOAK_HOSTS had no bound, and all hosts started at once; probes and clinging clients grew with the hosts.

--- a/internal/gateway/soak/checks_test.go
+++ b/internal/gateway/soak/checks_test.go
@@ -33,7 +33,7 @@
 func (w *world) watchVersions(ctx context.Context, h *host) {
 	process, highest := 0, 0
 	for n := 0; ctx.Err() == nil; n++ {
-		time.Sleep(60 * time.Millisecond)
+		time.Sleep(w.probeEvery())
 		w.mu.Lock()
 		newest := w.version
 		w.mu.Unlock()
@@ -89,17 +89,24 @@
 // awaitService waits until every host serves.
 func (w *world) awaitService(timeout time.Duration) {
 	for _, h := range w.hosts {
-		end := time.Now().Add(timeout)
-		for w.probe(h, 1) != http.StatusOK {
-			if time.Now().After(end) {
-				w.violation("recovery: %s does not serve", h.name)
-				return
-			}
-			time.Sleep(50 * time.Millisecond)
+		if !w.awaitHost(h, timeout) {
+			return
 		}
 	}
 }
 
+// awaitHost waits until a host serves, and reports whether it does.
+func (w *world) awaitHost(h *host, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); w.probe(h, 1) != http.StatusOK; {
+		if time.Now().After(end) {
+			w.violation("recovery: %s does not serve", h.name)
+			return false
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	return true
+}
+
 // checkDrained is called for a request that an upstream got after it should
 // have got none.
 func (w *world) checkDrained(upstream, request string) {
--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -6,6 +6,7 @@
 //
 //	soak_test.go         the tests, kept seeds, and the course of one run
 //	world_test.go        one run: hosts, upstreams, store, configuration
+//	size_test.go         how large a run may be
 //	host_test.go         a gateway process and its supervisor
 //	upstream_test.go     an upstream, and the ledger of what arrived and ran
 //	link_test.go         a TCP link with faults
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -88,12 +88,14 @@
 func run(t *testing.T, seed uint64, hosts int, length time.Duration) []string {
 	t.Helper()
 	w := newWorld(t, seed, hosts)
-	w.awaitService(10 * time.Second)
+	w.startHosts(10 * time.Second)
 	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
 	wait := w.startTraffic(ctx)
+	wait.Go(func() { w.watchMemory(ctx, cancel) })
 	time.Sleep(calmAfter) // so that all hosts count as calm
-	w.phase("planned", planned, length, plannedGap)
-	w.phase("all", slices.Concat(planned, unplanned), length, allGap)
+	w.phase(ctx, "planned", planned, length, plannedGap)
+	w.phase(ctx, "all", slices.Concat(planned, unplanned), length, allGap)
 	w.checkRecovery()
 	w.keep(logsVar, ".heap", w.writeHeapProfile) // of a host under load
 	cancel()
@@ -118,7 +120,7 @@
 	for i := range roaming {
 		wait.Go(func() { w.newClient(fmt.Sprint("roaming-", i)).roam(ctx) })
 	}
-	for i := range clingingPerHost * len(w.hosts) {
+	for i := range w.clinging() {
 		wait.Go(func() { w.newClient(fmt.Sprint("clinging-", i)).cling(ctx, w.hosts[i%len(w.hosts)].clients) })
 	}
 	for _, h := range w.hosts {
@@ -128,12 +130,12 @@
 	return &wait
 }
 
-// phase injects faults of some kinds for a time, several at once, and waits
-// until the last is over.
-func (w *world) phase(name string, kinds []fault, length, gap time.Duration) {
+// phase injects faults of some kinds for a time or until the context ends,
+// several at once, and waits until the last is over.
+func (w *world) phase(ctx context.Context, name string, kinds []fault, length, gap time.Duration) {
 	var wait sync.WaitGroup
 	end := time.Now().Add(length)
-	for time.Now().Before(end) {
+	for time.Now().Before(end) && ctx.Err() == nil {
 		f := kinds[w.intN(len(kinds))]
 		w.t.Logf("seed %d, %s: %s", w.seed, name, f.name)
 		wait.Go(func() {
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -89,9 +89,7 @@
 	}
 	for i := range hosts {
 		h := newHost(t, w.violation, fmt.Sprint("host-", i), zones[i%len(zones)], strings.TrimPrefix(w.server.URL, "http://"))
-		h.start()
 		w.hosts = append(w.hosts, h)
-		t.Cleanup(h.kill)
 	}
 	return w
 }
