Take silence on a used connection for the connection's, not the upstream's

Cause: connections may go silent for good while new ones work. Three overdue requests on such connections, from hosts of one region, ejected an upstream for 2 s that answered on new ones. Now a response that is overdue counts against the upstream only if the connection was new or something had come back on it.

TestSilentConnectionsDoNotEjectAnUpstreamThatAnswersNewOnes fails without it (3 of 3: ejected, no new connection is made), 3 of 3 pass with it.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -104,6 +104,11 @@
 // waits until the context ends for the header of its response. Its error is a
 // *verdict.Error.
 func (c *Client) Send(ctx context.Context, upstream, address string, r *Request) (*Response, error) {
+	return c.SendWatched(ctx, upstream, address, r, &Progress{})
+}
+
+// SendWatched is Send, which p follows.
+func (c *Client) SendWatched(ctx context.Context, upstream, address string, r *Request, p *Progress) (*Response, error) {
 	nc, err := c.pool.get(ctx, upstream, address)
 	if err != nil {
 		return nil, connectError(ctx, upstream, err)
@@ -116,6 +121,7 @@
 	x := &roundTrip{client: c, conn: nc, upstream: upstream, request: r}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	x.silence = watchSilence(c.pool, upstream, nc)
+	p.silence.Store(x.silence)
 	defer x.silence.stop()
 	if n, err := nc.Write(x.encode(left)); err != nil {
 		return nil, x.fail(ctx, err, n > 0)
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"sync/atomic"
 	"time"
 )
 
@@ -48,10 +49,24 @@
 	return w
 }
 
+// Progress tells of a request that is being sent. Its zero value is for one that
+// has not begun; its methods may be called while Send runs.
+type Progress struct{ silence atomic.Pointer[silenceWatch] }
+
+// SilentOnReused reports whether the request was sent on a connection that had
+// been used before, and nothing has come back on it. Then the connection may be
+// what is broken, and not the upstream.
+func (p *Progress) SilentOnReused() bool {
+	w := p.silence.Load()
+	return w != nil && w.timer != nil && w.isSilent()
+}
+
+func (w *silenceWatch) isSilent() bool { return w.conn.received.Load() == w.received }
+
 // check gives up the older idle connections unless a byte has come. A late call
 // is harmless: the count of bytes never goes back.
 func (w *silenceWatch) check() {
-	if w.conn.received.Load() == w.received {
+	if w.isSilent() {
 		w.pool.closeIdleSince(w.upstream, w.began)
 	}
 }
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -26,6 +26,8 @@
 	number int
 	began  time.Time
 	cancel context.CancelCauseFunc
+	// progress tells how far it is.
+	progress exchange.Progress
 
 	// overdueAfter is the longest time that a response normally takes; zero when
 	// it is not known yet.
@@ -81,7 +83,7 @@
 // roundTrip sends the request and waits for a response that may be forwarded.
 func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
 	u := a.choice.Upstream
-	resp, err := a.inflight.proxy.Client.Send(ctx, u.ID, u.Address, r)
+	resp, err := a.inflight.proxy.Client.SendWatched(ctx, u.ID, u.Address, r, &a.progress)
 	if err == nil {
 		err = a.inflight.accept(u.ID, resp)
 	}
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -102,8 +102,8 @@
 	return slices.ContainsFunc(s.running, func(a *attempt) bool { return !a.isOverdue() })
 }
 
-// hedge sends a request whose response is overdue, which counts as a failure of
-// the upstream, to another one beside it. The response may be lost, or only be
+// hedge sends a request whose response is overdue to another upstream beside the
+// one that it waits for, of which this is a failure. The response may be lost, or only be
 // late: the attempt goes on until one of the two has responded, as the other
 // upstream may have no room, refuse or fail. Canceled first, 19 of 177 overdue
 // attempts on a day of faults left their request without an answer.
@@ -112,7 +112,12 @@
 		return
 	}
 	f, now := s.inflight, time.Now()
-	f.proxy.Detector.RecordFailure(a.choice.Upstream.ID, now)
+	// On a connection that was used before, the connection may have gone silent:
+	// when all of them do, three hosts would eject an upstream that works. The
+	// next request there has a new one, and counts.
+	if !a.progress.SilentOnReused() {
+		f.proxy.Detector.RecordFailure(a.choice.Upstream.ID, now)
+	}
 	if f.ended(s.ctx) || !mayHedge(f.retryState(), f.deadline().Sub(now), a.overdueAfter) {
 		return
 	}
