Name what a stop does in the proxy apart from a drain of connections

Drain stood for a flag of the proxy, for the end of a server's connections, and the stop had both: the flag is Leave now. No decision changes; go test -race of the packages touched passes.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -107,7 +107,7 @@
 // in flight are finished within the grace period.
 func (g *Gateway) stop(ctx context.Context) error {
 	g.log.Process("stop", "signal received, draining")
-	g.proxy.Drain() // before Withdraw sends a heartbeat that says so
+	g.proxy.Leave() // before Withdraw sends a heartbeat that says so
 	go g.fleet.Withdraw(ctx)
 	aborted := g.server.Stop(ctx, time.Duration(g.settings.Stop.Grace))
 	g.server.Close()
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -72,28 +72,28 @@
 // take takes the end of an attempt. done is set when the request has its
 // response or the error that ends it; otherwise other attempts go on, or the
 // next one has begun.
-func (s *attempts) take(end attemptEnd) (resp *response, err error, done bool) {
+func (s *attempts) take(end attemptEnd) (resp *response, done bool, err error) {
 	f := s.inflight
 	s.forget(end.attempt)
 	if end.panicked != nil {
 		panic(end.panicked) // the http.Server logs it and ends the connection
 	}
 	if end.err == nil {
-		return end.resp, nil, true
+		return end.resp, true, nil
 	}
 	f.noteFailed(end.err)
 	if s.onTime() {
-		return nil, nil, false
+		return nil, false, nil
 	}
 	c, err := f.retry(s.ctx, end.err)
 	switch {
 	case err == nil:
 		s.start(c)
-		return nil, nil, false
+		return nil, false, nil
 	case len(s.running) > 0:
-		return nil, nil, false
+		return nil, false, nil
 	default:
-		return nil, f.finalVerdict(err), true
+		return nil, true, f.finalVerdict(err)
 	}
 }
 
@@ -102,10 +102,10 @@
 	return slices.ContainsFunc(s.running, func(a *attempt) bool { return !a.isOverdue() })
 }
 
-// hedge sends a request whose response is overdue to another upstream beside the
-// one that it waits for, of which this is a failure. The response may be lost, or only be
-// late: the attempt goes on until one of the two has responded, as the other
-// upstream may have no room, refuse or fail. Canceled first, 19 of 177 overdue
+// hedge sends a request whose response is overdue, which is a failure of the
+// upstream, to another one beside it. The response may be lost, or only be late:
+// the attempt goes on until one of the two has responded, as the other upstream
+// may have no room, refuse or fail. When it was canceled first, 19 of 177 overdue
 // attempts on a day of faults left their request without an answer.
 func (s *attempts) hedge(a *attempt) {
 	if !a.markOverdue() {
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -45,7 +45,7 @@
 		case a := <-s.overdue:
 			s.hedge(a)
 		case end := <-s.ends:
-			if resp, err, done := s.take(end); done {
+			if resp, done, err := s.take(end); done {
 				return resp, err
 			}
 		}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -70,7 +70,7 @@
 	Options
 
 	inFlight atomic.Int64
-	draining atomic.Bool
+	leaving  atomic.Bool
 	// starved is set while no client's connection can be accepted.
 	starved atomic.Bool
 	// aborted ends when the requests in flight are given up. Each client then
@@ -88,7 +88,7 @@
 
 // Ready reports whether clients should use this host: it is not stopping, can
 // accept connections and knows a configuration.
-func (p *Proxy) Ready() bool { return !p.draining.Load() && !p.starved.Load() && p.State.Ready() }
+func (p *Proxy) Ready() bool { return !p.leaving.Load() && !p.starved.Load() && p.State.Ready() }
 
 // noteAccepting follows whether clients' connections can be accepted. When they
 // can't, the idle connections to upstreams give back their descriptors.
@@ -102,10 +102,10 @@
 	p.Client.Retain(func(string) bool { return false })
 }
 
-// Drain makes the host unready and closes each client's connection after its
+// Leave makes the host unready and closes each client's connection after its
 // next response, so that clients turn to other hosts. Requests are still
 // served.
-func (p *Proxy) Drain() { p.draining.Store(true) }
+func (p *Proxy) Leave() { p.leaving.Store(true) }
 
 // InFlight is the number of requests in flight.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
@@ -134,11 +134,11 @@
 	f.forward(w, resp)
 }
 
-// closeIfDraining is asked right before a response is written: the stop may have
+// closeIfLeaving is asked right before a response is written: the stop may have
 // begun while the request was served, and a client that is not told to leave
 // sends its next request on a connection that is about to end.
-func (p *Proxy) closeIfDraining(w http.ResponseWriter) {
-	if p.draining.Load() {
+func (p *Proxy) closeIfLeaving(w http.ResponseWriter) {
+	if p.leaving.Load() {
 		closeAfterResponse(w)
 	}
 }
--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -24,7 +24,7 @@
 	e := verdict.From(err) // this request's own, so that it needs no copy
 	e.RetryAfter = retryAfter(e.Verdict, e.Reason).draw()
 	f.proxy.Metrics.Count(`cairndock_refusals_total{reason="` + string(e.Reason) + `",verdict="` + e.Verdict.String() + `"}`)
-	f.proxy.closeIfDraining(w)
+	f.proxy.closeIfLeaving(w)
 	status := f.proxy.Codec.WriteError(w, f.info, e)
 	f.logFinal(status, e)
 }
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -48,7 +48,7 @@
 		_ = resp.Body.Close() // err says whether the body was read whole
 		f.proxy.release(resp.upstream, outcomeOfForward(err))
 	}()
-	f.proxy.closeIfDraining(w)
+	f.proxy.closeIfLeaving(w)
 	f.boundWrites(w)
 	resp.writeHeader(w, f.request.Method)
 	err = resp.copyTo(w)
--- a/internal/gateway/proxy/stop.go
+++ b/internal/gateway/proxy/stop.go
@@ -33,7 +33,7 @@
 // Stop takes the host out of service within the grace period, the time from
 // SIGTERM to SIGKILL, and returns the number of requests that it had to abort:
 //
-//	0                    Drain: not ready, connections close after a response;
+//	0                    Leave: not ready, connections close after a response;
 //	                     new requests are still served
 //	drainPart of it      no new connections, those between requests end;
 //	                     requests in flight are served to their end
@@ -44,7 +44,7 @@
 // The last two steps end early when no request is in flight.
 func (s *Server) Stop(ctx context.Context, grace time.Duration) int64 {
 	began := time.Now()
-	s.proxy.Drain()
+	s.proxy.Leave()
 	pause.For(ctx, time.Duration(drainPart*float64(grace)))
 
 	served, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
--- a/internal/gateway/proxy/stop_test.go
+++ b/internal/gateway/proxy/stop_test.go
@@ -89,7 +89,7 @@
 	resp, _ := g.get()
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.False(t, resp.Close)
-	g.proxy.Drain()
+	g.proxy.Leave()
 	resp, _ = g.get()
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	require.True(t, resp.Close)
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -179,7 +179,7 @@
 func (s *Server) Drain(ctx context.Context) error {
 	now := time.Now()
 	if s.drainAt.CompareAndSwap(nil, &now) {
-		s.endBetweenRequests()
+		s.applyEnds()
 		s.closeListeners(ctx)
 	}
 	select {
@@ -190,9 +190,9 @@
 	}
 }
 
-// endBetweenRequests ends the connections that are between requests. One that
-// is accepted after it ends by itself, as it sees that the server drains.
-func (s *Server) endBetweenRequests() {
+// applyEnds puts ends that have changed in force for the connections that wait,
+// as when the server drains. One that is accepted after it sees them by itself.
+func (s *Server) applyEnds() {
 	s.mu.Lock()
 	conns := s.open()
 	s.mu.Unlock()
--- a/internal/httpserver/listener.go
+++ b/internal/httpserver/listener.go
@@ -51,6 +51,6 @@
 	}
 	s.accepting(err)
 	if starved {
-		s.endBetweenRequests()
+		s.applyEnds()
 	}
 }
