Let a stopping host say which streams of its peers it took

Cause: at a planned stop, Host.Stop waited for what handlers had decoded, and Mesh.Close then broke each connection apart from the goroutine that reads it. A request that another host had sent on, and whose frame was read after the wait or still lay unread, was cut. Its opener got ErrLost (may have run), though it provably did not run, and one that may not be repeated was lost for nothing.

Change: Mesh.GoAway closes the listener, refuses later streams where their frames are read, under the lock that also takes the earlier ones, and sends one frame with the ID of the last that was taken. It waits, within the stop's window, until those have ended; they count from the reading of the frame. The opener fails the others with ErrNotSent and opens no more on that connection. A connection whose handshake ends later is told before anything of it is read. Mesh.Close gives peers that were told 1 s to leave first, as closing with unread bytes may discard the frame. Only peers whose Hello says that they know the frame get it; older ones are served as before.

Host.Stop calls it once nothing is in flight, and before the tickets are handed over: until then the host still answers what it is asked as a member (drains, confirmations), and a request that was read may use a ticket.

Not covered: requests of peers of an older version, and those that come after the stop's window.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -13,9 +13,10 @@
 )
 
 var (
-	// ErrNotSent reports that not a byte of the request left this host: there is
-	// no connection to the peer, or it broke before, or the request makes no
-	// frame (see Mesh.connect and conn.writeLocked).
+	// ErrNotSent reports that the request did not run. Not a byte of it left this
+	// host: there is no connection to the peer, or it broke before, or the request
+	// makes no frame (see Mesh.connect and conn.writeLocked). Or the peer said that
+	// it takes no more (see conn.goAway).
 	ErrNotSent = eris.New("not sent")
 	// ErrLost reports that the connection broke, or the time ran out, after the
 	// request may have left.
@@ -66,6 +67,8 @@
 	// retired is set when new requests use another connection; this one closes
 	// when its last stream ends.
 	retired bool
+	// goingAway is set when no more streams of the peer are taken.
+	goingAway bool
 	// failed is why the connection broke; nil while it works.
 	failed error
 	// closed is closed when it breaks.
@@ -78,6 +81,15 @@
 // newConn does the handshake on a network connection, made or accepted, and
 // starts to serve the peer's streams. It closes the connection on an error.
 func newConn(ctx context.Context, nc net.Conn, self Hello, h Handler, r role) (*conn, error) {
+	c, reader, err := greet(ctx, nc, self, h, r)
+	if err == nil {
+		c.begin(ctx, reader)
+	}
+	return c, err
+}
+
+// greet is newConn without its start: no stream is served until begin is called.
+func greet(ctx context.Context, nc net.Conn, self Hello, h Handler, r role) (*conn, *bufio.Reader, error) {
 	c := &conn{
 		net:     nc,
 		writing: make(chan struct{}, 1),
@@ -90,12 +102,16 @@
 	reader := bufio.NewReaderSize(listener{nc, &c.keepAlive.heard}, readBuffer)
 	if err := c.handshake(ctx, self, reader); err != nil {
 		_ = nc.Close()
-		return nil, eris.Wrap(err, "handshake")
+		return nil, nil, eris.Wrap(err, "handshake")
 	}
+	return c, reader, nil
+}
+
+// begin starts to read frames.
+func (c *conn) begin(ctx context.Context, reader *bufio.Reader) {
 	c.wg.Add(1)
 	go c.readLoop(context.WithoutCancel(ctx), reader)
 	c.startKeepAlive()
-	return c, nil
 }
 
 // close breaks the connection and every stream on it, and waits for the
@@ -196,7 +212,7 @@
 }
 
 // open opens a stream and waits for its response. The error is ErrNotSent if
-// the peer cannot have got the request. The stream must be closed.
+// the request did not run. The stream must be closed.
 func (c *conn) open(ctx context.Context, kind Kind, payload []byte) (*Stream, error) {
 	s, err := c.start(ctx, kind, payload)
 	if err != nil {
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -6,8 +6,9 @@
 // response, and a body of any length after it.
 //
 // It guarantees that
-//   - ErrNotSent is proof: not a byte of the request left this host, so it did
-//     not run and may be sent elsewhere. Any other error leaves that open.
+//   - ErrNotSent is proof: not a byte of the request left this host, or the peer
+//     said that it did not take it. So it did not run and may be sent elsewhere.
+//     Any other error leaves that open.
 //   - a body is read whole or ends with an error. Frames of a body carry their
 //     offset and its end the total, so that frames that are lost, repeated, out
 //     of order or of another stream never pass for the body.
@@ -18,7 +19,7 @@
 //
 // It owns the connections (Mesh), makes them on demand and dials a peer that
 // cannot be reached at most every redialPause. It pings the peers of open streams,
-// and each end closes a connection that went silent (silenceTimeout). It does not
-// retry requests and does not encrypt: Transport does.
+// and each end closes a connection that went silent (silenceTimeout). A host that
+// stops tells its peers to open no more streams (Mesh.GoAway). It does not retry requests and does not encrypt: Transport does.
 // Both `cairndock serve` and `cairndock gateway` use it.
 package peer
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -40,6 +40,10 @@
 	// framePing asks for a framePong at once. Both are of no stream.
 	framePing
 	framePong
+	// frameGoAway reports that of the streams that the peer opened, none above ID
+	// is or will be served. Only the accepting end sends it, to peers whose Hello
+	// says that they know it.
+	frameGoAway
 )
 
 // frame is the unit on the wire, an array of its fields in this order.
@@ -90,7 +94,7 @@
 	if err := msgpack.Unmarshal(body, &f); err != nil {
 		return f, eris.Wrap(errFrame, err.Error())
 	}
-	if f.Type < frameHello || f.Type > framePong {
+	if f.Type < frameHello || f.Type > frameGoAway {
 		return f, eris.Wrapf(errFrame, "type %d", f.Type)
 	}
 	if f.Offset < 0 {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -25,6 +25,9 @@
 	// KeepAlive says that the sender answers pings. It is set by this package;
 	// hosts of an older version do not know it.
 	KeepAlive bool `msgpack:"k,omitempty"`
+	// GoAway says that the sender may be told to open no more streams. It is set
+	// and known as KeepAlive is.
+	GoAway bool `msgpack:"g,omitempty"`
 }
 
 // handshake exchanges Hellos and sets c.remote. Its own is sent while it reads
@@ -36,7 +39,7 @@
 	// The request that waits for the connection may have less time.
 	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	defer stop()
-	self.Version, self.KeepAlive = protocolVersion, true
+	self.Version, self.KeepAlive, self.GoAway = protocolVersion, true, true
 	hello, err := Encode(self)
 	if err != nil {
 		return err
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -41,10 +41,12 @@
 	accepted map[*conn]struct{}
 	// retired are connections that were dialed, and serve the last of their
 	// streams beside the one that is in dialed.
-	retired  map[*conn]struct{}
-	closed   bool
-	listener net.Listener
-	wg       sync.WaitGroup
+	retired map[*conn]struct{}
+	// goingAway is set when no more streams of peers are taken.
+	goingAway bool
+	closed    bool
+	listener  net.Listener
+	wg        sync.WaitGroup
 }
 
 // dialedPeer is the connection to one address.
@@ -95,7 +97,8 @@
 // is not logged: whoever connected notices it.
 func (m *Mesh) serveConn(nc net.Conn) {
 	defer m.wg.Done()
-	c, err := newConn(context.Background(), nc, m.self, m.handler, accepted)
+	ctx := context.Background()
+	c, reader, err := greet(ctx, nc, m.self, m.handler, accepted)
 	if err != nil {
 		return
 	}
@@ -106,6 +109,10 @@
 		return
 	}
 	m.accepted[c] = struct{}{}
+	if m.goingAway {
+		c.goAway()
+	}
+	c.begin(ctx, reader) // nothing is read that goAway has not seen
 	m.mu.Unlock()
 	<-c.closed
 	c.wg.Wait()
@@ -115,7 +122,7 @@
 }
 
 // Open opens a stream to a peer and waits for its response. The error is
-// ErrNotSent if the peer cannot have got the request. The stream must be closed.
+// ErrNotSent if the request did not run. The stream must be closed.
 func (m *Mesh) Open(ctx context.Context, addr string, kind Kind, payload []byte) (*Stream, error) {
 	c, err := m.connect(ctx, addr)
 	if err != nil {
@@ -126,7 +133,8 @@
 		return s, err
 	}
 	// The connection was closed between the two calls, perhaps for another
-	// request's sake. Nothing was sent, so another may carry this one.
+	// request's sake, or the peer goes away. Nothing ran, so another connection
+	// may carry the request.
 	if c, err = m.connect(ctx, addr); err != nil {
 		return nil, err
 	}
@@ -244,17 +252,16 @@
 }
 
 // Close breaks all connections and waits for the handlers. No connection is made
-// or accepted after it.
+// or accepted after it. After GoAway it first gives peers time to leave.
 func (m *Mesh) Close() {
 	m.mu.Lock()
 	m.closed = true
-	if m.listener != nil {
-		_ = m.listener.Close()
-	}
+	m.closeListener()
 	conns := slices.Collect(maps.Keys(m.accepted))
 	conns = slices.AppendSeq(conns, maps.Keys(m.retired))
 	dialed := slices.Collect(maps.Values(m.dialed))
 	m.mu.Unlock()
+	awaitLeave(conns)
 	for _, p := range dialed {
 		if c := p.conn.Load(); c != nil {
 			conns = append(conns, c)
@@ -265,3 +272,13 @@
 	}
 	m.wg.Wait()
 }
+
+// closeListener accepts no more connections; m.mu is held. A peer that dials is
+// refused, which proves that its request did not run.
+func (m *Mesh) closeListener() {
+	if m.listener == nil {
+		return
+	}
+	_ = m.listener.Close() // an error means that it is closed
+	m.listener = nil
+}
--- a/internal/peer/readloop.go
+++ b/internal/peer/readloop.go
@@ -54,6 +54,11 @@
 	case framePing:
 		c.pong()
 	case framePong: // that it came was noted
+	case frameGoAway:
+		if c.keepAlive.role != dialed {
+			return eris.Wrap(errFrame, "go-away from the end that dialed")
+		}
+		c.peerGoesAway(f.ID)
 	default:
 		return eris.Wrapf(errFrame, "type %d out of place", f.Type)
 	}
@@ -61,11 +66,12 @@
 }
 
 // serve starts the handler for a stream that the peer opened. An ID that is not
-// above all earlier ones is of a repeated frame, which is dropped.
+// above all earlier ones is of a repeated frame, which is dropped. So is one that
+// comes after goAway, which says so to the peer.
 func (c *conn) serve(ctx context.Context, f frame) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.failed != nil || f.ID <= c.lastPeerID {
+	if c.failed != nil || c.goingAway || f.ID <= c.lastPeerID {
 		return
 	}
 	c.lastPeerID = f.ID
--- a/internal/selector/entry/stop.go
+++ b/internal/selector/entry/stop.go
@@ -24,7 +24,10 @@
 // does.
 //
 // The connections end before the wait: a request that was read from one is not
-// in flight yet, and would be served by a host that has left.
+// in flight yet, and would be served by a host that has left. The same holds for
+// requests of other hosts. Those go elsewhere once nothing is in flight: until then
+// the host answers what it is asked as a member, and before the tickets are handed
+// over, as a request that was read may still use one.
 func (h *Host) Stop(ctx context.Context) StopReport {
 	began := time.Now()
 	h.log.Info().Msg("entry: stop began")
@@ -37,6 +40,8 @@
 	pause.For(ctx, time.Duration(h.opts.Settings.Stop.Grace))
 	cut := h.stopClients(ctx)
 	h.waitIdle(ctx)
+	h.mesh.GoAway(ctx)
+	h.waitIdle(ctx) // for what came in between
 	report := StopReport{HandedOver: h.tickets.HandOver(context.WithoutCancel(ctx))}
 	report.Cut = cut + h.uncounted()
 	if report.Cut == 0 && h.services.Outstanding() == 0 {
