--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -20,6 +20,7 @@
 // It owns the connections (Mesh), makes them on demand and dials a peer that
 // cannot be reached at most every redialPause. It pings the peers of open streams,
 // and each end closes a connection that went silent (silenceTimeout). A host that
-// stops tells its peers to open no more streams (Mesh.GoAway). It does not retry requests and does not encrypt: Transport does.
+// stops tells its peers to open no more streams (Mesh.GoAway). It does not retry
+// requests and does not encrypt: Transport does.
 // Both `cairndock serve` and `cairndock gateway` use it.
 package peer
