--- a/internal/gateway/proxy/hedge_test.go
+++ b/internal/gateway/proxy/hedge_test.go
@@ -230,3 +230,17 @@
 	}
 	require.Positive(t, second.Load())
 }
+
+// An attempt has a goroutine of its own, in which a panic would end the process.
+func TestAnAttemptThatPanicsHasFailed(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Once))
+	requests := g.addUpstream(healthy)
+	resp, _, err := g.send(t.Context(), http.MethodPost, "/x/", "", map[string]string{headerID: "id-1", headerPanic: "1"})
+	require.NoError(t, err)
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	require.Equal(t, "may-have-run", resp.Header.Get("Verdict"))
+	g.requireLogged("as the test asks")
+	require.Zero(t, requests.Load())
+	require.Equal(t, http.StatusOK, g.getKey(1), "its upstream has room")
+}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -90,8 +90,7 @@
 // accept connections and knows a configuration.
 func (p *Proxy) Ready() bool { return !p.leaving.Load() && !p.starved.Load() && p.State.Ready() }
 
-// noteAccepting follows whether clients' connections can be accepted. When they
-// can't, the idle connections to upstreams give back their descriptors.
+// noteAccepting follows whether clients' connections can be accepted.
 func (p *Proxy) noteAccepting(err error) {
 	p.starved.Store(err != nil)
 	if err == nil {
@@ -99,7 +98,6 @@
 		return
 	}
 	p.Log.Lost("listener", "clients", err)
-	p.Client.Retain(func(string) bool { return false })
 }
 
 // Leave makes the host unready and closes each client's connection after its
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -27,6 +27,8 @@
 	headerSigned = "Genuine"
 	headerNotRun = "Not-Run"
 	headerTo     = "To"
+	// headerPanic makes an attempt panic.
+	headerPanic = "Panic"
 )
 
 type codec struct{}
@@ -47,6 +49,9 @@
 type protocol struct{}
 
 func (protocol) SetHeaders(h http.Header, id string, left time.Duration) {
+	if h.Get(headerPanic) != "" {
+		panic("as the test asks")
+	}
 	h.Set(headerTo, id)
 	h.Set(headerWait, strconv.FormatInt(left.Milliseconds(), 10))
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -9,7 +9,9 @@
 
 // status is what this host's heartbeats say.
 func (g *Gateway) status() fleet.Status {
-	ready := g.state.Ready() // the proxy is not, beside it, only while it drains
+	// Beside it, the proxy is not ready while the host stops or can't accept
+	// clients, who should go elsewhere then.
+	ready := g.state.Ready()
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true}
 	s.Observations = g.detector.Observations(time.Now())
 	for _, t := range g.tables {
--- a/internal/httpserver/conn.go
+++ b/internal/httpserver/conn.go
@@ -139,6 +139,8 @@
 		return c.since.Add(drainFresh)
 	case c.phase == idle && draining:
 		return drainedAt.Add(drainIdle)
+	case c.phase == reading && draining:
+		return later(drainedAt, c.since).Add(min(drainHeader, c.server.limits().header()))
 	case c.phase == idle && c.server.starved.Load():
 		return c.since.Add(min(starvedIdle, c.server.limits().idle()))
 	case c.phase == idle:
@@ -148,6 +150,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // readDeadline is the earlier of the phase's end and the http.Server's own
 // deadline; zero is none. c.mu is held.
 func (c *conn) readDeadline() time.Time {
--- a/internal/httpserver/conn_test.go
+++ b/internal/httpserver/conn_test.go
@@ -40,6 +40,16 @@
 				_, err = c.Read(buf) // it has the time of a header now
 				require.NoError(t, err)
 				require.NoError(t, <-written)
+
+				// And once in each phase: the next request, too, may come to a host
+				// that is late.
+				c.enter(http.StateActive)
+				c.enter(http.StateIdle)
+				go func() { _, _ = near.Write([]byte("c")) }()
+				time.Sleep(2 * time.Second)
+				n, err = c.Read(buf)
+				require.NoError(t, err)
+				require.Equal(t, "c", string(buf[:n]))
 			})
 		})
 	}
--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -18,8 +18,9 @@
 	// HTTP is the server to run. Its hooks ConnState and ConnContext, and its
 	// time-outs of headers and idle connections, are the package's.
 	HTTP *http.Server
-	// Limits gives the limits in force; they may change, also for connections
-	// that wait already. Without it the defaults hold.
+	// Limits gives the limits in force, which may change: longer ones hold also for
+	// connections that wait already, shorter ones from their next request on.
+	// Without it the defaults hold.
 	Limits func() Limits
 	// Cut is told of each request that was read and whose connection the host
 	// closed all the same. It is called for none but those that Close breaks off.
@@ -38,6 +39,8 @@
 	// be accepted.
 	accepting func(error)
 	starved   atomic.Bool
+	// shortAt is when an accept last failed for want of a resource.
+	shortAt atomic.Pointer[time.Time]
 	// drainAt is when Drain was first called; nil before.
 	drainAt atomic.Pointer[time.Time]
 
--- a/internal/httpserver/timing.go
+++ b/internal/httpserver/timing.go
@@ -19,7 +19,15 @@
 	// starvedIdle is how long a connection may be idle meanwhile: clients that
 	// come in quick succession keep theirs. Chosen, not measured.
 	starvedIdle = time.Second
-	// lastRead is the deadline of a read of what has arrived already. It only
-	// has to lie ahead when the read begins; chosen, not measured.
-	lastRead = time.Millisecond
+	// shortageOver is for how long there must be room before a shortage is over.
+	// Chosen, not measured.
+	shortageOver = time.Second
+	// lastRead is the deadline of a read of what has arrived already. It has to
+	// lie ahead when the read begins, also on a host that gets no processor time
+	// in between; chosen, not measured.
+	lastRead = 20 * time.Millisecond
+	// drainHeader is how long the rest of a header may take when the server
+	// drains: a client that sends a part of one must not hold up a stop. Chosen,
+	// not measured: far above a round trip.
+	drainHeader = 500 * time.Millisecond
 )
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -231,6 +231,20 @@
 	return s, nil
 }
 
+// cancel tells the peer that nobody waits for a stream, without holding up the
+// caller, whose time is over: another write may be stuck.
+func (c *conn) cancel(id uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.failed != nil { // which cancels the stream at the peer too
+		return
+	}
+	c.wg.Go(func() {
+		// The error is dropped: the connection is then broken.
+		_ = c.write(&frame{Type: frameCancel, ID: id})
+	})
+}
+
 // start sends a stream's first frame. The ID is taken while no one else writes,
 // so that IDs rise on the wire.
 func (c *conn) start(ctx context.Context, kind Kind, payload []byte) (*Stream, error) {
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -10,8 +10,8 @@
 
 // A connection may go silent for good without a reset, while new ones work. TCP
 // does not show it where a middle box acknowledges, nor where the peer's process
-// is stuck. So the end that dialed sends pings, which the peer answers at once,
-// and each end closes a connection on which it hears nothing. Only the dialing
+// is stuck. So the end that dialed sends pings, which the peer answers at once; it
+// leaves a connection on which it hears nothing, and each end closes it later. Only the dialing
 // end opens streams, and it pings as long as one is open: a peer or body that
 // takes long is not silent.
 const (
@@ -19,9 +19,13 @@
 	// not measured.
 	pingEvery = 500 * time.Millisecond
 	// maxUnanswered is how many pings in a row may bring nothing in pingEvery
-	// before the connection is closed. Counted, not timed, as a host that was
-	// paused must not take its own pause for the peer's silence.
+	// before new requests use another connection. Counted, not timed, as a host
+	// that was paused must not take its own pause for the peer's silence.
 	maxUnanswered = 4
+	// maxSilent is how many it may be, 10 s, before the streams that are open end
+	// too: a peer that was paused for some seconds still answers them. Chosen, not
+	// measured.
+	maxSilent = 20
 	// silenceTimeout is what the two make from the opening of a stream on, which
 	// is pingEvery before the first ping. After as long a silence, 2.5 s, a
 	// gateway's peer counts as dead, too. It is also the time in which a peer
@@ -153,6 +157,14 @@
 		c.fail(errSilent)
 		return
 	}
+	if k.role == dialed && k.missed >= maxUnanswered {
+		c.retired = true
+		c.closeIfUnused()
+	}
+	if c.failed != nil {
+		c.mu.Unlock()
+		return
+	}
 	ping := c.scheduleCheck(heard)
 	c.mu.Unlock()
 	if ping {
@@ -164,7 +176,7 @@
 func (c *conn) maxMissed() int {
 	switch {
 	case c.keepAlive.role == dialed:
-		return maxUnanswered
+		return maxSilent
 	case len(c.serving) > 0:
 		return int(servingTimeout / acceptedCheckEvery)
 	default:
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -164,9 +164,7 @@
 	s.ready.Broadcast()
 	s.mu.Unlock()
 	if open {
-		// The error is dropped: the connection is then broken, which cancels
-		// the stream at the peer too.
-		_ = s.conn.write(&frame{Type: frameCancel, ID: s.id})
+		s.conn.cancel(s.id)
 	}
 	s.forget()
 	return nil
