--- a/internal/gateway/proxy/cut_test.go
+++ b/internal/gateway/proxy/cut_test.go
@@ -12,6 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/proxy"
+	"cairndock/internal/httpserver/httpservertest"
 )
 
 // Clients saw a kept connection closed with no response to a lookup that an
@@ -27,35 +28,6 @@
 // ms before the request was served, and the final line said that the client was
 // cut off. Whoever decides to end a connection must know what was read from it.
 
-// lateListener accepts connections whose reads return late.
-type lateListener struct {
-	net.Listener
-	late *atomic.Int64
-}
-
-func (l lateListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return lateConn{c, l.late}, nil
-}
-
-// lateConn returns what it read late nanoseconds later: its reader has taken the
-// bytes from the kernel, but does not run.
-type lateConn struct {
-	net.Conn
-	late *atomic.Int64
-}
-
-func (c lateConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		time.Sleep(time.Duration(c.late.Load()))
-	}
-	return n, err
-}
-
 // connectLate opens a connection to a server of the gateway and sends a first
 // request on it. From then on the server's reads return late.
 func (g *testGateway) connectLate(late time.Duration) (*proxy.Server, net.Conn) {
@@ -65,7 +37,7 @@
 	s := proxy.NewServer(g.proxy)
 	g.t.Cleanup(s.Close)
 	var delay atomic.Int64
-	s.ServeClients(lateListener{l, &delay})
+	s.ServeClients(httpservertest.LateListener{Listener: l, Late: &delay})
 	c, err := net.Dial("tcp", l.Addr().String())
 	require.NoError(g.t, err)
 	g.t.Cleanup(func() { _ = c.Close() })
--- a/internal/selector/server/harness_test.go
+++ b/internal/selector/server/harness_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	sdktrace "go.opentelemetry.io/otel/sdk/trace"
 
+	"cairndock/internal/httpserver/httpservertest"
 	"cairndock/internal/peer"
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/entry"
@@ -144,42 +145,13 @@
 	require.NoError(t, err)
 }
 
-// lateListener accepts connections whose reads return late.
-type lateListener struct {
-	net.Listener
-	late *atomic.Int64
-}
-
-func (l lateListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return lateConn{c, l.late}, nil
-}
-
-// lateConn returns what it read late nanoseconds later: its reader has taken the
-// bytes from the kernel, but does not run.
-type lateConn struct {
-	net.Conn
-	late *atomic.Int64
-}
-
-func (c lateConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 {
-		time.Sleep(time.Duration(c.late.Load()))
-	}
-	return n, err
-}
-
 // listenLate serves clients at one more address, whose reads are delayed.
 func (s *testServer) listenLate() {
 	s.t.Helper()
 	l, err := net.Listen("tcp", loopback)
 	require.NoError(s.t, err)
 	s.extra = l.Addr()
-	go func() { _ = serve(s.callers, lateListener{l, &s.late}, servesettings.TLS{}) }()
+	go func() { _ = serve(s.callers, httpservertest.LateListener{Listener: l, Late: &s.late}, servesettings.TLS{}) }()
 }
 
 // client is one connection.
