--- a/internal/selector/server/harness_test.go
+++ b/internal/selector/server/harness_test.go
@@ -151,7 +151,9 @@
 	l, err := net.Listen("tcp", loopback)
 	require.NoError(s.t, err)
 	s.extra = l.Addr()
-	go func() { _ = serve(s.callers, httpservertest.LateListener{Listener: l, Late: &s.late}, servesettings.TLS{}) }()
+	go func() {
+		_ = serve(s.callers, httpservertest.LateListener{Listener: l, Late: &s.late}, servesettings.TLS{})
+	}()
 }
 
 // client is one connection.
