Let a late response still be written

A host that was held up for 2.3 s got its upstreams' responses then; short ones are written after the handler, so the connections closed with no response and no log line. The bound now counts from the writing where the deadline has passed, and is 5 s: it is for clients that take nothing.

--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -20,8 +20,9 @@
 	// which forwards longer ones from their first bytes. Chosen, not measured.
 	prefixBytes = 32 << 10
 	// writeMargin is how long after its deadline a client may still take its
-	// response: what was sent in time may lie in buffers. Chosen, not measured.
-	writeMargin = 500 * time.Millisecond
+	// response: what was sent in time may lie in buffers, and a host may be held
+	// up for seconds while it writes. Chosen, not measured.
+	writeMargin = 5 * time.Second
 	// copyBuffer is the size of the buffers that forward what is longer, in
 	// bytes. Chosen, not measured.
 	copyBuffer = 16 << 10
@@ -63,12 +64,18 @@
 }
 
 // boundWrites ends the writing of a response to a client that does not take it,
-// or whose connection went silent, shortly after its deadline. Without it the
-// write would hold the upstream and its connection until the kernel gives up.
+// or whose connection went silent, some time after its deadline. Without it the
+// write would hold the upstream and its connection until the kernel gives up. The
+// time counts from now where the deadline has passed: a host that was held up has
+// the response only then, and the client may still wait.
 func (f *inflight) boundWrites(w http.ResponseWriter) {
+	end := f.deadline()
+	if now := time.Now(); now.After(end) {
+		end = now
+	}
 	// An error means that the connection is closed, which the write reports; the
 	// http.Server takes the deadline back after the response.
-	_ = http.NewResponseController(w).SetWriteDeadline(f.deadline().Add(writeMargin))
+	_ = http.NewResponseController(w).SetWriteDeadline(end.Add(writeMargin))
 }
 
 // writeHeader writes the status and the end-to-end headers. A Connection header
