Collect a server's connections by the library

open wrote the loop of slices.Collect and maps.Keys again, which package peer uses for the same. Behaviour stays; go test -race of the package passes (1 run).

--- a/internal/httpserver/httpserver.go
+++ b/internal/httpserver/httpserver.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -221,11 +223,7 @@
 
 // open gives the connections that are open; s.mu is held.
 func (s *Server) open() []*conn {
-	conns := make([]*conn, 0, len(s.conns))
-	for c := range s.conns {
-		conns = append(conns, c)
-	}
-	return conns
+	return slices.Collect(maps.Keys(s.conns))
 }
 
 // Close closes the listeners and all connections at once, and breaks off what
