Log each request to a cold upstream, with the part that it came from

Cause: no line or metric told the hypotheses on the flooded upstreams apart: attempts are logged one in a hundred, so that a sum over hosts can't be made of them.

Change: each request that is sent to a cold upstream has a warm-up line: how many the host sent there within the second, and while it took the upstream for warm; its part, of how many known hosts; how old the process is; how long the request waited between choice and writing. At most 100 lines a second a host. cairndock_cold_requests_total counts them. What counts as sent moves to package warmup; what is allowed is the same.

--- a/internal/gateway/balance/admission.go
+++ b/internal/gateway/balance/admission.go
@@ -1,8 +1,10 @@
 package balance
 
 import (
-	"slices"
 	"time"
+
+	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 )
 
 const (
@@ -22,11 +24,6 @@
 	// lowestPriority is the one from which on all requests have the same
 	// limit, 1.1 capacities. Chosen, not measured.
 	lowestPriority = 3
-	// warmUpWindow is the time over which requests to a cold upstream are
-	// counted against the host's quota. The platform's bound counts what
-	// arrives in any one second; the rest allows for different transit times
-	// (chosen, not measured).
-	warmUpWindow = 1150 * time.Millisecond
 )
 
 // rejectThreshold returns the load, in capacities, from which an upstream
@@ -57,15 +54,13 @@
 	if !u.upstream.Cold(a.now) {
 		return Chosen
 	}
-	if u.state.countSentCold(a.now) >= a.quotas.WarmUpQuota(u.upstream.ID, u.upstream.Region, a.warmUpRate) {
+	if u.state.sends.Cold(a.now) >= a.quota(u.upstream).Requests {
 		return WarmUpLimited
 	}
 	return Chosen
 }
 
-// countSentCold returns how many requests were sent to the cold upstream
-// within the last warmUpWindow.
-func (s *state) countSentCold(now time.Time) int {
-	s.sentCold = slices.DeleteFunc(s.sentCold, func(at time.Time) bool { return now.Sub(at) >= warmUpWindow })
-	return len(s.sentCold)
+// quota returns this host's warm-up quota at an upstream.
+func (a admission) quota(u *upstream.Upstream) warmup.Quota {
+	return a.quotas.WarmUpQuota(u.ID, u.Region, a.warmUpRate)
 }
--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -10,14 +10,14 @@
 	"github.com/cespare/xxhash/v2"
 
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 )
 
 // WarmUpQuotas splits the rate of a cold upstream over the hosts.
 type WarmUpQuotas interface {
-	// WarmUpQuota returns how many requests a second this host may send to a
-	// cold upstream of a region that bears a rate of requests a second from
-	// all hosts together.
-	WarmUpQuota(upstream, region string, rate float64) int
+	// WarmUpQuota returns this host's part of the requests a second to a cold
+	// upstream of a region that bears a rate of them from all hosts together.
+	WarmUpQuota(upstream, region string, rate float64) warmup.Quota
 }
 
 // OutlierDetector knows which upstreams are ejected for failed or overdue
@@ -41,9 +41,8 @@
 	// seed is the hash of the upstream's id.
 	seed uint64
 	load loadEstimate
-	// sentCold are the times of the last requests sent there while it was
-	// cold.
-	sentCold []time.Time
+	// sends are the last requests sent there.
+	sends warmup.Sends
 }
 
 // New makes a balancer for a host at a location.
@@ -69,19 +68,26 @@
 	a := admission{now: q.Now, threshold: rejectThreshold(q.Priority), warmUpRate: q.WarmUpRate, quotas: b.quotas}
 	rank, reason := pick(list, a)
 	chosen := &list[rank]
-	if reason == Chosen {
-		chosen.state.load.outstanding++
-		if chosen.upstream.Cold(q.Now) {
-			chosen.state.sentCold = append(chosen.state.sentCold, q.Now)
-		}
-	}
-	return Choice{
+	choice := Choice{
 		Upstream: chosen.upstream,
 		Load:     chosen.load,
 		LoadAge:  chosen.state.load.reportAge(q.Now),
 		Rank:     rank,
 		Cold:     chosen.upstream.Cold(q.Now),
-	}, reason
+	}
+	if reason == Chosen {
+		chosen.state.load.outstanding++
+		chosen.state.sends.Add(q.Now, choice.Cold)
+		if choice.Cold {
+			choice.WarmUp = warmUp(chosen, a)
+		}
+	}
+	return choice, reason
+}
+
+// warmUp says how much of this host's quota at a cold upstream is used.
+func warmUp(u *scored, a admission) WarmUp {
+	return WarmUp{Quota: a.quota(u.upstream), Sent: u.state.sends.Cold(a.now), SentWarm: u.state.sends.Warm(a.now)}
 }
 
 // scored is an upstream with what decides whether one request goes there.
--- a/internal/gateway/balance/balance_test.go
+++ b/internal/gateway/balance/balance_test.go
@@ -9,12 +9,15 @@
 
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 )
 
 // fixedQuota is a host's warm-up quota at every cold upstream.
 type fixedQuota int
 
-func (f fixedQuota) WarmUpQuota(string, string, float64) int { return int(f) }
+func (f fixedQuota) WarmUpQuota(string, string, float64) warmup.Quota {
+	return warmup.Quota{Requests: int(f), Hosts: 1}
+}
 
 // noneEjected is a detector that ejects nothing.
 type noneEjected struct{}
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 )
 
 // Location is where a host runs.
@@ -55,6 +56,19 @@
 	Rank int
 	// Cold means that the upstream is warming up.
 	Cold bool
+	// WarmUp is the host's use of its quota there; zero unless the upstream is
+	// cold and was chosen.
+	WarmUp WarmUp
+}
+
+// WarmUp is a host's use of its quota at a cold upstream.
+type WarmUp struct {
+	Quota warmup.Quota
+	// Sent is how many requests were sent in the last second while the
+	// upstream counted as cold, the one that it was chosen for included.
+	Sent int
+	// SentWarm is how many were sent besides while it counted as warm.
+	SentWarm int
 }
 
 // Reason is the outcome of a choice: Chosen, or why the request is rejected.
--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -17,6 +17,8 @@
 	EventUpstream = "upstream"
 	// EventEjected is an upstream that is ejected for a time.
 	EventEjected = "ejected"
+	// EventWarmUp is a request that was sent to a cold upstream.
+	EventWarmUp = "warm-up"
 	// EventLost is a dependency that stopped responding.
 	EventLost = "lost"
 )
@@ -73,6 +75,36 @@
 		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Msg("request: attempt ended")
 }
 
+// WarmUp describes a request that was sent to a cold upstream.
+type WarmUp struct {
+	// Request is the id that the client gave the request.
+	Request  string
+	Upstream string
+	Zone     string
+	// Waited is the time from the choice of the upstream until the request was
+	// written: a new connection, or a host short of processor time, delays it.
+	Waited time.Duration
+	// Sent is how many requests this host had chosen the upstream for in the
+	// last second while it took the upstream for cold, this one included, and SentWarm how
+	// many besides while it took it for warm; both as of the choice.
+	Sent     int
+	SentWarm int
+	// Quota is this host's part of the upstream's rate, in requests a second,
+	// which is split over a number of known hosts.
+	Quota int
+	Hosts int
+}
+
+// WarmUp logs a request that was sent to a cold upstream, and counts it. Each is
+// logged, not a sample: only the sum over all hosts says whether the upstream
+// got more than its rate, and from whom.
+func (l *Log) WarmUp(w WarmUp) {
+	l.metrics.Count("cairndock_cold_requests_total")
+	l.event(EventWarmUp, l.warmUps).Str("request", w.Request).Str("upstream", w.Upstream).Str("zone", w.Zone).
+		Float64("waited_ms", ms(w.Waited)).Int("sent", w.Sent).Int("sent_warm", w.SentWarm).Int("quota", w.Quota).Int("hosts", w.Hosts).
+		Float64("uptime_ms", ms(time.Since(l.began))).Msg("upstream: cold, request sent")
+}
+
 // ClientEnd says whether a client can still get the response to its request.
 type ClientEnd string
 
--- a/internal/gateway/eventlog/log.go
+++ b/internal/gateway/eventlog/log.go
@@ -36,6 +36,9 @@
 	// sampledPerSecond is the rate of lines on sampled requests that
 	// succeeded.
 	sampledPerSecond = 10
+	// warmUpsPerSecond is the rate of lines on requests to cold upstreams, each
+	// of which bears few: 26 a second over all hosts where it was measured.
+	warmUpsPerSecond = 100
 	// burstSeconds is how many seconds' worth of lines may come at once.
 	burstSeconds = 2
 )
@@ -51,6 +54,10 @@
 	stateChanges *rate.Limiter
 	failures     *rate.Limiter
 	sampled      *rate.Limiter
+	warmUps      *rate.Limiter
+
+	// began is when the log was made: at the process's start.
+	began time.Time
 
 	queue chan []byte
 	// leftOut counts the lines left out since the last report.
@@ -69,6 +76,8 @@
 		stateChanges: newLimiter(stateChangesPerSecond),
 		failures:     newLimiter(failuresPerSecond),
 		sampled:      newLimiter(sampledPerSecond),
+		warmUps:      newLimiter(warmUpsPerSecond),
+		began:        time.Now(),
 		queue:        make(chan []byte, queueLength),
 		closing:      make(chan struct{}),
 		closed:       make(chan struct{}),
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -123,7 +123,11 @@
 	x.silence = watchSilence(c.pool, upstream, nc)
 	p.silence.Store(x.silence)
 	defer x.silence.stop()
-	if n, err := nc.Write(x.encode(left)); err != nil {
+	n, err := nc.Write(x.encode(left))
+	if n > 0 {
+		p.sent()
+	}
+	if err != nil {
 		return nil, x.fail(ctx, err, n > 0)
 	}
 	return x.readOwnResponse(ctx)
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -51,7 +51,19 @@
 
 // Progress tells of a request that is being sent. Its zero value is for one that
 // has not begun; its methods may be called while Send runs.
-type Progress struct{ silence atomic.Pointer[silenceWatch] }
+type Progress struct {
+	// OnSent, if it is set, is called when the request was written, before its
+	// response is waited for. A request that has no connection is never sent.
+	OnSent func()
+
+	silence atomic.Pointer[silenceWatch]
+}
+
+func (p *Progress) sent() {
+	if p.OnSent != nil {
+		p.OnSent()
+	}
+}
 
 // SilentOnReused reports whether the request was sent on a connection that had
 // been used before, and nothing has come back on it. Then the connection may be
--- a/internal/gateway/fleet/quota.go
+++ b/internal/gateway/fleet/quota.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"cairndock/internal/gateway/warmup"
 )
 
 const (
@@ -23,11 +25,11 @@
 // result is in the same unit. The rate is split without messages: over all
 // known hosts, dead ones included, so that the shares add up to at most total
 // whomever each host sees alive.
-func (m *members) warmUpQuota(upstream, region string, total float64, now time.Time) int {
+func (m *members) warmUpQuota(upstream, region string, total float64, now time.Time) warmup.Quota {
 	inRegion, part := m.self.Region == region, ownRegionPart
 	if !inRegion {
 		if m.anyAlive(region, now) {
-			return 0
+			return warmup.Quota{}
 		}
 		part = otherRegionsPart
 	}
@@ -42,7 +44,7 @@
 			before++
 		}
 	}
-	return share(int(part*total), hosts, before)
+	return warmup.Quota{Requests: share(int(part*total), hosts, before), Hosts: hosts}
 }
 
 // share is the part of a number for one of some hosts; before is how many of
@@ -67,7 +69,7 @@
 
 // WarmUpQuota returns this host's share, in requests a second, of the total
 // that all hosts together may send a cold upstream of a region.
-func (f *Fleet) WarmUpQuota(upstream, region string, total float64) int {
+func (f *Fleet) WarmUpQuota(upstream, region string, total float64) warmup.Quota {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.members.warmUpQuota(upstream, region, total, time.Now())
--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -42,7 +42,7 @@
 			if views>>(i%3)&1 == 1 { // this one gets no heartbeats
 				at = now.Add(deadAfter + time.Second)
 			}
-			sum += m.warmUpQuota("i-1", "west", total, at)
+			sum += m.warmUpQuota("i-1", "west", total, at).Requests
 		}
 		require.LessOrEqual(t, sum, total)
 		require.Positive(t, sum)
@@ -59,7 +59,7 @@
 	for upstream := range 40 {
 		sum := 0
 		for _, self := range all {
-			n := membersOf(self, all, now).warmUpQuota(fmt.Sprint("i-", upstream), "west", total, now)
+			n := membersOf(self, all, now).warmUpQuota(fmt.Sprint("i-", upstream), "west", total, now).Requests
 			sum += n
 			if n > 0 {
 				served[self.Name] = true
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -83,6 +83,9 @@
 // roundTrip sends the request and waits for a response that may be forwarded.
 func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
 	u := a.choice.Upstream
+	if a.choice.Cold {
+		a.progress.OnSent = a.logWarmUp
+	}
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, u.ID, u.Address, r, &a.progress)
 	if err == nil {
 		err = a.inflight.accept(u.ID, resp)
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -26,6 +26,15 @@
 	f.proxy.Log.Attempt(ev)
 }
 
+// logWarmUp writes that the request was sent to a cold upstream.
+func (a *attempt) logWarmUp() {
+	f, c := a.inflight, a.choice
+	f.proxy.Log.WarmUp(eventlog.WarmUp{
+		Request: f.info.ID, Upstream: c.Upstream.ID, Zone: c.Upstream.Zone, Waited: time.Since(a.began),
+		Sent: c.WarmUp.Sent, SentWarm: c.WarmUp.SentWarm, Quota: c.WarmUp.Quota.Requests, Hosts: c.WarmUp.Quota.Hosts,
+	})
+}
+
 // clientEnd says whether a request's client can still get a response.
 func clientEnd(client context.Context) eventlog.ClientEnd {
 	switch {
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -32,6 +32,7 @@
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/telemetry"
 )
@@ -65,7 +66,9 @@
 // oneHost is a fleet of one host.
 type oneHost struct{}
 
-func (oneHost) WarmUpQuota(string, string, float64) int { return 100 }
+func (oneHost) WarmUpQuota(string, string, float64) warmup.Quota {
+	return warmup.Quota{Requests: 100, Hosts: 1}
+}
 
 // testGateway is a proxy with its server, its state and its log.
 type testGateway struct {
@@ -78,6 +81,8 @@
 	upstreams int
 	// capacity is that of the upstreams which are added.
 	capacity int
+	// cold is how long those upstreams are cold.
+	cold time.Duration
 }
 
 func newTestGateway(t *testing.T) *testGateway {
@@ -167,7 +172,7 @@
 	}()
 	g.upstreams++
 	id := fmt.Sprint("i-", g.upstreams)
-	value, err := json.Marshal(upstream.Registration{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Region: "r", Capacity: capacity})
+	value, err := json.Marshal(upstream.Registration{ID: id, Service: service, Address: l.Addr().String(), Zone: "z", Region: "r", Capacity: capacity, ColdLeft: g.cold})
 	require.NoError(g.t, err)
 	g.version++
 	g.state.UpstreamSink().Apply(watch.Update{Rows: []watch.Row{{Key: id, Value: value, Version: g.version}}, Full: true})
--- a/internal/gateway/proxy/hedgerule_test.go
+++ b/internal/gateway/proxy/hedgerule_test.go
@@ -15,6 +15,7 @@
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 )
 
 // ignoreEjections is an outlier.Reporter.
@@ -73,7 +74,7 @@
 // anyQuota is a balance.WarmUpQuotas.
 type anyQuota struct{}
 
-func (anyQuota) WarmUpQuota(string, string, float64) int { return 1 }
+func (anyQuota) WarmUpQuota(string, string, float64) warmup.Quota { return warmup.Quota{Requests: 1} }
 
 // A response that came too late takes no room at its upstream any more.
 func TestAResponseThatIsDroppedReleasesItsUpstream(t *testing.T) {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/warmup"
 )
 
 // status is what this host's heartbeats say.
@@ -30,7 +31,7 @@
 // WarmUpQuota gives this host's part of the requests a second to an upstream
 // that takes rate of them while it is cold. The platform allows the rate times
 // WarmUpOvershoot, plus WarmUpSlack, for all hosts together.
-func (g *Gateway) WarmUpQuota(upstream, region string, rate float64) int {
+func (g *Gateway) WarmUpQuota(upstream, region string, rate float64) warmup.Quota {
 	limits := g.settings.Limits
 	return g.fleet.WarmUpQuota(upstream, region, rate*limits.WarmUpOvershoot+limits.WarmUpSlack)
 }
