Give a host no part of a cold upstream's rate before it knows who shares it

Cause: the rate of a cold upstream is kept without messages, by two beliefs: who shares it, and what was spent within the second. A process that has just started has neither, and went on as if it knew all: it split the rate over the hosts that it knew by then, and its count of what was sent began at zero though the process before it had spent the host's part. Class: a part grows when knowledge shrinks.

Change: a host has no part until its process is a window (1.15 s) old, so that what the process before it sent is out of any second, and until it has read whole lists of the hosts that share the part, and they had 0.9 s to hear of it. The list is whole only if the host had announced itself before it was read: of two hosts that start together the later one finds the earlier. The reason why a part is withheld stands in final lines. The soak has restarts of all hosts, also just after cold upstreams are taken back.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -78,9 +78,9 @@
 	if reason == Chosen {
 		chosen.state.load.outstanding++
 		chosen.state.sends.Add(q.Now, choice.Cold)
-		if choice.Cold {
-			choice.WarmUp = warmUp(chosen, a)
-		}
+	}
+	if choice.Cold {
+		choice.WarmUp = warmUp(chosen, a)
 	}
 	return choice, reason
 }
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -57,7 +57,7 @@
 	// Cold means that the upstream is warming up.
 	Cold bool
 	// WarmUp is the host's use of its quota there; zero unless the upstream is
-	// cold and was chosen.
+	// cold.
 	WarmUp WarmUp
 }
 
@@ -65,7 +65,7 @@
 type WarmUp struct {
 	Quota warmup.Quota
 	// Sent is how many requests were sent in the last second while the
-	// upstream counted as cold, the one that it was chosen for included.
+	// upstream counted as cold, included the one that it is chosen for.
 	Sent int
 	// SentWarm is how many were sent besides while it counted as warm.
 	SentWarm int
--- a/internal/gateway/fleet/bench_test.go
+++ b/internal/gateway/fleet/bench_test.go
@@ -17,7 +17,10 @@
 			ClientAddress: fmt.Sprintf("10.%d.%d.%d:80", zone, i/250, i%250),
 		}
 	}
-	m := newMembers(host(0))
+	m := newMembers(host(0), nil, now.Add(-longAgo))
+	for zone := range zones {
+		m.addList(host(zone).Region, nil, true, now.Add(-longAgo))
+	}
 	for i := 1; i < hosts; i++ {
 		m.recordHeartbeat(host(i), Status{Ready: true, Fresh: true}, now)
 	}
@@ -32,6 +35,25 @@
 	}
 }
 
+func BenchmarkWarmUpQuotaAtPlannedSize(b *testing.B) {
+	now := time.Now()
+	m := plannedFleet(now)
+	for _, c := range []struct {
+		name, region string
+		now          time.Time
+	}{
+		{"own region", "region-0", now},
+		{"other region, alive", "region-3", now},
+		{"other region, dead", "region-3", now.Add(deadAfter)},
+	} {
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				m.warmUpQuota("i-1", c.region, 26, c.now)
+			}
+		})
+	}
+}
+
 func BenchmarkClientAddressesAtPlannedSize(b *testing.B) {
 	now := time.Now()
 	m := plannedFleet(now)
--- a/internal/gateway/fleet/discovery.go
+++ b/internal/gateway/fleet/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cairndock/internal/pause"
@@ -11,6 +12,12 @@
 	// registryRetry is the pause between attempts to register until one
 	// succeeds. Chosen, not measured.
 	registryRetry = 500 * time.Millisecond
+	// listPause is the pause after the list of a region was read, for each host
+	// of the own region, so that hosts which start together do not read the lists
+	// of other regions faster than the store serves them: 5,900 hosts in 23
+	// regions read 4,600 a second. The own region's comes first, so that nobody
+	// waits for it. Chosen, not measured.
+	listPause = 5 * time.Millisecond
 	// regionQueryEvery is how often a host asks a peer of each other region
 	// which hosts live there, as it gets heartbeats only of some. Chosen, not
 	// measured; a quarter of forgetAfter, so that three queries may fail.
@@ -63,25 +70,52 @@
 	return query
 }
 
-// register adds this host to the registry and reads the other hosts from it,
-// until both have succeeded once. Errors are retried and not logged: the
+// register adds this host to the registry and reads the lists of all regions from
+// it, until all have succeeded once. Errors are retried and not logged: the
 // registry is in the store, whose failures the tables' watchers log.
 func (f *Fleet) register(ctx context.Context) {
+	announced := false
 	for ctx.Err() == nil {
-		hosts, err := f.announce(ctx)
-		if err == nil {
-			f.addKnown(hosts)
+		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
+		if f.readLists(ctx, announced) && announced {
 			return
 		}
 		pause.For(ctx, registryRetry)
 	}
 }
 
-func (f *Fleet) announce(ctx context.Context) ([]Host, error) {
-	if err := f.options.Registry.Announce(ctx, f.options.Self); err != nil {
-		return nil, err
+// readLists reads the lists that were not read whole yet, and reports whether there
+// are none left. Of two hosts that start together, each announces itself before it
+// reads a list, so that the later one finds the earlier one there. A host that could
+// not announce itself is not found, so the lists that it reads count as whole only
+// if an earlier process has announced it.
+func (f *Fleet) readLists(ctx context.Context, announced bool) bool {
+	f.mu.Lock()
+	regions := f.members.unread()
+	f.mu.Unlock()
+	for _, region := range regions {
+		hosts, err := f.options.Registry.Hosts(ctx, region)
+		if err != nil {
+			return false
+		}
+		announced = announced || slices.ContainsFunc(hosts, f.isSelf)
+		next := f.addList(region, hosts, announced)
+		if !announced || !pause.For(ctx, next) {
+			return false
+		}
 	}
-	return f.options.Registry.Hosts(ctx)
+	return true
+}
+
+func (f *Fleet) isSelf(h Host) bool { return h.Name == f.options.Self.Name }
+
+// addList adds a list that was read, and returns how long to pause before the next.
+func (f *Fleet) addList(region string, hosts []Host, whole bool) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members.addList(region, hosts, whole, time.Now())
+	ownRegion := f.members.indexed().byRegion[f.options.Self.Region]
+	return listPause * time.Duration(1+len(ownRegion))
 }
 
 // querySeeds sends heartbeats to the seeds, whose identities their
--- a/internal/gateway/fleet/discovery_test.go
+++ b/internal/gateway/fleet/discovery_test.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -21,3 +23,61 @@
 	require.Equal(t, queryNone, d.next("west", now))
 	require.Equal(t, queryRegion, d.next("east", now.Add(regionQueryEvery)))
 }
+
+// register runs a host's registration for a time of the test's clock and returns the
+// regions whose lists it has not read whole.
+func register(t *testing.T, r Registry, h Host, regions []string, d time.Duration) []string {
+	t.Helper()
+	f := New(Options{Self: h, Regions: regions, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	f.register(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.unread()
+}
+
+func TestTheListsOfAllRegionsAreReadOnceTheHostIsAnnounced(t *testing.T) {
+	regions := []string{"east", "south", "west"}
+	for _, c := range []struct {
+		name   string
+		change func(r *fakeRegistry)
+		unread []string
+	}{
+		{"a registry that works", func(*fakeRegistry) {}, nil},
+		{"it takes no announcements: later hosts would not find this one", func(r *fakeRegistry) { r.down = true }, []string{"west", "east", "south"}},
+		{"it takes none, but an earlier process has announced the host", func(r *fakeRegistry) {
+			r.down, r.hosts["w"] = true, host("w", "west-0", "west")
+		}, nil},
+		{"it can't be read", func(r *fakeRegistry) { r.noReads = true }, []string{"west", "east", "south"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newFakeRegistry()
+				c.change(r)
+				require.Equal(t, c.unread, register(t, r, host("w", "west-0", "west"), regions, 10*time.Second))
+			})
+		})
+	}
+}
+
+// Of two hosts that start together, the later one finds the earlier one in the list.
+func TestAListIsReadAfterTheAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		r.noReads = true
+		f := New(Options{Self: host("w0", "west-0", "west"), Regions: []string{"west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		go f.register(ctx)
+		synctest.Wait()
+		require.NoError(t, r.Announce(ctx, host("w1", "west-0", "west")))
+		r.setReads(true)
+		time.Sleep(2 * registryRetry)
+		require.Equal(t, 2, f.Hosts())
+		r.setReads(false) // what was read stays
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Empty(t, f.members.unread())
+	})
+}
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -15,8 +15,8 @@
 	// Announce adds a host, and Withdraw removes it.
 	Announce(ctx context.Context, h Host) error
 	Withdraw(ctx context.Context, h Host) error
-	// Hosts returns all hosts in the list; some may be gone.
-	Hosts(ctx context.Context) ([]Host, error)
+	// Hosts returns all hosts of a region in the list; some may be gone.
+	Hosts(ctx context.Context, region string) ([]Host, error)
 }
 
 // Reporter logs when peers die and come back.
@@ -41,7 +41,9 @@
 
 // Options are the dependencies and settings of a Fleet.
 type Options struct {
-	Self         Host
+	Self Host
+	// Regions are the regions of the deployment, the host's own included.
+	Regions      []string
 	Registry     Registry
 	Report       Reporter
 	Observations ObservationSink
@@ -77,7 +79,7 @@
 // New returns a fleet that does not run yet.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		options: o, members: newMembers(o.Self), nextHeartbeat: map[string]time.Time{},
+		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
 		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)),
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -30,15 +32,41 @@
 	return hosts
 }
 
-// membersOf returns one host's view in which all hosts are alive and ready.
+// longAgo is before all that a host waits for after its start.
+const longAgo = time.Hour
+
+// regionsOf returns the regions of some hosts.
+func regionsOf(all []Host) []string {
+	regions := map[string]bool{}
+	for _, h := range all {
+		regions[h.Region] = true
+	}
+	return slices.Sorted(maps.Keys(regions))
+}
+
+// membersOf returns the view of a host that has run for long, in which all hosts are
+// alive and ready.
 func membersOf(self Host, all []Host, now time.Time) *members {
-	m := newMembers(self)
+	m := startedMembers(self, all, now.Add(-longAgo))
 	for _, h := range all {
 		m.recordHeartbeat(h, readyStatus, now)
 	}
 	return m
 }
 
+// startedMembers returns the view of a host that started at a time, and read the
+// lists of all hosts then.
+func startedMembers(self Host, all []Host, started time.Time) *members {
+	m := newMembers(self, regionsOf(all), started)
+	for region := range m.lists {
+		m.addList(region, nil, true, started)
+	}
+	for _, h := range all {
+		m.addKnown(h, started)
+	}
+	return m
+}
+
 // nineHostsList returns nine hosts in the regions west, east and south, each with
 // two hosts in zone 0 and one in zone 1.
 func nineHostsList() []Host {
@@ -62,17 +90,28 @@
 }
 
 // nineHostsAfterRestart is nineHosts of a host whose process has just started.
-func nineHostsAfterRestart(self string, now time.Time) *members { return nineHosts(self, now) }
+func nineHostsAfterRestart(self string, now time.Time) *members {
+	m := nineHosts(self, now)
+	m.started = now
+	return m
+}
 
 // fakeRegistry is a registry in memory.
 type fakeRegistry struct {
 	mu    sync.Mutex
 	hosts map[string]Host
-	down  bool
+	// down makes announcements fail, and noReads readings.
+	down, noReads bool
 }
 
 func newFakeRegistry() *fakeRegistry { return &fakeRegistry{hosts: map[string]Host{}} }
 
+func (r *fakeRegistry) setReads(work bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.noReads = !work
+}
+
 func (r *fakeRegistry) Announce(_ context.Context, h Host) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -90,12 +129,17 @@
 	return nil
 }
 
-func (r *fakeRegistry) Hosts(context.Context) ([]Host, error) {
+func (r *fakeRegistry) Hosts(_ context.Context, region string) ([]Host, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.noReads {
+		return nil, errors.New("no reads")
+	}
 	var out []Host
 	for _, h := range r.hosts {
-		out = append(out, h)
+		if h.Region == region {
+			out = append(out, h)
+		}
 	}
 	return out, nil
 }
@@ -120,7 +164,7 @@
 	t.Helper()
 	h.PeerAddress = freeAddress(t)
 	f := New(Options{
-		Self: h, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus },
+		Self: h, Regions: []string{h.Region}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus },
 		Seeds: seeds, Transport: peer.TCP((&net.Dialer{}).DialContext), Tables: tables,
 	})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -1,12 +1,21 @@
 package fleet
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // members is a host's view of all hosts. It has no lock and no clock: Fleet
 // guards it, and each method is given the time.
 type members struct {
-	self  Host
-	peers map[string]*peerState
+	self Host
+	// started is when this host's process started.
+	started time.Time
+	peers   map[string]*peerState
+	// lists has, for each region, when the list of its hosts was read whole from
+	// the registry; zero is not yet.
+	lists map[string]time.Time
 	// index is nil after the set of hosts has changed.
 	index *index
 	// remoteHeartbeats names the peers of other regions that were chosen for
@@ -14,9 +23,62 @@
 	remoteHeartbeats []string
 }
 
-// newMembers returns the view of a host that knows only itself.
-func newMembers(self Host) *members {
-	return &members{self: self, peers: map[string]*peerState{}}
+// introduceWithin is how long after it read a list of hosts a host may still be
+// unknown to them: they learn of it by its first heartbeats, which take a
+// schedulerTick and the way there at most, or heartbeatTimeout where it fails.
+const introduceWithin = schedulerTick + heartbeatTimeout
+
+// newMembers returns the view of a host whose process started at a time, and which
+// knows only itself. regions are those of the deployment.
+func newMembers(self Host, regions []string, started time.Time) *members {
+	m := &members{self: self, started: started, peers: map[string]*peerState{}, lists: map[string]time.Time{}}
+	for _, region := range regions {
+		m.lists[region] = time.Time{}
+	}
+	return m
+}
+
+// addList adds the hosts of a region, read from the registry. whole is set when no
+// host of the region is missing that may share a limit with this one.
+func (m *members) addList(region string, hosts []Host, whole bool, now time.Time) {
+	for _, h := range hosts {
+		m.addKnown(h, now)
+	}
+	if whole && m.lists[region].IsZero() {
+		m.lists[region] = now
+	}
+}
+
+// unread returns the regions whose list was not read whole yet, the own one first.
+func (m *members) unread() []string {
+	var regions []string
+	for _, region := range slices.Sorted(maps.Keys(m.lists)) {
+		switch {
+		case !m.lists[region].IsZero():
+		case region == m.self.Region:
+			regions = slices.Insert(regions, 0, region)
+		default:
+			regions = append(regions, region)
+		}
+	}
+	return regions
+}
+
+// knows reports whether this host knows all hosts of a region that may share a
+// limit with it, and they know it.
+func (m *members) knows(region string, now time.Time) bool {
+	read := m.lists[region]
+	return !read.IsZero() && now.Sub(read) >= introduceWithin
+}
+
+// knowsOthersThan reports whether it knows the hosts of all regions but one.
+func (m *members) knowsOthersThan(region string, now time.Time) bool {
+	for other := range m.lists {
+		if other != region && !m.knows(other, now) {
+			return false
+		}
+	}
+	return true
 }
 
 // addKnown adds a host that the registry or a peer has named. It does not make
@@ -94,8 +156,8 @@
 
 // anyAlive reports whether a peer in a region is alive.
 func (m *members) anyAlive(region string, now time.Time) bool {
-	for _, p := range m.peers {
-		if p.host.Region == region && p.alive(now) {
+	for _, name := range m.indexed().byRegion[region] {
+		if m.peers[name].alive(now) {
 			return true
 		}
 	}
--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/warmup"
 )
 
 func TestShareOfANumberAmongHosts(t *testing.T) {
@@ -84,11 +86,15 @@
 	now := time.Now()
 	const total, seeds = 26, 200
 	all := nineHostsList()
+	most := 0
 	for seed := range uint64(seeds) {
 		random := rand.New(rand.NewPCG(seed, seed))
 		sum := 0
 		for _, self := range all {
-			m := newMembers(self)
+			m := newMembers(self, regionsOf(all), now.Add(-longAgo))
+			if random.IntN(2) == 0 { // it has read the lists
+				m = startedMembers(self, all, now.Add(-longAgo))
+			}
 			for _, h := range all {
 				switch random.IntN(3) {
 				case 0: // not known
@@ -101,7 +107,49 @@
 			sum += m.warmUpQuota("i-1", "west", total, now).Requests
 		}
 		require.LessOrEqual(t, sum, total, "seed %d", seed)
+		most = max(most, sum)
 	}
+	require.Positive(t, most)
+}
+
+// What a host may send a cold upstream before it knows who shares the rate and what
+// was sent: nothing.
+func TestAHostHasNoPartBeforeItKnowsWhoSharesIt(t *testing.T) {
+	started, all := time.Now(), nineHostsList()
+	for _, c := range []struct {
+		name   string
+		lists  map[string]time.Duration // when the list of each region was read
+		region string
+		at     time.Duration
+		want   warmup.Withheld
+	}{
+		{"a process that has just started", map[string]time.Duration{"west": 0, "east": 0, "south": 0}, "west", warmup.Window - 1, warmup.Starting},
+		{"one that sent nothing for a window", map[string]time.Duration{"west": 0, "east": 0, "south": 0}, "west", warmup.Window, warmup.NotWithheld},
+		{"no list was read", nil, "west", longAgo, warmup.HostsUnknown},
+		{"the list of another region only", map[string]time.Duration{"east": 0, "south": 0}, "west", longAgo, warmup.HostsUnknown},
+		{"the list of its region is enough there", map[string]time.Duration{"west": 0}, "west", longAgo, warmup.NotWithheld},
+		{"its hosts may not know of this one yet", map[string]time.Duration{"west": longAgo}, "west", longAgo + introduceWithin - 1, warmup.HostsUnknown},
+		{"they had time to hear of it", map[string]time.Duration{"west": longAgo}, "west", longAgo + introduceWithin, warmup.NotWithheld},
+		{"for another region, a list of those that share is missing", map[string]time.Duration{"west": 0, "east": 0}, "east", longAgo, warmup.HostsUnknown},
+		{"for another region, all that share are known", map[string]time.Duration{"west": 0, "south": 0}, "east", longAgo, warmup.NotWithheld},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMembers(all[0], regionsOf(all), started)
+			for region, at := range c.lists {
+				m.addList(region, all, true, started.Add(at))
+			}
+			q := m.warmUpQuota("i-1", c.region, 26, started.Add(c.at))
+			require.Equal(t, c.want, q.Withheld)
+			require.Equal(t, c.want == warmup.NotWithheld, q.Requests > 0)
+		})
+	}
+}
+
+func TestAColdUpstreamIsLeftToTheLiveHostsOfItsRegion(t *testing.T) {
+	now := time.Now()
+	m := nineHosts("east0", now)
+	require.Equal(t, warmup.OwnRegion, m.warmUpQuota("i-1", "west", 26, now).Withheld)
+	require.Positive(t, m.warmUpQuota("i-1", "west", 26, now.Add(deadAfter)).Requests)
 }
 
 // The users' record fits hosts that were killed and started again within the second
--- a/internal/gateway/fleet/relaytree_test.go
+++ b/internal/gateway/fleet/relaytree_test.go
@@ -71,7 +71,7 @@
 	for views := range 1 << 6 {
 		parents := map[string]string{}
 		for i := range 3 {
-			m := newMembers(host(fmt.Sprint("west", i), "west-0", "west"))
+			m := newMembers(host(fmt.Sprint("west", i), "west-0", "west"), nil, now)
 			for j := range 3 {
 				if i != j && views>>(2*i+(j+3-i)%3-1)&1 == 1 {
 					m.recordHeartbeat(host(fmt.Sprint("west", j), "west-0", "west"), readyStatus, now)
--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -2,10 +2,12 @@
 
 import (
 	"errors"
+	"fmt"
 	"net/http"
 	"os"
 
 	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/verdict"
 )
 
@@ -48,8 +50,21 @@
 	if reason == balance.WarmUpLimited {
 		why = verdict.Warming
 	}
-	return verdict.New(verdict.NotRun, why, "preferred upstream %s has load %.2f, reported %d ms ago, cold %t",
-		first.Upstream.ID, first.Load, first.LoadAge.Milliseconds(), first.Cold)
+	return verdict.New(verdict.NotRun, why, "preferred upstream %s has load %.2f, reported %d ms ago, cold %t%s",
+		first.Upstream.ID, first.Load, first.LoadAge.Milliseconds(), first.Cold, quotaDetail(first))
+}
+
+// quotaDetail says of a cold upstream how much of the host's warm-up quota is used.
+func quotaDetail(c balance.Choice) string {
+	if !c.Cold {
+		return ""
+	}
+	q := c.WarmUp.Quota
+	text := fmt.Sprintf(", %d of %d sent in the last second, %d hosts share", c.WarmUp.Sent+c.WarmUp.SentWarm, q.Requests, q.Hosts)
+	if q.Withheld != warmup.NotWithheld {
+		text += ", none yet: " + string(q.Withheld)
+	}
+	return text
 }
 
 // finalVerdict is the verdict over all attempts of a request. last is the error
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -3,8 +3,10 @@
 import (
 	"cmp"
 	"errors"
+	"maps"
 	"net"
 	"os"
+	"slices"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -167,13 +169,13 @@
 	return seeds
 }
 
-// regions gives the number of regions, the host's own included.
-func (s Settings) regions() int {
+// regions gives the regions of the zones and the host's own.
+func (s Settings) regions() []string {
 	regions := map[string]bool{s.Host.Region: true}
 	for _, region := range s.Zones {
 		regions[region] = true
 	}
-	return len(regions)
+	return slices.Sorted(maps.Keys(regions))
 }
 
 // Staleness is how old a host's replicas may be while it reaches the store: the
--- a/internal/gateway/soak/cold_test.go
+++ b/internal/gateway/soak/cold_test.go
@@ -23,6 +23,9 @@
 	// longer than an evacuation lasts after it, so that hosts which read the row
 	// at their start know it.
 	toldCold = 10 * time.Second
+	// coldAfter is how much longer upstreams are cold after what happens to them:
+	// long enough that hosts which have just started use their parts again.
+	coldAfter = 2500 * time.Millisecond
 	// busyClients are the clients of a busy hour, beside those of every run: so
 	// many that hosts use their whole parts at cold upstreams at once.
 	busyClients = 40
--- a/internal/gateway/soak/faults_test.go
+++ b/internal/gateway/soak/faults_test.go
@@ -18,6 +18,8 @@
 // unplanned are what goes wrong.
 var unplanned = []fault{
 	{"kill a host", (*world).killHost},
+	{"restart all hosts at once", (*world).restartAllHosts},
+	{"take a zone back with cold upstreams and restart all hosts", (*world).restartOnColdUpstreams},
 	{"pause a host", (*world).pauseHost},
 	{"cut a host from the store", (*world).cutHost},
 	{"disrupt the store", (*world).disruptStore},
--- a/internal/gateway/soak/planned_test.go
+++ b/internal/gateway/soak/planned_test.go
@@ -150,8 +150,7 @@
 func (w *world) evacuateZone() { w.evacuateWhile(func() {}) }
 
 // evacuateWhile evacuates a zone, whose upstreams become cold, and takes it back;
-// then runs, right after that. They are cold until it returns, and for warmUpTime
-// at the least.
+// then runs, right after that. They are cold until it returns and coldAfter longer.
 func (w *world) evacuateWhile(then func()) {
 	zone := zones[w.intN(len(zones))].name
 	if !w.evacuating.TryLock() {
@@ -167,6 +166,6 @@
 		u.cold.takeRequests()
 	}
 	then()
-	time.Sleep(warmUpTime)
+	time.Sleep(coldAfter)
 	w.warmZone(cold)
 }
--- a/internal/gateway/warmup/quota.go
+++ b/internal/gateway/warmup/quota.go
@@ -6,4 +6,23 @@
 	Requests int
 	// Hosts is how many known hosts the rate is split over, this one included.
 	Hosts int
+	// Withheld says why the host has no part; then Requests is zero.
+	Withheld Withheld
 }
+
+// Withheld is why a host has no part of a cold upstream's rate.
+type Withheld string
+
+const (
+	// NotWithheld is for a host that has a part, which may be zero where the
+	// rate has fewer requests than hosts.
+	NotWithheld Withheld = ""
+	// Starting is a process younger than Window: the one before it may have
+	// used the host's part.
+	Starting Withheld = "starting"
+	// HostsUnknown is a host that has not read who shares the rate, or has read
+	// it so lately that they may not know of it yet.
+	HostsUnknown Withheld = "hosts-unknown"
+	// OwnRegion leaves the upstream to the live hosts of its own region.
+	OwnRegion Withheld = "own-region"
+)
--- a/internal/gateway/warmup/sends.go
+++ b/internal/gateway/warmup/sends.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// window is the time over which requests are counted against a quota. The
+// Window is the time over which requests are counted against a quota. The
 // platform's bound counts what arrives in any one second; the rest allows for
 // different transit times (chosen, not measured).
-const window = 1150 * time.Millisecond
+const Window = 1150 * time.Millisecond
 
 // Sends are the requests that a host has sent to one upstream lately. The zero
 // value has none.
@@ -27,11 +27,11 @@
 	s.sends = append(s.sends, send{at: now, cold: cold})
 }
 
-// Cold is how many requests were sent within the window while the upstream
+// Cold is how many requests were sent within Window while the upstream
 // counted as cold.
 func (s *Sends) Cold(now time.Time) int { return s.count(now, true) }
 
-// Warm is how many were sent within the window while it counted as warm.
+// Warm is how many were sent within Window while it counted as warm.
 func (s *Sends) Warm(now time.Time) int { return s.count(now, false) }
 
 func (s *Sends) count(now time.Time, cold bool) int {
@@ -45,7 +45,7 @@
 	return n
 }
 
-// trim drops the requests from before the window.
+// trim drops the requests from before Window.
 func (s *Sends) trim(now time.Time) {
-	s.sends = slices.DeleteFunc(s.sends, func(x send) bool { return now.Sub(x.at) >= window })
+	s.sends = slices.DeleteFunc(s.sends, func(x send) bool { return now.Sub(x.at) >= Window })
 }
--- a/internal/gateway/warmup/sends_test.go
+++ b/internal/gateway/warmup/sends_test.go
@@ -18,10 +18,10 @@
 		cold, warm int
 	}{
 		{200 * time.Millisecond, 2, 1},
-		{window - time.Millisecond, 2, 1},
-		{window, 2, 0},
-		{window + 100*time.Millisecond, 1, 0},
-		{window + 200*time.Millisecond, 0, 0},
+		{Window - time.Millisecond, 2, 1},
+		{Window, 2, 0},
+		{Window + 100*time.Millisecond, 1, 0},
+		{Window + 200*time.Millisecond, 0, 0},
 	} {
 		require.Equal(t, c.cold, s.Cold(now.Add(c.after)), c.after)
 		require.Equal(t, c.warm, s.Warm(now.Add(c.after)), c.after)
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -45,7 +45,7 @@
 			Name: host.Name, Zone: host.Zone, Region: host.Region, PeerAddress: listen.Peers, ClientAddress: listen.Callers,
 			Incarnation: ulid.Make().String(), // a restart is a new one
 		},
-		Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector,
+		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Region: host.Region, Log: g.log}, Report: g.log, Observations: g.detector,
 		Status: g.status, Seeds: g.settings.peerSeeds(), Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
@@ -60,7 +60,7 @@
 
 func (g *Gateway) newProxy() *proxy.Proxy {
 	limits := g.settings.Limits
-	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: g.settings.regions()}
+	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
 	return proxy.New(proxy.Options{
 		State:        g.state,
 		Balancer:     balance.New(location, g, g.detector),
