--- a/internal/gateway/proxy/warmup_test.go
+++ b/internal/gateway/proxy/warmup_test.go
@@ -77,7 +77,9 @@
 func TestRequestsThatWaitForAConnectionCountWhenTheyAreSent(t *testing.T) {
 	const quota = 3
 	g := newTestGateway(t)
-	g.setRoutes(testRoute(route.Once))
+	r := testRoute(route.Once)
+	r.Timeout = 5 * time.Second
+	g.setRoutes(r)
 	g.cold, g.capacity = time.Minute, 2*quota
 	g.fleet.quota.Store(quota)
 	var mu sync.Mutex
