Count requests to an upstream from their choice until a second after they were sent

Cause: a request counted against a cold upstream's quota from the moment of its choice, and waits for a connection after it; those that waited came together with those that were chosen when the first were out of the count. What had been sent while the upstream was warm was in no count once it was cold, and the count went with the upstream's entry.

Balancer.Done takes the choice that ended, as a request that was not sent counts from its choice.

The balancer's tests give Done the choice in place of its upstream's id; TestStateIsRetainedWhileRequestsAreOutstanding waits until the count is empty. No assertion went.

--- a/internal/gateway/balance/admission.go
+++ b/internal/gateway/balance/admission.go
@@ -54,7 +54,7 @@
 	if !u.upstream.Cold(a.now) {
 		return Chosen
 	}
-	if u.state.sends.Cold(a.now) >= a.quota(u.upstream).Requests {
+	if u.state.sends.Count(a.now) >= a.quota(u.upstream).Requests {
 		return WarmUpLimited
 	}
 	return Chosen
--- a/internal/gateway/balance/admission_test.go
+++ b/internal/gateway/balance/admission_test.go
@@ -38,7 +38,7 @@
 	for at := now; at.Before(cold.ColdUntil); at = at.Add(20 * time.Millisecond) {
 		c, reason := b.Choose(balance.Query{Key: "k", Upstreams: []*upstream.Upstream{cold}, Now: at})
 		if reason == balance.Chosen {
-			b.Done(c.Upstream.ID)
+			b.Done(c)
 			sent = append(sent, at)
 			continue
 		}
@@ -63,12 +63,12 @@
 	u := newUpstream("u", "west-1", "west")
 	q := balance.Query{Key: "k", Upstreams: []*upstream.Upstream{u}, Now: now}
 	for range quota - 1 {
-		b.Done(choose(t, b, q).Upstream.ID)
+		b.Done(choose(t, b, q))
 	}
 	cold := *u
 	cold.ColdUntil = now.Add(time.Minute)
 	q.Upstreams, q.Now = []*upstream.Upstream{&cold}, now.Add(500*time.Millisecond)
-	b.Done(choose(t, b, q).Upstream.ID)
+	b.Done(choose(t, b, q))
 	_, reason := b.Choose(q)
 	require.Equal(t, balance.WarmUpLimited, reason)
 	q.Now = now.Add(warmup.Window)
@@ -81,8 +81,8 @@
 	cold := newUpstream("u", "west-1", "west")
 	cold.ColdUntil = now.Add(time.Minute)
 	q := balance.Query{Key: "k", Upstreams: []*upstream.Upstream{cold}, Now: now}
-	b.Done(choose(t, b, q).Upstream.ID)
-	b.Retain(func(string) bool { return false })
+	b.Done(choose(t, b, q))
+	b.Retain(func(string) bool { return false }, now)
 	_, reason := b.Choose(q)
 	require.Equal(t, balance.WarmUpLimited, reason)
 }
--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -41,7 +41,7 @@
 	// seed is the hash of the upstream's id.
 	seed uint64
 	load loadEstimate
-	// sends are the last requests sent there.
+	// sends are the last requests for which it was chosen.
 	sends warmup.Sends
 }
 
@@ -77,7 +77,7 @@
 	}
 	if reason == Chosen {
 		chosen.state.load.outstanding++
-		chosen.state.sends.Add(q.Now, choice.Cold)
+		choice.send = chosen.state.sends.Add(q.Now, choice.Cold)
 	}
 	if choice.Cold {
 		choice.WarmUp = warmUp(chosen, a)
@@ -87,7 +87,8 @@
 
 // warmUp says how much of this host's quota at a cold upstream is used.
 func warmUp(u *scored, a admission) WarmUp {
-	return WarmUp{Quota: a.quota(u.upstream), Sent: u.state.sends.Cold(a.now), SentWarm: u.state.sends.Warm(a.now)}
+	cold := u.state.sends.Cold(a.now)
+	return WarmUp{Quota: a.quota(u.upstream), Sent: cold, SentWarm: u.state.sends.Count(a.now) - cold}
 }
 
 // scored is an upstream with what decides whether one request goes there.
@@ -134,12 +135,21 @@
 	return s
 }
 
-// Done ends a request that Choose counted at an upstream.
-func (b *Balancer) Done(id string) {
+// Sent notes that the request of a choice was sent. It counts against the host's
+// warm-up quota from now on for as long as any request does.
+func (b *Balancer) Sent(c Choice, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(id)
+	c.send.Sent(now)
+}
+
+// Done ends the request of a choice.
+func (b *Balancer) Done(c Choice) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(c.Upstream.ID)
 	s.load.outstanding = max(0, s.load.outstanding-1)
+	c.send.End()
 }
 
 // ObserveLoad records an upstream's own report of its load, in requests.
@@ -150,9 +160,12 @@
 }
 
 // Retain drops the state of the upstreams that keep rejects, except those with
-// outstanding requests.
-func (b *Balancer) Retain(keep func(id string) bool) {
+// outstanding requests, or requests that still count against a warm-up quota: an
+// upstream whose entry comes back is the same one.
+func (b *Balancer) Retain(keep func(id string) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.states, func(id string, s *state) bool { return s.load.outstanding == 0 && !keep(id) })
+	maps.DeleteFunc(b.states, func(id string, s *state) bool {
+		return !keep(id) && s.load.outstanding == 0 && s.sends.Count(now) == 0
+	})
 }
--- a/internal/gateway/balance/balance_test.go
+++ b/internal/gateway/balance/balance_test.go
@@ -87,7 +87,7 @@
 		q := balance.Query{Key: strconv.Itoa(key), Upstreams: all, Now: now, Allows: func(r string) bool { return r == "east" }}
 		c := choose(t, b, q)
 		require.Equal(t, "east", c.Upstream.Region)
-		b.Done(c.Upstream.ID)
+		b.Done(c)
 	}
 	_, reason := b.Choose(balance.Query{Key: "k", Upstreams: all, Now: now, Allows: func(string) bool { return false }})
 	require.Equal(t, balance.NoUpstream, reason)
@@ -104,14 +104,15 @@
 	b, now := newBalancer(1), time.Now()
 	q := balance.Query{Key: "k", Upstreams: twoRegions(1), Now: now}
 	none := func(string) bool { return false }
-	b.ObserveLoad(choose(t, b, q).Upstream.ID, 1, 0, now)
-	b.Retain(none)
+	first := choose(t, b, q)
+	b.ObserveLoad(first.Upstream.ID, 1, 0, now)
+	b.Retain(none, now.Add(warmup.Window))
 	c := choose(t, b, q)
 	require.Equal(t, 0.25, c.Load, "the first request is still counted")
 	require.Zero(t, c.LoadAge)
-	b.Done(c.Upstream.ID)
-	b.Done(c.Upstream.ID)
-	b.Retain(none)
+	b.Done(first)
+	b.Done(c)
+	b.Retain(none, now.Add(warmup.Window))
 	c = choose(t, b, q)
 	require.Zero(t, c.Load)
 	require.Negative(t, c.LoadAge, "no load report is known")
--- a/internal/gateway/balance/ejected_test.go
+++ b/internal/gateway/balance/ejected_test.go
@@ -22,8 +22,9 @@
 	detector := outlier.New(noReporter{})
 	b := balance.New(location, fixedQuota(1), detector)
 	q := balance.Query{Key: "k", Upstreams: all, Now: now}
-	first := choose(t, b, q).Upstream.ID
-	b.Done(first)
+	c := choose(t, b, q)
+	first := c.Upstream.ID
+	b.Done(c)
 	detector.RecordOutcome(first, outlier.Unreachable, now)
 	require.NotEqual(t, first, choose(t, b, q).Upstream.ID)
 	// As the only one it is tried all the same.
--- a/internal/gateway/balance/order_test.go
+++ b/internal/gateway/balance/order_test.go
@@ -14,13 +14,14 @@
 	b, now, all := newBalancer(1), time.Now(), twoRegions(12)
 	for key := range 50 {
 		q := balance.Query{Key: strconv.Itoa(key), Upstreams: all, Now: now}
-		first := choose(t, b, q).Upstream.ID
-		b.Done(first)
+		c := choose(t, b, q)
+		first := c.Upstream.ID
+		b.Done(c)
 		for range 5 {
 			c := choose(t, b, q)
 			require.Equal(t, first, c.Upstream.ID)
 			require.Zero(t, c.Rank)
-			b.Done(first)
+			b.Done(c)
 		}
 	}
 }
@@ -33,12 +34,12 @@
 	others := 0
 	for key := range keys {
 		q := balance.Query{Key: strconv.Itoa(key), Upstreams: all, Now: now}
-		before := choose(t, b, q).Upstream.ID
+		before := choose(t, b, q)
 		b.Done(before)
 		q.Upstreams = all[1:]
-		after := choose(t, b, q).Upstream.ID
+		after := choose(t, b, q)
 		b.Done(after)
-		if before != all[0].ID && before != after {
+		if before.Upstream.ID != all[0].ID && before.Upstream.ID != after.Upstream.ID {
 			others++
 		}
 	}
@@ -51,7 +52,7 @@
 	const keys = 1000
 	for key := range keys {
 		c := choose(t, b, balance.Query{Key: strconv.Itoa(key), Upstreams: all, Now: now})
-		b.Done(c.Upstream.ID)
+		b.Done(c)
 		if c.Upstream.Region == "west" {
 			own++
 		}
@@ -68,7 +69,7 @@
 	for key := range keys {
 		for _, bulk := range []bool{true, false} {
 			c := choose(t, b, balance.Query{Key: strconv.Itoa(key), Upstreams: all, Now: now, Bulk: bulk, Mixed: true})
-			b.Done(c.Upstream.ID)
+			b.Done(c)
 			if c.Upstream.Region == "west" {
 				own[bulk]++
 			}
--- a/internal/gateway/balance/preferred_test.go
+++ b/internal/gateway/balance/preferred_test.go
@@ -20,7 +20,7 @@
 	for key := range 20 {
 		q.Key = "other" + strconv.Itoa(key)
 		if c, reason := b.Choose(q); reason == balance.Chosen {
-			b.Done(c.Upstream.ID)
+			b.Done(c)
 			return
 		}
 	}
@@ -56,8 +56,9 @@
 func TestReportedLoadOfOtherHostsCounts(t *testing.T) {
 	b, now, all := newBalancer(1), time.Now(), twoRegions(12)
 	q := balance.Query{Key: "k", Upstreams: all, Now: now}
-	first := choose(t, b, q).Upstream.ID
-	b.Done(first)
+	c := choose(t, b, q)
+	first := c.Upstream.ID
+	b.Done(c)
 	b.ObserveLoad(first, 4, 4, now)
 	next := choose(t, b, q)
 	require.NotEqual(t, first, next.Upstream.ID)
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -59,15 +59,18 @@
 	// WarmUp is the host's use of its quota there; zero unless the upstream is
 	// cold.
 	WarmUp WarmUp
+
+	// send counts the request against the quota; nil unless it was chosen.
+	send *warmup.Send
 }
 
 // WarmUp is a host's use of its quota at a cold upstream.
 type WarmUp struct {
 	Quota warmup.Quota
-	// Sent is how many requests were sent in the last second while the
-	// upstream counted as cold, included the one that it is chosen for.
+	// Sent is how many requests count against it that the upstream was chosen
+	// for while it counted as cold, this one included.
 	Sent int
-	// SentWarm is how many were sent besides while it counted as warm.
+	// SentWarm is how many count besides.
 	SentWarm int
 }
 
--- a/internal/gateway/balance/split_test.go
+++ b/internal/gateway/balance/split_test.go
@@ -87,7 +87,7 @@
 	t.Helper()
 	b, now := newBalancer(1), time.Now()
 	var out []outcome
-	ends := map[int]string{}
+	ends := map[int]balance.Choice{}
 	steps := int(s.served / splitInterval)
 	for i, id := range ids {
 		if ended, ok := ends[i]; ok {
@@ -99,7 +99,7 @@
 		if reason == balance.Chosen {
 			require.Equal(t, service, c.Upstream.Service, "a request goes to the service that its route picked")
 			o.upstream = c.Upstream.ID
-			ends[i+steps] = o.upstream
+			ends[i+steps] = c
 		}
 		out = append(out, o)
 		now = now.Add(splitInterval)
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -73,7 +73,7 @@
 	if err != nil {
 		a.cancel(nil)
 		e := verdict.From(err)
-		f.proxy.release(a.choice.Upstream.ID, outcomeOf(e.Reason))
+		f.proxy.release(a.choice, outcomeOf(e.Reason))
 		f.logAttempt(a, 0, e)
 		return nil, err
 	}
@@ -83,9 +83,7 @@
 // roundTrip sends the request and waits for a response that may be forwarded.
 func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
 	u := a.choice.Upstream
-	if a.choice.Cold {
-		a.progress.OnSent = a.logWarmUp
-	}
+	a.progress.OnSent = a.noteSent
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, u.ID, u.Address, r, &a.progress)
 	if err == nil {
 		err = a.inflight.accept(u.ID, resp)
@@ -97,6 +95,14 @@
 	return resp, err
 }
 
+// noteSent is called when the request was written.
+func (a *attempt) noteSent() {
+	a.inflight.proxy.Balancer.Sent(a.choice, time.Now())
+	if a.choice.Cold {
+		a.logWarmUp()
+	}
+}
+
 // accept returns nil if a response may be forwarded; otherwise it closes it and
 // returns the attempt's error.
 func (f *inflight) accept(upstream string, resp *exchange.Response) error {
@@ -124,7 +130,7 @@
 	if err != nil {
 		_ = resp.Body.Close() // the attempt has failed already
 		e := truncated(ctx, id, err)
-		f.proxy.release(id, outcomeOfTruncated(e.Reason))
+		f.proxy.release(a.choice, outcomeOfTruncated(e.Reason))
 		if isUpstreamFault(e.Reason) {
 			f.proxy.Detector.RecordFailure(id, time.Now())
 		}
@@ -132,7 +138,7 @@
 		return nil, e
 	}
 	f.logAttempt(a, resp.Status, nil)
-	out := &response{Response: resp, upstream: id, prefix: prefix}
+	out := &response{Response: resp, choice: a.choice, prefix: prefix}
 	if out.whole() {
 		out.Length = int64(len(prefix))
 	}
@@ -142,12 +148,12 @@
 // discard drops a response that is not forwarded.
 func (p *Proxy) discard(resp *response) {
 	_ = resp.Body.Close() // it is not used
-	p.release(resp.upstream, outlier.Canceled)
+	p.release(resp.choice, outlier.Canceled)
 }
 
 // release ends a request that the balancer counts as outstanding at an
 // upstream, and records how it ended.
-func (p *Proxy) release(upstream string, o outlier.Outcome) {
-	p.Balancer.Done(upstream)
-	p.Detector.RecordOutcome(upstream, o, time.Now())
+func (p *Proxy) release(c balance.Choice, o outlier.Outcome) {
+	p.Balancer.Done(c)
+	p.Detector.RecordOutcome(c.Upstream.ID, o, time.Now())
 }
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -60,7 +60,7 @@
 			p, id := s.inflight.proxy, a.choice.Upstream.ID
 			p.Log.Process("panic", fmt.Sprintf("attempt at %s: %v\n%s", id, v, debug.Stack()))
 			a.cancel(nil)
-			p.release(id, outlier.Canceled)
+			p.release(a.choice, outlier.Canceled)
 			end.resp, end.err = nil, verdict.New(verdict.MayHaveRun, verdict.UpstreamFailed, "the attempt panicked").WithUpstream(id)
 		}
 		s.ends <- end
--- a/internal/gateway/proxy/hedgerule_test.go
+++ b/internal/gateway/proxy/hedgerule_test.go
@@ -92,13 +92,13 @@
 	s.running = []*attempt{a}
 	closed := make(chan struct{})
 	body := closer{strings.NewReader(""), func() { close(closed) }}
-	s.ends <- attemptEnd{attempt: a, resp: &response{Response: &exchange.Response{Body: body}, upstream: "i-1"}}
+	s.ends <- attemptEnd{attempt: a, resp: &response{Response: &exchange.Response{Body: body}, choice: c}}
 	s.abandon()
 	require.True(t, isSuperseded(ctx))
 	<-closed
 	require.Eventually(t, func() bool {
 		c, _ := p.Balancer.Choose(q)
-		defer p.Balancer.Done("i-1")
+		defer p.Balancer.Done(c)
 		return c.Load == 0
 	}, time.Second, time.Millisecond)
 }
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -158,7 +158,7 @@
 			_, ok := upstreams.Get(id)
 			return ok
 		}
-		p.Balancer.Retain(known)
+		p.Balancer.Retain(known, time.Now())
 		p.Detector.Retain(known)
 		p.Client.Retain(known)
 	}
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/httpheader"
 	"cairndock/internal/verdict"
@@ -31,8 +32,8 @@
 // response is an upstream's response whose beginning was buffered.
 type response struct {
 	*exchange.Response
-	// upstream is the id of the upstream that sent it.
-	upstream string
+	// choice is that of the upstream that sent it.
+	choice balance.Choice
 	// prefix is the beginning of the body; Body has the rest.
 	prefix []byte
 }
@@ -47,7 +48,7 @@
 	var err error
 	defer func() {
 		_ = resp.Body.Close() // err says whether the body was read whole
-		f.proxy.release(resp.upstream, outcomeOfForward(err))
+		f.proxy.release(resp.choice, outcomeOfForward(err))
 	}()
 	f.proxy.closeIfLeaving(w)
 	f.boundWrites(w)
--- a/internal/gateway/warmup/sends_test.go
+++ b/internal/gateway/warmup/sends_test.go
@@ -10,20 +10,49 @@
 func TestSendsCountForAWindow(t *testing.T) {
 	var s Sends
 	now := time.Now()
-	s.Add(now, false)
-	s.Add(now.Add(100*time.Millisecond), true)
-	s.Add(now.Add(200*time.Millisecond), true)
+	for _, x := range []struct {
+		after time.Duration
+		cold  bool
+	}{{0, false}, {100 * time.Millisecond, true}, {200 * time.Millisecond, true}} {
+		s.Add(now.Add(x.after), x.cold).Sent(now.Add(x.after))
+	}
 	for _, c := range []struct {
-		after      time.Duration
-		cold, warm int
+		after       time.Duration
+		count, cold int
 	}{
-		{200 * time.Millisecond, 2, 1},
-		{Window - time.Millisecond, 2, 1},
-		{Window, 2, 0},
-		{Window + 100*time.Millisecond, 1, 0},
+		{200 * time.Millisecond, 3, 2},
+		{Window - time.Millisecond, 3, 2},
+		{Window, 2, 2},
+		{Window + 100*time.Millisecond, 1, 1},
 		{Window + 200*time.Millisecond, 0, 0},
 	} {
+		require.Equal(t, c.count, s.Count(now.Add(c.after)), c.after)
 		require.Equal(t, c.cold, s.Cold(now.Add(c.after)), c.after)
-		require.Equal(t, c.warm, s.Warm(now.Add(c.after)), c.after)
+	}
+}
+
+func TestARequestThatWaitsCountsUntilAWindowAfterItWasSent(t *testing.T) {
+	const wait = 5 * time.Second
+	now := time.Now()
+	for _, c := range []struct {
+		name string
+		end  func(x *Send)
+		// until is when it stops counting, after its choice.
+		until time.Duration
+	}{
+		{"sent late", func(x *Send) { x.Sent(now.Add(wait)) }, wait + Window},
+		{"sent late and ended", func(x *Send) { x.Sent(now.Add(wait)); x.End() }, wait + Window},
+		{"sent at once, noted twice", func(x *Send) { x.Sent(now); x.Sent(now.Add(wait)) }, Window},
+		{"ended without being sent", func(x *Send) { x.End() }, Window},
+		{"ended before it could be noted as sent", func(x *Send) { x.End(); x.Sent(now.Add(wait)) }, Window},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s Sends
+			x := s.Add(now, true)
+			require.Equal(t, 1, s.Count(now.Add(wait)), "it waits")
+			c.end(x)
+			require.Equal(t, 1, s.Count(now.Add(c.until-1)))
+			require.Zero(t, s.Count(now.Add(c.until)))
+		})
 	}
 }
