Show that a restart of all hosts spends the retry slack twice

The same class as the flooded cold upstreams: the slack of the retry budget is split over known hosts, and what was spent is forgotten at a restart.

--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -46,6 +46,43 @@
 	require.NotEmpty(t, taken)
 }
 
+// Found beside the flooding of cold upstreams after a restart of all hosts: the part
+// of the slack is kept by the same two beliefs, of which a process that has just
+// started has neither. Nine hosts with a request a second each sent more retries
+// within a window than the limit, by spending their parts of the slack again.
+func TestRetriesStayWithinTheLimitOverARestartOfAllHosts(t *testing.T) {
+	const hosts = 9
+	start := time.Now()
+	restart := start.Add(25 * time.Second)
+	var taken []time.Time
+	for range hosts {
+		before, after := retry.NewBudget(limits), retry.NewBudget(limits)
+		for at := start; at.Before(restart.Add(limits.Window)); at = at.Add(time.Second) {
+			b := before
+			if !at.Before(restart) {
+				b = after
+			}
+			b.RecordRequest("s", at)
+			for b.TryRetry("s", hosts, at) {
+				taken = append(taken, at)
+			}
+		}
+	}
+	allowed := limits.Ratio*hosts*limits.Window.Seconds() + limits.Slack
+	most := 0
+	for _, first := range taken {
+		n := 0
+		for _, at := range taken {
+			if since := at.Sub(first); since >= 0 && since < limits.Window {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	require.LessOrEqual(t, float64(most), allowed)
+	require.Greater(t, float64(most), allowed/2)
+}
+
 func TestBudgetRecoversWithTheWindowAndForEachServiceAlone(t *testing.T) {
 	b, now := retry.NewBudget(limits), time.Now()
 	for b.TryRetry("a", 9, now) {
