Give a host no part of the retry slack before it knows who shares it

Change: a host uses the part of the limit that its own requests give it, which needs no knowledge, and a part of the slack only once the lists of all regions were read and its process has run for a window (10 s on the sites known). Gauge cairndock_host_lists_unread.

The row that gave an unknown number of hosts the whole slack, 43, tested the fault itself; it is 0 now, and 15 with a hundred requests. Budgets of tests are of processes that have run for a window.

--- a/internal/gateway/fleet/discovery_test.go
+++ b/internal/gateway/fleet/discovery_test.go
@@ -61,6 +61,23 @@
 	}
 }
 
+// Before a host knows all that share a limit it says so, as it would take too large a
+// part.
+func TestSharersAreZeroUntilAllAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		r.hosts["e"] = host("e", "east-0", "east")
+		f := New(Options{Self: host("w", "west-0", "west"), Regions: []string{"east", "west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+		require.Zero(t, f.Sharers())
+		require.Equal(t, 2, f.UnreadLists())
+		f.register(t.Context())
+		require.Zero(t, f.UnreadLists())
+		require.Zero(t, f.Sharers(), "they may not know of this one yet")
+		time.Sleep(introduceWithin)
+		require.Equal(t, 2, f.Sharers())
+	})
+}
+
 // Of two hosts that start together, the later one finds the earlier one in the list.
 func TestAListIsReadAfterTheAnnouncement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -116,6 +116,24 @@
 	return f.members.size()
 }
 
+// Sharers is the number of hosts that share a limit of all hosts, dead ones and
+// this host included, or zero while not all of them are known.
+func (f *Fleet) Sharers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.members.knowsOthersThan("", time.Now()) {
+		return 0
+	}
+	return f.members.size()
+}
+
+// UnreadLists is the number of regions of which no whole list of hosts was read.
+func (f *Fleet) UnreadLists() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.members.unread())
+}
+
 // ServePeer serves a request of a peer.
 func (f *Fleet) ServePeer(ctx context.Context, _ peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
 	switch kind {
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -71,7 +71,8 @@
 	return !read.IsZero() && now.Sub(read) >= introduceWithin
 }
 
-// knowsOthersThan reports whether it knows the hosts of all regions but one.
+// knowsOthersThan reports whether it knows the hosts of all regions but one; of all
+// if that is "".
 func (m *members) knowsOthersThan(region string, now time.Time) bool {
 	for other := range m.lists {
 		if other != region && !m.knows(other, now) {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -55,7 +55,7 @@
 	g.fleet = g.newFleet(store)
 	g.watchers[operatorTable] = g.newWatcher(operatorTable, g.state.OperatorSink())
 	g.watchers[upstreamTable] = g.newWatcher(upstreamTable, g.state.UpstreamSink())
-	g.proxy = g.newProxy()
+	g.proxy = g.newProxy(time.Now())
 	g.server = proxy.NewServer(g.proxy)
 	g.registerGauges()
 	return g
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -114,9 +114,9 @@
 	g.proxy = proxy.New(proxy.Options{
 		State: g.state, Detector: detector,
 		Balancer: balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector),
-		Budget:   retry.NewBudget(retries),
+		Budget:   retry.NewBudget(retries, time.Now().Add(-retries.Window)),
 		Client:   exchange.NewClient(g.dial, protocol{}),
-		Codec:    codec{}, Hosts: func() int { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
+		Codec:    codec{}, Sharers: func() int { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
 	g.server = httptest.NewServer(g.proxy)
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -52,8 +52,9 @@
 	Client *exchange.Client
 	// Codec reads requests' headers and writes error responses.
 	Codec Codec
-	// Hosts gives how many hosts share the retry budget, this one included.
-	Hosts func() int
+	// Sharers gives how many hosts share the retry budget, this one included; zero
+	// while that is not known.
+	Sharers func() int
 	// ConfigAge gives how long ago a source last confirmed the operator
 	// configuration, and UpstreamsAge the upstreams. Both are logged.
 	ConfigAge, UpstreamsAge func() time.Duration
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -3,8 +3,9 @@
 //
 // A Budget owns one host's counts of requests and retries. The limit holds for
 // all hosts together without any message between them: each host uses the
-// part that its own requests give it, and an even part of the constant slack.
-// It relies on its caller for the number of hosts.
+// part that its own requests give it, and an even part of the constant slack
+// once it knows who shares that and what was spent. It relies on its caller for
+// the number of hosts.
 package retry
 
 import (
@@ -34,9 +35,22 @@
 }
 
 // allowed returns how many retries this host may send in a window in which it
-// had a number of requests, when the slack is split over a number of hosts.
-func (l Limits) allowed(requests, hosts int) float64 {
-	return safetyMargin * (l.Ratio*float64(requests) + l.Slack/float64(max(1, hosts)))
+// had a number of requests, with a part of the slack.
+func (l Limits) allowed(requests int, slack float64) float64 {
+	return safetyMargin * (l.Ratio*float64(requests) + slack)
+}
+
+// slackPart is this host's part of the slack, which a number of hosts share. It
+// has none while they are not known (hosts is zero), nor before its process has run
+// for a window, as the one before it may have spent the part. With it, nine hosts
+// sent 99 retries of 76 within the window of their restart
+// (TestRetriesStayWithinTheLimitOverARestartOfAllHosts). The part that requests
+// give needs no knowledge.
+func (l Limits) slackPart(hosts int, uptime time.Duration) float64 {
+	if hosts <= 0 || uptime < l.Window {
+		return 0
+	}
+	return l.Slack / float64(hosts)
 }
 
 // Budget counts one host's requests and retries of each service. It is safe
@@ -45,17 +59,18 @@
 // setting, which each host counts for itself without a clock.
 type Budget struct {
 	limits Limits
-	// origin is the start of the first bucket. Buckets are numbered by the
-	// monotonic time since then, as the time of day may jump.
-	origin time.Time
+	// started is when the process started, and the first bucket. Buckets are
+	// numbered by the monotonic time since then, as the time of day may jump.
+	started time.Time
 
 	mu       sync.Mutex
 	services map[string]*window
 }
 
-// NewBudget makes a budget that has seen no requests.
-func NewBudget(l Limits) *Budget {
-	return &Budget{limits: l, origin: time.Now(), services: map[string]*window{}}
+// NewBudget makes a budget that has seen no requests, for a process that started at
+// a time.
+func NewBudget(l Limits, started time.Time) *Budget {
+	return &Budget{limits: l, started: started, services: map[string]*window{}}
 }
 
 // RecordRequest counts a request for a service.
@@ -66,14 +81,16 @@
 }
 
 // TryRetry counts a retry and returns true, unless this host has used up its
-// part of the service's limit. hosts is how many hosts share the limit; it
-// must not be too low, so it counts those known, not only those alive.
+// part of the service's limit. hosts is how many hosts share the limit, or zero
+// while that is not known; it must not be too low, so it counts those known, not
+// only those alive.
 func (b *Budget) TryRetry(service string, hosts int, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	total := w.total()
-	if float64(total.retries+1) > b.limits.allowed(total.requests, hosts) {
+	slack := b.limits.slackPart(hosts, now.Sub(b.started))
+	if float64(total.retries+1) > b.limits.allowed(total.requests, slack) {
 		return false
 	}
 	w.current().retries++
@@ -95,7 +112,7 @@
 		w = &window{}
 		b.services[service] = w
 	}
-	w.advance(int64(now.Sub(b.origin) / (b.limits.Window / buckets)))
+	w.advance(int64(now.Sub(b.started) / (b.limits.Window / buckets)))
 	return w
 }
 
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -18,7 +18,7 @@
 	start := time.Now()
 	budgets := make([]*retry.Budget, hosts)
 	for i := range budgets {
-		budgets[i] = retry.NewBudget(limits)
+		budgets[i] = retry.NewBudget(limits, start.Add(-limits.Window))
 	}
 	var taken []time.Time
 	const step, requestsPerStep = 100 * time.Millisecond, 4
@@ -56,7 +56,7 @@
 	restart := start.Add(25 * time.Second)
 	var taken []time.Time
 	for range hosts {
-		before, after := retry.NewBudget(limits), retry.NewBudget(limits)
+		before, after := retry.NewBudget(limits, start), retry.NewBudget(limits, restart)
 		for at := start; at.Before(restart.Add(limits.Window)); at = at.Add(time.Second) {
 			b := before
 			if !at.Before(restart) {
@@ -84,7 +84,8 @@
 }
 
 func TestBudgetRecoversWithTheWindowAndForEachServiceAlone(t *testing.T) {
-	b, now := retry.NewBudget(limits), time.Now()
+	now := time.Now()
+	b := retry.NewBudget(limits, now.Add(-limits.Window))
 	for b.TryRetry("a", 9, now) {
 	}
 	require.True(t, b.TryRetry("b", 9, now))
@@ -99,14 +100,16 @@
 		requests, hosts int
 		retries         int
 	}{
-		{"no requests: an even part of the slack", 0, 9, 4},     // 0.75 x 58/9 = 4.8
-		{"alone: the whole slack", 0, 1, 43},                    // 0.75 x 58 = 43.5
-		{"no host known counts as one", 0, 0, 43},               // the same
+		{"no requests: an even part of the slack", 0, 9, 4}, // 0.75 x 58/9 = 4.8
+		{"alone: the whole slack", 0, 1, 43},                // 0.75 x 58 = 43.5
+		{"the hosts are not known: none of the slack", 0, 0, 0},
+		{"nor then, but what requests give", 100, 0, 15},        // 0.75 x 20
 		{"each request adds the ratio", 100, 9, 19},             // 0.75 x (20 + 58/9) = 19.8
 		{"many hosts: a part of the slack below one", 0, 80, 0}, // 0.75 x 58/80 = 0.5
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			b, now := retry.NewBudget(limits), time.Now()
+			now := time.Now()
+			b := retry.NewBudget(limits, now.Add(-limits.Window))
 			for range c.requests {
 				b.RecordRequest("s", now)
 			}
@@ -119,8 +122,19 @@
 	}
 }
 
+// What the process before this one spent is out of the window once this one has run
+// for as long.
+func TestAStartingHostHasNoPartOfTheSlackForAWindow(t *testing.T) {
+	now := time.Now()
+	b := retry.NewBudget(limits, now)
+	require.False(t, b.TryRetry("s", 9, now))
+	require.False(t, b.TryRetry("s", 9, now.Add(limits.Window-1)))
+	require.True(t, b.TryRetry("s", 9, now.Add(limits.Window)))
+}
+
 func TestARetryThatWasNotSentGoesBack(t *testing.T) {
-	b, now := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}), time.Now()
+	now := time.Now()
+	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second))
 	require.True(t, b.TryRetry("a", 1, now))
 	require.False(t, b.TryRetry("a", 1, now))
 	b.Return("a", now)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -50,6 +50,7 @@
 func (g *Gateway) registerGauges() {
 	g.metrics.Gauge("cairndock_requests_in_flight", func() float64 { return float64(g.proxy.InFlight()) })
 	g.metrics.Gauge("cairndock_hosts_known", func() float64 { return float64(g.fleet.Hosts()) })
+	g.metrics.Gauge("cairndock_host_lists_unread", func() float64 { return float64(g.fleet.UnreadLists()) })
 	g.metrics.Gauge("cairndock_upstreams_known", func() float64 { return float64(g.state.Upstreams().Len()) })
 	for table, label := range tableLabels {
 		replica := g.tables[table].Replica
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -58,17 +58,17 @@
 	return watch.New(g.tables[table].Replica, sources, newest, sink, g.timing)
 }
 
-func (g *Gateway) newProxy() *proxy.Proxy {
+func (g *Gateway) newProxy(started time.Time) *proxy.Proxy {
 	limits := g.settings.Limits
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
 	return proxy.New(proxy.Options{
 		State:        g.state,
 		Balancer:     balance.New(location, g, g.detector),
 		Detector:     g.detector,
-		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}),
+		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
 		Client:       exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics}),
 		Codec:        platform.Codec{Metrics: g.metrics},
-		Hosts:        g.fleet.Hosts,
+		Sharers:      g.fleet.Sharers,
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
 		UpstreamsAge: g.tables[upstreamTable].Replica.Age,
 		Log:          g.log,
