--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -170,3 +170,22 @@
 	}
 	require.LessOrEqual(t, sum, total)
 }
+
+// Found beside the flooding of cold upstreams: a host that others do not hear for a
+// minute was forgotten, also if it was only cut off from them, and took them for gone
+// in turn. Each side's parts then grew as if the other did not exist: of the hosts of
+// one region, cut from each other and from all other regions, each had the whole part.
+func TestColdPartsAddUpWhileHostsAreCutOffForAnHour(t *testing.T) {
+	start := time.Now()
+	const total, cut = 26, time.Hour
+	sum := 0
+	for _, self := range nineHostsList() {
+		m := nineHosts(self.Name, start)
+		for at := start; at.Before(start.Add(cut)); at = at.Add(regionQueryEvery) {
+			m.expire(at.Add(-regionQueryEvery), at)
+		}
+		sum += m.warmUpQuota("i-1", "west", total, start.Add(cut)).Requests
+	}
+	require.LessOrEqual(t, sum, total)
+	require.Positive(t, sum)
+}
