Remember whom a limit is shared with while hosts are cut off

Cause: a host that was not heard for a minute was forgotten, though it may only be cut off, and forgot the others in turn; each side's parts of every limit grew. After such a cut the two sides did not find each other again either, as the registry was read at the start only.

Change: a peer is forgotten after two hours, twice the hour for which regions may lose each other; one that said it leaves, after a minute as before. Names are passed on to starting hosts for a minute after they were heard of, or they would live for ever. Each half hour or so a host registers again and reads all lists, so that hosts that forgot each other meet again, and the first host of a region removes those of it that were silent for two hours from the registry, which nobody did. While a region is cut off, 8 of its hosts are tried at a time: all of them for two hours would be 128 connections a second a host at the size to design for.

The test of lists takes an empty slice where the function gives one in place of nil.

--- a/internal/gateway/fleet/discovery.go
+++ b/internal/gateway/fleet/discovery.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -18,9 +19,15 @@
 	// regions read 4,600 a second. The own region's comes first, so that nobody
 	// waits for it. Chosen, not measured.
 	listPause = 5 * time.Millisecond
+	// listEvery is how often a host registers again and reads all lists, with up to
+	// listJitter more at random, so that hosts which started together do not read
+	// them together. Chosen, not measured: a quarter of forgetAfter, so that three
+	// may fail; 5,900 hosts in 23 regions read 76 lists a second.
+	listEvery  = 30 * time.Minute
+	listJitter = 3 * time.Minute
 	// regionQueryEvery is how often a host asks a peer of each other region
 	// which hosts live there, as it gets heartbeats only of some. Chosen, not
-	// measured; a quarter of forgetAfter, so that three queries may fail.
+	// measured; a quarter of passOnFor, so that three queries may fail.
 	regionQueryEvery = 15 * time.Second
 )
 
@@ -32,7 +39,7 @@
 	queryNone hostQuery = iota
 	// queryRegion asks for the live hosts of the peer's region.
 	queryRegion
-	// queryAll asks for all hosts that the peer knows.
+	// queryAll asks for all hosts of which the peer has heard lately.
 	queryAll
 )
 
@@ -70,41 +77,77 @@
 	return query
 }
 
+// keepRegistered registers this host, and again each listEvery until the context
+// ends: hosts that forgot each other while they were cut off find each other again.
+func (f *Fleet) keepRegistered(ctx context.Context) {
+	for {
+		f.register(ctx)
+		f.withdrawGone(ctx)
+		if !pause.For(ctx, listEvery+rand.N(listJitter)) {
+			return
+		}
+	}
+}
+
 // register adds this host to the registry and reads the lists of all regions from
-// it, until all have succeeded once. Errors are retried and not logged: the
-// registry is in the store, whose failures the tables' watchers log.
+// it, the own one first, until both have succeeded. Errors are retried and not
+// logged: the registry is in the store, whose failures the tables' watchers log.
+//
+// Of two hosts that start together, each announces itself before it reads a list, so
+// that the later one finds the earlier one there. A host that could not announce
+// itself is not found, so the lists that it reads count as whole only if an earlier
+// process has announced it.
 func (f *Fleet) register(ctx context.Context) {
-	announced := false
+	f.mu.Lock()
+	unread := f.members.regions()
+	f.mu.Unlock()
+	announced, listed := false, false
 	for ctx.Err() == nil {
 		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
-		if f.readLists(ctx, announced) && announced {
+		listed = listed || announced
+		unread, listed = f.readLists(ctx, unread, listed)
+		if announced && len(unread) == 0 {
 			return
 		}
 		pause.For(ctx, registryRetry)
 	}
 }
 
-// readLists reads the lists that were not read whole yet, and reports whether there
-// are none left. Of two hosts that start together, each announces itself before it
-// reads a list, so that the later one finds the earlier one there. A host that could
-// not announce itself is not found, so the lists that it reads count as whole only
-// if an earlier process has announced it.
-func (f *Fleet) readLists(ctx context.Context, announced bool) bool {
-	f.mu.Lock()
-	regions := f.members.unread()
-	f.mu.Unlock()
-	for _, region := range regions {
-		hosts, err := f.options.Registry.Hosts(ctx, region)
+// readLists reads the lists of some regions and returns those that are left after
+// the first error. listed is set when this host stands in the registry; while it
+// does not, no list counts as whole, and the first is read again.
+func (f *Fleet) readLists(ctx context.Context, regions []string, listed bool) (unread []string, nowListed bool) {
+	for len(regions) > 0 {
+		hosts, err := f.options.Registry.Hosts(ctx, regions[0])
 		if err != nil {
-			return false
+			return regions, listed
 		}
-		announced = announced || slices.ContainsFunc(hosts, f.isSelf)
-		next := f.addList(region, hosts, announced)
-		if !announced || !pause.For(ctx, next) {
-			return false
+		listed = listed || slices.ContainsFunc(hosts, f.isSelf)
+		next := f.addList(regions[0], hosts, listed)
+		if !listed || !pause.For(ctx, next) {
+			return regions, listed
 		}
+		regions = regions[1:]
+	}
+	return nil, listed
+}
+
+// withdrawGone removes the hosts of the own region from the registry that have been
+// silent for forgetAfter: what is gone for good would take a part of each limit for
+// ever. One that was only cut off announces itself again within listEvery. One host
+// of the region does so. An error is dropped, as the next time tries again.
+func (f *Fleet) withdrawGone(ctx context.Context) {
+	f.mu.Lock()
+	now := time.Now()
+	_, root := f.members.relayParent(true, now)
+	gone := f.members.gone(now)
+	f.mu.Unlock()
+	if !root {
+		return
+	}
+	for _, h := range gone {
+		_ = f.options.Registry.Withdraw(ctx, h)
 	}
-	return true
 }
 
 func (f *Fleet) isSelf(h Host) bool { return h.Name == f.options.Self.Name }
@@ -147,9 +190,5 @@
 	if q == queryRegion {
 		return f.members.aliveInRegion(time.Now())
 	}
-	var hosts []Host
-	for _, p := range f.members.all() {
-		hosts = append(hosts, p.host)
-	}
-	return hosts
+	return f.members.heardOf(time.Now())
 }
--- a/internal/gateway/fleet/discovery_test.go
+++ b/internal/gateway/fleet/discovery_test.go
@@ -44,11 +44,11 @@
 		change func(r *fakeRegistry)
 		unread []string
 	}{
-		{"a registry that works", func(*fakeRegistry) {}, nil},
+		{"a registry that works", func(*fakeRegistry) {}, []string{}},
 		{"it takes no announcements: later hosts would not find this one", func(r *fakeRegistry) { r.down = true }, []string{"west", "east", "south"}},
 		{"it takes none, but an earlier process has announced the host", func(r *fakeRegistry) {
 			r.down, r.hosts["w"] = true, host("w", "west-0", "west")
-		}, nil},
+		}, []string{}},
 		{"it can't be read", func(r *fakeRegistry) { r.noReads = true }, []string{"west", "east", "south"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -98,3 +98,38 @@
 		require.Empty(t, f.members.unread())
 	})
 }
+
+// Hosts that were cut off from each other for so long that they forgot each other find
+// each other again by the registry.
+func TestAHostThatWasForgottenIsFoundAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f := New(Options{Self: host("w0", "west-0", "west"), Regions: []string{"west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.keepRegistered(ctx)
+		synctest.Wait()
+		require.NoError(t, r.Announce(ctx, host("w1", "west-0", "west")))
+		require.Equal(t, 1, f.Hosts())
+		time.Sleep(listEvery + listJitter + time.Second)
+		require.Equal(t, 2, f.Hosts())
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// A host that was replaced for good would take a part of each limit for ever.
+func TestAHostThatIsGoneIsWithdrawnByOneOfItsRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		r.hosts["gone"], r.hosts["other"] = host("gone", "west-0", "west"), host("other", "east-0", "east")
+		f := New(Options{Self: host("w0", "west-0", "west"), Regions: []string{"east", "west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.keepRegistered(ctx)
+		time.Sleep(forgetAfter - time.Minute)
+		require.Len(t, r.list(), 3, "it may only be cut off")
+		time.Sleep(listEvery + listJitter + time.Minute)
+		require.ElementsMatch(t, []string{"other", "w0"}, r.list(), "those of other regions are left to their hosts")
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/gateway/fleet/doc.go
+++ b/internal/gateway/fleet/doc.go
@@ -13,6 +13,6 @@
 // when two hosts hold different views of who is alive.
 //
 // It relies on peer for the connections between hosts and on watch for the
-// replicas that are relayed. The registry is only read at start, so a store
-// that is down stops no host.
+// replicas that are relayed. The registry is read at start and every half hour
+// or so, and never waited for, so a store that is down stops no host.
 package fleet
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -94,7 +94,7 @@
 	if _, err := f.mesh.Listen(f.options.Self.PeerAddress); err != nil {
 		return err
 	}
-	go f.register(ctx)
+	go f.keepRegistered(ctx)
 	go f.heartbeatLoop(ctx)
 	return nil
 }
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -112,6 +112,13 @@
 	r.noReads = !work
 }
 
+// list returns the names of the hosts in the registry.
+func (r *fakeRegistry) list() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Sorted(maps.Keys(r.hosts))
+}
+
 func (r *fakeRegistry) Announce(_ context.Context, h Host) error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -48,11 +48,20 @@
 	// heartbeats have a fixed pace; there they keep to a byte budget, and the
 	// silence allowed grows with their interval.
 	deadAfter = 2500 * time.Millisecond
-	// forgetAfter is the time without a heartbeat from a peer, and without
-	// its name in another host's list, after which it is forgotten. Until
-	// then limits are still split with it, as it may only be cut off. Chosen,
-	// not measured; four times regionQueryEvery.
-	forgetAfter = time.Minute
+	// forgetAfter is the time without a heartbeat from a peer, and without its
+	// name in a list, after which it is forgotten. Until then limits are still
+	// split with it, as it may only be cut off: when cut-off hosts forgot each
+	// other after a minute, nine of them sent 87 of 26 requests to a cold
+	// upstream. Chosen: twice the hour for which regions may lose each other.
+	forgetAfter = 2 * time.Hour
+	// forgetLeftAfter is that time for a peer that has said it leaves: it ends
+	// within its grace. Chosen, not measured.
+	forgetLeftAfter = time.Minute
+	// passOnFor is how long after it last heard of a peer a host names it to
+	// others. They keep the name as if it were heard of just now, so that with
+	// forgetAfter hosts that are gone would be named from start to start for ever.
+	// Chosen, not measured; four times regionQueryEvery.
+	passOnFor = time.Minute
 )
 
 // peerState is what this host knows of one peer.
@@ -65,6 +74,8 @@
 	// lastReported is when the peer was last named by the registry or by
 	// another host, or sent a heartbeat itself.
 	lastReported time.Time
+	// knownSince is when this host first knew of the peer.
+	knownSince time.Time
 	// getsHeartbeats is set while this host sends the peer heartbeats. Only
 	// such peers are logged as lost and regained.
 	getsHeartbeats bool
@@ -77,4 +88,18 @@
 }
 
 // expired reports whether the peer is to be forgotten.
-func (p *peerState) expired(now time.Time) bool { return now.Sub(p.lastReported) > forgetAfter }
+func (p *peerState) expired(now time.Time) bool {
+	after := forgetAfter
+	if p.status.Leaving {
+		after = forgetLeftAfter
+	}
+	return now.Sub(p.lastReported) > after
+}
+
+// silentFor is how long no heartbeat of the peer has come.
+func (p *peerState) silentFor(now time.Time) time.Duration {
+	if p.lastHeartbeat.IsZero() {
+		return now.Sub(p.knownSince)
+	}
+	return now.Sub(p.lastHeartbeat)
+}
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -49,21 +49,24 @@
 	}
 }
 
-// unread returns the regions whose list was not read whole yet, the own one first.
-func (m *members) unread() []string {
+// regions returns the regions that have a list, the own one first.
+func (m *members) regions() []string {
 	var regions []string
 	for _, region := range slices.Sorted(maps.Keys(m.lists)) {
-		switch {
-		case !m.lists[region].IsZero():
-		case region == m.self.Region:
+		if region == m.self.Region {
 			regions = slices.Insert(regions, 0, region)
-		default:
-			regions = append(regions, region)
+			continue
 		}
+		regions = append(regions, region)
 	}
 	return regions
 }
 
+// unread returns those of them whose list was not read whole yet.
+func (m *members) unread() []string {
+	return slices.DeleteFunc(m.regions(), func(region string) bool { return !m.lists[region].IsZero() })
+}
+
 // knows reports whether this host knows all hosts of a region that may share a
 // limit with it, and they know it.
 func (m *members) knows(region string, now time.Time) bool {
@@ -90,7 +93,7 @@
 	}
 	p := m.peers[h.Name]
 	if p == nil {
-		p = &peerState{host: h}
+		p = &peerState{host: h, knownSince: now}
 		m.peers[h.Name] = p
 		m.index = nil
 	}
@@ -104,7 +107,7 @@
 	if h.Name == m.self.Name || h.Name == "" {
 		return false
 	}
-	p := peerState{host: h, status: s, lastHeartbeat: now, lastReported: now, getsHeartbeats: h.Region == m.self.Region}
+	p := peerState{host: h, status: s, lastHeartbeat: now, lastReported: now, knownSince: now, getsHeartbeats: h.Region == m.self.Region}
 	old := m.peers[h.Name]
 	if old != nil {
 		p.getsHeartbeats = p.getsHeartbeats || old.getsHeartbeats
@@ -136,9 +139,27 @@
 	m.index = nil
 }
 
-// all returns all peers in the order of their names.
-func (m *members) all() []*peerState {
-	return m.named(m.indexed().names)
+// heardOf returns the peers that were heard of within passOnFor, in the order
+// of their names.
+func (m *members) heardOf(now time.Time) []Host {
+	var hosts []Host
+	for _, p := range m.named(m.indexed().names) {
+		if now.Sub(p.lastReported) < passOnFor {
+			hosts = append(hosts, p.host)
+		}
+	}
+	return hosts
+}
+
+// gone returns the hosts of the own region that were silent for forgetAfter.
+func (m *members) gone(now time.Time) []Host {
+	var hosts []Host
+	for _, p := range m.named(m.indexed().byRegion[m.self.Region]) {
+		if p.silentFor(now) >= forgetAfter {
+			hosts = append(hosts, p.host)
+		}
+	}
+	return hosts
 }
 
 // aliveInRegion returns the live hosts of this host's region, itself included.
--- a/internal/gateway/fleet/members_test.go
+++ b/internal/gateway/fleet/members_test.go
@@ -19,6 +19,26 @@
 	require.Equal(t, 1, m.size())
 }
 
+// A host that has said that it leaves is not one that may only be cut off.
+func TestAPeerThatLeftIsForgottenSoon(t *testing.T) {
+	now := time.Now()
+	m := nineHosts("west0", now)
+	m.recordHeartbeat(host("west1", "west-0", "west"), Status{Ready: true, Leaving: true}, now)
+	m.expire(now, now.Add(forgetLeftAfter))
+	require.Equal(t, 9, m.size())
+	m.expire(now, now.Add(forgetLeftAfter+1))
+	require.Equal(t, 8, m.size())
+}
+
+// Hosts that are gone are not named from one starting host to the next for ever.
+func TestOnlyPeersHeardOfLatelyAreNamedToOthers(t *testing.T) {
+	now := time.Now()
+	m := nineHosts("west0", now)
+	require.Len(t, m.heardOf(now.Add(passOnFor-1)), 8)
+	m.addKnown(host("east0", "east-0", "east"), now.Add(time.Second))
+	require.Len(t, m.heardOf(now.Add(passOnFor)), 1)
+}
+
 // Limits are split over all hosts, of which a host gets heartbeats only of some.
 func TestAPeerThatOthersNameIsNotForgotten(t *testing.T) {
 	now := time.Now()
--- a/internal/gateway/fleet/relaytree_test.go
+++ b/internal/gateway/fleet/relaytree_test.go
@@ -98,7 +98,7 @@
 	polling := 0
 	for _, name := range []string{"west0", "west1", "west2"} {
 		m := nineHosts(name, now)
-		for _, p := range m.all() {
+		for _, p := range m.named(m.indexed().names) {
 			m.recordHeartbeat(p.host, Status{}, now)
 		}
 		if _, root := m.relayParent(false, now); root {
--- a/internal/gateway/fleet/schedule.go
+++ b/internal/gateway/fleet/schedule.go
@@ -21,6 +21,11 @@
 	// quiet-1 of cacf-ruteo-grown, against heartbeats to all. Two, so that one
 	// may die; other figures were not measured.
 	remoteFanout = 2
+	// maxDeadTried is how many dead hosts of another region get a heartbeat at a
+	// time. While that region is cut off none of its hosts lives, and each host of
+	// this one would try all of them every heartbeatRetry: 128 connections a second
+	// with 257 hosts, for as long as the cut lasts. Chosen, not measured.
+	maxDeadTried = 8
 	// sendSoonEvery bounds how often status is sent out of turn, for each
 	// sendSoonHosts hosts of the region. Chosen, not measured.
 	sendSoonEvery = 250 * time.Millisecond
@@ -52,19 +57,26 @@
 	return chosen
 }
 
-// firstAlive returns the first of some peers up to the remoteFanout-th that is
-// alive.
+// firstAlive returns the first remoteFanout of some peers that are alive, and of the
+// dead ones before them maxDeadTried, others each heartbeatRetry.
 func (m *members) firstAlive(names []string, now time.Time) []string {
-	alive := 0
-	for i, name := range names {
-		if m.peers[name].alive(now) {
-			alive++
+	var alive, dead []string
+	for _, name := range names {
+		if !m.peers[name].alive(now) {
+			dead = append(dead, name)
+			continue
 		}
-		if alive == remoteFanout {
-			return names[:i+1]
+		alive = append(alive, name)
+		if len(alive) == remoteFanout {
+			break
 		}
 	}
-	return names
+	if n := len(dead); n > maxDeadTried {
+		turn := int(now.UnixNano() / int64(heartbeatRetry))
+		first := turn * maxDeadTried % n
+		dead = append(dead[first:], dead[:first]...)[:maxDeadTried]
+	}
+	return append(dead, alive...)
 }
 
 // heartbeatPause is the time from one heartbeat to a peer to the next.
--- a/internal/gateway/fleet/schedule_test.go
+++ b/internal/gateway/fleet/schedule_test.go
@@ -39,7 +39,7 @@
 	}
 	require.Len(t, chosen, remoteFanout)
 	later := now.Add(deadAfter)
-	for _, p := range m.all() {
+	for _, p := range m.named(m.indexed().names) {
 		if p.host.Name != chosen[0] {
 			m.recordHeartbeat(p.host, readyStatus, later)
 		}
@@ -82,3 +82,23 @@
 	require.Equal(t, sendSoonEvery, sendSoonPause(sendSoonHosts-1))
 	require.Equal(t, 2*sendSoonEvery, sendSoonPause(sendSoonHosts), "heartbeats to a large region are rarer")
 }
+
+// While a region is cut off, a few of its hosts are tried at a time, and all of them
+// in turn.
+func TestDeadHostsOfAnotherRegionAreTriedAFewAtATime(t *testing.T) {
+	start := time.Now()
+	const hosts = 30
+	all := append(regionHosts("west", 1), regionHosts("east", hosts)...)
+	m := membersOf(all[0], all, start)
+	tried := map[string]bool{}
+	for at := start.Add(deadAfter); at.Before(start.Add(deadAfter + hosts*heartbeatRetry)); at = at.Add(heartbeatRetry) {
+		peers := m.heartbeatPeers(at)
+		require.Len(t, peers, maxDeadTried)
+		for _, p := range peers {
+			tried[p.host.Name] = true
+		}
+	}
+	require.Len(t, tried, hosts)
+	m.recordHeartbeat(all[hosts], readyStatus, start.Add(time.Hour))
+	require.Contains(t, m.firstAlive(m.indexed().remote["east"], start.Add(time.Hour)), all[hosts].Name, "one that lives is kept")
+}
