Leave a stopping host no part of the limits that hosts share

Cause: a host that stops withdraws itself from the registry at once and serves on for seconds. One that starts meanwhile does not find it in the list, and both take a part. Class: who shares the limit is not known, at the other end of a process's life.

Change: from its withdrawal on a host has no part of cold upstreams' rates or of the retry slack, and does not announce itself again.

--- a/internal/gateway/fleet/discovery.go
+++ b/internal/gateway/fleet/discovery.go
@@ -102,7 +102,7 @@
 	unread := f.members.regions()
 	f.mu.Unlock()
 	announced, listed := false, false
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !f.isWithdrawn() {
 		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
 		listed = listed || announced
 		unread, listed = f.readLists(ctx, unread, listed)
@@ -150,6 +150,13 @@
 	}
 }
 
+// isWithdrawn reports whether the host stops, and must not announce itself again.
+func (f *Fleet) isWithdrawn() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.withdrawn
+}
+
 func (f *Fleet) isSelf(h Host) bool { return h.Name == f.options.Self.Name }
 
 // addList adds a list that was read, and returns how long to pause before the next.
--- a/internal/gateway/fleet/discovery_test.go
+++ b/internal/gateway/fleet/discovery_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/warmup"
 )
 
 func TestAHostQueriesAllHostsAtFirstAndThenOneOfEachRegionAtTimes(t *testing.T) {
@@ -73,7 +75,7 @@
 		f.register(t.Context())
 		require.Zero(t, f.UnreadLists())
 		require.Zero(t, f.Sharers(), "they may not know of this one yet")
-		time.Sleep(introduceWithin)
+		time.Sleep(warmup.Window)
 		require.Equal(t, 2, f.Sharers())
 	})
 }
@@ -133,3 +135,19 @@
 		synctest.Wait()
 	})
 }
+
+func TestAHostThatStopsDoesNotAnnounceItselfAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f := New(Options{Self: host("w0", "west-0", "west"), Regions: []string{"west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+		ctx, cancel := context.WithCancel(t.Context())
+		go f.keepRegistered(ctx)
+		synctest.Wait()
+		require.Equal(t, []string{"w0"}, r.list())
+		f.Withdraw(ctx)
+		time.Sleep(2 * listEvery)
+		require.Empty(t, r.list())
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -100,8 +100,12 @@
 }
 
 // Withdraw sends all peers a heartbeat with the status of a host that leaves,
-// and removes this host from the registry.
+// and removes this host from the registry. From now on it has no part of a limit
+// that hosts share: those that start do not know of it.
 func (f *Fleet) Withdraw(ctx context.Context) {
+	f.mu.Lock()
+	f.members.withdrawn = true
+	f.mu.Unlock()
 	f.heartbeatAll(ctx)
 	// The error is dropped: the host is stopping and does not retry. An entry
 	// that stays costs a starting host a few failed heartbeats, until it
@@ -117,11 +121,11 @@
 }
 
 // Sharers is the number of hosts that share a limit of all hosts, dead ones and
-// this host included, or zero while not all of them are known.
+// this host included, or zero while not all of them are known or this one stops.
 func (f *Fleet) Sharers() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.members.knowsOthersThan("", time.Now()) {
+	if f.members.withdrawn || !f.members.knowsOthersThan("", time.Now()) {
 		return 0
 	}
 	return f.members.size()
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"cairndock/internal/gateway/warmup"
 )
 
 // members is a host's view of all hosts. It has no lock and no clock: Fleet
@@ -13,6 +15,9 @@
 	// started is when this host's process started.
 	started time.Time
 	peers   map[string]*peerState
+	// withdrawn is set once the host stops: hosts that start then do not find it
+	// in the registry.
+	withdrawn bool
 	// lists has, for each region, when the list of its hosts was read whole from
 	// the registry; zero is not yet.
 	lists map[string]time.Time
@@ -23,11 +28,6 @@
 	remoteHeartbeats []string
 }
 
-// introduceWithin is how long after it read a list of hosts a host may still be
-// unknown to them: they learn of it by its first heartbeats, which take a
-// schedulerTick and the way there at most, or heartbeatTimeout where it fails.
-const introduceWithin = schedulerTick + heartbeatTimeout
-
 // newMembers returns the view of a host whose process started at a time, and which
 // knows only itself. regions are those of the deployment.
 func newMembers(self Host, regions []string, started time.Time) *members {
@@ -68,10 +68,12 @@
 }
 
 // knows reports whether this host knows all hosts of a region that may share a
-// limit with it, and they know it.
+// limit with it. It waits for a window after it read their list: they learn of this
+// host by its first heartbeats, within schedulerTick and the way there, and what a
+// host had sent that withdrew itself just before is out of any second then.
 func (m *members) knows(region string, now time.Time) bool {
 	read := m.lists[region]
-	return !read.IsZero() && now.Sub(read) >= introduceWithin
+	return !read.IsZero() && now.Sub(read) >= warmup.Window
 }
 
 // knowsOthersThan reports whether it knows the hosts of all regions but one; of all
--- a/internal/gateway/fleet/quota.go
+++ b/internal/gateway/fleet/quota.go
@@ -50,6 +50,8 @@
 	switch {
 	case !inRegion && m.anyAlive(region, now):
 		return warmup.OwnRegion
+	case m.withdrawn:
+		return warmup.Stopping
 	case now.Sub(m.started) < warmup.Window:
 		return warmup.Starting
 	case inRegion && !m.knows(region, now), !inRegion && !m.knowsOthersThan(region, now):
--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -128,8 +128,8 @@
 		{"no list was read", nil, "west", longAgo, warmup.HostsUnknown},
 		{"the list of another region only", map[string]time.Duration{"east": 0, "south": 0}, "west", longAgo, warmup.HostsUnknown},
 		{"the list of its region is enough there", map[string]time.Duration{"west": 0}, "west", longAgo, warmup.NotWithheld},
-		{"its hosts may not know of this one yet", map[string]time.Duration{"west": longAgo}, "west", longAgo + introduceWithin - 1, warmup.HostsUnknown},
-		{"they had time to hear of it", map[string]time.Duration{"west": longAgo}, "west", longAgo + introduceWithin, warmup.NotWithheld},
+		{"its hosts may not know of this one yet", map[string]time.Duration{"west": longAgo}, "west", longAgo + warmup.Window - 1, warmup.HostsUnknown},
+		{"they had time to hear of it", map[string]time.Duration{"west": longAgo}, "west", longAgo + warmup.Window, warmup.NotWithheld},
 		{"for another region, a list of those that share is missing", map[string]time.Duration{"west": 0, "east": 0}, "east", longAgo, warmup.HostsUnknown},
 		{"for another region, all that share are known", map[string]time.Duration{"west": 0, "south": 0}, "east", longAgo, warmup.NotWithheld},
 	} {
@@ -145,6 +145,22 @@
 	}
 }
 
+// A host that stops is not in the list that starting hosts read, while it still serves.
+func TestAHostThatStopsHasNoPart(t *testing.T) {
+	r := newFakeRegistry()
+	f := startFleet(t, r, host("a", "z", "west"), nil)
+	f.mu.Lock()
+	f.members.started = time.Now().Add(-longAgo)
+	f.members.lists["west"] = f.members.started
+	f.mu.Unlock()
+	require.Positive(t, f.WarmUpQuota("i-1", "west", 26).Requests)
+	require.Positive(t, f.Sharers())
+	f.Withdraw(t.Context())
+	require.Equal(t, warmup.Stopping, f.WarmUpQuota("i-1", "west", 26).Withheld)
+	require.Zero(t, f.WarmUpQuota("i-1", "west", 26).Requests)
+	require.Zero(t, f.Sharers())
+}
+
 func TestAColdUpstreamIsLeftToTheLiveHostsOfItsRegion(t *testing.T) {
 	now := time.Now()
 	m := nineHosts("east0", now)
--- a/internal/gateway/warmup/quota.go
+++ b/internal/gateway/warmup/quota.go
@@ -21,8 +21,12 @@
 	// used the host's part.
 	Starting Withheld = "starting"
 	// HostsUnknown is a host that has not read who shares the rate, or has read
-	// it so lately that they may not know of it yet.
+	// it less than a Window ago: they may not know of it yet, and one that left
+	// just before may have used its part.
 	HostsUnknown Withheld = "hosts-unknown"
+	// Stopping is a host that has withdrawn itself: a host that starts now does
+	// not find it.
+	Stopping Withheld = "stopping"
 	// OwnRegion leaves the upstream to the live hosts of its own region.
 	OwnRegion Withheld = "own-region"
 )
