Refuse at once what the queue for a slot will not reach in time

Cause: a request of serve waited for a slot for a quarter of its time, also where the requests before it would take all the slots that are released in it, and was refused after 0.5 s.

Change: a request waits only if the queue is expected to come to it in time: one slot is released each latency / usable slots on average. load prints the median of refusals.

TestARequestThatTheQueueWillNotReachInTimeIsRefusedAtOnce fails without it.

--- a/internal/selector/load/class.go
+++ b/internal/selector/load/class.go
@@ -62,6 +62,6 @@
 	out := cr.result
 	out.P50, out.P99 = cr.answered.ValueAtPercentile(50), cr.answered.ValueAtPercentile(99)
 	out.P999, out.Max = cr.answered.ValueAtPercentile(99.9), cr.answered.Max()
-	out.RefusedP99 = cr.refused.ValueAtPercentile(99)
+	out.RefusedP50, out.RefusedP99 = cr.refused.ValueAtPercentile(50), cr.refused.ValueAtPercentile(99)
 	return out
 }
--- a/internal/selector/load/report.go
+++ b/internal/selector/load/report.go
@@ -21,7 +21,8 @@
 	P99  int64 `json:"p99_us"`
 	P999 int64 `json:"p999_us"`
 	Max  int64 `json:"max_us"`
-	// RefusedP99 is the 99th percentile of all other outcomes.
+	// RefusedP50 and RefusedP99 are percentiles of all other outcomes.
+	RefusedP50 int64 `json:"refused_p50_us"`
 	RefusedP99 int64 `json:"refused_p99_us"`
 }
 
@@ -60,7 +61,8 @@
 		for _, name := range slices.Sorted(maps.Keys(c.Zones)) {
 			fmt.Fprintf(w, "  zone %-13s %.1f%%\n", name, 100*float64(c.Zones[name])/float64(max(1, c.Offered)))
 		}
-		fmt.Fprintf(w, "  p50 %s  p99 %s  p99.9 %s  max %s  refused p99 %s\n", micros(c.P50), micros(c.P99), micros(c.P999), micros(c.Max), micros(c.RefusedP99))
+		fmt.Fprintf(w, "  p50 %s  p99 %s  p99.9 %s  max %s  refused p50 %s  p99 %s\n",
+			micros(c.P50), micros(c.P99), micros(c.P999), micros(c.Max), micros(c.RefusedP50), micros(c.RefusedP99))
 	}
 	if c := r.Changes; c != nil {
 		fmt.Fprintf(w, "changes: accepted %d, failed %d, p50 %s  p99 %s\n", c.Accepted, c.Failed, micros(c.P50), micros(c.P99))
--- a/internal/selector/slot/gate.go
+++ b/internal/selector/slot/gate.go
@@ -47,13 +47,14 @@
 }
 
 // Acquire takes a slot for a rule, waiting until a time at most, or until ctx
-// ends. It waits only when no slot is free and the queue has room: a rule that
-// has reached its limits is refused at once.
+// ends. It waits only when no slot is free, the queue has room and is expected to
+// come to it in time: what is not served is refused at once, also by a rule that
+// has reached its limits.
 func (g *Gate) Acquire(ctx context.Context, rule string, until time.Time) (Lease, Refusal) {
 	g.mu.Lock()
 	wait := time.Until(until)
 	lease, refusal := g.pool.Take(rule, g.now())
-	if refusal != Full || wait <= 0 || !g.hasRoom() {
+	if refusal != Full || wait <= 0 || !g.hasRoom() || g.expectedWait() > wait {
 		g.mu.Unlock()
 		return lease, refusal
 	}
@@ -66,6 +67,14 @@
 // hasRoom reports whether one more request may wait. g.mu is held.
 func (g *Gate) hasRoom() bool { return g.waiting.Len() < queueFactor*g.pool.held }
 
+// expectedWait is how long a request waits that joins the queue now: on average one
+// of the slots in use is released each latency/slots. It is zero while the latency is
+// not known. g.mu is held.
+func (g *Gate) expectedWait() time.Duration {
+	load := g.pool.Load(g.now())
+	return g.pool.Latency() * time.Duration(g.waiting.Len()+1) / time.Duration(max(1, load.Warm))
+}
+
 // wait gives the slot that w got within a time, and else takes it out of its
 // place in the queue.
 func (g *Gate) wait(ctx context.Context, w *waiter, place *list.Element, d time.Duration) (Lease, Refusal) {
--- a/internal/selector/slot/gate_test.go
+++ b/internal/selector/slot/gate_test.go
@@ -106,6 +106,33 @@
 	})
 }
 
+// Requests that waited and were then refused were held for the whole time that they
+// may wait: 0.5 s at the 99th percentile under a load above capacity.
+func TestARequestThatTheQueueWillNotReachInTimeIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const held, latency, wait = 4, 200 * time.Millisecond, 100 * time.Millisecond
+		q, leases := newQueue(t, held)
+		for _, l := range leases {
+			q.gate.Release(l, slot.Success, latency)
+		}
+		q.gate.Do(func(p *slot.Pool) { warm(t, p, "r", latency) })
+		for range held {
+			q.takeNow(t, "r")
+		}
+		// Each 50 ms one of the four slots is released, on average.
+		q.ask(t.Context(), "first", "r", wait)
+		q.ask(t.Context(), "second", "r", wait)
+		require.Equal(t, 2, q.gate.Waiting())
+		q.ask(t.Context(), "third", "r", wait)
+		got := q.next(t)
+		require.Equal(t, "third", got.name)
+		require.Equal(t, slot.Full, got.refusal)
+		require.Zero(t, got.after)
+		q.ask(t.Context(), "patient", "r", 2*wait)
+		require.Equal(t, 3, q.gate.Waiting(), "one that may wait longer is let in")
+	})
+}
+
 func TestWhoWaitsAndHowLong(t *testing.T) {
 	cases := []struct {
 		name    string
