Count silent connections that are given up, and show that a host goes on at once

cairndock_silent_connections_total counts the idle connections to an upstream that are given up since one beside them was silent; nothing told of them. In TestAPoolOfSilentConnectionsCostsOneRequest 7 of 8, those beside the request's own.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -94,9 +94,14 @@
 
 // NewClient makes a client that connects to upstreams by dial.
 func NewClient(dial Dial, protocol Protocol) *Client {
-	return &Client{pool: &pool{dial: dial, idle: map[string][]*conn{}}, protocol: protocol}
+	return &Client{pool: &pool{dial: dial, idle: map[string][]*conn{}, onSilent: func(int) {}}, protocol: protocol}
 }
 
+// OnSilent has f called with the number of idle connections to an upstream that were
+// given up, as one that was idle beside them turned out to be silent. It is set
+// before the client is used.
+func (c *Client) OnSilent(f func(connections int)) { c.pool.onSilent = f }
+
 // Retain closes the idle connections to upstreams that keep rejects.
 func (c *Client) Retain(keep func(upstream string) bool) { c.pool.retain(keep) }
 
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -31,6 +31,8 @@
 // dropped: no request is in flight on it.
 type pool struct {
 	dial Dial
+	// onSilent is told how many connections closeIdleSince closed.
+	onSilent func(connections int)
 
 	mu   sync.Mutex
 	idle map[string][]*conn
@@ -108,16 +110,19 @@
 func (p *pool) closeIdleSince(upstream string, before time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	closed := 0
 	p.idle[upstream] = slices.DeleteFunc(p.idle[upstream], func(c *conn) bool {
 		if !c.idleSince.Before(before) {
 			return false
 		}
 		_ = c.Close()
+		closed++
 		return true
 	})
 	if len(p.idle[upstream]) == 0 {
 		delete(p.idle, upstream)
 	}
+	p.onSilent(closed)
 }
 
 // retain closes the idle connections to upstreams that keep rejects, and those
--- a/internal/gateway/exchange/silence_test.go
+++ b/internal/gateway/exchange/silence_test.go
@@ -118,6 +118,8 @@
 			synctest.Test(t, func(t *testing.T) {
 				u := newMemoryUpstream(t)
 				u.fill(t)
+				var gaveUp atomic.Int64
+				u.client.OnSilent(func(connections int) { gaveUp.Add(int64(connections)) })
 				time.Sleep(time.Millisecond)
 				u.Silence()
 				began := time.Now()
@@ -129,6 +131,7 @@
 				t.Logf("lost %d requests, %v until one was served, %d silent connections left", lost, time.Since(began), dialed)
 				require.Equal(t, 1, lost)
 				require.Zero(t, dialed)
+				require.EqualValues(t, idleConns-1, gaveUp.Load(), "those beside the request's own")
 			})
 		})
 	}
--- a/internal/gateway/soak/recovery_test.go
+++ b/internal/gateway/soak/recovery_test.go
@@ -1,8 +1,13 @@
 package soak
 
 import (
+	"net/http"
 	"slices"
+	"syscall"
+	"testing"
 	"time"
+
+	"github.com/stretchr/testify/require"
 )
 
 const (
@@ -29,6 +34,43 @@
 	}
 }
 
+// A host that was paused, or that had no way to its store, says that it is ready when
+// it goes on; then it must take connections at once.
+func TestAHostThatGoesOnTakesNewConnectionsAtOnce(t *testing.T) {
+	t.Parallel()
+	const connections = 20
+	w := newWorld(t, standardSeed, 1)
+	w.startHosts(10 * time.Second)
+	h := w.hosts[0]
+	for _, c := range []struct {
+		name string
+		// happen is over when the host may go on.
+		happen func()
+	}{
+		{"a pause", func() {
+			h.signal(syscall.SIGSTOP)
+			time.Sleep(3 * time.Second)
+			h.signal(syscall.SIGCONT)
+		}},
+		{"a cut from the store", func() {
+			h.store.set(silence)
+			time.Sleep(3 * time.Second)
+			h.store.set(pass)
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			c.happen()
+			began := time.Now()
+			for range connections {
+				require.Equal(t, http.StatusOK, w.probe(h, 1))
+			}
+			t.Logf("%d new connections served within %s", connections, time.Since(began))
+			require.Less(t, time.Since(began), connections*probeTimeout/10)
+		})
+	}
+	require.Empty(t, w.violations)
+}
+
 // silenceAll silences all open connections to upstreams and to the store, waits,
 // and logs what that cost.
 func (w *world) silenceAll() {
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -60,13 +60,15 @@
 
 func (g *Gateway) newProxy(started time.Time) *proxy.Proxy {
 	limits := g.settings.Limits
+	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics})
+	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
 	return proxy.New(proxy.Options{
 		State:        g.state,
 		Balancer:     balance.New(location, g, g.detector),
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
-		Client:       exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics}),
+		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		Sharers:      g.fleet.Sharers,
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
