Withdraw only hosts that did not announce themselves again

Change: the registry's readings have the version of each announcement. A host is withdrawn only if its announcement did not change for the two hours either, in which a host that runs renews it four times. A renewal is tried again each 30 s.

Tests: TestAHostThatIsGoneIsWithdrawnByOneOfItsRegion has a host that is cut off and renews its announcement, TestARenewalIsTriedAgainSeldom.

--- a/internal/gateway/fleet/discovery.go
+++ b/internal/gateway/fleet/discovery.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// registryRetry is the pause between attempts to register until one
-	// succeeds. Chosen, not measured.
+	// registryRetry is the pause between attempts to register while a list was not
+	// read. Chosen, not measured.
 	registryRetry = 500 * time.Millisecond
+	// renewalRetry is that pause once all were: nobody waits, and a store that is
+	// down for long is not asked twice a second by each host. Chosen, not measured.
+	renewalRetry = 30 * time.Second
 	// listPause is the pause after the list of a region was read, for each host
 	// of the own region, so that hosts which start together do not read the lists
 	// of other regions faster than the store serves them: 5,900 hosts in 23
@@ -109,10 +112,17 @@
 		if announced && len(unread) == 0 {
 			return
 		}
-		pause.For(ctx, registryRetry)
+		pause.For(ctx, f.retryPause())
 	}
 }
 
+func (f *Fleet) retryPause() time.Duration {
+	if f.UnreadLists() > 0 {
+		return registryRetry
+	}
+	return renewalRetry
+}
+
 // readLists reads the lists of some regions and returns those that are left after
 // the first error. listed is set when this host stands in the registry; while it
 // does not, no list counts as whole, and the first is read again.
@@ -133,9 +143,10 @@
 }
 
 // withdrawGone removes the hosts of the own region from the registry that have been
-// silent for forgetAfter: what is gone for good would take a part of each limit for
-// ever. One that was only cut off announces itself again within listEvery. One host
-// of the region does so. An error is dropped, as the next time tries again.
+// silent for forgetAfter and did not announce themselves again in that time, in which
+// they would have done so four times: what is gone for good would take a part of each
+// limit for ever. One host of the region does so. An error is dropped, as the next
+// time tries again.
 func (f *Fleet) withdrawGone(ctx context.Context) {
 	f.mu.Lock()
 	now := time.Now()
@@ -157,10 +168,10 @@
 	return f.members.withdrawn
 }
 
-func (f *Fleet) isSelf(h Host) bool { return h.Name == f.options.Self.Name }
+func (f *Fleet) isSelf(l Listing) bool { return l.Host.Name == f.options.Self.Name }
 
 // addList adds a list that was read, and returns how long to pause before the next.
-func (f *Fleet) addList(region string, hosts []Host, whole bool) time.Duration {
+func (f *Fleet) addList(region string, hosts []Listing, whole bool) time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.members.addList(region, hosts, whole, time.Now())
--- a/internal/gateway/fleet/discovery_test.go
+++ b/internal/gateway/fleet/discovery_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/warmup"
+	"cairndock/internal/pause"
 )
 
 func TestAHostQueriesAllHostsAtFirstAndThenOneOfEachRegionAtTimes(t *testing.T) {
@@ -123,14 +124,21 @@
 func TestAHostThatIsGoneIsWithdrawnByOneOfItsRegion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newFakeRegistry()
-		r.hosts["gone"], r.hosts["other"] = host("gone", "west-0", "west"), host("other", "east-0", "east")
+		for _, h := range []Host{host("gone", "west-0", "west"), host("other", "east-0", "east"), host("cut", "west-0", "west")} {
+			require.NoError(t, r.Announce(t.Context(), h))
+		}
 		f := New(Options{Self: host("w0", "west-0", "west"), Regions: []string{"east", "west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
 		ctx, cancel := context.WithCancel(t.Context())
 		go f.keepRegistered(ctx)
+		go func() { // cut off from this host, but not from the registry
+			for pause.For(ctx, listEvery) {
+				_ = r.Announce(ctx, host("cut", "west-0", "west")) // it never fails
+			}
+		}()
 		time.Sleep(forgetAfter - time.Minute)
-		require.Len(t, r.list(), 3, "it may only be cut off")
-		time.Sleep(listEvery + listJitter + time.Minute)
-		require.ElementsMatch(t, []string{"other", "w0"}, r.list(), "those of other regions are left to their hosts")
+		require.Len(t, r.list(), 4, "they may only be cut off")
+		time.Sleep(2 * (listEvery + listJitter))
+		require.Equal(t, []string{"cut", "other", "w0"}, r.list(), "those of other regions are left to their hosts")
 		cancel()
 		synctest.Wait()
 	})
@@ -151,3 +159,14 @@
 		synctest.Wait()
 	})
 }
+
+// A store that is down for long is asked seldom by hosts that have read all lists.
+func TestARenewalIsTriedAgainSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f := New(Options{Self: host("w0", "west-0", "west"), Regions: []string{"west"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+		require.Equal(t, registryRetry, f.retryPause())
+		f.register(t.Context())
+		require.Equal(t, renewalRetry, f.retryPause())
+	})
+}
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -16,7 +16,14 @@
 	Announce(ctx context.Context, h Host) error
 	Withdraw(ctx context.Context, h Host) error
 	// Hosts returns all hosts of a region in the list; some may be gone.
-	Hosts(ctx context.Context, region string) ([]Host, error)
+	Hosts(ctx context.Context, region string) ([]Listing, error)
+}
+
+// Listing is a host in the registry.
+type Listing struct {
+	Host Host
+	// Version is that of its last announcement.
+	Version int64
 }
 
 // Reporter logs when peers die and come back.
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -32,6 +32,15 @@
 	return hosts
 }
 
+// listings returns hosts as the registry does, each announced once.
+func listings(hosts []Host) []Listing {
+	var out []Listing
+	for _, h := range hosts {
+		out = append(out, Listing{Host: h, Version: 1})
+	}
+	return out
+}
+
 // longAgo is before all that a host waits for after its start.
 const longAgo = time.Hour
 
@@ -100,11 +109,15 @@
 type fakeRegistry struct {
 	mu    sync.Mutex
 	hosts map[string]Host
+	// versions are those of the announcements.
+	versions map[string]int64
 	// down makes announcements fail, and noReads readings.
 	down, noReads bool
 }
 
-func newFakeRegistry() *fakeRegistry { return &fakeRegistry{hosts: map[string]Host{}} }
+func newFakeRegistry() *fakeRegistry {
+	return &fakeRegistry{hosts: map[string]Host{}, versions: map[string]int64{}}
+}
 
 func (r *fakeRegistry) setReads(work bool) {
 	r.mu.Lock()
@@ -126,6 +139,7 @@
 		return errors.New("down")
 	}
 	r.hosts[h.Name] = h
+	r.versions[h.Name]++
 	return nil
 }
 
@@ -136,16 +150,16 @@
 	return nil
 }
 
-func (r *fakeRegistry) Hosts(_ context.Context, region string) ([]Host, error) {
+func (r *fakeRegistry) Hosts(_ context.Context, region string) ([]Listing, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.noReads {
 		return nil, errors.New("no reads")
 	}
-	var out []Host
+	var out []Listing
 	for _, h := range r.hosts {
 		if h.Region == region {
-			out = append(out, h)
+			out = append(out, Listing{Host: h, Version: r.versions[h.Name]})
 		}
 	}
 	return out, nil
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -74,8 +74,10 @@
 	// lastReported is when the peer was last named by the registry or by
 	// another host, or sent a heartbeat itself.
 	lastReported time.Time
-	// knownSince is when this host first knew of the peer.
-	knownSince time.Time
+	// listedVersion is the version of the peer's announcement in the registry, and
+	// announcedAt when this host first read it; zero if it was never listed.
+	listedVersion int64
+	announcedAt   time.Time
 	// getsHeartbeats is set while this host sends the peer heartbeats. Only
 	// such peers are logged as lost and regained.
 	getsHeartbeats bool
@@ -95,11 +97,3 @@
 	}
 	return now.Sub(p.lastReported) > after
 }
-
-// silentFor is how long no heartbeat of the peer has come.
-func (p *peerState) silentFor(now time.Time) time.Duration {
-	if p.lastHeartbeat.IsZero() {
-		return now.Sub(p.knownSince)
-	}
-	return now.Sub(p.lastHeartbeat)
-}
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -40,9 +40,12 @@
 
 // addList adds the hosts of a region, read from the registry. whole is set when no
 // host of the region is missing that may share a limit with this one.
-func (m *members) addList(region string, hosts []Host, whole bool, now time.Time) {
-	for _, h := range hosts {
-		m.addKnown(h, now)
+func (m *members) addList(region string, hosts []Listing, whole bool, now time.Time) {
+	for _, l := range hosts {
+		m.addKnown(l.Host, now)
+		if p := m.peers[l.Host.Name]; p != nil && l.Version != p.listedVersion {
+			p.listedVersion, p.announcedAt = l.Version, now
+		}
 	}
 	if whole && m.lists[region].IsZero() {
 		m.lists[region] = now
@@ -95,7 +98,7 @@
 	}
 	p := m.peers[h.Name]
 	if p == nil {
-		p = &peerState{host: h, knownSince: now}
+		p = &peerState{host: h}
 		m.peers[h.Name] = p
 		m.index = nil
 	}
@@ -109,10 +112,11 @@
 	if h.Name == m.self.Name || h.Name == "" {
 		return false
 	}
-	p := peerState{host: h, status: s, lastHeartbeat: now, lastReported: now, knownSince: now, getsHeartbeats: h.Region == m.self.Region}
+	p := peerState{host: h, status: s, lastHeartbeat: now, lastReported: now, getsHeartbeats: h.Region == m.self.Region}
 	old := m.peers[h.Name]
 	if old != nil {
 		p.getsHeartbeats = p.getsHeartbeats || old.getsHeartbeats
+		p.listedVersion, p.announcedAt = old.listedVersion, old.announcedAt
 	}
 	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region {
 		m.index = nil
@@ -153,11 +157,13 @@
 	return hosts
 }
 
-// gone returns the hosts of the own region that were silent for forgetAfter.
+// gone returns the hosts of the own region that the registry lists, were silent for
+// forgetAfter, and whose last announcement was first read as long ago.
 func (m *members) gone(now time.Time) []Host {
 	var hosts []Host
 	for _, p := range m.named(m.indexed().byRegion[m.self.Region]) {
-		if p.silentFor(now) >= forgetAfter {
+		silent, unrenewed := now.Sub(p.lastHeartbeat), now.Sub(p.announcedAt)
+		if !p.announcedAt.IsZero() && silent >= forgetAfter && unrenewed >= forgetAfter {
 			hosts = append(hosts, p.host)
 		}
 	}
--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -136,7 +136,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			m := newMembers(all[0], regionsOf(all), started)
 			for region, at := range c.lists {
-				m.addList(region, all, true, started.Add(at))
+				m.addList(region, listings(all), true, started.Add(at))
 			}
 			q := m.warmUpQuota("i-1", c.region, 26, started.Add(c.at))
 			require.Equal(t, c.want, q.Withheld)
