Give the registry's lists and the registration files of their own

Moves only: members.go keeps who is known and alive, lists.go what the registry's lists prove, registration.go when they are read, discovery.go what peers are asked.

--- a/internal/gateway/fleet/discovery.go
+++ b/internal/gateway/fleet/discovery.go
@@ -2,37 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
-	"slices"
 	"time"
-
-	"cairndock/internal/pause"
 )
 
-const (
-	// registryRetry is the pause between attempts to register while a list was not
-	// read. Chosen, not measured.
-	registryRetry = 500 * time.Millisecond
-	// renewalRetry is that pause once all were: nobody waits, and a store that is
-	// down for long is not asked twice a second by each host. Chosen, not measured.
-	renewalRetry = 30 * time.Second
-	// listPause is the pause after the list of a region was read, for each host
-	// of the own region, so that hosts which start together do not read the lists
-	// of other regions faster than the store serves them: 5,900 hosts in 23
-	// regions read 4,600 a second. The own region's comes first, so that nobody
-	// waits for it. Chosen, not measured.
-	listPause = 5 * time.Millisecond
-	// listEvery is how often a host registers again and reads all lists, with up to
-	// listJitter more at random, so that hosts which started together do not read
-	// them together. Chosen, not measured: a quarter of forgetAfter, so that three
-	// may fail; 5,900 hosts in 23 regions read 76 lists a second.
-	listEvery  = 30 * time.Minute
-	listJitter = 3 * time.Minute
-	// regionQueryEvery is how often a host asks a peer of each other region
-	// which hosts live there, as it gets heartbeats only of some. Chosen, not
-	// measured; a quarter of passOnFor, so that three queries may fail.
-	regionQueryEvery = 15 * time.Second
-)
+// regionQueryEvery is how often a host asks a peer of each other region which hosts
+// live there, as it gets heartbeats only of some. Chosen, not measured; a quarter of
+// passOnFor, so that three queries may fail.
+const regionQueryEvery = 15 * time.Second
 
 // hostQuery is what a heartbeat asks about other hosts. It is on the wire.
 type hostQuery uint8
@@ -80,105 +56,6 @@
 	return query
 }
 
-// keepRegistered registers this host, and again each listEvery until the context
-// ends: hosts that forgot each other while they were cut off find each other again.
-func (f *Fleet) keepRegistered(ctx context.Context) {
-	for {
-		f.register(ctx)
-		f.withdrawGone(ctx)
-		if !pause.For(ctx, listEvery+rand.N(listJitter)) {
-			return
-		}
-	}
-}
-
-// register adds this host to the registry and reads the lists of all regions from
-// it, the own one first, until both have succeeded. Errors are retried and not
-// logged: the registry is in the store, whose failures the tables' watchers log.
-//
-// Of two hosts that start together, each announces itself before it reads a list, so
-// that the later one finds the earlier one there. A host that could not announce
-// itself is not found, so the lists that it reads count as whole only if an earlier
-// process has announced it.
-func (f *Fleet) register(ctx context.Context) {
-	f.mu.Lock()
-	unread := f.members.regions()
-	f.mu.Unlock()
-	announced, listed := false, false
-	for ctx.Err() == nil && !f.isWithdrawn() {
-		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
-		listed = listed || announced
-		unread, listed = f.readLists(ctx, unread, listed)
-		if announced && len(unread) == 0 {
-			return
-		}
-		pause.For(ctx, f.retryPause())
-	}
-}
-
-func (f *Fleet) retryPause() time.Duration {
-	if f.UnreadLists() > 0 {
-		return registryRetry
-	}
-	return renewalRetry
-}
-
-// readLists reads the lists of some regions and returns those that are left after
-// the first error. listed is set when this host stands in the registry; while it
-// does not, no list counts as whole, and the first is read again.
-func (f *Fleet) readLists(ctx context.Context, regions []string, listed bool) (unread []string, nowListed bool) {
-	for len(regions) > 0 {
-		hosts, err := f.options.Registry.Hosts(ctx, regions[0])
-		if err != nil {
-			return regions, listed
-		}
-		listed = listed || slices.ContainsFunc(hosts, f.isSelf)
-		next := f.addList(regions[0], hosts, listed)
-		if !listed || !pause.For(ctx, next) {
-			return regions, listed
-		}
-		regions = regions[1:]
-	}
-	return nil, listed
-}
-
-// withdrawGone removes the hosts of the own region from the registry that have been
-// silent for forgetAfter and did not announce themselves again in that time, in which
-// they would have done so four times: what is gone for good would take a part of each
-// limit for ever. One host of the region does so. An error is dropped, as the next
-// time tries again.
-func (f *Fleet) withdrawGone(ctx context.Context) {
-	f.mu.Lock()
-	now := time.Now()
-	_, root := f.members.relayParent(true, now)
-	gone := f.members.gone(now)
-	f.mu.Unlock()
-	if !root {
-		return
-	}
-	for _, h := range gone {
-		_ = f.options.Registry.Withdraw(ctx, h)
-	}
-}
-
-// isWithdrawn reports whether the host stops, and must not announce itself again.
-func (f *Fleet) isWithdrawn() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.members.withdrawn
-}
-
-func (f *Fleet) isSelf(l Listing) bool { return l.Host.Name == f.options.Self.Name }
-
-// addList adds a list that was read, and returns how long to pause before the next.
-func (f *Fleet) addList(region string, hosts []Listing, whole bool) time.Duration {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.members.addList(region, hosts, whole, time.Now())
-	ownRegion := f.members.indexed().byRegion[f.options.Self.Region]
-	return listPause * time.Duration(1+len(ownRegion))
-}
-
 // querySeeds sends heartbeats to the seeds, whose identities their
 // responses have.
 func (f *Fleet) querySeeds(ctx context.Context) {
--- a/internal/gateway/fleet/doc.go
+++ b/internal/gateway/fleet/doc.go
@@ -1,8 +1,9 @@
 // Package fleet is a gateway host's view of the other hosts (its peers).
 //
 // It owns:
-//   - membership: which hosts exist, learned from the registry, from seeds and
-//     from peers, and which of them are alive by their heartbeats;
+//   - membership: which hosts exist, learned from the registry (registration.go,
+//     lists.go), from seeds and from peers (discovery.go), and which of them are
+//     alive by their heartbeats;
 //   - the directory's choice of hosts for clients (directory.go);
 //   - this host's share of limits that all hosts keep together (quota.go);
 //   - the relay tree, by which one host of a region polls the store and the
--- /dev/null
+++ b/internal/gateway/fleet/registration_test.go
@@ -0,0 +1,165 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/warmup"
+	"cairndock/internal/pause"
+)
+
+// newFleet returns a host that does not run.
+func newFleet(r Registry, self Host, regions []string) *Fleet {
+	return New(Options{Self: self, Regions: regions, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus }})
+}
+
+// startRegistering has a host of the region west registered until it is stopped.
+func startRegistering(t *testing.T, r Registry, regions ...string) (f *Fleet, stop func()) {
+	f = newFleet(r, host("w0", "west-0", "west"), regions)
+	ctx, cancel := context.WithCancel(t.Context())
+	go f.keepRegistered(ctx)
+	synctest.Wait()
+	return f, func() {
+		cancel()
+		synctest.Wait()
+	}
+}
+
+// register runs a host's registration for a time of the test's clock and returns the
+// regions whose lists it has not read whole.
+func register(t *testing.T, r Registry, h Host, regions []string, d time.Duration) []string {
+	t.Helper()
+	f := newFleet(r, h, regions)
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	f.register(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.unread()
+}
+
+func TestTheListsOfAllRegionsAreReadOnceTheHostIsAnnounced(t *testing.T) {
+	regions := []string{"east", "south", "west"}
+	for _, c := range []struct {
+		name   string
+		change func(r *fakeRegistry)
+		unread []string
+	}{
+		{"a registry that works", func(*fakeRegistry) {}, []string{}},
+		{"it takes no announcements: later hosts would not find this one", func(r *fakeRegistry) { r.down = true }, []string{"west", "east", "south"}},
+		{"it takes none, but an earlier process has announced the host", func(r *fakeRegistry) {
+			r.down, r.hosts["w"] = true, host("w", "west-0", "west")
+		}, []string{}},
+		{"it can't be read", func(r *fakeRegistry) { r.noReads = true }, []string{"west", "east", "south"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newFakeRegistry()
+				c.change(r)
+				require.Equal(t, c.unread, register(t, r, host("w", "west-0", "west"), regions, 10*time.Second))
+			})
+		})
+	}
+}
+
+// Before a host knows all that share a limit it says so, as it would take too large a
+// part.
+func TestSharersAreZeroUntilAllAreKnown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		r.hosts["e"] = host("e", "east-0", "east")
+		f := newFleet(r, host("w", "west-0", "west"), []string{"east", "west"})
+		require.Zero(t, f.Sharers())
+		require.Equal(t, 2, f.UnreadLists())
+		f.register(t.Context())
+		require.Zero(t, f.UnreadLists())
+		require.Zero(t, f.Sharers(), "they may not know of this one yet")
+		time.Sleep(warmup.Window)
+		require.Equal(t, 2, f.Sharers())
+	})
+}
+
+// Of two hosts that start together, the later one finds the earlier one in the list.
+func TestAListIsReadAfterTheAnnouncement(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		r.noReads = true
+		f := newFleet(r, host("w0", "west-0", "west"), []string{"west"})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		go f.register(ctx)
+		synctest.Wait()
+		require.NoError(t, r.Announce(ctx, host("w1", "west-0", "west")))
+		r.setReads(true)
+		time.Sleep(2 * registryRetry)
+		require.Equal(t, 2, f.Hosts())
+		r.setReads(false) // what was read stays
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		require.Empty(t, f.members.unread())
+	})
+}
+
+// Hosts that were cut off from each other for so long that they forgot each other find
+// each other again by the registry.
+func TestAHostThatWasForgottenIsFoundAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f, stop := startRegistering(t, r, "west")
+		defer stop()
+		require.NoError(t, r.Announce(t.Context(), host("w1", "west-0", "west")))
+		require.Equal(t, 1, f.Hosts())
+		time.Sleep(listEvery + listJitter + time.Second)
+		require.Equal(t, 2, f.Hosts())
+	})
+}
+
+// A host that was replaced for good would take a part of each limit for ever.
+func TestAHostThatIsGoneIsWithdrawnByOneOfItsRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		for _, h := range []Host{host("gone", "west-0", "west"), host("other", "east-0", "east"), host("cut", "west-0", "west")} {
+			require.NoError(t, r.Announce(t.Context(), h))
+		}
+		_, stop := startRegistering(t, r, "east", "west")
+		defer stop()
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() { // cut off from this host, but not from the registry
+			for pause.For(ctx, listEvery) {
+				_ = r.Announce(ctx, host("cut", "west-0", "west")) // it never fails
+			}
+		}()
+		time.Sleep(forgetAfter - time.Minute)
+		require.Len(t, r.list(), 4, "they may only be cut off")
+		time.Sleep(2 * (listEvery + listJitter))
+		require.Equal(t, []string{"cut", "other", "w0"}, r.list(), "those of other regions are left to their hosts")
+	})
+}
+
+func TestAHostThatStopsDoesNotAnnounceItselfAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f, stop := startRegistering(t, r, "west")
+		defer stop()
+		require.Equal(t, []string{"w0"}, r.list())
+		f.Withdraw(t.Context())
+		time.Sleep(2 * listEvery)
+		require.Empty(t, r.list())
+	})
+}
+
+// A store that is down for long is asked seldom by hosts that have read all lists.
+func TestARenewalIsTriedAgainSeldom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f := newFleet(r, host("w0", "west-0", "west"), []string{"west"})
+		require.Equal(t, registryRetry, f.retryPause())
+		f.register(t.Context())
+		require.Equal(t, renewalRetry, f.retryPause())
+	})
+}
