--- a/internal/gateway/warmup/doc.go
+++ b/internal/gateway/warmup/doc.go
@@ -1,8 +1,8 @@
-// Package warmup has the rule by which all hosts together keep the rate of a cold
-// (warming-up) upstream, without a message between them: each may send its quota
-// of it in any second.
+// Package warmup has the terms in which hosts keep the rate of a cold (warming-up)
+// upstream together, without a message between them: each sends its quota of it in
+// any second, and no more.
 //
-// The package owns the quota (Quota) and the record of what one host sent to an
-// upstream (Sends). It relies on package fleet for the hosts that share a rate and
-// on package balance for the choice of upstreams, and has no lock and no clock.
+// It owns what a quota is, why a host has none (Quota), and the count of what one
+// host sent to an upstream (Sends). Package fleet splits the rate into quotas, and
+// package balance holds requests to them. It has no lock and no clock.
 package warmup
