--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -84,8 +84,8 @@
 	// Waited is the time from the choice of the upstream until the request was
 	// written: a new connection, or a host short of processor time, delays it.
 	Waited time.Duration
-	// Sent is how many requests this host had chosen the upstream for in the
-	// last second while it took the upstream for cold, this one included, and SentWarm how
+	// Sent is how many requests count against the quota that this host chose the
+	// upstream for while it took it for cold, this one included, and SentWarm how
 	// many besides while it took it for warm; both as of the choice.
 	Sent     int
 	SentWarm int
--- a/internal/gateway/eventlog/log.go
+++ b/internal/gateway/eventlog/log.go
@@ -36,8 +36,8 @@
 	// sampledPerSecond is the rate of lines on sampled requests that
 	// succeeded.
 	sampledPerSecond = 10
-	// warmUpsPerSecond is the rate of lines on requests to cold upstreams, each
-	// of which bears few: 26 a second over all hosts where it was measured.
+	// warmUpsPerSecond is the rate of lines on requests to cold upstreams. Each of
+	// these bears few: 26 a second from all hosts together on cacf-ruteo.
 	warmUpsPerSecond = 100
 	// burstSeconds is how many seconds' worth of lines may come at once.
 	burstSeconds = 2
