--- a/internal/gateway/fleet/registration.go
+++ b/internal/gateway/fleet/registration.go
@@ -22,11 +22,12 @@
 	// regions read 4,600 a second. The own region's comes first, so that nobody
 	// waits for it. Chosen, not measured.
 	listPause = 5 * time.Millisecond
-	// listEvery is how often a host registers again and reads all lists, with up to
-	// listJitter more at random, so that hosts which started together do not read
-	// them together. Chosen, not measured: a quarter of forgetAfter, so that three
-	// may fail; 5,900 hosts in 23 regions read 76 lists a second.
-	listEvery  = 30 * time.Minute
+	// listEvery is how often a host registers again and reads all lists. Chosen, not
+	// measured: a quarter of forgetAfter, so that three may fail; 5,900 hosts in 23
+	// regions read 76 lists a second.
+	listEvery = 30 * time.Minute
+	// listJitter is the most that is added to listEvery at random, so that hosts
+	// which started together do not read the lists together. Chosen, not measured.
 	listJitter = 3 * time.Minute
 )
 
