--- a/internal/gateway/fleet/registration_test.go
+++ b/internal/gateway/fleet/registration_test.go
@@ -163,3 +163,14 @@
 		require.Equal(t, renewalRetry, f.retryPause())
 	})
 }
+
+// A host that a version wrote to the unsplit table as well stands in two rows, of
+// which only the later one is its last announcement.
+func TestAnOlderRowIsNoNewAnnouncement(t *testing.T) {
+	now := time.Now()
+	m := newMembers(host("w0", "west-0", "west"), []string{"west"}, now)
+	rows := []Listing{{Host: host("w1", "west-0", "west"), Version: 7}, {Host: host("w1", "west-0", "west"), Version: 3}}
+	m.addList("west", rows, true, now)
+	m.addList("west", rows, true, now.Add(forgetAfter))
+	require.Len(t, m.gone(now.Add(forgetAfter)), 1)
+}
