--- a/internal/gateway/soak/faults_test.go
+++ b/internal/gateway/soak/faults_test.go
@@ -31,16 +31,7 @@
 }
 
 func (w *world) killHost() {
-	h := w.randomHost()
-	if !h.ending.TryLock() {
-		return
-	}
-	defer h.ending.Unlock()
-	defer h.disruptions.begin()()
-	h.kill()
-	time.Sleep(w.between(50*time.Millisecond, 2*time.Second))
-	h.expectExit(false)
-	h.start()
+	w.restart(w.randomHost(), func() { time.Sleep(w.between(50*time.Millisecond, 2*time.Second)) })
 }
 
 // restartAllHosts kills all hosts that are not being ended already, at the same
@@ -48,18 +39,21 @@
 func (w *world) restartAllHosts() {
 	var wait sync.WaitGroup
 	for _, h := range w.hosts {
-		wait.Go(func() { w.restart(h) })
+		wait.Go(func() { w.restart(h, func() {}) })
 	}
 	wait.Wait()
 }
 
-func (w *world) restart(h *host) {
+// restart kills a host, unless it is being ended already, and starts it again after
+// meanwhile.
+func (w *world) restart(h *host, meanwhile func()) {
 	if !h.ending.TryLock() {
 		return
 	}
 	defer h.ending.Unlock()
 	defer h.disruptions.begin()()
 	h.kill()
+	meanwhile()
 	h.expectExit(false)
 	h.start()
 }
