--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -47,6 +47,8 @@
 	// LoadAge is the age of the upstream's last load report; -1 if it never
 	// sent one, which is written as 0 ms.
 	LoadAge time.Duration
+	// Capacity is how many requests the upstream works on at once.
+	Capacity int
 	// Rank is the upstream's place in the key's preference list, from 0.
 	Rank int
 	// Cold is set if the upstream was warming up.
@@ -70,7 +72,7 @@
 		return
 	}
 	e.Str("route", a.Route).Str("service", a.Service).Str("upstream", a.Upstream).Str("zone", a.Zone).
-		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Float64("load_age_ms", ms(a.LoadAge)).
+		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Int("capacity", a.Capacity).Float64("load_age_ms", ms(a.LoadAge)).
 		Int("rank", a.Rank).Bool("cold", a.Cold).Str("outcome", a.Outcome).Int("status", a.Status).
 		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Msg("request: attempt ended")
 }
@@ -124,6 +126,9 @@
 	// Route and Service are empty if no route matched.
 	Route   string
 	Service string
+	// Priority and Objective are the route's; Objective is zero if it has none.
+	Priority  int
+	Objective time.Duration
 	// Attempts is how many upstreams the request was sent to.
 	Attempts int
 	// Config is the version of the operator configuration that applied; 0 if
@@ -157,7 +162,7 @@
 	if e == nil {
 		return
 	}
-	e.Str("route", f.Route).Str("service", f.Service).Int("attempts", f.Attempts).Int64("config", f.Config).
+	e.Str("host_zone", l.zone).Str("route", f.Route).Str("service", f.Service).Int("priority", f.Priority).Float64("objective_ms", ms(f.Objective)).Int("attempts", f.Attempts).Int64("config", f.Config).
 		Float64("config_age_ms", ms(f.ConfigAge)).Float64("upstreams_age_ms", ms(f.UpstreamsAge)).
 		Int("status", f.Status).Str("client", string(f.Client)).Str("verdict", f.Verdict).Str("reason", f.Reason).
 		Float64("took_ms", ms(f.Took)).Str("detail", f.Detail).Msg("request: final response")
--- a/internal/gateway/eventlog/log.go
+++ b/internal/gateway/eventlog/log.go
@@ -26,16 +26,16 @@
 // The rates below are chosen, not measured one by one. With all of them the
 // log cost 1.7% of processor time on a day of high load (docs/OPERATIONS.md).
 const (
-	// sampleOneIn is how many successful requests there are to each one that
-	// is logged.
-	sampleOneIn = 100
+	// defaultOneIn is how many successful requests there are to each one that
+	// is logged, where the settings do not say it.
+	defaultOneIn = 100
+	// defaultFailedPerSecond is the rate of lines on requests that failed.
+	defaultFailedPerSecond = 50
+	// defaultServedPerSecond is the rate of lines on sampled requests that
+	// succeeded.
+	defaultServedPerSecond = 10
 	// stateChangesPerSecond is the rate of lines on state changes.
 	stateChangesPerSecond = 100
-	// failuresPerSecond is the rate of lines on requests that failed.
-	failuresPerSecond = 50
-	// sampledPerSecond is the rate of lines on sampled requests that
-	// succeeded.
-	sampledPerSecond = 10
 	// warmUpsPerSecond is the rate of lines on requests to cold upstreams. Each of
 	// these bears few: 26 a second from all hosts together on cacf-ruteo.
 	warmUpsPerSecond = 100
@@ -43,11 +43,50 @@
 	burstSeconds = 2
 )
 
+// Sampling bounds the lines on requests. cairndock losses reads a log in which
+// every request is written: OneIn is 1, and the rates are above those of the
+// host's requests.
+type Sampling struct {
+	// OneIn is how many successful requests there are to each one that is
+	// logged.
+	OneIn int
+	// ServedPerSecond is the rate of lines on sampled requests that succeeded,
+	// and FailedPerSecond on requests that failed.
+	ServedPerSecond int
+	FailedPerSecond int
+}
+
+// DefaultSampling is what a host logs of its requests unless it is set.
+func DefaultSampling() Sampling {
+	return Sampling{OneIn: defaultOneIn, ServedPerSecond: defaultServedPerSecond, FailedPerSecond: defaultFailedPerSecond}
+}
+
+// Sampled reports whether a successful request is logged. It depends on the id
+// alone, so that all hosts with the same setting log the same requests.
+func (s Sampling) Sampled(requestID string) bool {
+	return xxhash.Sum64String(requestID)%uint64(max(1, s.OneIn)) == 0
+}
+
+// Options are what a Log is made of.
+type Options struct {
+	// Host and Zone are the host's name and availability zone.
+	Host string
+	Zone string
+	// Level is the least level that is written. Lines below it are not counted
+	// as left out: requests and state changes are of level info, the report of
+	// lines left out is a warning.
+	Level    zerolog.Level
+	Sampling Sampling
+	Metrics  *telemetry.Metrics
+}
+
 // Log is the structured log of one process. Its methods may be called
 // concurrently.
 type Log struct {
-	out     zerolog.Logger
-	metrics *telemetry.Metrics
+	out      zerolog.Logger
+	metrics  *telemetry.Metrics
+	zone     string
+	sampling Sampling
 
 	// Each kind of line has a limiter of its own, so that a flood of failed
 	// requests hides no state change.
@@ -67,22 +106,22 @@
 	closed    chan struct{}
 }
 
-// New makes a log that writes JSON lines to w until Close. Lines below the
-// least level are not written and not counted as left out: requests and state
-// changes are of level info, the report of lines left out is a warning.
-func New(w io.Writer, host string, least zerolog.Level, m *telemetry.Metrics) *Log {
+// New makes a log that writes JSON lines to w until Close.
+func New(w io.Writer, o Options) *Log {
 	l := &Log{
-		metrics:      m,
+		metrics:      o.Metrics,
+		zone:         o.Zone,
+		sampling:     o.Sampling,
 		stateChanges: newLimiter(stateChangesPerSecond),
-		failures:     newLimiter(failuresPerSecond),
-		sampled:      newLimiter(sampledPerSecond),
+		failures:     newLimiter(o.Sampling.FailedPerSecond),
+		sampled:      newLimiter(o.Sampling.ServedPerSecond),
 		warmUps:      newLimiter(warmUpsPerSecond),
 		began:        time.Now(),
 		queue:        make(chan []byte, queueLength),
 		closing:      make(chan struct{}),
 		closed:       make(chan struct{}),
 	}
-	l.out = zerolog.New(enqueuer{l}).Level(least).With().Str("host", host).Logger().Hook(zerolog.HookFunc(addTime))
+	l.out = zerolog.New(enqueuer{l}).Level(o.Level).With().Str("host", o.Host).Logger().Hook(zerolog.HookFunc(addTime))
 	go l.write(w)
 	return l
 }
@@ -100,10 +139,6 @@
 	e.Str("time", time.Now().UTC().Format(timeFormat))
 }
 
-// Sampled reports whether a successful request is logged. It depends on the id
-// alone, so that all hosts log the same requests.
-func Sampled(requestID string) bool { return xxhash.Sum64String(requestID)%sampleOneIn == 0 }
-
 // stateEvent begins a line on a state change; nil, which writes nothing, if it
 // is left out.
 func (l *Log) stateEvent(name string) *zerolog.Event { return l.event(name, l.stateChanges) }
@@ -112,7 +147,7 @@
 func (l *Log) requestEvent(name, requestID string, failed bool) *zerolog.Event {
 	limiter := l.failures
 	if !failed {
-		if !Sampled(requestID) {
+		if !l.sampling.Sampled(requestID) {
 			return nil
 		}
 		limiter = l.sampled
--- a/internal/gateway/eventlog/log_test.go
+++ b/internal/gateway/eventlog/log_test.go
@@ -53,7 +53,7 @@
 func sampledID(t *testing.T) string {
 	t.Helper()
 	for i := range 10_000 {
-		if id := strconv.Itoa(i); eventlog.Sampled(id) {
+		if id := strconv.Itoa(i); eventlog.DefaultSampling().Sampled(id) {
 			return id
 		}
 	}
@@ -63,7 +63,7 @@
 
 func TestAFailedRequestIsLoggedWithItsDecision(t *testing.T) {
 	var b buffer
-	l := eventlog.New(&b, "host-1", zerolog.InfoLevel, telemetry.NewMetrics())
+	l := eventlog.New(&b, eventlog.Options{Host: "host-1", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: telemetry.NewMetrics()})
 	l.Attempt(eventlog.Attempt{Request: "r1", Route: "route", Service: "s", Upstream: "i-1", Number: 1, Config: 7, Load: 0.5, LoadAge: 20 * time.Millisecond, Outcome: "upstream-failed", Failed: true, Took: time.Second, Detail: "reset"})
 	l.Final(eventlog.Final{Request: "r1", Config: 7, Status: 502, Verdict: "may-have-run", Reason: "upstream-failed", Failed: true})
 	l.Close()
@@ -78,7 +78,7 @@
 
 func TestOnlySampledSuccessesAreLogged(t *testing.T) {
 	var b buffer
-	l := eventlog.New(&b, "h", zerolog.InfoLevel, telemetry.NewMetrics())
+	l := eventlog.New(&b, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: telemetry.NewMetrics()})
 	id := sampledID(t)
 	l.Final(eventlog.Final{Request: id})
 	l.Final(eventlog.Final{Request: id + "-unlikely-1"})
@@ -91,7 +91,7 @@
 func TestAReaderThatStopsReadingDelaysNothing(t *testing.T) {
 	s := stuck{release: make(chan struct{})}
 	m := telemetry.NewMetrics()
-	l := eventlog.New(s, "h", zerolog.InfoLevel, m)
+	l := eventlog.New(s, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: m})
 	began := time.Now()
 	for i := range 20_000 {
 		l.Final(eventlog.Final{Request: strconv.Itoa(i), Failed: true})
@@ -107,7 +107,7 @@
 
 func TestAFloodOfFailuresHidesNoStateChange(t *testing.T) {
 	var b buffer
-	l := eventlog.New(&b, "h", zerolog.InfoLevel, telemetry.NewMetrics())
+	l := eventlog.New(&b, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: telemetry.NewMetrics()})
 	for i := range 5_000 {
 		l.Final(eventlog.Final{Request: strconv.Itoa(i), Failed: true})
 	}
@@ -126,7 +126,7 @@
 		t.Run(c.least.String(), func(t *testing.T) {
 			var b buffer
 			m := telemetry.NewMetrics()
-			l := eventlog.New(&b, "h", c.least, m)
+			l := eventlog.New(&b, eventlog.Options{Host: "h", Level: c.least, Sampling: eventlog.DefaultSampling(), Metrics: m})
 			l.Final(eventlog.Final{Request: "r", Failed: true})
 			l.Config(1, 1)
 			l.Close()
@@ -141,7 +141,7 @@
 func TestLinesLeftOutAreReportedAsAWarning(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var b buffer
-		l := eventlog.New(&b, "h", zerolog.InfoLevel, telemetry.NewMetrics())
+		l := eventlog.New(&b, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: telemetry.NewMetrics()})
 		const calls = 5_000
 		for i := range calls {
 			l.Final(eventlog.Final{Request: strconv.Itoa(i), Failed: true})
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -46,7 +46,10 @@
 func New(set Settings, out io.Writer, tracer trace.Tracer) *Gateway {
 	g := &Gateway{settings: set, metrics: telemetry.NewMetrics(), tracer: tracer}
 	g.timing = watch.Timing(set.Limits.Staleness())
-	g.log = eventlog.New(out, set.Host.Name, telemetry.Level(set.Telemetry.LogLevel), g.metrics)
+	g.log = eventlog.New(out, eventlog.Options{
+		Host: set.Host.Name, Zone: set.Host.Zone, Level: telemetry.Level(set.Telemetry.LogLevel),
+		Sampling: set.Log.sampling(), Metrics: g.metrics,
+	})
 	g.detector = outlier.New(g)
 	g.state = routing.New(platform.Decoder{Zones: set.Zones}, g.log, g.metrics)
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
--- a/internal/gateway/reqtrace/line.go
+++ b/internal/gateway/logline/logline.go
@@ -1,19 +1,27 @@
-package reqtrace
+// Package logline reads the lines of a gateway's log back. internal/gateway/eventlog
+// writes them; internal/gateway/reqtrace and internal/gateway/losses rely on it.
+// It owns the names of the fields as they are read, and no state.
+package logline
 
 import (
+	"bufio"
 	"bytes"
-	"cmp"
 	"encoding/json"
-	"math"
+	"io"
 	"time"
 
-	"cairndock/internal/gateway/eventlog"
+	"github.com/rotisserie/eris"
+
 	"cairndock/internal/verdict"
 )
 
-// line is one line of a host's log, with the fields of every event that is read
-// here; eventlog says what they mean. Durations are in milliseconds.
-type line struct {
+// maxLine is the longest line that is read, in bytes; a longer one is an
+// error. Chosen, not measured: far above any line of the log.
+const maxLine = 1 << 20
+
+// Line is one line of a host's log, with the fields of every event that is read;
+// eventlog says what they mean. Durations are in milliseconds.
+type Line struct {
 	Host    string    `json:"host"`
 	Time    time.Time `json:"time"`
 	Event   string    `json:"event"`
@@ -27,9 +35,12 @@
 	LoadAgeMS float64 `json:"load_age_ms"`
 	Rank      int     `json:"rank"`
 	Cold      bool    `json:"cold"`
+	Capacity  int     `json:"capacity"`
+	Key       string  `json:"key"`
 	Outcome   string  `json:"outcome"`
 
 	// Of attempts and final responses.
+	Route   string  `json:"route"`
 	Service string  `json:"service"`
 	Config  int64   `json:"config"`
 	Status  int     `json:"status"`
@@ -42,6 +53,10 @@
 	Reason         verdict.Reason `json:"reason"`
 	ConfigAgeMS    float64        `json:"config_age_ms"`
 	UpstreamsAgeMS float64        `json:"upstreams_age_ms"`
+	HostZone       string         `json:"host_zone"`
+	Priority       int            `json:"priority"`
+	ObjectiveMS    float64        `json:"objective_ms"`
+	Client         string         `json:"client"`
 
 	// Of lost dependencies.
 	Dependency string `json:"dependency"`
@@ -58,28 +73,27 @@
 	ForMS     float64 `json:"for_ms"`
 }
 
+// Read gives each line of logs to a function, in the order in which they stand.
+// Text that is no line of a log is passed over. Its error is that of the reader.
+func Read(logs io.Reader, each func(Line)) error {
+	scanner := bufio.NewScanner(logs)
+	scanner.Buffer(nil, maxLine)
+	for scanner.Scan() {
+		if l, ok := parse(scanner.Bytes()); ok {
+			each(l)
+		}
+	}
+	return eris.Wrap(scanner.Err(), "read logs")
+}
+
 // parse decodes a line; what stands before the first brace, such as a
 // container's prefix, is passed over. It gives false for text that is no line
 // of the log, which other programs write to the same files.
-func parse(text []byte) (line, bool) {
-	var l line
+func parse(text []byte) (Line, bool) {
+	var l Line
 	brace := bytes.IndexByte(text, '{')
 	if brace < 0 || json.Unmarshal(text[brace:], &l) != nil {
-		return line{}, false
+		return Line{}, false
 	}
 	return l, true
 }
-
-// byTime orders lines by time; of the same time, attempts by their number and
-// the final response last.
-func byTime(a, b line) int {
-	return cmp.Or(a.Time.Compare(b.Time), cmp.Compare(a.step(), b.step()))
-}
-
-// step is the line's place among those of its request on one host.
-func (l line) step() int {
-	if l.Event == eventlog.EventFinal {
-		return math.MaxInt
-	}
-	return l.Attempt
-}
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -16,7 +16,7 @@
 	c := a.choice
 	ev := eventlog.Attempt{
 		Request: f.info.ID, Route: f.route.Name, Service: f.service, Upstream: c.Upstream.ID, Zone: c.Upstream.Zone,
-		Key: f.info.Key, Number: a.number, Config: f.config.Version, Load: c.Load, LoadAge: c.LoadAge, Rank: c.Rank, Cold: c.Cold,
+		Key: f.info.Key, Number: a.number, Config: f.config.Version, Load: c.Load, LoadAge: c.LoadAge, Capacity: c.Upstream.Capacity, Rank: c.Rank, Cold: c.Cold,
 		Outcome: eventlog.OutcomeAnswered, Status: status, Took: time.Since(a.began),
 	}
 	if e != nil {
@@ -59,7 +59,7 @@
 		ev.Config = f.config.Version
 	}
 	if f.route != nil {
-		ev.Route = f.route.Name
+		ev.Route, ev.Priority, ev.Objective = f.route.Name, f.route.Priority, f.route.Objective
 	}
 	if e != nil {
 		ev.Verdict, ev.Reason, ev.Detail, ev.Failed = e.Verdict.String(), string(e.Reason), e.Detail, true
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -106,7 +106,7 @@
 	g := &testGateway{t: t, log: &logBuffer{}, capacity: 2}
 	g.fleet.quota.Store(standardQuota)
 	m := telemetry.NewMetrics()
-	log := eventlog.New(g.log, "h", zerolog.InfoLevel, m)
+	log := eventlog.New(g.log, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: m})
 	t.Cleanup(log.Close)
 	g.state = routing.New(decoder{}, log, m)
 	age := func() time.Duration { return 0 }
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -7,6 +7,7 @@
 	"strings"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/logline"
 	"cairndock/internal/verdict"
 )
 
@@ -49,7 +50,7 @@
 	return cause
 }
 
-func (t Trace) causeOf(final line) string {
+func (t Trace) causeOf(final logline.Line) string {
 	if final.Reason == "" {
 		return t.servedText(final)
 	}
@@ -81,7 +82,7 @@
 	return cmp.Or(deciding, last, "(its attempt is not in the logs)")
 }
 
-func (t Trace) servedText(final line) string {
+func (t Trace) servedText(final logline.Line) string {
 	if final.Attempts <= 1 {
 		return "served"
 	}
--- a/internal/gateway/reqtrace/print.go
+++ b/internal/gateway/reqtrace/print.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/logline"
 )
 
 // String gives a line for each step, and the cause.
@@ -21,7 +22,7 @@
 	return b.String()
 }
 
-func stateChangeText(l line) string {
+func stateChangeText(l logline.Line) string {
 	switch l.Event {
 	case eventlog.EventLost:
 		return fmt.Sprintf("lost %s %s: %s", l.Dependency, l.Name, l.Error)
@@ -33,7 +34,7 @@
 	}
 }
 
-func stepText(l line) string {
+func stepText(l logline.Line) string {
 	text := fmt.Sprintf("final response %d after %.0f ms and %d attempts: %s %s (configuration %d confirmed %.0f ms earlier, upstreams %.0f ms)",
 		l.Status, l.TookMS, l.Attempts, l.Verdict, l.Reason, l.Config, l.ConfigAgeMS, l.UpstreamsAgeMS)
 	if l.Event == eventlog.EventAttempt {
@@ -49,7 +50,7 @@
 // loadText gives the load and how old the report was that it is based on. The
 // age is 0 if there was none, and below 0 if the report came while the upstream
 // was being chosen.
-func loadText(l line) string {
+func loadText(l logline.Line) string {
 	if l.LoadAgeMS == 0 {
 		return fmt.Sprintf("load %.2f, never reported", l.Load)
 	}
--- a/internal/gateway/reqtrace/trace.go
+++ b/internal/gateway/reqtrace/trace.go
@@ -5,7 +5,6 @@
 package reqtrace
 
 import (
-	"bufio"
 	"io"
 	"slices"
 	"time"
@@ -13,46 +12,38 @@
 	"github.com/rotisserie/eris"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/logline"
 )
 
-const (
-	// maxLine is the longest line that is read, in bytes; a longer one is an
-	// error. Chosen, not measured: far above any line of the log.
-	maxLine = 1 << 20
-	// lookBack is how long before a request's end a state change may have
-	// decided it. Chosen, not measured.
-	lookBack = 15 * time.Second
-)
+// lookBack is how long before a request's end a state change may have decided
+// it. Chosen, not measured.
+const lookBack = 15 * time.Second
 
 // Trace is what the logs say about one request.
 type Trace struct {
 	// lines are the request's own, in order of time; there is at least one.
-	lines []line
+	lines []logline.Line
 	// stateChanges are what the request's hosts logged in the lookBack before
 	// its end: lost dependencies, and states and ejections of the upstreams
 	// that it was sent to.
-	stateChanges []line
+	stateChanges []logline.Line
 }
 
 // Follow reads logs and gives the trace of a request. It is an error if they
 // have no line of it, or can't be read.
 func Follow(logs io.Reader, requestID string) (Trace, error) {
 	var t Trace
-	var changes []line
-	scanner := bufio.NewScanner(logs)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		l, ok := parse(scanner.Bytes())
+	var changes []logline.Line
+	err := logline.Read(logs, func(l logline.Line) {
 		switch {
-		case !ok:
 		case l.Request == requestID:
 			t.lines = append(t.lines, l)
 		case l.Event == eventlog.EventLost, l.Event == eventlog.EventUpstream, l.Event == eventlog.EventEjected:
 			changes = append(changes, l)
 		}
-	}
-	if err := scanner.Err(); err != nil {
-		return t, eris.Wrap(err, "read logs")
+	})
+	if err != nil {
+		return t, err
 	}
 	if len(t.lines) == 0 {
 		return t, eris.Errorf("no line of request %q: it was not sampled, was left out, or never arrived", requestID)
@@ -63,14 +54,14 @@
 }
 
 // relevant keeps the state changes that may have decided the request.
-func (t Trace) relevant(changes []line) []line {
+func (t Trace) relevant(changes []logline.Line) []logline.Line {
 	hosts, upstreams := map[string]bool{}, map[string]bool{}
 	for _, l := range t.lines {
 		hosts[l.Host] = true
 		upstreams[l.Upstream] = true
 	}
 	end := t.lines[len(t.lines)-1].Time
-	var out []line
+	var out []logline.Line
 	for _, l := range changes {
 		if !hosts[l.Host] || l.Time.After(end) || end.Sub(l.Time) > lookBack {
 			continue
--- a/internal/gateway/route/route.go
+++ b/internal/gateway/route/route.go
@@ -49,6 +49,9 @@
 	Backends []Backend
 	// Timeout is the longest time that a request is held; zero is no limit.
 	Timeout time.Duration
+	// Objective is the time within which a response is worth most to the
+	// client; zero is none.
+	Objective time.Duration
 	// Attempts bounds the upstreams that one request is sent to.
 	Attempts int
 	// Priority orders requests under overload; 0 is the most urgent.
--- a/internal/gateway/route/route_test.go
+++ b/internal/gateway/route/route_test.go
@@ -67,7 +67,7 @@
 	counts, sampled := map[string]int{}, 0
 	for i := range 100_000 {
 		id := "request-" + strconv.Itoa(i)
-		if eventlog.Sampled(id) {
+		if eventlog.DefaultSampling().Sampled(id) {
 			counts[r.Pick(id)]++
 			sampled++
 		}
--- a/internal/gateway/routing/routing_test.go
+++ b/internal/gateway/routing/routing_test.go
@@ -57,7 +57,7 @@
 func newHost() host {
 	lines := &bytes.Buffer{}
 	m := telemetry.NewMetrics()
-	log := eventlog.New(lines, "h", zerolog.InfoLevel, m)
+	log := eventlog.New(lines, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: m})
 	return host{state: routing.New(decoder{}, log, m), log: log, lines: lines}
 }
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/settings"
 	"cairndock/internal/telemetry"
 	"cairndock/internal/tomlfile"
@@ -31,6 +32,7 @@
 	// Telemetry sets the traces and the level of the decision log, which goes
 	// to standard output.
 	Telemetry settings.Telemetry `toml:"telemetry"`
+	Log       LogSettings        `toml:"log"`
 }
 
 // ListenSettings are the addresses to listen at.
@@ -78,6 +80,21 @@
 	Grace settings.Duration `toml:"grace"`
 }
 
+// LogSettings bound the log's lines on requests.
+type LogSettings struct {
+	// OneIn is how many requests that were served there are to each one that is
+	// written.
+	OneIn int `toml:"one_in"`
+	// ServedPerSecond and FailedPerSecond bound the lines a second on requests
+	// that were served and on those that failed.
+	ServedPerSecond int `toml:"served_per_second"`
+	FailedPerSecond int `toml:"failed_per_second"`
+}
+
+func (l LogSettings) sampling() eventlog.Sampling {
+	return eventlog.Sampling(l)
+}
+
 // LoadSettings reads a gateway's settings from a TOML file over the defaults.
 // Its error names every faulty key at once.
 func LoadSettings(path string) (Settings, error) {
@@ -124,6 +141,7 @@
 			DirectoryTTL: settings.Duration(defaultDirectoryTTL),
 		},
 		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
+		Log:  LogSettings(eventlog.DefaultSampling()),
 	}
 }
 
@@ -143,6 +161,9 @@
 	checkWithin(&f, "limits.evacuate_within", s.Limits.EvacuateWithin)
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
+	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
+	f.Require(s.Log.ServedPerSecond >= 0, "log.served_per_second", "must not be below 0")
+	f.Require(s.Log.FailedPerSecond >= 0, "log.failed_per_second", "must not be below 0")
 	telemetry.Check(s.Telemetry, &f)
 	return errors.Join(f...)
 }
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -40,6 +40,7 @@
 	require.Positive(t, g.Limits.WarmUpOvershoot)
 	require.Positive(t, g.Limits.DirectoryTTL)
 	require.Positive(t, g.Stop.Grace)
+	require.Equal(t, gateway.LogSettings{OneIn: 100, ServedPerSecond: 10, FailedPerSecond: 50}, g.Log)
 	require.Equal(t, 2*time.Second, g.Limits.Staleness())
 }
 
@@ -68,6 +69,9 @@
 		"limits.evacuate_within": leastSettings + "[limits]\nevacuate_within = \"10ms\"",
 		"limits.retry_window":    leastSettings + "[limits]\nretry_window = \"0s\"",
 		"limits.retries":         leastSettings + "[limits]\nretries = 3",
+		"log.one_in":             leastSettings + "[log]\none_in = 0",
+		"log.served_per_second":  leastSettings + "[log]\nserved_per_second = -1",
+		"log.failed_per_second":  leastSettings + "[log]\nfailed_per_second = -1",
 		"stop.grace":             leastSettings + "[stop]\ngrace = \"-1s\"",
 	} {
 		_, err := load(t, text)
