--- a/internal/gateway/balance/region.go
+++ b/internal/gateway/balance/region.go
@@ -6,8 +6,8 @@
 )
 
 // overflowSalt makes the choice of the region that takes a key over independent of
-// the choice whether it leaves its own. Any odd constant would do; this is from
-// the finisher of MurmurHash2.
+// the choice whether the key leaves its own. Any odd constant would do; this is the
+// multiplier of MurmurHash2, twice.
 const overflowSalt = 0x5bd1e9955bd1e995
 
 // capacities are what the upstreams that may serve a request work on at once, in
@@ -49,8 +49,8 @@
 
 // overflowRegion returns the region that serves a key which its own region has no
 // capacity for. Each other region takes a part in proportion to the capacity that
-// it has above its even share, so that all upstreams are used alike; at is the
-// key's place among these parts, from 0 to 1. By their size alone a region that
+// it has above even, a region's even share, so that all upstreams are used alike;
+// at is the key's place among these parts, from 0 to 1. By their size alone a region that
 // needs its upstreams itself took as much as one with half of them to spare: with
 // 2, 8 and 10 upstreams in three regions, mean worth of bmc-profiles with trouble
 // 0.811 by size and 0.816 by what is spare, of bmc-profiles-grown 0.708 and 0.717.
