--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -64,11 +64,9 @@
 	call  *call
 	began time.Time
 	tried []string
-	// mayHaveRun is set when an attempt that failed may have run.
-	mayHaveRun bool
-	running    []*attempt
-	ended      bool
-	timeout    *event
+	running []*attempt
+	ended   bool
+	timeout *event
 }
 
 // attempt is a pass's request at one upstream.
@@ -215,9 +213,11 @@
 	return p.choose()
 }
 
+// state is what the rules of retries look at. An attempt of the model fails only
+// without having run, or with the whole pass at its timeout.
 func (p *pass) state() retry.State {
 	r := p.call.route
-	return retry.State{Attempts: len(p.tried), MaxAttempts: r.Attempts, Repeatable: r.Repeatable, MayHaveRun: p.mayHaveRun}
+	return retry.State{Attempts: len(p.tried), MaxAttempts: r.Attempts, Repeatable: r.Repeatable}
 }
 
 // choose takes a retry from the budget and chooses an upstream for it.
