--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -60,10 +60,10 @@
 
 // pass is one try of a call at a host.
 type pass struct {
-	host  *host
-	call  *call
-	began time.Time
-	tried []string
+	host    *host
+	call    *call
+	began   time.Time
+	tried   []string
 	running []*attempt
 	ended   bool
 	timeout *event
