--- a/internal/gateway/balance/admission_test.go
+++ b/internal/gateway/balance/admission_test.go
@@ -82,7 +82,7 @@
 	cold.ColdUntil = now.Add(time.Minute)
 	q := balance.Query{Key: "k", Upstreams: []*upstream.Upstream{cold}, Now: now}
 	b.Done(choose(t, b, q))
-	b.Retain(func(string) bool { return false }, now)
+	b.Retain(func(upstream.Run) bool { return false }, now)
 	_, reason := b.Choose(q)
 	require.Equal(t, balance.WarmUpLimited, reason)
 }
--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -23,7 +23,7 @@
 // OutlierDetector knows which upstreams are ejected for failed or overdue
 // requests.
 type OutlierDetector interface {
-	Ejected(upstream string, now time.Time) bool
+	Ejected(run upstream.Run, now time.Time) bool
 }
 
 // Balancer chooses upstreams for one host. It is safe for concurrent use.
@@ -34,10 +34,10 @@
 	policy   Policy
 
 	mu     sync.Mutex
-	states map[string]*state
+	states map[upstream.Run]*state
 }
 
-// state is what the host knows of one upstream.
+// state is what the host knows of one run of an upstream.
 type state struct {
 	// seed is the hash of the upstream's id.
 	seed uint64
@@ -48,7 +48,7 @@
 
 // New makes a balancer for a host at a location, which decides by a policy.
 func New(location Location, quotas WarmUpQuotas, detector OutlierDetector, p Policy) *Balancer {
-	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[string]*state{}}
+	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}}
 }
 
 // Choose chooses an upstream and counts the request as outstanding there
@@ -113,13 +113,13 @@
 		if slices.Contains(q.Tried, u.ID) || !q.allows(u.Region) {
 			continue
 		}
-		s := b.state(u.ID)
+		s := b.state(u)
 		list = append(list, scored{
 			upstream: u,
 			state:    s,
 			cost:     o.cost(u, key^s.seed),
 			load:     s.load.inCapacities(q.Now, u.Capacity),
-			ejected:  b.detector.Ejected(u.ID, q.Now),
+			ejected:  b.detector.Ejected(u.Run(), q.Now),
 		})
 	}
 	if b.policy.RegionFirst && !q.NoAffinity {
@@ -132,11 +132,12 @@
 	return list
 }
 
-func (b *Balancer) state(id string) *state {
-	s := b.states[id]
+func (b *Balancer) state(u *upstream.Upstream) *state {
+	run := u.Run()
+	s := b.states[run]
 	if s == nil {
-		s = &state{seed: xxhash.Sum64String(id)}
-		b.states[id] = s
+		s = &state{seed: xxhash.Sum64String(u.ID)}
+		b.states[run] = s
 	}
 	return s
 }
@@ -153,27 +154,27 @@
 func (b *Balancer) Done(c Choice) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := b.state(c.Upstream.ID)
+	s := b.state(c.Upstream)
 	s.load.outstanding = max(0, s.load.outstanding-1)
 	c.send.End()
 }
 
 // ObserveLoad records an upstream's own report of its load, in requests.
-func (b *Balancer) ObserveLoad(id string, running, waiting int, now time.Time) {
+func (b *Balancer) ObserveLoad(u *upstream.Upstream, running, waiting int, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.policy.LoadReports {
-		b.state(id).load.observe(running+waiting, now)
+		b.state(u).load.observe(running+waiting, now)
 	}
 }
 
-// Retain drops the state of the upstreams that keep rejects, except those with
+// Retain drops the state of the runs that keep rejects, except those with
 // outstanding requests, or requests that still count against a warm-up quota: an
 // upstream whose entry comes back is the same one.
-func (b *Balancer) Retain(keep func(id string) bool, now time.Time) {
+func (b *Balancer) Retain(keep func(upstream.Run) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	maps.DeleteFunc(b.states, func(id string, s *state) bool {
-		return !keep(id) && s.load.outstanding == 0 && s.sends.Count(now) == 0
+	maps.DeleteFunc(b.states, func(run upstream.Run, s *state) bool {
+		return !keep(run) && s.load.outstanding == 0 && s.sends.Count(now) == 0
 	})
 }
--- a/internal/gateway/balance/balance_test.go
+++ b/internal/gateway/balance/balance_test.go
@@ -22,7 +22,7 @@
 // noneEjected is a detector that ejects nothing.
 type noneEjected struct{}
 
-func (noneEjected) Ejected(string, time.Time) bool { return false }
+func (noneEjected) Ejected(upstream.Run, time.Time) bool { return false }
 
 var location = balance.Location{Zone: "west-1", Region: "west", Regions: 2}
 
@@ -103,9 +103,9 @@
 func TestStateIsRetainedWhileRequestsAreOutstanding(t *testing.T) {
 	b, now := newBalancer(1), time.Now()
 	q := balance.Query{Key: "k", Upstreams: twoRegions(1), Now: now}
-	none := func(string) bool { return false }
+	none := func(upstream.Run) bool { return false }
 	first := choose(t, b, q)
-	b.ObserveLoad(first.Upstream.ID, 1, 0, now)
+	b.ObserveLoad(first.Upstream, 1, 0, now)
 	b.Retain(none, now.Add(warmup.Window))
 	c := choose(t, b, q)
 	require.Equal(t, 0.25, c.Load, "the first request is still counted")
@@ -117,3 +117,22 @@
 	require.Zero(t, c.Load)
 	require.Negative(t, c.LoadAge, "no load report is known")
 }
+
+// What was outstanding at a process that ended, and what it had reported of its
+// load, counted against the one that started again under its id.
+func TestARunStartsWithoutTheLoadOfTheOneBefore(t *testing.T) {
+	b, now := newBalancer(1), time.Now()
+	old := newUpstream("u", "west-1", "west")
+	q := balance.Query{Key: "k", Upstreams: []*upstream.Upstream{old}, Now: now}
+	c := choose(t, b, q)
+	b.ObserveLoad(old, 4, 4, now)
+	again := *old
+	again.Born = 20
+	q.Upstreams = []*upstream.Upstream{&again}
+	next := choose(t, b, q)
+	require.Zero(t, next.Load)
+	require.Negative(t, next.LoadAge, "the new run has reported nothing")
+	b.Done(c)
+	b.ObserveLoad(old, 4, 4, now)
+	require.Equal(t, 0.25, choose(t, b, q).Load, "what is late from the old run does not count")
+}
--- a/internal/gateway/balance/ejected_test.go
+++ b/internal/gateway/balance/ejected_test.go
@@ -25,7 +25,7 @@
 	c := choose(t, b, q)
 	first := c.Upstream.ID
 	b.Done(c)
-	detector.RecordOutcome(first, outlier.Unreachable, now)
+	detector.RecordOutcome(c.Upstream.Run(), outlier.Unreachable, now)
 	require.NotEqual(t, first, choose(t, b, q).Upstream.ID)
 	// As the only one it is tried all the same.
 	for _, u := range all {
@@ -39,9 +39,9 @@
 }
 
 // ejecting is a detector that ejects one upstream.
-type ejecting string
+type ejecting upstream.Run
 
-func (e ejecting) Ejected(upstream string, _ time.Time) bool { return upstream == string(e) }
+func (e ejecting) Ejected(run upstream.Run, _ time.Time) bool { return run == upstream.Run(e) }
 
 func TestEjectedUpstreamIsTriedLastWhileTheOthersHaveRoom(t *testing.T) {
 	for _, c := range []struct {
@@ -59,7 +59,7 @@
 			b := balance.New(location, fixedQuota(1), ejecting(first), balance.DefaultPolicy())
 			for _, u := range all {
 				if u.ID != first {
-					b.ObserveLoad(u.ID, c.reported, 0, now)
+					b.ObserveLoad(u, c.reported, 0, now)
 				}
 			}
 			require.Equal(t, c.last, choose(t, b, q).Upstream.ID != first)
--- a/internal/gateway/balance/preferred_test.go
+++ b/internal/gateway/balance/preferred_test.go
@@ -41,10 +41,10 @@
 		t.Run(c.name, func(t *testing.T) {
 			b, now, all := newBalancer(1), time.Now(), twoRegions(2)
 			q := balance.Query{Key: "k", Upstreams: all, Now: now}
-			first := choose(t, b, q).Upstream.ID
-			next := all[0].ID
+			first := choose(t, b, q).Upstream
+			next := all[0]
 			if next == first {
-				next = all[1].ID
+				next = all[1]
 			}
 			b.ObserveLoad(first, 6, 0, now) // of a capacity of 4
 			b.ObserveLoad(next, c.nextReported, 0, now)
@@ -57,13 +57,13 @@
 	b, now, all := newBalancer(1), time.Now(), twoRegions(12)
 	q := balance.Query{Key: "k", Upstreams: all, Now: now}
 	c := choose(t, b, q)
-	first := c.Upstream.ID
+	first := c.Upstream
 	b.Done(c)
 	b.ObserveLoad(first, 4, 4, now)
 	next := choose(t, b, q)
-	require.NotEqual(t, first, next.Upstream.ID)
+	require.NotEqual(t, first, next.Upstream)
 	require.Equal(t, 1, next.Rank)
 	// An old report counts for nothing.
 	q.Now = now.Add(2 * time.Second)
-	require.Equal(t, first, choose(t, b, q).Upstream.ID)
+	require.Equal(t, first, choose(t, b, q).Upstream)
 }
--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -190,7 +190,7 @@
 // that led to it, and counts the ejection.
 func (l *Log) Ejected(o outlier.Ejection) {
 	l.metrics.Count("cairndock_ejections_total")
-	l.stateEvent(EventEjected).Str("upstream", o.Upstream).Int("bad", o.Failures).Int("good", o.Successes).Int("hosts", o.Hosts).
+	l.stateEvent(EventEjected).Str("upstream", string(o.Upstream)).Int("bad", o.Failures).Int("good", o.Successes).Int("hosts", o.Hosts).
 		Float64("for_ms", ms(o.For)).Msg("upstream: ejected, avoided for a time")
 }
 
@@ -199,7 +199,7 @@
 // whose row was deleted has neither service nor zone in the log.
 func (l *Log) Upstream(id string, r upstream.Registration, state string, version int64) {
 	l.stateEvent(EventUpstream).Str("upstream", id).Str("service", r.Service).Str("zone", r.Zone).Str("state", state).
-		Int64("version", version).Float64("cold_ms", ms(r.ColdLeft)).Msg("upstream: state changed")
+		Int64("born", r.Born).Int64("version", version).Float64("cold_ms", ms(r.ColdLeft)).Msg("upstream: state changed")
 }
 
 // Evacuated logs the zones that get no requests.
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"time"
 
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
 )
 
@@ -94,7 +95,7 @@
 
 // NewClient makes a client that connects to upstreams by dial.
 func NewClient(dial Dial, protocol Protocol) *Client {
-	return &Client{pool: &pool{dial: dial, idle: map[string][]*conn{}, onSilent: func(int) {}}, protocol: protocol}
+	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol}
 }
 
 // OnSilent has f called with the number of idle connections to an upstream that were
@@ -102,30 +103,39 @@
 // before the client is used.
 func (c *Client) OnSilent(f func(connections int)) { c.pool.onSilent = f }
 
-// Retain closes the idle connections to upstreams that keep rejects.
-func (c *Client) Retain(keep func(upstream string) bool) { c.pool.retain(keep) }
+// Retain closes the idle connections to the runs that keep rejects.
+func (c *Client) Retain(keep func(upstream.Run) bool) { c.pool.retain(keep) }
 
-// Send sends a request once to an upstream, given by its id and "host:port", and
-// waits until the context ends for the header of its response. Its error is a
-// *verdict.Error.
-func (c *Client) Send(ctx context.Context, upstream, address string, r *Request) (*Response, error) {
-	return c.SendWatched(ctx, upstream, address, r, &Progress{})
+// Target is the upstream that a request is sent to.
+type Target struct {
+	// Upstream is its id, and Run its present run: a connection to an earlier run
+	// is not used, as nothing is there that could respond.
+	Upstream string
+	Run      upstream.Run
+	// Address is where it listens, as "host:port".
+	Address string
+}
+
+// Send sends a request once to an upstream, and waits until the context ends for
+// the header of its response. Its error is a *verdict.Error.
+func (c *Client) Send(ctx context.Context, to Target, r *Request) (*Response, error) {
+	return c.SendWatched(ctx, to, r, &Progress{})
 }
 
 // SendWatched is Send, which p follows.
-func (c *Client) SendWatched(ctx context.Context, upstream, address string, r *Request, p *Progress) (*Response, error) {
-	nc, err := c.pool.get(ctx, upstream, address)
+func (c *Client) SendWatched(ctx context.Context, to Target, r *Request, p *Progress) (*Response, error) {
+	nc, err := c.pool.get(ctx, to)
 	if err != nil {
-		return nil, connectError(ctx, upstream, err)
+		return nil, connectError(ctx, to.Upstream, err)
 	}
 	left := timeLeft(ctx)
 	if left <= 0 {
-		c.pool.giveBack(upstream, nc)
-		return nil, verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no time left to send").WithUpstream(upstream)
+		c.pool.giveBack(to.Run, nc)
+		return nil, verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no time left to send").WithUpstream(to.Upstream)
 	}
-	x := &roundTrip{client: c, conn: nc, upstream: upstream, request: r}
+	x := &roundTrip{client: c, conn: nc, to: to, request: r}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
-	x.silence = watchSilence(c.pool, upstream, nc)
+	x.silence = watchSilence(c.pool, to.Run, nc)
 	p.silence.Store(x.silence)
 	defer x.silence.stop()
 	n, err := nc.Write(x.encode(left))
--- a/internal/gateway/exchange/exchange_test.go
+++ b/internal/gateway/exchange/exchange_test.go
@@ -16,6 +16,7 @@
 
 	"cairndock/internal/gateway/dial"
 	"cairndock/internal/gateway/exchange"
+	registry "cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
 )
 
@@ -92,7 +93,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 	defer cancel()
-	a, err := c.Send(ctx, "i", u.address, &exchange.Request{
+	a, err := c.Send(ctx, target(u.address), &exchange.Request{
 		ID: id, Method: http.MethodGet, Target: "/x?q=1", Host: "a.example", Header: http.Header{"Id": {id}},
 	})
 	if err != nil {
@@ -262,7 +263,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := client().Send(ctx, "i", u.address, &exchange.Request{ID: "r", Method: "GET", Target: "/", Host: "a", Header: http.Header{}})
+	_, err := client().Send(ctx, target(u.address), &exchange.Request{ID: "r", Method: "GET", Target: "/", Host: "a", Header: http.Header{}})
 	require.Equal(t, verdict.CallerLeft, verdict.From(err).Reason)
 	select {
 	case <-closed:
@@ -280,6 +281,32 @@
 	_, _, err := send(t, c, u, "r")
 	require.NoError(t, err)
 	require.Equal(t, 1, c.Idle())
-	c.Retain(func(string) bool { return false })
+	c.Retain(func(registry.Run) bool { return false })
 	require.Zero(t, c.Idle())
 }
+
+// target is the upstream "i" at an address.
+func target(address string) exchange.Target {
+	return exchange.Target{Upstream: "i", Run: "i", Address: address}
+}
+
+// A process that started again at its address behind a silent cut never saw the
+// connections of the one before it: a request on one of them is lost.
+func TestConnectionsToAnEarlierRunAreNotUsed(t *testing.T) {
+	u := start(t, func(c net.Conn, r *http.Request, _ int) bool {
+		write(c, ok(r.Header.Get("Id"), "body"))
+		return true
+	})
+	c := client()
+	for i, run := range []registry.Run{"i@10", "i@10", "i@20"} {
+		id := fmt.Sprint(i)
+		a, err := c.Send(t.Context(), exchange.Target{Upstream: "i", Run: run, Address: u.address}, &exchange.Request{ID: id, Method: "GET", Target: "/", Host: "a", Header: http.Header{"Id": {id}}})
+		require.NoError(t, err)
+		_, err = io.Copy(io.Discard, a.Body)
+		require.NoError(t, err)
+		require.NoError(t, a.Body.Close())
+	}
+	require.EqualValues(t, 2, u.conns.Load(), "one for each run")
+	c.Retain(func(run registry.Run) bool { return run == "i@20" })
+	require.Equal(t, 1, c.Idle())
+}
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"cairndock/internal/gateway/upstream"
 )
 
 const (
@@ -26,27 +28,27 @@
 // Dial connects to an address.
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
-// pool keeps idle connections by the upstream that they lead to. Addresses pass
-// from one upstream to another, ids do not. Errors of closing a connection are
-// dropped: no request is in flight on it.
+// pool keeps idle connections by the run of an upstream that they lead to, as
+// addresses pass from one upstream to another and ids from one run to the next.
+// Errors of closing a connection are dropped: no request is in flight on it.
 type pool struct {
 	dial Dial
 	// onSilent is told how many connections closeIdleSince closed.
 	onSilent func(connections int)
 
 	mu   sync.Mutex
-	idle map[string][]*conn
+	idle map[upstream.Run][]*conn
 }
 
 // get takes a usable idle connection or dials a new one.
-func (p *pool) get(ctx context.Context, upstream, address string) (*conn, error) {
-	for c := p.pop(upstream); c != nil; c = p.pop(upstream) {
+func (p *pool) get(ctx context.Context, to Target) (*conn, error) {
+	for c := p.pop(to.Run); c != nil; c = p.pop(to.Run) {
 		if c.idleError() == nil {
 			return c, nil
 		}
 		_ = c.Close()
 	}
-	nc, err := p.dial(ctx, "tcp", address)
+	nc, err := p.dial(ctx, "tcp", to.Address)
 	if err != nil {
 		return nil, err
 	}
@@ -54,64 +56,64 @@
 }
 
 // pop takes the connection that became idle last, or nil.
-func (p *pool) pop(upstream string) *conn {
+func (p *pool) pop(run upstream.Run) *conn {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	list := p.idle[upstream]
+	list := p.idle[run]
 	for len(list) > 0 {
 		c := list[len(list)-1]
 		list = list[:len(list)-1]
-		p.idle[upstream] = list
+		p.idle[run] = list
 		if now.Before(c.idleUntil) {
 			return c
 		}
 		_ = c.Close()
 	}
-	delete(p.idle, upstream)
+	delete(p.idle, run)
 	return nil
 }
 
 // put keeps a connection whose last response was read whole at a time. It stays
 // for idleTimeout from then on, or for maxIdleTime when that is zero or longer:
 // the upstream counts from its last byte, however late the response is closed.
-func (p *pool) put(upstream string, c *conn, since time.Time, idleTimeout time.Duration) {
+func (p *pool) put(run upstream.Run, c *conn, since time.Time, idleTimeout time.Duration) {
 	if idleTimeout <= 0 || idleTimeout > maxIdleTime {
 		idleTimeout = maxIdleTime
 	}
 	c.idleSince = since
 	c.idleUntil = since.Add(idleTimeout)
-	p.add(upstream, c)
+	p.add(run, c)
 }
 
 // giveBack keeps a connection that get gave and that was not used. That it was
 // taken proves nothing about it, so it stays no longer than it would have.
-func (p *pool) giveBack(upstream string, c *conn) {
+func (p *pool) giveBack(run upstream.Run, c *conn) {
 	if c.idleSince.IsZero() {
-		p.put(upstream, c, time.Now(), 0)
+		p.put(run, c, time.Now(), 0)
 		return
 	}
-	p.add(upstream, c)
+	p.add(run, c)
 }
 
 // add adds an idle connection unless there are maxIdle.
-func (p *pool) add(upstream string, c *conn) {
+func (p *pool) add(run upstream.Run, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.idle[upstream]) >= maxIdle {
+	if len(p.idle[run]) >= maxIdle {
 		_ = c.Close()
 		return
 	}
-	p.idle[upstream] = append(p.idle[upstream], c)
+	p.idle[run] = append(p.idle[run], c)
 }
 
 // closeIdleSince closes the connections to an upstream that became idle before a
 // time and are idle still.
-func (p *pool) closeIdleSince(upstream string, before time.Time) {
+func (p *pool) closeIdleSince(run upstream.Run, before time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	closed := 0
-	p.idle[upstream] = slices.DeleteFunc(p.idle[upstream], func(c *conn) bool {
+	p.idle[run] = slices.DeleteFunc(p.idle[run], func(c *conn) bool {
 		if !c.idleSince.Before(before) {
 			return false
 		}
@@ -119,28 +121,28 @@
 		closed++
 		return true
 	})
-	if len(p.idle[upstream]) == 0 {
-		delete(p.idle, upstream)
+	if len(p.idle[run]) == 0 {
+		delete(p.idle, run)
 	}
 	p.onSilent(closed)
 }
 
-// retain closes the idle connections to upstreams that keep rejects, and those
+// retain closes the idle connections to the runs that keep rejects, and those
 // that were idle too long.
-func (p *pool) retain(keep func(upstream string) bool) {
+func (p *pool) retain(keep func(upstream.Run) bool) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for upstream, list := range p.idle {
-		p.idle[upstream] = slices.DeleteFunc(list, func(c *conn) bool {
-			if keep(upstream) && now.Before(c.idleUntil) {
+	for run, list := range p.idle {
+		p.idle[run] = slices.DeleteFunc(list, func(c *conn) bool {
+			if keep(run) && now.Before(c.idleUntil) {
 				return false
 			}
 			_ = c.Close()
 			return true
 		})
-		if len(p.idle[upstream]) == 0 {
-			delete(p.idle, upstream)
+		if len(p.idle[run]) == 0 {
+			delete(p.idle, run)
 		}
 	}
 }
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -25,9 +25,9 @@
 type roundTrip struct {
 	client *Client
 	conn   *conn
-	// upstream is the id of the upstream at the connection's other end.
-	upstream string
-	request  *Request
+	// to is the upstream at the connection's other end.
+	to      Target
+	request *Request
 	// stop ends the watch on the context; it reports false when the context
 	// has ended and interrupt was started.
 	stop func() bool
@@ -49,7 +49,7 @@
 func (x *roundTrip) encode(left time.Duration) []byte {
 	r := x.request
 	h := r.Header.Clone()
-	x.client.protocol.SetHeaders(h, x.upstream, left)
+	x.client.protocol.SetHeaders(h, x.to.Upstream, left)
 	var b bytes.Buffer
 	b.Grow(headerRoom + len(r.Body))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
@@ -110,7 +110,7 @@
 	x.stop()
 	_ = x.conn.Close() // err says what went wrong first
 	x.silence.ended(err)
-	return responseError(ctx, x.upstream, err, sent)
+	return responseError(ctx, x.to.Upstream, err, sent)
 }
 
 // body is a response's body that returns its connection to the pool.
@@ -148,6 +148,6 @@
 	if b.wholeAt.IsZero() || !b.reusable || interrupted || x.conn.reader.Buffered() > 0 {
 		return x.conn.Close()
 	}
-	x.client.pool.put(x.upstream, x.conn, b.wholeAt, b.idleTimeout)
+	x.client.pool.put(x.to.Run, x.conn, b.wholeAt, b.idleTimeout)
 	return nil
 }
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"cairndock/internal/gateway/upstream"
 )
 
 const (
@@ -28,9 +30,9 @@
 // request dials. It proves nothing about the request or the upstream: both are
 // judged by the request's own end.
 type silenceWatch struct {
-	pool     *pool
-	upstream string
-	conn     *conn
+	pool *pool
+	run  upstream.Run
+	conn *conn
 	// began is when the request was sent, and received what had been read from
 	// the connection then.
 	began    time.Time
@@ -41,8 +43,8 @@
 
 // watchSilence watches a connection to which a request is about to be written.
 // On a new one silence tells nothing about older ones.
-func watchSilence(p *pool, upstream string, c *conn) *silenceWatch {
-	w := &silenceWatch{pool: p, upstream: upstream, conn: c, began: time.Now(), received: c.received.Load()}
+func watchSilence(p *pool, run upstream.Run, c *conn) *silenceWatch {
+	w := &silenceWatch{pool: p, run: run, conn: c, began: time.Now(), received: c.received.Load()}
 	if !c.idleSince.IsZero() {
 		w.timer = time.AfterFunc(maxSilence, w.check)
 	}
@@ -79,7 +81,7 @@
 // is harmless: the count of bytes never goes back.
 func (w *silenceWatch) check() {
 	if w.isSilent() {
-		w.pool.closeIdleSince(w.upstream, w.began)
+		w.pool.closeIdleSince(w.run, w.began)
 	}
 }
 
--- a/internal/gateway/exchange/silence_test.go
+++ b/internal/gateway/exchange/silence_test.go
@@ -18,6 +18,7 @@
 
 	"cairndock/internal/gateway/dial/dialtest"
 	"cairndock/internal/gateway/exchange"
+	registry "cairndock/internal/gateway/upstream"
 )
 
 // idleConns is how many idle connections the pool keeps to one upstream.
@@ -38,7 +39,7 @@
 	n := dialtest.New()
 	t.Cleanup(func() { require.NoError(t, n.Close()) })
 	u := &memoryUpstream{Network: n, client: exchange.NewClient(n.DialContext, protocol{})}
-	t.Cleanup(func() { u.client.Retain(func(string) bool { return false }) })
+	t.Cleanup(func() { u.client.Retain(func(registry.Run) bool { return false }) })
 	go func() {
 		for {
 			c, err := n.Accept()
@@ -70,7 +71,7 @@
 // begin sends a request and gives the beginning of its response.
 func (u *memoryUpstream) begin(ctx context.Context) (*exchange.Response, error) {
 	id := fmt.Sprint("r", u.nextID.Add(1))
-	return u.client.Send(ctx, "i", "", &exchange.Request{ID: id, Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {id}}})
+	return u.client.Send(ctx, target(""), &exchange.Request{ID: id, Method: http.MethodGet, Target: "/", Host: "a", Header: http.Header{"Id": {id}}})
 }
 
 // send sends a request that is given up after a time, and reads its response.
--- /dev/null
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -0,0 +1,46 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/watch"
+	"cairndock/internal/peer"
+)
+
+// FuzzPeerMessages holds that whatever a peer sends is decoded or refused; the
+// corpora run as plain tests.
+func FuzzPeerMessages(f *testing.F) {
+	for _, message := range []any{
+		heartbeat{Host: Host{Name: "h", Zone: "z", Region: "r", Incarnation: "1"}, Status: Status{Ready: true, Changes: []int64{1, -2},
+			Observations: []outlier.Observation{{Upstream: "i@1", Failures: 3}}}},
+		relayRequest{Table: -1, Full: true, After: -1, Wait: -time.Second},
+		relayResponse{Page: watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("x"), Compressed: true}}, Version: -1}},
+	} {
+		text, err := msgpack.Marshal(message)
+		require.NoError(f, err)
+		f.Add(text)
+		f.Add(text[:len(text)/2])
+	}
+	f.Add([]byte{})
+	f.Fuzz(func(t *testing.T, payload []byte) {
+		if b, err := peer.Decode[heartbeat](payload); err == nil {
+			m := newMembers(Host{Name: "self", Zone: "z", Region: "r"}, []string{"r"}, time.Now())
+			m.recordHeartbeat(b.Host, b.Status, time.Now())
+			require.LessOrEqual(t, m.size(), 2)
+		}
+		if r, err := peer.Decode[relayRequest](payload); err == nil {
+			ctx := t.Context()
+			_, _ = relayRequest{Table: r.Table, After: r.After, Full: r.Full}.read(ctx, watch.NewReplica())
+		}
+		if r, err := peer.Decode[relayResponse](payload); err == nil {
+			for _, row := range r.Page.Rows {
+				_, _ = row.Bytes()
+			}
+		}
+	})
+}
--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -147,7 +147,7 @@
 		return
 	}
 	h, now := a.pass.host, a.pass.host.model.clock.now
-	h.balancer.ObserveLoad(a.choice.Upstream.ID, r.running, r.waiting, now)
+	h.balancer.ObserveLoad(a.choice.Upstream, r.running, r.waiting, now)
 	if !r.executed {
 		a.end(a.refusal(r))
 		return
@@ -156,7 +156,7 @@
 	if a.late {
 		h.detector.RecordLatency(service, now.Sub(a.began))
 	} else {
-		h.detector.RecordSuccess(service, a.choice.Upstream.ID, now.Sub(a.began), now)
+		h.detector.RecordSuccess(service, a.choice.Upstream.Run(), now.Sub(a.began), now)
 	}
 	a.release(outlier.Succeeded)
 	a.pass.finish()
@@ -180,7 +180,7 @@
 	outcome := outlier.Rejected
 	if reason == verdict.Unreachable {
 		outcome = outlier.Unreachable
-		h.detector.RecordFailure(a.choice.Upstream.ID, h.model.clock.now)
+		h.detector.RecordFailure(a.choice.Upstream.Run(), h.model.clock.now)
 	}
 	a.release(outcome)
 	if p.ended || p.anyOnTime() {
@@ -243,7 +243,7 @@
 	}
 	a.late = true
 	h, now := p.host, p.host.model.clock.now
-	h.detector.RecordFailure(a.choice.Upstream.ID, now)
+	h.detector.RecordFailure(a.choice.Upstream.Run(), now)
 	after := a.overdue.at.Sub(a.began)
 	if !h.variant.Hedge || !p.state().MayHedge(p.timeout.at.Sub(now), after) {
 		return
@@ -290,7 +290,7 @@
 		}
 	}
 	p.host.balancer.Done(a.choice)
-	p.host.detector.RecordOutcome(a.choice.Upstream.ID, o, p.host.model.clock.now)
+	p.host.detector.RecordOutcome(a.choice.Upstream.Run(), o, p.host.model.clock.now)
 }
 
 // refuse answers that the call did not run.
--- a/internal/gateway/outlier/detector.go
+++ b/internal/gateway/outlier/detector.go
@@ -4,6 +4,8 @@
 	"maps"
 	"sync"
 	"time"
+
+	"cairndock/internal/gateway/upstream"
 )
 
 // maxObservations bounds the upstreams in one list of observations, and so the
@@ -26,10 +28,10 @@
 
 	mu        sync.Mutex
 	baselines map[string]*latencyBaseline // by service
-	upstreams map[string]*state           // by id
+	upstreams map[upstream.Run]*state     // by run
 }
 
-// state is what is known of one upstream.
+// state is what is known of one run of an upstream.
 type state struct {
 	evidence    evidence
 	consecutive consecutive
@@ -37,7 +39,7 @@
 
 // New makes a detector that knows nothing yet.
 func New(reporter Reporter) *Detector {
-	return &Detector{reporter: reporter, baselines: map[string]*latencyBaseline{}, upstreams: map[string]*state{}}
+	return &Detector{reporter: reporter, baselines: map[string]*latencyBaseline{}, upstreams: map[upstream.Run]*state{}}
 }
 
 // OverdueAfter returns how long a service's response may take before it is
@@ -50,11 +52,11 @@
 }
 
 // RecordSuccess records a response that came in time.
-func (d *Detector) RecordSuccess(service, upstream string, took time.Duration, now time.Time) {
+func (d *Detector) RecordSuccess(service string, run upstream.Run, took time.Duration, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.baseline(service).add(took)
-	d.state(upstream).evidence.own.add(now, 0, 1)
+	d.state(run).evidence.own.add(now, 0, 1)
 }
 
 // RecordLatency records how long an overdue response took, which was a failure
@@ -67,11 +69,11 @@
 
 // RecordFailure records a failure of the upstream, or that its response is
 // overdue.
-func (d *Detector) RecordFailure(upstream string, now time.Time) {
+func (d *Detector) RecordFailure(run upstream.Run, now time.Time) {
 	d.mu.Lock()
-	e := &d.state(upstream).evidence
+	e := &d.state(run).evidence
 	e.own.add(now, 1, 0)
-	ejection, ejected := e.evaluate(upstream, now)
+	ejection, ejected := e.evaluate(run, now)
 	d.mu.Unlock()
 	d.reporter.FailureSeen()
 	if ejected {
@@ -81,10 +83,10 @@
 
 // RecordOutcome records how a request ended, for this host's count of
 // consecutive failures.
-func (d *Detector) RecordOutcome(upstream string, o Outcome, now time.Time) {
+func (d *Detector) RecordOutcome(run upstream.Run, o Outcome, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.state(upstream).consecutive.record(o, now)
+	d.state(run).consecutive.record(o, now)
 }
 
 // Merge adds what another host observed; it replaces that host's earlier
@@ -112,12 +114,12 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var observations []Observation
-	for id, r := range d.upstreams {
+	for run, r := range d.upstreams {
 		failures, successes := r.evidence.own.count(now)
 		if failures == 0 && (successes == 0 || !r.evidence.failingAtPeer(now)) {
 			continue
 		}
-		observations = append(observations, Observation{Upstream: id, Failures: failures, Successes: successes})
+		observations = append(observations, Observation{Upstream: run, Failures: failures, Successes: successes})
 		if len(observations) == maxObservations {
 			break
 		}
@@ -126,25 +128,25 @@
 }
 
 // Ejected reports whether an upstream is ejected, by either count.
-func (d *Detector) Ejected(upstream string, now time.Time) bool {
+func (d *Detector) Ejected(run upstream.Run, now time.Time) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	r := d.upstreams[upstream]
+	r := d.upstreams[run]
 	return r != nil && (now.Before(r.evidence.ejectedUntil) || now.Before(r.consecutive.ejectedUntil))
 }
 
-// Retain drops the records of the upstreams that keep rejects.
-func (d *Detector) Retain(keep func(id string) bool) {
+// Retain drops the records of the runs that keep rejects.
+func (d *Detector) Retain(keep func(upstream.Run) bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	maps.DeleteFunc(d.upstreams, func(id string, _ *state) bool { return !keep(id) })
+	maps.DeleteFunc(d.upstreams, func(run upstream.Run, _ *state) bool { return !keep(run) })
 }
 
-func (d *Detector) state(upstream string) *state {
-	r := d.upstreams[upstream]
+func (d *Detector) state(run upstream.Run) *state {
+	r := d.upstreams[run]
 	if r == nil {
 		r = &state{}
-		d.upstreams[upstream] = r
+		d.upstreams[run] = r
 	}
 	return r
 }
--- a/internal/gateway/outlier/detector_test.go
+++ b/internal/gateway/outlier/detector_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/upstream"
 )
 
 // recorder records what a detector reports.
@@ -23,9 +24,9 @@
 	return outlier.New(r), r
 }
 
-func fail(d *outlier.Detector, upstream string, times int, at time.Time) {
+func fail(d *outlier.Detector, run upstream.Run, times int, at time.Time) {
 	for range times {
-		d.RecordFailure(upstream, at)
+		d.RecordFailure(run, at)
 	}
 }
 
@@ -130,7 +131,7 @@
 	now := time.Now()
 	d, _ := newDetector()
 	fail(d, "i", 3, now)
-	d.Retain(func(string) bool { return false })
+	d.Retain(func(upstream.Run) bool { return false })
 	require.False(t, d.Ejected("i", now))
 }
 
@@ -146,3 +147,15 @@
 	d.RecordOutcome("i", outlier.Succeeded, now)
 	require.False(t, d.Ejected("i", now))
 }
+
+// A crash that many hosts saw, and whose reports came late, ejected the process
+// that had started again in the meantime.
+func TestWhatARunDidDoesNotEjectTheNext(t *testing.T) {
+	now := time.Now()
+	d, _ := newDetector()
+	fail(d, "i@10", 3, now)
+	d.RecordOutcome("i@10", outlier.Unreachable, now)
+	d.Merge("a", []outlier.Observation{{Upstream: "i@10", Failures: 9}}, now)
+	require.True(t, d.Ejected("i@10", now))
+	require.False(t, d.Ejected("i@20", now))
+}
--- a/internal/gateway/outlier/evidence.go
+++ b/internal/gateway/outlier/evidence.go
@@ -1,6 +1,10 @@
 package outlier
 
-import "time"
+import (
+	"time"
+
+	"cairndock/internal/gateway/upstream"
+)
 
 // The figures below were measured together, as one rule: of renkoda-mix-grown
 // scale-1, where 46 of 387 upstreams hang and 69 are slow, 0.035 of the
@@ -28,14 +32,16 @@
 
 // Observation is what one host saw of an upstream in the last window.
 type Observation struct {
-	Upstream  string `msgpack:"u"`
-	Failures  int    `msgpack:"b"`
-	Successes int    `msgpack:"g,omitempty"`
+	// Upstream is the run that was seen: an observation that arrives after a
+	// restart says nothing of the next one.
+	Upstream  upstream.Run `msgpack:"u"`
+	Failures  int          `msgpack:"b"`
+	Successes int          `msgpack:"g,omitempty"`
 }
 
 // Ejection is the evidence for which an upstream is ejected.
 type Ejection struct {
-	Upstream  string
+	Upstream  upstream.Run
 	Failures  int
 	Successes int
 	// Hosts is how many hosts saw failures.
@@ -84,7 +90,7 @@
 
 // evaluate adds up the evidence of all hosts, and ejects the upstream if it
 // suffices and it is not ejected already.
-func (e *evidence) evaluate(upstream string, now time.Time) (Ejection, bool) {
+func (e *evidence) evaluate(run upstream.Run, now time.Time) (Ejection, bool) {
 	if now.Before(e.ejectedUntil) {
 		return Ejection{}, false
 	}
@@ -93,7 +99,7 @@
 		return Ejection{}, false
 	}
 	e.eject(now)
-	total.Upstream, total.For = upstream, e.lastEjection
+	total.Upstream, total.For = run, e.lastEjection
 	return total, true
 }
 
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -85,11 +85,11 @@
 func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
 	u := a.choice.Upstream
 	a.progress.OnSent = a.noteSent
-	resp, err := a.inflight.proxy.Client.SendWatched(ctx, u.ID, u.Address, r, &a.progress)
+	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
 	if err == nil {
 		err = a.inflight.accept(u, resp)
 	}
-	a.inflight.recordHealth(u.ID, a.settle(), resp, err, a.began)
+	a.inflight.recordHealth(u.Run(), a.settle(), resp, err, a.began)
 	if err != nil && isSuperseded(ctx) {
 		return nil, superseded(u.ID, verdict.From(err).Verdict)
 	}
@@ -108,7 +108,7 @@
 // returns the attempt's error.
 func (f *inflight) accept(u *upstream.Upstream, resp *exchange.Response) error {
 	if l := resp.Info.Load; l.Known {
-		f.proxy.Balancer.ObserveLoad(u.ID, l.Running, l.Waiting, time.Now())
+		f.proxy.Balancer.ObserveLoad(u, l.Running, l.Waiting, time.Now())
 	}
 	e := classify(resp.Status, resp.Info, u.Capacity)
 	if e == nil {
@@ -126,14 +126,14 @@
 // buffer reads the beginning of a response. One that breaks off there is a
 // failed attempt; any other is released by forward or discard.
 func (a *attempt) buffer(ctx context.Context, resp *exchange.Response) (*response, error) {
-	f, id := a.inflight, a.choice.Upstream.ID
+	f, u := a.inflight, a.choice.Upstream
 	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
 	if err != nil {
 		_ = resp.Body.Close() // the attempt has failed already
-		e := truncated(ctx, id, err)
+		e := truncated(ctx, u.ID, err)
 		f.proxy.release(a.choice, outcomeOfTruncated(e.Reason))
 		if isUpstreamFault(e.Reason) {
-			f.proxy.Detector.RecordFailure(id, time.Now())
+			f.proxy.Detector.RecordFailure(u.Run(), time.Now())
 		}
 		f.logAttempt(a, resp.Status, e)
 		return nil, e
@@ -156,5 +156,5 @@
 // upstream, and records how it ended.
 func (p *Proxy) release(c balance.Choice, o outlier.Outcome) {
 	p.Balancer.Done(c)
-	p.Detector.RecordOutcome(c.Upstream.ID, o, time.Now())
+	p.Detector.RecordOutcome(c.Upstream.Run(), o, time.Now())
 }
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -10,6 +10,7 @@
 
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
 )
 
@@ -126,7 +127,7 @@
 // time. An overdue attempt was recorded as a failure when its timer fired; the
 // time that it took still counts in the service's latency, so that the baseline
 // follows a service that has become slow as a whole.
-func (f *inflight) recordHealth(upstream string, inTime bool, resp *exchange.Response, err error, began time.Time) {
+func (f *inflight) recordHealth(run upstream.Run, inTime bool, resp *exchange.Response, err error, began time.Time) {
 	now := time.Now()
 	took := now.Sub(began)
 	detector := f.proxy.Detector
@@ -134,8 +135,8 @@
 	case !inTime:
 		detector.RecordLatency(f.service, took)
 	case err == nil && resp.Status < http.StatusInternalServerError:
-		detector.RecordSuccess(f.service, upstream, took, now)
+		detector.RecordSuccess(f.service, run, took, now)
 	case err == nil, isUpstreamFault(verdict.From(err).Reason):
-		detector.RecordFailure(upstream, now)
+		detector.RecordFailure(run, now)
 	}
 }
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -117,7 +117,7 @@
 	// when all of them do, three hosts would eject an upstream that works. The
 	// next request there has a new one, and counts.
 	if !a.progress.SilentOnReused() {
-		f.proxy.Detector.RecordFailure(a.choice.Upstream.ID, now)
+		f.proxy.Detector.RecordFailure(a.choice.Upstream.Run(), now)
 	}
 	if f.ended(s.ctx) || !f.retryState().MayHedge(f.deadline().Sub(now), a.overdueAfter) {
 		return
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -150,17 +150,13 @@
 // not measured.
 const cleanUpEvery = 2 * time.Second
 
-// CleanUp drops the load, health and connections of upstreams that are not
-// registered any more, until the context ends.
+// CleanUp drops the load, health and connections of runs of upstreams
+// that are not registered any more, until the context ends.
 func (p *Proxy) CleanUp(ctx context.Context) {
 	for pause.For(ctx, cleanUpEvery) {
 		upstreams := p.State.Upstreams()
-		known := func(id string) bool {
-			_, ok := upstreams.Get(id)
-			return ok
-		}
-		p.Balancer.Retain(known, time.Now())
-		p.Detector.Retain(known)
-		p.Client.Retain(known)
+		p.Balancer.Retain(upstreams.Runs, time.Now())
+		p.Detector.Retain(upstreams.Runs)
+		p.Client.Retain(upstreams.Runs)
 	}
 }
--- a/internal/gateway/routing/routing_test.go
+++ b/internal/gateway/routing/routing_test.go
@@ -113,7 +113,7 @@
 	}
 }
 
-func TestARowThatCannotBeDecodedKeepsTheLastGoodOne(t *testing.T) {
+func TestAnOperatorsRowThatCannotBeDecodedKeepsTheLastGoodOne(t *testing.T) {
 	h := newHost()
 	h.operator(row("config", "config 1"), row("away", "evacuate y"))
 	h.upstreams(watch.Update{Full: true, Rows: []watch.Row{row("i-1", "upstream z"), row("i-2", "upstream y")}})
@@ -121,9 +121,25 @@
 		require.EqualValues(t, 1, h.state.Config().Version)
 		require.Equal(t, []string{"i-1"}, h.serving())
 		h.operator(row("config", "?"), row("away", "?"))
-		h.upstreams(watch.Update{Rows: []watch.Row{row("i-1", "?")}})
 	}
-	require.Equal(t, 2*3, strings.Count(h.logged(), `"event":"bad-row"`))
+	require.Equal(t, 2*2, strings.Count(h.logged(), `"event":"bad-row"`))
+}
+
+// Another writer put a row that names no upstream over one that was served, and
+// one where none stood. The upstream went on getting requests, though nothing in
+// the table named it any more.
+func TestAnUpstreamWhoseRowCannotBeDecodedIsNotUsedUntilItCan(t *testing.T) {
+	h := newHost()
+	h.operator(row("config", "config 1"))
+	h.upstreams(watch.Update{Full: true, Rows: []watch.Row{row("i-1", "upstream z"), row("i-2", "upstream z")}})
+	require.Equal(t, []string{"i-1", "i-2"}, h.serving())
+	h.upstreams(watch.Update{Rows: []watch.Row{row("i-0", "?"), row("i-1", "?"), row("i-3", "upstream z")}})
+	require.Equal(t, []string{"i-2", "i-3"}, h.serving(), "the other rows of the update hold")
+	h.upstreams(watch.Update{Rows: []watch.Row{row("i-1", "upstream z")}})
+	require.Equal(t, []string{"i-1", "i-2", "i-3"}, h.serving())
+	u, _ := h.state.Upstreams().Get("i-1")
+	require.False(t, u.Cold(time.Now()), "it has not restarted")
+	require.Equal(t, 2, strings.Count(h.logged(), `"event":"bad-row"`))
 }
 
 func TestAConfigurationIsOnlyReplacedByANewerOne(t *testing.T) {
--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -20,6 +20,10 @@
 	stateLapsed = "entry lapsed"
 	// stateExpired lapsed and did not come back in time.
 	stateExpired = "gone, entry did not come back"
+	// stateDiscarded has an entry that can't be read.
+	stateDiscarded = "entry can't be read"
+	// stateLate is an entry that an earlier run of the upstream wrote late.
+	stateLate = "late entry of an earlier run, ignored"
 )
 
 // UpstreamSink applies changes of the upstreams' table.
@@ -54,23 +58,28 @@
 	}
 }
 
-// putUpstream adds or changes the upstream of a row; s.mu is held. One whose
-// row can't be decoded stays as it is. Those of the first reading are not
-// logged, as nothing changed.
+// putUpstream adds or changes the upstream of a row; s.mu is held. A row that
+// can't be decoded names no upstream to use: whoever wrote it, the one that stood
+// there gets no new work until its row can be read again. Those of the first
+// reading are not logged, as nothing changed.
 func (s *State) putUpstream(row watch.Row, now time.Time) {
 	registration, ok := decode(s, UpstreamTable, row, s.decoder.Upstream)
 	if !ok {
-		return
-	}
-	s.registry.Put(registration, now)
-	if !s.synced.Load() {
+		if s.registry.Discard(row.Key, now) {
+			s.log.Upstream(row.Key, upstream.Registration{}, stateDiscarded, row.Version)
+		}
 		return
 	}
 	state := stateReady
 	if registration.Draining {
 		state = stateDraining
 	}
-	s.log.Upstream(row.Key, registration, state, row.Version)
+	if !s.registry.Put(registration, now) {
+		state = stateLate
+	}
+	if s.synced.Load() {
+		s.log.Upstream(row.Key, registration, state, row.Version)
+	}
 }
 
 // removeUpstream removes the upstream of a deleted row; s.mu is held. It
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,11 @@
 	// whose entry comes back within that time has not restarted. Chosen, not
 	// measured.
 	rememberFor = time.Minute
+	// maxPastRuns is how many earlier runs of an upstream are remembered, so that
+	// an entry which one of them wrote late is not taken for a restart. Chosen, not
+	// measured: an entry is late by seconds, and a process that starts again more
+	// often than four times in that time serves nothing anyway.
+	maxPastRuns = 4
 )
 
 // Registry derives the set of upstreams from their entries in the store. It is
@@ -35,8 +41,29 @@
 
 // tombstone is what is remembered of a removed upstream.
 type tombstone struct {
-	at        time.Time
+	at time.Time
+	lastRun
+}
+
+// lastRun is what is known of an upstream's last run.
+type lastRun struct {
+	run       Run
 	coldUntil time.Time
+	// past are the runs before it.
+	past pastRuns
+}
+
+// pastRuns are the last runs of an upstream before the one that is known, the
+// latest first.
+type pastRuns [maxPastRuns]Run
+
+func (p pastRuns) contains(r Run) bool { return slices.Contains(p[:], r) }
+
+// with returns the runs with one more before the others.
+func (p pastRuns) with(r Run) pastRuns {
+	copy(p[1:], p[:])
+	p[0] = r
+	return p
 }
 
 // NewRegistry makes an empty registry. warmUp returns how long an upstream of a
@@ -51,22 +78,39 @@
 // appears from now on has just started.
 func (r *Registry) MarkSynced() { r.synced = true }
 
-// Put adds or updates an upstream.
-func (r *Registry) Put(in Registration, now time.Time) {
-	r.upstreams[in.ID] = &Upstream{Registration: in, ColdUntil: r.coldUntil(in, now)}
+// Put adds or updates an upstream. An entry that an earlier run of its process
+// wrote late changes nothing; Put then returns false.
+func (r *Registry) Put(in Registration, now time.Time) bool {
+	run, last := in.Run(), r.lastRun(in.ID)
+	if last.past.contains(run) {
+		return false
+	}
+	past := last.past
+	if last.run != "" && last.run != run {
+		past = past.with(last.run)
+	}
+	r.upstreams[in.ID] = &Upstream{Registration: in, run: run, past: past, ColdUntil: r.coldUntil(in, last, now)}
 	delete(r.removed, in.ID)
+	return true
 }
 
-// coldUntil decides until when an upstream that registered is cold. One that
+// lastRun returns what is known of an upstream's last run, which may have been
+// removed lately; the zero value if there is none.
+func (r *Registry) lastRun(id string) lastRun {
+	if u := r.upstreams[id]; u != nil {
+		return u.lastRun()
+	}
+	return r.removed[id].lastRun
+}
+
+// coldUntil decides until when an upstream that registered is cold. A run that
 // is known, or was until lately, stays as cold as it was. One that is new while
 // the host runs has just started, and is cold for its service's warm-up. Each
 // is cold for as long as it reports itself, if that is longer.
-func (r *Registry) coldUntil(in Registration, now time.Time) time.Time {
+func (r *Registry) coldUntil(in Registration, last lastRun, now time.Time) time.Time {
 	var until time.Time
-	if known := r.upstreams[in.ID]; known != nil {
-		until = known.ColdUntil
-	} else if past, ok := r.removed[in.ID]; ok {
-		until = past.coldUntil
+	if last.run == in.Run() {
+		until = last.coldUntil
 	} else if r.synced {
 		until = now.Add(r.warmUp(in.Service))
 	}
@@ -105,7 +149,19 @@
 func (r *Registry) remove(u *Upstream, now time.Time) {
 	delete(r.upstreams, u.ID)
 	maps.DeleteFunc(r.removed, func(_ string, past tombstone) bool { return now.Sub(past.at) >= rememberFor })
-	r.removed[u.ID] = tombstone{at: now, coldUntil: u.ColdUntil}
+	r.removed[u.ID] = tombstone{at: now, lastRun: u.lastRun()}
+}
+
+// Discard removes an upstream whose entry can't be read any more: what stands
+// there names no upstream to use. Once the entry is readable again the upstream
+// is the same one, unless its run is another. It reports whether it was known.
+func (r *Registry) Discard(id string, now time.Time) bool {
+	u := r.upstreams[id]
+	if u == nil {
+		return false
+	}
+	r.remove(u, now)
+	return true
 }
 
 // Expire removes the upstreams whose entries lapsed and did not come back in
--- a/internal/gateway/upstream/registry_test.go
+++ b/internal/gateway/upstream/registry_test.go
@@ -180,3 +180,63 @@
 		})
 	}
 }
+
+func born(id string, at int64) upstream.Registration {
+	in := ready(id, "z")
+	in.Born = at
+	return in
+}
+
+// A process that started again under its id was taken for the one before it, as
+// warm as that one had been, and got more than a cold upstream bears.
+func TestAnUpstreamThatStartsAgainUnderItsIDIsCold(t *testing.T) {
+	for _, c := range []struct {
+		name          string
+		before, after upstream.Registration
+		cold          bool
+	}{
+		{"the same run", born("a", 10), born("a", 10), false},
+		{"a later run", born("a", 10), born("a", 20), true},
+		{"a later run whose clock was set back", born("a", 10), born("a", 5), true},
+		{"runs that do not tell when they started", born("a", 0), born("a", 0), false},
+		{"a run that tells after one that did not", born("a", 0), born("a", 20), true},
+	} {
+		for name, between := range map[string]func(*upstream.Registry, time.Time){
+			"its entry changes":       func(*upstream.Registry, time.Time) {},
+			"its entry goes":          func(r *upstream.Registry, now time.Time) { r.Remove("a", now, time.Time{}) },
+			"its entry lapses":        func(r *upstream.Registry, now time.Time) { r.Remove("a", now, now) },
+			"its entry is unreadable": func(r *upstream.Registry, now time.Time) { r.Discard("a", now) },
+		} {
+			t.Run(c.name+", "+name, func(t *testing.T) {
+				now := time.Now()
+				r := newRegistry()
+				r.Put(c.before, now)
+				r.MarkSynced()
+				between(r, now)
+				require.True(t, r.Put(c.after, now.Add(time.Second)))
+				require.Equal(t, c.cold, coldFor(t, r, "a", now.Add(time.Second)) > 0)
+			})
+		}
+	}
+}
+
+// An entry that the earlier run wrote before it ended took effect seconds later,
+// over that of the next run.
+func TestALateEntryOfAnEarlierRunChangesNothing(t *testing.T) {
+	now := time.Now()
+	r := newRegistry()
+	r.MarkSynced()
+	r.Put(born("a", 10), now)
+	r.Put(born("a", 20), now)
+	late := born("a", 10)
+	late.Draining = true
+	require.False(t, r.Put(late, now))
+	require.Equal(t, []string{"a"}, ids(r.Set()))
+	u, _ := r.Set().Get("a")
+	require.Equal(t, upstream.Run("a@20"), u.Run())
+	r.Remove("a", now, time.Time{})
+	require.False(t, r.Put(late, now), "also after the entry was gone")
+	require.True(t, r.Put(born("a", 20), now))
+	require.True(t, r.Set().Runs("a@20"))
+	require.False(t, r.Set().Runs("a@10"))
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -7,12 +7,21 @@
 // locking and for the time.
 package upstream
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
 
 // Registration is what an upstream registered of itself, for one run of its
-// process. Its ID is never used again.
+// process.
 type Registration struct {
-	ID      string
+	// ID names the upstream. A process that starts again may keep it; Born then
+	// tells its runs apart.
+	ID string
+	// Born is when the process started, by its own clock, in Unix milliseconds;
+	// zero if it does not say. It is compared for equality only: a clock that was
+	// set back makes a later run the one with the lower time.
+	Born    int64
 	Service string
 	// Address is where it listens; it may pass to an upstream of another
 	// service after this one has ended.
@@ -27,10 +36,27 @@
 	ColdLeft time.Duration
 }
 
+// Run names one run of an upstream's process. What a host learned of a run, such
+// as its load, failures and connections, says nothing of the next one, which
+// starts without any of it.
+type Run string
+
+// Run returns the run that registered.
+func (r Registration) Run() Run {
+	if r.Born == 0 {
+		return Run(r.ID)
+	}
+	return Run(r.ID + "@" + strconv.FormatInt(r.Born, 10))
+}
+
 // Upstream is a registered upstream with what the host derived for it. It is
 // not changed after it is made.
 type Upstream struct {
 	Registration
+	// run is Registration.Run, which every choice of an upstream asks for.
+	run Run
+	// past are the runs before it.
+	past pastRuns
 	// ColdUntil is when the upstream counts as warm.
 	ColdUntil time.Time
 	// expiresAt is when an upstream whose entry lapsed counts as gone; zero
@@ -38,5 +64,17 @@
 	expiresAt time.Time
 }
 
+// Run returns the run that registered.
+func (u *Upstream) Run() Run {
+	if u.run != "" {
+		return u.run
+	}
+	return u.Registration.Run()
+}
+
+func (u *Upstream) lastRun() lastRun {
+	return lastRun{run: u.Run(), coldUntil: u.ColdUntil, past: u.past}
+}
+
 // Cold reports whether the upstream is warming up: it bears few requests.
 func (u *Upstream) Cold(now time.Time) bool { return now.Before(u.ColdUntil) }
