Give clients the large hosts while these suffice

Cause: the directory named all hosts of a zone alike, whether they had 0.16 cores or 0.8, and a tenth of the link. Each host got so few requests that it met an upstream too seldom to know its load, and a cold upstream's rate was split over hosts that got none.

Change: hosts tell their capacity (settings resources.cores and .bandwidth_mbps) and the requests a second they get. Clients are given the hosts with at least half of the largest one's capacity while there are two or more and they carry all requests at half of their capacity; else all. Four fifths of a cold upstream's rate are for the large hosts, so that the sum over all hosts stays below it.

Tests play hosts of unequal size, their loss and their load, and hold the sum of parts over 98 hosts.

--- a/internal/gateway/fleet/directory.go
+++ b/internal/gateway/fleet/directory.go
@@ -12,39 +12,86 @@
 //  4. else anywhere,
 //
 // the first of these that has any, this host first and then by name. A client
-// therefore leaves its zone only when no host there can serve it. self is this
-// host's own status. The result is empty when no host is ready.
+// therefore leaves its zone only when no host there can serve it. Of these hosts
+// it names the large ones alone while they suffice (named). self is this host's
+// own status. The result is empty when no host is ready.
 func (m *members) clientAddresses(zone, region string, self Status, allowed []string, now time.Time) []string {
-	x, selfAccepts := m.indexed(), self.acceptsClients()
-	if found := m.acceptingClients(x.byZone[zone], selfAccepts && m.self.Zone == zone, now); len(found) > 0 {
-		return found
+	x := m.indexed()
+	if found := m.acceptingClients(x.byZone[zone], m.self.Zone == zone, self, now); len(found) > 0 {
+		return named(found)
 	}
-	if found := m.acceptingClients(x.byRegion[region], selfAccepts && m.self.Region == region, now); len(found) > 0 {
-		return found
+	if found := m.acceptingClients(x.byRegion[region], m.self.Region == region, self, now); len(found) > 0 {
+		return named(found)
 	}
-	var found []string
+	var found []entryHost
 	for _, r := range allowed {
-		found = append(found, m.acceptingClients(x.byRegion[r], selfAccepts && m.self.Region == r, now)...)
+		found = append(found, m.acceptingClients(x.byRegion[r], m.self.Region == r, self, now)...)
 	}
 	if len(found) > 0 {
-		return found
+		return named(found)
 	}
-	return m.acceptingClients(x.names, selfAccepts, now)
+	return named(m.acceptingClients(x.names, true, self, now))
 }
 
-// acceptingClients returns the client addresses of those of the named peers
-// that are alive and accept clients, preceded by this host's own if withSelf.
-func (m *members) acceptingClients(names []string, withSelf bool, now time.Time) []string {
-	var addresses []string
-	if withSelf {
-		addresses = append(addresses, m.self.ClientAddress)
+// entryHost is a host that accepts clients.
+type entryHost struct {
+	address  string
+	capacity int
+	// rate is the requests a second that clients send to it.
+	rate int
+}
+
+// acceptingClients returns those of the named peers that are alive and accept
+// clients, preceded by this host, whose status is self, if withSelf.
+func (m *members) acceptingClients(names []string, withSelf bool, self Status, now time.Time) []entryHost {
+	var hosts []entryHost
+	if withSelf && self.acceptsClients() {
+		hosts = append(hosts, entryHost{m.self.ClientAddress, m.self.Capacity, self.Rate})
 	}
 	for _, name := range names {
 		if p := m.peers[name]; p.alive(now) && p.status.acceptsClients() {
-			addresses = append(addresses, p.host.ClientAddress)
+			hosts = append(hosts, entryHost{p.host.ClientAddress, p.host.Capacity, p.status.Rate})
+		}
+	}
+	return hosts
+}
+
+const (
+	// minNamed is how many hosts clients are given at the least: with one, all
+	// clients of a zone would wait for its death to be noticed. Chosen, not measured.
+	minNamed = 2
+	// maxUse is the part of their capacity that named hosts may be used to by the
+	// requests of all hosts. Rates are known a second or two late, and clients keep
+	// a response for as long again, so that the load may double before the other
+	// hosts are named. Chosen, not measured.
+	maxUse = 0.5
+)
+
+// named returns the addresses of the hosts that clients are given: the large ones
+// while these are minNamed or more, and carry what all hosts get; else all.
+//
+// Fewer hosts know more. Each host learns by its own requests which upstreams are
+// loaded, failing or connected, and its part of an upstream's warm-up rate is of use
+// only where requests come; the small hosts' links also delay large responses.
+func named(hosts []entryHost) []string {
+	highest, rate := 0, 0
+	for _, h := range hosts {
+		highest = max(highest, h.capacity)
+		rate += h.rate
+	}
+	var all, large []string
+	capacity := 0
+	for _, h := range hosts {
+		all = append(all, h.address)
+		if isLarge(h.capacity, highest) {
+			large = append(large, h.address)
+			capacity += h.capacity
 		}
 	}
-	return addresses
+	if len(large) < minNamed || float64(rate) > maxUse*float64(capacity) {
+		return all
+	}
+	return large
 }
 
 // ClientAddresses returns the addresses that clients of a zone and region
--- a/internal/gateway/fleet/directory_test.go
+++ b/internal/gateway/fleet/directory_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -36,3 +38,59 @@
 		})
 	}
 }
+
+// Where hosts of 0.16 cores with 20 Mbit/s stood beside ones of 0.8 with 200, clients
+// were given all of them alike: the large ones got as few requests as the small ones,
+// whose links delayed large responses, and no host met an upstream often enough to
+// know its load.
+func TestDirectoryNamesTheLargeHostsWhileTheySuffice(t *testing.T) {
+	large := Resources{Cores: 0.8, BandwidthMbps: 200}.Capacity()
+	small := Resources{Cores: 0.16, BandwidthMbps: 20}.Capacity()
+	require.Equal(t, 800, large)
+	require.Equal(t, 152, small)
+	hosts := func(n, capacity, rate int) []entryHost {
+		var list []entryHost
+		for i := range n {
+			list = append(list, entryHost{fmt.Sprint(capacity, "-", i), capacity, rate})
+		}
+		return list
+	}
+	for _, c := range []struct {
+		name  string
+		hosts []entryHost
+		want  int
+	}{
+		{"no host", nil, 0},
+		{"all alike", hosts(9, large, 10), 9},
+		{"all alike and busy", hosts(9, large, 800), 9},
+		{"sizes not known", hosts(9, 0, 10), 9},
+		{"idle", slices.Concat(hosts(3, large, 0), hosts(30, small, 0)), 3},
+		{"the large ones get all requests", slices.Concat(hosts(3, large, 300), hosts(30, small, 0)), 3},
+		{"more than the large ones should carry", slices.Concat(hosts(3, large, 500), hosts(30, small, 0)), 33},
+		{"as many, on all", slices.Concat(hosts(3, large, 50), hosts(30, small, 45)), 33},
+		{"one of the large ones left", slices.Concat(hosts(1, large, 100), hosts(30, small, 0)), 31},
+		{"none of the large ones left", hosts(30, small, 10), 30},
+		{"some do not say", slices.Concat(hosts(2, large, 10), hosts(5, 0, 10)), 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			require.Len(t, named(c.hosts), c.want)
+		})
+	}
+}
+
+// A large host that dies or leaves is not named any more, and what is left of the
+// large ones is named alone only while it suffices.
+func TestDirectoryNamesAllHostsOnceTheLargeOnesAreGone(t *testing.T) {
+	now := time.Now()
+	all := largeAndSmall("west", 3, 4)
+	m := membersOf(all[6], all, now)
+	self := Status{Ready: true}
+	require.Equal(t, []string{"west0:80", "west1:80", "west2:80"}, m.clientAddresses("west-0", "west", self, nil, now))
+	m.recordHeartbeat(all[0], Status{Ready: true, Leaving: true}, now)
+	require.Equal(t, []string{"west1:80", "west2:80"}, m.clientAddresses("west-0", "west", self, nil, now))
+	later := now.Add(deadAfter)
+	for _, h := range all[2:6] {
+		m.recordHeartbeat(h, readyStatus, later)
+	}
+	require.Len(t, m.clientAddresses("west-0", "west", self, nil, later), 5)
+}
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -18,6 +18,8 @@
 	ClientAddress string `msgpack:"c" json:"caller_address"`
 	// Incarnation differs for each start of the host's process.
 	Incarnation string `msgpack:"i" json:"incarnation"`
+	// Capacity is the requests a second that the host can carry; zero is not known.
+	Capacity int `msgpack:"q,omitempty" json:"capacity,omitempty"`
 }
 
 // Status is the part of a heartbeat that changes while a host runs.
@@ -26,6 +28,8 @@
 	Ready bool `msgpack:"r,omitempty"`
 	// Leaving reports that the host is about to stop.
 	Leaving bool `msgpack:"l,omitempty"`
+	// Rate is the requests a second that clients lately sent to the host.
+	Rate int `msgpack:"q,omitempty"`
 	// Changes is the version of the last change in each table's replica,
 	// indexed like Options.Tables.
 	Changes []int64 `msgpack:"c,omitempty"`
--- a/internal/gateway/fleet/index.go
+++ b/internal/gateway/fleet/index.go
@@ -6,7 +6,7 @@
 )
 
 // index has the names of the known peers in order, so that frequent look-ups
-// need not sort them. It is rebuilt after a host was added or forgotten. At
+// need not sort them. It is rebuilt after a host was added, forgotten or changed. At
 // 5,900 hosts it took a directory look-up from 2,273 to 6.2 us, and a look for
 // peers that are due a heartbeat from 7,712 to 18.5 us (docs/CAPACITY.md).
 type index struct {
@@ -18,6 +18,8 @@
 	byRegion map[string][]string
 	// remote has the peers of each other region in this host's own order.
 	remote map[string][]string
+	// sharers has those that were asked for; see members.sharers.
+	sharers map[string]sharers
 }
 
 // indexed returns the index of the peers known now.
@@ -29,7 +31,7 @@
 }
 
 func (m *members) newIndex() *index {
-	x := &index{byZone: map[string][]string{}, byRegion: map[string][]string{}, remote: map[string][]string{}}
+	x := &index{byZone: map[string][]string{}, byRegion: map[string][]string{}, remote: map[string][]string{}, sharers: map[string]sharers{}}
 	for name := range m.peers {
 		x.names = append(x.names, name)
 	}
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -60,7 +60,7 @@
 		p.getsHeartbeats = p.getsHeartbeats || old.getsHeartbeats
 		p.listedVersion, p.announcedAt = old.listedVersion, old.announcedAt
 	}
-	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region {
+	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity {
 		m.index = nil
 	}
 	m.peers[h.Name] = &p
--- a/internal/gateway/fleet/quota.go
+++ b/internal/gateway/fleet/quota.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -31,19 +32,55 @@
 // share of what it knew and nothing sent, a restart of all nine hosts sent 30 of
 // 26 requests, and nine hosts that know nobody would send 87.
 func (m *members) warmUpQuota(upstream, region string, total float64, now time.Time) warmup.Quota {
-	hosts, part := m.sharers(region)
-	q := warmup.Quota{Hosts: hosts, Withheld: m.withheld(region, now)}
+	s := m.sharers(region)
+	q := warmup.Quota{Hosts: s.large + s.small, Withheld: m.withheld(region, now)}
 	if q.Withheld != warmup.NotWithheld {
 		return q
 	}
-	number, before := int(part*total), 0
+	large := isLarge(m.self.Capacity, s.highest)
+	number, hosts := s.split(int(s.part*total), large)
+	if number == 0 && !large {
+		return q
+	}
+	before := 0
 	if hosts > number {
-		before = m.before(upstream, region, max(1, number))
+		before = m.before(upstream, region, s.highest, max(1, number))
 	}
 	q.Requests = share(number, hosts, before)
 	return q
 }
 
+// largeHostsPart is the part of a cold upstream's rate that the large hosts share,
+// where hosts differ in capacity. Clients are given these alone while they suffice
+// (named), and a part that is held by a host without requests is of no use: with a
+// rate of 8 split by number over 98 hosts, of which 9 got all requests, less than one
+// of the 8 was used. What is left is for the time when the large hosts are gone.
+// Chosen, not measured.
+const largeHostsPart = 0.8
+
+// sharers are the hosts that share a part of an upstream's rate.
+type sharers struct {
+	// highest is the capacity of the largest of them.
+	highest int
+	// large and small are how many of them are large beside it, and how many not.
+	large, small int
+	// part is the part of the rate that they share.
+	part float64
+}
+
+// split returns how much of a number of requests the large hosts share, or the small
+// ones, and how many hosts these are. At least one is for the large ones.
+func (s sharers) split(number int, large bool) (part, hosts int) {
+	forLarge := number
+	if s.small > 0 {
+		forLarge = max(1, int(math.Ceil(largeHostsPart*float64(number))))
+	}
+	if large {
+		return forLarge, s.large
+	}
+	return max(0, number-forLarge), s.small
+}
+
 // withheld says why this host has no share of the rate of a region's upstreams.
 func (m *members) withheld(region string, now time.Time) warmup.Withheld {
 	inRegion := m.self.Region == region
@@ -61,28 +98,74 @@
 	}
 }
 
-// sharers returns how many known hosts share a part of the rate of a region's
-// upstreams with this one, itself included, and that part.
-func (m *members) sharers(region string) (hosts int, part float64) {
-	there := len(m.indexed().byRegion[region])
+// sharers returns the known hosts that share a part of the rate of a region's
+// upstreams with this one, itself included. It is asked for each choice, so that the
+// hosts are counted once for each change of them.
+func (m *members) sharers(region string) sharers {
+	x := m.indexed()
+	key := region
+	if m.self.Region != region {
+		key = otherThan + region
+	}
+	if s, ok := x.sharers[key]; ok {
+		return s
+	}
+	s := m.countSharers(region)
+	x.sharers[key] = s
+	return s
+}
+
+// otherThan precedes a region in the key of the hosts of all others. No region's name
+// begins with a space.
+const otherThan = " "
+
+func (m *members) countSharers(region string) sharers {
+	s := sharers{highest: m.self.Capacity, part: otherRegionsPart}
 	if m.self.Region == region {
-		return 1 + there, ownRegionPart
+		s.part = ownRegionPart
+	}
+	hosts := []Host{m.self}
+	for _, p := range m.named(m.sharing(region)) {
+		if m.shares(p.host, region) {
+			hosts = append(hosts, p.host)
+			s.highest = max(s.highest, p.host.Capacity)
+		}
+	}
+	for _, h := range hosts {
+		if isLarge(h.Capacity, s.highest) {
+			s.large++
+		} else {
+			s.small++
+		}
 	}
-	return m.size() - there, otherRegionsPart
+	return s
 }
 
-// before returns how many of the hosts that share with this one precede it in an
-// upstream's order of hosts, and counts no further than enough: with 5,900 hosts it
-// took 233 us in the upstream's region to count them all, for each choice.
-func (m *members) before(upstream, region string, enough int) int {
-	x, own, before := m.indexed(), pairRank(m.self.Name, upstream), 0
-	inRegion, names := m.self.Region == region, x.names
-	if inRegion {
-		names = x.byRegion[region]
+// sharing returns names that have those of all peers which share the rate of a
+// region's upstreams with this host.
+func (m *members) sharing(region string) []string {
+	if m.self.Region == region {
+		return m.indexed().byRegion[region]
 	}
-	for _, name := range names {
-		shares := inRegion || m.peers[name].host.Region != region
-		if shares && pairRank(name, upstream) < own {
+	return m.indexed().names
+}
+
+// shares reports whether a peer shares the rate of a region's upstreams with this
+// host: the hosts of that region do with each other, and so do all others.
+func (m *members) shares(h Host, region string) bool {
+	return (h.Region == region) == (m.self.Region == region)
+}
+
+// before returns how many of the hosts that share with this one, and are large as it
+// is or small as it is, precede it in an upstream's order of hosts. It counts no
+// further than enough: with 5,900 hosts it took 233 us in the upstream's region to
+// count them all, for each choice.
+func (m *members) before(upstream, region string, highest, enough int) int {
+	own, before := pairRank(m.self.Name, upstream), 0
+	large := isLarge(m.self.Capacity, highest)
+	for _, name := range m.sharing(region) {
+		h := m.peers[name].host
+		if m.shares(h, region) && isLarge(h.Capacity, highest) == large && pairRank(name, upstream) < own {
 			before++
 		}
 		if before == enough {
--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -205,3 +206,75 @@
 	require.LessOrEqual(t, sum, total)
 	require.Positive(t, sum)
 }
+
+// largeAndSmall returns hosts of one region, the first of which are five times as
+// large as the others.
+func largeAndSmall(region string, large, small int) []Host {
+	hosts := regionHosts(region, large+small)
+	for i := range hosts {
+		hosts[i].Capacity = 160
+		if i < large {
+			hosts[i].Capacity = 800
+		}
+	}
+	return hosts
+}
+
+// Of 98 hosts in a region nine were large and got all requests. A cold upstream's
+// rate was split over all by number: eight hosts had one request a second each, of
+// which less than one was large, so that it stayed cold and idle beside upstreams
+// that refused.
+func TestTheLargeHostsHaveMostOfAColdUpstreamsRate(t *testing.T) {
+	now := time.Now()
+	const upstreams = 60
+	for _, c := range []struct {
+		large, small int
+		total        float64
+		// least is what the large hosts must have of it, in the mean.
+		least float64
+	}{
+		{9, 89, 14.65, 6.9},
+		{9, 89, 26, 8.9},
+		{4, 23, 12.65, 3.9},
+		{2, 11, 40, 18},
+		{3, 0, 26, 15},
+		{1, 5, 3, 1},
+	} {
+		t.Run(fmt.Sprint(c.large, " large, ", c.small, " small, rate ", c.total), func(t *testing.T) {
+			all := largeAndSmall("west", c.large, c.small)
+			var views []*members
+			for _, self := range all {
+				views = append(views, membersOf(self, all, now))
+			}
+			large := 0
+			for u := range upstreams {
+				sum := 0
+				for i, m := range views {
+					n := m.warmUpQuota(fmt.Sprint("i-", u), "west", c.total, now).Requests
+					sum += n
+					if i < c.large {
+						large += n
+					}
+				}
+				require.LessOrEqual(t, float64(sum), c.total)
+			}
+			require.GreaterOrEqual(t, float64(large)/upstreams, c.least)
+		})
+	}
+}
+
+// The hosts of other regions, which take over while an upstream's own has no live
+// host, differ in size as well.
+func TestColdPartsAddUpWithHostsOfUnequalSize(t *testing.T) {
+	now := time.Now()
+	const total = 26
+	all := slices.Concat(largeAndSmall("west", 2, 9), largeAndSmall("east", 3, 7), largeAndSmall("south", 0, 8))
+	for u := range 40 {
+		sum := 0
+		for _, self := range all {
+			sum += membersOf(self, all, now).warmUpQuota(fmt.Sprint("i-", u), "west", total, now.Add(deadAfter)).Requests
+		}
+		require.LessOrEqual(t, sum, total)
+		require.Positive(t, sum)
+	}
+}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -71,6 +71,7 @@
 	Options
 
 	inFlight atomic.Int64
+	arrivals arrivals
 	leaving  atomic.Bool
 	// starved is set while no client's connection can be accepted.
 	starved atomic.Bool
@@ -106,12 +107,16 @@
 // served.
 func (p *Proxy) Leave() { p.leaving.Store(true) }
 
+// Rate is the requests a second that clients lately sent to this host.
+func (p *Proxy) Rate(now time.Time) int { return p.arrivals.rate(now) }
+
 // InFlight is the number of requests in flight.
 func (p *Proxy) InFlight() int64 { return p.inFlight.Load() }
 
 // ServeHTTP serves one request.
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	began := time.Now()
+	p.arrivals.add(began)
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	info := p.Codec.ParseRequest(r.Header)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -26,9 +26,10 @@
 	// used: all hosts listen for peers at the same port.
 	Seeds []string `toml:"seeds"`
 	// Zones maps each availability zone to its region.
-	Zones  map[string]string `toml:"zones"`
-	Limits LimitSettings     `toml:"limits"`
-	Stop   StopSettings      `toml:"stop"`
+	Zones     map[string]string `toml:"zones"`
+	Resources ResourceSettings  `toml:"resources"`
+	Limits    LimitSettings     `toml:"limits"`
+	Stop      StopSettings      `toml:"stop"`
 	// Telemetry sets the traces and the level of the decision log, which goes
 	// to standard output.
 	Telemetry settings.Telemetry `toml:"telemetry"`
@@ -52,6 +53,15 @@
 	Address string `toml:"address"`
 }
 
+// ResourceSettings are what the host may use. Hosts with more of both get more
+// clients; zero is not known, and where no host knows, all count alike.
+type ResourceSettings struct {
+	// Cores is the processor time, in cores.
+	Cores float64 `toml:"cores"`
+	// BandwidthMbps is the host's link, in megabits a second.
+	BandwidthMbps float64 `toml:"bandwidth_mbps"`
+}
+
 // LimitSettings are bounds on what all hosts do together.
 type LimitSettings struct {
 	// RetryRatio is the retries allowed for each request of a service within
@@ -153,6 +163,8 @@
 	f.Require(s.Listen.Directory != "", "listen.directory", "must be set")
 	f.Require(s.Listen.Peers != "", "listen.peers", "must be set")
 	f.Require(s.Store.Address != "", "store.address", "must be set")
+	f.Require(s.Resources.Cores >= 0, "resources.cores", "must not be below 0")
+	f.Require(s.Resources.BandwidthMbps >= 0, "resources.bandwidth_mbps", "must not be below 0")
 	f.Require(s.Limits.RetryRatio >= 0, "limits.retry_ratio", "must not be below 0")
 	f.Require(s.Limits.RetryWindow > 0, "limits.retry_window", "must be above 0")
 	f.Require(s.Limits.WarmUpOvershoot > 0, "limits.warm_up_overshoot", "must be above 0")
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -13,7 +13,7 @@
 	// Beside it, the proxy is not ready while the host stops or can't accept
 	// clients, who should go elsewhere then.
 	ready := g.state.Ready()
-	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true}
+	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
 	s.Observations = g.detector.Observations(time.Now())
 	for _, t := range g.tables {
 		s.Changes = append(s.Changes, t.Replica.LastChange())
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -40,10 +40,12 @@
 
 func (g *Gateway) newFleet(store *platform.Store) *fleet.Fleet {
 	host, listen := g.settings.Host, g.settings.Listen
+	resources := fleet.Resources(g.settings.Resources)
 	return fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: host.Name, Zone: host.Zone, Region: host.Region, PeerAddress: listen.Peers, ClientAddress: listen.Callers,
 			Incarnation: ulid.Make().String(), // a restart is a new one
+			Capacity:    resources.Capacity(),
 		},
 		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Region: host.Region, Log: g.log}, Report: g.log, Observations: g.detector,
 		Status: g.status, Seeds: g.settings.peerSeeds(), Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
