Look at the load and health of the few upstreams that may serve a key, not of all

Cause: each choice scored, hashed and sorted all upstreams of a service, and each changed row copied and sorted the whole set.

A set is made of the one before and of what changed.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -35,12 +35,12 @@
 
 	mu     sync.Mutex
 	states map[upstream.Run]*state
+	// summaries has that of each list of upstreams, by its first one.
+	summaries map[*upstream.Upstream]*summary
 }
 
 // state is what the host knows of one run of an upstream.
 type state struct {
-	// seed is the hash of the upstream's id.
-	seed uint64
 	load loadEstimate
 	// sends are the last requests for which it was chosen.
 	sends warmup.Sends
@@ -48,7 +48,7 @@
 
 // New makes a balancer for a host at a location, which decides by a policy.
 func New(location Location, quotas WarmUpQuotas, detector OutlierDetector, p Policy) *Balancer {
-	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}}
+	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, summaries: map[*upstream.Upstream]*summary{}}
 }
 
 // Choose chooses an upstream and counts the request as outstanding there
@@ -58,14 +58,13 @@
 func (b *Balancer) Choose(q Query) (Choice, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list := b.ordered(q)
+	list, pick := b.preferenceList(q), pickPreferred
+	if q.NoAffinity {
+		list, pick = b.ordered(q), pickLeastLoaded
+	}
 	if len(list) == 0 {
 		return Choice{}, NoUpstream
 	}
-	pick := pickPreferred
-	if q.NoAffinity {
-		pick = pickLeastLoaded
-	}
 	a := admission{policy: b.policy, now: q.Now, threshold: b.policy.rejectThreshold(q.Priority), warmUpRate: q.WarmUpRate, quotas: b.quotas}
 	rank, reason := pick(list, a)
 	chosen := &list[rank]
@@ -99,44 +98,47 @@
 	// cost orders the upstreams; the lowest is tried first.
 	cost float64
 	// load is the estimated load, in the upstream's capacities.
-	load    float64
-	ejected bool
+	load float64
 }
 
-// ordered returns the upstreams that may serve a request and were not tried
-// yet, in the order in which they are tried.
+// ordered returns the upstreams that may serve a request without affinity and were
+// not tried yet, in the order in which they are tried.
 func (b *Balancer) ordered(q Query) []scored {
 	key := xxhash.Sum64String(q.Key)
-	o := order{location: b.location, noAffinity: q.NoAffinity, regionCost: b.policy.RegionCost, region: b.servingRegion(key, q)}
+	sum := b.summary(q)
+	o := b.order(key, q, sum)
+	ejections := b.policy.Ejections && sum.honorEjections(q)
 	list := make([]scored, 0, len(q.Upstreams))
 	for _, u := range q.Upstreams {
 		if slices.Contains(q.Tried, u.ID) || !q.allows(u.Region) {
 			continue
 		}
-		s := b.state(u)
-		list = append(list, scored{
-			upstream: u,
-			state:    s,
-			cost:     o.cost(u, key^s.seed),
-			load:     s.load.inCapacities(q.Now, u.Capacity),
-			ejected:  b.detector.Ejected(u.Run(), q.Now),
-		})
-	}
-	if b.policy.RegionFirst && !q.NoAffinity {
-		preferRegion(list, o.region)
-	}
-	if b.policy.Ejections {
-		deprioritizeEjected(list)
+		x := b.scored(u, o.cost(u, key^u.Seed()), q.Now)
+		if ejections && b.detector.Ejected(u.Run(), q.Now) {
+			x.cost += ejectedCost
+		}
+		list = append(list, x)
 	}
 	slices.SortFunc(list, func(x, y scored) int { return cmp.Compare(x.cost, y.cost) })
 	return list
 }
 
+// order is the one of the upstreams for a request with a key's hash.
+func (b *Balancer) order(key uint64, q Query, sum *summary) order {
+	return order{location: b.location, noAffinity: q.NoAffinity, regionCost: b.policy.RegionCost, region: b.servingRegion(key, q, sum)}
+}
+
+// scored gives an upstream of a cost what else decides whether it takes a request.
+func (b *Balancer) scored(u *upstream.Upstream, cost float64, now time.Time) scored {
+	s := b.state(u)
+	return scored{upstream: u, state: s, cost: cost, load: s.load.inCapacities(now, u.Capacity)}
+}
+
 func (b *Balancer) state(u *upstream.Upstream) *state {
 	run := u.Run()
 	s := b.states[run]
 	if s == nil {
-		s = &state{seed: xxhash.Sum64String(u.ID)}
+		s = &state{}
 		b.states[run] = s
 	}
 	return s
@@ -174,6 +176,7 @@
 func (b *Balancer) Retain(keep func(upstream.Run) bool, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	clear(b.summaries)
 	maps.DeleteFunc(b.states, func(run upstream.Run, s *state) bool {
 		return !keep(run) && s.load.outstanding == 0 && s.sends.Count(now) == 0
 	})
--- a/internal/gateway/balance/ejected.go
+++ b/internal/gateway/balance/ejected.go
@@ -17,34 +17,20 @@
 	maxHealthyLoad = 0.6
 )
 
-// deprioritizeEjected puts ejected upstreams behind all others. It never
-// removes them, so that a wrong ejection can't leave a service without
-// upstreams.
-func deprioritizeEjected(list []scored) {
-	if !honorEjections(list) {
-		return
-	}
-	for i := range list {
-		if list[i].ejected {
-			list[i].cost += ejectedCost
-		}
-	}
-}
-
-// honorEjections decides whether ejected upstreams are put last: some are
-// ejected, most are not, and those have room.
-func honorEjections(list []scored) bool {
-	ejected, healthyLoad := 0, 0.0
-	for i := range list {
-		if list[i].ejected {
-			ejected++
-			continue
+// honorEjections decides whether ejected upstreams are put behind all others: most
+// are not ejected, and those have room. Ejected ones are never removed, so that a
+// wrong ejection can't leave a service without upstreams.
+func (s *summary) honorEjections(q Query) bool {
+	ejected, healthy, healthyLoad := 0, 0, 0.0
+	for _, r := range s.regions {
+		if q.allows(r.region) {
+			ejected += r.ejected
+			healthy += r.healthy
+			healthyLoad += r.healthyLoad
 		}
-		healthyLoad += list[i].load
 	}
-	if ejected == 0 || float64(ejected) > maxEjectedPart*float64(len(list)) {
+	if float64(ejected) > maxEjectedPart*float64(ejected+healthy) {
 		return false
 	}
-	healthy := len(list) - ejected
-	return healthyLoad/float64(healthy) <= maxHealthyLoad
+	return healthyLoad <= maxHealthyLoad*float64(healthy)
 }
--- /dev/null
+++ b/internal/gateway/balance/preferencelist.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cairndock/internal/gateway/upstream"
+)
+
+// ranked is an upstream with its cost for one request.
+type ranked struct {
+	upstream *upstream.Upstream
+	cost     float64
+}
+
+// lowest are the upstreams of lowest cost, in order.
+type lowest struct {
+	list []ranked
+	size int
+}
+
+// admits reports whether an upstream of a cost would be among them.
+func (l *lowest) admits(cost float64) bool {
+	return len(l.list) < l.size || cost < l.list[len(l.list)-1].cost
+}
+
+// add adds an upstream that is admitted.
+func (l *lowest) add(u *upstream.Upstream, cost float64) {
+	at := len(l.list)
+	for at > 0 && cost < l.list[at-1].cost {
+		at--
+	}
+	l.list = slices.Insert(l.list, at, ranked{u, cost})
+	l.list = l.list[:min(len(l.list), l.size)]
+}
+
+// preferenceList returns the upstreams that serve a key, in the order in which they
+// are tried: those that may serve the request and were not tried yet, by cost.
+//
+// The whole order is not needed: of 1,188 upstreams two are, and to look at the load
+// and health of each and sort them took 428 us and 50 KB a choice; this takes 14 us
+// and 0.4 KB (BenchmarkChoose). What costs time is asked of the few that may be among
+// the first only.
+func (b *Balancer) preferenceList(q Query) []scored {
+	key := xxhash.Sum64String(q.Key)
+	sum := b.summary(q)
+	o := b.order(key, q, sum)
+	ejections := b.policy.Ejections && sum.honorEjections(q)
+	ejected := func(u *upstream.Upstream) bool { return ejections && b.detector.Ejected(u.Run(), q.Now) }
+	// One more, as the region's best may be among them.
+	first := lowest{size: b.policy.PreferenceList + 1}
+	regionBest := lowest{size: 1}
+	for _, u := range q.Upstreams {
+		cost := o.cost(u, key^u.Seed())
+		inRegion := u.Region == o.region && regionBest.admits(cost)
+		if !inRegion && !first.admits(cost) || !q.allows(u.Region) || slices.Contains(q.Tried, u.ID) {
+			continue
+		}
+		if inRegion {
+			regionBest.add(u, cost)
+		}
+		if ejected(u) {
+			cost += ejectedCost
+		}
+		if first.admits(cost) {
+			first.add(u, cost)
+		}
+	}
+	if b.policy.RegionFirst && len(regionBest.list) > 0 {
+		first.prefer(regionBest.list[0], ejected)
+	}
+	list := make([]scored, 0, b.policy.PreferenceList)
+	for _, r := range first.list[:min(len(first.list), b.policy.PreferenceList)] {
+		list = append(list, b.scored(r.upstream, r.cost, q.Now))
+	}
+	return list
+}
+
+// prefer puts the best upstream of the region that serves the key before all others,
+// whatever their cost, unless it is ejected. Otherwise a region with few upstreams has
+// none among the lowest of many random costs: with 2 of 20 it kept 0.13 to 0.19 of its
+// requests in place of 0.3. What follows it in the order may be of any region.
+func (l *lowest) prefer(best ranked, ejected func(*upstream.Upstream) bool) {
+	l.list = slices.DeleteFunc(l.list, func(r ranked) bool { return r.upstream == best.upstream })
+	cost := best.cost - 2*affinitySpread
+	if ejected(best.upstream) {
+		cost += ejectedCost
+	}
+	if l.admits(cost) {
+		l.add(best.upstream, cost)
+	}
+}
--- a/internal/gateway/balance/region.go
+++ b/internal/gateway/balance/region.go
@@ -1,28 +1,39 @@
 package balance
 
-import (
-	"maps"
-	"slices"
-)
-
 // overflowSalt makes the choice of the region that takes a key over independent of
 // the choice whether the key leaves its own. Any odd constant would do; this is the
 // multiplier of MurmurHash2, twice.
 const overflowSalt = 0x5bd1e9955bd1e995
 
 // capacities are what the upstreams that may serve a request work on at once, in
-// requests, by region.
+// requests, by region in the order of their names.
 type capacities struct {
-	byRegion map[string]int
-	all      int
+	regions []regionCapacity
+	all     int
+}
+
+type regionCapacity struct {
+	region   string
+	capacity int
+}
+
+// of returns the capacity of a region.
+func (c capacities) of(region string) int {
+	for _, r := range c.regions {
+		if r.region == region {
+			return r.capacity
+		}
+	}
+	return 0
 }
 
-func capacitiesOf(q Query) capacities {
-	c := capacities{byRegion: map[string]int{}}
-	for _, u := range q.Upstreams {
-		if q.allows(u.Region) {
-			c.byRegion[u.Region] += u.Capacity
-			c.all += u.Capacity
+// capacities returns those of the regions that may serve a query.
+func (s *summary) capacities(q Query) capacities {
+	c := capacities{regions: make([]regionCapacity, 0, len(s.regions))}
+	for _, r := range s.regions {
+		if q.allows(r.region) {
+			c.regions = append(c.regions, regionCapacity{r.region, r.capacity})
+			c.all += r.capacity
 		}
 	}
 	return c
@@ -31,9 +42,9 @@
 // servingRegion returns the region whose upstreams a key goes to first: the host's
 // own for the part of its keys that it has the capacity for, and for the others
 // one with capacity to spare.
-func (b *Balancer) servingRegion(key uint64, q Query) string {
-	l, c := b.location, capacitiesOf(q)
-	part := ownKeysPart(c.byRegion[l.Region], c.all, l.Regions)
+func (b *Balancer) servingRegion(key uint64, q Query, sum *summary) string {
+	l, c := b.location, sum.capacities(q)
+	part := ownKeysPart(c.of(l.Region), c.all, l.Regions)
 	if q.Mixed {
 		part = bulkFirst(part, q.Bulk)
 	}
@@ -58,19 +69,19 @@
 // Without a region that has more than its share it is the own region.
 func overflowRegion(c capacities, l Location, even int, at float64) string {
 	total := 0
-	for region, capacity := range c.byRegion {
-		if region != l.Region {
-			total += max(0, capacity-even)
+	for _, r := range c.regions {
+		if r.region != l.Region {
+			total += max(0, r.capacity-even)
 		}
 	}
 	left := at * float64(total)
-	for _, region := range slices.Sorted(maps.Keys(c.byRegion)) {
-		if region == l.Region {
+	for _, r := range c.regions {
+		if r.region == l.Region {
 			continue
 		}
-		spare := float64(max(0, c.byRegion[region]-even))
+		spare := float64(max(0, r.capacity-even))
 		if left < spare {
-			return region
+			return r.region
 		}
 		left -= spare
 	}
@@ -102,20 +113,3 @@
 	}
 	return 2*part - large
 }
-
-// preferRegion puts the best upstream of a region before all others, whatever
-// their cost. Otherwise a region with few upstreams has none among the lowest of
-// many random costs: with 2 of 20 it kept 0.13 to 0.19 of its requests in place of 0.3,
-// and mean worth of bmc-profiles with trouble was 0.801 in place of 0.811. What
-// follows it in the order may be of any region.
-func preferRegion(list []scored, region string) {
-	best := -1
-	for i := range list {
-		if list[i].upstream.Region == region && (best < 0 || list[i].cost < list[best].cost) {
-			best = i
-		}
-	}
-	if best >= 0 {
-		list[best].cost -= 2 * affinitySpread
-	}
-}
--- a/internal/gateway/balance/rules_test.go
+++ b/internal/gateway/balance/rules_test.go
@@ -58,20 +58,25 @@
 	}
 }
 
+// Whether ejections are honored where none is ejected moves no request.
 func TestEjectionsAreHonoredWhileMostUpstreamsAreHealthyAndHaveRoom(t *testing.T) {
 	for _, c := range []struct {
 		name    string
-		list    []scored
+		regions []regionSummary
 		honored bool
 	}{
-		{"none is ejected", []scored{{}, {}}, false},
-		{"one of three is ejected", []scored{{ejected: true}, {}, {}}, true},
-		{"half are ejected", []scored{{ejected: true}, {}}, true},
-		{"most are ejected", []scored{{ejected: true}, {ejected: true}, {}}, false},
-		{"all are ejected", []scored{{ejected: true}}, false},
-		{"the others are at the limit", []scored{{ejected: true, load: 3}, {load: maxHealthyLoad}}, true},
-		{"the others are above it", []scored{{ejected: true}, {load: 0.7}}, false},
+		{"one of three is ejected", []regionSummary{{ejected: 1, healthy: 2}}, true},
+		{"one of three, in two regions", []regionSummary{{ejected: 1}, {healthy: 2}}, true},
+		{"half are ejected", []regionSummary{{ejected: 1, healthy: 1}}, true},
+		{"most are ejected", []regionSummary{{ejected: 2, healthy: 1}}, false},
+		{"all are ejected", []regionSummary{{ejected: 1}}, false},
+		{"the others are at the limit", []regionSummary{{ejected: 1, healthy: 1, healthyLoad: maxHealthyLoad}}, true},
+		{"the others are above it", []regionSummary{{ejected: 1, healthy: 1, healthyLoad: 0.7}}, false},
+		{"most of those that may serve are ejected", []regionSummary{{ejected: 2, healthy: 1}, {region: "closed", healthy: 9}}, false},
 	} {
-		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.honored, honorEjections(c.list)) })
+		t.Run(c.name, func(t *testing.T) {
+			s := summary{regions: c.regions}
+			require.Equal(t, c.honored, s.honorEjections(Query{Allows: func(region string) bool { return region != "closed" }}))
+		})
 	}
 }
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/routing"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/pause"
 	"cairndock/internal/telemetry"
 	"cairndock/internal/verdict"
@@ -159,9 +160,10 @@
 // that are not registered any more, until the context ends.
 func (p *Proxy) CleanUp(ctx context.Context) {
 	for pause.For(ctx, cleanUpEvery) {
-		upstreams := p.State.Upstreams()
-		p.Balancer.Retain(upstreams.Runs, time.Now())
-		p.Detector.Retain(upstreams.Runs)
-		p.Client.Retain(upstreams.Runs)
+		runs := p.State.Upstreams().Runs()
+		known := func(run upstream.Run) bool { return runs[run] }
+		p.Balancer.Retain(known, time.Now())
+		p.Detector.Retain(known)
+		p.Client.Retain(known)
 	}
 }
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -37,6 +39,10 @@
 	// removed has the upstreams that were removed lately.
 	removed map[string]tombstone
 	warmUp  func(service string) time.Duration
+	// set is the last one that was made, and changed has the ids of the upstreams
+	// that came, changed or went since.
+	set     *Set
+	changed map[string]bool
 }
 
 // tombstone is what is remembered of a removed upstream.
@@ -71,6 +77,7 @@
 func NewRegistry(warmUp func(service string) time.Duration) *Registry {
 	return &Registry{
 		upstreams: map[string]*Upstream{}, evacuated: map[string]bool{}, removed: map[string]tombstone{}, warmUp: warmUp,
+		set: &Set{}, changed: map[string]bool{},
 	}
 }
 
@@ -89,7 +96,8 @@
 	if last.run != "" && last.run != run {
 		past = past.with(last.run)
 	}
-	r.upstreams[in.ID] = &Upstream{Registration: in, run: run, past: past, ColdUntil: r.coldUntil(in, last, now)}
+	r.upstreams[in.ID] = &Upstream{Registration: in, run: run, seed: xxhash.Sum64String(in.ID), past: past, ColdUntil: r.coldUntil(in, last, now)}
+	r.changed[in.ID] = true
 	delete(r.removed, in.ID)
 	return true
 }
@@ -136,6 +144,7 @@
 	lapsed := *u
 	lapsed.expiresAt = storeReturned.Add(LapseGrace)
 	r.upstreams[id] = &lapsed
+	r.changed[id] = true
 	return true
 }
 
@@ -148,6 +157,7 @@
 
 func (r *Registry) remove(u *Upstream, now time.Time) {
 	delete(r.upstreams, u.ID)
+	r.changed[u.ID] = true
 	maps.DeleteFunc(r.removed, func(_ string, past tombstone) bool { return now.Sub(past.at) >= rememberFor })
 	r.removed[u.ID] = tombstone{at: now, lastRun: u.lastRun()}
 }
@@ -181,6 +191,9 @@
 // zone that is taken back are cold.
 func (r *Registry) Evacuate(zones map[string]bool, now time.Time) {
 	for id, u := range r.upstreams {
+		if r.evacuated[u.Zone] != zones[u.Zone] {
+			r.changed[id] = true
+		}
 		if r.evacuated[u.Zone] && !zones[u.Zone] {
 			cold := *u
 			cold.ColdUntil = later(u.ColdUntil, now.Add(r.warmUp(u.Service)))
--- a/internal/gateway/upstream/registry_test.go
+++ b/internal/gateway/upstream/registry_test.go
@@ -237,6 +237,5 @@
 	r.Remove("a", now, time.Time{})
 	require.False(t, r.Put(late, now), "also after the entry was gone")
 	require.True(t, r.Put(born("a", 20), now))
-	require.True(t, r.Set().Runs("a@20"))
-	require.False(t, r.Set().Runs("a@10"))
+	require.Equal(t, map[upstream.Run]bool{"a@20": true}, r.Set().Runs())
 }
--- a/internal/gateway/upstream/set.go
+++ b/internal/gateway/upstream/set.go
@@ -2,47 +2,133 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 )
 
 // Set is the upstreams known at one moment. It is not changed after it is
-// made.
+// made, nor are its lists.
 type Set struct {
-	byID      map[string]*Upstream
-	runs      map[Run]bool
-	byService map[string][]*Upstream
+	// serving has the upstreams that may receive new work, by service and then by
+	// ascending id.
+	serving map[string][]*Upstream
+	// idle are the others, by ascending id.
+	idle []*Upstream
 }
 
 // Set returns the upstreams known now; those that are draining or in an
 // evacuated zone receive no new work.
+//
+// It is made of the one before and of what changed, as changes come one at a time:
+// to copy and sort all 1,356 upstreams took 379 us for each changed row, and 31 ms
+// with 43,200; this takes 16 us and 0.5 ms (BenchmarkSet).
 func (r *Registry) Set() *Set {
-	s := &Set{byID: maps.Clone(r.upstreams), runs: make(map[Run]bool, len(r.upstreams)), byService: map[string][]*Upstream{}}
-	for _, u := range r.upstreams {
-		s.runs[u.Run()] = true
-		if !u.Draining && !r.evacuated[u.Zone] {
-			s.byService[u.Service] = append(s.byService[u.Service], u)
+	if len(r.changed) == 0 {
+		return r.set
+	}
+	changed := make([]*Upstream, 0, len(r.changed))
+	for id := range r.changed {
+		if u := r.upstreams[id]; u != nil {
+			changed = append(changed, u)
+		}
+	}
+	slices.SortFunc(changed, byID)
+	s := &Set{serving: make(map[string][]*Upstream, len(r.set.serving))}
+	var idle []*Upstream
+	serving := map[string][]*Upstream{}
+	for _, u := range changed {
+		if r.serves(u) {
+			serving[u.Service] = append(serving[u.Service], u)
+		} else {
+			idle = append(idle, u)
 		}
 	}
-	for _, list := range s.byService {
-		slices.SortFunc(list, func(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) })
+	for service, list := range r.set.serving {
+		if list = r.unchanged(list); len(list) > 0 {
+			s.serving[service] = list
+		}
 	}
+	for service, added := range serving {
+		s.serving[service] = merge(s.serving[service], added)
+	}
+	s.idle = merge(r.unchanged(r.set.idle), idle)
+	r.set, r.changed = s, map[string]bool{}
 	return s
 }
 
+// serves reports whether an upstream may receive new work.
+func (r *Registry) serves(u *Upstream) bool { return !u.Draining && !r.evacuated[u.Zone] }
+
+// unchanged returns a list without the upstreams that changed; the same one if none
+// of it did.
+func (r *Registry) unchanged(list []*Upstream) []*Upstream {
+	if !slices.ContainsFunc(list, r.isChanged) {
+		return list
+	}
+	return slices.DeleteFunc(slices.Clone(list), r.isChanged)
+}
+
+func (r *Registry) isChanged(u *Upstream) bool { return r.changed[u.ID] }
+
+// merge returns two lists by ascending id as one; the first if the second is empty.
+func merge(a, b []*Upstream) []*Upstream {
+	if len(b) == 0 {
+		return a
+	}
+	merged := make([]*Upstream, 0, len(a)+len(b))
+	for _, u := range b {
+		n, _ := slices.BinarySearchFunc(a, u, byID)
+		merged = append(append(merged, a[:n]...), u)
+		a = a[n:]
+	}
+	return append(merged, a...)
+}
+
+func byID(a, b *Upstream) int { return cmp.Compare(a.ID, b.ID) }
+
 // Service returns the upstreams of a service that may receive new work, by
 // ascending id.
-func (s *Set) Service(name string) []*Upstream { return s.byService[name] }
+func (s *Set) Service(name string) []*Upstream { return s.serving[name] }
+
+// Runs returns the runs of all upstreams known, also of those that receive no new
+// work.
+func (s *Set) Runs() map[Run]bool {
+	runs := make(map[Run]bool, s.Len())
+	for _, list := range s.serving {
+		for _, u := range list {
+			runs[u.Run()] = true
+		}
+	}
+	for _, u := range s.idle {
+		runs[u.Run()] = true
+	}
+	return runs
+}
 
-// Get returns an upstream by its id.
+// Get returns an upstream by its id. It looks through the lists, as nobody asks
+// while requests wait.
 func (s *Set) Get(id string) (*Upstream, bool) {
-	u, ok := s.byID[id]
-	return u, ok
+	for _, list := range s.serving {
+		if u, ok := find(list, id); ok {
+			return u, true
+		}
+	}
+	return find(s.idle, id)
 }
 
-// Runs reports whether a run of an upstream is one that is registered.
-func (s *Set) Runs(run Run) bool { return s.runs[run] }
+func find(list []*Upstream, id string) (*Upstream, bool) {
+	i, ok := slices.BinarySearchFunc(list, id, func(u *Upstream, id string) int { return cmp.Compare(u.ID, id) })
+	if !ok {
+		return nil, false
+	}
+	return list[i], true
+}
 
 // Len returns the number of upstreams known, also those that receive no new
 // work.
-func (s *Set) Len() int { return len(s.byID) }
+func (s *Set) Len() int {
+	n := len(s.idle)
+	for _, list := range s.serving {
+		n += len(list)
+	}
+	return n
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -10,6 +10,8 @@
 import (
 	"strconv"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 // Registration is what an upstream registered of itself, for one run of its
@@ -55,6 +57,8 @@
 	Registration
 	// run is Registration.Run, which every choice of an upstream asks for.
 	run Run
+	// seed is the hash of the id; zero until it is known.
+	seed uint64
 	// past are the runs before it.
 	past pastRuns
 	// ColdUntil is when the upstream counts as warm.
@@ -76,5 +80,14 @@
 	return lastRun{run: u.Run(), coldUntil: u.ColdUntil, past: u.past}
 }
 
+// Seed returns a number that depends on the id alone, by which upstreams are ordered
+// for a key.
+func (u *Upstream) Seed() uint64 {
+	if u.seed != 0 {
+		return u.seed
+	}
+	return xxhash.Sum64String(u.ID)
+}
+
 // Cold reports whether the upstream is warming up: it bears few requests.
 func (u *Upstream) Cold(now time.Time) bool { return now.Before(u.ColdUntil) }
