Have the hosts that start together read the tables from a few of them

Cause: each host that starts read the whole tables and the lists of hosts of all regions from the store: 9 calls with 1,356 upstreams and three regions, 2,650 at a start of 295 hosts, and as many again for each half of them that is killed.

Change: the first 12 hosts of a region by rank (the large ones) read from the store; the others wait up to 2 s for a peer that has the tables, and read the lists of other regions later. The slack of the retry budget is split by region first, and four fifths of a region's part are for its large hosts, so that a host needs its own region's list only. A relay that has no rows yet is no failure. At the first start of a deployment a host waits until it knows its place.

Tests for whom a start asks, and that parts add up to the limit.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -59,6 +59,9 @@
 	// Seeds are peer addresses that a starting host queries for other hosts.
 	Seeds     []string
 	Transport peer.Transport
+	// FirstStart is set while the deployment starts for the first time: no clients
+	// are there yet.
+	FirstStart bool
 	// Tables are relayed between hosts, which name them by their index.
 	Tables []Table
 	// MaxAge is the age up to which a relayed table is of use.
@@ -127,15 +130,12 @@
 	return f.members.size()
 }
 
-// Sharers is the number of hosts that share a limit of all hosts, dead ones and
-// this host included, or zero while not all of them are known or this one stops.
-func (f *Fleet) Sharers() int {
+// CommonPart is this host's part of a limit of all hosts, from 0 to 1; zero while it
+// does not know who shares the limit, or stops.
+func (f *Fleet) CommonPart() float64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.members.withdrawn || !f.members.knowsOthersThan("", time.Now()) {
-		return 0
-	}
-	return f.members.size()
+	return f.members.commonPart(time.Now())
 }
 
 // UnreadLists is the number of regions of which no whole list of hosts was read.
--- a/internal/gateway/fleet/quota.go
+++ b/internal/gateway/fleet/quota.go
@@ -58,6 +58,26 @@
 // Chosen, not measured.
 const largeHostsPart = 0.8
 
+// commonPart is this host's part of a limit of all hosts, from 0 to 1. Each region has
+// the same part, so that a host need not know those of others, and the large hosts of
+// a region have largeHostsPart of that. As with warmUpQuota, the parts of all hosts,
+// dead ones included, add up to 1 at most.
+func (m *members) commonPart(now time.Time) float64 {
+	if m.withdrawn || !m.knows(m.self.Region, now) {
+		return 0
+	}
+	s := m.sharers(m.self.Region)
+	forRegion := 1 / float64(max(1, len(m.lists)))
+	switch {
+	case s.small == 0:
+		return forRegion / float64(s.large)
+	case isLarge(m.self.Capacity, s.highest):
+		return forRegion * largeHostsPart / float64(s.large)
+	default:
+		return forRegion * (1 - largeHostsPart) / float64(s.small)
+	}
+}
+
 // sharers are the hosts that share a part of an upstream's rate.
 type sharers struct {
 	// highest is the capacity of the largest of them.
--- a/internal/gateway/fleet/quota_test.go
+++ b/internal/gateway/fleet/quota_test.go
@@ -155,11 +155,11 @@
 	f.members.lists["west"] = f.members.started
 	f.mu.Unlock()
 	require.Positive(t, f.WarmUpQuota("i-1", "west", 26).Requests)
-	require.Positive(t, f.Sharers())
+	require.Positive(t, f.CommonPart())
 	f.Withdraw(t.Context())
 	require.Equal(t, warmup.Stopping, f.WarmUpQuota("i-1", "west", 26).Withheld)
 	require.Zero(t, f.WarmUpQuota("i-1", "west", 26).Requests)
-	require.Zero(t, f.Sharers())
+	require.Zero(t, f.CommonPart())
 }
 
 func TestAColdUpstreamIsLeftToTheLiveHostsOfItsRegion(t *testing.T) {
--- a/internal/gateway/fleet/registration.go
+++ b/internal/gateway/fleet/registration.go
@@ -31,31 +31,42 @@
 	listJitter = 3 * time.Minute
 )
 
-// keepRegistered registers this host, and again each listEvery until the context
+// keepRegistered registers this host and reads the lists of hosts, its own region's
+// first, by which it knows its place. It does so again each listEvery until the context
 // ends: hosts that forgot each other while they were cut off find each other again.
 func (f *Fleet) keepRegistered(ctx context.Context) {
-	for {
-		f.register(ctx)
+	regions := f.regions()
+	f.register(ctx, regions[:1])
+	if !pause.For(ctx, f.untilOtherLists()) {
+		return
+	}
+	f.readAllLists(ctx, regions[1:], true)
+	for pause.For(ctx, listEvery+rand.N(listJitter)) {
+		f.register(ctx, regions)
 		f.withdrawGone(ctx)
-		if !pause.For(ctx, listEvery+rand.N(listJitter)) {
-			return
-		}
 	}
 }
 
-// register adds this host to the registry and reads the lists of all regions from
-// it, the own one first, until both have succeeded. Errors are retried and not
-// logged: the registry is in the store, whose failures the tables' watchers log.
+func (f *Fleet) regions() []string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.members.regions()
+}
+
+// register adds this host to the registry and reads the lists of some regions from
+// it, until both have succeeded.
+func (f *Fleet) register(ctx context.Context, regions []string) { f.readAllLists(ctx, regions, false) }
+
+// readAllLists reads the lists of some regions until all are read, and announces this
+// host until that has succeeded, unless it was announced already. Errors are retried and
+// not logged: the registry is in the store, whose failures the tables' watchers log.
 //
 // Of two hosts that start together, each announces itself before it reads a list, so
 // that the later one finds the earlier one there. A host that could not announce
 // itself is not found, so the lists that it reads count as whole only if an earlier
 // process has announced it.
-func (f *Fleet) register(ctx context.Context) {
-	f.mu.Lock()
-	unread := f.members.regions()
-	f.mu.Unlock()
-	announced, listed := false, false
+func (f *Fleet) readAllLists(ctx context.Context, unread []string, announced bool) {
+	listed := announced
 	for ctx.Err() == nil && !f.isWithdrawn() {
 		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
 		listed = listed || announced
--- a/internal/gateway/fleet/registration_test.go
+++ b/internal/gateway/fleet/registration_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 	f := newFleet(r, h, regions)
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
-	f.register(ctx)
+	f.register(ctx, f.regions())
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.members.unread()
@@ -66,23 +67,47 @@
 	}
 }
 
-// Before a host knows all that share a limit it says so, as it would take too large a
-// part.
-func TestSharersAreZeroUntilAllAreKnown(t *testing.T) {
+// Before a host knows who shares a limit with it it has no part, as it would take too
+// large a one. Hosts of other regions share other parts.
+func TestAHostHasNoPartOfALimitUntilItKnowsItsRegion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newFakeRegistry()
-		r.hosts["e"] = host("e", "east-0", "east")
+		r.hosts["e"], r.hosts["w2"] = host("e", "east-0", "east"), host("w2", "west-0", "west")
 		f := newFleet(r, host("w", "west-0", "west"), []string{"east", "west"})
-		require.Zero(t, f.Sharers())
+		require.Zero(t, f.CommonPart())
 		require.Equal(t, 2, f.UnreadLists())
-		f.register(t.Context())
+		f.register(t.Context(), f.regions())
 		require.Zero(t, f.UnreadLists())
-		require.Zero(t, f.Sharers(), "they may not know of this one yet")
+		require.Zero(t, f.CommonPart(), "they may not know of this one yet")
 		time.Sleep(warmup.Window)
-		require.Equal(t, 2, f.Sharers())
+		require.Equal(t, 0.25, f.CommonPart())
 	})
 }
 
+// The slack of 630 retries was split by number over 295 hosts, of which 27 got all
+// requests: they had a tenth of it. Whatever the sizes of hosts, the parts add up to
+// no more than the limit.
+func TestPartsOfALimitAddUp(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		large, small int
+		// wanted is the least part that the large hosts have together.
+		wanted float64
+	}{{9, 89, 0.79}, {1, 0, 1}, {3, 0, 0.99}, {2, 11, 0.79}} {
+		all := slices.Concat(largeAndSmall("west", c.large, c.small), largeAndSmall("east", c.large, c.small))
+		sum, large := 0.0, 0.0
+		for _, self := range all {
+			part := membersOf(self, all, now).commonPart(now)
+			sum += part
+			if isLarge(self.Capacity, 800) {
+				large += part
+			}
+		}
+		require.LessOrEqual(t, sum, 1+1e-9)
+		require.GreaterOrEqual(t, large, c.wanted)
+	}
+}
+
 // Of two hosts that start together, the later one finds the earlier one in the list.
 func TestAListIsReadAfterTheAnnouncement(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -91,7 +116,7 @@
 		f := newFleet(r, host("w0", "west-0", "west"), []string{"west"})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
-		go f.register(ctx)
+		go f.register(ctx, f.regions())
 		synctest.Wait()
 		require.NoError(t, r.Announce(ctx, host("w1", "west-0", "west")))
 		r.setReads(true)
@@ -159,7 +184,7 @@
 		r := newFakeRegistry()
 		f := newFleet(r, host("w0", "west-0", "west"), []string{"west"})
 		require.Equal(t, registryRetry, f.retryPause())
-		f.register(t.Context())
+		f.register(t.Context(), f.regions())
 		require.Equal(t, renewalRetry, f.retryPause())
 	})
 }
--- a/internal/gateway/fleet/relaytree.go
+++ b/internal/gateway/fleet/relaytree.go
@@ -20,7 +20,7 @@
 // form a tree: in the order of rank the first polls the store, the next
 // relayFanout poll the first, and so on. Thus the load of the store grows with
 // regions and not with hosts. Each host polls only hosts before it in an order
-// that depends on their names alone, so that there is no cycle however much the
+// that depends on what they announced alone, so that there is no cycle however much the
 // hosts differ in whom they see alive.
 //
 // Hosts that are leaving are passed over, and once this host is ready
@@ -33,7 +33,7 @@
 		if p.host.Region != m.self.Region || !p.alive(now) || p.status.Leaving || (selfReady && !p.status.Ready) {
 			continue
 		}
-		if rank(p.host) < rank(m.self) {
+		if byRank(p.host, m.self) < 0 {
 			before = append(before, p.host)
 		}
 	}
@@ -72,7 +72,11 @@
 	}
 }
 
-// rank is a host's place in an order that depends on its name alone.
-func rank(h Host) uint64 { return xxhash.Sum64String(h.Name) }
-
-func byRank(a, b Host) int { return cmp.Compare(rank(a), rank(b)) }
+// byRank orders hosts by what they announced of themselves alone: the larger ones
+// first, as the first hosts send each change to others, and then by name.
+func byRank(a, b Host) int {
+	if c := cmp.Compare(b.Capacity, a.Capacity); c != 0 {
+		return c
+	}
+	return cmp.Compare(xxhash.Sum64String(a.Name), xxhash.Sum64String(b.Name))
+}
--- /dev/null
+++ b/internal/gateway/fleet/start.go
@@ -0,0 +1,63 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Hosts start together, by the hundred, when a deployment starts, after a loss of
+// power and at many kills. Were each to read all lists and tables from the store, 295
+// hosts would make 2,650 calls in a second, and 5,900 could not be served in less than
+// a minute. So the first hosts of each region read from the store, and the others from
+// them.
+const (
+	// startAtStore is how many hosts of a region read all from the store at their
+	// start, by rank: these are the large ones, which clients are given first. Chosen,
+	// not measured: enough that any few may be down.
+	startAtStore = 12
+	// startAtPeersFor is how long the others wait for a peer that has the tables
+	// before they read them from the store themselves. It covers the way of a table
+	// through three levels of relays, and is below the seconds after which a host that
+	// is not ready is missed. Chosen, not measured.
+	startAtPeersFor = 2 * time.Second
+	// otherListsWithin is within which time the others read the lists of hosts of
+	// other regions, each at a moment of its own. Until then they take no part in
+	// warming up the upstreams of a region that has no live host. Chosen, not
+	// measured: the lists are read each listEvery from then on.
+	otherListsWithin = 5 * time.Minute
+)
+
+// startsAtPeers reports whether this host, which has not read the tables yet, is to
+// read them from peers. While it does not know its place, it waits at the first start
+// of a deployment, when no clients are there yet; later it does not.
+func (m *members) startsAtPeers(firstStart, heardOfAll bool, now time.Time) bool {
+	if now.Sub(m.started) >= startAtPeersFor {
+		return false
+	}
+	if m.lists[m.self.Region].IsZero() && !heardOfAll {
+		return firstStart
+	}
+	return m.place() >= startAtStore
+}
+
+// place is this host's place among the known hosts of its region by rank, from 0.
+func (m *members) place() int {
+	place := 0
+	for _, p := range m.named(m.indexed().byRegion[m.self.Region]) {
+		if byRank(p.host, m.self) < 0 {
+			place++
+		}
+	}
+	return place
+}
+
+// untilOtherLists is how long a host that has read the list of its own region waits
+// until it reads those of the others.
+func (f *Fleet) untilOtherLists() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.members.place() < startAtStore {
+		return 0
+	}
+	return rand.N(otherListsWithin)
+}
--- /dev/null
+++ b/internal/gateway/fleet/start_test.go
@@ -0,0 +1,135 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/watch"
+)
+
+// 295 hosts that started together made 2,650 calls to the store within a second, and a
+// kill of half of them as many again: each read all tables and all lists of hosts.
+func TestFewOfTheHostsThatStartTogetherReadFromTheStore(t *testing.T) {
+	now := time.Now()
+	all := largeAndSmall("west", 9, 89)
+	atStore, large := 0, 0
+	for _, self := range all {
+		m := startedMembers(self, all, now)
+		if !m.startsAtPeers(false, false, now) {
+			atStore++
+			if isLarge(self.Capacity, 800) {
+				large++
+			}
+		}
+	}
+	require.Equal(t, startAtStore, atStore)
+	require.Equal(t, 9, large, "those that clients are given first do not wait")
+}
+
+func TestWhereAHostThatStartsReadsTheTables(t *testing.T) {
+	now := time.Now()
+	all := regionHosts("west", 50)
+	last := all[0]
+	for _, h := range all {
+		if byRank(h, last) > 0 {
+			last = h
+		}
+	}
+	for _, c := range []struct {
+		name                             string
+		known                            []Host
+		listRead, firstStart, heardOfAll bool
+		age                              time.Duration
+		peers                            bool
+	}{
+		{"nothing is known at the first start", nil, false, true, false, 0, true},
+		{"nothing is known at a restart", nil, false, false, false, 0, false},
+		{"a host of few", all[:9], true, true, false, 0, false},
+		{"a host of many, by the list", all, true, false, false, 0, true},
+		{"a host of many, by a peer", all, false, false, true, 0, true},
+		{"no peer had them in time", all, true, true, true, startAtPeersFor, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMembers(last, []string{"west"}, now)
+			for _, h := range c.known {
+				m.addKnown(h, now)
+			}
+			if c.listRead {
+				m.addList("west", nil, true, now)
+			}
+			require.Equal(t, c.peers, m.startsAtPeers(c.firstStart, c.heardOfAll, now.Add(c.age)))
+		})
+	}
+}
+
+// readCount is a registry that counts the lists read of each region.
+type readCount struct {
+	*fakeRegistry
+	reads map[string]int
+}
+
+func (r *readCount) Hosts(ctx context.Context, region string) ([]Listing, error) {
+	r.mu.Lock()
+	r.reads[region]++
+	r.mu.Unlock()
+	return r.fakeRegistry.Hosts(ctx, region)
+}
+
+func TestTheListsOfOtherRegionsAreReadAtOnceByTheFirstHostsOnly(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		large, small int
+		atOnce       bool
+	}{{"one of few hosts", 0, 3, true}, {"one behind many", 20, 1, false}} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := &readCount{newFakeRegistry(), map[string]int{}}
+				all := largeAndSmall("west", c.large, c.small)
+				for _, h := range all {
+					r.hosts[h.Name] = h
+				}
+				f := newFleet(r, all[len(all)-1], []string{"east", "west"})
+				ctx, cancel := context.WithCancel(t.Context())
+				go f.keepRegistered(ctx)
+				time.Sleep(time.Second)
+				require.Equal(t, 1, r.reads["west"])
+				require.Equal(t, c.atOnce, r.reads["east"] == 1)
+				time.Sleep(otherListsWithin)
+				require.Equal(t, 1, r.reads["east"])
+				require.EqualValues(t, 1, r.versions[f.options.Self.Name], "announced once")
+				cancel()
+				synctest.Wait()
+			})
+		})
+	}
+}
+
+// noTable is a source that can't be read.
+type noTable struct{}
+
+func (noTable) List(context.Context) (watch.Page, error) {
+	return watch.Page{}, errors.New("not asked")
+}
+
+func (noTable) Changes(context.Context, int64, time.Duration) (watch.Page, error) {
+	return watch.Page{}, errors.New("not asked")
+}
+
+// Once a host is ready, or no peer had the tables in time, the store is a source again.
+func TestTheStoreIsASourceOnceAHostIsReady(t *testing.T) {
+	all := largeAndSmall("west", 20, 1)
+	status := Status{}
+	f := New(Options{Self: all[20], Regions: []string{"west"}, Report: noReport{}, Status: func() Status { return status }, Tables: []Table{{Store: noTable{}}}})
+	f.addList("west", listings(all[:20]), true)
+	require.Empty(t, f.Sources(0))
+	status = readyStatus
+	require.Equal(t, "store", f.Sources(0)[0].Name)
+	status = Status{}
+	f.members.started = time.Now().Add(-startAtPeersFor)
+	require.Equal(t, "store", f.Sources(0)[0].Name)
+}
--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -224,7 +224,7 @@
 func (p *pass) choose() (balance.Choice, bool) {
 	h, now := p.host, p.host.model.clock.now
 	service := p.call.route.Service
-	if !h.budget.TryRetry(service, len(h.model.hosts), now) {
+	if !h.budget.TryRetry(service, 1/float64(len(h.model.hosts)), now) {
 		return balance.Choice{}, false
 	}
 	c, reason := h.balancer.Choose(p.query())
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -116,7 +116,7 @@
 		Balancer: balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
 		Budget:   retry.NewBudget(retries, time.Now().Add(-retries.Window)),
 		Client:   exchange.NewClient(g.dial, protocol{}),
-		Codec:    codec{}, Sharers: func() int { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
+		Codec:    codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
 	g.server = httptest.NewServer(g.proxy)
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -53,9 +53,9 @@
 	Client *exchange.Client
 	// Codec reads requests' headers and writes error responses.
 	Codec Codec
-	// Sharers gives how many hosts share the retry budget, this one included; zero
-	// while that is not known.
-	Sharers func() int
+	// SlackPart gives this host's part of the retry budget's slack, from 0 to 1; zero
+	// while it does not know who shares that.
+	SlackPart func() float64
 	// ConfigAge gives how long ago a source last confirmed the operator
 	// configuration, and UpstreamsAge the upstreams. Both are logged.
 	ConfigAge, UpstreamsAge func() time.Duration
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -48,7 +48,7 @@
 // share, and chooses an upstream for it. Without an upstream the retry goes
 // back: only requests that are sent count.
 func (f *inflight) chooseRetry(now time.Time) (balance.Choice, error) {
-	if !f.proxy.Budget.TryRetry(f.service, f.proxy.Sharers(), now) {
+	if !f.proxy.Budget.TryRetry(f.service, f.proxy.SlackPart(), now) {
 		return balance.Choice{}, errNoBudget
 	}
 	c, err := f.choose()
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -5,9 +5,8 @@
 //
 // A Budget owns one host's counts of requests and retries. The limit holds for
 // all hosts together without any message between them: each host uses the
-// part that its own requests give it, and an even part of the constant slack
-// once it knows who shares that and what was spent. It relies on its caller for
-// the number of hosts.
+// part that its own requests give it, and a part of the constant slack once it
+// knows who shares that and what was spent. It relies on its caller for that part.
 package retry
 
 import (
@@ -42,17 +41,17 @@
 	return safetyMargin * (l.Ratio*float64(requests) + slack)
 }
 
-// slackPart is this host's part of the slack, which a number of hosts share. It
-// has none while they are not known (hosts is zero), nor before its process has run
-// for a window, as the one before it may have spent the part. With it, nine hosts
+// slackFor is what a host may use of the slack whose part of it is given, from 0 to
+// 1. It has none before its process has run for a window, as the one before it may
+// have spent the part. With it, nine hosts
 // sent 99 retries of 76 within the window of their restart
 // (TestRetriesStayWithinTheLimitOverARestartOfAllHosts). The part that requests
 // give needs no knowledge.
-func (l Limits) slackPart(hosts int, uptime time.Duration) float64 {
-	if hosts <= 0 || uptime < l.Window {
+func (l Limits) slackFor(part float64, uptime time.Duration) float64 {
+	if uptime < l.Window {
 		return 0
 	}
-	return l.Slack / float64(hosts)
+	return l.Slack * part
 }
 
 // Budget counts one host's requests and retries of each service. It is safe
@@ -83,15 +82,14 @@
 }
 
 // TryRetry counts a retry and returns true, unless this host has used up its
-// part of the service's limit. hosts is how many hosts share the limit, or zero
-// while that is not known; it must not be too low, so it counts those known, not
-// only those alive.
-func (b *Budget) TryRetry(service string, hosts int, now time.Time) bool {
+// part of the service's limit. slackPart is its part of the slack, from 0 to 1. The
+// parts of all hosts must not add up to more than 1, whomever they see alive.
+func (b *Budget) TryRetry(service string, slackPart float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	w := b.window(service, now)
 	total := w.total()
-	slack := b.limits.slackPart(hosts, now.Sub(b.started))
+	slack := b.limits.slackFor(slackPart, now.Sub(b.started))
 	if float64(total.retries+1) > b.limits.allowed(total.requests, slack) {
 		return false
 	}
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -26,7 +26,7 @@
 		for _, b := range budgets {
 			for range requestsPerStep {
 				b.RecordRequest("s", at)
-				if b.TryRetry("s", hosts, at) {
+				if b.TryRetry("s", 1.0/hosts, at) {
 					taken = append(taken, at)
 				}
 			}
@@ -63,7 +63,7 @@
 				b = after
 			}
 			b.RecordRequest("s", at)
-			for b.TryRetry("s", hosts, at) {
+			for b.TryRetry("s", 1.0/hosts, at) {
 				taken = append(taken, at)
 			}
 		}
@@ -86,26 +86,27 @@
 func TestBudgetRecoversWithTheWindowAndForEachServiceAlone(t *testing.T) {
 	now := time.Now()
 	b := retry.NewBudget(limits, now.Add(-limits.Window))
-	for b.TryRetry("a", 9, now) {
+	for b.TryRetry("a", 1.0/9, now) {
 	}
-	require.True(t, b.TryRetry("b", 9, now))
-	require.False(t, b.TryRetry("a", 9, now.Add(5*time.Second)))
-	require.True(t, b.TryRetry("a", 9, now.Add(11*time.Second)))
-	require.True(t, b.TryRetry("a", 9, now.Add(time.Hour)), "after many windows without requests")
+	require.True(t, b.TryRetry("b", 1.0/9, now))
+	require.False(t, b.TryRetry("a", 1.0/9, now.Add(5*time.Second)))
+	require.True(t, b.TryRetry("a", 1.0/9, now.Add(11*time.Second)))
+	require.True(t, b.TryRetry("a", 1.0/9, now.Add(time.Hour)), "after many windows without requests")
 }
 
 func TestHostUsesItsPartOfTheLimit(t *testing.T) {
 	for _, c := range []struct {
-		name            string
-		requests, hosts int
-		retries         int
+		name     string
+		requests int
+		part     float64
+		retries  int
 	}{
-		{"no requests: an even part of the slack", 0, 9, 4}, // 0.75 x 58/9 = 4.8
-		{"alone: the whole slack", 0, 1, 43},                // 0.75 x 58 = 43.5
+		{"no requests: an even part of the slack", 0, 1.0 / 9, 4}, // 0.75 x 58/9 = 4.8
+		{"alone: the whole slack", 0, 1, 43},                      // 0.75 x 58 = 43.5
 		{"the hosts are not known: none of the slack", 0, 0, 0},
-		{"nor then, but what requests give", 100, 0, 15},        // 0.75 x 20
-		{"each request adds the ratio", 100, 9, 19},             // 0.75 x (20 + 58/9) = 19.8
-		{"many hosts: a part of the slack below one", 0, 80, 0}, // 0.75 x 58/80 = 0.5
+		{"nor then, but what requests give", 100, 0, 15},              // 0.75 x 20
+		{"each request adds the ratio", 100, 1.0 / 9, 19},             // 0.75 x (20 + 58/9) = 19.8
+		{"many hosts: a part of the slack below one", 0, 1.0 / 80, 0}, // 0.75 x 58/80 = 0.5
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
@@ -114,7 +115,7 @@
 				b.RecordRequest("s", now)
 			}
 			retries := 0
-			for b.TryRetry("s", c.hosts, now) {
+			for b.TryRetry("s", c.part, now) {
 				retries++
 			}
 			require.Equal(t, c.retries, retries)
@@ -127,17 +128,17 @@
 func TestAStartingHostHasNoPartOfTheSlackForAWindow(t *testing.T) {
 	now := time.Now()
 	b := retry.NewBudget(limits, now)
-	require.False(t, b.TryRetry("s", 9, now))
-	require.False(t, b.TryRetry("s", 9, now.Add(limits.Window-1)))
-	require.True(t, b.TryRetry("s", 9, now.Add(limits.Window)))
+	require.False(t, b.TryRetry("s", 1.0/9, now))
+	require.False(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window-1)))
+	require.True(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window)))
 }
 
 func TestARetryThatWasNotSentGoesBack(t *testing.T) {
 	now := time.Now()
 	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second))
-	require.True(t, b.TryRetry("a", 1, now))
-	require.False(t, b.TryRetry("a", 1, now))
+	require.True(t, b.TryRetry("a", 1.0, now))
+	require.False(t, b.TryRetry("a", 1.0, now))
 	b.Return("a", now)
-	require.True(t, b.TryRetry("a", 1, now))
-	require.False(t, b.TryRetry("a", 1, now))
+	require.True(t, b.TryRetry("a", 1.0, now))
+	require.False(t, b.TryRetry("a", 1.0, now))
 }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -25,6 +25,9 @@
 	// Seeds are addresses of hosts that may know other hosts. Only their IP is
 	// used: all hosts listen for peers at the same port.
 	Seeds []string `toml:"seeds"`
+	// FirstStart is set while the deployment starts for the first time: a host may
+	// then wait for others, as no clients are there yet.
+	FirstStart bool `toml:"first_start"`
 	// Zones maps each availability zone to its region.
 	Zones     map[string]string `toml:"zones"`
 	Resources ResourceSettings  `toml:"resources"`
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -14,6 +14,9 @@
 	// noSourcePause is the pause when no source may be polled yet. Chosen, not
 	// measured.
 	noSourcePause = 50 * time.Millisecond
+	// startingRelayPause is the pause before a relay is asked again that has no rows
+	// yet. Chosen, not measured.
+	startingRelayPause = 100 * time.Millisecond
 	// behindCheckEvery is how often a watcher looks during a poll whether the
 	// host has fallen behind. Chosen, not measured.
 	behindCheckEvery = 150 * time.Millisecond
@@ -200,11 +203,21 @@
 	return s
 }
 
+// startsTogether reports whether a relay has no rows yet, as it has just started like
+// this host. That is no failure: it is asked again soon.
+func (w *Watcher) startsTogether(n NamedSource, err error) bool {
+	return n.Relay && errors.Is(err, ErrHistoryGone) && !w.replica.isSynced()
+}
+
 // recordResult records a poll's result for its source, and calls the sink when
 // the source begins to fail and when it works again.
 func (w *Watcher) recordResult(n NamedSource, err error) {
 	now := time.Now()
 	s := w.state(n)
+	if w.startsTogether(n, err) {
+		s.retryAt = now.Add(startingRelayPause)
+		return
+	}
 	if err != nil {
 		if s.recordFailure(err, n.backoffLimit(), now) {
 			w.sink.Lost(n.Name, err)
--- a/internal/gateway/watch/watcher_test.go
+++ b/internal/gateway/watch/watcher_test.go
@@ -151,3 +151,17 @@
 		require.Less(t, s.listings(), 5)
 	})
 }
+
+// Hosts that started together asked relays which had nothing yet, took that for a
+// failure (254 log lines at a start of 295 hosts) and asked the store.
+func TestARelayThatHasNoRowsYetIsAskedAgainSoon(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relay := NewReplica()
+		r, _ := startWatcher(t, noneNewer, NamedSource{Name: "relay", Source: relay, Relay: true})
+		time.Sleep(time.Second)
+		relay.replace(Page{Version: 5, Rows: []Row{{Key: "a", Value: []byte("1"), Version: 5}}}, time.Now())
+		time.Sleep(startingRelayPause + noSourcePause)
+		require.Equal(t, "1", r.value("a"))
+		require.Empty(t, r.lostNames())
+	})
+}
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -47,8 +47,8 @@
 			Incarnation: ulid.Make().String(), // a restart is a new one
 			Capacity:    resources.Capacity(),
 		},
-		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Region: host.Region, Log: g.log}, Report: g.log, Observations: g.detector,
-		Status: g.status, Seeds: g.settings.peerSeeds(), Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
+		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector,
+		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
 }
@@ -72,7 +72,7 @@
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
-		Sharers:      g.fleet.Sharers,
+		SlackPart:    g.fleet.CommonPart,
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
 		UpstreamsAge: g.tables[upstreamTable].Replica.Age,
 		Log:          g.log,
