Exchange heartbeats with the own zone and the first hosts of the region

Cause: each host of a region exchanged heartbeats with each other: with 98 hosts 30 KB a second and 240 messages a second for a host of 0.16 cores, growing with the square of the hosts.

Change: the first 12 hosts by rank, those that clients are given and others poll, exchange them with all; the others with these and with their zone. Dead ones among the first are replaced and still tried. A host that starts exchanges them with its whole region for 4 s, as those share limits with it.

Six tests of who exchanges with whom.

--- a/internal/gateway/fleet/index.go
+++ b/internal/gateway/fleet/index.go
@@ -16,6 +16,8 @@
 	byZone map[string][]string
 	// byRegion has the peers of each region, by name.
 	byRegion map[string][]string
+	// byRank has the hosts of the own region, this one included, by rank.
+	byRank []string
 	// remote has the peers of each other region in this host's own order.
 	remote map[string][]string
 	// sharers has those that were asked for; see members.sharers.
@@ -41,6 +43,7 @@
 		x.byZone[h.Zone] = append(x.byZone[h.Zone], name)
 		x.byRegion[h.Region] = append(x.byRegion[h.Region], name)
 	}
+	x.byRank = m.byRank(x.byRegion[m.self.Region])
 	for region, names := range x.byRegion {
 		if region != m.self.Region {
 			x.remote[region] = m.ranked(names)
@@ -49,6 +52,20 @@
 	return x
 }
 
+// byRank sorts this host and some peers by rank.
+func (m *members) byRank(names []string) []string {
+	hosts := []Host{m.self}
+	for _, name := range names {
+		hosts = append(hosts, m.peers[name].host)
+	}
+	slices.SortFunc(hosts, byRank)
+	ranked := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		ranked = append(ranked, h.Name)
+	}
+	return ranked
+}
+
 // ranked sorts peers by rendezvous hashing with this host, so that the hosts of
 // a region choose different peers of another region.
 func (m *members) ranked(names []string) []string {
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -17,9 +17,8 @@
 	lists map[string]time.Time
 	// index is nil after the set of hosts has changed.
 	index *index
-	// remoteHeartbeats names the peers of other regions that were chosen for
-	// heartbeats last.
-	remoteHeartbeats []string
+	// chosen names the peers that were chosen for heartbeats last.
+	chosen []string
 }
 
 // newMembers returns the view of a host whose process started at a time, and which
@@ -54,16 +53,17 @@
 	if h.Name == m.self.Name || h.Name == "" {
 		return false
 	}
-	p := peerState{host: h, status: s, lastHeartbeat: now, lastReported: now, getsHeartbeats: h.Region == m.self.Region}
+	p := peerState{host: h, status: s, lastHeartbeat: now, lastReported: now}
 	old := m.peers[h.Name]
 	if old != nil {
-		p.getsHeartbeats = p.getsHeartbeats || old.getsHeartbeats
+		p.getsHeartbeats = old.getsHeartbeats
 		p.listedVersion, p.announcedAt = old.listedVersion, old.announcedAt
 	}
 	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity {
 		m.index = nil
 	}
 	m.peers[h.Name] = &p
+	p.getsHeartbeats = p.getsHeartbeats || h.Region == m.self.Region && m.firstHosts(now).exchanges(m.self, h)
 	return p.getsHeartbeats && (old == nil || !old.alive(now) || old.host.Incarnation != h.Incarnation)
 }
 
--- a/internal/gateway/fleet/relaytree_test.go
+++ b/internal/gateway/fleet/relaytree_test.go
@@ -109,3 +109,32 @@
 	}
 	require.Equal(t, 1, polling)
 }
+
+// Where hosts hear only their zone and the first hosts, those are polled by all others,
+// each by a few of every zone, and there is no cycle.
+func TestTheFirstHostsOfARegionRelayToItsZones(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(3, 30)
+	parents, children := map[string]string{}, map[string]int{}
+	for _, self := range all {
+		m := startedMembers(self, all, now.Add(-longAgo))
+		for _, name := range m.regionPeers(now) {
+			m.recordHeartbeat(m.peers[name].host, readyStatus, now)
+		}
+		if h, root := m.relayParent(true, now); !root {
+			parents[self.Name] = h.Name
+			children[h.Name]++
+		}
+	}
+	require.Len(t, parents, len(all)-1, "one polls the store")
+	for name, n := range children {
+		require.LessOrEqual(t, n, 3*relayFanout, name)
+	}
+	for name := range parents {
+		depth := 0
+		for at, ok := parents[name]; ok; at, ok = parents[at] {
+			depth++
+		}
+		require.LessOrEqual(t, depth, 3)
+	}
+}
--- a/internal/gateway/fleet/schedule.go
+++ b/internal/gateway/fleet/schedule.go
@@ -21,6 +21,16 @@
 	// quiet-1 of cacf-ruteo-grown, against heartbeats to all. Two, so that one
 	// may die; other figures were not measured.
 	remoteFanout = 2
+	// firstHostCount is how many hosts of a region exchange heartbeats with all others
+	// of it. The others do so with these and with those of their own zone: with all,
+	// each of 98 hosts of a region sent and received 30 KB a second, five sixths of it
+	// about hosts that it has nothing to do with. Enough that any few may die at once.
+	// Chosen, not measured.
+	firstHostCount = 12
+	// introduceFor is how long a host exchanges heartbeats with all of its region after
+	// its start. It covers the list of them, which it may read up to a second later.
+	// Chosen, not measured.
+	introduceFor = 4 * time.Second
 	// maxDeadTried is how many dead hosts of another region get a heartbeat at a
 	// time. While that region is cut off none of its hosts lives, and each host of
 	// this one would try all of them every heartbeatRetry: 128 connections a second
@@ -35,28 +45,73 @@
 	sendSoonHosts = 30
 )
 
-// heartbeatPeers returns the peers that get heartbeats: all of the own region,
-// as its hosts share limits, relays and observations; and of each other region
-// the first in this host's own order until remoteFanout of them live. The dead
-// ones before those are tried as well, so that they are found when they return.
+// heartbeatPeers returns the peers that get heartbeats: those of the own region
+// that this host exchanges them with; and of each other region the first in this
+// host's own order until remoteFanout of them live. The dead ones before those are
+// tried as well, so that they are found when they return.
 func (m *members) heartbeatPeers(now time.Time) []*peerState {
 	x := m.indexed()
-	for _, name := range m.remoteHeartbeats {
+	for _, name := range m.chosen {
 		if p := m.peers[name]; p != nil {
 			p.getsHeartbeats = false
 		}
 	}
-	m.remoteHeartbeats = m.remoteHeartbeats[:0]
+	m.chosen = append(m.chosen[:0], m.regionPeers(now)...)
 	for _, names := range x.remote {
-		m.remoteHeartbeats = append(m.remoteHeartbeats, m.firstAlive(names, now)...)
+		m.chosen = append(m.chosen, m.firstAlive(names, now)...)
 	}
-	chosen := append(m.named(x.byRegion[m.self.Region]), m.named(m.remoteHeartbeats)...)
+	chosen := m.named(m.chosen)
 	for _, p := range chosen {
 		p.getsHeartbeats = true
 	}
 	return chosen
 }
 
+// regionPeers returns the peers of the own region that this host exchanges heartbeats
+// with. A host that starts exchanges them with all, as those share limits with it and
+// must know of it.
+func (m *members) regionPeers(now time.Time) []string {
+	names := m.indexed().byRegion[m.self.Region]
+	if now.Sub(m.started) < introduceFor {
+		return names
+	}
+	first := m.firstHosts(now)
+	var peers []string
+	for _, name := range names {
+		if first.exchanges(m.self, m.peers[name].host) {
+			peers = append(peers, name)
+		}
+	}
+	return peers
+}
+
+// firstHosts are the names of the hosts of a region that exchange heartbeats with all
+// others of it.
+type firstHosts map[string]bool
+
+// firstHosts returns those of the own region: by rank, until firstHostCount of them are
+// not known to be dead. They are the hosts that clients are given first, and those that
+// others poll.
+func (m *members) firstHosts(now time.Time) firstHosts {
+	first, left := firstHosts{}, firstHostCount
+	for _, name := range m.indexed().byRank {
+		first[name] = true
+		if p := m.peers[name]; p == nil || p.lastHeartbeat.IsZero() || p.alive(now) {
+			left--
+		}
+		if left == 0 {
+			break
+		}
+	}
+	return first
+}
+
+// exchanges reports whether two hosts of a region exchange heartbeats: they are of one
+// zone, or one of them is among the first.
+func (f firstHosts) exchanges(a, b Host) bool {
+	return a.Zone == b.Zone || f[a.Name] || f[b.Name]
+}
+
 // firstAlive returns the first remoteFanout of some peers that are alive, and of the
 // dead ones before them maxDeadTried, others each heartbeatRetry.
 func (m *members) firstAlive(names []string, now time.Time) []string {
--- a/internal/gateway/fleet/schedule_test.go
+++ b/internal/gateway/fleet/schedule_test.go
@@ -1,10 +1,13 @@
 package fleet
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/warmup"
 )
 
 // Heartbeats between regions grow with hosts, not with their square.
@@ -102,3 +105,109 @@
 	m.recordHeartbeat(all[hosts], readyStatus, start.Add(time.Hour))
 	require.Contains(t, m.firstAlive(m.indexed().remote["east"], start.Add(time.Hour)), all[hosts].Name, "one that lives is kept")
 }
+
+// zonesOf returns hosts of one region in three zones, of which the first of each zone
+// are large.
+func zonesOf(largePerZone, smallPerZone int) []Host {
+	var all []Host
+	for zone := range 3 {
+		for i, h := range largeAndSmall("west", largePerZone, smallPerZone) {
+			h.Name, h.Zone = fmt.Sprint("west-", zone, "-", i), fmt.Sprint("west-", zone)
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+// Each of 98 hosts of a region exchanged heartbeats with each other: 30 KB a second of a
+// host with 0.16 cores, seven times what a node may spend on control.
+func TestAHostExchangesHeartbeatsWithItsZoneAndTheFirstHostsOfItsRegion(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(3, 30)
+	for _, self := range all {
+		m := membersOf(self, all, now)
+		large, zone, others := 0, 0, 0
+		for _, p := range m.heartbeatPeers(now) {
+			switch {
+			case isLarge(p.host.Capacity, 800):
+				large++
+			case p.host.Zone == self.Zone:
+				zone++
+			default:
+				others++
+			}
+		}
+		if isLarge(self.Capacity, 800) {
+			require.Equal(t, []int{8, 30, 60}, []int{large, zone, others}, self.Name)
+			continue
+		}
+		require.Equal(t, []int{9, 29}, []int{large, zone}, self.Name)
+		if m.firstHosts(now)[self.Name] {
+			require.Equal(t, 60, others)
+		} else {
+			require.LessOrEqual(t, others, firstHostCount-9)
+		}
+	}
+}
+
+// Nine hosts of one region know each other as before.
+func TestFewHostsExchangeHeartbeatsWithAll(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(0, 4)
+	for _, self := range all {
+		require.Len(t, membersOf(self, all, now).heartbeatPeers(now), len(all)-1)
+	}
+}
+
+// Hosts that share a limit with one that starts must know of it, whichever zone they
+// are in.
+func TestAHostThatStartsExchangesHeartbeatsWithItsWholeRegion(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(3, 30)
+	m := startedMembers(all[40], all, now)
+	require.Len(t, m.heartbeatPeers(now), len(all)-1)
+	require.Less(t, len(m.heartbeatPeers(now.Add(introduceFor))), 50)
+	require.Greater(t, introduceFor, warmup.Window)
+}
+
+// When the large hosts die, others take their place, and those that come back are found.
+func TestDeadFirstHostsAreReplacedAndStillTried(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(3, 30)
+	m := membersOf(all[40], all, now)
+	before := m.firstHosts(now)
+	require.Len(t, before, firstHostCount)
+	later := now.Add(deadAfter)
+	for _, h := range all {
+		if !isLarge(h.Capacity, 800) {
+			m.recordHeartbeat(h, readyStatus, later)
+		}
+	}
+	after := m.firstHosts(later)
+	require.Len(t, after, firstHostCount+9)
+	for name := range before {
+		require.True(t, after[name], name)
+	}
+}
+
+// A host that has heard of one only at its start does not report it as lost.
+func TestAPeerThatGetsNoHeartbeatsIsNotReportedAsLost(t *testing.T) {
+	start := time.Now()
+	all := zonesOf(3, 30)
+	m := startedMembers(all[40], all, start)
+	for _, h := range all {
+		m.recordHeartbeat(h, readyStatus, start)
+	}
+	m.heartbeatPeers(start)
+	now := start.Add(introduceFor)
+	exchanged := map[string]bool{}
+	for _, p := range m.heartbeatPeers(now) {
+		exchanged[p.host.Name] = true
+	}
+	for _, h := range all {
+		if exchanged[h.Name] {
+			m.recordHeartbeat(h, readyStatus, now)
+		}
+	}
+	require.Empty(t, m.expire(start, now.Add(time.Second)))
+}
--- a/internal/gateway/fleet/start.go
+++ b/internal/gateway/fleet/start.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -12,9 +13,8 @@
 // them.
 const (
 	// startAtStore is how many hosts of a region read all from the store at their
-	// start, by rank: these are the large ones, which clients are given first. Chosen,
-	// not measured: enough that any few may be down.
-	startAtStore = 12
+	// start, by rank: these are the large ones, which clients are given first.
+	startAtStore = firstHostCount
 	// startAtPeersFor is how long the others wait for a peer that has the tables
 	// before they read them from the store themselves. It covers the way of a table
 	// through three levels of relays, and is below the seconds after which a host that
@@ -42,13 +42,7 @@
 
 // place is this host's place among the known hosts of its region by rank, from 0.
 func (m *members) place() int {
-	place := 0
-	for _, p := range m.named(m.indexed().byRegion[m.self.Region]) {
-		if byRank(p.host, m.self) < 0 {
-			place++
-		}
-	}
-	return place
+	return slices.Index(m.indexed().byRank, m.self.Name)
 }
 
 // untilOtherLists is how long a host that has read the list of its own region waits
