Revert "Count only attempts that were sent against a route's attempts and the retry budget"

Cause: it serves users worse where a zone goes dark. A third upstream does not know the object and works three times as long on it, and retries that the budget held back overload the upstreams that are left.

--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -9,7 +9,6 @@
 
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/outlier"
-	"cairndock/internal/gateway/retry"
 	"cairndock/internal/verdict"
 )
 
@@ -32,19 +31,18 @@
 }
 
 // newAttempts has room in its channels for every attempt that the route allows,
-// so that none waits for a request that has ended; also for those that were not sent.
+// so that none waits for a request that has ended.
 func (f *inflight) newAttempts(ctx context.Context) *attempts {
-	room := max(1, f.route.Attempts) + retry.MaxUnsent
+	room := max(1, f.route.Attempts)
 	return &attempts{inflight: f, ctx: ctx, ends: make(chan attemptEnd, room), overdue: make(chan *attempt, room)}
 }
 
 // start begins an attempt at an upstream that choose has chosen.
 func (s *attempts) start(c balance.Choice) {
 	f := s.inflight
-	repeat := f.retryState().IsRepeat()
 	f.tried = append(f.tried, c.Upstream.ID)
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	a := &attempt{inflight: f, choice: c, number: len(f.tried), repeat: repeat, began: time.Now(), cancel: cancel}
+	a := &attempt{inflight: f, choice: c, number: len(f.tried), began: time.Now(), cancel: cancel}
 	a.overdueAfter = f.proxy.Detector.OverdueAfter(f.service, c.Load)
 	if a.overdueAfter > 0 {
 		a.timer = time.AfterFunc(a.overdueAfter, func() { s.overdue <- a })
@@ -84,7 +82,7 @@
 	if end.err == nil {
 		return end.resp, true, nil
 	}
-	f.noteFailed(end.attempt, end.err)
+	f.noteFailed(end.err)
 	if s.onTime() {
 		return nil, false, nil
 	}
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -24,10 +24,8 @@
 	service string
 	request *exchange.Request
 
-	// tried has the ids of the upstreams that were chosen for the request, and unsent
-	// is how many of these could not be connected to.
-	tried  []string
-	unsent int
+	// tried has the ids of the upstreams that the request was sent to.
+	tried []string
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
 }
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -14,7 +14,7 @@
 // retryState is what the rules of package retry look at.
 func (f *inflight) retryState() retry.State {
 	return retry.State{
-		Attempts: len(f.tried), Unsent: f.unsent, MaxAttempts: f.route.Attempts, Repeatable: f.repeatable(), MayHaveRun: f.mayHaveRun != nil,
+		Attempts: len(f.tried), MaxAttempts: f.route.Attempts, Repeatable: f.repeatable(), MayHaveRun: f.mayHaveRun != nil,
 	}
 }
 
@@ -34,20 +34,11 @@
 // ended reports whether there is nobody to serve.
 func (f *inflight) ended(ctx context.Context) bool { return ctx.Err() != nil || f.client.Err() != nil }
 
-// noteFailed remembers what an attempt's error says of the request: it may have run, or
-// was not sent. The retry that an attempt took goes back if it was not sent.
-func (f *inflight) noteFailed(a *attempt, err error) {
-	e := verdict.From(err)
-	if e.Verdict != verdict.NotRun {
+// noteFailed remembers an attempt's error if the request may have run.
+func (f *inflight) noteFailed(err error) {
+	if e := verdict.From(err); e.Verdict != verdict.NotRun {
 		f.mayHaveRun = e
 	}
-	if e.Reason != verdict.Unreachable {
-		return
-	}
-	f.unsent++
-	if a.repeat {
-		f.proxy.Budget.Return(f.service, time.Now())
-	}
 }
 
 // errNoBudget is the error of a retry that the budget does not grant.
@@ -57,12 +48,11 @@
 // share, and chooses an upstream for it. Without an upstream the retry goes
 // back: only requests that are sent count.
 func (f *inflight) chooseRetry(now time.Time) (balance.Choice, error) {
-	repeat := f.retryState().IsRepeat()
-	if repeat && !f.proxy.Budget.TryRetry(f.service, f.proxy.SlackPart(), now) {
+	if !f.proxy.Budget.TryRetry(f.service, f.proxy.SlackPart(), now) {
 		return balance.Choice{}, errNoBudget
 	}
 	c, err := f.choose()
-	if err != nil && repeat {
+	if err != nil {
 		f.proxy.Budget.Return(f.service, now)
 	}
 	return c, err
--- a/internal/gateway/retry/rule.go
+++ b/internal/gateway/retry/rule.go
@@ -9,34 +9,20 @@
 
 // State is what both rules look at.
 type State struct {
-	// Attempts is the number of upstreams that were chosen for the request, Unsent how
-	// many of these could not be connected to, and MaxAttempts the route's bound on
-	// those that it is sent to.
-	Attempts, Unsent, MaxAttempts int
+	// Attempts is the number of upstreams that the request was sent to, and
+	// MaxAttempts the route's bound on it.
+	Attempts, MaxAttempts int
 	// Repeatable is set when the request may run more than once.
 	Repeatable bool
 	// MayHaveRun is set when an attempt that failed may have run.
 	MayHaveRun bool
 }
 
-// MaxUnsent is how many upstreams that can't be connected to leave a request its
-// attempts. Where many went dark at once, as with a zone, the second one that a key has
-// may be dark as well; each costs the time of a dial, so that more would be too late.
-// Chosen, not measured.
-const MaxUnsent = 2
-
-// sent is how many attempts count against the route's bound.
-func (s State) sent() int { return s.Attempts - min(s.Unsent, MaxUnsent) }
-
-// IsRepeat reports whether the next attempt repeats the request, which needs the
-// budget. It does not while none was sent: no upstream has got anything of it.
-func (s State) IsRepeat() bool { return s.Attempts > s.Unsent }
-
 // MayRetry is the rule for a request of which an attempt failed and none is left
 // that is on time. ended is set when there is nobody to serve: the deadline
 // passed, the host aborts or the client left.
 func (s State) MayRetry(ended bool) bool {
-	return !ended && s.sent() < s.MaxAttempts && (s.Repeatable || !s.MayHaveRun)
+	return !ended && s.Attempts < s.MaxAttempts && (s.Repeatable || !s.MayHaveRun)
 }
 
 // MayHedge is the rule for a request whose response is overdue: the response
@@ -45,5 +31,5 @@
 // from there, which normally takes overdueAfter at most. It raised the worst
 // windows of cacf-ruteo scale-1 from 0.59 to 0.62 (docs/design/platform.md).
 func (s State) MayHedge(timeLeft, overdueAfter time.Duration) bool {
-	return s.Repeatable && s.sent() < s.MaxAttempts && timeLeft >= overdueAfter
+	return s.Repeatable && s.Attempts < s.MaxAttempts && timeLeft >= overdueAfter
 }
