--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -100,7 +100,12 @@
 	wait.Go(func() { w.watchMemory(ctx, cancel) })
 	time.Sleep(calmAfter) // so that all hosts count as calm
 	w.phase(ctx, "planned", planned, length, plannedGap)
+	entries, endEntries := context.WithCancel(ctx)
+	var disrupting sync.WaitGroup
+	disrupting.Go(func() { w.disruptEntries(entries) })
 	w.phase(ctx, "all", slices.Concat(planned, unplanned), length, allGap)
+	endEntries()
+	disrupting.Wait()
 	w.checkRecovery()
 	w.keep(logsVar, ".heap", w.writeHeapProfile) // of a host under load
 	cancel()
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -95,6 +95,8 @@
 	// noWorkFrom is when it must get no new requests any more, in Unix
 	// nanoseconds; 0 is never.
 	noWorkFrom atomic.Int64
+	// born is when it started, in Unix nanoseconds.
+	born atomic.Int64
 	// late is called for each request after noWorkFrom.
 	late func(upstream, request string)
 }
@@ -104,6 +106,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	u := &upstream{Upstream: platformtest.Upstream{ID: id, Slots: capacity}, zone: zone, ledger: l, late: late}
+	u.bornAt(time.Now())
 	u.link = newLink(t, listener.Addr().String())
 	u.server = &http.Server{Handler: u, ReadHeaderTimeout: time.Second}
 	// Serve's error only says that the server was closed.
@@ -114,9 +117,12 @@
 
 // row is what the upstream writes about itself in the store.
 func (u *upstream) row(draining bool) platformtest.UpstreamRow {
-	return platformtest.UpstreamRow{Service: service, Address: u.link.address(), Zone: u.zone, Capacity: capacity, Draining: draining, ColdLeft: u.cold.left()}
+	return platformtest.UpstreamRow{Service: service, Address: u.link.address(), Zone: u.zone, Capacity: capacity, Draining: draining, ColdLeft: u.cold.left(), Born: time.Unix(0, u.born.Load())}
 }
 
+// bornAt sets when its process started.
+func (u *upstream) bornAt(at time.Time) { u.born.Store(at.UnixNano()) }
+
 // body is the response to a request: a client can tell whether it is its own
 // and whether it is whole.
 func body(id string) string {
