--- a/internal/docscheck/names_test.go
+++ b/internal/docscheck/names_test.go
@@ -22,6 +22,7 @@
 	"status/":       "is a table of the platform's store",
 	"--day-cap":     "is a flag of the users' bench, not of this program",
 	"--most":        "is a flag of the users' bench, not of this program",
+	"--jobs":        "is a flag of the users' bench, not of this program",
 	"--days":        "is a flag of the users' bench, not of this program",
 }
 
