--- a/internal/gateway/balance/doc.go
+++ b/internal/gateway/balance/doc.go
@@ -11,6 +11,8 @@
 //
 //   - region.go: which region serves a key first;
 //   - order.go: in which order upstreams are tried;
+//   - preferencelist.go: the first of that order, for a request with a key;
+//   - summary.go: what all upstreams of a service say together;
 //   - ejected.go: when ejected upstreams are tried last;
 //   - admission.go: whether an upstream takes a request, by its load and, while
 //     it is cold, by the host's warm-up quota;
--- a/internal/gateway/balance/order.go
+++ b/internal/gateway/balance/order.go
@@ -18,7 +18,7 @@
 	zoneStep = affinitySpread / 2
 	// crossRegionCost is the cost of a region other than the one that serves
 	// the key, for a request with affinity. The first upstream is of that region
-	// anyway (preferRegion); the cost decides how often the second one is, which
+	// anyway (lowest.prefer); the cost decides how often the second one is, which
 	// takes what the first has no room for. A region that is busy is so at all of
 	// its upstreams, so that its second one seldom has room: of 100 responses
 	// 92.1 came in time at 1, 89.3 at 3 and 92.6 at 0, where slightly more
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -23,7 +23,8 @@
 	// NoAffinity means that an upstream that served the key lately is no
 	// faster on it.
 	NoAffinity bool
-	// Upstreams are those of the service.
+	// Upstreams are those of the service. The list is not changed once a query has
+	// it, as summaries are kept by list.
 	Upstreams []*upstream.Upstream
 	// Allows reports whether the request may be served in a region; nil
 	// allows all.
--- a/internal/gateway/routing/state.go
+++ b/internal/gateway/routing/state.go
@@ -3,9 +3,9 @@
 // version of both without a lock. The rows come from package watch, by two
 // sinks; a Decoder reads them.
 //
-// The state never becomes worse by an update: a row that can't be decoded
-// leaves the last good one in place, an older configuration never replaces a
-// newer one, and an upstream whose entry lapsed while the store was away stays
+// The state never becomes worse by an update: an operator's row that can't be
+// decoded leaves the last good one in place, an upstream's is not used until its row
+// can be read, an older configuration never replaces a newer one, and an upstream whose entry lapsed while the store was away stays
 // for upstream.LapseGrace.
 package routing
 
