Log what a request is recognized by where its upstream's connection ended

Cause: hosts log neither caller nor content of a request, so that the hypotheses of the incident can't be told apart. Change: attempts without a response have the client's address and a fingerprint. Measured: nothing yet.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -63,6 +63,10 @@
 	Took   time.Duration
 	// Detail is one sentence on a failure.
 	Detail string
+	// Caller is the client's IP address, and Fingerprint what the request is
+	// recognized by when it comes again. Both are empty unless the upstream's
+	// connection ended without a response.
+	Caller, Fingerprint string
 }
 
 // Attempt logs how an attempt ended.
@@ -74,7 +78,7 @@
 	e.Str("route", a.Route).Str("service", a.Service).Str("upstream", a.Upstream).Str("zone", a.Zone).
 		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Int("capacity", a.Capacity).Float64("load_age_ms", ms(a.LoadAge)).
 		Int("rank", a.Rank).Bool("cold", a.Cold).Str("outcome", a.Outcome).Int("status", a.Status).
-		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Msg("request: attempt ended")
+		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
 }
 
 // WarmUp describes a request that was sent to a cold upstream.
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -23,6 +23,10 @@
 		ev.Outcome, ev.Failed, ev.Detail = string(e.Reason), true, e.Detail
 		f.proxy.Metrics.Count(`cairndock_attempt_failures_total{reason="` + string(e.Reason) + `"}`)
 	}
+	if e != nil && e.Reason == verdict.UpstreamFailed && status == 0 {
+		// Only these are compared: a digest of each request would cost all of them.
+		ev.Caller, ev.Fingerprint = f.address, f.fingerprint().String()
+	}
 	f.proxy.Log.Attempt(ev)
 }
 
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -1,11 +1,13 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"time"
 
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/route"
+	"cairndock/internal/poison"
 	"cairndock/internal/verdict"
 )
 
@@ -23,6 +25,8 @@
 	route   *route.Route
 	service string
 	request *exchange.Request
+	// address is the client's IP address.
+	address string
 
 	// tried has the ids of the upstreams that the request was sent to.
 	tried []string
@@ -57,3 +61,11 @@
 	hostAborted := f.client.Err() == nil && f.proxy.aborted.Err() != nil
 	return finalVerdict(verdict.From(err), f.mayHaveRun, hostAborted)
 }
+
+// fingerprint identifies the request by its content. The caller is a part of it, so
+// that nobody's request is taken for another's.
+func (f *inflight) fingerprint() poison.Fingerprint {
+	r := f.request
+	content := poison.Content{Caller: cmp.Or(f.info.Credential, f.address), Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+	return content.Fingerprint()
+}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -26,6 +26,8 @@
 	ID string
 	// Key names the object that the request is about; it may be empty.
 	Key string
+	// Credential tells who sends the request; empty when it carries none.
+	Credential string
 	// Timeout is how long the client waits; zero when it does not say.
 	Timeout time.Duration
 }
@@ -122,7 +124,7 @@
 	defer p.inFlight.Add(-1)
 	info := p.Codec.ParseRequest(r.Header)
 	client, span := p.startRequest(r, info.ID)
-	f := &inflight{proxy: p, info: info, began: began, client: client}
+	f := &inflight{proxy: p, info: info, began: began, client: client, address: hostname(r.RemoteAddr)}
 	var err error
 	defer func() { endSpan(span, err) }()
 	if err = f.prepare(w, r); err != nil {
--- /dev/null
+++ b/internal/poison/fingerprint.go
@@ -0,0 +1,44 @@
+package poison
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies a request by its content: two requests with one
+// fingerprint are the same request, whatever ids they carry. It is the first half of
+// a SHA-256 digest, so that nobody can make a request that is taken for another
+// caller's.
+type Fingerprint [16]byte
+
+// String gives the fingerprint in hexadecimal.
+func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
+
+// Content is what a request is compared by.
+type Content struct {
+	// Caller is who sent it: a credential, or the client's IP address where it
+	// carries none.
+	Caller string
+	// Method is the HTTP method, Host the value of the Host header, and Target the
+	// path and query as the client wrote them.
+	Method, Host, Target string
+	Body                 []byte
+}
+
+// Fingerprint returns the content's fingerprint. Each part is preceded by its length,
+// so that no two contents are alike when their parts are joined.
+func (c Content) Fingerprint() Fingerprint {
+	h := sha256.New()
+	part := func(p []byte) {
+		var length [8]byte
+		binary.BigEndian.PutUint64(length[:], uint64(len(p)))
+		h.Write(length[:]) // a hash returns no error
+		h.Write(p)
+	}
+	for _, text := range [...]string{c.Caller, c.Method, c.Host, c.Target} {
+		part([]byte(text))
+	}
+	part(c.Body)
+	return Fingerprint(h.Sum(nil)[:len(Fingerprint{})])
+}
