Refuse a request that has ended three upstreams, whoever gets its next repeat

Cause: all that hosts kept of requests was by id, service or upstream, so that each repeat of a request that ends upstreams was a first request everywhere. Change: package poison knows a request by its content, and collects the ends of upstreams under it; heartbeats carry that to all hosts; three ends one after the other without a response between quarantine it.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -5,6 +5,7 @@
 
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/poison"
 )
 
 // Values of the field "event" that a reader of the log looks for.
@@ -198,6 +199,26 @@
 		Float64("for_ms", ms(o.For)).Msg("upstream: ejected, avoided for a time")
 }
 
+// UpstreamEnded logs that an upstream ended under a request, and counts it. route and
+// target are the request's, by which people find out what it is.
+func (l *Log) UpstreamEnded(id, fingerprint, route, target, caller string) {
+	l.metrics.Count("cairndock_upstream_ends_total")
+	l.event("upstream-ended", l.failures).Str("upstream", id).Str("fingerprint", fingerprint).Str("route", route).Str("target", target).
+		Str("caller", caller).Msg("upstream: ended under a request")
+}
+
+// Quarantined logs that a request is refused from now on, with the upstreams that
+// ended under it, and counts it.
+func (l *Log) Quarantined(q poison.Quarantine) {
+	l.metrics.Count("cairndock_quarantines_total")
+	l.stateEvent("quarantined").Str("fingerprint", q.Fingerprint.String()).Strs("upstreams", q.Runs).Msg("request: quarantined, refused from now on")
+}
+
+// Released logs that a request is no longer refused.
+func (l *Log) Released(f poison.Fingerprint) {
+	l.stateEvent("released").Str("fingerprint", f.String()).Msg("request: released from quarantine")
+}
+
 // Upstream logs an upstream's new state, as of a version of the table: 0 if the
 // state changed without a row. Package routing names the states. An upstream
 // whose row was deleted has neither service nor zone in the log.
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -91,11 +91,12 @@
 type Client struct {
 	pool     *pool
 	protocol Protocol
+	ends     *ends
 }
 
 // NewClient makes a client that connects to upstreams by dial.
 func NewClient(dial Dial, protocol Protocol) *Client {
-	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol}
+	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, ends: newEnds()}
 }
 
 // OnSilent has f called with the number of idle connections to an upstream that were
@@ -104,7 +105,10 @@
 func (c *Client) OnSilent(f func(connections int)) { c.pool.onSilent = f }
 
 // Retain closes the idle connections to the runs that keep rejects.
-func (c *Client) Retain(keep func(upstream.Run) bool) { c.pool.retain(keep) }
+func (c *Client) Retain(keep func(upstream.Run) bool) {
+	c.pool.retain(keep)
+	c.ends.forget(time.Now())
+}
 
 // Target is the upstream that a request is sent to.
 type Target struct {
@@ -137,6 +141,7 @@
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	x.silence = watchSilence(c.pool, to.Run, nc)
 	p.silence.Store(x.silence)
+	x.progress = p
 	defer x.silence.stop()
 	n, err := nc.Write(x.encode(left))
 	if n > 0 {
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -33,6 +33,8 @@
 	stop func() bool
 	// silence watches for the first byte of a response.
 	silence *silenceWatch
+	// progress tells the sender how the connection ended.
+	progress *Progress
 }
 
 // past is a deadline that has passed.
@@ -110,6 +112,9 @@
 	x.stop()
 	_ = x.conn.Close() // err says what went wrong first
 	x.silence.ended(err)
+	if sent && ctx.Err() == nil && IsConnectionEnd(err) {
+		x.progress.connectionEnded.Store(true)
+	}
 	return responseError(ctx, x.to.Upstream, err, sent)
 }
 
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -58,7 +58,8 @@
 	// response is waited for. A request that has no connection is never sent.
 	OnSent func()
 
-	silence atomic.Pointer[silenceWatch]
+	silence         atomic.Pointer[silenceWatch]
+	connectionEnded atomic.Bool
 }
 
 func (p *Progress) sent() {
@@ -75,6 +76,10 @@
 	return w != nil && w.timer != nil && w.isSilent()
 }
 
+// ConnectionEnded reports whether the upstream's end of the connection was closed or
+// reset after the request was sent, before a response came.
+func (p *Progress) ConnectionEnded() bool { return p.connectionEnded.Load() }
+
 func (w *silenceWatch) isSilent() bool { return w.conn.received.Load() == w.received }
 
 // check gives up the older idle connections unless a byte has come. A late call
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -8,6 +8,7 @@
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
+	"cairndock/internal/poison"
 )
 
 // Registry is the stored list of hosts.
@@ -38,6 +39,16 @@
 	Merge(host string, observations []outlier.Observation, now time.Time)
 }
 
+// Suspicions are what hosts know of requests that end upstreams. All hosts share them,
+// as such a request may come to any.
+type Suspicions interface {
+	// Since returns what has changed after a sequence number, and the number up to
+	// which that is all.
+	Since(sequence int64, now time.Time) (reports []poison.Report, upTo int64)
+	// Merge adds what another host knows.
+	Merge(reports []poison.Report, now time.Time)
+}
+
 // Table is a table of the store that hosts relay to each other.
 type Table struct {
 	// Replica is this host's copy, which it serves to its peers.
@@ -54,6 +65,7 @@
 	Registry     Registry
 	Report       Reporter
 	Observations ObservationSink
+	Suspicions   Suspicions
 	// Status returns this host's current status.
 	Status func() Status
 	// Seeds are peer addresses that a starting host queries for other hosts.
@@ -81,7 +93,9 @@
 	nextHeartbeat map[string]time.Time
 	// sentSoonAt is when SendSoon last took effect.
 	sentSoonAt time.Time
-	discovery  discovery
+	// sentToAllAt is when SendSoonToAll last took effect.
+	sentToAllAt time.Time
+	discovery   discovery
 	// newest is the newest version seen of each table.
 	newest []versionSeen
 }
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cairndock/internal/peer"
+	"cairndock/internal/poison"
 )
 
 // heartbeat is both the request and the response of an exchange.
@@ -15,6 +16,11 @@
 	// Query asks the peer about other hosts, which its response has in Hosts.
 	Query hostQuery `msgpack:"a,omitempty"`
 	Hosts []Host    `msgpack:"l,omitempty"`
+	// Suspicions are the sender's changes after those that the receiver has, up to the
+	// number UpTo, and Has is up to which the sender has the receiver's.
+	Suspicions []poison.Report `msgpack:"p,omitempty"`
+	UpTo       int64           `msgpack:"u,omitempty"`
+	Has        int64           `msgpack:"x,omitempty"`
 }
 
 // heartbeatLoop sends the heartbeats that are due and reports dead peers until
@@ -68,7 +74,7 @@
 	f.mu.Lock()
 	query := f.discovery.next(to.Region, time.Now())
 	f.mu.Unlock()
-	request := heartbeat{Host: f.options.Self, Status: f.options.Status(), Query: query}
+	request := f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.options.Status(), Query: query}, to.Name)
 	response, err := peer.Call[heartbeat](ctx, f.mesh, to.PeerAddress, peer.KindHeartbeat, request)
 	if err != nil {
 		// A new connection is made for the next heartbeat, so that it does
@@ -98,6 +104,7 @@
 	if regained {
 		f.options.Report.Regained("peer", b.Host.Name, 0)
 	}
+	f.mergeSuspicions(b, now)
 	if f.options.Observations != nil && b.Host.Region == f.options.Self.Region {
 		f.options.Observations.Merge(b.Host.Name, b.Status.Observations, now)
 	}
@@ -115,5 +122,5 @@
 	}
 	f.recordHeartbeat(b)
 	f.postpone(b.Host.Name)
-	respond(w, heartbeat{Host: f.options.Self, Status: f.options.Status(), Hosts: f.hosts(b.Query)})
+	respond(w, f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.options.Status(), Hosts: f.hosts(b.Query)}, b.Host.Name))
 }
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -85,6 +85,9 @@
 	// getsHeartbeats is set while this host sends the peer heartbeats. Only
 	// such peers are logged as lost and regained.
 	getsHeartbeats bool
+	// has is up to which of this host's changes of suspicions the peer says to have,
+	// and merged up to which of the peer's this host has; zero is none.
+	has, merged int64
 }
 
 // alive reports whether a heartbeat arrived within deadAfter. A peer that is
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -58,6 +58,9 @@
 	if old != nil {
 		p.getsHeartbeats = old.getsHeartbeats
 		p.listedVersion, p.announcedAt = old.listedVersion, old.announcedAt
+		if old.host.Incarnation == h.Incarnation {
+			p.has, p.merged = old.has, old.merged
+		}
 	}
 	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity {
 		m.index = nil
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/oklog/ulid/v2"
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
 
@@ -17,6 +18,7 @@
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/watch"
+	"cairndock/internal/poison"
 	"cairndock/internal/telemetry"
 	"cairndock/platform"
 )
@@ -28,29 +30,35 @@
 // Gateway is one gateway host.
 type Gateway struct {
 	settings Settings
-	log      *eventlog.Log
-	metrics  *telemetry.Metrics
-	tracer   trace.Tracer
+	// incarnation differs for each start of the host's process.
+	incarnation string
+
+	log     *eventlog.Log
+	metrics *telemetry.Metrics
+	tracer  trace.Tracer
 
 	state    *routing.State
 	detector *outlier.Detector
-	timing   watch.Timing
-	tables   [tableCount]fleet.Table
-	watchers [tableCount]*watch.Watcher
-	fleet    *fleet.Fleet
-	proxy    *proxy.Proxy
-	server   *proxy.Server
+	// suspicions are of requests that end upstreams.
+	suspicions *poison.Table
+	timing     watch.Timing
+	tables     [tableCount]fleet.Table
+	watchers   [tableCount]*watch.Watcher
+	fleet      *fleet.Fleet
+	proxy      *proxy.Proxy
+	server     *proxy.Server
 }
 
 // New makes a host that writes its log to out. Run starts it.
 func New(set Settings, out io.Writer, tracer trace.Tracer) *Gateway {
-	g := &Gateway{settings: set, metrics: telemetry.NewMetrics(), tracer: tracer}
+	g := &Gateway{settings: set, incarnation: ulid.Make().String(), metrics: telemetry.NewMetrics(), tracer: tracer}
 	g.timing = watch.Timing(set.Limits.Staleness())
 	g.log = eventlog.New(out, eventlog.Options{
 		Host: set.Host.Name, Zone: set.Host.Zone, Level: telemetry.Level(set.Telemetry.LogLevel),
 		Sampling: set.Log.sampling(), Metrics: g.metrics,
 	})
 	g.detector = outlier.New(g)
+	g.suspicions = poison.NewTable(g.incarnation, time.Now(), g)
 	g.state = routing.New(platform.Decoder{Zones: set.Zones}, g.log, g.metrics)
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
 	g.tables[operatorTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.OperatorTable(store)}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -90,6 +90,9 @@
 		err = a.inflight.accept(u, resp)
 	}
 	a.inflight.recordHealth(u.Run(), a.settle(), resp, err, a.began)
+	if a.progress.ConnectionEnded() {
+		a.noteConnectionEnd(ctx)
+	}
 	if err != nil && isSuperseded(ctx) {
 		return nil, superseded(u.ID, verdict.From(err).Verdict)
 	}
@@ -135,6 +138,9 @@
 		if isUpstreamFault(e.Reason) {
 			f.proxy.Detector.RecordFailure(u.Run(), time.Now())
 		}
+		if exchange.IsConnectionEnd(err) && e.Reason == verdict.AnswerTruncated {
+			a.noteConnectionEnd(ctx)
+		}
 		f.logAttempt(a, resp.Status, e)
 		return nil, e
 	}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -34,6 +34,7 @@
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/gateway/watch"
+	"cairndock/internal/poison"
 	"cairndock/internal/telemetry"
 )
 
@@ -61,7 +62,8 @@
 // reporter logs ejections and has no other hosts.
 type reporter struct{ *eventlog.Log }
 
-func (reporter) FailureSeen() {}
+func (reporter) FailureSeen()       {}
+func (reporter) SuspicionsChanged() {}
 
 // standardQuota is the warm-up quota of a testGateway that sets none.
 const standardQuota = 100
@@ -113,10 +115,11 @@
 	detector := outlier.New(reporter{log})
 	g.proxy = proxy.New(proxy.Options{
 		State: g.state, Detector: detector,
-		Balancer: balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
-		Budget:   retry.NewBudget(retries, time.Now().Add(-retries.Window)),
-		Client:   exchange.NewClient(g.dial, protocol{}),
-		Codec:    codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
+		Balancer:   balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
+		Budget:     retry.NewBudget(retries, time.Now().Add(-retries.Window)),
+		Suspicions: poison.NewTable("h", time.Now(), reporter{log}),
+		Client:     exchange.NewClient(g.dial, protocol{}),
+		Codec:      codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
 	g.server = httptest.NewServer(g.proxy)
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -1,8 +1,8 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
+	"sync"
 	"time"
 
 	"cairndock/internal/gateway/exchange"
@@ -27,6 +27,10 @@
 	request *exchange.Request
 	// address is the client's IP address.
 	address string
+	// print is the request's fingerprint once printed has made it, for which the
+	// goroutines of the attempts ask too.
+	print   poison.Fingerprint
+	printed sync.Once
 
 	// tried has the ids of the upstreams that the request was sent to.
 	tried []string
@@ -37,6 +41,9 @@
 // run sends the request until it has a response to forward or is given up.
 func (f *inflight) run(ctx context.Context) (*response, error) {
 	f.proxy.Budget.RecordRequest(f.service, f.began)
+	if f.quarantined() {
+		return nil, errQuarantined()
+	}
 	choice, err := f.choose()
 	if err != nil {
 		return nil, f.finalVerdict(err)
@@ -61,11 +68,3 @@
 	hostAborted := f.client.Err() == nil && f.proxy.aborted.Err() != nil
 	return finalVerdict(verdict.From(err), f.mayHaveRun, hostAborted)
 }
-
-// fingerprint identifies the request by its content. The caller is a part of it, so
-// that nobody's request is taken for another's.
-func (f *inflight) fingerprint() poison.Fingerprint {
-	r := f.request
-	content := poison.Content{Caller: cmp.Or(f.info.Credential, f.address), Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
-	return content.Fingerprint()
-}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -16,6 +16,7 @@
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/pause"
+	"cairndock/internal/poison"
 	"cairndock/internal/telemetry"
 	"cairndock/internal/verdict"
 )
@@ -51,6 +52,8 @@
 	Detector *outlier.Detector
 	// Budget bounds the requests sent more than once.
 	Budget *retry.Budget
+	// Suspicions find requests that end the upstreams that run them.
+	Suspicions *poison.Table
 	// Client sends attempts to upstreams.
 	Client *exchange.Client
 	// Codec reads requests' headers and writes error responses.
@@ -159,7 +162,7 @@
 const cleanUpEvery = 2 * time.Second
 
 // CleanUp drops the load, health and connections of runs of upstreams
-// that are not registered any more, until the context ends.
+// that are not registered any more, and old suspicions, until the context ends.
 func (p *Proxy) CleanUp(ctx context.Context) {
 	for pause.For(ctx, cleanUpEvery) {
 		runs := p.State.Upstreams().Runs()
@@ -167,5 +170,6 @@
 		p.Balancer.Retain(known, time.Now())
 		p.Detector.Retain(known)
 		p.Client.Retain(known)
+		p.Suspicions.CleanUp(time.Now())
 	}
 }
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -61,6 +61,7 @@
 		f.logFinal(resp.Status, verdict.New(verdict.MayHaveRun, verdict.AnswerTruncated, "%v", err))
 		panic(http.ErrAbortHandler)
 	}
+	f.noteResponse(resp.Status)
 	f.logFinal(resp.Status, nil)
 }
 
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -15,6 +15,7 @@
 func (f *inflight) retryState() retry.State {
 	return retry.State{
 		Attempts: len(f.tried), MaxAttempts: f.route.Attempts, Repeatable: f.repeatable(), MayHaveRun: f.mayHaveRun != nil,
+		Suspected: f.suspected(), Quarantined: f.quarantined(),
 	}
 }
 
--- a/internal/gateway/retry/after.go
+++ b/internal/gateway/retry/after.go
@@ -34,6 +34,9 @@
 	// declinedJitter is the most that is added to declinedPause at random. Chosen
 	// with it.
 	declinedJitter = 60 * time.Millisecond
+	// quarantinePause is when a client should return whose request is quarantined: not
+	// while people have not looked at what it does. Chosen, not measured.
+	quarantinePause = time.Minute
 	// startPause is when a client should return to a host that has no
 	// configuration yet: it is reading it, which ends by itself. Chosen, not
 	// measured.
@@ -63,6 +66,8 @@
 		return Pause{Least: overloadPause, Jitter: overloadJitter}
 	case verdict.UpstreamDeclined:
 		return Pause{Least: declinedPause, Jitter: declinedJitter}
+	case verdict.Quarantined:
+		return Pause{Least: quarantinePause}
 	case verdict.NotReady:
 		return Pause{Least: startPause}
 	default:
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -6,6 +6,7 @@
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/warmup"
+	"cairndock/internal/poison"
 )
 
 // status is what this host's heartbeats say.
@@ -28,6 +29,15 @@
 // Ejected logs that an upstream is ejected.
 func (g *Gateway) Ejected(e outlier.Ejection) { g.log.Ejected(e) }
 
+// SuspicionsChanged sends the other hosts what changed out of turn.
+func (g *Gateway) SuspicionsChanged() { g.fleet.SendSoonToAll() }
+
+// Quarantined logs that a request is refused.
+func (g *Gateway) Quarantined(q poison.Quarantine) { g.log.Quarantined(q) }
+
+// Released logs that a request is no longer refused.
+func (g *Gateway) Released(f poison.Fingerprint) { g.log.Released(f) }
+
 // WarmUpQuota gives this host's part of the requests a second to an upstream
 // that takes rate of them while it is cold. The platform allows the rate times
 // WarmUpOvershoot, plus WarmUpSlack, for all hosts together.
@@ -52,6 +62,8 @@
 	g.metrics.Gauge("cairndock_hosts_known", func() float64 { return float64(g.fleet.Hosts()) })
 	g.metrics.Gauge("cairndock_host_lists_unread", func() float64 { return float64(g.fleet.UnreadLists()) })
 	g.metrics.Gauge("cairndock_upstreams_known", func() float64 { return float64(g.state.Upstreams().Len()) })
+	g.metrics.Gauge("cairndock_requests_suspected", func() float64 { n, _ := g.suspicions.Counts(); return float64(n) })
+	g.metrics.Gauge("cairndock_requests_quarantined", func() float64 { _, n := g.suspicions.Counts(); return float64(n) })
 	for table, label := range tableLabels {
 		replica := g.tables[table].Replica
 		g.metrics.Gauge(`cairndock_table_age_seconds{table="`+label+`"}`, func() float64 { return replica.Age().Seconds() })
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/oklog/ulid/v2"
-
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/dial"
 	"cairndock/internal/gateway/exchange"
@@ -44,10 +42,10 @@
 	return fleet.New(fleet.Options{
 		Self: fleet.Host{
 			Name: host.Name, Zone: host.Zone, Region: host.Region, PeerAddress: listen.Peers, ClientAddress: listen.Callers,
-			Incarnation: ulid.Make().String(), // a restart is a new one
+			Incarnation: g.incarnation,
 			Capacity:    resources.Capacity(),
 		},
-		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector,
+		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
@@ -70,6 +68,7 @@
 		Balancer:     balance.New(location, g, g.detector, balance.DefaultPolicy()),
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
+		Suspicions:   g.suspicions,
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackPart:    g.fleet.CommonPart,
--- /dev/null
+++ b/internal/poison/report.go
@@ -0,0 +1,47 @@
+package poison
+
+import "time"
+
+// Report is what a host knows of one suspect, as sent to another host (msgpack).
+type Report struct {
+	Fingerprint Fingerprint `msgpack:"f"`
+	Ends        []End       `msgpack:"e"`
+}
+
+// End is the end of one run of an upstream under a request. Its times are in
+// milliseconds.
+type End struct {
+	// Run is the run that ended.
+	Run string `msgpack:"r"`
+	// Host names the process that saw it. Began and Ended are when its attempt began
+	// and ended, since the process's start.
+	Host  string `msgpack:"h"`
+	Began int64  `msgpack:"b"`
+	Ended int64  `msgpack:"n"`
+	// Age is how long ago it ended when the report was made.
+	Age int64 `msgpack:"a"`
+	// Cleared is set when the request got a response afterwards.
+	Cleared bool `msgpack:"c,omitempty"`
+}
+
+func (e *end) report(now time.Time) End {
+	return End{
+		Run: e.Run, Host: e.host, Began: e.began.Milliseconds(), Ended: e.ended.Milliseconds(),
+		Age: max(0, now.Sub(e.at).Milliseconds()), Cleared: e.cleared,
+	}
+}
+
+// end converts a reported end; ok is false if it no longer counts or makes no sense.
+func (r End) end(now time.Time) (_ *end, ok bool) {
+	if r.Run == "" || len(r.Run) > maxName || len(r.Host) > maxName || r.Age < 0 || r.Age >= forgetAfter.Milliseconds() || r.Ended < r.Began {
+		return nil, false
+	}
+	return &end{
+		Run: r.Run, host: r.Host, began: time.Duration(r.Began) * time.Millisecond, ended: time.Duration(r.Ended) * time.Millisecond,
+		at: now.Add(-time.Duration(r.Age) * time.Millisecond), cleared: r.Cleared,
+	}, true
+}
+
+// maxName bounds the names in a report, in bytes: the platform's keys have up to 200,
+// and a run adds when it began.
+const maxName = 256
--- /dev/null
+++ b/internal/poison/table_test.go
@@ -0,0 +1,260 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestQuarantineByOneHost(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		attempts    []attempt
+		quarantined bool
+	}{
+		{"two in turn", []attempt{{"a", 0, 50}, {"b", 50, 100}}, false},
+		{"three in turn", []attempt{{"a", 0, 50}, {"b", 50, 100}, {"c", 100, 150}}, true},
+		{"three in turn, noted late and in another order", []attempt{{"c", 100, 150}, {"a", 0, 50}, {"b", 50, 100}}, true},
+		{"one run three times", []attempt{{"a", 0, 50}, {"a", 60, 70}, {"a", 80, 90}}, false},
+		{"twelve killed together", together(12), false},
+		{"killed together twice, the second time all retries", append(together(5), attempt{"x", 50, 100}, attempt{"y", 50, 100}), false},
+		{"one long attempt beside short ones", []attempt{{"a", 0, 500}, {"b", 10, 60}, {"c", 70, 120}}, false},
+		{"three in turn beside a long one", []attempt{{"a", 0, 500}, {"b", 10, 60}, {"c", 70, 120}, {"d", 130, 200}}, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table, seen := newTable("h")
+			for _, a := range c.attempts {
+				a.record(table, print("f"))
+			}
+			require.Equal(t, c.quarantined, table.Quarantined(print("f"), at(600)))
+			require.Equal(t, c.quarantined, len(seen.quarantined) == 1, "it is told once")
+			require.True(t, table.Suspected(print("f")))
+			require.False(t, table.Suspected(print("other")))
+		})
+	}
+}
+
+// together are attempts that upstreams killed at one moment ran.
+func together(n int) []attempt {
+	var all []attempt
+	for i := range n {
+		all = append(all, attempt{fmt.Sprint("together-", i), 5 * i % 45, 50})
+	}
+	return all
+}
+
+func TestAResponseClearsARequest(t *testing.T) {
+	table, _ := newTable("h")
+	f := print("popular")
+	for i := range 40 {
+		attempt{fmt.Sprint(2 * i), 100 * i, 100*i + 20}.record(table, f)
+		attempt{fmt.Sprint(2*i + 1), 100*i + 20, 100*i + 40}.record(table, f)
+		require.False(t, table.Empty())
+		table.RecordResponse(f)
+		require.False(t, table.Quarantined(f, at(100*i+50)))
+		require.True(t, table.Empty(), "nothing is compared any more")
+	}
+}
+
+func TestAReleasedRequestNeedsThreeMoreEnds(t *testing.T) {
+	table, seen := newTable("h")
+	f := print("f")
+	for i := range 3 {
+		attempt{fmt.Sprint("a", i), 100 * i, 100*i + 50}.record(table, f)
+	}
+	require.True(t, table.Quarantined(f, at(300)))
+	table.Release(f)
+	require.False(t, table.Quarantined(f, at(300)))
+	require.Equal(t, []Fingerprint{f}, seen.released)
+	for i := range 3 {
+		require.False(t, table.Quarantined(f, at(400)))
+		attempt{fmt.Sprint("b", i), 400 + 100*i, 450 + 100*i}.record(table, f)
+	}
+	require.True(t, table.Quarantined(f, at(700)))
+}
+
+// A request shared three upstreams with a poison request, as both had the same first
+// and second upstream for their keys and their clients came back at the same time.
+func TestARequestThatOnlySharedUpstreamsIsNotQuarantined(t *testing.T) {
+	guilty, innocent := print("guilty"), print("innocent")
+	table, _ := newTable("h")
+	for i := range 3 {
+		a := attempt{fmt.Sprint(i), 100 * i, 100*i + 50}
+		a.record(table, guilty)
+		a.record(table, innocent)
+	}
+	require.False(t, table.Quarantined(innocent, at(300)), "one of the two is innocent")
+	require.False(t, table.Quarantined(guilty, at(300)))
+	attempt{"3", 300, 350}.record(table, guilty)
+	require.True(t, table.Quarantined(guilty, at(400)))
+	require.False(t, table.Quarantined(innocent, at(400)))
+
+	t.Run("but two that share four are", func(t *testing.T) {
+		attempt{"3", 300, 350}.record(table, innocent)
+		require.True(t, table.Quarantined(guilty, at(400)))
+		require.True(t, table.Quarantined(innocent, at(400)))
+		attempt{"4", 400, 450}.record(table, guilty) // it was under way
+		require.False(t, table.Quarantined(innocent, at(500)), "the next end tells which")
+	})
+	t.Run("and a second poison request is, too", func(t *testing.T) {
+		other := print("other")
+		for i := range 3 {
+			attempt{fmt.Sprint("x", i), 1000 + 100*i, 1050 + 100*i}.record(table, other)
+		}
+		require.True(t, table.Quarantined(other, at(1300)))
+		require.True(t, table.Quarantined(guilty, at(1300)))
+	})
+}
+
+func TestHostsAddUpWhatTheySaw(t *testing.T) {
+	a, _ := newTable("a")
+	b, _ := newTable("b")
+	c, _ := newTable("c")
+	f := print("f")
+	attempt{"1", 0, 50}.record(a, f)
+	attempt{"2", 200, 250}.record(b, f)
+	attempt{"3", 400, 450}.record(c, f)
+	pass(a, b, 0, 460, 40)
+	pass(b, c, 0, 540, 40)
+	require.True(t, c.Quarantined(f, at(600)), "a host passes on what others told it")
+	require.False(t, a.Quarantined(f, at(600)))
+	pass(c, a, 0, 600, 40)
+	require.True(t, a.Quarantined(f, at(700)))
+	a.RecordResponse(f)
+	pass(a, b, 0, 700, 40)
+	pass(b, c, 0, 800, 40)
+	for _, host := range []*Table{a, b, c} {
+		require.False(t, host.Quarantined(f, at(900)))
+		require.True(t, host.Empty())
+	}
+}
+
+// Reports are late, each by another time, so that ends at one moment seem to be one
+// after the other.
+func TestUpstreamsKilledTogetherCountOnceAtAllHosts(t *testing.T) {
+	f := print("popular")
+	sum, _ := newTable("sum")
+	for i, delay := range []int{0, 30, 60, 90, 45, 75} {
+		host, _ := newTable(fmt.Sprint(i))
+		attempt{fmt.Sprint("run-", i), 40, 50}.record(host, f)
+		pass(host, sum, 0, 60, delay)
+	}
+	require.False(t, sum.Quarantined(f, at(200)))
+}
+
+// Two attempts of one try follow each other within a millisecond; all hosts must see
+// that, though reports of them take different times.
+func TestTheOrderThatOneHostSawHoldsEverywhere(t *testing.T) {
+	f := print("f")
+	a, _ := newTable("a")
+	b, _ := newTable("b")
+	var has int64
+	for i, delay := range []int{60, 20, 5} {
+		attempt{fmt.Sprint(i), 70 * i, 70 * (i + 1)}.record(a, f)
+		has = pass(a, b, has, 70*(i+1), delay)
+	}
+	require.True(t, a.Quarantined(f, at(300)))
+	require.True(t, b.Quarantined(f, at(300)))
+}
+
+func TestReportsMayBeLostRepeatedAndLate(t *testing.T) {
+	f := print("f")
+	a, _ := newTable("a")
+	b, told := newTable("b")
+	for i := range 3 {
+		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(a, f)
+	}
+	first, upTo := a.Since(0, at(300))
+	a.RecordResponse(f)
+	second, _ := a.Since(upTo, at(300))
+	require.Len(t, second, 1)
+	b.Merge(second, at(300))
+	require.False(t, b.Quarantined(f, at(300)))
+	for range 3 {
+		b.Merge(first, at(400))
+		b.Merge(second, at(400))
+	}
+	require.False(t, b.Quarantined(f, at(400)), "what was cleared stays cleared")
+	require.Equal(t, 1, told.changes, "what is no news is not passed on")
+	reports, _ := b.Since(0, at(400))
+	require.Len(t, reports, 1, "it is passed on to a host that has not heard of it")
+}
+
+func TestANumberOfAnotherProcessStandsForNothing(t *testing.T) {
+	a, _ := newTable("a")
+	attempt{"1", 0, 50}.record(a, print("f"))
+	_, upTo := a.Since(0, at(100))
+	restarted, _ := newTable("a2")
+	attempt{"2", 0, 50}.record(restarted, print("g"))
+	reports, other := restarted.Since(upTo, at(100))
+	require.Len(t, reports, 1)
+	require.NotEqual(t, upTo, other)
+	none, same := restarted.Since(other, at(100))
+	require.Empty(t, none)
+	require.Equal(t, other, same)
+}
+
+func TestAManyTimesRepeatedQuarantineIsTriedAgain(t *testing.T) {
+	table, _ := newTable("h")
+	f := print("f")
+	for i := range 3 {
+		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(table, f)
+	}
+	later := at(250).Add(quarantineTime)
+	require.True(t, table.Quarantined(f, later.Add(-time.Millisecond)))
+	require.False(t, table.Quarantined(f, later))
+	table.RecordEnd(f, Attempt{Run: "again", Began: later, Ended: later.Add(50 * time.Millisecond)})
+	require.True(t, table.Quarantined(f, later.Add(time.Second)), "one more end suffices")
+	table.CleanUp(later.Add(forgetAfter + time.Second))
+	require.True(t, table.Empty())
+	require.Empty(t, table.suspects)
+}
+
+// Somebody who sends many requests that each end an upstream does not crowd out one
+// that has ended three.
+func TestSuspectsAreBounded(t *testing.T) {
+	table, _ := newTable("h")
+	for i := range 3 {
+		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(table, print("guilty"))
+	}
+	for i := range 3 * maxSuspects {
+		attempt{fmt.Sprint("r", i), 1000 + i, 1001 + i}.record(table, print(fmt.Sprint("filler-", i)))
+	}
+	require.Len(t, table.suspects, maxSuspects)
+	require.True(t, table.Quarantined(print("guilty"), at(5000)))
+	require.True(t, table.Suspected(print(fmt.Sprint("filler-", 3*maxSuspects-1))), "the latest are kept")
+
+	t.Run("and so are ends and messages", func(t *testing.T) {
+		for i := range 2 * maxEnds {
+			attempt{fmt.Sprint("more-", i), 6000 + 100*i, 6050 + 100*i}.record(table, print("guilty"))
+		}
+		require.Len(t, table.suspects[print("guilty")].ends, maxEnds)
+		other, _ := newTable("other")
+		var has int64
+		for messages := 0; ; messages++ {
+			reports, upTo := table.Since(has, at(9000))
+			require.LessOrEqual(t, len(reports), maxReports)
+			if len(reports) == 0 {
+				require.GreaterOrEqual(t, messages, maxSuspects/maxReports)
+				break
+			}
+			other.Merge(reports, at(9000))
+			has = upTo
+		}
+		require.Len(t, other.suspects, maxSuspects)
+		require.True(t, other.Quarantined(print("guilty"), at(9000)))
+	})
+}
+
+func TestReportsThatMakeNoSenseAreIgnored(t *testing.T) {
+	long := string(make([]byte, maxName+1))
+	table, told := newTable("h")
+	table.Merge([]Report{{Fingerprint: print("f"), Ends: []End{
+		{Host: "x", Ended: 1}, {Run: long, Host: "x", Ended: 1}, {Run: "r", Host: long, Ended: 1},
+		{Run: "r", Host: "x", Began: 2, Ended: 1}, {Run: "r", Host: "x", Age: -1}, {Run: "r", Host: "x", Age: forgetAfter.Milliseconds()},
+	}}}, at(0))
+	require.Empty(t, table.suspects)
+	require.Zero(t, told.changes)
+}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -80,6 +80,9 @@
 	// AnswerTruncated: the response ended before its whole length.
 	AnswerTruncated Reason = "answer-truncated"
 
+	// Quarantined: upstreams ended when they ran the same request, one after the
+	// other, so that it is sent to none.
+	Quarantined Reason = "quarantined"
 	// UnknownRoute: no route matches host and path.
 	UnknownRoute Reason = "unknown-route"
 	// Warming: the upstreams with capacity are cold and have used their warm-up
@@ -133,7 +136,7 @@
 		return http.StatusUnprocessableEntity
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case NotReady, Stopping, Full, Capped, Warming, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
+	case NotReady, Stopping, Full, Capped, Quarantined, Warming, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
 		return http.StatusServiceUnavailable
 	case BodyStalled, DeadlineLapsed, Interrupted, CallerLeft:
 		return http.StatusGatewayTimeout
