Know a request that ends upstreams whatever address it comes from

Cause: where a request carries no credential its client's address was a part of the fingerprint, so that each address had to end three upstreams of its own. Change: the credential alone tells callers apart.

--- a/internal/gateway/proxy/suspicion.go
+++ b/internal/gateway/proxy/suspicion.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"cmp"
 	"context"
 	"time"
 
@@ -15,12 +14,13 @@
 // share; here is what counts as an upstream's end, and what suspicion means for a
 // request.
 
-// fingerprint identifies the request by its content. The caller is a part of it, so
-// that nobody's request is taken for another's.
+// fingerprint identifies the request by its content. The credential is a part of it, so
+// that no account's request is taken for another's. The client's address is not: one
+// caller has many, and with it each address had to end three upstreams.
 func (f *inflight) fingerprint() poison.Fingerprint {
 	f.printed.Do(func() {
 		r := f.request
-		content := poison.Content{Caller: cmp.Or(f.info.Credential, f.address), Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
+		content := poison.Content{Credential: f.info.Credential, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
 		f.print = content.Fingerprint()
 	})
 	return f.print
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -9,7 +9,7 @@
 // Fingerprint identifies a request by its content: two requests with one
 // fingerprint are the same request, whatever ids they carry. It is the first half of
 // a SHA-256 digest, so that nobody can make a request that is taken for another
-// caller's.
+// account's.
 type Fingerprint [16]byte
 
 // String gives the fingerprint in hexadecimal.
@@ -17,9 +17,8 @@
 
 // Content is what a request is compared by.
 type Content struct {
-	// Caller is who sent it: a credential, or the client's IP address where it
-	// carries none.
-	Caller string
+	// Credential tells who sent it; empty where it carries none.
+	Credential string
 	// Method is the HTTP method, Host the value of the Host header, and Target the
 	// path and query as the client wrote them.
 	Method, Host, Target string
@@ -36,7 +35,7 @@
 		h.Write(length[:]) // a hash returns no error
 		h.Write(p)
 	}
-	for _, text := range [...]string{c.Caller, c.Method, c.Host, c.Target} {
+	for _, text := range [...]string{c.Credential, c.Method, c.Host, c.Target} {
 		part([]byte(text))
 	}
 	part(c.Body)
