Avoid an upstream that has ended on all hosts, not on each after its own failure

Cause: each host learned of an ended upstream by requests that were refused connections there, again after each back-off. Change: ends that are shared for suspicions also have the run avoided for 4 s.

--- a/internal/gateway/outlier/consecutive.go
+++ b/internal/gateway/outlier/consecutive.go
@@ -12,6 +12,11 @@
 	// that can be reached; one is enough at one that can't. Chosen, not
 	// measured.
 	failuresToBackOff = 3
+	// endedFor is how long a run of an upstream is avoided that has ended: about until
+	// its row lapses, after three missed heartbeats of 1 to 1.5 s. A run never comes
+	// back, but where rows do not tell runs apart the next one looks like it. Chosen,
+	// not measured.
+	endedFor = 4 * time.Second
 )
 
 // Outcome is how a request ended at an upstream.
@@ -48,8 +53,8 @@
 		*c = consecutive{}
 	case Failed, Unreachable:
 		c.failures++
-		if d := backOff(o, c.failures); d > 0 {
-			c.ejectedUntil = now.Add(d)
+		if until := now.Add(backOff(o, c.failures)); until.After(c.ejectedUntil) {
+			c.ejectedUntil = until
 		}
 	case Rejected, Canceled:
 		// Load shedding and cancellation are not upstream faults.
--- a/internal/gateway/outlier/detector_test.go
+++ b/internal/gateway/outlier/detector_test.go
@@ -159,3 +159,19 @@
 	require.True(t, d.Ejected("i@10", now))
 	require.False(t, d.Ejected("i@20", now))
 }
+
+// Nine hosts went on sending requests to upstreams that had ended, each until it had
+// been refused a connection by itself, and again after each back-off.
+func TestARunThatEndedIsAvoidedUntilItsRowLapses(t *testing.T) {
+	const rowLapses = 4 * time.Second
+	now := time.Now()
+	d, _ := newDetector()
+	d.RecordEnded("a", now)
+	require.True(t, d.Ejected("a", now.Add(rowLapses-time.Millisecond)))
+	require.False(t, d.Ejected("a", now.Add(rowLapses)))
+	require.False(t, d.Ejected("b", now))
+	d.RecordOutcome("a", outlier.Unreachable, now)
+	require.True(t, d.Ejected("a", now.Add(rowLapses-time.Millisecond)), "a back-off does not shorten it")
+	d.RecordOutcome("a", outlier.Succeeded, now)
+	require.False(t, d.Ejected("a", now), "the next run may look like it")
+}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -65,6 +65,8 @@
 func (reporter) FailureSeen()       {}
 func (reporter) SuspicionsChanged() {}
 
+func (reporter) Ended(string, time.Time) {}
+
 // standardQuota is the warm-up quota of a testGateway that sets none.
 const standardQuota = 100
 
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/poison"
 )
@@ -32,6 +33,9 @@
 // SuspicionsChanged sends the other hosts what changed out of turn.
 func (g *Gateway) SuspicionsChanged() { g.fleet.SendSoonToAll() }
 
+// Ended has requests avoid a run of an upstream that has ended.
+func (g *Gateway) Ended(run string, at time.Time) { g.detector.RecordEnded(upstream.Run(run), at) }
+
 // Quarantined logs that a request is refused.
 func (g *Gateway) Quarantined(q poison.Quarantine) { g.log.Quarantined(q) }
 
--- a/internal/poison/harness_test.go
+++ b/internal/poison/harness_test.go
@@ -9,9 +9,16 @@
 	changes     int
 	quarantined []Quarantine
 	released    []Fingerprint
+	ended       map[string]time.Time
 }
 
-func (o *observed) SuspicionsChanged()       { o.changes++ }
+func (o *observed) SuspicionsChanged() { o.changes++ }
+func (o *observed) Ended(run string, at time.Time) {
+	if o.ended == nil {
+		o.ended = map[string]time.Time{}
+	}
+	o.ended[run] = at
+}
 func (o *observed) Quarantined(q Quarantine) { o.quarantined = append(o.quarantined, q) }
 func (o *observed) Released(f Fingerprint)   { o.released = append(o.released, f) }
 
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -38,6 +38,8 @@
 type Observer interface {
 	// SuspicionsChanged means that other hosts should learn of a change soon.
 	SuspicionsChanged()
+	// Ended means that an upstream has ended; it may be told more than once.
+	Ended(run string, at time.Time)
 	// Quarantined and Released mean that a request is refused from now on, or no
 	// longer.
 	Quarantined(Quarantine)
@@ -58,6 +60,8 @@
 	// sequence numbers the changes, from first on. first is random, so that what a
 	// host says to have of an earlier process's changes is never taken for this one's.
 	first, sequence int64
+	// ended are the ends that the observer is not told of yet.
+	ended []*end
 }
 
 // NewTable makes a table for the process of a name, which differs for each start of a
@@ -198,6 +202,7 @@
 	if !s.add(e) {
 		return false
 	}
+	t.ended = append(t.ended, e)
 	t.touch(s)
 	return true
 }
@@ -220,7 +225,12 @@
 	decide(t.suspects)
 	after := t.quarantined()
 	t.active.Store(t.countActive())
+	ended := t.ended
+	t.ended = nil
 	t.mu.Unlock()
+	for _, e := range ended {
+		t.observer.Ended(e.Run, e.at)
+	}
 	t.observer.SuspicionsChanged()
 	for f, q := range after {
 		if _, was := before[f]; !was {
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -109,7 +109,7 @@
 }
 
 func TestHostsAddUpWhatTheySaw(t *testing.T) {
-	a, _ := newTable("a")
+	a, seenByA := newTable("a")
 	b, _ := newTable("b")
 	c, _ := newTable("c")
 	f := print("f")
@@ -121,6 +121,7 @@
 	require.True(t, c.Quarantined(f, at(600)), "a host passes on what others told it")
 	require.False(t, a.Quarantined(f, at(600)))
 	pass(c, a, 0, 600, 40)
+	require.Equal(t, map[string]time.Time{"1": at(50), "2": at(330), "3": at(490)}, seenByA.ended, "all learn of each end")
 	require.True(t, a.Quarantined(f, at(700)))
 	a.RecordResponse(f)
 	pass(a, b, 0, 700, 40)
