Count the time for which the machine was suspended, and test what hosts share

Cause: the monotonic clock stands still while a machine is suspended, so that all that is believed by age looked younger, and upstreams were given time that clients no longer waited. Change: package suspend compares the two clocks before ages are relied on; replicas, heartbeats, load reports, evidence, idle connections, suspicions and deadlines are corrected, and the fence of serve counts it. Tests of the end of an upstream, of quarantine in the proxy and of its spread over nine hosts.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -51,6 +51,18 @@
 	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, summaries: map[*upstream.Upstream]*summary{}}
 }
 
+// Suspended has load reports be older by the time for which the machine was suspended.
+// What was sent to cold upstreams is not: it counts for longer than it has to.
+func (b *Balancer) Suspended(gap time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		if !s.load.reportedAt.IsZero() {
+			s.load.reportedAt = s.load.reportedAt.Add(-gap)
+		}
+	}
+}
+
 // Choose chooses an upstream and counts the request as outstanding there
 // until Done. When it rejects the request, the choice is the first upstream in
 // order, so that the log can say what its load was and whether it was cold;
--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -246,6 +246,12 @@
 	l.stateEvent("regained").Str("dependency", kind).Str("name", name).Float64("after_ms", ms(after)).Msg("dependency: regained")
 }
 
+// Suspended logs that the machine was suspended for a time, and counts it.
+func (l *Log) Suspended(gap time.Duration) {
+	l.metrics.Count("cairndock_suspensions_total")
+	l.stateEvent("suspended").Float64("for_ms", ms(gap)).Msg("process: the machine was suspended")
+}
+
 // Process logs a step in the process's life: start, reload, stop or stopped.
 func (l *Log) Process(step, detail string) {
 	l.stateEvent(step).Str("detail", detail).Msg("process: " + step)
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -110,6 +110,10 @@
 	c.ends.forget(time.Now())
 }
 
+// Suspended has idle connections be idle for longer by the time for which the machine
+// was suspended.
+func (c *Client) Suspended(gap time.Duration) { c.pool.suspended(gap) }
+
 // Target is the upstream that a request is sent to.
 type Target struct {
 	// Upstream is its id, and Run its present run: a connection to an earlier run
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -107,6 +107,18 @@
 	p.idle[run] = append(p.idle[run], c)
 }
 
+// suspended has idle connections expire sooner by the time for which the machine was
+// suspended: the upstreams counted it.
+func (p *pool) suspended(gap time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.idle {
+		for _, c := range list {
+			c.idleUntil = c.idleUntil.Add(-gap)
+		}
+	}
+}
+
 // closeIdleSince closes the connections to an upstream that became idle before a
 // time and are idle still.
 func (p *pool) closeIdleSince(run upstream.Run, before time.Time) {
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -144,6 +144,17 @@
 	return f.members.size()
 }
 
+// Suspended has what this host knows of others be older by the time for which the
+// machine was suspended: hosts that it heard before do not count as alive after it.
+func (f *Fleet) Suspended(gap time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.members.suspended(gap)
+	for i := range f.newest {
+		f.newest[i].at = f.newest[i].at.Add(-gap)
+	}
+}
+
 // CommonPart is this host's part of a limit of all hosts, from 0 to 1; zero while it
 // does not know who shares the limit, or stops.
 func (f *Fleet) CommonPart() float64 {
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -88,6 +88,17 @@
 	return dead
 }
 
+// suspended has all that was heard be older by the time for which the machine was
+// suspended.
+func (m *members) suspended(gap time.Duration) {
+	for _, p := range m.peers {
+		p.lastReported = p.lastReported.Add(-gap)
+		if !p.lastHeartbeat.IsZero() {
+			p.lastHeartbeat = p.lastHeartbeat.Add(-gap)
+		}
+	}
+}
+
 func (m *members) forget(name string) {
 	delete(m.peers, name)
 	m.index = nil
--- /dev/null
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -0,0 +1,121 @@
+package fleet
+
+import (
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/peer"
+	"cairndock/internal/poison"
+)
+
+// nobody observes a table of suspicions.
+type nobody struct{ fleet *Fleet }
+
+func (n *nobody) SuspicionsChanged() {
+	if n.fleet != nil {
+		n.fleet.SendSoonToAll()
+	}
+}
+func (*nobody) Ended(string, time.Time)       {}
+func (*nobody) Quarantined(poison.Quarantine) {}
+func (*nobody) Released(poison.Fingerprint)   {}
+
+// suspiciousHost is a running host with its suspicions.
+type suspiciousHost struct {
+	*Fleet
+	table *poison.Table
+}
+
+func startSuspiciousHost(t *testing.T, r Registry, h Host) suspiciousHost {
+	t.Helper()
+	h.PeerAddress = freeAddress(t)
+	observer := &nobody{}
+	table := poison.NewTable(h.Name, time.Now(), observer)
+	f := New(Options{
+		Self: h, Regions: []string{"west", "east", "south"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus },
+		Suspicions: table, Transport: peer.TCP((&net.Dialer{}).DialContext),
+	})
+	observer.fleet = f
+	require.NoError(t, f.Start(t.Context()))
+	t.Cleanup(f.mesh.Close)
+	return suspiciousHost{f, table}
+}
+
+func (h suspiciousHost) recordEnd(f poison.Fingerprint, run string) {
+	now := time.Now()
+	h.table.RecordEnd(f, poison.Attempt{Run: run, Began: now.Add(-20 * time.Millisecond), Ended: now})
+}
+
+// The request comes to another host each time, of another region; then to one that has
+// just started, and to one that was restarted.
+func TestAllHostsLearnWhatEachSaw(t *testing.T) {
+	r := newFakeRegistry()
+	var hosts []suspiciousHost
+	for _, h := range nineHostsList() {
+		hosts = append(hosts, startSuspiciousHost(t, r, h))
+	}
+	require.Eventually(t, func() bool {
+		for _, h := range hosts {
+			if h.Hosts() < len(hosts) {
+				return false
+			}
+		}
+		return true
+	}, 5*time.Second, 10*time.Millisecond)
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	for i, at := range []int{0, 4, 8} {
+		hosts[at].recordEnd(f, fmt.Sprint("run-", i))
+		time.Sleep(300 * time.Millisecond) // so that each is later than the one before for all
+	}
+	quarantined := func(hosts ...suspiciousHost) func() bool {
+		return func() bool {
+			for _, h := range hosts {
+				if !h.table.Quarantined(f, time.Now()) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	began := time.Now()
+	require.Eventually(t, quarantined(hosts...), 3*time.Second, 5*time.Millisecond)
+	t.Logf("known to all after %s", time.Since(began))
+
+	added := startSuspiciousHost(t, r, host("west9", "west-0", "west"))
+	require.Eventually(t, quarantined(added), 3*time.Second, 5*time.Millisecond)
+
+	again := hosts[8].options.Self
+	again.Incarnation = "2"
+	hosts[8].mesh.Close()
+	restarted := startSuspiciousHost(t, r, again)
+	require.Eventually(t, quarantined(restarted), 5*time.Second, 5*time.Millisecond)
+
+	hosts[3].table.Release(f)
+	released := func() bool {
+		for _, h := range append(hosts[:8:8], added, restarted) {
+			if h.table.Quarantined(f, time.Now()) {
+				return false
+			}
+		}
+		return true
+	}
+	require.Eventually(t, released, 3*time.Second, 5*time.Millisecond)
+}
+
+// While nothing changes, heartbeats carry no suspicions.
+func TestSuspicionsAreSentOnce(t *testing.T) {
+	r := newFakeRegistry()
+	a := startSuspiciousHost(t, r, host("a", "west-0", "west"))
+	b := startSuspiciousHost(t, r, host("b", "west-0", "west"))
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	a.recordEnd(f, "run-0")
+	require.Eventually(t, func() bool { return b.table.Suspected(f) }, 3*time.Second, 5*time.Millisecond)
+	require.Eventually(t, func() bool {
+		toB, toA := a.withSuspicions(heartbeat{}, "b"), b.withSuspicions(heartbeat{}, "a")
+		return len(toB.Suspicions) == 0 && len(toA.Suspicions) == 0
+	}, 3*time.Second, 20*time.Millisecond)
+}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/poison"
+	"cairndock/internal/suspend"
 	"cairndock/internal/telemetry"
 	"cairndock/platform"
 )
@@ -41,6 +42,7 @@
 	detector *outlier.Detector
 	// suspicions are of requests that end upstreams.
 	suspicions *poison.Table
+	suspension *suspend.Watch
 	timing     watch.Timing
 	tables     [tableCount]fleet.Table
 	watchers   [tableCount]*watch.Watcher
@@ -58,6 +60,7 @@
 		Sampling: set.Log.sampling(), Metrics: g.metrics,
 	})
 	g.detector = outlier.New(g)
+	g.suspension = suspend.NewWatch(suspend.Machine{})
 	g.suspicions = poison.NewTable(g.incarnation, time.Now(), g)
 	g.state = routing.New(platform.Decoder{Zones: set.Zones}, g.log, g.metrics)
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
@@ -68,6 +71,7 @@
 	g.watchers[upstreamTable] = g.newWatcher(upstreamTable, g.state.UpstreamSink())
 	g.proxy = g.newProxy(time.Now())
 	g.server = proxy.NewServer(g.proxy)
+	g.watchSuspension()
 	g.registerGauges()
 	return g
 }
--- a/internal/gateway/outlier/detector.go
+++ b/internal/gateway/outlier/detector.go
@@ -147,6 +147,17 @@
 	return r != nil && (now.Before(r.evidence.ejectedUntil) || now.Before(r.consecutive.ejectedUntil))
 }
 
+// Suspended forgets what was observed before the machine was suspended: it is older
+// than its times say. Ejections stay, and end later.
+func (d *Detector) Suspended(time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.upstreams {
+		s.evidence.own = counter{}
+		clear(s.evidence.peers)
+	}
+}
+
 // Retain drops the records of the runs that keep rejects.
 func (d *Detector) Retain(keep func(upstream.Run) bool) {
 	d.mu.Lock()
--- a/internal/gateway/proxy/deadline.go
+++ b/internal/gateway/proxy/deadline.go
@@ -24,9 +24,27 @@
 	return hold
 }
 
-// deadline is when the client must have its final response.
+// deadline is when the client must have its final response. The client's clock goes on
+// while this machine is suspended, and its own stands still.
 func (f *inflight) deadline() time.Time {
-	return f.began.Add(holdTime(f.info.Timeout, f.route.Timeout))
+	return f.began.Add(holdTime(f.info.Timeout, f.route.Timeout) - f.suspendedFor())
+}
+
+// suspendedFor is for how long the machine was suspended since the request came.
+func (f *inflight) suspendedFor() time.Duration {
+	return f.proxy.Suspension.Total() - f.suspendedBefore
+}
+
+// untilDeadline bounds an attempt's context by the deadline. The request's own context
+// ends later where the machine was suspended meanwhile, and the attempt would be given
+// time that the client no longer waits.
+func (f *inflight) untilDeadline(ctx context.Context) context.Context {
+	if f.suspendedFor() == 0 {
+		return ctx
+	}
+	ctx, cancel := context.WithDeadline(ctx, f.deadline())
+	context.AfterFunc(ctx, cancel)
+	return ctx
 }
 
 // context gives the context of a request's attempts. It ends at the deadline,
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -35,6 +35,8 @@
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/poison"
+	"cairndock/internal/suspend"
+	"cairndock/internal/suspend/suspendtest"
 	"cairndock/internal/telemetry"
 )
 
@@ -65,7 +67,15 @@
 func (reporter) FailureSeen()       {}
 func (reporter) SuspicionsChanged() {}
 
-func (reporter) Ended(string, time.Time) {}
+// suspicionReporter has upstreams that ended avoided, as a gateway does.
+type suspicionReporter struct {
+	reporter
+	detector *outlier.Detector
+}
+
+func (r suspicionReporter) Ended(run string, at time.Time) {
+	r.detector.RecordEnded(upstream.Run(run), at)
+}
 
 // standardQuota is the warm-up quota of a testGateway that sets none.
 const standardQuota = 100
@@ -89,8 +99,11 @@
 	// capacity is that of the upstreams which are added.
 	capacity int
 	// cold is how long those upstreams are cold.
-	cold  time.Duration
-	fleet oneHost
+	cold       time.Duration
+	fleet      oneHost
+	suspicions *poison.Table
+	// suspension is the machine's clock.
+	suspension suspendtest.Clock
 	// dialDelay is what a new connection to an upstream takes longer, in
 	// nanoseconds.
 	dialDelay atomic.Int64
@@ -115,11 +128,13 @@
 	g.state = routing.New(decoder{}, log, m)
 	age := func() time.Duration { return 0 }
 	detector := outlier.New(reporter{log})
+	g.suspicions = poison.NewTable("h", time.Now(), suspicionReporter{reporter{log}, detector})
 	g.proxy = proxy.New(proxy.Options{
 		State: g.state, Detector: detector,
 		Balancer:   balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
 		Budget:     retry.NewBudget(retries, time.Now().Add(-retries.Window)),
-		Suspicions: poison.NewTable("h", time.Now(), reporter{log}),
+		Suspicions: g.suspicions,
+		Suspension: suspend.NewWatch(&g.suspension),
 		Client:     exchange.NewClient(g.dial, protocol{}),
 		Codec:      codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
@@ -163,9 +178,38 @@
 	return g.addUpstreamOf("s", g.capacity, respond)
 }
 
+// addClosableUpstream is addUpstream of an upstream that close ends, as the end of its
+// process does.
+func (g *testGateway) addClosableUpstream(respond func(c net.Conn, r *http.Request), close *func()) *atomic.Int64 {
+	g.t.Helper()
+	count, l := g.listenUpstream("s", g.capacity, respond)
+	*close = func() { _ = l.Close() }
+	return count
+}
+
+// drainUpstreams has all upstreams say that they drain.
+func (g *testGateway) drainUpstreams() {
+	var rows []watch.Row
+	for _, u := range g.state.Upstreams().Service("s") {
+		r := u.Registration
+		r.Draining = true
+		value, err := json.Marshal(r)
+		require.NoError(g.t, err)
+		g.version++
+		rows = append(rows, watch.Row{Key: r.ID, Value: value, Version: g.version})
+	}
+	g.state.UpstreamSink().Apply(watch.Update{Rows: rows})
+}
+
 // addUpstreamOf adds an upstream that responds to one request on each
 // connection, and returns the number of requests that it received.
 func (g *testGateway) addUpstreamOf(service string, capacity int, respond func(c net.Conn, r *http.Request)) *atomic.Int64 {
+	g.t.Helper()
+	count, _ := g.listenUpstream(service, capacity, respond)
+	return count
+}
+
+func (g *testGateway) listenUpstream(service string, capacity int, respond func(c net.Conn, r *http.Request)) (*atomic.Int64, net.Listener) {
 	g.t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(g.t, err)
@@ -195,7 +239,7 @@
 	require.NoError(g.t, err)
 	g.version++
 	g.state.UpstreamSink().Apply(watch.Update{Rows: []watch.Row{{Key: id, Value: value, Version: g.version}}, Full: true})
-	return &count
+	return &count, l
 }
 
 func reply(c net.Conn, r *http.Request, status int, header, body string) {
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -48,7 +48,7 @@
 		a.timer = time.AfterFunc(a.overdueAfter, func() { s.overdue <- a })
 	}
 	s.running = append(s.running, a)
-	go s.do(ctx, a)
+	go s.do(f.untilDeadline(ctx), a)
 }
 
 // do makes an attempt. One that panics has failed, with a line in the log: in
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -17,6 +17,9 @@
 	proxy *Proxy
 	info  RequestInfo
 	began time.Time
+	// suspendedBefore is for how long the machine had been suspended when the request
+	// came.
+	suspendedBefore time.Duration
 	// client ends when the client leaves.
 	client context.Context
 
@@ -40,6 +43,7 @@
 
 // run sends the request until it has a response to forward or is given up.
 func (f *inflight) run(ctx context.Context) (*response, error) {
+	f.proxy.Suspension.Check()
 	f.proxy.Budget.RecordRequest(f.service, f.began)
 	if f.quarantined() {
 		return nil, errQuarantined()
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -33,7 +33,10 @@
 }
 
 // ended reports whether there is nobody to serve.
-func (f *inflight) ended(ctx context.Context) bool { return ctx.Err() != nil || f.client.Err() != nil }
+func (f *inflight) ended(ctx context.Context) bool {
+	f.proxy.Suspension.Check()
+	return ctx.Err() != nil || f.client.Err() != nil || !time.Now().Before(f.deadline())
+}
 
 // noteFailed remembers an attempt's error if the request may have run.
 func (f *inflight) noteFailed(err error) {
--- a/internal/gateway/proxy/writebound_test.go
+++ b/internal/gateway/proxy/writebound_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/route"
+	"cairndock/internal/suspend"
 )
 
 // deadlineWriter notes until when a response may be written.
@@ -29,7 +30,7 @@
 func TestAResponseThatComesAfterTheDeadlineMayStillBeWritten(t *testing.T) {
 	for name, held := range map[string]time.Duration{"in time": 0, "late": 10 * time.Second} {
 		t.Run(name, func(t *testing.T) {
-			f := &inflight{proxy: &Proxy{}, route: &route.Route{Timeout: 1500 * time.Millisecond}, began: time.Now().Add(-held)}
+			f := &inflight{proxy: &Proxy{Options: Options{Suspension: suspend.NewWatch(suspend.Machine{})}}, route: &route.Route{Timeout: 1500 * time.Millisecond}, began: time.Now().Add(-held)}
 			w := &deadlineWriter{ResponseWriter: httptest.NewRecorder()}
 			f.boundWrites(w)
 			require.Greater(t, time.Until(w.end), writeMargin-time.Second)
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -98,6 +98,15 @@
 	return max(0, now.Sub(r.confirmedAt))
 }
 
+// Suspended has the replica be older by the time for which the machine was suspended.
+func (r *Replica) Suspended(gap time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.confirmedAt.IsZero() {
+		r.confirmedAt = r.confirmedAt.Add(-gap)
+	}
+}
+
 // replace applies a listing and returns the rows that it changes; known rows
 // that are not in it become tombstones. A listing older than the replica is
 // not applied.
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -69,6 +69,7 @@
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
 		Suspicions:   g.suspicions,
+		Suspension:   g.suspension,
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackPart:    g.fleet.CommonPart,
@@ -79,3 +80,15 @@
 		Tracer:       g.tracer,
 	})
 }
+
+// watchSuspension has all that is believed by its age be corrected once the machine was
+// suspended. What is not listed errs to the safe side: parts of limits that were spent
+// count for longer, ejections and warm-up end later.
+func (g *Gateway) watchSuspension() {
+	for _, f := range []func(time.Duration){
+		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.fleet.Suspended,
+		g.detector.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.suspicions.Suspended, g.log.Suspended,
+	} {
+		g.suspension.OnGap(f)
+	}
+}
--- /dev/null
+++ b/internal/poison/bench_test.go
@@ -0,0 +1,42 @@
+package poison
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// The calm path is Empty alone; each request pays the rest only while one is suspected.
+
+func BenchmarkEmpty(b *testing.B) {
+	table, _ := newTable("h")
+	for b.Loop() {
+		_ = table.Empty()
+	}
+}
+
+func BenchmarkQuarantinedOfFullTable(b *testing.B) {
+	table, _ := newTable("h")
+	for i := range maxSuspects {
+		attempt{fmt.Sprint(i), i, i + 1}.record(table, print(fmt.Sprint(i)))
+	}
+	content := Content{Method: "GET", Host: "a.example", Target: "/some/path/17", Body: make([]byte, 300)}
+	now := time.Now()
+	b.ReportAllocs()
+	for b.Loop() {
+		_ = table.Quarantined(content.Fingerprint(), now)
+	}
+}
+
+func BenchmarkRecordEndInFullTable(b *testing.B) {
+	table, _ := newTable("h")
+	for i := range maxSuspects {
+		attempt{fmt.Sprint(i), i, i + 1}.record(table, print(fmt.Sprint(i)))
+	}
+	f := print("f")
+	n := 0
+	for b.Loop() {
+		attempt{fmt.Sprint("run-", n), 10 * n, 10*n + 5}.record(table, f)
+		n++
+	}
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -183,6 +183,17 @@
 	return reports, upTo
 }
 
+// Suspended has all ends be longer ago by the time for which the machine was suspended.
+func (t *Table) Suspended(gap time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range t.suspects {
+		for _, e := range s.ends {
+			e.at = e.at.Add(-gap)
+		}
+	}
+}
+
 // CleanUp forgets what no longer counts.
 func (t *Table) CleanUp(now time.Time) {
 	t.change(func() bool {
--- a/internal/selector/entry/clustertest/cluster.go
+++ b/internal/selector/entry/clustertest/cluster.go
@@ -22,6 +22,7 @@
 	"cairndock/internal/selector/standin"
 	"cairndock/internal/selector/store"
 	"cairndock/internal/settings"
+	"cairndock/internal/suspend/suspendtest"
 )
 
 // The cluster's zones and hosts. A zone's name begins with its region, a host's
@@ -66,6 +67,8 @@
 	Memory    *store.Memory
 	Upstreams map[string]*standin.Upstream
 	hosts     sync.Map // of *entry.Host, those alive, by name
+	// clocks are the clocks of the hosts' machines, of *suspendtest.Clock by name.
+	clocks sync.Map
 }
 
 // Run runs a test on a cluster whose time is fake, with rules in force.
@@ -135,7 +138,7 @@
 	end := memnet.End{Net: c.Net, Name: name}
 	p := platform{c.Memory, end}
 	h := entry.New(entry.Options{
-		Settings: set, Table: p, Objects: p, Hosts: p, Transport: end, Log: zerolog.Nop(),
+		Suspension: c.clock(name), Settings: set, Table: p, Objects: p, Hosts: p, Transport: end, Log: zerolog.Nop(),
 		Traces: sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())), Seed: uint64(len(name)),
 		DialUpstream: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, Timeout)
@@ -149,6 +152,14 @@
 	return h
 }
 
+func (c *Cluster) clock(host string) *suspendtest.Clock {
+	v, _ := c.clocks.LoadOrStore(host, &suspendtest.Clock{})
+	return v.(*suspendtest.Clock)
+}
+
+// Suspend has a host's machine wake up after a suspension.
+func (c *Cluster) Suspend(host string, d time.Duration) { c.clock(host).Suspend(d) }
+
 // Host gives a live host, or nil.
 func (c *Cluster) Host(name string) *entry.Host {
 	v, _ := c.hosts.Load(name)
--- a/internal/selector/entry/host.go
+++ b/internal/selector/entry/host.go
@@ -32,6 +32,7 @@
 	"cairndock/internal/selector/roster"
 	"cairndock/internal/selector/servesettings"
 	"cairndock/internal/selector/upstream"
+	"cairndock/internal/suspend"
 	"cairndock/internal/telemetry"
 )
 
@@ -50,8 +51,10 @@
 	// ctx ends, and returns how many requests it cut. It is nil where the host
 	// has no listener for clients.
 	StopClients func(ctx context.Context) int64
-	Log         zerolog.Logger
-	Traces      trace.TracerProvider
+	// Suspension tells for how long the machine was suspended; nil is this machine's.
+	Suspension suspend.Clock
+	Log        zerolog.Logger
+	Traces     trace.TracerProvider
 	// Seed makes the host's random choices repeatable.
 	Seed uint64
 }
@@ -62,6 +65,7 @@
 	zone        string
 	incarnation string
 	made        time.Time
+	suspension  *suspend.Watch
 	log         zerolog.Logger
 	tracer      trace.Tracer
 	metrics     *telemetry.Metrics
@@ -110,6 +114,7 @@
 		zone:        s.Host.Zone,
 		incarnation: rosters.NewIncarnation(),
 		made:        time.Now(),
+		suspension:  suspend.NewWatch(cmp.Or[suspend.Clock](o.Suspension, suspend.Machine{})),
 		log:         o.Log.With().Str("host", s.Host.Name).Logger(),
 		tracer:      telemetry.Tracer(o.Traces),
 		metrics:     telemetry.NewMetrics(),
@@ -262,8 +267,12 @@
 // zero, so that zero is always long ago.
 const clockStart = int64(time.Hour)
 
-// now reads the host's monotonic clock, in nanoseconds.
-func (h *Host) now() int64 { return clockStart + int64(time.Since(h.made)) }
+// now reads the host's monotonic clock, in nanoseconds. It counts the time for which the machine was suspended, as the other hosts do: they
+// give a silent host's slots away meanwhile.
+func (h *Host) now() int64 {
+	h.suspension.Check()
+	return clockStart + int64(time.Since(h.made)+h.suspension.Total())
+}
 
 // lockedRand is a random source for many goroutines.
 type lockedRand struct {
--- a/internal/selector/entry/host_test.go
+++ b/internal/selector/entry/host_test.go
@@ -34,6 +34,21 @@
 	})
 }
 
+// A suspended machine's monotonic clock stands still: its host believed that it still
+// held the slots that others had been given meanwhile.
+func TestASuspendedHostProvesItsSlotsFirst(t *testing.T) {
+	inBubble(t, clustertest.Anywhere, func(c *cluster) {
+		h := c.Host("costa-a-1")
+		require.True(t, h.Validated())
+		c.Suspend("costa-a-1", time.Second)
+		require.True(t, h.Validated(), "shorter than a pause that counts")
+		c.Suspend("costa-a-1", 30*time.Second)
+		require.False(t, h.Validated())
+		time.Sleep(5 * time.Second)
+		require.True(t, h.Validated(), "it has read its zone's roster")
+	})
+}
+
 // TestStartingHostOpensOnceItCanSend: callers are told to come back until
 // the host holds slots or hears from a host that does.
 func TestStartingHostOpensOnceItCanSend(t *testing.T) {
