--- a/internal/gateway/listen.go
+++ b/internal/gateway/listen.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"fmt"
 	"net/http"
 	"net/http/pprof"
+	"strings"
 	"time"
 
+	"cairndock/internal/poison"
 	"cairndock/platform"
 )
 
@@ -27,12 +30,37 @@
 	return g.server.Listen(l.Metrics, g.metricsHandler())
 }
 
-// metricsHandler serves the metrics at every path, and profiles of memory and
-// processor time below /debug/pprof/.
+// metricsHandler serves the metrics at every path, profiles of memory and processor time
+// below /debug/pprof/, and the quarantined requests below quarantinePath.
 func (g *Gateway) metricsHandler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/", func(w http.ResponseWriter, _ *http.Request) { g.metrics.Write(w) })
 	mux.HandleFunc("/debug/pprof/", pprof.Index)
 	mux.HandleFunc("/debug/pprof/profile", pprof.Profile)
+	mux.HandleFunc("GET "+quarantinePath, g.listQuarantined)
+	mux.HandleFunc("DELETE "+quarantinePath+"/{fingerprint}", g.release)
 	return mux
 }
+
+// quarantinePath is where operators see which requests are quarantined, and release one.
+const quarantinePath = "/quarantine"
+
+// listQuarantined writes a line for each quarantined request: its fingerprint and the
+// upstreams that ended under it. An error means that the operator has left.
+func (g *Gateway) listQuarantined(w http.ResponseWriter, _ *http.Request) {
+	for _, q := range g.suspicions.List() {
+		_, _ = fmt.Fprintln(w, q.Fingerprint, strings.Join(q.Runs, " "))
+	}
+}
+
+// release releases a request on all hosts. One that is not quarantined is no error: another
+// operator may have been first.
+func (g *Gateway) release(w http.ResponseWriter, r *http.Request) {
+	f, err := poison.ParseFingerprint(r.PathValue("fingerprint"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	g.suspicions.Release(f)
+	w.WriteHeader(http.StatusNoContent)
+}
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -56,6 +56,8 @@
 	mu sync.Mutex
 	// sent are when the request arrived at upstreams, and ended when these ended.
 	sent, ended []time.Time
+	// cured is set once upstreams bear the request.
+	cured bool
 }
 
 // infect makes all upstreams end by the request.
@@ -67,18 +69,24 @@
 	}
 }
 
-// end ends an upstream that runs the request, and starts another in its place.
-func (p *poisonRun) end(u *upstream) {
+// end ends an upstream that runs the request, and starts another in its place. It
+// reports whether the upstream ended.
+func (p *poisonRun) end(u *upstream) bool {
 	p.mu.Lock()
 	p.sent = append(p.sent, time.Now())
+	cured := p.cured
 	p.mu.Unlock()
+	if cured {
+		return false
+	}
 	time.Sleep(poisonWork)
 	if !p.world.replace(u, poisonBack, p.infect) {
-		return // another arrival has ended it
+		return true // by another arrival
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.ended = append(p.ended, time.Now())
+	return true
 }
 
 // replace ends an upstream and starts another in its place after a time; not if it has
@@ -195,6 +203,34 @@
 	t.Logf("%d ended, sent %d times late, %d of %d others served", len(p.ended), p.sentLate(), served, poisonRepeats)
 	require.LessOrEqual(t, p.sentLate(), sentAfter, "sent once hosts had had time to know it")
 	require.GreaterOrEqual(t, float64(served), innocentShare*poisonRepeats, "others served")
+	p.checkRelease(method)
+}
+
+// checkRelease has an operator release the request at one host, while upstreams bear it,
+// and checks that all hosts serve it.
+func (p *poisonRun) checkRelease(method string) {
+	w := p.world
+	p.mu.Lock()
+	p.cured = true
+	p.mu.Unlock()
+	resp, err := http.Get("http://" + w.hosts[1].metrics + "/quarantine")
+	require.NoError(w.t, err)
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(w.t, err)
+	require.NoError(w.t, resp.Body.Close())
+	fingerprint, _, _ := strings.Cut(string(text), " ")
+	r, err := http.NewRequestWithContext(w.t.Context(), http.MethodDelete, "http://"+w.hosts[1].metrics+"/quarantine/"+fingerprint, nil)
+	require.NoError(w.t, err)
+	resp, err = http.DefaultClient.Do(r)
+	require.NoError(w.t, err)
+	require.NoError(w.t, resp.Body.Close())
+	require.Equal(w.t, http.StatusNoContent, resp.StatusCode)
+	for i, h := range w.hosts {
+		served := func() bool {
+			return w.sendOnce(w.t.Context(), h, fmt.Sprint("released-", i, "-", time.Now().UnixNano()), method, poisonPath(method), "poison")
+		}
+		require.Eventually(w.t, served, 5*time.Second, 100*time.Millisecond, h.name)
+	}
 }
 
 // play sends the request again and again, to the hosts in turn, and another one beside
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -99,8 +99,9 @@
 	born atomic.Int64
 	// late is called for each request after noWorkFrom.
 	late func(upstream, request string)
-	// poisoned, if it is set, is called for each request that ends the upstream.
-	poisoned func(u *upstream)
+	// poisoned, if it is set, is called for each request that may end the upstream, and
+	// reports whether it does.
+	poisoned func(u *upstream) bool
 }
 
 func newUpstream(t *testing.T, id, zone string, l *ledger, late func(upstream, request string)) *upstream {
@@ -151,8 +152,7 @@
 		u.late(u.ID, id)
 	}
 	u.ledger.run(id)
-	if r.URL.Path == poisonPath(r.Method) && u.poisoned != nil {
-		u.poisoned(u)
+	if r.URL.Path == poisonPath(r.Method) && u.poisoned != nil && u.poisoned(u) {
 		panic(http.ErrAbortHandler)
 	}
 	work := time.Duration(5+rand.IntN(20)) * time.Millisecond
--- a/internal/poison/fingerprint.go
+++ b/internal/poison/fingerprint.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+
+	"github.com/rotisserie/eris"
 )
 
 // Fingerprint identifies a request by its content: two requests with one
@@ -15,6 +17,18 @@
 // String gives the fingerprint in hexadecimal.
 func (f Fingerprint) String() string { return hex.EncodeToString(f[:]) }
 
+// ErrNoFingerprint is the error of a text that is none.
+var ErrNoFingerprint = eris.New("a fingerprint has 32 hexadecimal digits")
+
+// ParseFingerprint reads what String gives.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	b, err := hex.DecodeString(text)
+	if err != nil || len(b) != len(Fingerprint{}) {
+		return Fingerprint{}, ErrNoFingerprint
+	}
+	return Fingerprint(b), nil
+}
+
 // Content is what a request is compared by.
 type Content struct {
 	// Credential tells who sent it; empty where it carries none.
--- a/internal/poison/fingerprint_test.go
+++ b/internal/poison/fingerprint_test.go
@@ -24,3 +24,14 @@
 	require.Equal(t, content.Fingerprint(), Content{Credential: "c", Method: "GET", Host: "h", Target: "/t", Body: []byte("b")}.Fingerprint())
 	require.Len(t, content.Fingerprint().String(), 32)
 }
+
+func TestAFingerprintIsReadBack(t *testing.T) {
+	f := Content{Target: "/t"}.Fingerprint()
+	read, err := ParseFingerprint(f.String())
+	require.NoError(t, err)
+	require.Equal(t, f, read)
+	for _, text := range []string{"", "zz", f.String()[2:], f.String() + "00"} {
+		_, err := ParseFingerprint(text)
+		require.ErrorIs(t, err, ErrNoFingerprint, text)
+	}
+}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -1,6 +1,7 @@
 package poison
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"math"
@@ -90,6 +91,15 @@
 	return suspected, quarantined
 }
 
+// List returns the quarantined requests, in the order of their fingerprints.
+func (t *Table) List() []Quarantine {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.SortedFunc(maps.Values(t.quarantined()), func(a, b Quarantine) int {
+		return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:])
+	})
+}
+
 // Suspected reports whether an upstream has ended under the request, and it got no
 // response since.
 func (t *Table) Suspected(f Fingerprint) bool {
@@ -119,7 +129,7 @@
 // gets no response, so that all earlier ends of upstreams are not its doing.
 func (t *Table) RecordResponse(f Fingerprint) { t.Release(f) }
 
-// Release clears a request.
+// Release clears a request, on all hosts. Three more ends quarantine it again.
 func (t *Table) Release(f Fingerprint) {
 	t.change(func() bool {
 		s := t.suspects[f]
