Store quarantines beside the hosts, so that they outlast the end of all hosts

Cause: hosts knew of a request only from each other; when all were killed at once the request was a first one again. Change: the host that decides writes a row into its region's partition of the registry, which each host reads at its start anyway; a release removes it.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -11,13 +11,24 @@
 	"cairndock/internal/poison"
 )
 
-// Registry is the stored list of hosts.
+// Registry is the stored list of hosts, and of the requests that they quarantined.
 type Registry interface {
 	// Announce adds a host, and Withdraw removes it.
 	Announce(ctx context.Context, h Host) error
 	Withdraw(ctx context.Context, h Host) error
-	// Hosts returns all hosts of a region in the list; some may be gone.
-	Hosts(ctx context.Context, region string) ([]Listing, error)
+	// Read returns what stands there of a region.
+	Read(ctx context.Context, region string) (RegionList, error)
+	// Quarantine stores a quarantined request with a region, and Release removes it.
+	Quarantine(ctx context.Context, region string, q StoredQuarantine) error
+	Release(ctx context.Context, region string, f poison.Fingerprint) error
+}
+
+// RegionList is what the registry has of a region.
+type RegionList struct {
+	// Hosts are all hosts of the region; some may be gone.
+	Hosts []Listing
+	// Quarantines are the requests that a host of the region quarantined.
+	Quarantines []StoredQuarantine
 }
 
 // Listing is a host in the registry.
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/peer"
+	"cairndock/internal/poison"
 )
 
 var readyStatus = Status{Ready: true}
@@ -110,13 +111,14 @@
 	mu    sync.Mutex
 	hosts map[string]Host
 	// versions are those of the announcements.
-	versions map[string]int64
+	versions    map[string]int64
+	quarantines map[quarantineAt]StoredQuarantine
 	// down makes announcements fail, and noReads readings.
 	down, noReads bool
 }
 
 func newFakeRegistry() *fakeRegistry {
-	return &fakeRegistry{hosts: map[string]Host{}, versions: map[string]int64{}}
+	return &fakeRegistry{hosts: map[string]Host{}, versions: map[string]int64{}, quarantines: map[quarantineAt]StoredQuarantine{}}
 }
 
 func (r *fakeRegistry) setReads(work bool) {
@@ -150,21 +152,56 @@
 	return nil
 }
 
-func (r *fakeRegistry) Hosts(_ context.Context, region string) ([]Listing, error) {
+func (r *fakeRegistry) Read(_ context.Context, region string) (RegionList, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.noReads {
-		return nil, errors.New("no reads")
+		return RegionList{}, errors.New("no reads")
 	}
-	var out []Listing
+	var out RegionList
 	for _, h := range r.hosts {
 		if h.Region == region {
-			out = append(out, Listing{Host: h, Version: r.versions[h.Name]})
+			out.Hosts = append(out.Hosts, Listing{Host: h, Version: r.versions[h.Name]})
+		}
+	}
+	for at, q := range r.quarantines {
+		if at.region == region {
+			out.Quarantines = append(out.Quarantines, q)
 		}
 	}
 	return out, nil
 }
 
+// quarantineAt is the place of a stored quarantine.
+type quarantineAt struct {
+	region string
+	print  poison.Fingerprint
+}
+
+func (r *fakeRegistry) Quarantine(_ context.Context, region string, q StoredQuarantine) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.down {
+		return errors.New("down")
+	}
+	r.quarantines[quarantineAt{region, q.Report.Fingerprint}] = q
+	return nil
+}
+
+func (r *fakeRegistry) Release(_ context.Context, region string, f poison.Fingerprint) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.quarantines, quarantineAt{region, f})
+	return nil
+}
+
+// quarantined is the number of stored quarantines.
+func (r *fakeRegistry) quarantined() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.quarantines)
+}
+
 // noReport drops reports.
 type noReport struct{}
 
--- /dev/null
+++ b/internal/gateway/fleet/quarantine.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"cairndock/internal/pause"
+	"cairndock/internal/poison"
+)
+
+// Quarantines are also in the registry, so that they outlast the end of all hosts at
+// once. They stand beside the hosts of the region whose host decided, and so cost a
+// starting host no call of its own; hosts in operation learn of them by heartbeats.
+
+// StoredQuarantine is a quarantined request in the registry (JSON).
+type StoredQuarantine struct {
+	Report poison.Report `json:"report"`
+	// StoredAt is the time of day at which the report was made, in Unix milliseconds.
+	// Hosts' times of day may differ by seconds, which matters little for what counts
+	// an hour.
+	StoredAt int64 `json:"stored_at"`
+}
+
+// aged returns the report as of now, by this host's time of day.
+func (q StoredQuarantine) aged(now time.Time) poison.Report {
+	older := max(0, now.UnixMilli()-q.StoredAt)
+	r := poison.Report{Fingerprint: q.Report.Fingerprint}
+	for _, e := range q.Report.Ends {
+		e.Age += older
+		r.Ends = append(r.Ends, e)
+	}
+	return r
+}
+
+const (
+	// quarantineWrites is how often a host tries to store a quarantine, and
+	// quarantineRetry the pause between two. The other hosts have it meanwhile. Chosen,
+	// not measured.
+	quarantineWrites = 5
+	quarantineRetry  = 2 * time.Second
+)
+
+// StoreQuarantine stores a quarantine that this host decided. It returns once that is
+// done or was tried quarantineWrites times. Errors are dropped: the tables' watchers log
+// that the store is away.
+func (f *Fleet) StoreQuarantine(ctx context.Context, r poison.Report) {
+	q := StoredQuarantine{Report: r, StoredAt: time.Now().UnixMilli()}
+	for range quarantineWrites {
+		if f.options.Registry.Quarantine(ctx, f.options.Self.Region, q) == nil || !pause.For(ctx, quarantineRetry) {
+			return
+		}
+	}
+}
+
+// RemoveQuarantine removes a quarantine that this host released, in whichever region it
+// was stored. What stays after an error counts for an hour at most, and only for hosts
+// that start while no other host runs.
+func (f *Fleet) RemoveQuarantine(ctx context.Context, print poison.Fingerprint) {
+	for _, region := range f.options.Regions {
+		_ = f.options.Registry.Release(ctx, region, print)
+	}
+}
+
+// mergeStored adds the quarantines that the registry has, and removes those that count
+// no more.
+func (f *Fleet) mergeStored(ctx context.Context, region string, stored []StoredQuarantine) {
+	if f.options.Suspicions == nil {
+		return
+	}
+	now := time.Now()
+	for _, q := range stored {
+		r := q.aged(now)
+		if !r.Counts() {
+			_ = f.options.Registry.Release(ctx, region, r.Fingerprint) // the next reader tries again
+			continue
+		}
+		f.options.Suspicions.Merge([]poison.Report{r}, now)
+	}
+}
--- a/internal/gateway/fleet/registration.go
+++ b/internal/gateway/fleet/registration.go
@@ -90,10 +90,12 @@
 // does not, no list counts as whole, and the first is read again.
 func (f *Fleet) readLists(ctx context.Context, regions []string, listed bool) (unread []string, nowListed bool) {
 	for len(regions) > 0 {
-		hosts, err := f.options.Registry.Hosts(ctx, regions[0])
+		list, err := f.options.Registry.Read(ctx, regions[0])
 		if err != nil {
 			return regions, listed
 		}
+		f.mergeStored(ctx, regions[0], list.Quarantines)
+		hosts := list.Hosts
 		listed = listed || slices.ContainsFunc(hosts, f.isSelf)
 		next := f.addList(regions[0], hosts, listed)
 		if !listed || !pause.For(ctx, next) {
--- a/internal/gateway/fleet/start_test.go
+++ b/internal/gateway/fleet/start_test.go
@@ -73,11 +73,11 @@
 	reads map[string]int
 }
 
-func (r *readCount) Hosts(ctx context.Context, region string) ([]Listing, error) {
+func (r *readCount) Read(ctx context.Context, region string) (RegionList, error) {
 	r.mu.Lock()
 	r.reads[region]++
 	r.mu.Unlock()
-	return r.fakeRegistry.Hosts(ctx, region)
+	return r.fakeRegistry.Read(ctx, region)
 }
 
 // counts returns how often a region's list was read, and a host announced.
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"testing"
@@ -12,17 +13,23 @@
 	"cairndock/internal/poison"
 )
 
-// nobody observes a table of suspicions.
-type nobody struct{ fleet *Fleet }
+// observer does with suspicions what a gateway does.
+type observer struct{ fleet *Fleet }
 
-func (n *nobody) SuspicionsChanged() {
-	if n.fleet != nil {
-		n.fleet.SendSoonToAll()
+func (o *observer) SuspicionsChanged()    { o.fleet.SendSoonToAll() }
+func (*observer) Ended(string, time.Time) {}
+
+func (o *observer) Quarantined(q poison.Quarantine) {
+	if q.Own {
+		go o.fleet.StoreQuarantine(context.Background(), q.Report)
+	}
+}
+
+func (o *observer) Released(f poison.Fingerprint, own bool) {
+	if own {
+		go o.fleet.RemoveQuarantine(context.Background(), f)
 	}
 }
-func (*nobody) Ended(string, time.Time)       {}
-func (*nobody) Quarantined(poison.Quarantine) {}
-func (*nobody) Released(poison.Fingerprint)   {}
 
 // suspiciousHost is a running host with its suspicions.
 type suspiciousHost struct {
@@ -33,13 +40,13 @@
 func startSuspiciousHost(t *testing.T, r Registry, h Host) suspiciousHost {
 	t.Helper()
 	h.PeerAddress = freeAddress(t)
-	observer := &nobody{}
-	table := poison.NewTable(h.Name, time.Now(), observer)
+	o := &observer{}
+	table := poison.NewTable(h.Name+h.Incarnation, time.Now(), o)
 	f := New(Options{
 		Self: h, Regions: []string{"west", "east", "south"}, Registry: r, Report: noReport{}, Status: func() Status { return readyStatus },
 		Suspicions: table, Transport: peer.TCP((&net.Dialer{}).DialContext),
 	})
-	observer.fleet = f
+	o.fleet = f
 	require.NoError(t, f.Start(t.Context()))
 	t.Cleanup(f.mesh.Close)
 	return suspiciousHost{f, table}
@@ -119,3 +126,38 @@
 		return len(toB.Suspicions) == 0 && len(toA.Suspicions) == 0
 	}, 3*time.Second, 20*time.Millisecond)
 }
+
+// All hosts ended at the same moment, and the request came on: three more upstreams
+// ended, and three more each time.
+func TestAQuarantineOutlastsAllHosts(t *testing.T) {
+	r := newFakeRegistry()
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	a := startSuspiciousHost(t, r, host("a", "west-0", "west"))
+	for i := range 3 {
+		a.recordEnd(f, fmt.Sprint("run-", i))
+		time.Sleep(30 * time.Millisecond)
+	}
+	require.True(t, a.table.Quarantined(f, time.Now()))
+	require.Eventually(t, func() bool { return r.quarantined() == 1 }, time.Second, 5*time.Millisecond)
+	a.mesh.Close()
+	b := startSuspiciousHost(t, r, host("b", "east-0", "east"))
+	require.Eventually(t, func() bool { return b.table.Quarantined(f, time.Now()) }, 3*time.Second, 5*time.Millisecond)
+
+	b.table.Release(f)
+	require.Eventually(t, func() bool { return r.quarantined() == 0 }, time.Second, 5*time.Millisecond, "whoever stored it")
+	b.mesh.Close()
+	c := startSuspiciousHost(t, r, host("c", "west-0", "west"))
+	require.Eventually(t, func() bool { return c.UnreadLists() == 0 }, 3*time.Second, 5*time.Millisecond)
+	require.False(t, c.table.Quarantined(f, time.Now()))
+}
+
+// A quarantine that was stored long ago is removed by whoever reads it.
+func TestAnOldStoredQuarantineIsRemoved(t *testing.T) {
+	r := newFakeRegistry()
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	old := StoredQuarantine{StoredAt: time.Now().Add(-2 * time.Hour).UnixMilli(), Report: poison.Report{Fingerprint: f, Ends: []poison.End{{Run: "a"}, {Run: "b"}, {Run: "c"}}}}
+	require.NoError(t, r.Quarantine(t.Context(), "west", old))
+	a := startSuspiciousHost(t, r, host("a", "west-0", "west"))
+	require.Eventually(t, func() bool { return r.quarantined() == 0 }, 3*time.Second, 5*time.Millisecond)
+	require.True(t, a.table.Empty())
+}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -73,6 +73,8 @@
 	detector *outlier.Detector
 }
 
+func (r suspicionReporter) Released(f poison.Fingerprint, _ bool) { r.Log.Released(f) }
+
 func (r suspicionReporter) Ended(run string, at time.Time) {
 	r.detector.RecordEnded(upstream.Run(run), at)
 }
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -52,6 +52,8 @@
 	world *world
 	// client gives the client of a repeat, by its number.
 	client func(int) *http.Client
+	// disrupt is what happens to hosts in its course.
+	disrupt func(w *world)
 
 	mu sync.Mutex
 	// sent are when the request arrived at upstreams, and ended when these ended.
@@ -173,7 +175,7 @@
 	for _, method := range []string{http.MethodGet, http.MethodPost} {
 		t.Run(method, func(t *testing.T) {
 			t.Parallel()
-			testPoison(t, method, func(int) *http.Client { return http.DefaultClient })
+			testPoison(t, method, func(int) *http.Client { return http.DefaultClient }, restartOne)
 		})
 	}
 }
@@ -188,22 +190,36 @@
 // 29 and 28 upstreams ended in a play where 34 and 39 had before.
 func TestARequestThatEndsUpstreamsIsKnownFromAnyAddress(t *testing.T) {
 	t.Parallel()
-	testPoison(t, http.MethodGet, clientAt)
+	testPoison(t, http.MethodGet, clientAt, restartOne)
 }
 
-// testPoison plays a request that ends upstreams, by a client for each repeat.
-func testPoison(t *testing.T, method string, client func(int) *http.Client) {
+// Hosts that learn of a request only from each other would forget it when all of them
+// end, and three more upstreams end each time.
+func TestAQuarantineOutlastsTheEndOfAllHosts(t *testing.T) {
+	t.Parallel()
+	late := testPoison(t, http.MethodPost, clientAt, (*world).restartAllHosts)
+	require.Zero(t, late, "sent again after the restart")
+}
+
+func restartOne(w *world) { w.restart(w.hosts[0], func() {}) }
+
+// testPoison plays a request that ends upstreams, by a client for each repeat, and a
+// disruption of hosts in its course. It gives how often the request was sent once hosts
+// had had time to know it.
+func testPoison(t *testing.T, method string, client func(int) *http.Client, disrupt func(w *world)) (late int) {
 	t.Helper()
 	w := newWorld(t, standardSeed, poisonHosts)
 	w.startHosts(10 * time.Second)
 	time.Sleep(calmAfter)
-	p := &poisonRun{world: w, client: client}
+	p := &poisonRun{world: w, client: client, disrupt: disrupt}
 	p.infect()
 	served := p.play(method)
-	t.Logf("%d ended, sent %d times late, %d of %d others served", len(p.ended), p.sentLate(), served, poisonRepeats)
-	require.LessOrEqual(t, p.sentLate(), sentAfter, "sent once hosts had had time to know it")
+	late = p.sentLate()
+	t.Logf("%d ended, sent %d times late, %d of %d others served", len(p.ended), late, served, poisonRepeats)
+	require.LessOrEqual(t, late, sentAfter, "sent once hosts had had time to know it")
 	require.GreaterOrEqual(t, float64(served), innocentShare*poisonRepeats, "others served")
 	p.checkRelease(method)
+	return late
 }
 
 // checkRelease has an operator release the request at one host, while upstreams bear it,
@@ -234,7 +250,7 @@
 }
 
 // play sends the request again and again, to the hosts in turn, and another one beside
-// it each time; one host is restarted meanwhile. It gives how many others were served.
+// it each time, with a disruption of hosts. It gives how many others were served.
 func (p *poisonRun) play(method string) int64 {
 	var wait sync.WaitGroup
 	var served atomic.Int64
@@ -250,7 +266,7 @@
 			}
 		})
 		if i == poisonRepeats*5/8 {
-			wait.Go(func() { w.restart(w.hosts[0], func() {}) })
+			wait.Go(func() { p.disrupt(w) })
 		}
 		time.Sleep(poisonEvery)
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"cairndock/internal/gateway/fleet"
@@ -37,11 +38,22 @@
 // Ended has requests avoid a run of an upstream that has ended.
 func (g *Gateway) Ended(run string, at time.Time) { g.detector.RecordEnded(upstream.Run(run), at) }
 
-// Quarantined logs that a request is refused.
-func (g *Gateway) Quarantined(q poison.Quarantine) { g.log.Quarantined(q) }
+// Quarantined logs that a request is refused, and stores it if this host was first.
+func (g *Gateway) Quarantined(q poison.Quarantine) {
+	g.log.Quarantined(q)
+	if q.Own {
+		go g.fleet.StoreQuarantine(context.Background(), q.Report)
+	}
+}
 
-// Released logs that a request is no longer refused.
-func (g *Gateway) Released(f poison.Fingerprint) { g.log.Released(f) }
+// Released logs that a request is no longer refused, and removes it from the store if
+// this host was first.
+func (g *Gateway) Released(f poison.Fingerprint, own bool) {
+	g.log.Released(f)
+	if own {
+		go g.fleet.RemoveQuarantine(context.Background(), f)
+	}
+}
 
 // WarmUpQuota gives this host's part of the requests a second to an upstream
 // that takes rate of them while it is cold. The platform allows the rate times
--- a/internal/poison/harness_test.go
+++ b/internal/poison/harness_test.go
@@ -19,8 +19,8 @@
 	}
 	o.ended[run] = at
 }
-func (o *observed) Quarantined(q Quarantine) { o.quarantined = append(o.quarantined, q) }
-func (o *observed) Released(f Fingerprint)   { o.released = append(o.released, f) }
+func (o *observed) Quarantined(q Quarantine)       { o.quarantined = append(o.quarantined, q) }
+func (o *observed) Released(f Fingerprint, _ bool) { o.released = append(o.released, f) }
 
 // began is when the tests' processes started.
 var began = time.Now()
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -1,27 +1,36 @@
 package poison
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Report is what a host knows of one suspect, as sent to another host (msgpack).
+// Report is what a host knows of one suspect, as sent to another host (msgpack) and, of
+// a quarantined one, stored (JSON).
 type Report struct {
-	Fingerprint Fingerprint `msgpack:"f"`
-	Ends        []End       `msgpack:"e"`
+	Fingerprint Fingerprint `msgpack:"f" json:"fingerprint"`
+	Ends        []End       `msgpack:"e" json:"ends"`
+}
+
+// Counts reports whether one of the ends still counts.
+func (r Report) Counts() bool {
+	return slices.ContainsFunc(r.Ends, func(e End) bool { return e.Age < forgetAfter.Milliseconds() })
 }
 
 // End is the end of one run of an upstream under a request. Its times are in
 // milliseconds.
 type End struct {
 	// Run is the run that ended.
-	Run string `msgpack:"r"`
+	Run string `msgpack:"r" json:"run"`
 	// Host names the process that saw it. Began and Ended are when its attempt began
 	// and ended, since the process's start.
-	Host  string `msgpack:"h"`
-	Began int64  `msgpack:"b"`
-	Ended int64  `msgpack:"n"`
+	Host  string `msgpack:"h" json:"host"`
+	Began int64  `msgpack:"b" json:"began"`
+	Ended int64  `msgpack:"n" json:"ended"`
 	// Age is how long ago it ended when the report was made.
-	Age int64 `msgpack:"a"`
+	Age int64 `msgpack:"a" json:"age"`
 	// Cleared is set when the request got a response afterwards.
-	Cleared bool `msgpack:"c,omitempty"`
+	Cleared bool `msgpack:"c,omitempty" json:"cleared,omitempty"`
 }
 
 func (e *end) report(now time.Time) End {
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -150,8 +150,9 @@
 // byTime orders ends by when they were.
 func byTime(a, b *end) int { return a.at.Compare(b.at) }
 
-// forget drops the ends that no longer count, and reports whether none is left.
-func (s *suspect) forget(now time.Time) (empty bool) {
+// forget drops the ends that are too old to count, and reports whether there were any.
+func (s *suspect) forget(now time.Time) bool {
+	before := len(s.ends)
 	s.ends = slices.DeleteFunc(s.ends, func(e *end) bool { return now.Sub(e.at) >= forgetAfter })
-	return len(s.ends) == 0
+	return len(s.ends) < before
 }
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"cmp"
-	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -33,6 +32,10 @@
 	Fingerprint Fingerprint
 	// Runs are the runs of upstreams that ended under it.
 	Runs []string
+	// Own is set if this host saw the last of them end, and so decided first.
+	Own bool
+	// Report is what is known of it, as of the decision.
+	Report Report
 }
 
 // Observer is told of changes. Its methods are called without the table's lock.
@@ -42,9 +45,9 @@
 	// Ended means that an upstream has ended; it may be told more than once.
 	Ended(run string, at time.Time)
 	// Quarantined and Released mean that a request is refused from now on, or no
-	// longer.
+	// longer; own if that was decided here.
 	Quarantined(Quarantine)
-	Released(Fingerprint)
+	Released(f Fingerprint, own bool)
 }
 
 // Table has the requests that are suspected. It is safe for concurrent use.
@@ -95,9 +98,9 @@
 func (t *Table) List() []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return slices.SortedFunc(maps.Values(t.quarantined()), func(a, b Quarantine) int {
-		return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:])
-	})
+	all := t.quarantined()
+	slices.SortFunc(all, func(a, b Quarantine) int { return bytes.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
+	return all
 }
 
 // Suspected reports whether an upstream has ended under the request, and it got no
@@ -119,7 +122,7 @@
 
 // RecordEnd records that an upstream ended under a request.
 func (t *Table) RecordEnd(f Fingerprint, a Attempt) {
-	t.change(func() bool {
+	t.change(true, func() bool {
 		added := &end{Run: a.Run, host: t.host, began: a.Began.Sub(t.started), ended: a.Ended.Sub(t.started), at: a.Ended}
 		return t.add(f, added)
 	})
@@ -131,7 +134,7 @@
 
 // Release clears a request, on all hosts. Three more ends quarantine it again.
 func (t *Table) Release(f Fingerprint) {
-	t.change(func() bool {
+	t.change(true, func() bool {
 		s := t.suspects[f]
 		if s == nil || !s.clear() {
 			return false
@@ -146,7 +149,7 @@
 	if len(reports) == 0 {
 		return
 	}
-	t.change(func() bool {
+	t.change(false, func() bool {
 		changed := false
 		for _, r := range reports {
 			for _, reported := range r.Ends {
@@ -184,15 +187,20 @@
 		upTo = t.suspects[changed[maxReports-1]].changed
 	}
 	for _, f := range changed {
-		r := Report{Fingerprint: f}
-		for _, e := range t.suspects[f].ends {
-			r.Ends = append(r.Ends, e.report(now))
-		}
-		reports = append(reports, r)
+		reports = append(reports, t.report(f, now))
 	}
 	return reports, upTo
 }
 
+// report returns what is known of a request; t.mu is held.
+func (t *Table) report(f Fingerprint, now time.Time) Report {
+	r := Report{Fingerprint: f}
+	for _, e := range t.suspects[f].ends {
+		r.Ends = append(r.Ends, e.report(now))
+	}
+	return r
+}
+
 // Suspended has all ends be longer ago by the time for which the machine was suspended.
 func (t *Table) Suspended(gap time.Duration) {
 	t.mu.Lock()
@@ -206,10 +214,15 @@
 
 // CleanUp forgets what no longer counts.
 func (t *Table) CleanUp(now time.Time) {
-	t.change(func() bool {
-		before := len(t.suspects)
-		maps.DeleteFunc(t.suspects, func(_ Fingerprint, s *suspect) bool { return s.forget(now) })
-		return len(t.suspects) != before
+	t.change(false, func() bool {
+		changed := false
+		for f, s := range t.suspects {
+			changed = s.forget(now) || changed
+			if len(s.ends) == 0 {
+				delete(t.suspects, f)
+			}
+		}
+		return changed
 	})
 }
 
@@ -234,35 +247,57 @@
 	s.changed = t.sequence
 }
 
-// change makes a change, decides anew if there was one, and tells the observer.
-func (t *Table) change(apply func() bool) {
+// change makes a change, decides anew if there was one, and tells the observer. own is
+// set unless another host made the change first.
+func (t *Table) change(own bool, apply func() bool) {
 	t.mu.Lock()
 	if !apply() {
 		t.mu.Unlock()
 		return
 	}
 	t.evict()
-	before := t.quarantined()
+	before := t.refused()
 	decide(t.suspects)
 	after := t.quarantined()
-	t.active.Store(t.countActive())
+	var begun []Quarantine
+	for _, q := range after {
+		if !before[q.Fingerprint] {
+			q.Report = t.report(q.Fingerprint, time.Now())
+			begun = append(begun, q)
+		}
+		delete(before, q.Fingerprint)
+	}
 	ended := t.ended
 	t.ended = nil
+	t.active.Store(t.countActive())
 	t.mu.Unlock()
+	t.tell(ended, begun, before, own)
+}
+
+// tell tells the observer of a change: the ends that are new, the requests that are
+// refused from now on, and those that no longer are.
+func (t *Table) tell(ended []*end, begun []Quarantine, released map[Fingerprint]bool, own bool) {
+	t.observer.SuspicionsChanged()
 	for _, e := range ended {
 		t.observer.Ended(e.Run, e.at)
 	}
-	t.observer.SuspicionsChanged()
-	for f, q := range after {
-		if _, was := before[f]; !was {
-			t.observer.Quarantined(q)
-		}
+	for _, q := range begun {
+		t.observer.Quarantined(q)
 	}
-	for f := range before {
-		if _, is := after[f]; !is {
-			t.observer.Released(f)
+	for f := range released {
+		t.observer.Released(f, own)
+	}
+}
+
+// refused returns the requests that the last decision quarantined; t.mu is held.
+func (t *Table) refused() map[Fingerprint]bool {
+	all := map[Fingerprint]bool{}
+	for f, s := range t.suspects {
+		if s.quarantined {
+			all[f] = true
 		}
 	}
+	return all
 }
 
 func (t *Table) countActive() (n int64) {
@@ -274,18 +309,19 @@
 	return n
 }
 
-// quarantined returns the quarantined requests; t.mu is held.
-func (t *Table) quarantined() map[Fingerprint]Quarantine {
-	all := map[Fingerprint]Quarantine{}
+// quarantined returns the quarantined requests as just decided; t.mu is held.
+func (t *Table) quarantined() []Quarantine {
+	var all []Quarantine
 	for f, s := range t.suspects {
 		if !s.quarantined {
 			continue
 		}
-		q := Quarantine{Fingerprint: f}
-		for _, e := range s.counted(none) {
+		ends := s.counted(none)
+		q := Quarantine{Fingerprint: f, Own: ends[len(ends)-1].host == t.host}
+		for _, e := range ends {
 			q.Runs = append(q.Runs, e.Run)
 		}
-		all[f] = q
+		all = append(all, q)
 	}
 	return all
 }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -208,6 +208,8 @@
 	require.False(t, table.Quarantined(f, later))
 	table.RecordEnd(f, Attempt{Run: "again", Began: later, Ended: later.Add(50 * time.Millisecond)})
 	require.True(t, table.Quarantined(f, later.Add(time.Second)), "one more end suffices")
+	table.CleanUp(at(200).Add(forgetAfter))
+	require.Empty(t, table.List(), "two of the ends no longer count")
 	table.CleanUp(later.Add(forgetAfter + time.Second))
 	require.True(t, table.Empty())
 	require.Empty(t, table.suspects)
