--- a/internal/selector/entry/clustertest/memnet/memnet.go
+++ b/internal/selector/entry/clustertest/memnet/memnet.go
@@ -4,12 +4,14 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cairndock/internal/pause"
 )
 
@@ -64,7 +66,8 @@
 	return nil
 }
 
-var errRefused = errors.New("connection refused")
+// errRefused is what a TCP address gives at which nothing listens.
+var errRefused = eris.Wrap(syscall.ECONNREFUSED, "connect")
 
 // Dial connects to an address; on a cut link it hangs until ctx ends.
 func (e End) Dial(ctx context.Context, addr string) (net.Conn, error) {
--- a/internal/selector/standin/upstream.go
+++ b/internal/selector/standin/upstream.go
@@ -48,6 +48,9 @@
 	Latency    time.Duration
 	ColdRuns   int
 	ColdFactor int
+	// Ends, if it is set, is asked for the target of each request whether the upstream
+	// ends by running it.
+	Ends func(target string) bool
 
 	mu       sync.Mutex
 	faults   Faults
@@ -227,6 +230,10 @@
 	}
 	f, latency := u.begin(r.Header.Get(call.HeaderTicket))
 	defer u.end()
+	if u.Ends != nil && u.Ends(r.RequestURI) {
+		_ = u.Close() // it has ended
+		panic(http.ErrAbortHandler)
+	}
 	if !sleep(r, latency) {
 		return
 	}
