Have serve refuse a request that has ended three upstreams

Cause: the gateway's: a request was known by nothing when it came again. Change: a guard before the client that sends to upstreams, with the table of package poison, which heartbeats share; tickets and forwarded requests pass it.

--- a/internal/selector/entry/dispatch/request.go
+++ b/internal/selector/entry/dispatch/request.go
@@ -193,7 +193,8 @@
 	if slowsRamp(e.Reason) {
 		r.state.Decide(func(dec *steer.Decider) { dec.Meter().Slow(c.Rule) })
 	}
-	if ctx.Err() != nil || time.Now().After(r.req.Deadline) {
+	// A quarantined request would be refused everywhere.
+	if e.Reason == verdict.Quarantined || ctx.Err() != nil || time.Now().After(r.req.Deadline) {
 		return false
 	}
 	return mayRetry(e.Verdict, r.repeatable(), r.ticketed())
--- a/internal/selector/entry/heartbeats/heartbeats.go
+++ b/internal/selector/entry/heartbeats/heartbeats.go
@@ -54,12 +54,13 @@
 type Options struct {
 	Zone string
 	// Seeds are addresses to ask while no other host is known.
-	Seeds     []string
-	Peers     *peers.Table
-	Services  *services.Set
-	Config    Config
-	Rosters   Rosters
-	Upstreams Upstreams
+	Seeds      []string
+	Peers      *peers.Table
+	Services   *services.Set
+	Config     Config
+	Rosters    Rosters
+	Upstreams  Upstreams
+	Suspicions Suspicions
 	// Successors gives whose successor this host is.
 	Successors func() []member.Successor
 	// Leaving reports whether this host is stopping.
@@ -74,10 +75,13 @@
 }
 
 // Exchanger exchanges heartbeats.
-type Exchanger struct{ Options }
+type Exchanger struct {
+	Options
+	exchanged exchanged
+}
 
 // New makes an Exchanger.
-func New(o Options) *Exchanger { return &Exchanger{o} }
+func New(o Options) *Exchanger { return &Exchanger{Options: o} }
 
 // Tick sends the heartbeats that are due. While no other host is known they go
 // to the seeds: the platform may be down when the host starts.
@@ -140,6 +144,7 @@
 	e.unpack(&resp)
 	e.Peers.Update(func(p *member.Peers) { p.RecordExchange(size) })
 	e.record(resp, asked, time.Since(asked))
+	e.mergeSuspicions(resp)
 	e.merge(ctx, resp)
 	e.Config.MergeFreshness(resp, askedAt)
 }
@@ -150,6 +155,7 @@
 	// The time it took to come is not known, so that it proves that the
 	// peer lives and no more.
 	e.record(hb, time.Now(), 0)
+	e.mergeSuspicions(hb)
 	_ = w.Send(e.response(hb)) // the peer sees the connection's loss itself
 	e.merge(ctx, hb)
 }
@@ -159,6 +165,7 @@
 	hb := e.describe(to.Zone)
 	p, _ := e.Peers.Get(to.Host)
 	hb.ContactsHash = p.ContactsHash
+	e.addSuspicions(&hb, to.Host)
 	return hb
 }
 
@@ -176,6 +183,7 @@
 	if hb.ContactsHash != asked.ContactsHash {
 		hb.Contacts = contacts
 	}
+	e.addSuspicions(&hb, asked.Contact.Host)
 	return hb
 }
 
--- a/internal/selector/entry/host.go
+++ b/internal/selector/entry/host.go
@@ -12,6 +12,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"cairndock/internal/peer"
+	"cairndock/internal/poison"
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/entry/admission"
 	"cairndock/internal/selector/entry/configsync"
@@ -81,6 +82,8 @@
 	upstreams  *upstreams.Tracker
 	heartbeats *heartbeats.Exchanger
 	fence      *fence.Fence
+	// suspicions are of requests that end upstreams.
+	suspicions *poison.Table
 	platform   *platformcalls.Caller
 
 	// The way of a request.
@@ -123,6 +126,7 @@
 	}
 	hello := peer.Hello{Host: s.Host.Name, Zone: s.Host.Zone, Incarnation: h.incarnation}
 	h.mesh = peer.NewMesh(hello, o.Transport, h)
+	h.suspicions = poison.NewTable(h.incarnation, h.made, &suspicionObserver{host: h})
 	h.fence = fence.New(h.now)
 	h.platform = platformcalls.New(s.Platform.CallsPerSecond, h.metrics, h.fence.Answered)
 	h.peers = peers.New(member.Contact{
@@ -170,7 +174,7 @@
 	})
 	h.admission = admission.New(admission.Options{
 		Zone: id.Zone, View: h.View, Services: h.services, Fence: h.fence,
-		Client: h.client, Metrics: h.metrics, Tracer: h.tracer,
+		Client: h.guard(), Metrics: h.metrics, Tracer: h.tracer,
 	})
 	h.forward = forward.New(forward.Options{
 		Zone: id.Zone, View: h.View, Services: h.services, Peers: h.peers, Links: h.links,
@@ -191,7 +195,7 @@
 	s := h.opts.Settings
 	h.heartbeats = heartbeats.New(heartbeats.Options{
 		Zone: h.zone, Seeds: s.Peers.Seeds, Peers: h.peers, Services: h.services, Config: h.config,
-		Rosters: h.rosters, Upstreams: h.upstreams, Successors: h.tickets.Successors, Leaving: h.leaving.Load,
+		Rosters: h.rosters, Upstreams: h.upstreams, Suspicions: h.suspicions, Successors: h.tickets.Successors, Leaving: h.leaving.Load,
 		Answered: h.fence.Answered, PeerUp: h.refreshServices, Now: h.now, Mesh: h.mesh,
 	})
 	h.directory = directory.New(directory.Options{
--- a/internal/selector/entry/loop.go
+++ b/internal/selector/entry/loop.go
@@ -33,6 +33,7 @@
 	h.refreshServices()
 	h.directory.Refresh()
 	h.tickets.ForgetExpired()
+	h.suspicions.CleanUp(time.Now())
 	h.links.Retune(ctx)
 }
 
--- a/internal/selector/member/heartbeat.go
+++ b/internal/selector/member/heartbeat.go
@@ -1,6 +1,10 @@
 package member
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"cairndock/internal/poison"
+)
 
 // Contact is how to reach a host: PeerAddr for other hosts, ClientAddr for
 // clients.
@@ -98,6 +102,11 @@
 	// UpstreamStatuses are sent within the zone only.
 	UpstreamStatuses []UpstreamStatus `msgpack:"g,omitempty"`
 	Successors       []Successor      `msgpack:"t,omitempty"`
+	// Suspicions are the sender's changes after those that the receiver has, up to
+	// SuspicionsUpTo, and SuspicionsMerged is up to which the sender has the receiver's.
+	Suspicions       []poison.Report `msgpack:"x,omitempty"`
+	SuspicionsUpTo   int64           `msgpack:"u,omitempty"`
+	SuspicionsMerged int64           `msgpack:"m,omitempty"`
 }
 
 // HashContacts gives a hash of the hosts that a zone names. Hosts of all versions
