--- a/internal/selector/entry/heartbeats/heartbeats_test.go
+++ b/internal/selector/entry/heartbeats/heartbeats_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/poison"
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/entry/configtest"
 	"cairndock/internal/selector/entry/peers"
@@ -46,6 +47,14 @@
 }
 func (s *states) Merge([]member.UpstreamStatus) bool { return s.changes }
 
+// nobody observes suspicions.
+type nobody struct{}
+
+func (nobody) SuspicionsChanged()                {}
+func (nobody) Ended(string, time.Time)           {}
+func (nobody) Quarantined(poison.Quarantine)     {}
+func (nobody) Released(poison.Fingerprint, bool) {}
+
 // newExchanger is costa-a-1. Up counts the peers that came within reach.
 func newExchanger(t *testing.T, m *membership, s *states) (e *Exchanger, calls *[]string, up *int) {
 	view := configtest.View(t, configtest.Planning)
@@ -55,6 +64,7 @@
 	return New(Options{
 		Zone: "costa-a", Peers: peers.New(member.Contact{Host: "costa-a-1", Zone: "costa-a", PeerAddr: "costa-a-1:2"}),
 		Services: services.NewSet(r.View, func() float64 { return 0.5 }), Config: r, Rosters: m, Upstreams: s,
+		Suspicions: poison.NewTable("costa-a-1", time.Now(), nobody{}),
 		Successors: func() []member.Successor { return nil }, Leaving: func() bool { return false },
 		Answered: func() {}, PeerUp: func() { *up++ }, Now: func() int64 { return 1 },
 	}), calls, up
@@ -143,3 +153,22 @@
 	e.unpack(&b)
 	require.Empty(t, b.ServiceSlots)
 }
+
+// Suspicions reach a host whatever becomes of single heartbeats, and are sent once.
+func TestSuspicionsAreSentUntilThePeerHasThem(t *testing.T) {
+	a, _, _ := newExchanger(t, &membership{}, &states{})
+	b, _, _ := newExchanger(t, &membership{}, &states{})
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	a.Suspicions.(*poison.Table).RecordEnd(f, poison.Attempt{Run: "up-1", Began: time.Now(), Ended: time.Now()})
+	lost := a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"})
+	require.Len(t, lost.Suspicions, 1)
+	again := a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"})
+	require.Len(t, again.Suspicions, 1)
+	b.mergeSuspicions(again)
+	require.True(t, b.Suspicions.(*poison.Table).Suspected(f))
+	answer := b.response(again)
+	answer.Contact.Host = "costa-a-2" // both are made as costa-a-1
+	a.mergeSuspicions(answer)
+	require.Empty(t, a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"}).Suspicions, "it has them")
+	require.Len(t, a.request(member.Contact{Host: "costa-a-3", Zone: "costa-a"}).Suspicions, 1, "another does not")
+}
