Play each scenario of the model's tests once for all figures taken of it

Change: a test takes its figures from the same plays; the plays by default of the plain scenario are shared. No check changed.

--- a/internal/gateway/loadmodel/model_test.go
+++ b/internal/gateway/loadmodel/model_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"sync"
 	"testing"
 	"time"
 
@@ -20,21 +21,54 @@
 
 func read(t *testing.T, name string) Scenario {
 	t.Helper()
-	text, err := os.ReadFile("testdata/" + name + ".toml")
+	s, err := scenario(name)
 	require.NoError(t, err)
+	return s
+}
+
+func scenario(name string) (Scenario, error) {
+	text, err := os.ReadFile("testdata/" + name + ".toml")
+	if err != nil {
+		return Scenario{}, err
+	}
 	s, err := Parse(text)
-	require.NoError(t, err)
 	s.Length = min(s.Length, at(playTime))
-	return s
+	return s, err
 }
 
-// mean plays a scenario with a few seeds and gives means of a figure.
-func mean(s Scenario, v Variant, figure func(*Result) float64) float64 {
-	total := 0.0
+// plays are plays of one scenario and variant, each with another seed.
+type plays []*Result
+
+func play(s Scenario, v Variant) plays {
+	var p plays
 	for seed := range uint64(seeds) {
-		total += figure(Run(s, v, seed))
+		p = append(p, Run(s, v, seed))
+	}
+	return p
+}
+
+// standard are plays of the scenario as it is by the default variant, which several
+// tests compare with. They take a while with the race detector, and are not changed.
+var standard = sync.OnceValue(func() plays {
+	s, err := scenario("uneven-regions")
+	if err != nil {
+		panic(err) // read fails first
+	}
+	return play(s, DefaultVariant())
+})
+
+// mean gives the mean of a figure.
+func (p plays) mean(figure func(*Result) float64) float64 {
+	total := 0.0
+	for _, r := range p {
+		total += figure(r)
 	}
-	return total / seeds
+	return total / float64(len(p))
+}
+
+// mean plays a scenario and gives the mean of one figure.
+func mean(s Scenario, v Variant, figure func(*Result) float64) float64 {
+	return play(s, v).mean(figure)
 }
 
 func credit(r *Result) float64 { return r.Total.Credit() }
@@ -90,9 +124,10 @@
 	t.Parallel()
 	s := read(t, "uneven-regions")
 	before := with("lowest cost first", func(p *balance.Policy) { p.RegionFirst, p.SpareFirst, p.RegionCost = false, false, 3 })
-	require.Greater(t, mean(s, DefaultVariant(), credit), mean(s, before, credit)+0.002)
-	require.Greater(t, mean(s, DefaultVariant(), (*Result).WorstRegion), mean(s, before, (*Result).WorstRegion)+0.002)
-	require.Less(t, mean(s, DefaultVariant(), away), mean(s, before, away)-0.05, "bytes between regions cost")
+	now, then := standard(), play(s, before)
+	require.Greater(t, now.mean(credit), then.mean(credit)+0.002)
+	require.Greater(t, now.mean((*Result).WorstRegion), then.mean((*Result).WorstRegion)+0.002)
+	require.Less(t, now.mean(away), then.mean(away)-0.05, "bytes between regions cost")
 }
 
 // Where regions are alike, or there is one only, the rule changes nothing that
@@ -110,8 +145,9 @@
 	for i := range s.Zones {
 		s.Zones[i].Region = "only"
 	}
-	require.Zero(t, mean(s, DefaultVariant(), away))
-	require.Greater(t, mean(s, DefaultVariant(), credit), 0.9)
+	one := play(s, DefaultVariant())
+	require.Zero(t, one.mean(away))
+	require.Greater(t, one.mean(credit), 0.9)
 }
 
 // At a second upstream the object is not known: a longer list makes more first
@@ -119,7 +155,7 @@
 func TestTwoUpstreamsAKeyServeBetterThanOneOrThree(t *testing.T) {
 	t.Parallel()
 	s := read(t, "uneven-regions")
-	two := mean(s, DefaultVariant(), credit)
+	two := standard().mean(credit)
 	for _, n := range []int{1, 3} {
 		other := with("list", func(p *balance.Policy) { p.PreferenceList = n })
 		require.Greater(t, two, mean(s, other, credit)+0.002, n)
@@ -133,8 +169,8 @@
 	s.Length = at(30 * time.Second)
 	s.Faults = []Fault{{Kind: Burst, At: at(5 * time.Second), For: at(15 * time.Second), Factor: 1.6}}
 	inTime := func(r *Result) float64 { return 100 * float64(r.Total.InTime) / float64(r.Total.Calls) }
-	standard := mean(s, DefaultVariant(), inTime)
-	require.InDelta(t, 92.1, standard, 1)
+	byDefault := mean(s, DefaultVariant(), inTime)
+	require.InDelta(t, 92.1, byDefault, 1)
 	for _, c := range []struct {
 		name   string
 		change func(*balance.Policy)
@@ -147,7 +183,7 @@
 		{"refused later", func(p *balance.Policy) { p.RejectAbove = 4 }, 0.5},
 		{"another region as the last choice", func(p *balance.Policy) { p.RegionCost = 3 }, 1.5},
 	} {
-		require.Greater(t, standard, mean(s, with(c.name, c.change), inTime)+c.least, c.name)
+		require.Greater(t, byDefault, mean(s, with(c.name, c.change), inTime)+c.least, c.name)
 	}
 }
 
@@ -157,7 +193,7 @@
 	t.Parallel()
 	s := read(t, "uneven-regions")
 	without := with("no reports", func(p *balance.Policy) { p.LoadReports = false })
-	require.Greater(t, mean(s, DefaultVariant(), credit), mean(s, without, credit)+0.02)
+	require.Greater(t, standard().mean(credit), mean(s, without, credit)+0.02)
 }
 
 // Where 33 hosts of a zone got the requests of three, each met an upstream about once in
@@ -172,10 +208,10 @@
 		}
 		return s
 	}
-	few, many := hosts(3), hosts(33)
-	require.Greater(t, mean(few, DefaultVariant(), credit), mean(many, DefaultVariant(), credit)+0.02)
+	few, many := play(hosts(3), DefaultVariant()), play(hosts(33), DefaultVariant())
+	require.Greater(t, few.mean(credit), many.mean(credit)+0.02)
 	late := func(r *Result) float64 { return float64(r.Total.Late) / float64(r.Total.Calls) }
-	require.Less(t, mean(few, DefaultVariant(), late), 0.8*mean(many, DefaultVariant(), late))
+	require.Less(t, few.mean(late), 0.8*many.mean(late))
 }
 
 // While upstreams refuse at random, a retry elsewhere serves what a refusal would
@@ -235,6 +271,7 @@
 	asIfFull := DefaultVariant()
 	asIfFull.PauseLeast, asIfFull.PauseJitter = at(350*time.Millisecond), at(400*time.Millisecond)
 	late := func(r *Result) float64 { return float64(r.Total.Late) / float64(r.Total.Calls) }
-	require.Less(t, mean(s, DefaultVariant(), late), 0.8*mean(s, asIfFull, late))
-	require.Greater(t, mean(s, DefaultVariant(), credit), mean(s, asIfFull, credit)+0.01)
+	now, then := play(s, DefaultVariant()), play(s, asIfFull)
+	require.Less(t, now.mean(late), 0.8*then.mean(late))
+	require.Greater(t, now.mean(credit), then.mean(credit)+0.01)
 }
