--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -174,8 +174,8 @@
 
 // quarantineAt is the place of a stored quarantine.
 type quarantineAt struct {
-	region string
-	print  poison.Fingerprint
+	region      string
+	fingerprint poison.Fingerprint
 }
 
 func (r *fakeRegistry) Quarantine(_ context.Context, region string, q StoredQuarantine) error {
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -55,9 +55,9 @@
 // RemoveQuarantine removes a quarantine that this host released, in whichever region it
 // was stored. What stays after an error counts for an hour at most, and only for hosts
 // that start while no other host runs.
-func (f *Fleet) RemoveQuarantine(ctx context.Context, print poison.Fingerprint) {
+func (f *Fleet) RemoveQuarantine(ctx context.Context, fingerprint poison.Fingerprint) {
 	for _, region := range f.options.Regions {
-		_ = f.options.Registry.Release(ctx, region, print)
+		_ = f.options.Registry.Release(ctx, region, fingerprint)
 	}
 }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -41,14 +41,14 @@
 	state    *routing.State
 	detector *outlier.Detector
 	// suspicions are of requests that end upstreams.
-	suspicions *poison.Table
-	suspension *suspend.Watch
-	timing     watch.Timing
-	tables     [tableCount]fleet.Table
-	watchers   [tableCount]*watch.Watcher
-	fleet      *fleet.Fleet
-	proxy      *proxy.Proxy
-	server     *proxy.Server
+	suspicions   *poison.Table
+	suspendWatch *suspend.Watch
+	timing       watch.Timing
+	tables       [tableCount]fleet.Table
+	watchers     [tableCount]*watch.Watcher
+	fleet        *fleet.Fleet
+	proxy        *proxy.Proxy
+	server       *proxy.Server
 }
 
 // New makes a host that writes its log to out. Run starts it.
@@ -60,7 +60,7 @@
 		Sampling: set.Log.sampling(), Metrics: g.metrics,
 	})
 	g.detector = outlier.New(g)
-	g.suspension = suspend.NewWatch(suspend.Machine{})
+	g.suspendWatch = suspend.NewWatch(suspend.Machine{})
 	g.suspicions = poison.NewTable(g.incarnation, time.Now(), g)
 	g.state = routing.New(platform.Decoder{Zones: set.Zones}, g.log, g.metrics)
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
--- a/internal/gateway/proxy/deadline.go
+++ b/internal/gateway/proxy/deadline.go
@@ -32,7 +32,7 @@
 
 // suspendedFor is for how long the machine was suspended since the request came.
 func (f *inflight) suspendedFor() time.Duration {
-	return f.proxy.Suspension.Total() - f.suspendedBefore
+	return f.proxy.SuspendWatch.Total() - f.suspendedBefore
 }
 
 // untilDeadline bounds an attempt's context by the deadline. The request's own context
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -133,12 +133,12 @@
 	g.suspicions = poison.NewTable("h", time.Now(), suspicionReporter{reporter{log}, detector})
 	g.proxy = proxy.New(proxy.Options{
 		State: g.state, Detector: detector,
-		Balancer:   balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
-		Budget:     retry.NewBudget(retries, time.Now().Add(-retries.Window)),
-		Suspicions: g.suspicions,
-		Suspension: suspend.NewWatch(&g.suspension),
-		Client:     exchange.NewClient(g.dial, protocol{}),
-		Codec:      codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
+		Balancer:     balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
+		Budget:       retry.NewBudget(retries, time.Now().Add(-retries.Window)),
+		Suspicions:   g.suspicions,
+		SuspendWatch: suspend.NewWatch(&g.suspension),
+		Client:       exchange.NewClient(g.dial, protocol{}),
+		Codec:        codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
 	g.server = httptest.NewServer(g.proxy)
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -30,10 +30,10 @@
 	request *exchange.Request
 	// address is the client's IP address.
 	address string
-	// print is the request's fingerprint once printed has made it, for which the
+	// digest is the request's fingerprint once digestOnce has made it, for which the
 	// goroutines of the attempts ask too.
-	print   poison.Fingerprint
-	printed sync.Once
+	digest     poison.Fingerprint
+	digestOnce sync.Once
 
 	// tried has the ids of the upstreams that the request was sent to.
 	tried []string
@@ -43,7 +43,7 @@
 
 // run sends the request until it has a response to forward or is given up.
 func (f *inflight) run(ctx context.Context) (*response, error) {
-	f.proxy.Suspension.Check()
+	f.proxy.SuspendWatch.Check()
 	f.proxy.Budget.RecordRequest(f.service, f.began)
 	if f.quarantined() {
 		return nil, errQuarantined()
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -55,8 +55,8 @@
 	Budget *retry.Budget
 	// Suspicions find requests that end the upstreams that run them.
 	Suspicions *poison.Table
-	// Suspension finds that the machine was suspended.
-	Suspension *suspend.Watch
+	// SuspendWatch finds that the machine was suspended.
+	SuspendWatch *suspend.Watch
 	// Client sends attempts to upstreams.
 	Client *exchange.Client
 	// Codec reads requests' headers and writes error responses.
@@ -130,7 +130,7 @@
 	defer p.inFlight.Add(-1)
 	info := p.Codec.ParseRequest(r.Header)
 	client, span := p.startRequest(r, info.ID)
-	f := &inflight{proxy: p, info: info, began: began, suspendedBefore: p.Suspension.Total(), client: client, address: hostname(r.RemoteAddr)}
+	f := &inflight{proxy: p, info: info, began: began, suspendedBefore: p.SuspendWatch.Total(), client: client, address: hostname(r.RemoteAddr)}
 	var err error
 	defer func() { endSpan(span, err) }()
 	if err = f.prepare(w, r); err != nil {
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -34,7 +34,7 @@
 
 // ended reports whether there is nobody to serve.
 func (f *inflight) ended(ctx context.Context) bool {
-	f.proxy.Suspension.Check()
+	f.proxy.SuspendWatch.Check()
 	return ctx.Err() != nil || f.client.Err() != nil || !time.Now().Before(f.deadline())
 }
 
--- a/internal/gateway/proxy/suspicion.go
+++ b/internal/gateway/proxy/suspicion.go
@@ -18,12 +18,12 @@
 // that no account's request is taken for another's. The client's address is not: one
 // caller has many, and with it each address had to end three upstreams.
 func (f *inflight) fingerprint() poison.Fingerprint {
-	f.printed.Do(func() {
+	f.digestOnce.Do(func() {
 		r := f.request
 		content := poison.Content{Credential: f.info.Credential, Method: r.Method, Host: r.Host, Target: r.Target, Body: r.Body}
-		f.print = content.Fingerprint()
+		f.digest = content.Fingerprint()
 	})
-	return f.print
+	return f.digest
 }
 
 // suspected reports whether upstreams ended under the same request. While no request
@@ -63,9 +63,9 @@
 	if !f.proxy.expectsToRun(a) || !f.proxy.Client.HasEnded(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}) {
 		return
 	}
-	print := f.fingerprint()
-	f.proxy.Log.UpstreamEnded(u.ID, print.String(), f.route.Name, f.request.Target, f.address)
-	f.proxy.Suspicions.RecordEnd(print, end)
+	fingerprint := f.fingerprint()
+	f.proxy.Log.UpstreamEnded(u.ID, fingerprint.String(), f.route.Name, f.request.Target, f.address)
+	f.proxy.Suspicions.RecordEnd(fingerprint, end)
 }
 
 // expectsToRun reports whether an attempt's upstream is still registered as the run
--- a/internal/gateway/proxy/writebound_test.go
+++ b/internal/gateway/proxy/writebound_test.go
@@ -30,7 +30,7 @@
 func TestAResponseThatComesAfterTheDeadlineMayStillBeWritten(t *testing.T) {
 	for name, held := range map[string]time.Duration{"in time": 0, "late": 10 * time.Second} {
 		t.Run(name, func(t *testing.T) {
-			f := &inflight{proxy: &Proxy{Options: Options{Suspension: suspend.NewWatch(suspend.Machine{})}}, route: &route.Route{Timeout: 1500 * time.Millisecond}, began: time.Now().Add(-held)}
+			f := &inflight{proxy: &Proxy{Options: Options{SuspendWatch: suspend.NewWatch(suspend.Machine{})}}, route: &route.Route{Timeout: 1500 * time.Millisecond}, began: time.Now().Add(-held)}
 			w := &deadlineWriter{ResponseWriter: httptest.NewRecorder()}
 			f.boundWrites(w)
 			require.Greater(t, time.Until(w.end), writeMargin-time.Second)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -13,7 +13,7 @@
 
 // status is what this host's heartbeats say.
 func (g *Gateway) status() fleet.Status {
-	g.suspension.Check() // before ages are told
+	g.suspendWatch.Check() // before ages are told
 	// Beside it, the proxy is not ready while the host stops or can't accept
 	// clients, who should go elsewhere then.
 	ready := g.state.Ready()
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -69,7 +69,7 @@
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
 		Suspicions:   g.suspicions,
-		Suspension:   g.suspension,
+		SuspendWatch: g.suspendWatch,
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackPart:    g.fleet.CommonPart,
@@ -89,6 +89,6 @@
 		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.fleet.Suspended,
 		g.detector.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.suspicions.Suspended, g.log.Suspended,
 	} {
-		g.suspension.OnGap(f)
+		g.suspendWatch.OnGap(f)
 	}
 }
--- a/internal/poison/harness_test.go
+++ b/internal/poison/harness_test.go
@@ -28,8 +28,8 @@
 // at gives a time of the tests, in milliseconds.
 func at(ms int) time.Time { return began.Add(time.Duration(ms) * time.Millisecond) }
 
-// print gives a fingerprint by a name.
-func print(name string) Fingerprint { return Content{Target: name}.Fingerprint() }
+// printOf gives a fingerprint by a name.
+func printOf(name string) Fingerprint { return Content{Target: name}.Fingerprint() }
 
 // newTable makes the table of a process.
 func newTable(process string) (*Table, *observed) {
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -26,12 +26,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			table, seen := newTable("h")
 			for _, a := range c.attempts {
-				a.record(table, print("f"))
+				a.record(table, printOf("f"))
 			}
-			require.Equal(t, c.quarantined, table.Quarantined(print("f"), at(600)))
+			require.Equal(t, c.quarantined, table.Quarantined(printOf("f"), at(600)))
 			require.Equal(t, c.quarantined, len(seen.quarantined) == 1, "it is told once")
-			require.True(t, table.Suspected(print("f")))
-			require.False(t, table.Suspected(print("other")))
+			require.True(t, table.Suspected(printOf("f")))
+			require.False(t, table.Suspected(printOf("other")))
 		})
 	}
 }
@@ -47,7 +47,7 @@
 
 func TestAResponseClearsARequest(t *testing.T) {
 	table, _ := newTable("h")
-	f := print("popular")
+	f := printOf("popular")
 	for i := range 40 {
 		attempt{fmt.Sprint(2 * i), 100 * i, 100*i + 20}.record(table, f)
 		attempt{fmt.Sprint(2*i + 1), 100*i + 20, 100*i + 40}.record(table, f)
@@ -60,7 +60,7 @@
 
 func TestAReleasedRequestNeedsThreeMoreEnds(t *testing.T) {
 	table, seen := newTable("h")
-	f := print("f")
+	f := printOf("f")
 	for i := range 3 {
 		attempt{fmt.Sprint("a", i), 100 * i, 100*i + 50}.record(table, f)
 	}
@@ -78,7 +78,7 @@
 // A request shared three upstreams with a poison request, as both had the same first
 // and second upstream for their keys and their clients came back at the same time.
 func TestARequestThatOnlySharedUpstreamsIsNotQuarantined(t *testing.T) {
-	guilty, innocent := print("guilty"), print("innocent")
+	guilty, innocent := printOf("guilty"), printOf("innocent")
 	table, _ := newTable("h")
 	for i := range 3 {
 		a := attempt{fmt.Sprint(i), 100 * i, 100*i + 50}
@@ -99,7 +99,7 @@
 		require.False(t, table.Quarantined(innocent, at(500)), "the next end tells which")
 	})
 	t.Run("and a second poison request is, too", func(t *testing.T) {
-		other := print("other")
+		other := printOf("other")
 		for i := range 3 {
 			attempt{fmt.Sprint("x", i), 1000 + 100*i, 1050 + 100*i}.record(table, other)
 		}
@@ -112,7 +112,7 @@
 	a, seenByA := newTable("a")
 	b, _ := newTable("b")
 	c, _ := newTable("c")
-	f := print("f")
+	f := printOf("f")
 	attempt{"1", 0, 50}.record(a, f)
 	attempt{"2", 200, 250}.record(b, f)
 	attempt{"3", 400, 450}.record(c, f)
@@ -135,7 +135,7 @@
 // Reports are late, each by another time, so that ends at one moment seem to be one
 // after the other.
 func TestUpstreamsKilledTogetherCountOnceAtAllHosts(t *testing.T) {
-	f := print("popular")
+	f := printOf("popular")
 	sum, _ := newTable("sum")
 	for i, delay := range []int{0, 30, 60, 90, 45, 75} {
 		host, _ := newTable(fmt.Sprint(i))
@@ -148,7 +148,7 @@
 // Two attempts of one try follow each other within a millisecond; all hosts must see
 // that, though reports of them take different times.
 func TestTheOrderThatOneHostSawHoldsEverywhere(t *testing.T) {
-	f := print("f")
+	f := printOf("f")
 	a, _ := newTable("a")
 	b, _ := newTable("b")
 	var has int64
@@ -161,7 +161,7 @@
 }
 
 func TestReportsMayBeLostRepeatedAndLate(t *testing.T) {
-	f := print("f")
+	f := printOf("f")
 	a, _ := newTable("a")
 	b, told := newTable("b")
 	for i := range 3 {
@@ -185,10 +185,10 @@
 
 func TestANumberOfAnotherProcessStandsForNothing(t *testing.T) {
 	a, _ := newTable("a")
-	attempt{"1", 0, 50}.record(a, print("f"))
+	attempt{"1", 0, 50}.record(a, printOf("f"))
 	_, upTo := a.Since(0, at(100))
 	restarted, _ := newTable("a2")
-	attempt{"2", 0, 50}.record(restarted, print("g"))
+	attempt{"2", 0, 50}.record(restarted, printOf("g"))
 	reports, other := restarted.Since(upTo, at(100))
 	require.Len(t, reports, 1)
 	require.NotEqual(t, upTo, other)
@@ -199,7 +199,7 @@
 
 func TestAManyTimesRepeatedQuarantineIsTriedAgain(t *testing.T) {
 	table, _ := newTable("h")
-	f := print("f")
+	f := printOf("f")
 	for i := range 3 {
 		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(table, f)
 	}
@@ -220,20 +220,20 @@
 func TestSuspectsAreBounded(t *testing.T) {
 	table, _ := newTable("h")
 	for i := range 3 {
-		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(table, print("guilty"))
+		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(table, printOf("guilty"))
 	}
 	for i := range 3 * maxSuspects {
-		attempt{fmt.Sprint("r", i), 1000 + i, 1001 + i}.record(table, print(fmt.Sprint("filler-", i)))
+		attempt{fmt.Sprint("r", i), 1000 + i, 1001 + i}.record(table, printOf(fmt.Sprint("filler-", i)))
 	}
 	require.Len(t, table.suspects, maxSuspects)
-	require.True(t, table.Quarantined(print("guilty"), at(5000)))
-	require.True(t, table.Suspected(print(fmt.Sprint("filler-", 3*maxSuspects-1))), "the latest are kept")
+	require.True(t, table.Quarantined(printOf("guilty"), at(5000)))
+	require.True(t, table.Suspected(printOf(fmt.Sprint("filler-", 3*maxSuspects-1))), "the latest are kept")
 
 	t.Run("and so are ends and messages", func(t *testing.T) {
 		for i := range 2 * maxEnds {
-			attempt{fmt.Sprint("more-", i), 6000 + 100*i, 6050 + 100*i}.record(table, print("guilty"))
+			attempt{fmt.Sprint("more-", i), 6000 + 100*i, 6050 + 100*i}.record(table, printOf("guilty"))
 		}
-		require.Len(t, table.suspects[print("guilty")].ends, maxEnds)
+		require.Len(t, table.suspects[printOf("guilty")].ends, maxEnds)
 		other, _ := newTable("other")
 		var has int64
 		for messages := 0; ; messages++ {
@@ -247,14 +247,14 @@
 			has = upTo
 		}
 		require.Len(t, other.suspects, maxSuspects)
-		require.True(t, other.Quarantined(print("guilty"), at(9000)))
+		require.True(t, other.Quarantined(printOf("guilty"), at(9000)))
 	})
 }
 
 func TestReportsThatMakeNoSenseAreIgnored(t *testing.T) {
 	long := string(make([]byte, maxName+1))
 	table, told := newTable("h")
-	table.Merge([]Report{{Fingerprint: print("f"), Ends: []End{
+	table.Merge([]Report{{Fingerprint: printOf("f"), Ends: []End{
 		{Host: "x", Ended: 1}, {Run: long, Host: "x", Ended: 1}, {Run: "r", Host: long, Ended: 1},
 		{Run: "r", Host: "x", Began: 2, Ended: 1}, {Run: "r", Host: "x", Age: -1}, {Run: "r", Host: "x", Age: forgetAfter.Milliseconds()},
 	}}}, at(0))
--- a/internal/selector/entry/clustertest/cluster.go
+++ b/internal/selector/entry/clustertest/cluster.go
@@ -138,7 +138,7 @@
 	end := memnet.End{Net: c.Net, Name: name}
 	p := platform{c.Memory, end}
 	h := entry.New(entry.Options{
-		Suspension: c.clock(name), Settings: set, Table: p, Objects: p, Hosts: p, Transport: end, Log: zerolog.Nop(),
+		SuspendClock: c.clock(name), Settings: set, Table: p, Objects: p, Hosts: p, Transport: end, Log: zerolog.Nop(),
 		Traces: sdktrace.NewTracerProvider(sdktrace.WithSampler(sdktrace.NeverSample())), Seed: uint64(len(name)),
 		DialUpstream: func(ctx context.Context, _, addr string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, Timeout)
--- a/internal/selector/entry/host.go
+++ b/internal/selector/entry/host.go
@@ -52,27 +52,27 @@
 	// ctx ends, and returns how many requests it cut. It is nil where the host
 	// has no listener for clients.
 	StopClients func(ctx context.Context) int64
-	// Suspension tells for how long the machine was suspended; nil is this machine's.
-	Suspension suspend.Clock
-	Log        zerolog.Logger
-	Traces     trace.TracerProvider
+	// SuspendClock tells for how long the machine was suspended; nil is this machine's.
+	SuspendClock suspend.Clock
+	Log          zerolog.Logger
+	Traces       trace.TracerProvider
 	// Seed makes the host's random choices repeatable.
 	Seed uint64
 }
 
 // Host is one entry host.
 type Host struct {
-	opts        Options
-	zone        string
-	incarnation string
-	made        time.Time
-	suspension  *suspend.Watch
-	log         zerolog.Logger
-	tracer      trace.Tracer
-	metrics     *telemetry.Metrics
-	random      *lockedRand
-	mesh        *peer.Mesh
-	client      *upstream.Client
+	opts         Options
+	zone         string
+	incarnation  string
+	made         time.Time
+	suspendWatch *suspend.Watch
+	log          zerolog.Logger
+	tracer       trace.Tracer
+	metrics      *telemetry.Metrics
+	random       *lockedRand
+	mesh         *peer.Mesh
+	client       *upstream.Client
 
 	// What the host knows, and what it may use by that.
 	peers      *peers.Table
@@ -113,16 +113,16 @@
 func New(o Options) *Host {
 	s := o.Settings
 	h := &Host{
-		opts:        o,
-		zone:        s.Host.Zone,
-		incarnation: rosters.NewIncarnation(),
-		made:        time.Now(),
-		suspension:  suspend.NewWatch(cmp.Or[suspend.Clock](o.Suspension, suspend.Machine{})),
-		log:         o.Log.With().Str("host", s.Host.Name).Logger(),
-		tracer:      telemetry.Tracer(o.Traces),
-		metrics:     telemetry.NewMetrics(),
-		random:      &lockedRand{r: rand.New(rand.NewPCG(o.Seed, uint64(len(s.Host.Name))))},
-		wake:        make(chan struct{}, 1),
+		opts:         o,
+		zone:         s.Host.Zone,
+		incarnation:  rosters.NewIncarnation(),
+		made:         time.Now(),
+		suspendWatch: suspend.NewWatch(cmp.Or[suspend.Clock](o.SuspendClock, suspend.Machine{})),
+		log:          o.Log.With().Str("host", s.Host.Name).Logger(),
+		tracer:       telemetry.Tracer(o.Traces),
+		metrics:      telemetry.NewMetrics(),
+		random:       &lockedRand{r: rand.New(rand.NewPCG(o.Seed, uint64(len(s.Host.Name))))},
+		wake:         make(chan struct{}, 1),
 	}
 	hello := peer.Hello{Host: s.Host.Name, Zone: s.Host.Zone, Incarnation: h.incarnation}
 	h.mesh = peer.NewMesh(hello, o.Transport, h)
@@ -274,8 +274,8 @@
 // now reads the host's monotonic clock, in nanoseconds. It counts the time for which the machine was suspended, as the other hosts do: they
 // give a silent host's slots away meanwhile.
 func (h *Host) now() int64 {
-	h.suspension.Check()
-	return clockStart + int64(time.Since(h.made)+h.suspension.Total())
+	h.suspendWatch.Check()
+	return clockStart + int64(time.Since(h.made)+h.suspendWatch.Total())
 }
 
 // lockedRand is a random source for many goroutines.
