Reproduce that a starting host learns of a quarantine after it serves

Cause: a quarantine stands with the hosts of one region; a host reads the other regions' lists up to a second after its own.

--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -161,3 +161,35 @@
 	require.Eventually(t, func() bool { return r.quarantined() == 0 }, 3*time.Second, 5*time.Millisecond)
 	require.True(t, a.table.Empty())
 }
+
+// Once, under the race detector, a request was sent to one more upstream after all hosts
+// had been restarted.
+//
+// The order of events: the quarantine stood with the hosts of the region whose host had
+// decided; hosts of other regions started, served by their own region's list, and read
+// the others up to a second later.
+//
+// The cause: what a starting host must know before it serves stood where it reads last.
+// The evidence: the time at which this host knows it, below.
+func TestAStartingHostKnowsQuarantinesWithItsOwnList(t *testing.T) {
+	r := newFakeRegistry()
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	a := startSuspiciousHost(t, r, host("a", "west-0", "west"))
+	for i := range 3 {
+		a.recordEnd(f, fmt.Sprint("run-", i))
+		time.Sleep(30 * time.Millisecond)
+	}
+	require.Eventually(t, func() bool { return r.quarantined() > 0 }, time.Second, 5*time.Millisecond)
+	time.Sleep(50 * time.Millisecond) // until it stands wherever it will
+	a.mesh.Close()
+	b := startSuspiciousHost(t, r, host("b", "east-0", "east"))
+	require.Eventually(t, func() bool { return b.readOwnList() }, time.Second, time.Millisecond)
+	require.True(t, b.table.Quarantined(f, time.Now()))
+}
+
+// readOwnList reports whether the host has read the list of its own region.
+func (h suspiciousHost) readOwnList() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return !h.members.lists[h.options.Self.Region].IsZero()
+}
