--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cairndock/internal/pause"
@@ -9,8 +10,9 @@
 )
 
 // Quarantines are also in the registry, so that they outlast the end of all hosts at
-// once. They stand beside the hosts of the region whose host decided, and so cost a
-// starting host no call of its own; hosts in operation learn of them by heartbeats.
+// once. They stand beside the hosts of every region, as a starting host reads its own
+// region's first, and those of others up to a second after it serves; so they cost it no
+// call of its own. Hosts in operation learn of them by heartbeats.
 
 // StoredQuarantine is a quarantined request in the registry (JSON).
 type StoredQuarantine struct {
@@ -40,20 +42,23 @@
 	quarantineRetry  = 2 * time.Second
 )
 
-// StoreQuarantine stores a quarantine that this host decided. It returns once that is
-// done or was tried quarantineWrites times. Errors are dropped: the tables' watchers log
-// that the store is away.
+// StoreQuarantine stores a quarantine that this host decided, with each region, the own
+// one first. It returns once that is done or was tried quarantineWrites times. Errors are
+// dropped: the tables' watchers log that the store is away.
 func (f *Fleet) StoreQuarantine(ctx context.Context, r poison.Report) {
 	q := StoredQuarantine{Report: r, StoredAt: time.Now().UnixMilli()}
+	left := f.regions()
 	for range quarantineWrites {
-		if f.options.Registry.Quarantine(ctx, f.options.Self.Region, q) == nil || !pause.For(ctx, quarantineRetry) {
+		left = slices.DeleteFunc(left, func(region string) bool {
+			return f.options.Registry.Quarantine(ctx, region, q) == nil
+		})
+		if len(left) == 0 || !pause.For(ctx, quarantineRetry) {
 			return
 		}
 	}
 }
 
-// RemoveQuarantine removes a quarantine that this host released, in whichever region it
-// was stored. What stays after an error counts for an hour at most, and only for hosts
+// RemoveQuarantine removes a quarantine that this host released. What stays after an error counts for an hour at most, and only for hosts
 // that start while no other host runs.
 func (f *Fleet) RemoveQuarantine(ctx context.Context, fingerprint poison.Fingerprint) {
 	for _, region := range f.options.Regions {
