Run one large poison world at a time, and give a refused connection in tests as TCP does

Four worlds of nine hosts ran side by side under the race detector, so that 20 connections to one host took 2.7 and 5 s of the 1.8 allowed, and a popular request was sent 1,075 times in place of 6,000; and a shared error of eris, which changes when it is wrapped, was a data race of the tests. Change: these worlds take turns; the error is the one that net gives.

--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -45,6 +45,18 @@
 	mostUnanswered = 13
 )
 
+// poisonTurn is held by the test that runs poisonHosts hosts: several beside each other,
+// under the race detector, leave the machine too little for tests that measure times.
+var poisonTurn sync.Mutex
+
+// newPoisonWorld makes a world of poisonHosts hosts once it is the test's turn.
+func newPoisonWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
+	poisonTurn.Lock()
+	t.Cleanup(poisonTurn.Unlock) // after those of the world, which end its hosts
+	return newWorld(t, seed, poisonHosts)
+}
+
 // poisonPath is the path of the request that ends upstreams, by its method.
 func poisonPath(method string) string {
 	if method == http.MethodGet {
@@ -225,7 +237,7 @@
 // had had time to know it.
 func testPoison(t *testing.T, method string, client func(int) *http.Client, disrupt func(w *world)) (late int) {
 	t.Helper()
-	w := newWorld(t, standardSeed, poisonHosts)
+	w := newPoisonWorld(t, standardSeed)
 	w.startHosts(10 * time.Second)
 	time.Sleep(calmAfter)
 	p := &poisonRun{world: w, client: client, disrupt: disrupt}
@@ -317,7 +329,7 @@
 // runWithPoison plays one seed and gives the violations.
 func runWithPoison(t *testing.T, seed uint64) []string {
 	t.Helper()
-	w := newWorld(t, seed, poisonHosts)
+	w := newPoisonWorld(t, seed)
 	w.startHosts(10 * time.Second)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
@@ -362,7 +374,7 @@
 // no part in it.
 func TestAPopularRequestIsServedWhileUpstreamsEnd(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, standardSeed, poisonHosts)
+	w := newPoisonWorld(t, standardSeed)
 	for i := range moreUpstreams {
 		w.addUpstream(zones[i%len(zones)].name)
 	}
--- a/internal/selector/entry/clustertest/memnet/memnet.go
+++ b/internal/selector/entry/clustertest/memnet/memnet.go
@@ -5,13 +5,12 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
-	"github.com/rotisserie/eris"
-
 	"cairndock/internal/pause"
 )
 
@@ -67,7 +66,7 @@
 }
 
 // errRefused is what a TCP address gives at which nothing listens.
-var errRefused = eris.Wrap(syscall.ECONNREFUSED, "connect")
+var errRefused = os.NewSyscallError("connect", syscall.ECONNREFUSED)
 
 // Dial connects to an address; on a cut link it hangs until ctx ends.
 func (e End) Dial(ctx context.Context, addr string) (net.Conn, error) {
