--- a/internal/selector/entry/clustertest/poison_test.go
+++ b/internal/selector/entry/clustertest/poison_test.go
@@ -35,7 +35,7 @@
 func (p *poisonRecord) infect(c *Cluster, name string) {
 	u := c.Upstreams[name]
 	var once sync.Once
-	u.Ends = func(target string) bool {
+	u.EndBy(func(target string) bool {
 		if target != poisonTarget {
 			return false
 		}
@@ -55,7 +55,7 @@
 			})
 		})
 		return true
-	}
+	})
 }
 
 // late is how often the request was sent once hosts had had time to know it.
--- a/internal/selector/standin/upstream.go
+++ b/internal/selector/standin/upstream.go
@@ -48,11 +48,11 @@
 	Latency    time.Duration
 	ColdRuns   int
 	ColdFactor int
-	// Ends, if it is set, is asked for the target of each request whether the upstream
-	// ends by running it.
-	Ends func(target string) bool
 
-	mu       sync.Mutex
+	mu sync.Mutex
+	// ends, if it is set, is asked for the target of each request whether the upstream
+	// ends by running it.
+	ends     func(target string) bool
 	faults   Faults
 	leaving  bool
 	ledger   Ledger
@@ -98,6 +98,22 @@
 	u.faults = f
 }
 
+// EndBy has f asked, for the target of each request, whether the upstream ends by running
+// it.
+func (u *Upstream) EndBy(f func(target string) bool) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.ends = f
+}
+
+// endsBy reports whether the upstream ends by running a request for a target.
+func (u *Upstream) endsBy(target string) bool {
+	u.mu.Lock()
+	f := u.ends
+	u.mu.Unlock()
+	return f != nil && f(target)
+}
+
 // Drain makes the upstream report that it is leaving.
 func (u *Upstream) Drain() {
 	u.mu.Lock()
@@ -230,7 +246,7 @@
 	}
 	f, latency := u.begin(r.Header.Get(call.HeaderTicket))
 	defer u.end()
-	if u.Ends != nil && u.Ends(r.RequestURI) {
+	if u.endsBy(r.RequestURI) {
 		_ = u.Close() // it has ended
 		panic(http.ErrAbortHandler)
 	}
