Name what the project has already, and give each constant its own reason

Cause: read again: two names for a status that net/http has, a test's steps written twice, an exported field of an unexported type, two constants in one comment. Change: these; nothing that is decided. Measured: tests of poison, fleet, serve's suspicions, platform and docscheck pass.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -27,7 +27,7 @@
 type RegionList struct {
 	// Hosts are all hosts of the region; some may be gone.
 	Hosts []Listing
-	// Quarantines are the requests that a host of the region quarantined.
+	// Quarantines are the quarantined requests; all regions have them.
 	Quarantines []StoredQuarantine
 }
 
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -35,11 +35,11 @@
 }
 
 const (
-	// quarantineWrites is how often a host tries to store a quarantine, and
-	// quarantineRetry the pause between two. The other hosts have it meanwhile. Chosen,
-	// not measured.
+	// quarantineWrites is how often a host tries to store a quarantine. The other hosts
+	// have it meanwhile. Chosen, not measured.
 	quarantineWrites = 5
-	quarantineRetry  = 2 * time.Second
+	// quarantineRetry is the pause between two of them. Chosen, not measured.
+	quarantineRetry = 2 * time.Second
 )
 
 // StoreQuarantine stores a quarantine that this host decided, with each region, the own
@@ -58,10 +58,11 @@
 	}
 }
 
-// RemoveQuarantine removes a quarantine that this host released. What stays after an error counts for an hour at most, and only for hosts
-// that start while no other host runs.
+// RemoveQuarantine removes a quarantine that this host released. What stays after an
+// error counts for an hour at most, and only for hosts that start while no other host
+// runs.
 func (f *Fleet) RemoveQuarantine(ctx context.Context, fingerprint poison.Fingerprint) {
-	for _, region := range f.options.Regions {
+	for _, region := range f.regions() {
 		_ = f.options.Registry.Release(ctx, region, fingerprint)
 	}
 }
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -57,6 +57,14 @@
 	h.table.RecordEnd(f, poison.Attempt{Run: run, Began: now.Add(-20 * time.Millisecond), Ended: now})
 }
 
+// quarantine has the host see three upstreams end in turn under a request.
+func (h suspiciousHost) quarantine(f poison.Fingerprint) {
+	for i := range 3 {
+		h.recordEnd(f, fmt.Sprint("run-", i))
+		time.Sleep(30 * time.Millisecond)
+	}
+}
+
 // The request comes to another host each time, of another region; then to one that has
 // just started, and to one that was restarted.
 func TestAllHostsLearnWhatEachSaw(t *testing.T) {
@@ -133,10 +141,7 @@
 	r := newFakeRegistry()
 	f := poison.Content{Target: "/x"}.Fingerprint()
 	a := startSuspiciousHost(t, r, host("a", "west-0", "west"))
-	for i := range 3 {
-		a.recordEnd(f, fmt.Sprint("run-", i))
-		time.Sleep(30 * time.Millisecond)
-	}
+	a.quarantine(f)
 	require.True(t, a.table.Quarantined(f, time.Now()))
 	require.Eventually(t, func() bool { return r.quarantined() == 3 }, time.Second, 5*time.Millisecond, "with each region")
 	a.mesh.Close()
@@ -175,10 +180,7 @@
 	r := newFakeRegistry()
 	f := poison.Content{Target: "/x"}.Fingerprint()
 	a := startSuspiciousHost(t, r, host("a", "west-0", "west"))
-	for i := range 3 {
-		a.recordEnd(f, fmt.Sprint("run-", i))
-		time.Sleep(30 * time.Millisecond)
-	}
+	a.quarantine(f)
 	require.Eventually(t, func() bool { return r.quarantined() > 0 }, time.Second, 5*time.Millisecond)
 	time.Sleep(50 * time.Millisecond) // until it stands wherever it will
 	a.mesh.Close()
--- a/internal/gateway/proxy/suspicion.go
+++ b/internal/gateway/proxy/suspicion.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"cairndock/internal/gateway/exchange"
@@ -78,10 +79,7 @@
 // noteResponse clears the request of suspicion once it has a whole response, other than
 // the upstream's own failure.
 func (f *inflight) noteResponse(status int) {
-	if status < statusOfFailures && f.suspected() {
+	if status < http.StatusInternalServerError && f.suspected() {
 		f.proxy.Suspicions.RecordResponse(f.fingerprint())
 	}
 }
-
-// statusOfFailures is the lowest status of an upstream's own failures.
-const statusOfFailures = 500
--- a/internal/poison/change.go
+++ b/internal/poison/change.go
@@ -61,7 +61,7 @@
 func (t *Table) tell(ended []*end, begun []Quarantine, released map[Fingerprint]bool, own bool) {
 	t.observer.SuspicionsChanged()
 	for _, e := range ended {
-		t.observer.Ended(e.Run, e.at)
+		t.observer.Ended(e.run, e.at)
 	}
 	for _, q := range begun {
 		t.observer.Quarantined(q)
@@ -101,7 +101,7 @@
 		ends := s.counted(none)
 		q := Quarantine{Fingerprint: f, Own: ends[len(ends)-1].host == t.host}
 		for _, e := range ends {
-			q.Runs = append(q.Runs, e.Run)
+			q.Runs = append(q.Runs, e.run)
 		}
 		all = append(all, q)
 	}
--- a/internal/poison/decide.go
+++ b/internal/poison/decide.go
@@ -27,7 +27,7 @@
 			continue
 		}
 		for _, e := range c.ends {
-			explained[e.Run] = max(explained[e.Run], len(c.ends))
+			explained[e.run] = max(explained[e.run], len(c.ends))
 		}
 	}
 }
@@ -57,7 +57,7 @@
 		return false
 	}
 	for _, e := range a {
-		if !slices.ContainsFunc(b, func(o *end) bool { return o.Run == e.Run }) {
+		if !slices.ContainsFunc(b, func(o *end) bool { return o.run == e.run }) {
 			return false
 		}
 	}
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -35,7 +35,7 @@
 
 func (e *end) report(now time.Time) End {
 	return End{
-		Run: e.Run, Host: e.host, Began: e.began.Milliseconds(), Ended: e.ended.Milliseconds(),
+		Run: e.run, Host: e.host, Began: e.began.Milliseconds(), Ended: e.ended.Milliseconds(),
 		Age: max(0, now.Sub(e.at).Milliseconds()), Cleared: e.cleared,
 	}
 }
@@ -46,7 +46,7 @@
 		return nil, false
 	}
 	return &end{
-		Run: r.Run, host: r.Host, began: time.Duration(r.Began) * time.Millisecond, ended: time.Duration(r.Ended) * time.Millisecond,
+		run: r.Run, host: r.Host, began: time.Duration(r.Began) * time.Millisecond, ended: time.Duration(r.Ended) * time.Millisecond,
 		at: now.Add(-time.Duration(r.Age) * time.Millisecond), cleared: r.Cleared,
 	}, true
 }
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -33,7 +33,7 @@
 
 // end is the end of one run of an upstream while it ran a request.
 type end struct {
-	Run string
+	run string
 	// host names the process that saw it, and began and ended are when the attempt
 	// there began and ended, by that process's clock since its start.
 	host         string
@@ -83,7 +83,7 @@
 // find returns the end of a run, or nil.
 func (s *suspect) find(run string) *end {
 	for _, e := range s.ends {
-		if e.Run == run {
+		if e.run == run {
 			return e
 		}
 	}
@@ -95,7 +95,7 @@
 func (s *suspect) counted(skip func(run string) bool) []*end {
 	var ends []*end
 	for _, e := range s.ends {
-		if !e.cleared && !skip(e.Run) {
+		if !e.cleared && !skip(e.run) {
 			ends = append(ends, e)
 		}
 	}
@@ -136,7 +136,7 @@
 // add adds an end unless its run has one already, in which case only its clearing
 // counts. It reports whether something has changed.
 func (s *suspect) add(added *end) bool {
-	if known := s.find(added.Run); known != nil {
+	if known := s.find(added.run); known != nil {
 		changed := added.cleared && !known.cleared
 		known.cleared = known.cleared || added.cleared
 		return changed
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -19,13 +19,15 @@
 	// maxReports bounds the reports in one message between hosts: some 8 KB. What is
 	// left follows with the next message.
 	maxReports = 64
-	// newPerSecond and newBurst bound the requests that become suspects, at each host.
-	// When many upstreams are killed at once, hundreds of innocent requests end with
-	// them, and each report would reach each host from all hosts that it hears. A poison
-	// request that is left out comes again, with all that is known of it. Chosen, not
-	// measured: some ten upstreams a second may end under the requests that they run.
+	// newPerSecond bounds the requests a second that become suspects, at each host. When
+	// many upstreams are killed at once, hundreds of innocent requests end with them, and
+	// each report would reach each host from all hosts that it hears. A poison request
+	// that is left out comes again, with all that is known of it. Chosen, not measured:
+	// some ten upstreams a second may end under the requests that they run.
 	newPerSecond = 64
-	newBurst     = 128
+	// newBurst is how many may become suspects at once: two seconds' worth. Chosen with
+	// newPerSecond.
+	newBurst = 128
 )
 
 // Attempt is an attempt of a request that ended with its upstream.
@@ -137,7 +139,7 @@
 // RecordEnd records that an upstream ended under a request.
 func (t *Table) RecordEnd(f Fingerprint, a Attempt) {
 	t.change(true, func() bool {
-		added := &end{Run: a.Run, host: t.host, began: a.Began.Sub(t.started), ended: a.Ended.Sub(t.started), at: a.Ended}
+		added := &end{run: a.Run, host: t.host, began: a.Began.Sub(t.started), ended: a.Ended.Sub(t.started), at: a.Ended}
 		return t.add(f, added, a.Ended)
 	})
 }
--- a/internal/selector/entry/suspicions/suspicions.go
+++ b/internal/selector/entry/suspicions/suspicions.go
@@ -12,6 +12,7 @@
 	"errors"
 	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"sync"
 	"syscall"
@@ -38,8 +39,6 @@
 	retryAfter = time.Minute
 	// headerCredential tells who sends a request; empty where clients send none.
 	headerCredential = "Authorization"
-	// failures is the lowest status of an upstream's own failures.
-	failures = 500
 )
 
 // Sender sends a request to an upstream.
@@ -128,7 +127,7 @@
 
 // noteResponse clears the request of suspicion: a poison request gets no response.
 func (g *Guard) noteResponse(req *call.Request, status int) {
-	if status < failures && !g.Table.Empty() {
+	if status < http.StatusInternalServerError && !g.Table.Empty() {
 		g.Table.RecordResponse(fingerprint(req))
 	}
 }
