Exchange suspicions by one piece of code in gateway and serve

Cause: read again: what a host has of another's suspicions, and what it sends, stood in package fleet and in heartbeats, step for step. Change: poison.News and poison.Marks; both call them. Nothing that is decided.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -53,10 +53,10 @@
 // Suspicions are what hosts know of requests that end upstreams. All hosts share them,
 // as such a request may come to any.
 type Suspicions interface {
-	// Since returns what has changed after a sequence number, and the number up to
-	// which that is all.
-	Since(sequence int64, now time.Time) (reports []poison.Report, upTo int64)
-	// Merge adds what another host knows.
+	// News returns what another host does not have yet, and Take merges what it sent.
+	News(m poison.Marks, now time.Time) poison.News
+	Take(n poison.News, now time.Time) poison.Marks
+	// Merge adds what the registry has.
 	Merge(reports []poison.Report, now time.Time)
 }
 
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -16,11 +16,8 @@
 	// Query asks the peer about other hosts, which its response has in Hosts.
 	Query hostQuery `msgpack:"a,omitempty"`
 	Hosts []Host    `msgpack:"l,omitempty"`
-	// Suspicions are the sender's changes after those that the receiver has, up to the
-	// number UpTo, and Has is up to which the sender has the receiver's.
-	Suspicions []poison.Report `msgpack:"p,omitempty"`
-	UpTo       int64           `msgpack:"u,omitempty"`
-	Has        int64           `msgpack:"x,omitempty"`
+	// Suspicions are the sender's that the receiver does not have yet.
+	Suspicions poison.News `msgpack:"p,omitempty"`
 }
 
 // heartbeatLoop sends the heartbeats that are due and reports dead peers until
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/poison"
 )
 
 // Host is the identity of a gateway host. It is sent in heartbeats (msgpack)
@@ -85,9 +86,8 @@
 	// getsHeartbeats is set while this host sends the peer heartbeats. Only
 	// such peers are logged as lost and regained.
 	getsHeartbeats bool
-	// has is up to which of this host's changes of suspicions the peer says to have,
-	// and merged up to which of the peer's this host has; zero is none.
-	has, merged int64
+	// suspicions are how far the peer and this host have each other's.
+	suspicions poison.Marks
 }
 
 // alive reports whether a heartbeat arrived within deadAfter. A peer that is
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -59,7 +59,7 @@
 		p.getsHeartbeats = old.getsHeartbeats
 		p.listedVersion, p.announcedAt = old.listedVersion, old.announcedAt
 		if old.host.Incarnation == h.Incarnation {
-			p.has, p.merged = old.has, old.merged
+			p.suspicions = old.suspicions
 		}
 	}
 	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity {
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -131,7 +131,7 @@
 	require.Eventually(t, func() bool { return b.table.Suspected(f) }, 3*time.Second, 5*time.Millisecond)
 	require.Eventually(t, func() bool {
 		toB, toA := a.withSuspicions(heartbeat{}, "b"), b.withSuspicions(heartbeat{}, "a")
-		return len(toB.Suspicions) == 0 && len(toA.Suspicions) == 0
+		return len(toB.Suspicions.Reports) == 0 && len(toA.Suspicions.Reports) == 0
 	}, 3*time.Second, 20*time.Millisecond)
 }
 
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -6,6 +6,38 @@
 	"time"
 )
 
+// News is what one host sends another of its suspicions (msgpack).
+type News struct {
+	// Reports are the sender's changes after those that the receiver has, up to the
+	// number UpTo.
+	Reports []Report `msgpack:"p,omitempty"`
+	UpTo    int64    `msgpack:"u,omitempty"`
+	// Has is up to which the sender has the receiver's changes.
+	Has int64 `msgpack:"x,omitempty"`
+}
+
+// Marks are how far two hosts have each other's changes; zero is none.
+type Marks struct {
+	// Has is what the other says to have of this host's, and Merged what this host has
+	// of the other's.
+	Has, Merged int64
+}
+
+// News returns what another host does not have yet, by its own words: nothing is lost
+// with a message, a host that has just started or was cut off gets all, and nothing is
+// sent while nothing changes.
+func (t *Table) News(m Marks, now time.Time) News {
+	reports, upTo := t.Since(m.Has, now)
+	return News{Reports: reports, UpTo: upTo, Has: m.Merged}
+}
+
+// Take merges what another host sent, and then returns how far the two are. A message
+// that is made before it returns must not claim more.
+func (t *Table) Take(n News, now time.Time) Marks {
+	t.Merge(n.Reports, now)
+	return Marks{Has: n.Has, Merged: n.UpTo}
+}
+
 // Merge adds what another host knows.
 func (t *Table) Merge(reports []Report, now time.Time) {
 	if len(reports) == 0 {
--- a/internal/selector/entry/heartbeats/heartbeats_test.go
+++ b/internal/selector/entry/heartbeats/heartbeats_test.go
@@ -161,14 +161,14 @@
 	f := poison.Content{Target: "/x"}.Fingerprint()
 	a.Suspicions.(*poison.Table).RecordEnd(f, poison.Attempt{Run: "up-1", Began: time.Now(), Ended: time.Now()})
 	lost := a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"})
-	require.Len(t, lost.Suspicions, 1)
+	require.Len(t, lost.Suspicions.Reports, 1)
 	again := a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"})
-	require.Len(t, again.Suspicions, 1)
+	require.Len(t, again.Suspicions.Reports, 1)
 	b.mergeSuspicions(again)
 	require.True(t, b.Suspicions.(*poison.Table).Suspected(f))
 	answer := b.response(again)
 	answer.Contact.Host = "costa-a-2" // both are made as costa-a-1
 	a.mergeSuspicions(answer)
-	require.Empty(t, a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"}).Suspicions, "it has them")
-	require.Len(t, a.request(member.Contact{Host: "costa-a-3", Zone: "costa-a"}).Suspicions, 1, "another does not")
+	require.Empty(t, a.request(member.Contact{Host: "costa-a-2", Zone: "costa-a"}).Suspicions.Reports, "it has them")
+	require.Len(t, a.request(member.Contact{Host: "costa-a-3", Zone: "costa-a"}).Suspicions.Reports, 1, "another does not")
 }
--- a/internal/selector/member/heartbeat.go
+++ b/internal/selector/member/heartbeat.go
@@ -102,11 +102,8 @@
 	// UpstreamStatuses are sent within the zone only.
 	UpstreamStatuses []UpstreamStatus `msgpack:"g,omitempty"`
 	Successors       []Successor      `msgpack:"t,omitempty"`
-	// Suspicions are the sender's changes after those that the receiver has, up to
-	// SuspicionsUpTo, and SuspicionsMerged is up to which the sender has the receiver's.
-	Suspicions       []poison.Report `msgpack:"x,omitempty"`
-	SuspicionsUpTo   int64           `msgpack:"u,omitempty"`
-	SuspicionsMerged int64           `msgpack:"m,omitempty"`
+	// Suspicions are the sender's that the receiver does not have yet.
+	Suspicions poison.News `msgpack:"x,omitempty"`
 }
 
 // HashContacts gives a hash of the hosts that a zone names. Hosts of all versions
