Serve client accounts: keys, homes and priorities

Change: package account finds a key's account; the proxy authenticates after the route is found, before the body is read, and again before each attempt; platform decodes the accounts and replaces the key by the account's name. A strict setting refuses keys on hosts that hear nothing.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -131,7 +131,10 @@
 	// Route and Service are empty if no route matched.
 	Route   string
 	Service string
-	// Priority and Objective are the route's; Objective is zero if it has none.
+	// Account is the name of the client account, or empty.
+	Account string
+	// Priority is the account's or the route's, and Objective the route's, zero if it
+	// has none.
 	Priority  int
 	Objective time.Duration
 	// Attempts is how many upstreams the request was sent to.
@@ -167,7 +170,7 @@
 	if e == nil {
 		return
 	}
-	e.Str("host_zone", l.zone).Str("route", f.Route).Str("service", f.Service).Int("priority", f.Priority).Float64("objective_ms", ms(f.Objective)).Int("attempts", f.Attempts).Int64("config", f.Config).
+	e.Str("host_zone", l.zone).Str("route", f.Route).Str("service", f.Service).Str("account", f.Account).Int("priority", f.Priority).Float64("objective_ms", ms(f.Objective)).Int("attempts", f.Attempts).Int64("config", f.Config).
 		Float64("config_age_ms", ms(f.ConfigAge)).Float64("upstreams_age_ms", ms(f.UpstreamsAge)).
 		Int("status", f.Status).Str("client", string(f.Client)).Str("verdict", f.Verdict).Str("reason", f.Reason).
 		Float64("took_ms", ms(f.Took)).Str("detail", f.Detail).Msg("request: final response")
--- a/internal/gateway/logline/logline.go
+++ b/internal/gateway/logline/logline.go
@@ -42,6 +42,7 @@
 	// Of attempts and final responses.
 	Route   string  `json:"route"`
 	Service string  `json:"service"`
+	Account string  `json:"account"`
 	Config  int64   `json:"config"`
 	Status  int     `json:"status"`
 	TookMS  float64 `json:"took_ms"`
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -10,6 +10,9 @@
 // choose asks the balancer for the next upstream of the request, where the
 // request counts as outstanding until release. The error says why there is none.
 func (f *inflight) choose() (balance.Choice, error) {
+	if err := f.confirmKey(); err != nil {
+		return balance.Choice{}, err
+	}
 	choice, reason := f.proxy.Balancer.Choose(f.query(time.Now()))
 	if reason != balance.Chosen {
 		return balance.Choice{}, notChosen(reason, f.service, choice)
@@ -29,15 +32,15 @@
 		Key:        cmp.Or(f.info.Key, f.info.ID),
 		NoAffinity: f.info.Key == "" || !f.route.Sticky,
 		Upstreams:  f.proxy.State.Upstreams().Service(f.service),
-		Priority:   f.route.Priority,
+		Priority:   f.priority(),
 		Bulk:       f.route.Bulk,
 		Mixed:      f.config.Mixed(f.service),
 		Tried:      f.tried,
 		WarmUpRate: f.config.Service(f.service).WarmUpRate,
 		Now:        now,
 	}
-	if len(f.route.Regions) > 0 {
-		q.Allows = f.route.Allows
+	if f.hasHome() {
+		q.Allows = f.allows
 	}
 	return q
 }
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -63,8 +63,9 @@
 		ev.Config = f.config.Version
 	}
 	if f.route != nil {
-		ev.Route, ev.Priority, ev.Objective = f.route.Name, f.route.Priority, f.route.Objective
+		ev.Route, ev.Priority, ev.Objective = f.route.Name, f.priority(), f.route.Objective
 	}
+	ev.Account = f.accountName()
 	if e != nil {
 		ev.Verdict, ev.Reason, ev.Detail, ev.Failed = e.Verdict.String(), string(e.Reason), e.Detail, true
 	}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -55,6 +55,8 @@
 	return l.b.Write(p)
 }
 
+func (l *logBuffer) has(text string) bool { return strings.Contains(l.String(), text) }
+
 func (l *logBuffer) String() string {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/poison"
@@ -24,8 +25,10 @@
 	client context.Context
 
 	// Set by prepare, as far as it got.
-	config  *route.Table
-	route   *route.Route
+	config *route.Table
+	route  *route.Route
+	// account is the client account; nil if there is none.
+	account *account.Account
 	service string
 	request *exchange.Request
 	// address is the client's IP address.
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -30,6 +30,9 @@
 	Key string
 	// Credential tells who sends the request; empty when it carries none.
 	Credential string
+	// Credentials is how many the request carries: with several it is not clear who
+	// sends it.
+	Credentials int
 	// Timeout is how long the client waits; zero when it does not say.
 	Timeout time.Duration
 }
@@ -38,6 +41,9 @@
 type Codec interface {
 	// ParseRequest reads a request's header.
 	ParseRequest(h http.Header) RequestInfo
+	// SetAccount replaces the credential in the header of a request to an upstream by
+	// the name of the client account; by nothing if that is empty.
+	SetAccount(h http.Header, name string)
 	// WriteError writes a whole error response of the gateway's own, and
 	// returns its status.
 	WriteError(w http.ResponseWriter, info RequestInfo, e *verdict.Error) int
@@ -64,6 +70,9 @@
 	// SlackPart gives this host's part of the retry budget's slack, from 0 to 1; zero
 	// while it does not know who shares that.
 	SlackPart func() float64
+	// MaxKeyAge is the age of the operator configuration up to which keys are accepted;
+	// zero is any, so that a host which hears nothing serves on by the keys it knows.
+	MaxKeyAge time.Duration
 	// ConfigAge gives how long ago a source last confirmed the operator
 	// configuration, and UpstreamsAge the upstreams. Both are logged.
 	ConfigAge, UpstreamsAge func() time.Duration
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -19,12 +19,20 @@
 // colon, space and line break, in bytes.
 const headerLineOverhead = 4
 
-// prepare finds the request's route, checks its size and reads its body. The
-// request has not been sent anywhere when it fails.
+// prepare finds the request's route and account, checks its size and reads its body.
+// The request has not been sent anywhere when it fails.
+//
+// The order decides which error a request with several faults gets: first those that
+// cost the least and that coming back does not help, 404, 401 and 431; then the
+// account's limit, 429, so that a refused request is not read; then its body, 413 or
+// 408.
 func (f *inflight) prepare(w http.ResponseWriter, r *http.Request) error {
 	if err := f.matchRoute(r); err != nil {
 		return err
 	}
+	if err := f.authenticate(); err != nil {
+		return err
+	}
 	limits := f.config.Limits
 	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
 		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "header is above %d bytes", limits.HeaderBytes)
@@ -34,6 +42,9 @@
 		return err
 	}
 	f.request = upstreamRequest(f.info.ID, r, body)
+	if f.config.Accounts != nil {
+		f.proxy.Codec.SetAccount(f.request.Header, f.accountName())
+	}
 	return nil
 }
 
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/route"
@@ -27,6 +28,10 @@
 	headerSigned = "Genuine"
 	headerNotRun = "Not-Run"
 	headerTo     = "To"
+	// headerSecret is a client account's key, and headerAccount its name towards
+	// upstreams.
+	headerSecret  = "Secret"
+	headerAccount = "Account"
 	// headerPanic makes an attempt panic.
 	headerPanic = "Panic"
 )
@@ -35,7 +40,18 @@
 
 func (codec) ParseRequest(h http.Header) proxy.RequestInfo {
 	ms, _ := strconv.Atoi(h.Get(headerWait)) // zero when it is not given
-	return proxy.RequestInfo{ID: h.Get(headerID), Key: h.Get(headerKey), Timeout: time.Duration(ms) * time.Millisecond}
+	return proxy.RequestInfo{
+		ID: h.Get(headerID), Key: h.Get(headerKey), Credential: h.Get(headerSecret), Credentials: len(h.Values(headerSecret)),
+		Timeout: time.Duration(ms) * time.Millisecond,
+	}
+}
+
+func (codec) SetAccount(h http.Header, name string) {
+	h.Del(headerSecret)
+	h.Del(headerAccount)
+	if name != "" {
+		h.Set(headerAccount, name)
+	}
 }
 
 func (codec) WriteError(w http.ResponseWriter, _ proxy.RequestInfo, e *verdict.Error) int {
@@ -73,6 +89,8 @@
 	Evacuate string
 	// Limits bound clients' connections; the sizes are always the same.
 	Limits route.Limits
+	// Accounts are nil where requests need none.
+	Accounts []account.Entry
 }
 
 func (decoder) OperatorRow(_ string, value []byte) (routing.OperatorRow, error) {
@@ -85,7 +103,12 @@
 	}
 	services := []route.Service{{Name: "s", WarmUp: time.Second, WarmUpRate: 5}}
 	r.Limits.BodyBytes, r.Limits.HeaderBytes = 1000, 2000
-	return routing.OperatorRow{Table: route.NewTable(r.Version, r.Routes, services, r.Limits)}, nil
+	table := route.NewTable(r.Version, r.Routes, services, r.Limits)
+	if r.Accounts == nil {
+		return routing.OperatorRow{Table: table}, nil
+	}
+	accounts, err := account.NewSet(r.Accounts)
+	return routing.OperatorRow{Table: table.WithAccounts(accounts)}, err
 }
 
 func (decoder) Upstream(_ string, value []byte) (upstream.Registration, error) {
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -25,6 +25,9 @@
 	verdict.Quarantined:      "upstreams ended one after the other when they ran the same request (see the lines quarantined and upstream-ended); it did not run",
 	verdict.NoUpstream:       "no eligible upstream of {service}: all are draining, evacuated or outside the allowed regions",
 	verdict.NotReady:         "the host had just started and had no configuration yet",
+	verdict.UnknownKey:       "the request's key is missing, repeated or of no client account in configuration {config}; it did not run",
+	verdict.KeyUnconfirmed:   "the host had not heard for too long whether keys were taken away: {detail}; it did not run",
+	verdict.OverLimit:        "client account {account} was over its limit, as far as the host could know: {detail}; it did not run",
 	verdict.UnknownRoute:     "no route matches the request in configuration {config}",
 	verdict.UpstreamShed:     "load shed by the upstreams, last by {upstream}: they were full",
 	verdict.UpstreamDeclined: "refused by the upstreams, last by {upstream}, though they reported free capacity: {detail}",
@@ -63,6 +66,7 @@
 	return strings.NewReplacer(
 		"{upstream}", t.decidingUpstream(final.Reason),
 		"{service}", final.Service,
+		"{account}", final.Account,
 		"{config}", strconv.FormatInt(final.Config, 10),
 		"{detail}", final.Detail,
 	).Replace(cause)
--- a/internal/gateway/retry/after.go
+++ b/internal/gateway/retry/after.go
@@ -51,8 +51,8 @@
 
 // After is the rule for the Retry-After of an error response, by the final
 // verdict and its reason. Only a request that did not run has one: the client is
-// not asked to repeat what may have run. A request that breaks a limit, has no
-// route or was not received whole has none either: returning as it is, it would
+// not asked to repeat what may have run. A request that breaks a limit of size, has
+// no route or no account, or was not received whole has none either: returning as it is, it would
 // be refused again. The platform's clients wait as asked, but no longer than a
 // third of the time that they have left.
 func After(v verdict.Verdict, r verdict.Reason) Pause {
@@ -60,7 +60,7 @@
 		return Pause{}
 	}
 	switch r {
-	case verdict.UnknownRoute, verdict.HeaderTooLarge, verdict.BodyTooLarge, verdict.BodyStalled, verdict.BadRequest:
+	case verdict.UnknownRoute, verdict.UnknownKey, verdict.HeaderTooLarge, verdict.BodyTooLarge, verdict.BodyStalled, verdict.BadRequest:
 		return Pause{}
 	case verdict.Full, verdict.Warming, verdict.NoUpstream, verdict.UpstreamShed:
 		return Pause{Least: overloadPause, Jitter: overloadJitter}
--- a/internal/gateway/route/route.go
+++ b/internal/gateway/route/route.go
@@ -62,6 +62,8 @@
 	Sticky bool
 	// Regions are those in which the route may be served; empty is any.
 	Regions []string
+	// Public means that requests need no account, where accounts are configured.
+	Public bool
 }
 
 // Allows reports whether the route may be served in a region.
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"cairndock/internal/gateway/account"
 )
 
 // Service is the configuration of a service's upstreams.
@@ -34,6 +36,8 @@
 	// Version orders tables; a host never goes back to a lower one.
 	Version int64
 	Limits  Limits
+	// Accounts are the client accounts; nil where requests need none.
+	Accounts *account.Set
 
 	// byHost has the routes of each host name, the longest prefix first.
 	byHost   map[string][]*Route
@@ -81,6 +85,13 @@
 	return large
 }
 
+// WithAccounts returns a copy of the table with client accounts.
+func (t *Table) WithAccounts(s *account.Set) *Table {
+	c := *t
+	c.Accounts = s
+	return &c
+}
+
 // Match returns the route with the longest prefix for a host name and path.
 func (t *Table) Match(host, path string) (*Route, bool) {
 	for _, r := range t.byHost[host] {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -83,6 +83,15 @@
 	ApplyWithin    settings.Duration `toml:"apply_within"`
 	DrainWithin    settings.Duration `toml:"drain_within"`
 	EvacuateWithin settings.Duration `toml:"evacuate_within"`
+	// StrictRevocation has a host refuse keys of client accounts while it has not heard
+	// for RevokeWithin whether they were taken away. Else it serves by what it knows.
+	StrictRevocation bool              `toml:"strict_revocation"`
+	RevokeWithin     settings.Duration `toml:"revoke_within"`
+	// QuotaWindow, QuotaOvershoot and QuotaSlack bound the requests of a client account
+	// over all hosts (quota.Bound).
+	QuotaWindow    settings.Duration `toml:"quota_window"`
+	QuotaOvershoot float64           `toml:"quota_overshoot"`
+	QuotaSlack     float64           `toml:"quota_slack"`
 	// DirectoryTTL is how long clients may cache a response of the directory.
 	DirectoryTTL settings.Duration `toml:"directory_ttl"`
 }
@@ -132,6 +141,9 @@
 	defaultRetryWindow = 10 * time.Second
 	// defaultOvershoot sends a cold upstream no more than its own rate.
 	defaultOvershoot = 1.0
+	// defaultRevokeWithin and defaultQuotaWindow are the bounds of the sites known.
+	defaultRevokeWithin = 5 * time.Second
+	defaultQuotaWindow  = 5 * time.Second
 	// defaultDirectoryTTL is well below the 5 s for which clients accept it.
 	defaultDirectoryTTL = 2 * time.Second
 	// defaultGrace is the grace period of the sites known.
@@ -151,6 +163,7 @@
 	return Settings{
 		Limits: LimitSettings{
 			RetryRatio: defaultRetryRatio, RetryWindow: settings.Duration(defaultRetryWindow), WarmUpOvershoot: defaultOvershoot,
+			RevokeWithin: settings.Duration(defaultRevokeWithin), QuotaWindow: settings.Duration(defaultQuotaWindow),
 			DirectoryTTL: settings.Duration(defaultDirectoryTTL),
 		},
 		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
@@ -174,6 +187,10 @@
 	checkWithin(&f, "limits.apply_within", s.Limits.ApplyWithin)
 	checkWithin(&f, "limits.drain_within", s.Limits.DrainWithin)
 	checkWithin(&f, "limits.evacuate_within", s.Limits.EvacuateWithin)
+	f.Require(s.Limits.RevokeWithin > 0, "limits.revoke_within", "must be above 0")
+	f.Require(s.Limits.QuotaWindow > 0, "limits.quota_window", "must be above 0")
+	f.Require(s.Limits.QuotaOvershoot >= 0, "limits.quota_overshoot", "must not be below 0")
+	f.Require(s.Limits.QuotaSlack >= 0, "limits.quota_slack", "must not be below 0")
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
 	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
@@ -214,6 +231,14 @@
 	return slices.Sorted(maps.Keys(regions))
 }
 
+// maxKeyAge is the age of the configuration up to which keys are accepted; zero is any.
+func (l LimitSettings) maxKeyAge() time.Duration {
+	if !l.StrictRevocation {
+		return 0
+	}
+	return time.Duration(l.RevokeWithin)
+}
+
 // Staleness is how old a host's replicas may be while it reaches the store: the
 // tightest of ApplyWithin, DrainWithin and EvacuateWithin.
 func (l LimitSettings) Staleness() time.Duration {
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -50,6 +51,17 @@
 	require.Zero(t, g.Limits.RetryRatio)
 }
 
+func TestABoundOfClientAccountsIsChecked(t *testing.T) {
+	g, err := load(t, leastSettings+"[limits]\nstrict_revocation = true\nrevoke_within = \"3s\"\nquota_window = \"4s\"\nquota_overshoot = 0.1\nquota_slack = 20\n")
+	require.NoError(t, err)
+	require.True(t, g.Limits.StrictRevocation)
+	require.Equal(t, 3*time.Second, time.Duration(g.Limits.RevokeWithin))
+	for _, faulty := range []string{`revoke_within = "0s"`, `quota_window = "0s"`, "quota_overshoot = -0.1", "quota_slack = -1"} {
+		_, err := load(t, leastSettings+"[limits]\n"+faulty+"\n")
+		require.ErrorContains(t, err, "limits."+strings.Fields(faulty)[0])
+	}
+}
+
 func TestTheTightestBoundDecidesHowStaleAHostMayBe(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		`apply_within = "3s"`: 3 * time.Second,
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -73,6 +73,7 @@
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackPart:    g.fleet.CommonPart,
+		MaxKeyAge:    limits.maxKeyAge(),
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
 		UpstreamsAge: g.tables[upstreamTable].Replica.Age,
 		Log:          g.log,
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -85,6 +85,14 @@
 	Quarantined Reason = "quarantined"
 	// UnknownRoute: no route matches host and path.
 	UnknownRoute Reason = "unknown-route"
+	// UnknownKey: the request's key is missing, repeated or of no client account.
+	UnknownKey Reason = "unknown-key"
+	// KeyUnconfirmed: the host has not heard for too long whether keys were taken
+	// away, and is set to serve none then.
+	KeyUnconfirmed Reason = "key-unconfirmed"
+	// OverLimit: the client account is over its limit of requests, as far as this host
+	// knows.
+	OverLimit Reason = "over-limit"
 	// Warming: the upstreams with capacity are cold and have used their warm-up
 	// quota.
 	Warming Reason = "warming"
@@ -124,6 +132,10 @@
 	switch r {
 	case BadRequest, BadTimeout, BadTicket:
 		return http.StatusBadRequest
+	case UnknownKey:
+		return http.StatusUnauthorized
+	case OverLimit:
+		return http.StatusTooManyRequests
 	case UnknownRoute, UnknownService:
 		return http.StatusNotFound
 	case TicketRunning:
@@ -136,7 +148,7 @@
 		return http.StatusUnprocessableEntity
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case NotReady, Stopping, Full, Capped, Quarantined, Warming, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
+	case NotReady, Stopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
 		return http.StatusServiceUnavailable
 	case BodyStalled, DeadlineLapsed, Interrupted, CallerLeft:
 		return http.StatusGatewayTimeout
