Keep the limits of client accounts over all hosts by slots and tokens

Cause: nothing counted an account's requests.

Change: package quota cuts an account's token bucket into slots, each held by one host by rendezvous hashing within a zone; a host without tokens asks holders for some, which lapse after 450 ms. A process starts with empty buckets. Fleet says which slots a host holds and carries the questions; the proxy refuses with 429 and a time to return.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
 	"cairndock/internal/poison"
@@ -72,11 +74,14 @@
 type Options struct {
 	Self Host
 	// Regions are the regions of the deployment, the host's own included.
-	Regions      []string
+	Regions []string
+	// Zones has the region of each availability zone of the settings.
+	Zones        map[string]string
 	Registry     Registry
 	Report       Reporter
 	Observations ObservationSink
 	Suspicions   Suspicions
+	Tokens       TokenGiver
 	// Status returns this host's current status.
 	Status func() Status
 	// Seeds are peer addresses that a starting host queries for other hosts.
@@ -96,6 +101,8 @@
 type Fleet struct {
 	options Options
 	mesh    *peer.Mesh
+	// limitPlace is this host's place in the limits of client accounts.
+	limitPlace atomic.Pointer[quota.Place]
 
 	// mu guards what follows.
 	mu      sync.Mutex
@@ -119,6 +126,8 @@
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
+	f.members.firstStart = o.FirstStart
+	f.updatePlace(time.Now())
 	return f
 }
 
@@ -141,6 +150,7 @@
 	f.mu.Lock()
 	f.members.withdrawn = true
 	f.mu.Unlock()
+	f.updatePlace(time.Now())
 	f.heartbeatAll(ctx)
 	// The error is dropped: the host is stopping and does not retry. An entry
 	// that stays costs a starting host a few failed heartbeats, until it
@@ -188,6 +198,8 @@
 		f.serveHeartbeat(payload, w)
 	case peer.KindChanges:
 		f.serveRelay(ctx, payload, w)
+	case peer.KindTokens:
+		f.serveTokens(payload, w)
 	default:
 		fail(w)
 	}
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -38,6 +38,7 @@
 			go f.exchangeHeartbeat(ctx, p.host)
 		}
 		f.reportDead(last, now)
+		f.updatePlace(now)
 		last = now
 	}
 }
--- a/internal/gateway/fleet/index.go
+++ b/internal/gateway/fleet/index.go
@@ -3,6 +3,9 @@
 import (
 	"cmp"
 	"slices"
+
+	"cairndock/internal/gateway/quota"
+	"cairndock/internal/gateway/rendezvous"
 )
 
 // index has the names of the known peers in order, so that frequent look-ups
@@ -22,6 +25,8 @@
 	remote map[string][]string
 	// sharers has those that were asked for; see members.sharers.
 	sharers map[string]sharers
+	// layout is nil until it is asked for; see members.layout.
+	layout *quota.Layout
 }
 
 // indexed returns the index of the peers known now.
@@ -71,7 +76,7 @@
 func (m *members) ranked(names []string) []string {
 	ranks := make(map[string]uint64, len(names))
 	for _, name := range names {
-		ranks[name] = pairRank(m.self.Name, name)
+		ranks[name] = rendezvous.Rank(m.self.Name, name)
 	}
 	ranked := slices.Clone(names)
 	slices.SortFunc(ranked, func(a, b string) int { return cmp.Compare(ranks[a], ranks[b]) })
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -12,6 +12,12 @@
 	// withdrawn is set once the host stops: hosts that start then do not find it
 	// in the registry.
 	withdrawn bool
+	// firstStart is set while the deployment starts for the first time, and
+	// announcedBefore once it is known that an earlier process of this host has
+	// announced it.
+	firstStart, announcedBefore bool
+	// heldSlots is set once this process has held slots of limits.
+	heldSlots bool
 	// lists has, for each region, when the list of its hosts was read whole from
 	// the registry; zero is not yet.
 	lists map[string]time.Time
--- /dev/null
+++ b/internal/gateway/fleet/place_test.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/quota"
+)
+
+// settingsZones are the zones of nineHostsList.
+var settingsZones = map[string]string{
+	"west-0": "west", "west-1": "west", "east-0": "east", "east-1": "east", "south-0": "south", "south-1": "south",
+}
+
+func TestEachZoneIsLaidOutWithItsHosts(t *testing.T) {
+	now := time.Now()
+	m := nineHosts("west0", now)
+	place := m.limitPlace(settingsZones, nil, now)
+	require.True(t, place.Holds)
+	require.Len(t, place.Layout.Zones, 6)
+	var names []string
+	for _, z := range place.Layout.Zones {
+		names = append(names, z.Name)
+		if z.Name == "west-0" {
+			require.Equal(t, []string{"west0", "west1"}, z.Large)
+		}
+	}
+	require.Equal(t, []string{"east-0", "east-1", "south-0", "south-1", "west-0", "west-1"}, names)
+	require.Same(t, place, m.limitPlace(settingsZones, place, now.Add(time.Second)), "the same until something changes")
+}
+
+// Two hosts that hold the same slot let pass twice what it has. So a host that is new to
+// its zone waits until one that does not hear of it has given up its slots.
+func TestASlotNeverHasTwoHolders(t *testing.T) {
+	now := time.Now()
+	cutOff := nineHosts("west0", now) // hears nobody from now on
+	newcomer := startedMembers(host("west9", "west-0", "west"), nineHostsList(), now)
+	held, taken := time.Duration(0), time.Duration(-1)
+	for at := time.Duration(0); at < 20*time.Second; at += 100 * time.Millisecond {
+		if cutOff.holdsSlots(now.Add(at)) {
+			held = at
+		}
+		for _, h := range nineHostsList() {
+			if h.Name != "west0" {
+				newcomer.recordHeartbeat(h, readyStatus, now.Add(at))
+			}
+		}
+		if taken < 0 && newcomer.holdsSlots(now.Add(at)) {
+			taken = at
+		}
+	}
+	require.Greater(t, taken, held)
+	t.Logf("given up after %s, taken after %s", held, taken)
+}
+
+// All hosts were killed at once and had no part of any limit for a second and more: all
+// requests of the clients that came back were refused.
+func TestAHostThatStartsAgainHoldsItsSlotsAtOnce(t *testing.T) {
+	now := time.Now()
+	m := newMembers(host("west0", "west-0", "west"), []string{"west", "east", "south"}, now)
+	require.False(t, m.limitPlace(settingsZones, nil, now).Holds, "it does not know its zone yet")
+	before := m.limitPlace(settingsZones, nil, now)
+	read := now.Add(time.Second)
+	m.addList("west", listings(nineHostsList()[:3]), true, read)
+	m.announcedBefore = true
+	place := m.limitPlace(settingsZones, before, read)
+	require.True(t, place.Holds)
+	require.Equal(t, now, place.Since, "they fill from the start of the process")
+	m.addList("east", listings(nineHostsList()[3:6]), true, read.Add(time.Second))
+	later := m.limitPlace(settingsZones, place, read.Add(time.Second))
+	require.NotSame(t, place, later)
+	require.Equal(t, now, later.Since, "another zone changes nothing here")
+	m.addKnown(host("west8", "west-0", "west"), read.Add(2*time.Second))
+	last := m.limitPlace(settingsZones, later, read.Add(2*time.Second))
+	require.Equal(t, read.Add(2*time.Second), last.Since, "a slot that moves starts empty")
+}
+
+func TestWhoHoldsNoSlots(t *testing.T) {
+	now := time.Now()
+	for _, c := range []struct {
+		name    string
+		members func() *members
+		at      time.Duration
+		holds   bool
+	}{
+		{"one that runs", func() *members { return nineHosts("west0", now) }, 0, true},
+		{"one that stops", func() *members { m := nineHosts("west0", now); m.withdrawn = true; return m }, 0, false},
+		{"one that hears nobody of its zone", func() *members { return nineHosts("west0", now) }, isolatedAfter + time.Second, false},
+		{"one that is alone in its zone", func() *members { return nineHosts("west2", now) }, time.Hour, true},
+		{"a new one", func() *members { return startedMembers(host("west9", "west-9", "west"), nineHostsList(), now) }, newcomerPause - time.Second, false},
+		{"a new one later", func() *members { return startedMembers(host("west9", "west-9", "west"), nineHostsList(), now) }, newcomerPause, true},
+		{"one of a first start", func() *members {
+			m := startedMembers(host("west9", "west-9", "west"), nineHostsList(), now)
+			m.firstStart = true
+			return m
+		}, 2 * time.Second, true},
+		{"one that has not read its list", func() *members { return newMembers(host("west0", "west-0", "west"), []string{"west"}, now) }, time.Hour, false},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.holds, c.members().holdsSlots(now.Add(c.at))) })
+	}
+}
+
+// fixedGiver gives as many tokens as it is asked for, of one account.
+type fixedGiver struct{}
+
+func (fixedGiver) GiveTokens(ask quota.Ask) quota.Answer {
+	if ask.Account != "rail" {
+		return quota.Answer{}
+	}
+	return quota.Answer{Tokens: ask.Tokens}
+}
+
+func TestAHostAsksAnotherForTokens(t *testing.T) {
+	registry := newFakeRegistry()
+	a := startFleet(t, registry, host("a", "z", "west"), nil)
+	b := startFleet(t, registry, host("b", "z", "west"), nil)
+	b.options.Tokens = fixedGiver{}
+	require.Eventually(t, func() bool { return a.Hosts() == 2 }, 5*time.Second, 10*time.Millisecond)
+	answer, err := a.AskTokens(t.Context(), "b", quota.Ask{Account: "rail", Tokens: 700})
+	require.NoError(t, err)
+	require.Equal(t, 700, answer.Tokens)
+	answer, err = a.AskTokens(t.Context(), "b", quota.Ask{Account: "yard", Tokens: 700})
+	require.NoError(t, err)
+	require.Zero(t, answer.Tokens)
+	_, err = a.AskTokens(t.Context(), "nobody", quota.Ask{})
+	require.ErrorContains(t, err, "nobody")
+	ctx, cancel := context.WithTimeout(t.Context(), 200*time.Millisecond)
+	defer cancel()
+	_, err = b.AskTokens(ctx, "a", quota.Ask{Account: "rail", Tokens: 1})
+	require.Error(t, err, "a has none to give")
+}
--- a/internal/gateway/fleet/quota.go
+++ b/internal/gateway/fleet/quota.go
@@ -4,8 +4,7 @@
 	"math"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
+	"cairndock/internal/gateway/rendezvous"
 	"cairndock/internal/gateway/warmup"
 )
 
@@ -181,11 +180,11 @@
 // further than enough: with 5,900 hosts it took 233 us in the upstream's region to
 // count them all, for each choice.
 func (m *members) before(upstream, region string, highest, enough int) int {
-	own, before := pairRank(m.self.Name, upstream), 0
+	own, before := rendezvous.Rank(m.self.Name, upstream), 0
 	large := isLarge(m.self.Capacity, highest)
 	for _, name := range m.sharing(region) {
 		h := m.peers[name].host
-		if m.shares(h, region) && isLarge(h.Capacity, highest) == large && pairRank(name, upstream) < own {
+		if m.shares(h, region) && isLarge(h.Capacity, highest) == large && rendezvous.Rank(name, upstream) < own {
 			before++
 		}
 		if before == enough {
@@ -211,18 +210,6 @@
 	return 0
 }
 
-// pairRank orders hosts differently for each second name, by rendezvous
-// hashing.
-func pairRank(host, other string) uint64 {
-	var d xxhash.Digest
-	d.Reset()
-	// A hash returns no errors.
-	_, _ = d.WriteString(host)
-	_, _ = d.WriteString("/")
-	_, _ = d.WriteString(other)
-	return d.Sum64()
-}
-
 // WarmUpQuota returns this host's share, in requests a second, of the total
 // that all hosts together may send a cold upstream of a region.
 func (f *Fleet) WarmUpQuota(upstream, region string, total float64) warmup.Quota {
--- a/internal/gateway/fleet/registration.go
+++ b/internal/gateway/fleet/registration.go
@@ -67,6 +67,9 @@
 // process has announced it.
 func (f *Fleet) readAllLists(ctx context.Context, unread []string, announced bool) {
 	listed := announced
+	if !announced && !f.options.FirstStart {
+		unread, listed = f.readBeforeAnnouncing(ctx, unread)
+	}
 	for ctx.Err() == nil && !f.isWithdrawn() {
 		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
 		listed = listed || announced
@@ -78,6 +81,20 @@
 	}
 }
 
+// readBeforeAnnouncing reads lists before this host announces itself, so that it sees
+// whether an earlier process did: the other hosts know it then, and it may take its part
+// of limits at once.
+func (f *Fleet) readBeforeAnnouncing(ctx context.Context, regions []string) (unread []string, listed bool) {
+	unread, listed = f.readLists(ctx, regions, false)
+	if listed {
+		f.mu.Lock()
+		f.members.announcedBefore = true
+		f.mu.Unlock()
+		f.updatePlace(time.Now())
+	}
+	return unread, listed
+}
+
 func (f *Fleet) retryPause() time.Duration {
 	if f.UnreadLists() > 0 {
 		return registryRetry
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
+	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/poison"
@@ -47,6 +48,7 @@
 	tables       [tableCount]fleet.Table
 	watchers     [tableCount]*watch.Watcher
 	fleet        *fleet.Fleet
+	quota        *quota.Limiter
 	proxy        *proxy.Proxy
 	server       *proxy.Server
 }
@@ -67,6 +69,7 @@
 	g.tables[operatorTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.OperatorTable(store)}
 	g.tables[upstreamTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.UpstreamTable(store)}
 	g.fleet = g.newFleet(store)
+	g.quota = g.newQuota()
 	g.watchers[operatorTable] = g.newWatcher(operatorTable, g.state.OperatorSink())
 	g.watchers[upstreamTable] = g.newWatcher(upstreamTable, g.state.UpstreamSink())
 	g.proxy = g.newProxy(time.Now())
--- a/internal/gateway/proxy/account.go
+++ b/internal/gateway/proxy/account.go
@@ -49,6 +49,20 @@
 	return f.checkKeyAge()
 }
 
+// takeToken takes the request's token of its account's limit.
+func (f *inflight) takeToken() error {
+	if f.account == nil || !f.account.Limited() {
+		return nil
+	}
+	f.proxy.SuspendWatch.Check() // tokens of other hosts lapse while it is suspended
+	refusal, ok := f.proxy.Quota.Admit(f.client, f.account)
+	if ok {
+		return nil
+	}
+	return verdict.New(verdict.NotRun, verdict.OverLimit, "this host holds %d of %d parts of %.1f requests a second, and got %.1f of %.1f that it asked others for",
+		refusal.Slots, refusal.Of, refusal.Rate, refusal.Got, refusal.Asked).WithRetryAfter(refusal.RetryAfter)
+}
+
 // errUnknownKey does not say which key, as errors are logged.
 func errUnknownKey() error {
 	return verdict.New(verdict.NotRun, verdict.UnknownKey, "the key is missing, repeated or of no client account")
--- a/internal/gateway/proxy/account_test.go
+++ b/internal/gateway/proxy/account_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -206,3 +207,63 @@
 		})
 	}
 }
+
+// An account at its limit gets 429, and no other account feels it.
+func TestAnAccountOverItsLimitIsRefused(t *testing.T) {
+	g := newTestGateway(t)
+	a := railAccount()
+	a.Account.Rate, a.Account.Burst = 1, 3
+	yard := account.Entry{Account: account.Account{Name: "yard"}, Keys: []string{"k-yard"}}
+	g.setAccounts([]account.Entry{a, yard}, testRoute(route.Repeatable), publicRoute())
+	received := g.addUpstream(healthy)
+	var refused *http.Response
+	for range 10 {
+		if resp, _ := g.sendWith(http.MethodGet, "/x/", headerSecret, "k-rail"); resp.StatusCode != 200 {
+			refused = resp
+		}
+	}
+	require.NotNil(t, refused)
+	require.Equal(t, 429, refused.StatusCode)
+	require.Equal(t, "over-limit", refused.Header.Get("Reason"))
+	require.Equal(t, "not-run", refused.Header.Get("Verdict"))
+	after, err := time.ParseDuration(refused.Header.Get("Retry"))
+	require.NoError(t, err)
+	require.Positive(t, after)
+	require.Less(t, received.Load(), int64(10))
+	require.Positive(t, received.Load(), "what is within the limit runs")
+	for range 10 {
+		resp, _ := g.sendWith(http.MethodGet, "/x/", headerSecret, "k-yard")
+		require.Equal(t, 200, resp.StatusCode)
+	}
+	resp, _ := g.sendWith(http.MethodGet, "/public/")
+	require.Equal(t, 200, resp.StatusCode)
+}
+
+// Of several faults a request gets the error that comes first, and only one that is whole
+// takes a part of the limit.
+func TestWhichErrorARequestWithSeveralFaultsGets(t *testing.T) {
+	g := newTestGateway(t)
+	full := railAccount()
+	full.Account.Rate, full.Account.Burst = 0.001, 0
+	g.setAccounts([]account.Entry{full}, testRoute(route.Once))
+	g.addUpstream(healthy)
+	large := strings.Repeat("x", 1001)
+	first, _, err := g.send(t.Context(), http.MethodPost, "/x/", "", map[string]string{headerID: "id-1", headerSecret: "k-rail"})
+	require.NoError(t, err)
+	require.Equal(t, 200, first.StatusCode, "the only request that the limit has room for")
+	for _, c := range []struct {
+		name, path, key, body string
+		status                int
+	}{
+		{"no route, no key", "/nowhere/", "", "", 404},
+		{"no key, large header", "/x/" + strings.Repeat("y", 2000), "", "", 401},
+		{"large header, over its limit", "/x/" + strings.Repeat("y", 2000), "k-rail", "", 431},
+		{"over its limit, large body", "/x/", "k-rail", large, 429},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			resp, _, err := g.send(t.Context(), http.MethodPost, c.path, c.body, map[string]string{headerID: "id-1", headerSecret: c.key})
+			require.NoError(t, err)
+			require.Equal(t, c.status, resp.StatusCode)
+		})
+	}
+}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -28,6 +29,7 @@
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
+	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/routing"
@@ -91,6 +93,19 @@
 	return warmup.Quota{Requests: int(h.quota.Load()), Hosts: 1}
 }
 
+// aloneHost holds all slots of all limits.
+type aloneHost struct{}
+
+var alonePlace = &quota.Place{
+	Layout: &quota.Layout{Zones: []quota.Zone{{Name: "z", Region: "r", Large: []string{""}}}}, Holds: true, Since: time.Now().Add(-time.Hour),
+}
+
+func (aloneHost) Place() *quota.Place { return alonePlace }
+
+func (aloneHost) AskTokens(context.Context, string, quota.Ask) (quota.Answer, error) {
+	return quota.Answer{}, errors.New("there is no other host")
+}
+
 // testGateway is a proxy with its server, its state and its log.
 type testGateway struct {
 	t         *testing.T
@@ -140,6 +155,7 @@
 		Suspicions:   g.suspicions,
 		SuspendWatch: suspend.NewWatch(&g.suspension),
 		Client:       exchange.NewClient(g.dial, protocol{}),
+		Quota:        quota.NewLimiter(quota.Options{Zone: "z", Region: "r", Bound: quota.Bound{Window: time.Second}, Hosts: aloneHost{}, Metrics: m}),
 		Codec:        codec{}, SlackPart: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -12,6 +12,7 @@
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
@@ -70,6 +71,8 @@
 	// SlackPart gives this host's part of the retry budget's slack, from 0 to 1; zero
 	// while it does not know who shares that.
 	SlackPart func() float64
+	// Quota keeps the limits of client accounts.
+	Quota *quota.Limiter
 	// MaxKeyAge is the age of the operator configuration up to which keys are accepted;
 	// zero is any, so that a host which hears nothing serves on by the keys it knows.
 	MaxKeyAge time.Duration
@@ -183,5 +186,6 @@
 		p.Detector.Retain(known)
 		p.Client.Retain(known)
 		p.Suspicions.CleanUp(time.Now())
+		p.Quota.CleanUp(time.Now())
 	}
 }
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -37,6 +37,9 @@
 	if limits.HeaderBytes > 0 && headerSize(r) > limits.HeaderBytes {
 		return verdict.New(verdict.NotRun, verdict.HeaderTooLarge, "header is above %d bytes", limits.HeaderBytes)
 	}
+	if err := f.takeToken(); err != nil {
+		return err
+	}
 	body, err := readBody(w, r, limits.BodyBytes, f.deadline())
 	if err != nil {
 		return err
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -6,6 +6,7 @@
 
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/poison"
@@ -63,6 +64,16 @@
 	return g.fleet.WarmUpQuota(upstream, region, rate*limits.WarmUpOvershoot+limits.WarmUpSlack)
 }
 
+// GiveTokens gives tokens of a client account's limit to another host.
+func (g *Gateway) GiveTokens(ask quota.Ask) quota.Answer {
+	config := g.state.Config()
+	if config == nil {
+		return quota.Answer{}
+	}
+	a, _ := config.Accounts.ByName(ask.Account)
+	return g.quota.Give(a, ask.Tokens)
+}
+
 // clientAddresses gives the hosts that clients of a zone should use for the
 // services of a name, best first.
 func (g *Gateway) clientAddresses(name, zone, region string) []string {
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -8,6 +8,7 @@
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/proxy"
+	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/watch"
@@ -45,12 +46,20 @@
 			Incarnation: g.incarnation,
 			Capacity:    resources.Capacity(),
 		},
-		Regions: g.settings.regions(), Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Suspicions: g.suspicions,
+		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
 }
 
+func (g *Gateway) newQuota() *quota.Limiter {
+	host, limits := g.settings.Host, g.settings.Limits
+	return quota.NewLimiter(quota.Options{
+		Host: host.Name, Zone: host.Zone, Region: host.Region, Hosts: g.fleet, Metrics: g.metrics,
+		Bound: quota.Bound{Window: time.Duration(limits.QuotaWindow), Overshoot: limits.QuotaOvershoot, Slack: limits.QuotaSlack},
+	})
+}
+
 // newWatcher makes the watcher that keeps a table's replica up to date.
 func (g *Gateway) newWatcher(table int, sink watch.Sink) *watch.Watcher {
 	sources := func() []watch.NamedSource { return g.fleet.Sources(table) }
@@ -73,6 +82,7 @@
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackPart:    g.fleet.CommonPart,
+		Quota:        g.quota,
 		MaxKeyAge:    limits.maxKeyAge(),
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
 		UpstreamsAge: g.tables[upstreamTable].Replica.Age,
@@ -88,7 +98,7 @@
 func (g *Gateway) watchSuspension() {
 	for _, f := range []func(time.Duration){
 		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.fleet.Suspended,
-		g.detector.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.suspicions.Suspended, g.log.Suspended,
+		g.detector.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.quota.Suspended, g.suspicions.Suspended, g.log.Suspended,
 	} {
 		g.suspendWatch.OnGap(f)
 	}
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -26,4 +26,6 @@
 	KindLend
 	// KindDrain asks how many requests are in flight at upstreams that leave.
 	KindDrain
+	// KindTokens asks for tokens of a client account's limit.
+	KindTokens
 )
