Play client accounts in the soak, and pass slots on when a host stops

Change: heartbeats say that a host has given up its part, whose slots its zone's other hosts take; a new host takes its own once it has heard all of its zone. The soak has an account at six times its limit and one whose key changes with each version, checked by what upstreams run and hosts accept.

--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -72,7 +72,7 @@
 	f.mu.Lock()
 	query := f.discovery.next(to.Region, time.Now())
 	f.mu.Unlock()
-	request := f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.options.Status(), Query: query}, to.Name)
+	request := f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.status(), Query: query}, to.Name)
 	response, err := peer.Call[heartbeat](ctx, f.mesh, to.PeerAddress, peer.KindHeartbeat, request)
 	if err != nil {
 		// A new connection is made for the next heartbeat, so that it does
@@ -89,6 +89,15 @@
 	}
 }
 
+// status is this host's status for heartbeats.
+func (f *Fleet) status() Status {
+	s := f.options.Status()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s.Withdrawn = f.members.withdrawn
+	return s
+}
+
 // recordHeartbeat records a heartbeat or the response to one.
 func (f *Fleet) recordHeartbeat(b heartbeat) {
 	now := time.Now()
@@ -120,5 +129,5 @@
 	}
 	f.recordHeartbeat(b)
 	f.postpone(b.Host.Name)
-	respond(w, f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.options.Status(), Hosts: f.hosts(b.Query)}, b.Host.Name))
+	respond(w, f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.status(), Hosts: f.hosts(b.Query)}, b.Host.Name))
 }
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -29,6 +29,8 @@
 	Ready bool `msgpack:"r,omitempty"`
 	// Leaving reports that the host is about to stop.
 	Leaving bool `msgpack:"l,omitempty"`
+	// Withdrawn reports that the host holds no part of any limit any more.
+	Withdrawn bool `msgpack:"w,omitempty"`
 	// Rate is the requests a second that clients lately sent to the host.
 	Rate int `msgpack:"q,omitempty"`
 	// Changes is the version of the last change in each table's replica,
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -68,7 +68,7 @@
 			p.suspicions = old.suspicions
 		}
 	}
-	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity {
+	if old == nil || old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity || old.status.Withdrawn != s.Withdrawn {
 		m.index = nil
 	}
 	m.peers[h.Name] = &p
--- a/internal/gateway/fleet/place.go
+++ b/internal/gateway/fleet/place.go
@@ -13,7 +13,8 @@
 // A limit's slots must not have two holders (package quota). Hosts of a zone agree on
 // whose a slot is as soon as they know each other. Two cases are left: a host that is new
 // to the zone, and one that is cut off from it and does not hear of that. The first takes
-// its slots newcomerPause after its start, the second has given up its own by then.
+// its slots once it has heard all known hosts of the zone, or newcomerPause after its
+// start; the second has given up its own by then.
 const (
 	// isolatedAfter is how long a host hears nobody of its zone, where others are known,
 	// until it gives up its slots. It exceeds deadAfter by a heartbeat. Chosen, not
@@ -81,7 +82,11 @@
 	}
 	highest := 0
 	for _, p := range m.named(m.indexed().byZone[name]) {
-		hosts = append(hosts, p.host)
+		// Whoever stops has given up its slots before it says so: the others of its zone
+		// take them, so that hosts that are restarted in turn leave none unused.
+		if !p.status.Withdrawn {
+			hosts = append(hosts, p.host)
+		}
 	}
 	for _, h := range hosts {
 		highest = max(highest, h.Capacity)
@@ -109,13 +114,21 @@
 	switch {
 	case m.announcedBefore:
 		return true
-	case m.firstStart:
-		return now.Sub(read) >= warmup.Window // all hosts start, and no client is there yet
+	case m.firstStart || m.heardZone():
+		return now.Sub(read) >= warmup.Window
 	default:
 		return now.Sub(read) >= newcomerPause
 	}
 }
 
+// heardZone reports whether this process has heard all known hosts of its zone, which
+// know it then and have given up what is its own. Those that have stopped need not.
+func (m *members) heardZone() bool {
+	return !slices.ContainsFunc(m.named(m.indexed().byZone[m.self.Zone]), func(p *peerState) bool {
+		return p.lastHeartbeat.IsZero() && !p.status.Withdrawn
+	})
+}
+
 // isolated reports whether hosts of the zone are known and none was heard for
 // isolatedAfter.
 func (m *members) isolated(now time.Time) bool {
--- a/internal/gateway/fleet/place_test.go
+++ b/internal/gateway/fleet/place_test.go
@@ -78,8 +78,39 @@
 	require.Equal(t, read.Add(2*time.Second), last.Since, "a slot that moves starts empty")
 }
 
+func TestTheSlotsOfAHostThatStopsGoToItsZone(t *testing.T) {
+	now := time.Now()
+	m := nineHosts("west0", now)
+	zoneOf := func() quota.Zone {
+		for _, z := range m.limitPlace(settingsZones, nil, now).Layout.Zones {
+			if z.Name == "west-0" {
+				return z
+			}
+		}
+		return quota.Zone{}
+	}
+	require.Equal(t, []string{"west0", "west1"}, zoneOf().Large)
+	stopping := host("west1", "west-0", "west")
+	m.recordHeartbeat(stopping, Status{Ready: true, Leaving: true}, now)
+	require.Equal(t, []string{"west0", "west1"}, zoneOf().Large, "it may hold slots as long as it does not say otherwise")
+	m.recordHeartbeat(stopping, Status{Ready: true, Leaving: true, Withdrawn: true}, now)
+	require.Equal(t, []string{"west0"}, zoneOf().Large)
+	stopping.Incarnation = "2"
+	m.recordHeartbeat(stopping, readyStatus, now)
+	require.Equal(t, []string{"west0", "west1"}, zoneOf().Large, "it takes them later, the others give them up now")
+}
+
 func TestWhoHoldsNoSlots(t *testing.T) {
 	now := time.Now()
+	newcomerHearing := func(names ...string) func() *members {
+		return func() *members {
+			m := startedMembers(host("west9", "west-0", "west"), nineHostsList(), now)
+			for _, name := range names {
+				m.recordHeartbeat(host(name, "west-0", "west"), readyStatus, now.Add(newcomerPause))
+			}
+			return m
+		}
+	}
 	for _, c := range []struct {
 		name    string
 		members func() *members
@@ -90,10 +121,12 @@
 		{"one that stops", func() *members { m := nineHosts("west0", now); m.withdrawn = true; return m }, 0, false},
 		{"one that hears nobody of its zone", func() *members { return nineHosts("west0", now) }, isolatedAfter + time.Second, false},
 		{"one that is alone in its zone", func() *members { return nineHosts("west2", now) }, time.Hour, true},
-		{"a new one", func() *members { return startedMembers(host("west9", "west-9", "west"), nineHostsList(), now) }, newcomerPause - time.Second, false},
-		{"a new one later", func() *members { return startedMembers(host("west9", "west-9", "west"), nineHostsList(), now) }, newcomerPause, true},
+		{"a new one that does not hear all of its zone", newcomerHearing("west0"), newcomerPause - time.Second, false},
+		{"the same later", newcomerHearing("west0"), newcomerPause, true},
+		{"a new one that hears all of its zone", newcomerHearing("west0", "west1"), 2 * time.Second, true},
+		{"a new one that is alone in its zone", func() *members { return startedMembers(host("west9", "west-9", "west"), nineHostsList(), now) }, 2 * time.Second, true},
 		{"one of a first start", func() *members {
-			m := startedMembers(host("west9", "west-9", "west"), nineHostsList(), now)
+			m := startedMembers(host("west9", "west-0", "west"), nineHostsList(), now)
 			m.firstStart = true
 			return m
 		}, 2 * time.Second, true},
--- a/internal/gateway/soak/checks_test.go
+++ b/internal/gateway/soak/checks_test.go
@@ -66,7 +66,9 @@
 
 // probe sends a request on the route of a version and gives the status; 0
 // without a response.
-func (w *world) probe(h *host, version int) int {
+func (w *world) probe(h *host, version int) int { return w.probeWith(h, version, openKey) }
+
+func (w *world) probeWith(h *host, version int, key string) int {
 	req, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s/v%d/x", h.clients, version), nil)
 	if err != nil {
 		w.violation("harness: probe of %s: %v", h.name, err)
@@ -74,7 +76,7 @@
 	}
 	req.Host = hostname
 	id := fmt.Sprintf("probe-%s-%d-%d", h.name, version, rand.Int64())
-	platformtest.Request{ID: id, Timeout: probeTimeout}.SetHeaders(req.Header)
+	platformtest.Request{ID: id, Credential: key, Timeout: probeTimeout}.SetHeaders(req.Header)
 	resp, err := probeClient.Do(req)
 	if err != nil {
 		return 0
--- a/internal/gateway/soak/conn_test.go
+++ b/internal/gateway/soak/conn_test.go
@@ -68,7 +68,7 @@
 		method, path = http.MethodPost, "/once/x"
 	}
 	h := http.Header{}
-	platformtest.Request{ID: m.id, Key: m.key, Timeout: clientTimeout}.SetHeaders(h)
+	platformtest.Request{ID: m.id, Key: m.key, Credential: openKey, Timeout: clientTimeout}.SetHeaders(h)
 	switch {
 	case m.chunked:
 		h.Set("Transfer-Encoding", "chunked")
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -120,6 +120,9 @@
 warm_up_slack = %g
 apply_within = "2s"
 drain_within = "2s"
+quota_window = "%s"
+quota_overshoot = %g
+quota_slack = %g
 directory_ttl = "1s"
 [stop]
 grace = %q
@@ -136,7 +139,7 @@
 		clients: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t),
 		settings: filepath.Join(t.TempDir(), name+".toml"),
 	}
-	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), warmUpOvershoot, warmUpSlack, grace)
+	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), warmUpOvershoot, warmUpSlack, limitWindow, limitOvershoot, float64(limitSlack), grace)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -176,7 +176,7 @@
 	require.NoError(w.t, err)
 	r.Host = hostname
 	r.Close = true
-	platformtest.Request{ID: id, Timeout: clientTimeout}.SetHeaders(r.Header)
+	platformtest.Request{ID: id, Credential: openKey, Timeout: clientTimeout}.SetHeaders(r.Header)
 	resp, err := c.Do(r)
 	if err != nil {
 		return 0
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -114,6 +114,7 @@
 	w.checkLedger()
 	w.checkCuts()
 	w.checkCold()
+	w.checkLimit()
 	ends := w.record.totals()
 	w.keep(reportVar, ".html", w.record.writePage)
 	t.Logf("seed %d: %d served, %d refused, %d closed, %d failed, %d violations",
@@ -136,6 +137,10 @@
 	}
 	for _, h := range w.hosts {
 		wait.Go(func() { w.watchVersions(ctx, h) })
+		wait.Go(func() { w.watchKeys(ctx, h) })
+	}
+	for i := range limitedClients {
+		wait.Go(func() { w.newClient(fmt.Sprint("limited-", i)).exceed(ctx) })
 	}
 	wait.Go(func() { w.recordAlive(ctx) })
 	return &wait
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -21,6 +22,8 @@
 	mu sync.Mutex
 	// runs counts how often each ran, over all upstreams.
 	runs map[string]int
+	// ranAt is when each request of the limited account first ran.
+	ranAt map[string]time.Time
 	// arrivals are where and when each arrived, refused ones too.
 	arrivals map[string][]arrival
 }
@@ -32,7 +35,7 @@
 }
 
 func newLedger() *ledger {
-	return &ledger{runs: map[string]int{}, arrivals: map[string][]arrival{}}
+	return &ledger{runs: map[string]int{}, ranAt: map[string]time.Time{}, arrivals: map[string][]arrival{}}
 }
 
 func (l *ledger) arrive(id string, u *upstream) {
@@ -45,6 +48,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.runs[id]++
+	if strings.HasPrefix(id, limitedPrefix) && l.runs[id] == 1 {
+		l.ranAt[id] = time.Now()
+	}
 }
 
 // defect is what is wrong with an upstream.
@@ -99,6 +105,8 @@
 	born atomic.Int64
 	// late is called for each request after noWorkFrom.
 	late func(upstream, request string)
+	// violation, if it is set, records that a guarantee did not hold.
+	violation func(format string, args ...any)
 	// poisoned, if it is set, is called for each request that may end the upstream, and
 	// reports whether it does.
 	poisoned func(u *upstream) bool
@@ -141,6 +149,7 @@
 	if !ok {
 		return
 	}
+	u.checkAccount(id, r)
 	u.ledger.arrive(id, u)
 	if u.running.Add(1) > refuseAbove || d == shedding {
 		u.running.Add(-1)
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -77,6 +77,8 @@
 	notRun map[string]string
 	// closures are the requests whose connection was closed without a response.
 	closures []closure
+	// limitedSent is when each request of the limited account was sent, by its id.
+	limitedSent map[string]time.Time
 }
 
 func newWorld(t *testing.T, seed uint64, hosts int) *world {
@@ -85,7 +87,7 @@
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)),
 		record: newRecorder(fmt.Sprintf("Fault soak, seed %d, %d hosts", seed, hosts)),
 		store:  platformtest.NewStore(), ledger: newLedger(),
-		acceptedAt: map[int]time.Time{}, notRun: map[string]string{}, idleLimits: []idleLimit{{time.Now(), longIdleLimit}},
+		acceptedAt: map[int]time.Time{}, notRun: map[string]string{}, limitedSent: map[string]time.Time{}, idleLimits: []idleLimit{{time.Now(), longIdleLimit}},
 	}
 	w.server = httptest.NewServer(w.store)
 	t.Cleanup(w.server.Close)
@@ -124,6 +126,7 @@
 	w.store.PutConfig(platformtest.Config{
 		Version: w.version, Routes: routes,
 		Services: map[string]platformtest.Service{service: {HealthCheckPath: "/healthz", MaxConnections: 300, WarmUpSeconds: warmUpTime.Seconds(), WarmUpRate: warmUpRate}},
+		Accounts: accountsOf(w.version),
 		Limits:   platformtest.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: int(w.idleLimits[len(w.idleLimits)-1].limit.Milliseconds())},
 	})
 	w.acceptedAt[w.version] = time.Now()
@@ -153,6 +156,7 @@
 	defer w.mu.Unlock()
 	w.lastUpstream++
 	u := newUpstream(w.t, fmt.Sprint("i-", w.lastUpstream), zone, w.ledger, w.checkDrained)
+	u.violation = w.violation
 	w.alive = append(w.alive, u)
 	w.everyUpstream = append(w.everyUpstream, u)
 	w.store.PutUpstream(u.ID, u.row(false))
