Leave a region's upstreams to requests that are bound there

Change: the configuration tells which part of all requests is bound to a region; free requests count only the capacity that these leave.

Deployments without accounts are untouched by construction.

--- a/internal/gateway/account/account.go
+++ b/internal/gateway/account/account.go
@@ -50,6 +50,8 @@
 type Set struct {
 	byKey  map[string]*Account
 	byName map[string]*Account
+	// bound has the parts of BoundParts.
+	bound map[string]float64
 }
 
 // NewSet makes a set. An empty key belongs to nobody. The error names the accounts that
@@ -61,9 +63,30 @@
 			return nil, err
 		}
 	}
+	s.bound = boundParts(entries)
 	return s, nil
 }
 
+// boundParts sums up the rates of accounts that have homes, by region, as parts of the
+// rates of all. An account of several regions counts in each with an equal part.
+func boundParts(entries []Entry) map[string]float64 {
+	total, bound := 0.0, map[string]float64{}
+	for i := range entries {
+		a := &entries[i].Account
+		total += a.Rate
+		for _, region := range a.Regions {
+			bound[region] += a.Rate / float64(len(a.Regions))
+		}
+	}
+	if total == 0 {
+		return nil
+	}
+	for region := range bound {
+		bound[region] /= total
+	}
+	return bound
+}
+
 func (s *Set) add(e *Entry) error {
 	a := &e.Account
 	if err := a.check(); err != nil {
@@ -112,6 +135,15 @@
 	return a, ok
 }
 
+// BoundParts gives, by region, which part of all requests may be served there only, from
+// 0 to 1, where the accounts use their rates alike. The map is not to be changed.
+func (s *Set) BoundParts() map[string]float64 {
+	if s == nil {
+		return nil
+	}
+	return s.bound
+}
+
 // Len is the number of accounts.
 func (s *Set) Len() int {
 	if s == nil {
--- a/internal/gateway/account/account_test.go
+++ b/internal/gateway/account/account_test.go
@@ -84,6 +84,15 @@
 	require.True(t, free.Allows("south"))
 }
 
+func TestWhichPartOfTheRequestsIsBoundToARegion(t *testing.T) {
+	account := func(name string, rate float64, regions ...string) account.Entry {
+		return account.Entry{Account: account.Account{Name: name, Rate: rate, Regions: regions}}
+	}
+	s := newSet(t, account("free", 60), account("bound", 20, "west"), account("both", 20, "west", "east"), account("unlimited", 0, "east"))
+	require.InDeltaMapValues(t, map[string]float64{"west": 0.3, "east": 0.1}, s.BoundParts(), 1e-9)
+	require.Empty(t, newSet(t, account("unlimited", 0, "east")).BoundParts(), "nothing is known of how much it sends")
+}
+
 // The look-up is a part of every request.
 func TestLookingUpAKeyAllocatesNothing(t *testing.T) {
 	s := newSet(t, entry("rail", "one"))
--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -35,6 +35,8 @@
 
 	mu     sync.Mutex
 	states map[upstream.Run]*state
+	// reserved are the parts of capacity that requests bound to a region need.
+	reserved reservations
 	// summaries has that of each list of upstreams, by its first one.
 	summaries map[*upstream.Upstream]*summary
 }
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -29,6 +29,10 @@
 	// Allows reports whether the request may be served in a region; nil
 	// allows all.
 	Allows func(region string) bool
+	// Reserved gives, by region, the part of the requests for all services that may be
+	// served there only, from 0 to 1. It counts for requests that may be served
+	// anywhere. The map is not changed.
+	Reserved map[string]float64
 	// Bulk means that the response is large.
 	Bulk bool
 	// Mixed means that the service has both large and small responses.
--- a/internal/gateway/balance/region.go
+++ b/internal/gateway/balance/region.go
@@ -39,11 +39,27 @@
 	return c
 }
 
+// without returns the capacities that requests which may be served anywhere leave to those
+// that are bound to a region: what these need of it while all upstreams are used alike.
+func (c capacities) without(reserved map[string]float64) capacities {
+	if len(reserved) == 0 {
+		return c
+	}
+	left := capacities{regions: make([]regionCapacity, 0, len(c.regions))}
+	for _, r := range c.regions {
+		r.capacity = max(0, r.capacity-int(reserved[r.region]*float64(c.all)))
+		left.regions = append(left.regions, r)
+		left.all += r.capacity
+	}
+	return left
+}
+
 // servingRegion returns the region whose upstreams a key goes to first: the host's
 // own for the part of its keys that it has the capacity for, and for the others
 // one with capacity to spare.
 func (b *Balancer) servingRegion(key uint64, q Query, sum *summary) string {
-	l, c := b.location, sum.capacities(q)
+	l := b.location
+	c := sum.capacities(q).without(b.reserved.follow(q, l.Regions))
 	part := ownKeysPart(c.of(l.Region), c.all, l.Regions)
 	if q.Mixed {
 		part = bulkFirst(part, q.Bulk)
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -41,6 +41,8 @@
 	}
 	if f.hasHome() {
 		q.Allows = f.allows
+	} else {
+		q.Reserved = f.config.Accounts.BoundParts()
 	}
 	return q
 }
