--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -120,7 +120,7 @@
 // sparesOne reports whether there are tokens for another request beside those that wait,
 // which came before it.
 func (l *ledger) sparesOne(now time.Time) bool {
-	return l.waiting == 0 || l.available(now) >= float64(l.waiting+1)
+	return l.waiting == 0 || l.available(now) >= perRequest*(l.waiting+1)
 }
 
 func (l *ledger) dropLapsed(now time.Time) {
@@ -158,37 +158,38 @@
 	}
 }
 
-// available is how many requests have their tokens here now.
-func (l *ledger) available(now time.Time) float64 {
-	n := 0.0
+// available is how many whole tokens are here now.
+func (l *ledger) available(now time.Time) int {
+	n := 0
 	for _, g := range l.given {
 		if now.Before(g.until) {
-			n += float64(g.tokens)
+			n += g.tokens
 		}
 	}
 	if l.bucket != nil {
-		n += l.bucket.TokensAt(now)
+		n += int(l.bucket.TokensAt(now))
 	}
-	return n / perRequest
+	return n
 }
 
-// want is how many tokens to ask others for.
+// want is how many tokens to ask others for. For those that wait it is exact: one token
+// too few, by rounding, and a request is refused that got all that it asked for.
 func (l *ledger) want(now time.Time) int {
 	own := 0.0
 	if l.bucket != nil {
-		own = float64(l.bucket.Limit()) / perRequest * lookahead.Seconds()
+		own = float64(l.bucket.Limit()) * lookahead.Seconds()
 	}
 	here := l.available(now)
-	ahead := l.demand.perSecond(now)*lookahead.Seconds() - here - own
-	most := max(1, l.budget.Rate*lookahead.Seconds())
-	return int(perRequest * max(float64(l.waiting)-here, min(most, ahead)))
+	ahead := perRequest*l.demand.perSecond(now)*lookahead.Seconds() - float64(here) - own
+	most := perRequest * max(1, l.budget.Rate*lookahead.Seconds())
+	return max(perRequest*l.waiting-here, int(min(most, ahead)))
 }
 
 // runsLow reports whether more tokens are to be asked for before the host is out of them.
 // Where a request comes now and then, one is asked for when it comes.
 func (l *ledger) runsLow(now time.Time) bool {
 	soon := l.demand.perSecond(now) * refillBelow.Seconds()
-	return soon >= 1 && l.available(now) < soon
+	return soon >= 1 && float64(l.available(now)) < perRequest*soon
 }
 
 // mayAsk reports whether holders may be asked now.
--- a/internal/gateway/quota/limit_test.go
+++ b/internal/gateway/quota/limit_test.go
@@ -339,3 +339,23 @@
 		require.LessOrEqual(t, c.refusedOfAll(began), 0.05)
 	})
 }
+
+// Hosts of a small account held a part of a request each. One asked others for exactly
+// what it lacked, got it, and refused the request all the same: what it asked for had been
+// rounded down, by one token in a thousand. On a day with hosts stopped in turn 80 of 83
+// refusals below the limit said that all had come that was asked for.
+func TestARequestThatGetsAllItAsksForPasses(t *testing.T) {
+	now := time.Unix(1000, 0)
+	place := &Place{Layout: testLayout(6, 2, 9), Holds: true, Since: now}
+	for tenths := range 2000 {
+		l := &ledger{}
+		l.update(limited("a", 3, 3), place, bound, "z0-large-0", "z0", now)
+		at := now.Add(time.Duration(tenths) * 100 * time.Microsecond)
+		if l.take(at) {
+			continue
+		}
+		l.waiting = 1
+		l.receive(l.want(at), at)
+		require.True(t, l.take(at), "after %s", at.Sub(now))
+	}
+}
