--- a/internal/gateway/loadmodel/model_test.go
+++ b/internal/gateway/loadmodel/model_test.go
@@ -196,21 +196,24 @@
 	require.Greater(t, standard().mean(credit), mean(s, without, credit)+0.02)
 }
 
+// hostsPerZone is the scenario uneven-regions with a number of hosts in each zone.
+func hostsPerZone(t *testing.T, n int) Scenario {
+	t.Helper()
+	s := read(t, "uneven-regions")
+	for i := range s.Zones {
+		s.Zones[i].Hosts = n
+	}
+	return s
+}
+
 // Where 33 hosts of a zone got the requests of three, each met an upstream about once in
 // 80 s: it knew no load, and the busiest upstream of a calm day got four times the mean.
 // The same load on few hosts is what clients get when they are given the large ones.
 func TestFewHostsKnowMoreOfUpstreamsThanMany(t *testing.T) {
 	t.Parallel()
-	hosts := func(n int) Scenario {
-		s := read(t, "uneven-regions")
-		for i := range s.Zones {
-			s.Zones[i].Hosts = n
-		}
-		return s
-	}
 	// Of reports that count for a second alone, as they did then.
 	forgetful := with("reports of 1 s", func(p *balance.Policy) { p.ReportLasts = 0 })
-	few, many := play(hosts(3), forgetful), play(hosts(33), forgetful)
+	few, many := play(hostsPerZone(t, 3), forgetful), play(hostsPerZone(t, 33), forgetful)
 	require.Greater(t, few.mean(credit), many.mean(credit)+0.02)
 	late := func(r *Result) float64 { return float64(r.Total.Late) / float64(r.Total.Calls) }
 	require.Less(t, few.mean(late), 0.8*many.mean(late))
@@ -221,16 +224,9 @@
 // the next report comes soon.
 func TestReportsCountLongerWhereTheyComeSeldom(t *testing.T) {
 	t.Parallel()
-	hosts := func(n int) Scenario {
-		s := read(t, "uneven-regions")
-		for i := range s.Zones {
-			s.Zones[i].Hosts = n
-		}
-		return s
-	}
 	forgetful := with("reports of 1 s", func(p *balance.Policy) { p.ReportLasts = 0 })
-	require.Greater(t, play(hosts(33), DefaultVariant()).mean(credit), play(hosts(33), forgetful).mean(credit)+0.01)
-	require.Greater(t, play(hosts(3), DefaultVariant()).mean(credit), play(hosts(3), forgetful).mean(credit)-0.005)
+	require.Greater(t, play(hostsPerZone(t, 33), DefaultVariant()).mean(credit), play(hostsPerZone(t, 33), forgetful).mean(credit)+0.01)
+	require.Greater(t, play(hostsPerZone(t, 3), DefaultVariant()).mean(credit), play(hostsPerZone(t, 3), forgetful).mean(credit)-0.005)
 }
 
 // While upstreams refuse at random, a retry elsewhere serves what a refusal would
--- a/internal/gateway/quota/limit_test.go
+++ b/internal/gateway/quota/limit_test.go
@@ -359,3 +359,28 @@
 		require.True(t, l.take(at), "after %s", at.Sub(now))
 	}
 }
+
+// Tokens that a host kept would add to what their holder has filled again meanwhile.
+func TestTokensOfOtherHostsLapse(t *testing.T) {
+	now := time.Unix(1000, 0)
+	place := &Place{Layout: testLayout(6, 2, 9), Since: now} // it holds nothing itself
+	for _, c := range []struct {
+		name      string
+		used      time.Duration
+		suspended time.Duration
+		passes    bool
+	}{
+		{"used at once", 0, 0, true},
+		{"used late", tokenLife - time.Millisecond, 0, true},
+		{"too late", tokenLife, 0, false},
+		{"after the machine was suspended", 0, tokenLife, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := &ledger{}
+			l.update(limited("a", 3, 3), place, bound, "z0-large-0", "z0", now)
+			l.receive(perRequest, now)
+			l.suspended(c.suspended)
+			require.Equal(t, c.passes, l.take(now.Add(c.used)))
+		})
+	}
+}
