Lay an account's limit out anew only when its figures or the hosts change

Cause: each new configuration made every active account's ledger be laid out again: 0.2 ms each at the planned size, 0.22 changes a second, 10,000 accounts.

Change: the same rate, burst and place keep what was worked out.

--- a/internal/gateway/quota/ledger.go
+++ b/internal/gateway/quota/ledger.go
@@ -58,10 +58,13 @@
 
 // update fits the ledger to the account's figures and to this host's place.
 func (l *ledger) update(a *account.Account, p *Place, b Bound, host, zone string, now time.Time) {
-	if l.account == a && l.place == p {
+	// A new configuration has new accounts, mostly with the figures of the old ones, and
+	// to lay out an account anew takes 0.2 ms with 80 zones of 74 hosts.
+	same := l.place == p && l.account != nil && l.account.Rate == a.Rate && l.account.Burst == a.Burst
+	l.account, l.place = a, p
+	if same {
 		return
 	}
-	l.account, l.place = a, p
 	l.budget = b.Budget(a.Rate, a.Burst, len(p.Layout.Zones))
 	l.others, l.emptyUntil = nil, nil
 	l.shards = 0
