--- a/internal/gateway/quota/cluster_test.go
+++ b/internal/gateway/quota/cluster_test.go
@@ -227,18 +227,3 @@
 	}
 	return worst
 }
-
-// refusedPart is the part of an account's requests since a moment that were refused.
-func (c *cluster) refusedPart(name string, since time.Time) float64 {
-	count := func(times []time.Time) int {
-		n := 0
-		for _, at := range times {
-			if !at.Before(since) {
-				n++
-			}
-		}
-		return n
-	}
-	refused, passed := count(c.refused[name]), count(c.passed[name])
-	return float64(refused) / float64(max(1, refused+passed))
-}
