Say in two comments what callers get, and what is asked once

Cause: one comment spoke of worth, another was not wrapped and said that one connection is made where several may be. Change: comments only.

--- a/internal/gateway/balance/load.go
+++ b/internal/gateway/balance/load.go
@@ -6,8 +6,8 @@
 // reportLasts times the time from one report to the next, within the two bounds. A host
 // that hears of an upstream many times a second has no use for an old report; one that
 // is one of many, and does so once in seconds, took a full queue for idle between two,
-// and so did all others. With 33 hosts in a zone callers got 0.878 of what their
-// responses in time are worth where reports counted for 1 s, and 0.895 so; with 3 hosts
+// and so did all others. With 33 hosts in a zone callers got 0.878 of the credit that
+// responses in time earn where reports counted for 1 s, and 0.895 so; with 3 hosts
 // 0.912 and 0.911 (TestReportsCountLongerWhereTheyComeSeldom). Five intervals rather than
 // two and a half by plays of days (docs/design/shifted-work.md).
 const (
--- a/internal/gateway/exchange/ended.go
+++ b/internal/gateway/exchange/ended.go
@@ -57,8 +57,8 @@
 // once, as a load balancer before it, and no response of the run comes meanwhile. That
 // one connection ended proves nothing, as upstreams break off responses and reset
 // connections while they go on; those over their cap of connections reset new ones, and
-// answer on others. It makes a new connection, which is kept for later requests if the upstream runs; of
-// several questions about one run one connection is made.
+// answer on others. It makes a new connection, which is kept for later requests if the
+// upstream runs; several questions about one run are answered together.
 func (c *Client) HasEnded(ctx context.Context, to Target) bool {
 	q, mine := c.ends.ask(to.Run)
 	if mine {
