--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -69,7 +69,7 @@
 
 func (g *Gateway) newProxy(started time.Time) *proxy.Proxy {
 	limits := g.settings.Limits
-	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics})
+	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
 	return proxy.New(proxy.Options{
