Reproduce an upstream's limit that no host keeps

A test with nine real hosts fails on the code as it is: of upstreams that name limits of 0.3, 6 and 12 requests a second in each response, the first got 69 in 4 s from hosts that it had told, 6.8 allowed.

--- /dev/null
+++ b/internal/gateway/soak/notice_test.go
@@ -0,0 +1,168 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/platform/platformtest"
+)
+
+const (
+	// noticeHosts is how many hosts the runs have in which upstreams say something in
+	// their responses.
+	noticeHosts = 9
+	// noticeEvery is the time between two requests to one host, and noticeKeys how many
+	// affinity keys they have; half of the requests have none.
+	noticeEvery = 60 * time.Millisecond
+	noticeKeys  = 60
+	// noticeLength is how long requests are sent after upstreams began to say it.
+	noticeLength = 9 * time.Second
+	// toldAfter is how long after an upstream's response a host is bound by what it says.
+	// From the platform.
+	toldAfter = 500 * time.Millisecond
+	// limitSpan, limitFactor and limitRest bound the requests to an upstream with a limit,
+	// from hosts that are bound: limit x limitFactor x limitSpan + limitRest in any
+	// limitSpan. From the platform.
+	limitSpan   = 4 * time.Second
+	limitFactor = 1.5
+	limitRest   = 5
+	// leastLimitUsed is the least part of its limit that an upstream gets which is asked
+	// for much more: what is not used is lost to clients.
+	leastLimitUsed = 0.5
+)
+
+// noticeRun sends requests to all hosts, and knows by their ids which host each was
+// sent to.
+type noticeRun struct {
+	world *world
+	// sent, served and refused count the requests, and those that got 200 and 503.
+	sent, served, refused atomic.Int64
+}
+
+// newNoticeRun starts a world once it is the test's turn.
+func newNoticeRun(t *testing.T, seed uint64) *noticeRun {
+	t.Helper()
+	poisonTurn.Lock()
+	t.Cleanup(poisonTurn.Unlock) // after those of the world, which end its hosts
+	w := newWorld(t, seed, noticeHosts)
+	w.startHosts(10 * time.Second)
+	time.Sleep(calmAfter)
+	return &noticeRun{world: w}
+}
+
+// send sends requests to all hosts for a time, and waits for their responses.
+func (n *noticeRun) send(length time.Duration) {
+	var wait sync.WaitGroup
+	for host := range n.world.hosts {
+		wait.Go(func() { n.sendTo(host, length, &wait) })
+	}
+	wait.Wait()
+}
+
+func (n *noticeRun) sendTo(host int, length time.Duration, wait *sync.WaitGroup) {
+	ticker := time.NewTicker(noticeEvery)
+	defer ticker.Stop()
+	for end := time.Now().Add(length); time.Now().Before(end); <-ticker.C {
+		number := n.sent.Add(1)
+		r := platformtest.Request{ID: fmt.Sprintf("%s%d", noticePrefix(host), number)}
+		if number%2 == 0 {
+			r.Key = fmt.Sprint("key-", number%noticeKeys)
+		}
+		wait.Go(func() {
+			switch n.world.sendKeyed(n.world.t.Context(), http.DefaultClient, n.world.hosts[host], r, http.MethodGet, "/safe/notice", "") {
+			case http.StatusOK:
+				n.served.Add(1)
+			case http.StatusServiceUnavailable:
+				n.refused.Add(1)
+			}
+		})
+	}
+}
+
+// noticePrefix begins the ids of requests that are sent to a host.
+func noticePrefix(host int) string { return fmt.Sprintf("notice-%d-", host) }
+
+// bound gives when requests reached an upstream from hosts that were bound then by what
+// it says since a time: each host from toldAfter after its first response on.
+func (n *noticeRun) bound(u *upstream, since time.Time) []time.Time {
+	byHost := make([][]time.Time, len(n.world.hosts))
+	n.world.ledger.mu.Lock()
+	for id, arrivals := range n.world.ledger.arrivals {
+		for host := range byHost {
+			if strings.HasPrefix(id, noticePrefix(host)) {
+				byHost[host] = append(byHost[host], timesAt(arrivals, u, since)...)
+			}
+		}
+	}
+	n.world.ledger.mu.Unlock()
+	var bound []time.Time
+	for _, at := range byHost {
+		if len(at) == 0 {
+			continue
+		}
+		from := slices.MinFunc(at, time.Time.Compare).Add(toldAfter)
+		bound = append(bound, slices.DeleteFunc(at, func(x time.Time) bool { return x.Before(from) })...)
+	}
+	slices.SortFunc(bound, time.Time.Compare)
+	return bound
+}
+
+// timesAt gives the times of the arrivals at an upstream since a time.
+func timesAt(arrivals []arrival, u *upstream, since time.Time) []time.Time {
+	var at []time.Time
+	for _, a := range arrivals {
+		if a.upstream == u && !a.at.Before(since) {
+			at = append(at, a.at)
+		}
+	}
+	return at
+}
+
+// mostIn gives the highest number of the ordered times that lie within a span.
+func mostIn(at []time.Time, span time.Duration) int {
+	most, begin := 0, 0
+	for end := range at {
+		for at[end].Sub(at[begin]) >= span {
+			begin++
+		}
+		most = max(most, end-begin+1)
+	}
+	return most
+}
+
+// Users saw an upstream that had named a limit of 5.8 requests a second get 108 in 4 s
+// from hosts that it had told, and one of 7.4 get 51.
+//
+// The order of events: both named their limits in each response, at the same moment;
+// requests came to them as before, from all hosts; after four seconds both had got more
+// than is allowed.
+func TestAnUpstreamsLimitHoldsOverAllHosts(t *testing.T) {
+	t.Parallel()
+	n := newNoticeRun(t, standardSeed)
+	limits := []float64{0.3, 6, 12}
+	since := time.Now()
+	for i, limit := range limits {
+		n.world.everyUpstream[i].notice.Store(&platformtest.Notice{Limit: fmt.Sprint(limit)})
+	}
+	n.send(noticeLength)
+	for i, limit := range limits {
+		at := n.bound(n.world.everyUpstream[i], since)
+		allowed := limit*limitFactor*limitSpan.Seconds() + limitRest
+		used := float64(len(at)) / (limit * noticeLength.Seconds())
+		t.Logf("limit %g: %d in %s, %g allowed; %.2f of the limit used", limit, mostIn(at, limitSpan), limitSpan, allowed, used)
+		require.LessOrEqual(t, float64(mostIn(at, limitSpan)), allowed, "limit %g", limit)
+		if limit >= 1 {
+			require.GreaterOrEqual(t, used, leastLimitUsed, "limit %g", limit)
+		}
+	}
+	t.Logf("%d sent, %d served, %d refused", n.sent.Load(), n.served.Load(), n.refused.Load())
+	require.Equal(t, n.sent.Load(), n.served.Load(), "the other upstreams have room")
+}
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -170,13 +170,19 @@
 // sendFrom sends a request by a client, and gives the status of its whole response; 0 if
 // there was none.
 func (w *world) sendFrom(ctx context.Context, c *http.Client, h *host, id, method, path, body string) int {
+	return w.sendKeyed(ctx, c, h, platformtest.Request{ID: id}, method, path, body)
+}
+
+// sendKeyed is sendFrom of a request that may have an affinity key.
+func (w *world) sendKeyed(ctx context.Context, c *http.Client, h *host, request platformtest.Request, method, path, body string) int {
 	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.clients+path, strings.NewReader(body))
 	require.NoError(w.t, err)
 	r.Host = hostname
 	r.Close = true
-	platformtest.Request{ID: id, Credential: openKey, Timeout: clientTimeout}.SetHeaders(r.Header)
+	request.Credential, request.Timeout = openKey, clientTimeout
+	request.SetHeaders(r.Header)
 	resp, err := c.Do(r)
 	if err != nil {
 		return 0
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -107,6 +107,8 @@
 	late func(upstream, request string)
 	// violation, if it is set, records that a guarantee did not hold.
 	violation func(format string, args ...any)
+	// notice is what it says in its responses; nil is nothing.
+	notice atomic.Pointer[platformtest.Notice]
 	// poisoned, if it is set, is called for each request that may end the upstream, and
 	// reports whether it does.
 	poisoned func(u *upstream) bool
@@ -145,6 +147,9 @@
 	d := defect(u.defect.Load())
 	// A body that breaks off is the client's or the gateway's business.
 	_, _ = io.Copy(io.Discard, r.Body)
+	if n := u.notice.Load(); n != nil {
+		n.SetHeaders(w.Header())
+	}
 	id, ok := u.Accept(w, r)
 	if !ok {
 		return
