Keep an upstream's limit over all hosts

What callers saw: an upstream in need that had named a limit of 5.8 requests a second in its responses got 108 in 4 s from hosts that it had told, of 40 allowed, and one of 7.4 got 51 of 49.

Cause: hosts read of a response only what some decision asked for, and dropped the rest without a trace. Its class: what another party says is decoded only where a reader exists. In the failing test the header was counted as unread 38 to 60 times at each of nine hosts. A limit that each host keeps alone, and one in unknown words, are ruled out by that.

Change: package notice keeps what upstreams say by their run; each host sends by a token bucket whose size and rate are its share of what the bound leaves. Requests pass over an upstream without a token; when all are, they are refused at once with the time to return. Hosts tell each other.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
 )
@@ -26,12 +27,21 @@
 	Ejected(run upstream.Run, now time.Time) bool
 }
 
+// Notices knows what upstreams say of themselves. *notice.Table implements it.
+type Notices interface {
+	// Withheld returns why an upstream gets no request now; the zero value if it may.
+	Withheld(u *upstream.Upstream, now time.Time) notice.Withheld
+	// Take counts a request for which an upstream was chosen.
+	Take(u *upstream.Upstream, now time.Time)
+}
+
 // Balancer chooses upstreams for one host. It is safe for concurrent use.
 type Balancer struct {
 	location Location
 	quotas   WarmUpQuotas
 	detector OutlierDetector
 	policy   Policy
+	notices  Notices
 
 	mu     sync.Mutex
 	states map[upstream.Run]*state
@@ -50,9 +60,19 @@
 
 // New makes a balancer for a host at a location, which decides by a policy.
 func New(location Location, quotas WarmUpQuotas, detector OutlierDetector, p Policy) *Balancer {
-	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, summaries: map[*upstream.Upstream]*summary{}}
+	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, summaries: map[*upstream.Upstream]*summary{}, notices: noNotices{}}
 }
 
+// HonorNotices has upstreams that say that they take no request now get none. It is
+// called before the balancer is used.
+func (b *Balancer) HonorNotices(n Notices) { b.notices = n }
+
+// noNotices is for balancers to which upstreams say nothing.
+type noNotices struct{}
+
+func (noNotices) Withheld(*upstream.Upstream, time.Time) notice.Withheld { return notice.Withheld{} }
+func (noNotices) Take(*upstream.Upstream, time.Time)                     {}
+
 // Suspended has load reports be older by the time for which the machine was suspended.
 // What was sent to cold upstreams is not: it counts for longer than it has to.
 func (b *Balancer) Suspended(gap time.Duration) {
@@ -72,12 +92,14 @@
 func (b *Balancer) Choose(q Query) (Choice, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list, pick := b.preferenceList(q), pickPreferred
+	list, held := b.preferenceList(q)
+	pick := pickPreferred
 	if q.NoAffinity {
-		list, pick = b.ordered(q), pickLeastLoaded
+		list, held = b.ordered(q)
+		pick = pickLeastLoaded
 	}
 	if len(list) == 0 {
-		return Choice{}, NoUpstream
+		return Choice{Withheld: held}, held.reason()
 	}
 	a := admission{policy: b.policy, now: q.Now, threshold: b.policy.rejectThreshold(q.Priority), warmUpRate: q.WarmUpRate, quotas: b.quotas}
 	rank, reason := pick(list, a)
@@ -88,8 +110,10 @@
 		LoadAge:  chosen.state.load.reportAge(q.Now),
 		Rank:     rank,
 		Cold:     chosen.upstream.Cold(q.Now),
+		Withheld: held,
 	}
 	if reason == Chosen {
+		b.notices.Take(chosen.upstream, q.Now)
 		chosen.state.load.outstanding++
 		choice.send = chosen.state.sends.Add(q.Now, choice.Cold)
 	}
@@ -116,15 +140,16 @@
 }
 
 // ordered returns the upstreams that may serve a request without affinity and were
-// not tried yet, in the order in which they are tried.
-func (b *Balancer) ordered(q Query) []scored {
+// not tried yet, in the order in which they are tried, and what was withheld from it.
+func (b *Balancer) ordered(q Query) ([]scored, Withheld) {
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
 	ejections := b.policy.Ejections && sum.honorEjections(q)
 	list := make([]scored, 0, len(q.Upstreams))
+	var held Withheld
 	for _, u := range q.Upstreams {
-		if slices.Contains(q.Tried, u.ID) || !q.allows(u.Region) {
+		if slices.Contains(q.Tried, u.ID) || !q.allows(u.Region) || held.add(b.notices.Withheld(u, q.Now)) {
 			continue
 		}
 		x := b.scored(u, o.cost(u, key^u.Seed()), q.Now)
@@ -134,7 +159,7 @@
 		list = append(list, x)
 	}
 	slices.SortFunc(list, func(x, y scored) int { return cmp.Compare(x.cost, y.cost) })
-	return list
+	return list, held
 }
 
 // order is the one of the upstreams for a request with a key's hash.
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -36,13 +36,14 @@
 }
 
 // preferenceList returns the upstreams that serve a key, in the order in which they
-// are tried: those that may serve the request and were not tried yet, by cost.
+// are tried: those that may serve the request and were not tried yet, by cost, and what
+// was withheld from it. Those that are withheld make room for the next ones.
 //
 // The whole order is not needed: of 1,188 upstreams two are, and to look at the load
 // and health of each and sort them took 428 us and 50 KB a choice; this takes 44 us
 // and 0.4 KB, each measured beside other work (BenchmarkChoose). What costs time is
 // asked of the few only that may be among the first.
-func (b *Balancer) preferenceList(q Query) []scored {
+func (b *Balancer) preferenceList(q Query) ([]scored, Withheld) {
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
@@ -51,12 +52,16 @@
 	// One more, as the region's best may be among them.
 	first := lowest{size: b.policy.PreferenceList + 1}
 	regionBest := lowest{size: 1}
+	var held Withheld
 	for _, u := range q.Upstreams {
 		cost := o.cost(u, key^u.Seed())
 		inRegion := u.Region == o.region && regionBest.admits(cost)
 		if !inRegion && !first.admits(cost) || !q.allows(u.Region) || slices.Contains(q.Tried, u.ID) {
 			continue
 		}
+		if held.add(b.notices.Withheld(u, q.Now)) {
+			continue
+		}
 		if inRegion {
 			regionBest.add(u, cost)
 		}
@@ -74,7 +79,7 @@
 	for _, r := range first.list[:min(len(first.list), b.policy.PreferenceList)] {
 		list = append(list, b.scored(r.upstream, r.cost, q.Now))
 	}
-	return list
+	return list, held
 }
 
 // prefer puts the best upstream of the region that serves the key before all others,
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -64,6 +64,8 @@
 	// WarmUp is the host's use of its quota there; zero unless the upstream is
 	// cold.
 	WarmUp WarmUp
+	// Withheld says which upstreams were passed over for what they say.
+	Withheld Withheld
 
 	// send counts the request against the quota; nil unless it was chosen.
 	send *warmup.Send
@@ -95,4 +97,7 @@
 	// WarmUpLimited means that each upstream considered that is not
 	// overloaded is cold, and that this host has used its quota there.
 	WarmUpLimited
+	// Withholding means that all upstreams that may serve the request say that they take
+	// none now.
+	Withholding
 )
--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -18,6 +18,8 @@
 	EventUpstream = "upstream"
 	// EventEjected is an upstream that is ejected for a time.
 	EventEjected = "ejected"
+	// EventNotice is what an upstream says of itself in a response.
+	EventNotice = "notice"
 	// EventWarmUp is a request that was sent to a cold upstream.
 	EventWarmUp = "warm-up"
 	// EventLost is a dependency that stopped responding.
@@ -64,6 +66,9 @@
 	Took   time.Duration
 	// Detail is one sentence on a failure.
 	Detail string
+	// Withheld says why upstreams were passed over that would have come before; empty if
+	// none was.
+	Withheld string
 	// Caller is the client's IP address, and Fingerprint what the request is
 	// recognized by when it comes again. Both are empty unless the upstream's
 	// connection ended without a response.
@@ -79,7 +84,7 @@
 	e.Str("route", a.Route).Str("service", a.Service).Str("upstream", a.Upstream).Str("zone", a.Zone).
 		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Int("capacity", a.Capacity).Float64("load_age_ms", ms(a.LoadAge)).
 		Int("rank", a.Rank).Bool("cold", a.Cold).Str("outcome", a.Outcome).Int("status", a.Status).
-		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
+		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("withheld", a.Withheld).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
 }
 
 // WarmUp describes a request that was sent to a cold upstream.
@@ -230,6 +235,18 @@
 		Int64("born", r.Born).Int64("version", version).Float64("cold_ms", ms(r.ColdLeft)).Msg("upstream: state changed")
 }
 
+// Limited logs that an upstream has named a limit, or another one than before, in requests
+// a second over all hosts, and counts it.
+func (l *Log) Limited(run upstream.Run, perSecond float64) {
+	l.metrics.Count(`cairndock_notices_total{kind="limit"}`)
+	l.stateEvent(EventNotice).Str("upstream", string(run)).Str("kind", "limit").Float64("per_second", perSecond).Msg("upstream: takes so much from all hosts")
+}
+
+// LimitEnded logs that an upstream names no limit any more.
+func (l *Log) LimitEnded(run upstream.Run) {
+	l.stateEvent(EventNotice).Str("upstream", string(run)).Str("kind", "limit-ended").Msg("upstream: has no limit any more")
+}
+
 // Evacuated logs the zones that get no requests.
 func (l *Log) Evacuated(zones []string, version int64) {
 	l.stateEvent("evacuated").Strs("zones", zones).Int64("version", version).Msg("evacuation: zones changed")
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"time"
 
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
 )
@@ -61,6 +62,8 @@
 	Signed bool
 	// Load is the upstream's load report.
 	Load LoadReport
+	// Notice is what the upstream says of itself, if the response is provably its own.
+	Notice notice.Notice
 }
 
 // Protocol reads and writes the headers that upstreams and the gateway
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/watch"
@@ -52,6 +53,11 @@
 	Merge(host string, observations []outlier.Observation, now time.Time)
 }
 
+// NoticeSink receives what other hosts heard upstreams say.
+type NoticeSink interface {
+	Merge(reports []notice.Report, now time.Time)
+}
+
 // Suspicions are what hosts know of requests that end upstreams. All hosts share them,
 // as such a request may come to any.
 type Suspicions interface {
@@ -80,6 +86,7 @@
 	Registry     Registry
 	Report       Reporter
 	Observations ObservationSink
+	Notices      NoticeSink
 	Suspicions   Suspicions
 	Tokens       TokenGiver
 	// Status returns this host's current status.
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -112,6 +112,9 @@
 		f.options.Report.Regained("peer", b.Host.Name, 0)
 	}
 	f.mergeSuspicions(b, now)
+	if f.options.Notices != nil {
+		f.options.Notices.Merge(b.Status.Notices, now)
+	}
 	if f.options.Observations != nil && b.Host.Region == f.options.Self.Region {
 		f.options.Observations.Merge(b.Host.Name, b.Status.Observations, now)
 	}
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/poison"
 )
@@ -42,6 +43,8 @@
 	// Observations are the failures and successes seen at upstreams that
 	// recently failed.
 	Observations []outlier.Observation `msgpack:"u,omitempty"`
+	// Notices are what upstreams say, as the host has it.
+	Notices []notice.Report `msgpack:"n,omitempty"`
 }
 
 // acceptsClients reports whether the directory may name the host.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/dial"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/fleet"
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
@@ -40,6 +41,7 @@
 	tracer  trace.Tracer
 
 	state    *routing.State
+	notices  *notice.Table
 	detector *outlier.Detector
 	// suspicions are of requests that end upstreams.
 	suspicions   *poison.Table
@@ -68,6 +70,7 @@
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
 	g.tables[operatorTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.OperatorTable(store)}
 	g.tables[upstreamTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.UpstreamTable(store)}
+	g.notices = notice.NewTable(set.Host.Name, g, g.log)
 	g.fleet = g.newFleet(store)
 	g.quota = g.newQuota()
 	g.watchers[operatorTable] = g.newWatcher(operatorTable, g.state.OperatorSink())
--- /dev/null
+++ b/internal/gateway/notice/notice.go
@@ -0,0 +1,36 @@
+package notice
+
+// Notice is what one response says of its upstream.
+type Notice struct {
+	// Limit is the requests a second that the upstream takes from all hosts together.
+	Limit Limit
+}
+
+// Limit is what a response says of its upstream's limit. The zero value is a response
+// without one: the upstream has none any more.
+type Limit struct {
+	word      word
+	perSecond float64
+}
+
+// word is how clear a response is.
+type word uint8
+
+const (
+	silent word = iota
+	said
+	unclear
+)
+
+// LimitOf is a limit of so many requests a second, which is not negative.
+func LimitOf(perSecond float64) Limit { return Limit{word: said, perSecond: perSecond} }
+
+// UnclearLimit is a limit that can't be read. It changes nothing: what was said before
+// stays in force.
+func UnclearLimit() Limit { return Limit{word: unclear} }
+
+// WithLimit returns the notice with a limit.
+func (n Notice) WithLimit(l Limit) Notice {
+	n.Limit = l
+	return n
+}
--- /dev/null
+++ b/internal/gateway/notice/report.go
@@ -0,0 +1,69 @@
+package notice
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"cairndock/internal/gateway/upstream"
+)
+
+const (
+	// maxReports bounds the reports in a heartbeat, and so its size.
+	maxReports = 64
+	// echoWithin is by how much a report must be newer than what is known: one's own
+	// comes back with the time that it took on the way.
+	echoWithin = 100 * time.Millisecond
+)
+
+// Report is what a host tells others of a run's limit. It is on the wire.
+type Report struct {
+	Run upstream.Run `msgpack:"u"`
+	// PerSecond is the limit, in requests a second; it counts unless Ended is set.
+	PerSecond float64 `msgpack:"l,omitempty"`
+	Ended     bool    `msgpack:"e,omitempty"`
+	// AgeMS is how long ago it was heard, in milliseconds.
+	AgeMS int64 `msgpack:"a,omitempty"`
+}
+
+// Reports returns what other hosts are told: what was heard last, first.
+func (t *Table) Reports(now time.Time) []Report {
+	if t.size.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	reports := make([]Report, 0, len(t.limits))
+	for run, l := range t.limits {
+		reports = append(reports, Report{Run: run, PerSecond: l.perSecond, Ended: l.ended, AgeMS: now.Sub(l.heard).Milliseconds()})
+	}
+	slices.SortFunc(reports, func(a, b Report) int { return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Run, b.Run)) })
+	return reports[:min(len(reports), maxReports)]
+}
+
+// Merge takes another host's reports: of each run what was heard last counts.
+func (t *Table) Merge(reports []Report, now time.Time) {
+	for _, r := range reports {
+		t.mu.Lock()
+		report := t.merge(r, now)
+		t.mu.Unlock()
+		report()
+	}
+}
+
+func (t *Table) merge(r Report, now time.Time) (report func()) {
+	heard := now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
+	l := t.limits[r.Run]
+	switch {
+	case l != nil && heard.Before(l.heard.Add(echoWithin)), l == nil && r.Ended, !(r.PerSecond >= 0):
+		return func() {}
+	case !r.Ended:
+		return t.put(r.Run, r.PerSecond, heard, now)
+	}
+	was := l.ended
+	l.ended, l.heard = true, heard
+	if was {
+		return func() {}
+	}
+	return func() { t.reporter.LimitEnded(r.Run) }
+}
--- /dev/null
+++ b/internal/gateway/notice/table_test.go
@@ -0,0 +1,219 @@
+package notice_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/notice"
+	"cairndock/internal/gateway/upstream"
+)
+
+// fixedShare is a host's share of every limit.
+type fixedShare int
+
+func (f fixedShare) LimitShare(_, _ string, tokens int) notice.Share {
+	return notice.Share{Tokens: min(int(f), tokens), Hosts: 9}
+}
+
+// reports records what a table reports.
+type reports struct{ said []string }
+
+func (r *reports) Limited(run upstream.Run, _ float64) {
+	r.said = append(r.said, "limited "+string(run))
+}
+func (r *reports) LimitEnded(run upstream.Run) { r.said = append(r.said, "ended "+string(run)) }
+
+func newTable(share int) *notice.Table {
+	return notice.NewTable("h", fixedShare(share), &reports{})
+}
+
+func up(id string, born int64) *upstream.Upstream {
+	return &upstream.Upstream{Registration: upstream.Registration{ID: id, Born: born}}
+}
+
+var a = up("a", 0)
+
+func limited(perSecond float64) notice.Notice {
+	return notice.Notice{}.WithLimit(notice.LimitOf(perSecond))
+}
+
+// passes reports whether an upstream may get a request.
+func passes(t *notice.Table, u *upstream.Upstream, now time.Time) bool {
+	return t.Withheld(u, now).Upstream == ""
+}
+
+// sendAll sends as many requests as pass, asking each step for a time, and counts them.
+func sendAll(t *notice.Table, u *upstream.Upstream, from time.Time, length, step time.Duration) int {
+	n := 0
+	for at := from; at.Before(from.Add(length)); at = at.Add(step) {
+		for passes(t, u, at) {
+			t.Take(u, at)
+			n++
+		}
+	}
+	return n
+}
+
+func TestAnUpstreamWithoutALimitIsNeverWithheld(t *testing.T) {
+	table, now := newTable(1), time.Now()
+	require.True(t, passes(table, a, now))
+	table.Take(a, now)
+	table.Observe(a.Run(), limited(1), now, now)
+	require.True(t, passes(table, up("b", 0), now))
+	require.True(t, passes(table, up("a", 7), now), "another run under the id has said nothing")
+}
+
+func TestAHostSendsItsPartOfALimit(t *testing.T) {
+	for _, c := range []struct {
+		limit        float64
+		share, least int
+	}{
+		{0, 3, 2}, {0.3, 4, 2}, {6, 9, 55}, {6, 1, 5}, {6, 0, 0}, {60, 58, 590}, {60, 1, 9},
+	} {
+		table, now := newTable(c.share), time.Now()
+		table.Observe(a.Run(), limited(c.limit), now, now)
+		n := sendAll(table, a, now, 10*time.Second, 5*time.Millisecond)
+		require.GreaterOrEqual(t, n, c.least, "limit %g, share %d", c.limit, c.share)
+		require.LessOrEqual(t, float64(n), math.Max(c.limit, 0.25)*10+1, "limit %g, share %d: it starts without tokens", c.limit, c.share)
+	}
+}
+
+// After a time without requests tokens have gathered; even then any four seconds keep what
+// the platform allows.
+func TestGatheredTokensKeepTheBound(t *testing.T) {
+	for _, limit := range []float64{0, 0.3, 1, 6, 60, 600} {
+		table, now := newTable(math.MaxInt32), time.Now()
+		table.Observe(a.Run(), limited(limit), now, now)
+		n := sendAll(table, a, now.Add(20*time.Second), 4500*time.Millisecond, time.Millisecond)
+		require.LessOrEqual(t, float64(n), 1.5*4*limit+5, "limit %g", limit)
+	}
+}
+
+func TestWhatIsHeardLaterCounts(t *testing.T) {
+	now := time.Now()
+	at := func(ms int) time.Time { return now.Add(time.Duration(ms) * time.Millisecond) }
+	type said struct {
+		n             notice.Notice
+		sent, arrived int
+	}
+	none := notice.Notice{}
+	for _, c := range []struct {
+		name string
+		said []said
+		want float64 // -1 is none
+	}{
+		{"a limit", []said{{limited(5), 0, 10}}, 5},
+		{"it ends in a response to a later request", []said{{limited(5), 0, 10}, {none, 20, 30}}, -1},
+		{"it does not in a response that was only slower", []said{{limited(5), 0, 10}, {none, 5, 30}}, 5},
+		{"it is lowered at once", []said{{limited(5), 0, 10}, {limited(2), 5, 30}}, 2},
+		{"it is raised in a response to a later request", []said{{limited(5), 0, 10}, {limited(8), 20, 30}}, 8},
+		{"it is not in one that was only slower", []said{{limited(5), 0, 10}, {limited(8), 5, 30}}, 5},
+		{"one that ended is not back by a slower response", []said{{limited(5), 0, 10}, {none, 20, 30}, {limited(5), 25, 35}}, -1},
+		{"it comes again", []said{{limited(5), 0, 10}, {none, 20, 30}, {limited(5), 31, 40}}, 5},
+		{"one that can't be read changes nothing", []said{{limited(5), 0, 10}, {none.WithLimit(notice.UnclearLimit()), 20, 30}}, 5},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			table := newTable(0)
+			for _, s := range c.said {
+				table.Observe(a.Run(), s.n, at(s.sent), at(s.arrived))
+			}
+			w := table.Withheld(a, at(50))
+			if c.want < 0 {
+				require.Zero(t, w)
+				return
+			}
+			require.Equal(t, c.want, w.PerSecond)
+		})
+	}
+}
+
+func TestAnotherHostsReportCountsIfItIsNewer(t *testing.T) {
+	now := time.Now()
+	later := now.Add(3 * time.Second)
+	ended := func(at time.Time) []notice.Report {
+		return []notice.Report{{Run: "a", Ended: true, AgeMS: later.Sub(at).Milliseconds()}}
+	}
+	told := newTable(0)
+	told.Observe(a.Run(), limited(5), now, now)
+	other := newTable(0)
+	other.Merge(told.Reports(later), later)
+	require.Equal(t, 5.0, other.Withheld(a, later).PerSecond, "heard of before it was told itself")
+
+	other.Merge(ended(now.Add(-time.Second)), later)
+	require.Equal(t, 5.0, other.Withheld(a, later).PerSecond, "an older word")
+	other.Merge(ended(now.Add(time.Second)), later)
+	require.True(t, passes(other, a, later))
+	other.Merge(told.Reports(later), later)
+	require.True(t, passes(other, a, later), "the limit was heard before its end")
+
+	other.Merge([]notice.Report{{Run: "b", PerSecond: math.NaN()}, {Run: "c", PerSecond: -1}}, later)
+	require.True(t, passes(other, up("b", 0), later))
+	require.True(t, passes(other, up("c", 0), later))
+}
+
+// A host without a share hears nothing of the upstream itself. Others confirm the limit;
+// once nobody has for long it asks again, by one request.
+func TestALimitThatNobodyConfirmsIsAskedFor(t *testing.T) {
+	table, now := newTable(0), time.Now()
+	table.Observe(a.Run(), limited(5), now, now)
+	require.Zero(t, sendAll(table, a, now, 89*time.Second, time.Second))
+	require.Equal(t, 1, sendAll(table, a, now.Add(89*time.Second), 91*time.Second, time.Second))
+	asked := now.Add(181 * time.Second)
+	table.Observe(a.Run(), limited(5), asked, asked)
+	require.Zero(t, sendAll(table, a, asked, 89*time.Second, time.Second), "it was confirmed")
+	table.Suspended(3 * time.Minute)
+	require.Equal(t, 1, sendAll(table, a, asked, time.Second, time.Second), "the machine was suspended for longer")
+}
+
+func TestRunsThatAreGoneAreDropped(t *testing.T) {
+	table, now := newTable(1), time.Now()
+	table.Observe(a.Run(), limited(5), now, now)
+	require.Equal(t, 1, table.Limits())
+	table.Retain(func(upstream.Run) bool { return false }, now)
+	require.Zero(t, table.Limits())
+	require.Empty(t, table.Reports(now))
+}
+
+func TestAHeartbeatHasABoundedNumberOfReports(t *testing.T) {
+	table, now := newTable(1), time.Now()
+	for i := range 1000 {
+		table.Observe(up("u", int64(i+1)).Run(), limited(5), now, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	got := table.Reports(now.Add(time.Second))
+	require.Len(t, got, 64)
+	require.Equal(t, upstream.Run("u@1000"), got[0].Run, "what was heard last comes first")
+}
+
+func TestChangesAreReportedOnce(t *testing.T) {
+	r, now := &reports{}, time.Now()
+	table := notice.NewTable("h", fixedShare(1), r)
+	for i := range 3 {
+		at := now.Add(time.Duration(i) * time.Second)
+		table.Observe(a.Run(), limited(5), at, at)
+	}
+	for i := 3; i < 6; i++ {
+		at := now.Add(time.Duration(i) * time.Second)
+		table.Observe(a.Run(), notice.Notice{}, at, at)
+	}
+	require.Equal(t, []string{"limited a", "ended a"}, r.said)
+}
+
+func BenchmarkWithheld(b *testing.B) {
+	now := time.Now()
+	for name, table := range map[string]*notice.Table{"no limit": newTable(1), "limits": newTable(1)} {
+		if name == "limits" {
+			for i := range 1000 {
+				table.Observe(up("u", int64(i+1)).Run(), limited(5), now, now)
+			}
+		}
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Withheld(a, now)
+			}
+		})
+	}
+}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -87,7 +87,7 @@
 	a.progress.OnSent = a.noteSent
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
 	if err == nil {
-		err = a.inflight.accept(u, resp)
+		err = a.inflight.accept(u, resp, a.began)
 	}
 	a.inflight.recordHealth(u.Run(), a.settle(), resp, err, a.began)
 	if a.progress.ConnectionEnded() {
@@ -107,9 +107,11 @@
 	}
 }
 
-// accept returns nil if a response may be forwarded; otherwise it closes it and
+// accept takes what a response says of its upstream, whose request was sent at a time, and
+// returns nil if it may be forwarded; otherwise it closes it and
 // returns the attempt's error.
-func (f *inflight) accept(u *upstream.Upstream, resp *exchange.Response) error {
+func (f *inflight) accept(u *upstream.Upstream, resp *exchange.Response, sent time.Time) error {
+	f.proxy.Notices.Observe(u.Run(), resp.Info.Notice, sent, time.Now())
 	if l := resp.Info.Load; l.Known {
 		f.proxy.Balancer.ObserveLoad(u, l.Running, l.Waiting, time.Now())
 	}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -27,6 +27,7 @@
 	"cairndock/internal/gateway/dial"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
@@ -93,6 +94,11 @@
 	return warmup.Quota{Requests: int(h.quota.Load()), Hosts: 1}
 }
 
+// LimitShare gives the host all tokens of each limit.
+func (h *oneHost) LimitShare(_, _ string, tokens int) notice.Share {
+	return notice.Share{Tokens: tokens, Hosts: 1}
+}
+
 // aloneHost holds all shards of all limits.
 type aloneHost struct{}
 
@@ -148,9 +154,12 @@
 	age := func() time.Duration { return 0 }
 	detector := outlier.New(reporter{log})
 	g.suspicions = poison.NewTable("h", time.Now(), suspicionReporter{reporter{log}, detector})
+	notices := notice.NewTable("h", &g.fleet, log)
+	balancer := balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy())
+	balancer.HonorNotices(notices)
 	g.proxy = proxy.New(proxy.Options{
-		State: g.state, Detector: detector,
-		Balancer:     balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy()),
+		State: g.state, Detector: detector, Notices: notices,
+		Balancer:     balancer,
 		Budget:       retry.NewBudget(retries, time.Now().Add(-retries.Window)),
 		Suspicions:   g.suspicions,
 		SuspendWatch: suspend.NewWatch(&g.suspension),
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/retry"
@@ -64,6 +65,8 @@
 	Suspicions *poison.Table
 	// SuspendWatch finds that the machine was suspended.
 	SuspendWatch *suspend.Watch
+	// Notices are what upstreams say of themselves.
+	Notices *notice.Table
 	// Client sends attempts to upstreams.
 	Client *exchange.Client
 	// Codec reads requests' headers and writes error responses.
@@ -184,6 +187,7 @@
 		known := func(run upstream.Run) bool { return runs[run] }
 		p.Balancer.Retain(known, time.Now())
 		p.Detector.Retain(known)
+		p.Notices.Retain(known, time.Now())
 		p.Client.Retain(known)
 		p.Suspicions.CleanUp(time.Now())
 		p.Quota.CleanUp(time.Now())
--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -48,6 +48,9 @@
 	if reason == balance.NoUpstream {
 		return verdict.New(verdict.NotRun, verdict.NoUpstream, "no upstream of %s is allowed to serve this", service)
 	}
+	if reason == balance.Withholding {
+		return withheld(service, first.Withheld)
+	}
 	why := verdict.Full
 	if reason == balance.WarmUpLimited {
 		why = verdict.Warming
@@ -56,6 +59,24 @@
 		first.Upstream.ID, first.Load, first.LoadAge.Milliseconds(), first.Cold, quotaDetail(first))
 }
 
+// withheld is the error when all upstreams say that they take no request now. Its client
+// returns when the first of them does.
+func withheld(service string, w balance.Withheld) error {
+	err := verdict.New(verdict.NotRun, verdict.Withheld, "%d upstreams of %s are withheld: %s", w.Count, service, withheldDetail(w))
+	if w.For == 0 {
+		return err
+	}
+	return err.WithRetryAfter(retry.AfterWithheld(w.For).Draw())
+}
+
+// withheldDetail says why upstreams were passed over; nothing if none was.
+func withheldDetail(w balance.Withheld) string {
+	if w.Count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s takes %g a second of all hosts, %d of %d tokens are this host's", w.Last.Upstream, w.Last.PerSecond, w.Last.Share, w.Last.Tokens)
+}
+
 // quotaDetail says of a cold upstream how much of the host's warm-up quota is used.
 func quotaDetail(c balance.Choice) string {
 	if !c.Cold {
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -10,6 +10,7 @@
 
 	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/routing"
@@ -32,6 +33,8 @@
 	// upstreams.
 	headerSecret  = "Secret"
 	headerAccount = "Account"
+	// headerLimit is the upstream's limit, in requests a second.
+	headerLimit = "Limit"
 	// headerPanic makes an attempt panic.
 	headerPanic = "Panic"
 )
@@ -73,7 +76,12 @@
 }
 
 func (protocol) ParseResponse(id string, status int, h http.Header) exchange.ResponseInfo {
+	var n notice.Notice
+	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil {
+		n = n.WithLimit(notice.LimitOf(limit))
+	}
 	return exchange.ResponseInfo{
+		Notice:       n,
 		WrongRequest: h.Get(headerID) != id, NotExecuted: h.Get(headerNotRun) != "", Misdirected: status == 421,
 		Signed: h.Get(headerSigned) != "",
 	}
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -22,6 +22,7 @@
 var causes = map[verdict.Reason]string{
 	verdict.Full:             "overload: every upstream that may serve the request was full; it did not run",
 	verdict.Warming:          "every upstream with capacity was warming up and this host had used its warm-up quota; the request did not run",
+	verdict.Withheld:         "all upstreams that may serve the request said that they take none now: {detail}; it did not run",
 	verdict.Quarantined:      "upstreams ended one after the other when they ran the same request (see the lines quarantined and upstream-ended); it did not run",
 	verdict.NoUpstream:       "no eligible upstream of {service}: all are draining, evacuated or outside the allowed regions",
 	verdict.NotReady:         "the host had just started and had no configuration yet",
--- a/internal/gateway/retry/after.go
+++ b/internal/gateway/retry/after.go
@@ -62,7 +62,7 @@
 	switch r {
 	case verdict.UnknownRoute, verdict.UnknownKey, verdict.HeaderTooLarge, verdict.BodyTooLarge, verdict.BodyStalled, verdict.BadRequest:
 		return Pause{}
-	case verdict.Full, verdict.Warming, verdict.NoUpstream, verdict.UpstreamShed:
+	case verdict.Full, verdict.Warming, verdict.Withheld, verdict.NoUpstream, verdict.UpstreamShed:
 		return Pause{Least: overloadPause, Jitter: overloadJitter}
 	case verdict.UpstreamDeclined:
 		return Pause{Least: declinedPause, Jitter: declinedJitter}
@@ -75,6 +75,10 @@
 	}
 }
 
+// AfterWithheld is the rule where all upstreams take no request for a time: clients return
+// after it, and not together.
+func AfterWithheld(d time.Duration) Pause { return Pause{Least: d, Jitter: overloadJitter} }
+
 // Draw picks a time of the range at random.
 func (p Pause) Draw() time.Duration {
 	if p.Jitter == 0 {
--- a/internal/gateway/soak/notice_test.go
+++ b/internal/gateway/soak/notice_test.go
@@ -144,6 +144,11 @@
 // The order of events: both named their limits in each response, at the same moment;
 // requests came to them as before, from all hosts; after four seconds both had got more
 // than is allowed.
+//
+// The cause: hosts read of a response what a decision was known to need, and dropped the
+// rest without a trace; no decision knew of a limit. The evidence: in this test the header
+// stood in 38 to 60 responses at each of the nine hosts, counted as read by nothing, and the
+// upstream with a limit of 0.3 got 74 requests in 4 s.
 func TestAnUpstreamsLimitHoldsOverAllHosts(t *testing.T) {
 	t.Parallel()
 	n := newNoticeRun(t, standardSeed)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cairndock/internal/gateway/fleet"
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/upstream"
@@ -20,6 +21,7 @@
 	ready := g.state.Ready()
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
 	s.Observations = g.detector.Observations(time.Now())
+	s.Notices = g.notices.Reports(time.Now())
 	for _, t := range g.tables {
 		s.Changes = append(s.Changes, t.Replica.LastChange())
 		s.Fresh = s.Fresh && t.Replica.Age() < g.timing.MaxAge()
@@ -64,6 +66,11 @@
 	return g.fleet.WarmUpQuota(upstream, region, rate*limits.WarmUpOvershoot+limits.WarmUpSlack)
 }
 
+// LimitShare gives this host's share of a number of tokens of an upstream's limit.
+func (g *Gateway) LimitShare(id, region string, tokens int) notice.Share {
+	return g.fleet.LimitShare(id, region, tokens)
+}
+
 // GiveTokens gives tokens of a client account's limit to another host.
 func (g *Gateway) GiveTokens(ask quota.Ask) quota.Answer {
 	config := g.state.Config()
@@ -90,6 +97,7 @@
 	g.metrics.Gauge("cairndock_hosts_known", func() float64 { return float64(g.fleet.Hosts()) })
 	g.metrics.Gauge("cairndock_host_lists_unread", func() float64 { return float64(g.fleet.UnreadLists()) })
 	g.metrics.Gauge("cairndock_upstreams_known", func() float64 { return float64(g.state.Upstreams().Len()) })
+	g.metrics.Gauge("cairndock_upstreams_limited", func() float64 { return float64(g.notices.Limits()) })
 	g.metrics.Gauge("cairndock_requests_suspected", func() float64 { n, _ := g.suspicions.Counts(); return float64(n) })
 	g.metrics.Gauge("cairndock_requests_quarantined", func() float64 { _, n := g.suspicions.Counts(); return float64(n) })
 	for table, label := range tableLabels {
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -46,7 +46,7 @@
 			Incarnation: g.incarnation,
 			Capacity:    resources.Capacity(),
 		},
-		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Suspicions: g.suspicions,
+		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
@@ -72,9 +72,12 @@
 	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
+	balancer := balance.New(location, g, g.detector, balance.DefaultPolicy())
+	balancer.HonorNotices(g.notices)
 	return proxy.New(proxy.Options{
 		State:        g.state,
-		Balancer:     balance.New(location, g, g.detector, balance.DefaultPolicy()),
+		Balancer:     balancer,
+		Notices:      g.notices,
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
 		Suspicions:   g.suspicions,
@@ -98,7 +101,7 @@
 func (g *Gateway) watchSuspension() {
 	for _, f := range []func(time.Duration){
 		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.fleet.Suspended,
-		g.detector.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.quota.Suspended, g.suspicions.Suspended, g.log.Suspended,
+		g.detector.Suspended, g.notices.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.quota.Suspended, g.suspicions.Suspended, g.log.Suspended,
 	} {
 		g.suspendWatch.OnGap(f)
 	}
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -96,6 +96,8 @@
 	// Warming: the upstreams with capacity are cold and have used their warm-up
 	// quota.
 	Warming Reason = "warming"
+	// Withheld: the upstreams that may serve the request say that they take none now.
+	Withheld Reason = "withheld"
 	// Unreachable: no connection to the upstream could be made.
 	Unreachable Reason = "unreachable"
 	// Misdirected: another upstream has the address now.
@@ -148,7 +150,7 @@
 		return http.StatusUnprocessableEntity
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case NotReady, Stopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
+	case NotReady, Stopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
 		return http.StatusServiceUnavailable
 	case BodyStalled, DeadlineLapsed, Interrupted, CallerLeft:
 		return http.StatusGatewayTimeout
