--- a/internal/gateway/soak/notice_test.go
+++ b/internal/gateway/soak/notice_test.go
@@ -34,6 +34,12 @@
 	limitSpan   = 4 * time.Second
 	limitFactor = 1.5
 	limitRest   = 5
+	// leaveWithin is within how long after a response that says that its upstream leaves
+	// the host sends it nothing more, and restFor for how long upstreams ask for rest, in
+	// which they get restMost requests from a host that is bound. From the platform.
+	leaveWithin = 2 * time.Second
+	restFor     = 3 * time.Second
+	restMost    = 2
 	// leastLimitUsed is the least part of its limit that an upstream gets which is asked
 	// for much more: what is not used is lost to clients.
 	leastLimitUsed = 0.5
@@ -90,11 +96,12 @@
 // noticePrefix begins the ids of requests that are sent to a host.
 func noticePrefix(host int) string { return fmt.Sprintf("notice-%d-", host) }
 
-// bound gives when requests reached an upstream from hosts that were bound then by what
-// it says since a time: each host from toldAfter after its first response on.
-func (n *noticeRun) bound(u *upstream, since time.Time) []time.Time {
+// byHost gives when requests reached an upstream since a time, in order, by the host that
+// sent them.
+func (n *noticeRun) byHost(u *upstream, since time.Time) [][]time.Time {
 	byHost := make([][]time.Time, len(n.world.hosts))
 	n.world.ledger.mu.Lock()
+	defer n.world.ledger.mu.Unlock()
 	for id, arrivals := range n.world.ledger.arrivals {
 		for host := range byHost {
 			if strings.HasPrefix(id, noticePrefix(host)) {
@@ -102,13 +109,21 @@
 			}
 		}
 	}
-	n.world.ledger.mu.Unlock()
-	var bound []time.Time
 	for _, at := range byHost {
+		slices.SortFunc(at, time.Time.Compare)
+	}
+	return byHost
+}
+
+// bound gives when requests reached an upstream from hosts that were bound then by what
+// it says since a time: each host from toldAfter after its first response on.
+func (n *noticeRun) bound(u *upstream, since time.Time) []time.Time {
+	var bound []time.Time
+	for _, at := range n.byHost(u, since) {
 		if len(at) == 0 {
 			continue
 		}
-		from := slices.MinFunc(at, time.Time.Compare).Add(toldAfter)
+		from := at[0].Add(toldAfter)
 		bound = append(bound, slices.DeleteFunc(at, func(x time.Time) bool { return x.Before(from) })...)
 	}
 	slices.SortFunc(bound, time.Time.Compare)
@@ -171,3 +186,82 @@
 	t.Logf("%d sent, %d served, %d refused", n.sent.Load(), n.served.Load(), n.refused.Load())
 	require.Equal(t, n.sent.Load(), n.served.Load(), "the other upstreams have room")
 }
+
+// Users saw requests reach an upstream 2.5 and 2.9 s after it had told the host that sent
+// them that it leaves.
+//
+// The order of events: the upstream said so in each response, while the store was away
+// and its row went on to say that it is ready; requests came to it as before.
+func TestAnUpstreamThatSaysItLeavesGetsNoMore(t *testing.T) {
+	t.Parallel()
+	n := newNoticeRun(t, standardSeed)
+	since := time.Now()
+	leaving := n.world.everyUpstream[:2]
+	for _, u := range leaving {
+		u.notice.Store(&platformtest.Notice{Leaving: true})
+	}
+	n.send(6 * time.Second)
+	for _, u := range leaving {
+		late := n.lateFrom(u, since, leaveWithin)
+		t.Logf("%d requests later than %s after a host was told", late, leaveWithin)
+		require.Zero(t, late)
+	}
+	t.Logf("%d sent, %d served, %d refused", n.sent.Load(), n.served.Load(), n.refused.Load())
+	require.Equal(t, n.sent.Load(), n.served.Load(), "the other upstreams have room")
+}
+
+// lateFrom is how many requests reached an upstream from hosts that it had told something
+// at least a time before.
+func (n *noticeRun) lateFrom(u *upstream, since time.Time, after time.Duration) int {
+	late := 0
+	for _, at := range n.byHost(u, since) {
+		for _, x := range at {
+			if x.After(at[0].Add(after)) {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+// Users saw two upstreams that had asked a host for 3 s of rest get 50 and 53 requests from
+// it in that time, and one in ten clients be refused though others had room.
+//
+// The order of events: both refused each request, with the time of rest; hosts sent the
+// next ones there as well, and one that both had refused was refused to its client.
+func TestAnUpstreamThatAsksForRestGetsIt(t *testing.T) {
+	t.Parallel()
+	n := newNoticeRun(t, standardSeed)
+	since := time.Now()
+	resting := n.world.everyUpstream[:2]
+	for _, u := range resting {
+		u.notice.Store(&platformtest.Notice{Rest: fmt.Sprint(restFor.Seconds())})
+	}
+	n.send(6 * time.Second)
+	for _, u := range resting {
+		most := 0
+		for _, at := range n.byHost(u, since) {
+			most = max(most, mostInRest(at))
+		}
+		t.Logf("%d requests from one host in its rest at the most", most)
+		require.LessOrEqual(t, most, restMost)
+	}
+	t.Logf("%d sent, %d served, %d refused", n.sent.Load(), n.served.Load(), n.refused.Load())
+	require.Equal(t, n.sent.Load(), n.served.Load(), "the other upstreams have room")
+}
+
+// mostInRest gives how many of a host's ordered requests came between toldAfter after any of
+// them, to each of which an upstream answered that it rests, and the end of that rest.
+func mostInRest(at []time.Time) int {
+	most := 0
+	for _, told := range at {
+		n := 0
+		for _, x := range at {
+			if x.After(told.Add(toldAfter)) && x.Before(told.Add(restFor)) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -156,7 +156,11 @@
 	}
 	u.checkAccount(id, r)
 	u.ledger.arrive(id, u)
-	if u.running.Add(1) > refuseAbove || d == shedding {
+	rests := false
+	if n := u.notice.Load(); n != nil {
+		rests = n.Rest != ""
+	}
+	if u.running.Add(1) > refuseAbove || d == shedding || rests {
 		u.running.Add(-1)
 		u.Refuse(w)
 		return
