Have an upstream drain once it says in a response that it leaves

What callers saw: nothing at first; an upstream that had said that it leaves got requests 2,514 and 2,922 ms later (2,500 allowed), which it ends when it is gone.

Cause: hosts knew from the upstream's row alone that it leaves, and dropped what its responses say; while the store is away the row says that it is ready. The class is that of the limit: what is said is read only where a reader exists. The header stood in 4 to 46 responses at each host of the failing test, counted as unread.

Change: the run drains for good, whatever its row says or does later; hosts tell each other out of turn; a request that waited is not written to it and chooses again, which is neither an attempt nor a retry.

Why it holds: the mark is by run and lies in the registry, where all that a draining row does happens; nothing but an hour without the row takes it off.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -144,6 +144,10 @@
 		c.pool.giveBack(to.Run, nc)
 		return nil, verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no time left to send").WithUpstream(to.Upstream)
 	}
+	if !p.maySend() {
+		c.pool.giveBack(to.Run, nc)
+		return nil, verdict.New(verdict.NotRun, verdict.Withheld, "the upstream takes none any more").WithUpstream(to.Upstream)
+	}
 	x := &roundTrip{client: c, conn: nc, to: to, request: r}
 	x.stop = context.AfterFunc(ctx, x.interrupt)
 	x.silence = watchSilence(c.pool, to.Run, nc)
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -57,11 +57,16 @@
 	// OnSent, if it is set, is called when the request was written, before its
 	// response is waited for. A request that has no connection is never sent.
 	OnSent func()
+	// MaySend, if it is set, is asked right before the request is written, which may have
+	// waited for a connection since its upstream was chosen. If it may not, it is not sent.
+	MaySend func() bool
 
 	silence         atomic.Pointer[silenceWatch]
 	connectionEnded atomic.Bool
 }
 
+func (p *Progress) maySend() bool { return p.MaySend == nil || p.MaySend() }
+
 func (p *Progress) sent() {
 	if p.OnSent != nil {
 		p.OnSent()
--- a/internal/gateway/fleet/limitshare_test.go
+++ b/internal/gateway/fleet/limitshare_test.go
@@ -89,6 +89,7 @@
 
 func (noReports) Limited(upstream.Run, float64) {}
 func (noReports) LimitEnded(upstream.Run)       {}
+func (noReports) Leaves(upstream.Run)           {}
 
 // Hosts end and start all the time, and go on at once. Their processes start without
 // tokens, so that no four seconds see more than the platform allows; no restart is excused.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -70,7 +70,7 @@
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
 	g.tables[operatorTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.OperatorTable(store)}
 	g.tables[upstreamTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.UpstreamTable(store)}
-	g.notices = notice.NewTable(set.Host.Name, g, g.log)
+	g.notices = notice.NewTable(set.Host.Name, g, g)
 	g.fleet = g.newFleet(store)
 	g.quota = g.newQuota()
 	g.watchers[operatorTable] = g.newWatcher(operatorTable, g.state.OperatorSink())
--- a/internal/gateway/notice/notice.go
+++ b/internal/gateway/notice/notice.go
@@ -2,6 +2,8 @@
 
 // Notice is what one response says of its upstream.
 type Notice struct {
+	// Leaving means that the upstream takes no new work, and ends. Its run stays so.
+	Leaving bool
 	// Limit is the requests a second that the upstream takes from all hosts together.
 	Limit Limit
 }
@@ -29,6 +31,12 @@
 // stays in force.
 func UnclearLimit() Limit { return Limit{word: unclear} }
 
+// WithLeaving returns the notice of an upstream that leaves.
+func (n Notice) WithLeaving() Notice {
+	n.Leaving = true
+	return n
+}
+
 // WithLimit returns the notice with a limit.
 func (n Notice) WithLimit(l Limit) Notice {
 	n.Limit = l
--- a/internal/gateway/notice/report.go
+++ b/internal/gateway/notice/report.go
@@ -16,10 +16,12 @@
 	echoWithin = 100 * time.Millisecond
 )
 
-// Report is what a host tells others of a run's limit. It is on the wire.
+// Report is what a host tells others of a run: that it leaves, or its limit. It is on the
+// wire.
 type Report struct {
-	Run upstream.Run `msgpack:"u"`
-	// PerSecond is the limit, in requests a second; it counts unless Ended is set.
+	Run     upstream.Run `msgpack:"u"`
+	Leaving bool         `msgpack:"x,omitempty"`
+	// PerSecond is the limit, in requests a second; it counts unless Leaving or Ended is set.
 	PerSecond float64 `msgpack:"l,omitempty"`
 	Ended     bool    `msgpack:"e,omitempty"`
 	// AgeMS is how long ago it was heard, in milliseconds.
@@ -33,7 +35,10 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reports := make([]Report, 0, len(t.limits))
+	reports := make([]Report, 0, len(t.limits)+len(t.leaving))
+	for run, since := range t.leaving {
+		reports = append(reports, Report{Run: run, Leaving: true, AgeMS: now.Sub(since).Milliseconds()})
+	}
 	for run, l := range t.limits {
 		reports = append(reports, Report{Run: run, PerSecond: l.perSecond, Ended: l.ended, AgeMS: now.Sub(l.heard).Milliseconds()})
 	}
@@ -44,14 +49,18 @@
 // Merge takes another host's reports: of each run what was heard last counts.
 func (t *Table) Merge(reports []Report, now time.Time) {
 	for _, r := range reports {
+		if r.Leaving {
+			t.leave(r.Run, now)
+			continue
+		}
 		t.mu.Lock()
-		report := t.merge(r, now)
+		report := t.mergeLimit(r, now)
 		t.mu.Unlock()
 		report()
 	}
 }
 
-func (t *Table) merge(r Report, now time.Time) (report func()) {
+func (t *Table) mergeLimit(r Report, now time.Time) (report func()) {
 	heard := now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
 	l := t.limits[r.Run]
 	switch {
--- a/internal/gateway/notice/table.go
+++ b/internal/gateway/notice/table.go
@@ -21,6 +21,9 @@
 	askAfter = 10 * time.Second
 	leastAsk = 30 * time.Second
 	mostAsk  = 10 * time.Minute
+	// leavingKept is how long a run that is not registered is known to leave: above the
+	// time that any upstream takes to end.
+	leavingKept = time.Hour
 	// endLasts is for how long other hosts are told that a limit has ended.
 	endLasts = 10 * time.Second
 )
@@ -45,6 +48,8 @@
 	// Limited means that an upstream has named a limit, in requests a second, or another
 	// one than before.
 	Limited(run upstream.Run, perSecond float64)
+	// Leaves means that an upstream leaves.
+	Leaves(run upstream.Run)
 	// LimitEnded means that it has none any more.
 	LimitEnded(run upstream.Run)
 }
@@ -55,34 +60,58 @@
 	shares   Shares
 	reporter Reporter
 
-	// size is the number of limits, which choices ask for without the lock.
+	// size is how many notices there are, which choices ask for without the lock.
 	size   atomic.Int32
 	mu     sync.Mutex
 	limits map[upstream.Run]*limit
+	// leaving has since when it is known of each run that it leaves.
+	leaving map[upstream.Run]time.Time
 }
 
 // NewTable makes the empty table of a host.
 func NewTable(host string, shares Shares, reporter Reporter) *Table {
-	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}}
+	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}, leaving: map[upstream.Run]time.Time{}}
 }
 
+// resized follows how many notices there are; t.mu is held.
+func (t *Table) resized() { t.size.Store(int32(len(t.limits) + len(t.leaving))) }
+
 // Observe takes what a response of a run says, whose request was sent at a time.
 //
 // A lower limit is in force at once. That it is higher or has ended counts only in a
 // response to a request that was sent after the limit was heard: responses overtake each
 // other, and one that was only slower says how it was before.
 func (t *Table) Observe(run upstream.Run, n Notice, sent, now time.Time) {
+	if n.Leaving {
+		t.leave(run, now)
+	}
 	if n.Limit.word == unclear || n.Limit.word == silent && t.size.Load() == 0 {
 		return
 	}
 	t.mu.Lock()
-	report := t.observe(run, n.Limit, sent, now)
+	report := t.observeLimit(run, n.Limit, sent, now)
 	t.mu.Unlock()
 	report()
 }
 
-// observe is Observe with t.mu held; it returns what to report without it.
-func (t *Table) observe(run upstream.Run, said Limit, sent, now time.Time) (report func()) {
+// leave notes that a run leaves. No response ends that: one that does not say so is only
+// slower.
+func (t *Table) leave(run upstream.Run, now time.Time) {
+	t.mu.Lock()
+	_, known := t.leaving[run]
+	if !known {
+		t.leaving[run] = now
+		t.resized()
+	}
+	t.mu.Unlock()
+	if !known {
+		t.reporter.Leaves(run)
+	}
+}
+
+// observeLimit takes what a response says of a limit; t.mu is held. It returns what to
+// report without it.
+func (t *Table) observeLimit(run upstream.Run, said Limit, sent, now time.Time) (report func()) {
 	l := t.limits[run]
 	known := l != nil && !l.ended
 	later := l == nil || sent.After(l.heard)
@@ -102,7 +131,7 @@
 	if l == nil {
 		l = &limit{filledAt: now}
 		t.limits[run] = l
-		t.size.Store(int32(len(t.limits)))
+		t.resized()
 	}
 	changed := l.ended || l.heard.IsZero() || l.perSecond != perSecond
 	l.set(perSecond, heard)
@@ -116,6 +145,8 @@
 type Withheld struct {
 	// Upstream is its id; empty if it may get one.
 	Upstream string
+	// Leaving is set when it leaves; then the rest does not count.
+	Leaving bool
 	// PerSecond is its limit, and Share how many of Tokens are this host's.
 	PerSecond     float64
 	Share, Tokens int
@@ -130,6 +161,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if _, leaves := t.leaving[u.Run()]; leaves {
+		return Withheld{Upstream: u.ID, Leaving: true, For: -1}
+	}
 	l := t.inForce(u.Run())
 	if l == nil {
 		return Withheld{}
@@ -142,6 +176,18 @@
 	return Withheld{Upstream: u.ID, PerSecond: l.perSecond, Share: l.share.Tokens, Tokens: tokensOf(l.perSecond), For: wait}
 }
 
+// MaySend reports whether a request for which an upstream was chosen may still be sent: it
+// may have waited since, for a connection or for processor time.
+func (t *Table) MaySend(u *upstream.Upstream, now time.Time) bool {
+	if t.size.Load() == 0 {
+		return true
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	_, leaves := t.leaving[u.Run()]
+	return !leaves
+}
+
 // Take counts a request for which an upstream was chosen that Withheld let pass.
 func (t *Table) Take(u *upstream.Upstream, now time.Time) {
 	if t.size.Load() == 0 {
@@ -202,12 +248,14 @@
 	}
 }
 
-// Retain drops the limits of the runs that keep rejects, and those that ended long ago.
+// Retain drops the limits of the runs that keep rejects, and those that ended long ago. That
+// a run leaves is kept for longer: its row may come back.
 func (t *Table) Retain(keep func(upstream.Run) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.limits, func(run upstream.Run, l *limit) bool {
 		return !keep(run) || l.ended && now.Sub(l.heard) >= endLasts
 	})
-	t.size.Store(int32(len(t.limits)))
+	maps.DeleteFunc(t.leaving, func(run upstream.Run, since time.Time) bool { return !keep(run) && now.Sub(since) >= leavingKept })
+	t.resized()
 }
--- a/internal/gateway/notice/table_test.go
+++ b/internal/gateway/notice/table_test.go
@@ -25,6 +25,7 @@
 	r.said = append(r.said, "limited "+string(run))
 }
 func (r *reports) LimitEnded(run upstream.Run) { r.said = append(r.said, "ended "+string(run)) }
+func (r *reports) Leaves(run upstream.Run)     { r.said = append(r.said, "leaves "+string(run)) }
 
 func newTable(share int) *notice.Table {
 	return notice.NewTable("h", fixedShare(share), &reports{})
@@ -168,6 +169,31 @@
 	require.Equal(t, 1, sendAll(table, a, asked, time.Second, time.Second), "the machine was suspended for longer")
 }
 
+// An upstream that leaves does so for good: a response that does not say it is only slower,
+// and its row may go and come back. Another run under its id has said nothing.
+func TestARunThatLeavesGetsNothingMore(t *testing.T) {
+	r, now := &reports{}, time.Now()
+	table := notice.NewTable("h", fixedShare(1), r)
+	require.True(t, table.MaySend(a, now))
+	for range 2 {
+		table.Observe(a.Run(), notice.Notice{}.WithLeaving(), now, now)
+	}
+	table.Observe(a.Run(), notice.Notice{}, now.Add(time.Minute), now.Add(time.Minute))
+	table.Suspended(time.Minute)
+	table.Retain(func(upstream.Run) bool { return false }, now.Add(50*time.Minute))
+	require.Equal(t, "a", table.Withheld(a, now.Add(50*time.Minute)).Upstream)
+	require.False(t, table.MaySend(a, now), "a request that waited")
+	require.True(t, passes(table, up("a", 7), now))
+	require.Equal(t, []string{"leaves a"}, r.said, "once")
+
+	other := notice.NewTable("o", fixedShare(1), r)
+	other.Merge(table.Reports(now), now)
+	require.False(t, passes(other, a, now), "another host hears of it")
+
+	table.Retain(func(upstream.Run) bool { return false }, now.Add(2*time.Hour))
+	require.Empty(t, table.Reports(now), "forgotten once it has ended")
+}
+
 func TestRunsThatAreGoneAreDropped(t *testing.T) {
 	table, now := newTable(1), time.Now()
 	table.Observe(a.Run(), limited(5), now, now)
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -85,6 +85,7 @@
 func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
 	u := a.choice.Upstream
 	a.progress.OnSent = a.noteSent
+	a.progress.MaySend = func() bool { return a.inflight.proxy.Notices.MaySend(u, time.Now()) }
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
 	if err == nil {
 		err = a.inflight.accept(u, resp, a.began)
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -107,7 +107,7 @@
 		return outlier.Rejected
 	case verdict.Unreachable, verdict.Misdirected:
 		return outlier.Unreachable
-	case verdict.CallerLeft, verdict.DeadlineLapsed, verdict.Superseded:
+	case verdict.CallerLeft, verdict.DeadlineLapsed, verdict.Superseded, verdict.Withheld:
 		return outlier.Canceled
 	default:
 		return outlier.Failed
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -84,6 +84,17 @@
 	r.detector.RecordEnded(upstream.Run(run), at)
 }
 
+// noticeReporter has upstreams that leave get no new work, as a gateway does.
+type noticeReporter struct {
+	*eventlog.Log
+	state *routing.State
+}
+
+func (r noticeReporter) Leaves(run upstream.Run) {
+	r.Log.Leaves(run)
+	r.state.MarkLeaving(run)
+}
+
 // standardQuota is the warm-up quota of a testGateway that sets none.
 const standardQuota = 100
 
@@ -154,7 +165,7 @@
 	age := func() time.Duration { return 0 }
 	detector := outlier.New(reporter{log})
 	g.suspicions = poison.NewTable("h", time.Now(), suspicionReporter{reporter{log}, detector})
-	notices := notice.NewTable("h", &g.fleet, log)
+	notices := notice.NewTable("h", &g.fleet, noticeReporter{log, g.state})
 	balancer := balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy())
 	balancer.HonorNotices(notices)
 	g.proxy = proxy.New(proxy.Options{
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -86,7 +86,7 @@
 	if s.onTime() {
 		return nil, false, nil
 	}
-	c, err := f.retry(s.ctx, end.err)
+	c, err := s.next(end)
 	switch {
 	case err == nil:
 		s.start(c)
@@ -98,6 +98,17 @@
 	}
 }
 
+// next chooses the upstream of the attempt after one that failed. An attempt that was not
+// sent, as its upstream takes none any more, counts neither as one nor against the budget.
+func (s *attempts) next(end attemptEnd) (balance.Choice, error) {
+	f := s.inflight
+	if verdict.From(end.err).Reason != verdict.Withheld || f.ended(s.ctx) {
+		return f.retry(s.ctx, end.err)
+	}
+	f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return id == end.attempt.choice.Upstream.ID })
+	return f.choose()
+}
+
 // onTime reports whether an attempt runs that is not overdue.
 func (s *attempts) onTime() bool {
 	return slices.ContainsFunc(s.running, func(a *attempt) bool { return !a.isOverdue() })
--- a/internal/gateway/proxy/notice_test.go
+++ b/internal/gateway/proxy/notice_test.go
@@ -3,11 +3,15 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
 
+	"cairndock/internal/gateway/notice"
+	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/verdict"
 )
@@ -59,3 +63,54 @@
 	require.Less(t, time.Since(began), 100*time.Millisecond)
 	require.Greater(t, len(retries), 1, "clients return at moments of their own")
 }
+
+// An upstream that leaves says so in any response, while its row says that it is ready.
+func TestAnUpstreamThatSaysItLeavesGetsNoNewRequest(t *testing.T) {
+	for name, respond := range map[string]func(net.Conn, *http.Request){
+		"a success": func(c net.Conn, r *http.Request) { reply(c, r, 200, "Genuine: 1\r\n"+headerLeaving+": 1\r\n", "whole") },
+		"a client's fault": func(c net.Conn, r *http.Request) {
+			reply(c, r, 404, "Genuine: 1\r\n"+headerLeaving+": 1\r\n", "none")
+		},
+		"a failure": func(c net.Conn, r *http.Request) { reply(c, r, 500, "Genuine: 1\r\n"+headerLeaving+": 1\r\n", "") },
+		"a refusal": func(c net.Conn, r *http.Request) { reply(c, r, 503, "Not-Run: 1\r\n"+headerLeaving+": 1\r\n", "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newTestGateway(t)
+			g.setRoutes(testRoute(route.Repeatable))
+			leaving := g.addUpstream(respond)
+			g.get()
+			require.EqualValues(t, 1, leaving.Load())
+			resp, _ := g.get()
+			require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "no other runs")
+			other := g.addUpstream(healthy)
+			for n := range 20 {
+				require.Equal(t, http.StatusOK, g.getKey(n))
+			}
+			require.EqualValues(t, 1, leaving.Load())
+			require.EqualValues(t, 20, other.Load())
+			require.True(t, g.log.has(`"kind":"leaving"`))
+		})
+	}
+}
+
+// A request that waits for a connection is not sent once its upstream leaves, and chooses
+// again, though its route allows one attempt and the budget no retry.
+func TestARequestThatWaitedIsNotSentToAnUpstreamThatLeaves(t *testing.T) {
+	g := newGateway(t, noop.NewTracerProvider(), retry.Limits{Window: time.Second})
+	r := testRoute(route.Once)
+	r.Attempts = 1
+	g.setRoutes(r)
+	leaving := g.addUpstream(healthy)
+	u := g.state.Upstreams().Service("s")[0]
+	g.dialDelay.Store(int64(100 * time.Millisecond))
+	var other *atomic.Int64
+	time.AfterFunc(50*time.Millisecond, func() {
+		g.dialDelay.Store(0)
+		other = g.addUpstream(healthy)
+		g.proxy.Notices.Observe(u.Run(), notice.Notice{}.WithLeaving(), time.Now(), time.Now())
+	})
+	resp, _ := g.get()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Zero(t, leaving.Load())
+	require.EqualValues(t, 1, other.Load())
+}
--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -71,8 +71,11 @@
 
 // withheldDetail says why upstreams were passed over; nothing if none was.
 func withheldDetail(w balance.Withheld) string {
-	if w.Count == 0 {
+	switch {
+	case w.Count == 0:
 		return ""
+	case w.Last.Leaving:
+		return w.Last.Upstream + " leaves"
 	}
 	return fmt.Sprintf("%s takes %g a second of all hosts, %d of %d tokens are this host's", w.Last.Upstream, w.Last.PerSecond, w.Last.Share, w.Last.Tokens)
 }
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -35,6 +35,8 @@
 	headerAccount = "Account"
 	// headerLimit is the upstream's limit, in requests a second.
 	headerLimit = "Limit"
+	// headerLeaving says that the upstream leaves.
+	headerLeaving = "Leaving"
 	// headerPanic makes an attempt panic.
 	headerPanic = "Panic"
 )
@@ -80,6 +82,9 @@
 	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil {
 		n = n.WithLimit(notice.LimitOf(limit))
 	}
+	if h.Get(headerLeaving) != "" {
+		n = n.WithLeaving()
+	}
 	return exchange.ResponseInfo{
 		Notice:       n,
 		WrongRequest: h.Get(headerID) != id, NotExecuted: h.Get(headerNotRun) != "", Misdirected: status == 421,
--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -73,7 +73,7 @@
 		return
 	}
 	state := stateReady
-	if registration.Draining {
+	if registration.Draining || s.registry.Leaves(registration.Run()) {
 		state = stateDraining
 	}
 	if !s.registry.Put(registration, now) {
@@ -98,6 +98,15 @@
 	return lapsed
 }
 
+// MarkLeaving has a run of an upstream that said in a response that it leaves get no new
+// work, whatever its row says.
+func (s *State) MarkLeaving(run upstream.Run) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.registry.MarkLeaving(run, time.Now())
+	s.publish()
+}
+
 // applyLate uses the entries of earlier runs that no later run has replaced.
 func (s *State) applyLate() {
 	s.mu.Lock()
--- a/internal/gateway/soak/notice_test.go
+++ b/internal/gateway/soak/notice_test.go
@@ -192,6 +192,11 @@
 //
 // The order of events: the upstream said so in each response, while the store was away
 // and its row went on to say that it is ready; requests came to it as before.
+//
+// The cause: hosts knew from the row alone which upstreams leave, and read nothing of it in
+// responses. The evidence: each host's copy of the table had the upstream as ready until the
+// store was back, 13 s later; in this test the header stood in 4 to 46 responses at each of
+// the hosts, counted as read by nothing.
 func TestAnUpstreamThatSaysItLeavesGetsNoMore(t *testing.T) {
 	t.Parallel()
 	n := newNoticeRun(t, standardSeed)
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -66,6 +66,20 @@
 	return g.fleet.WarmUpQuota(upstream, region, rate*limits.WarmUpOvershoot+limits.WarmUpSlack)
 }
 
+// Limited logs an upstream's limit.
+func (g *Gateway) Limited(run upstream.Run, perSecond float64) { g.log.Limited(run, perSecond) }
+
+// LimitEnded logs that an upstream has no limit any more.
+func (g *Gateway) LimitEnded(run upstream.Run) { g.log.LimitEnded(run) }
+
+// Leaves has an upstream that leaves get no new work, and other hosts hear of it out of
+// turn: they may have no response of it for long.
+func (g *Gateway) Leaves(run upstream.Run) {
+	g.log.Leaves(run)
+	g.state.MarkLeaving(run)
+	g.fleet.SendSoonToAll()
+}
+
 // LimitShare gives this host's share of a number of tokens of an upstream's limit.
 func (g *Gateway) LimitShare(id, region string, tokens int) notice.Share {
 	return g.fleet.LimitShare(id, region, tokens)
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -19,6 +19,9 @@
 	// whose entry comes back within that time has not restarted. Chosen, not
 	// measured.
 	rememberFor = time.Minute
+	// leavingKept is how long it is known of a run that it leaves: above the time that any
+	// upstream takes to end.
+	leavingKept = time.Hour
 	// LateGrace is how long an entry of an earlier run is ignored. If it was late, the
 	// present run writes its own again by then, as upstreams do each 1 to 1.5 s; if
 	// not, that run is the present one after all, and what stood there in between was
@@ -44,6 +47,9 @@
 	// removed has the upstreams that were removed lately.
 	removed map[string]tombstone
 	warmUp  func(service string) time.Duration
+	// leaving has the runs that said in a response that they leave, and since when, whatever
+	// their entries say.
+	leaving map[Run]time.Time
 	// late has the entries of earlier runs that came after those of later ones.
 	late map[string]lateEntry
 	// set is the last one that was made, and changed has the ids of the upstreams
@@ -100,7 +106,7 @@
 func NewRegistry(warmUp func(service string) time.Duration) *Registry {
 	return &Registry{
 		upstreams: map[string]*Upstream{}, evacuated: map[string]bool{}, removed: map[string]tombstone{}, warmUp: warmUp,
-		late: map[string]lateEntry{}, set: &Set{}, changed: map[string]bool{},
+		leaving: map[Run]time.Time{}, late: map[string]lateEntry{}, set: &Set{}, changed: map[string]bool{},
 	}
 }
 
@@ -134,6 +140,7 @@
 
 func (r *Registry) put(in Registration, now time.Time) {
 	run, last := in.Run(), r.lastRun(in.ID)
+	in.Draining = in.Draining || r.Leaves(run)
 	past := last.past.without(run)
 	if last.run != "" && last.run != run {
 		past = past.with(last.run)
@@ -144,6 +151,27 @@
 	delete(r.late, in.ID)
 }
 
+// MarkLeaving has a run drain for good, whatever its entry says now or later: an upstream
+// that can't reach the store says it in its responses only.
+func (r *Registry) MarkLeaving(run Run, now time.Time) {
+	maps.DeleteFunc(r.leaving, func(_ Run, since time.Time) bool { return now.Sub(since) >= leavingKept })
+	r.leaving[run] = now
+	for id, u := range r.upstreams {
+		if u.Run() == run && !u.Draining {
+			draining := *u
+			draining.Draining = true
+			r.upstreams[id] = &draining
+			r.changed[id] = true
+		}
+	}
+}
+
+// Leaves reports whether a run said in a response that it leaves.
+func (r *Registry) Leaves(run Run) bool {
+	_, ok := r.leaving[run]
+	return ok
+}
+
 // lastRun returns what is known of an upstream's last run, which may have been
 // removed lately; the zero value if there is none.
 func (r *Registry) lastRun(id string) lastRun {
--- a/internal/gateway/upstream/registry_test.go
+++ b/internal/gateway/upstream/registry_test.go
@@ -266,3 +266,30 @@
 		require.Empty(t, r.ApplyLate(now.Add(time.Minute)), "nothing stands there any more")
 	}
 }
+
+// An upstream says in its responses that it leaves, as it can't reach the store: its row
+// says that it is ready, is written again, goes and comes back.
+func TestARunThatSaysItLeavesDrainsWhateverItsEntrySays(t *testing.T) {
+	r, now := newRegistry(), time.Now()
+	r.Put(ready("a", "z"), now)
+	r.Put(ready("b", "z"), now)
+	before := r.Set()
+	leaving := ready("a", "z").Run()
+	r.MarkLeaving(leaving, now)
+	require.Equal(t, []string{"b"}, ids(r.Set()))
+	require.Equal(t, []string{"a", "b"}, ids(before), "a set is not changed")
+	r.Put(ready("a", "z"), now)
+	require.Equal(t, []string{"b"}, ids(r.Set()), "its row is written again")
+	require.False(t, r.Remove("a", now, now), "nobody waits for the row of one that leaves")
+	r.Put(ready("a", "z"), now.Add(2*time.Minute))
+	require.Equal(t, []string{"b"}, ids(r.Set()), "its row comes back")
+	next := ready("a", "z")
+	next.Born = 7
+	r.Put(next, now)
+	require.Equal(t, []string{"a", "b"}, ids(r.Set()), "another run under the id has not said it")
+	r.MarkLeaving("c@9", now)
+	late := ready("c", "z")
+	late.Born = 9
+	r.Put(late, now)
+	require.Equal(t, []string{"a", "b"}, ids(r.Set()), "it was said before its row was read")
+}
