Send upstreams that ask for rest nothing for so long

What callers saw: two upstreams refused each request with 503 and 3 s of rest, and got 50 and 53 more from one host in that time (2 allowed); 10 to 40 of some 400 clients a second were refused though 22 upstreams had room.

Cause: of a refusal hosts read the proof that it had not run and dropped the time, the class of the limit and of leaving.

Change: a refusal's Retry-After keeps this host from that run until it is over, also when all upstreams rest: then requests are refused at once, with the first end. What waited is not written and chooses again. Other hosts, which it does not bind, try the upstream last.

Why it holds: the rest is by run, becomes no shorter by a later response, and is asked for again right before a request is written.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -31,6 +31,8 @@
 type Notices interface {
 	// Withheld returns why an upstream gets no request now; the zero value if it may.
 	Withheld(u *upstream.Upstream, now time.Time) notice.Withheld
+	// RestsElsewhere reports whether an upstream wants none of another host.
+	RestsElsewhere(run upstream.Run, now time.Time) bool
 	// Take counts a request for which an upstream was chosen.
 	Take(u *upstream.Upstream, now time.Time)
 }
@@ -72,6 +74,7 @@
 
 func (noNotices) Withheld(*upstream.Upstream, time.Time) notice.Withheld { return notice.Withheld{} }
 func (noNotices) Take(*upstream.Upstream, time.Time)                     {}
+func (noNotices) RestsElsewhere(upstream.Run, time.Time) bool            { return false }
 
 // Suspended has load reports be older by the time for which the machine was suspended.
 // What was sent to cold upstreams is not: it counts for longer than it has to.
@@ -153,7 +156,7 @@
 			continue
 		}
 		x := b.scored(u, o.cost(u, key^u.Seed()), q.Now)
-		if ejections && b.detector.Ejected(u.Run(), q.Now) {
+		if ejections && b.avoided(u, q.Now) {
 			x.cost += ejectedCost
 		}
 		list = append(list, x)
@@ -162,6 +165,11 @@
 	return list, held
 }
 
+// avoided reports whether an upstream comes last: it is ejected, or refuses another host.
+func (b *Balancer) avoided(u *upstream.Upstream, now time.Time) bool {
+	return b.detector.Ejected(u.Run(), now) || b.notices.RestsElsewhere(u.Run(), now)
+}
+
 // order is the one of the upstreams for a request with a key's hash.
 func (b *Balancer) order(key uint64, q Query, sum *summary) order {
 	return order{location: b.location, noAffinity: q.NoAffinity, regionCost: b.policy.RegionCost, region: b.servingRegion(key, q, sum)}
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -48,7 +48,7 @@
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
 	ejections := b.policy.Ejections && sum.honorEjections(q)
-	ejected := func(u *upstream.Upstream) bool { return ejections && b.detector.Ejected(u.Run(), q.Now) }
+	ejected := func(u *upstream.Upstream) bool { return ejections && b.avoided(u, q.Now) }
 	// One more, as the region's best may be among them.
 	first := lowest{size: b.policy.PreferenceList + 1}
 	regionBest := lowest{size: 1}
--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -248,6 +248,12 @@
 	l.stateEvent(EventNotice).Str("upstream", string(run)).Str("kind", "leaving").Msg("upstream: leaves, gets no new work")
 }
 
+// Rests logs that an upstream wants no request of this host for a time, and counts it.
+func (l *Log) Rests(run upstream.Run, d time.Duration) {
+	l.metrics.Count(`cairndock_notices_total{kind="rest"}`)
+	l.stateEvent(EventNotice).Str("upstream", string(run)).Str("kind", "rest").Float64("for_ms", ms(d)).Msg("upstream: wants no request of this host for a time")
+}
+
 // LimitEnded logs that an upstream names no limit any more.
 func (l *Log) LimitEnded(run upstream.Run) {
 	l.stateEvent(EventNotice).Str("upstream", string(run)).Str("kind", "limit-ended").Msg("upstream: has no limit any more")
--- a/internal/gateway/notice/notice.go
+++ b/internal/gateway/notice/notice.go
@@ -1,9 +1,14 @@
 package notice
 
+import "time"
+
 // Notice is what one response says of its upstream.
 type Notice struct {
 	// Leaving means that the upstream takes no new work, and ends. Its run stays so.
 	Leaving bool
+	// Rest is for how long the upstream wants no request of this host; zero is none. Only a
+	// refusal says it.
+	Rest time.Duration
 	// Limit is the requests a second that the upstream takes from all hosts together.
 	Limit Limit
 }
@@ -37,6 +42,12 @@
 	return n
 }
 
+// WithRest returns the notice of an upstream that wants no request for a time.
+func (n Notice) WithRest(d time.Duration) Notice {
+	n.Rest = d
+	return n
+}
+
 // WithLimit returns the notice with a limit.
 func (n Notice) WithLimit(l Limit) Notice {
 	n.Limit = l
--- a/internal/gateway/notice/report.go
+++ b/internal/gateway/notice/report.go
@@ -11,17 +11,23 @@
 const (
 	// maxReports bounds the reports in a heartbeat, and so its size.
 	maxReports = 64
+	// mostRestElsewhere bounds for how long a report of a rest counts: it may come late, and
+	// the rest is not this host's.
+	mostRestElsewhere = 10 * time.Second
 	// echoWithin is by how much a report must be newer than what is known: one's own
 	// comes back with the time that it took on the way.
 	echoWithin = 100 * time.Millisecond
 )
 
-// Report is what a host tells others of a run: that it leaves, or its limit. It is on the
-// wire.
+// Report is what a host tells others of a run: that it leaves, that it wants none of the
+// host for a time, or its limit. It is on the wire.
 type Report struct {
 	Run     upstream.Run `msgpack:"u"`
 	Leaving bool         `msgpack:"x,omitempty"`
-	// PerSecond is the limit, in requests a second; it counts unless Leaving or Ended is set.
+	// RestMS is for how much longer it rests, in milliseconds; zero is another report.
+	RestMS int64 `msgpack:"r,omitempty"`
+	// PerSecond is the limit, in requests a second; it counts in no other report, and not
+	// if Ended is set.
 	PerSecond float64 `msgpack:"l,omitempty"`
 	Ended     bool    `msgpack:"e,omitempty"`
 	// AgeMS is how long ago it was heard, in milliseconds.
@@ -35,10 +41,15 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	reports := make([]Report, 0, len(t.limits)+len(t.leaving))
+	reports := make([]Report, 0, len(t.limits)+len(t.leaving)+len(t.restsUntil))
 	for run, since := range t.leaving {
 		reports = append(reports, Report{Run: run, Leaving: true, AgeMS: now.Sub(since).Milliseconds()})
 	}
+	for run, until := range t.restsUntil {
+		if left := until.Sub(now).Milliseconds(); left > 0 {
+			reports = append(reports, Report{Run: run, RestMS: left})
+		}
+	}
 	for run, l := range t.limits {
 		reports = append(reports, Report{Run: run, PerSecond: l.perSecond, Ended: l.ended, AgeMS: now.Sub(l.heard).Milliseconds()})
 	}
@@ -53,6 +64,10 @@
 			t.leave(r.Run, now)
 			continue
 		}
+		if r.RestMS > 0 {
+			t.restElsewhere(r.Run, time.Duration(min(r.RestMS, mostRestElsewhere.Milliseconds()))*time.Millisecond, now)
+			continue
+		}
 		t.mu.Lock()
 		report := t.mergeLimit(r, now)
 		t.mu.Unlock()
@@ -60,6 +75,14 @@
 	}
 }
 
+// restElsewhere notes that a run wants none of another host for a time.
+func (t *Table) restElsewhere(run upstream.Run, d time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.restsElsewhere[run] = now.Add(d)
+	t.resized()
+}
+
 func (t *Table) mergeLimit(r Report, now time.Time) (report func()) {
 	heard := now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
 	l := t.limits[r.Run]
--- a/internal/gateway/notice/table.go
+++ b/internal/gateway/notice/table.go
@@ -50,6 +50,8 @@
 	Limited(run upstream.Run, perSecond float64)
 	// Leaves means that an upstream leaves.
 	Leaves(run upstream.Run)
+	// Rests means that an upstream which this host sent requests to wants none for a time.
+	Rests(run upstream.Run, d time.Duration)
 	// LimitEnded means that it has none any more.
 	LimitEnded(run upstream.Run)
 }
@@ -66,15 +68,20 @@
 	limits map[upstream.Run]*limit
 	// leaving has since when it is known of each run that it leaves.
 	leaving map[upstream.Run]time.Time
+	// restsUntil has until when each run wants no request of this host, and restsElsewhere
+	// of another one, which binds this host to nothing.
+	restsUntil, restsElsewhere map[upstream.Run]time.Time
 }
 
 // NewTable makes the empty table of a host.
 func NewTable(host string, shares Shares, reporter Reporter) *Table {
-	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}, leaving: map[upstream.Run]time.Time{}}
+	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}, leaving: map[upstream.Run]time.Time{}, restsUntil: map[upstream.Run]time.Time{}, restsElsewhere: map[upstream.Run]time.Time{}}
 }
 
 // resized follows how many notices there are; t.mu is held.
-func (t *Table) resized() { t.size.Store(int32(len(t.limits) + len(t.leaving))) }
+func (t *Table) resized() {
+	t.size.Store(int32(len(t.limits) + len(t.leaving) + len(t.restsUntil) + len(t.restsElsewhere)))
+}
 
 // Observe takes what a response of a run says, whose request was sent at a time.
 //
@@ -85,6 +92,9 @@
 	if n.Leaving {
 		t.leave(run, now)
 	}
+	if n.Rest > 0 {
+		t.rest(run, n.Rest, now)
+	}
 	if n.Limit.word == unclear || n.Limit.word == silent && t.size.Load() == 0 {
 		return
 	}
@@ -109,6 +119,21 @@
 	}
 }
 
+// rest notes that a run wants no request for a time from now on. It does not become shorter
+// by a later word, as those come in any order.
+func (t *Table) rest(run upstream.Run, d time.Duration, now time.Time) {
+	t.mu.Lock()
+	rested := now.Before(t.restsUntil[run])
+	if until := now.Add(d); until.After(t.restsUntil[run]) {
+		t.restsUntil[run] = until
+	}
+	t.resized()
+	t.mu.Unlock()
+	if !rested {
+		t.reporter.Rests(run, d)
+	}
+}
+
 // observeLimit takes what a response says of a limit; t.mu is held. It returns what to
 // report without it.
 func (t *Table) observeLimit(run upstream.Run, said Limit, sent, now time.Time) (report func()) {
@@ -145,8 +170,9 @@
 type Withheld struct {
 	// Upstream is its id; empty if it may get one.
 	Upstream string
-	// Leaving is set when it leaves; then the rest does not count.
-	Leaving bool
+	// Leaving is set when it leaves, and Resting when it wants none for a time. Then the
+	// limit does not count.
+	Leaving, Resting bool
 	// PerSecond is its limit, and Share how many of Tokens are this host's.
 	PerSecond     float64
 	Share, Tokens int
@@ -164,6 +190,9 @@
 	if _, leaves := t.leaving[u.Run()]; leaves {
 		return Withheld{Upstream: u.ID, Leaving: true, For: -1}
 	}
+	if left := t.restsUntil[u.Run()].Sub(now); left > 0 {
+		return Withheld{Upstream: u.ID, Resting: true, For: left}
+	}
 	l := t.inForce(u.Run())
 	if l == nil {
 		return Withheld{}
@@ -176,6 +205,17 @@
 	return Withheld{Upstream: u.ID, PerSecond: l.perSecond, Share: l.share.Tokens, Tokens: tokensOf(l.perSecond), For: wait}
 }
 
+// RestsElsewhere reports whether an upstream wants no request of another host now. Most
+// likely it would refuse this host's as well.
+func (t *Table) RestsElsewhere(run upstream.Run, now time.Time) bool {
+	if t.size.Load() == 0 {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.restsElsewhere[run])
+}
+
 // MaySend reports whether a request for which an upstream was chosen may still be sent: it
 // may have waited since, for a connection or for processor time.
 func (t *Table) MaySend(u *upstream.Upstream, now time.Time) bool {
@@ -185,7 +225,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	_, leaves := t.leaving[u.Run()]
-	return !leaves
+	return !leaves && !now.Before(t.restsUntil[u.Run()])
 }
 
 // Take counts a request for which an upstream was chosen that Withheld let pass.
@@ -248,7 +288,8 @@
 	}
 }
 
-// Retain drops the limits of the runs that keep rejects, and those that ended long ago. That
+// Retain drops the limits of the runs that keep rejects, what has ended, and rests that are
+// over. That
 // a run leaves is kept for longer: its row may come back.
 func (t *Table) Retain(keep func(upstream.Run) bool, now time.Time) {
 	t.mu.Lock()
@@ -256,6 +297,9 @@
 	maps.DeleteFunc(t.limits, func(run upstream.Run, l *limit) bool {
 		return !keep(run) || l.ended && now.Sub(l.heard) >= endLasts
 	})
+	over := func(_ upstream.Run, until time.Time) bool { return !now.Before(until) }
+	maps.DeleteFunc(t.restsUntil, over)
+	maps.DeleteFunc(t.restsElsewhere, over)
 	maps.DeleteFunc(t.leaving, func(run upstream.Run, since time.Time) bool { return !keep(run) && now.Sub(since) >= leavingKept })
 	t.resized()
 }
--- a/internal/gateway/notice/table_test.go
+++ b/internal/gateway/notice/table_test.go
@@ -26,6 +26,9 @@
 }
 func (r *reports) LimitEnded(run upstream.Run) { r.said = append(r.said, "ended "+string(run)) }
 func (r *reports) Leaves(run upstream.Run)     { r.said = append(r.said, "leaves "+string(run)) }
+func (r *reports) Rests(run upstream.Run, _ time.Duration) {
+	r.said = append(r.said, "rests "+string(run))
+}
 
 func newTable(share int) *notice.Table {
 	return notice.NewTable("h", fixedShare(share), &reports{})
@@ -194,6 +197,32 @@
 	require.Empty(t, table.Reports(now), "forgotten once it has ended")
 }
 
+func TestAnUpstreamThatRestsGetsNothingForSoLong(t *testing.T) {
+	r, now := &reports{}, time.Now()
+	table := notice.NewTable("h", fixedShare(1), r)
+	after := func(d time.Duration) time.Time { return now.Add(d) }
+	rest := func(d time.Duration) notice.Notice { return notice.Notice{}.WithRest(d) }
+	table.Observe(a.Run(), rest(3*time.Second), now, now)
+	table.Observe(a.Run(), rest(time.Second), now, after(500*time.Millisecond))
+	table.Observe(a.Run(), notice.Notice{}, after(time.Second), after(time.Second))
+	require.Equal(t, time.Second, table.Withheld(a, after(2*time.Second)).For, "neither a shorter word nor none ends it")
+	require.False(t, table.MaySend(a, after(2*time.Second)), "a request that waited")
+	require.True(t, passes(table, up("a", 7), now), "another run has not said it")
+	other := newTable(1)
+	other.Merge(table.Reports(after(time.Second)), after(time.Second))
+	require.True(t, passes(other, a, after(time.Second)), "it does not bind other hosts")
+	require.True(t, other.RestsElsewhere(a.Run(), after(2*time.Second)))
+	require.False(t, other.RestsElsewhere(a.Run(), after(4*time.Second)))
+	require.False(t, table.RestsElsewhere(a.Run(), after(time.Second)))
+	require.True(t, passes(table, a, after(3*time.Second)))
+	require.True(t, table.MaySend(a, after(3*time.Second)))
+	table.Retain(func(upstream.Run) bool { return true }, after(2*time.Second))
+	require.False(t, passes(table, a, after(2*time.Second)))
+	table.Retain(func(upstream.Run) bool { return true }, after(3*time.Second))
+	table.Observe(a.Run(), rest(time.Second), after(3*time.Second), after(3*time.Second))
+	require.Equal(t, []string{"rests a", "rests a"}, r.said, "each rest once")
+}
+
 func TestRunsThatAreGoneAreDropped(t *testing.T) {
 	table, now := newTable(1), time.Now()
 	table.Observe(a.Run(), limited(5), now, now)
--- a/internal/gateway/proxy/notice_test.go
+++ b/internal/gateway/proxy/notice_test.go
@@ -114,3 +114,49 @@
 	require.Zero(t, leaving.Load())
 	require.EqualValues(t, 1, other.Load())
 }
+
+// resting refuses requests and asks for a second of rest.
+func resting(c net.Conn, r *http.Request) {
+	reply(c, r, 503, "Not-Run: 1\r\n"+headerRest+": 1s\r\n", "")
+}
+
+func TestAnUpstreamThatRestsGetsNoRequest(t *testing.T) {
+	g := newTestGateway(t)
+	r := testRoute(route.Once)
+	r.Attempts = 3 // as two upstreams refuse the first request
+	g.setRoutes(r)
+	rested := g.addUpstream(resting)
+	g.addUpstream(resting)
+	other := g.addUpstream(healthy)
+	for n := range 40 {
+		require.Equal(t, http.StatusOK, g.getKey(n%8), "another one has room")
+	}
+	require.LessOrEqual(t, rested.Load(), int64(1))
+	require.EqualValues(t, 40, other.Load())
+	require.True(t, g.log.has(`"kind":"rest"`))
+	time.Sleep(1100 * time.Millisecond)
+	for n := range 8 {
+		require.Equal(t, http.StatusOK, g.getKey(n))
+	}
+	require.LessOrEqual(t, rested.Load(), int64(2), "it is asked again once its rest is over")
+}
+
+// While all upstreams rest, requests are refused at once, and clients return when the first
+// of them takes one again.
+func TestARequestIsRefusedAtOnceWhileAllUpstreamsRest(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Repeatable))
+	rested := g.addUpstream(resting)
+	g.get()
+	for range 3 {
+		began := time.Now()
+		resp, _ := g.get()
+		require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+		require.Equal(t, string(verdict.Withheld), resp.Header.Get("Reason"))
+		after, err := time.ParseDuration(resp.Header.Get("Retry"))
+		require.NoError(t, err)
+		require.Greater(t, after, 500*time.Millisecond)
+		require.Less(t, time.Since(began), 100*time.Millisecond)
+	}
+	require.EqualValues(t, 1, rested.Load())
+}
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -37,6 +37,8 @@
 	headerLimit = "Limit"
 	// headerLeaving says that the upstream leaves.
 	headerLeaving = "Leaving"
+	// headerRest is for how long the upstream wants no request.
+	headerRest = "Rest"
 	// headerPanic makes an attempt panic.
 	headerPanic = "Panic"
 )
@@ -82,6 +84,9 @@
 	if limit, err := strconv.ParseFloat(h.Get(headerLimit), 64); err == nil {
 		n = n.WithLimit(notice.LimitOf(limit))
 	}
+	if rest, err := time.ParseDuration(h.Get(headerRest)); err == nil {
+		n = n.WithRest(rest)
+	}
 	if h.Get(headerLeaving) != "" {
 		n = n.WithLeaving()
 	}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -80,6 +80,13 @@
 	g.fleet.SendSoonToAll()
 }
 
+// Rests logs that an upstream wants no request for a time, and has other hosts hear of it
+// out of turn: each would be refused by it first.
+func (g *Gateway) Rests(run upstream.Run, d time.Duration) {
+	g.log.Rests(run, d)
+	g.fleet.SendSoonToAll()
+}
+
 // LimitShare gives this host's share of a number of tokens of an upstream's limit.
 func (g *Gateway) LimitShare(id, region string, tokens int) notice.Share {
 	return g.fleet.LimitShare(id, region, tokens)
