Play upstreams that leave, rest and have limits beside all faults of the soak

Upstreams say it in both phases of a run, isolated from faults of their own; what they get is checked by host and process: nothing sent 2 s after a process passed the word on, no excuse; two requests in a rest and the bound of a limit, but around faults of the host.

--- a/internal/gateway/soak/client_test.go
+++ b/internal/gateway/soak/client_test.go
@@ -139,10 +139,12 @@
 	}
 	m := c.message()
 	idle := time.Since(conn.lastEnd)
+	c.world.noteSent(m.id, address)
 	r := conn.exchange(m)
 	c.world.record.request(r.began, r.ended.Sub(r.began), r.outcome())
 	if r.err == nil {
 		c.world.checkResponse(address, m.id, r)
+		c.world.said.noteResponse(m.id, r.header)
 	}
 	if r.sent && r.closed {
 		c.world.noteClosure(address, m.id, r, conn.requests, idle)
@@ -157,6 +159,13 @@
 	return true
 }
 
+// noteSent notes which process of a host a request is sent to.
+func (w *world) noteSent(id, address string) {
+	if h := w.hostAt(address); h != nil {
+		w.said.noteSent(id, origin{h, h.processNumber()})
+	}
+}
+
 // connection gives the client's connection to a host, or makes it.
 func (c *client) connection(address string) (*clientConn, error) {
 	if conn, ok := c.conns[address]; ok {
--- a/internal/gateway/soak/conn_test.go
+++ b/internal/gateway/soak/conn_test.go
@@ -137,6 +137,7 @@
 	sent bool
 	// status and text are the response's if err is nil.
 	status int
+	header http.Header
 	text   string
 	err    error
 	// closed is set when the host ended the connection before the response was
@@ -178,7 +179,7 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	text, err := io.ReadAll(resp.Body)
-	r.status, r.text, r.err = resp.StatusCode, string(text), err
+	r.status, r.header, r.text, r.err = resp.StatusCode, resp.Header, string(text), err
 	r.reusable = err == nil && !resp.Close
 }
 
--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -19,7 +19,8 @@
 //	cold_test.go         the check that cold upstreams are not flooded
 //	checks_test.go       what else is checked beside them and at the end
 //	accounts_test.go     client accounts: keys taken away, and a limit
-//	notice_test.go       what upstreams say of themselves in their responses
+//	notice_test.go       what upstreams say of themselves in their responses, alone
+//	said_test.go         the same beside all faults
 //	recovery_test.go     what must work after all faults
 //	recorder_test.go     a run second by second, and page_test.go its report
 //	artifacts_test.go    logs, heap profiles and reports kept of a run
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -100,13 +100,19 @@
 	wait := w.startTraffic(ctx)
 	wait.Go(func() { w.watchMemory(ctx, cancel) })
 	time.Sleep(calmAfter) // so that all hosts count as calm
+	saying, endSaying := context.WithCancel(ctx)
+	defer endSaying()
+	var says sync.WaitGroup
+	says.Go(func() { w.haveUpstreamsSay(saying) })
 	w.phase(ctx, "planned", planned, length, plannedGap)
 	entries, endEntries := context.WithCancel(ctx)
 	var disrupting sync.WaitGroup
 	disrupting.Go(func() { w.disruptEntries(entries) })
 	w.phase(ctx, "all", slices.Concat(planned, unplanned), length, allGap)
 	endEntries()
+	endSaying()
 	disrupting.Wait()
+	says.Wait()
 	w.checkRecovery()
 	w.keep(logsVar, ".heap", w.writeHeapProfile) // of a host under load
 	cancel()
@@ -116,6 +122,7 @@
 	w.checkCuts()
 	w.checkCold()
 	w.checkLimit()
+	w.checkSaid()
 	ends := w.record.totals()
 	w.keep(reportVar, ".html", w.record.writePage)
 	t.Logf("seed %d: %d served, %d refused, %d closed, %d failed, %d violations",
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -109,6 +109,8 @@
 	violation func(format string, args ...any)
 	// notice is what it says in its responses; nil is nothing.
 	notice atomic.Pointer[platformtest.Notice]
+	// refused is called for each request that it refuses and asks for rest.
+	refused func(request string)
 	// poisoned, if it is set, is called for each request that may end the upstream, and
 	// reports whether it does.
 	poisoned func(u *upstream) bool
@@ -162,6 +164,9 @@
 	}
 	if u.running.Add(1) > refuseAbove || d == shedding || rests {
 		u.running.Add(-1)
+		if rests && u.refused != nil {
+			u.refused(id)
+		}
 		u.Refuse(w)
 		return
 	}
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -77,6 +77,8 @@
 	notRun map[string]string
 	// closures are the requests whose connection was closed without a response.
 	closures []closure
+	// said is what upstreams say in their responses.
+	said *said
 	// limitedSent is when each request of the limited account was sent, by its id.
 	limitedSent map[string]time.Time
 }
@@ -87,7 +89,7 @@
 		t: t, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)),
 		record: newRecorder(fmt.Sprintf("Fault soak, seed %d, %d hosts", seed, hosts)),
 		store:  platformtest.NewStore(), ledger: newLedger(),
-		acceptedAt: map[int]time.Time{}, notRun: map[string]string{}, limitedSent: map[string]time.Time{}, idleLimits: []idleLimit{{time.Now(), longIdleLimit}},
+		acceptedAt: map[int]time.Time{}, notRun: map[string]string{}, said: newSaid(), limitedSent: map[string]time.Time{}, idleLimits: []idleLimit{{time.Now(), longIdleLimit}},
 	}
 	w.server = httptest.NewServer(w.store)
 	t.Cleanup(w.server.Close)
@@ -157,6 +159,7 @@
 	w.lastUpstream++
 	u := newUpstream(w.t, fmt.Sprint("i-", w.lastUpstream), zone, w.ledger, w.checkDrained)
 	u.violation = w.violation
+	u.refused = func(id string) { w.said.noteRefused(id, u) }
 	w.alive = append(w.alive, u)
 	w.everyUpstream = append(w.everyUpstream, u)
 	w.store.PutUpstream(u.ID, u.row(false))
