Show in a trace which upstreams were passed over, and why

A request that went past an upstream which rests, leaves or is at its limit looked like one that preferred another.

--- a/internal/gateway/logline/logline.go
+++ b/internal/gateway/logline/logline.go
@@ -38,6 +38,7 @@
 	Capacity  int     `json:"capacity"`
 	Key       string  `json:"key"`
 	Outcome   string  `json:"outcome"`
+	Withheld  string  `json:"withheld"`
 
 	// Of attempts and final responses.
 	Route   string  `json:"route"`
--- a/internal/gateway/reqtrace/print.go
+++ b/internal/gateway/reqtrace/print.go
@@ -41,10 +41,13 @@
 		text = fmt.Sprintf("attempt %d to %s in %s (preference %d of its key, %s, cold %t, configuration %d): %s after %.0f ms",
 			l.Attempt, l.Upstream, l.Zone, l.Rank+1, loadText(l), l.Cold, l.Config, l.Outcome, l.TookMS)
 	}
-	if l.Detail == "" {
-		return text
+	if l.Detail != "" {
+		text += ": " + l.Detail
 	}
-	return text + ": " + l.Detail
+	if l.Withheld != "" {
+		text += "; passed over before: " + l.Withheld
+	}
+	return text
 }
 
 // loadText gives the load and how old the report was that it is based on. The
