Tell other hosts what is new of upstreams, and not all that is known

Now what is new for 3 s and, each 10 s, that a limit is still there, 32 at most.

A run that leaves and does not say when it started counts as another process once its row was away for a minute, as elsewhere; else an upstream that starts again under its id would get nothing for an hour from hosts that had been told. Tests of both fail before (TestHeartbeatsHaveWhatIsNew: 2 reports in each heartbeat, 0 after 3 s now).

--- a/internal/gateway/notice/limit.go
+++ b/internal/gateway/notice/limit.go
@@ -41,6 +41,9 @@
 	ended bool
 	// heard is when it was said last, here or at another host.
 	heard time.Time
+	// news is since when other hosts are told: since it changed, or was confirmed for the
+	// first time in a while.
+	news time.Time
 	// share is this host's, as of sharedAt.
 	share    Share
 	sharedAt time.Time
@@ -68,6 +71,9 @@
 	return rateOf(l.perSecond) * float64(l.share.Tokens) / float64(tokensOf(l.perSecond))
 }
 
+// end notes that the limit has ended.
+func (l *limit) end(heard, now time.Time) { l.ended, l.heard, l.news = true, heard, now }
+
 // untilNext is how long it takes until there is a token; zero if there is one, and
 // negative if none will come.
 func (l *limit) untilNext() time.Duration {
@@ -81,10 +87,14 @@
 	}
 }
 
-// set puts another value in force. The tokens stay, as far as they fit.
-func (l *limit) set(perSecond float64, heard time.Time) {
+// set puts a value in force that was heard at a time. The tokens stay, as far as they fit.
+func (l *limit) set(perSecond float64, heard, now time.Time) {
 	if perSecond != l.perSecond || l.ended {
 		l.sharedAt = time.Time{}
+		l.news = now
+	}
+	if now.Sub(l.news) >= newsEvery {
+		l.news = now
 	}
 	l.perSecond, l.ended, l.heard = perSecond, false, heard
 }
--- a/internal/gateway/notice/report.go
+++ b/internal/gateway/notice/report.go
@@ -9,8 +9,12 @@
 )
 
 const (
-	// maxReports bounds the reports in a heartbeat, and so its size.
-	maxReports = 64
+	// maxReports bounds the reports in a heartbeat, and so its size: some 30 bytes each.
+	maxReports = 32
+	// newsFor is for how long a host tells others what is new, each of which gets several
+	// heartbeats meanwhile, and newsEvery how often it tells that a limit is still there.
+	newsFor   = 3 * time.Second
+	newsEvery = 10 * time.Second
 	// mostRestElsewhere bounds for how long a report of a rest counts: it may come late, and
 	// the rest is not this host's.
 	mostRestElsewhere = 10 * time.Second
@@ -34,7 +38,8 @@
 	AgeMS int64 `msgpack:"a,omitempty"`
 }
 
-// Reports returns what other hosts are told: what was heard last, first.
+// Reports returns what other hosts are told now: what is new, and now and then that a limit
+// is still there; what was heard last, first. In calm times it costs heartbeats nothing.
 func (t *Table) Reports(now time.Time) []Report {
 	if t.size.Load() == 0 {
 		return nil
@@ -42,8 +47,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	reports := make([]Report, 0, len(t.limits)+len(t.leaving)+len(t.restsUntil))
-	for run, since := range t.leaving {
-		reports = append(reports, Report{Run: run, Leaving: true, AgeMS: now.Sub(since).Milliseconds()})
+	for run, l := range t.leaving {
+		if age := now.Sub(l.told); age < newsFor {
+			reports = append(reports, Report{Run: run, Leaving: true, AgeMS: age.Milliseconds()})
+		}
 	}
 	for run, until := range t.restsUntil {
 		if left := until.Sub(now).Milliseconds(); left > 0 {
@@ -51,6 +58,9 @@
 		}
 	}
 	for run, l := range t.limits {
+		if now.Sub(l.news) >= newsFor {
+			continue
+		}
 		reports = append(reports, Report{Run: run, PerSecond: l.perSecond, Ended: l.ended, AgeMS: now.Sub(l.heard).Milliseconds()})
 	}
 	slices.SortFunc(reports, func(a, b Report) int { return cmp.Or(cmp.Compare(a.AgeMS, b.AgeMS), cmp.Compare(a.Run, b.Run)) })
@@ -93,7 +103,7 @@
 		return t.put(r.Run, r.PerSecond, heard, now)
 	}
 	was := l.ended
-	l.ended, l.heard = true, heard
+	l.end(heard, now)
 	if was {
 		return func() {}
 	}
--- a/internal/gateway/notice/table.go
+++ b/internal/gateway/notice/table.go
@@ -21,9 +21,9 @@
 	askAfter = 10 * time.Second
 	leastAsk = 30 * time.Second
 	mostAsk  = 10 * time.Minute
-	// leavingKept is how long a run that is not registered is known to leave: above the
-	// time that any upstream takes to end.
-	leavingKept = time.Hour
+	// leavingKept is how long a run that is not registered any more is known to leave: as
+	// long as one that comes back counts as the same (package upstream).
+	leavingKept = time.Minute
 	// endLasts is for how long other hosts are told that a limit has ended.
 	endLasts = 10 * time.Second
 )
@@ -66,16 +66,22 @@
 	size   atomic.Int32
 	mu     sync.Mutex
 	limits map[upstream.Run]*limit
-	// leaving has since when it is known of each run that it leaves.
-	leaving map[upstream.Run]time.Time
+	// leaving has the runs that leave.
+	leaving map[upstream.Run]*leaver
 	// restsUntil has until when each run wants no request of this host, and restsElsewhere
 	// of another one, which binds this host to nothing.
 	restsUntil, restsElsewhere map[upstream.Run]time.Time
 }
 
+// leaver is a run that leaves.
+type leaver struct {
+	// told is when it became known, and registered when it was last registered.
+	told, registered time.Time
+}
+
 // NewTable makes the empty table of a host.
 func NewTable(host string, shares Shares, reporter Reporter) *Table {
-	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}, leaving: map[upstream.Run]time.Time{}, restsUntil: map[upstream.Run]time.Time{}, restsElsewhere: map[upstream.Run]time.Time{}}
+	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}, leaving: map[upstream.Run]*leaver{}, restsUntil: map[upstream.Run]time.Time{}, restsElsewhere: map[upstream.Run]time.Time{}}
 }
 
 // resized follows how many notices there are; t.mu is held.
@@ -110,7 +116,7 @@
 	t.mu.Lock()
 	_, known := t.leaving[run]
 	if !known {
-		t.leaving[run] = now
+		t.leaving[run] = &leaver{told: now, registered: now}
 		t.resized()
 	}
 	t.mu.Unlock()
@@ -142,7 +148,7 @@
 	later := l == nil || sent.After(l.heard)
 	switch {
 	case said.word == silent && known && later:
-		l.ended, l.heard = true, now
+		l.end(now, now)
 		return func() { t.reporter.LimitEnded(run) }
 	case said.word == silent, !later && l.ended, !later && said.perSecond > l.perSecond:
 		return func() {}
@@ -159,7 +165,7 @@
 		t.resized()
 	}
 	changed := l.ended || l.heard.IsZero() || l.perSecond != perSecond
-	l.set(perSecond, heard)
+	l.set(perSecond, heard, now)
 	if !changed {
 		return func() {}
 	}
@@ -300,6 +306,11 @@
 	over := func(_ upstream.Run, until time.Time) bool { return !now.Before(until) }
 	maps.DeleteFunc(t.restsUntil, over)
 	maps.DeleteFunc(t.restsElsewhere, over)
-	maps.DeleteFunc(t.leaving, func(run upstream.Run, since time.Time) bool { return !keep(run) && now.Sub(since) >= leavingKept })
+	maps.DeleteFunc(t.leaving, func(run upstream.Run, l *leaver) bool {
+		if keep(run) {
+			l.registered = now
+		}
+		return now.Sub(l.registered) >= leavingKept
+	})
 	t.resized()
 }
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -140,6 +140,11 @@
 
 func (r *Registry) put(in Registration, now time.Time) {
 	run, last := in.Run(), r.lastRun(in.ID)
+	if last.run == "" && in.Born == 0 {
+		// It was away for long, or is new: a process that does not say when it started
+		// may have started again.
+		delete(r.leaving, run)
+	}
 	in.Draining = in.Draining || r.Leaves(run)
 	past := last.past.without(run)
 	if last.run != "" && last.run != run {
