--- a/cmd/apply.go
+++ b/cmd/apply.go
@@ -18,15 +18,13 @@
 
 const (
 	// submitAttempts is how often a change is sent until a host responds with
-	// another status than 503. Chosen, not measured.
+	// another status than 503.
 	submitAttempts = 3
-	// submitPause is the pause after each. Chosen, not measured.
+	// submitPause is the pause after each.
 	submitPause = time.Second
 	// followPause is the pause between two looks at a change's progress.
-	// Chosen, not measured.
 	followPause = 500 * time.Millisecond
-	// followAttempts limits the wait for a change to a minute. Chosen, not
-	// measured.
+	// followAttempts limits the wait for a change to a minute.
 	followAttempts = 120
 )
 
--- a/cmd/client.go
+++ b/cmd/client.go
@@ -25,8 +25,8 @@
 // so that it need not stand on the command line.
 const envToken = "CAIRNDOCK_TOKEN"
 
-// clientTimeout limits a request to a host. Chosen, not measured: above the
-// longest wait of a change, 60 s.
+// clientTimeout limits a request to a host: above the longest wait of a
+// change, 60 s.
 const clientTimeout = 90 * time.Second
 
 // client sends requests to a host's operator listener.
--- a/cmd/drain.go
+++ b/cmd/drain.go
@@ -18,10 +18,9 @@
 )
 
 const (
-	// drainTimeout is the default of --timeout. Chosen, not measured.
+	// drainTimeout is the default of --timeout.
 	drainTimeout = 2 * time.Minute
-	// drainPause is the pause between two looks at the upstreams. Chosen, not
-	// measured.
+	// drainPause is the pause between two looks at the upstreams.
 	drainPause = 200 * time.Millisecond
 )
 
--- a/internal/gateway/account/account.go
+++ b/internal/gateway/account/account.go
@@ -14,7 +14,7 @@
 
 // maxKeyBytes is the longest key that a request may carry, in bytes. No key that people
 // or programs make is as long; a longer one is not looked up, as its hash would cost
-// every host time that the sender need not spend. Chosen, not measured.
+// every host time that the sender need not spend.
 const maxKeyBytes = 1024
 
 // Account is a client account.
--- a/internal/gateway/balance/admission.go
+++ b/internal/gateway/balance/admission.go
@@ -19,7 +19,7 @@
 	// faults rejected 43 of 1,000 requests of priority 2 and 21 of priority 1.
 	rejectStep = 0.25
 	// lowestPriority is the one from which on all requests have the same
-	// limit, 1.1 capacities. Chosen, not measured.
+	// limit, 1.1 capacities.
 	lowestPriority = 3
 )
 
--- a/internal/gateway/balance/ejected.go
+++ b/internal/gateway/balance/ejected.go
@@ -7,7 +7,7 @@
 	ejectedCost = 4 * affinitySpread
 	// maxEjectedPart is the part of a request's upstreams above which
 	// ejections are ignored: when most of them fail, the fault is more likely
-	// elsewhere, such as the host's own network. Chosen, not measured.
+	// elsewhere, such as the host's own network.
 	maxEjectedPart = 0.5
 	// maxHealthyLoad is the mean load of the other upstreams, in capacities,
 	// above which ejections are ignored: they could not bear the load of the
--- a/internal/gateway/balance/leastloaded.go
+++ b/internal/gateway/balance/leastloaded.go
@@ -2,7 +2,7 @@
 
 // sampleSize is how many upstreams a request without affinity compares first:
 // enough to find one that is free, and few enough that hosts that know the
-// same loads do not all pick the same one. Chosen, not measured.
+// same loads do not all pick the same one.
 const sampleSize = 3
 
 // tier is a range of the ordered upstreams that are compared together, and
--- a/internal/gateway/balance/load.go
+++ b/internal/gateway/balance/load.go
@@ -14,8 +14,7 @@
 	reportLasts    = 5.0
 	leastReportTTL = time.Second
 	mostReportTTL  = 4 * time.Second
-	// intervalWeight is the weight of the last interval in the average. Chosen, not
-	// measured.
+	// intervalWeight is the weight of the last interval in the average.
 	intervalWeight = 0.25
 )
 
--- a/internal/gateway/balance/order.go
+++ b/internal/gateway/balance/order.go
@@ -9,7 +9,7 @@
 const (
 	// affinitySpread is the range over which rendezvous hashing spreads the
 	// costs of the upstreams for one key. It is the unit of all costs:
-	// chosen, not measured, as only the relations between costs matter.
+	// only the relations between them matter.
 	affinitySpread = 10.0
 	// zoneStep is the cost of another zone of the own region for a request
 	// without affinity. At half the spread, every upstream of the own zone
--- a/internal/gateway/balance/reserved.go
+++ b/internal/gateway/balance/reserved.go
@@ -4,8 +4,8 @@
 
 // reservedStep is how fast, in parts of a region's requests a second, they may move as
 // what is reserved changes: a limit or a home that an operator changes must not have many
-// go to another region at once, whose upstreams don't know their objects. Chosen, not
-// measured: below half of the 0.15 in 2 s that users allow.
+// go to another region at once, whose upstreams don't know their objects: below half of
+// the 0.15 in 2 s that users allow.
 const reservedStep = 0.03
 
 // reservations are the parts of capacity that requests which are bound to a region need
--- a/internal/gateway/balance/summary.go
+++ b/internal/gateway/balance/summary.go
@@ -11,7 +11,6 @@
 const (
 	// summaryEvery is how long a summary of a list holds. What it says, how much
 	// capacity regions have and whether most upstreams fail, changes over seconds.
-	// Chosen, not measured.
 	summaryEvery = 50 * time.Millisecond
 	// summaryEveryUpstream is how much longer it holds for each upstream, so that a
 	// host spends about 1 part in 400 of its processor time on summaries, however
--- a/internal/gateway/dial/dial.go
+++ b/internal/gateway/dial/dial.go
@@ -18,8 +18,7 @@
 const (
 	// keepAliveIdle is how long a connection is silent before the kernel probes
 	// it. With the two constants below a link that is cut without a reset is
-	// found within keepAliveIdle + keepAliveCount*keepAliveInterval, 2.5 s. All
-	// three were chosen, not measured.
+	// found within keepAliveIdle + keepAliveCount*keepAliveInterval, 2.5 s.
 	keepAliveIdle = time.Second
 	// keepAliveInterval is the time between two probes.
 	keepAliveInterval = 500 * time.Millisecond
@@ -27,7 +26,7 @@
 	// connection is closed.
 	keepAliveCount = 3
 	// maxUnacknowledged is how long sent data may stay unacknowledged before
-	// the connection fails (TCP_USER_TIMEOUT). Chosen, not measured.
+	// the connection fails (TCP_USER_TIMEOUT).
 	maxUnacknowledged = 1200 * time.Millisecond
 )
 
--- a/internal/gateway/eventlog/log.go
+++ b/internal/gateway/eventlog/log.go
@@ -23,7 +23,7 @@
 	"cairndock/internal/telemetry"
 )
 
-// The rates below are chosen, not measured one by one. With all of them the
+// With all of the rates below the
 // log cost 1.7% of processor time on a day of high load (docs/OPERATIONS.md).
 const (
 	// defaultOneIn is how many successful requests there are to each one that
--- a/internal/gateway/eventlog/writer.go
+++ b/internal/gateway/eventlog/writer.go
@@ -7,14 +7,13 @@
 )
 
 const (
-	// queueLength is how many lines wait for the writer at most. Chosen, not
-	// measured: about three seconds of lines at all rates together.
+	// queueLength is how many lines wait for the writer at most: about three
+	// seconds of lines at all rates together.
 	queueLength = 512
 	// reportEvery is how often the log says how many lines were left out.
-	// Chosen, not measured.
 	reportEvery = 5 * time.Second
-	// closeTimeout is how long Close waits for a writer that is stuck.
-	// Chosen, not measured: short beside the grace of a planned stop.
+	// closeTimeout is how long Close waits for a writer that is stuck:
+	// short beside the grace of a planned stop.
 	closeTimeout = 200 * time.Millisecond
 )
 
--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -13,7 +13,7 @@
 )
 
 // readBuffer is the size of a connection's read buffer, in bytes. 4 KiB is the
-// default of bufio; chosen, not measured here.
+// default of bufio.
 const readBuffer = 4 << 10
 
 // conn is a connection to an upstream. It carries one request at a time.
--- a/internal/gateway/exchange/ended.go
+++ b/internal/gateway/exchange/ended.go
@@ -12,16 +12,15 @@
 )
 
 const (
-	// endTimeout bounds the time in which HasEnded finds out. Chosen, not measured:
-	// some new connections between two regions.
+	// endTimeout bounds the time in which HasEnded finds out: some new connections
+	// between two regions.
 	endTimeout = 500 * time.Millisecond
 	// endSettles is how long a connection must last that was made right after another
 	// one had ended. A process that ends closes its listener and its connections one
-	// by one, so that a connection made meanwhile is reset at once. Chosen, not
-	// measured.
+	// by one, so that a connection made meanwhile is reset at once.
 	endSettles = 20 * time.Millisecond
 	// endKept is how long it is remembered that a run has ended, for the attempts that
-	// notice it later. Chosen, not measured.
+	// notice it later.
 	endKept = 30 * time.Second
 )
 
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -14,14 +14,14 @@
 )
 
 const (
-	// maxIdle bounds the idle connections to one upstream. Chosen, not measured.
+	// maxIdle bounds the idle connections to one upstream.
 	maxIdle = 8
 	// maxIdleTime bounds how long a connection stays idle, and is what holds when
-	// the upstream's Keep-Alive header gives no time. Chosen, not measured.
+	// the upstream's Keep-Alive header gives no time.
 	maxIdleTime = 8 * time.Second
 	// idleMargin is how much earlier than the upstream the pool closes an idle
 	// connection, so that no request is written to one that is being closed. The
-	// header gives whole seconds; half of one was chosen, not measured.
+	// header gives whole seconds.
 	idleMargin = 500 * time.Millisecond
 )
 
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -14,10 +14,10 @@
 const (
 	// maxWrongResponses is how many responses to other requests are skipped on
 	// one connection before it is given up. The platform sends at most one extra
-	// response late; 4 was chosen, not measured.
+	// response late.
 	maxWrongResponses = 4
 	// headerRoom is the space reserved for a request's header in the buffer that
-	// it is encoded into, in bytes. Chosen, not measured; the buffer grows.
+	// it is encoded into, in bytes: the buffer grows.
 	headerRoom = 512
 )
 
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -14,12 +14,11 @@
 	// first byte of its response until the pool gives up the connections that
 	// were idle before it. It is above what most responses take, as each slower
 	// one costs dials, and below the deadlines of requests that are not canceled
-	// when they are overdue. Chosen, not measured.
+	// when they are overdue.
 	maxSilence = time.Second
 	// minSilence is how long a request that timed out or was canceled must have
 	// waited for that. Clients leave at any moment, which says nothing of the
 	// connection; an overdue attempt is canceled after 250 ms at the least.
-	// Chosen, not measured.
 	minSilence = 200 * time.Millisecond
 )
 
--- a/internal/gateway/fleet/capacity.go
+++ b/internal/gateway/fleet/capacity.go
@@ -17,8 +17,7 @@
 	// bytesPerMegabit converts a link's rate.
 	bytesPerMegabit = 1_000_000 / 8
 	// largeRatio is the part of the largest host's capacity from which on a host
-	// counts as large: hosts that differ by less than two times share alike. Chosen,
-	// not measured.
+	// counts as large: hosts that differ by less than two times share alike.
 	largeRatio = 0.5
 )
 
--- a/internal/gateway/fleet/directory.go
+++ b/internal/gateway/fleet/directory.go
@@ -58,12 +58,12 @@
 
 const (
 	// minNamed is how many hosts clients are given at the least: with one, all
-	// clients of a zone would wait for its death to be noticed. Chosen, not measured.
+	// clients of a zone would wait for its death to be noticed.
 	minNamed = 2
 	// maxUse is the part of their capacity that named hosts may be used to by the
 	// requests of all hosts. Rates are known a second or two late, and clients keep
 	// a response for as long again, so that the load may double before the other
-	// hosts are named. Chosen, not measured.
+	// hosts are named.
 	maxUse = 0.5
 )
 
--- a/internal/gateway/fleet/discovery.go
+++ b/internal/gateway/fleet/discovery.go
@@ -6,8 +6,8 @@
 )
 
 // regionQueryEvery is how often a host asks a peer of each other region which hosts
-// live there, as it gets heartbeats only of some. Chosen, not measured; a quarter of
-// passOnFor, so that three queries may fail.
+// live there, as it gets heartbeats only of some: a quarter of passOnFor, so that
+// three queries may fail.
 const regionQueryEvery = 15 * time.Second
 
 // hostQuery is what a heartbeat asks about other hosts. It is on the wire.
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -52,25 +52,25 @@
 
 const (
 	// deadAfter is the time since a peer's last heartbeat from which on it
-	// counts as dead. Chosen, not measured. It must exceed heartbeatEvery +
-	// schedulerTick + heartbeatTimeout, so that a peer that only responds to
-	// heartbeats is not taken for dead. It is not selector/member's: here
-	// heartbeats have a fixed pace; there they keep to a byte budget, and the
-	// silence allowed grows with their interval.
+	// counts as dead. It must exceed heartbeatEvery + schedulerTick +
+	// heartbeatTimeout, so that a peer that only responds to heartbeats is
+	// not taken for dead. It is not selector/member's: here heartbeats have a
+	// fixed pace; there they keep to a byte budget, and the silence allowed
+	// grows with their interval.
 	deadAfter = 2500 * time.Millisecond
 	// forgetAfter is the time without a heartbeat from a peer, and without its
 	// name in a list, after which it is forgotten. Until then limits are still
 	// split with it, as it may only be cut off: when cut-off hosts forgot each
 	// other after a minute, nine of them sent 87 of 26 requests to a cold
-	// upstream. Chosen: twice the hour for which regions may lose each other.
+	// upstream: twice the hour for which regions may lose each other.
 	forgetAfter = 2 * time.Hour
 	// forgetLeftAfter is that time for a peer that has said it leaves: it ends
-	// within its grace. Chosen, not measured.
+	// within its grace.
 	forgetLeftAfter = time.Minute
 	// passOnFor is how long after it last heard of a peer a host names it to
 	// others. They keep the name as if it were heard of just now, so that with
-	// forgetAfter hosts that are gone would be named from start to start for ever.
-	// Chosen, not measured; four times regionQueryEvery.
+	// forgetAfter hosts that are gone would be named from start to start for ever:
+	// four times regionQueryEvery.
 	passOnFor = time.Minute
 )
 
--- a/internal/gateway/fleet/place.go
+++ b/internal/gateway/fleet/place.go
@@ -17,12 +17,10 @@
 // start; the second has given up its own by then.
 const (
 	// isolatedAfter is how long a host hears nobody of its zone, where others are known,
-	// until it gives up its shards. It exceeds deadAfter by a heartbeat. Chosen, not
-	// measured.
+	// until it gives up its shards. It exceeds deadAfter by a heartbeat.
 	isolatedAfter = 4 * time.Second
 	// newcomerPause is how long a host that no earlier process has announced holds no
 	// shards. It exceeds isolatedAfter by the time in which it makes itself known.
-	// Chosen, not measured.
 	newcomerPause = 6 * time.Second
 )
 
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -41,9 +41,9 @@
 	// away and no other host runs.
 	quarantineWait = time.Second
 	// quarantineWrites is how often a host tries to store a quarantine. The other hosts
-	// have it meanwhile. Chosen, not measured.
+	// have it meanwhile.
 	quarantineWrites = 5
-	// quarantineRetry is the pause between two of them. Chosen, not measured.
+	// quarantineRetry is the pause between two of them.
 	quarantineRetry = 2 * time.Second
 )
 
--- a/internal/gateway/fleet/quota.go
+++ b/internal/gateway/fleet/quota.go
@@ -10,13 +10,12 @@
 
 const (
 	// ownRegionPart is the part of a cold upstream's rate that the hosts of
-	// its own region share. Chosen, not measured; with otherRegionsPart it
-	// must stay at or below 1.
+	// its own region share: with otherRegionsPart it must stay at or below
+	// 1.
 	ownRegionPart = 0.6
 	// otherRegionsPart is the part that the hosts of all other regions share.
 	// They use it only while they see no live host in the upstream's region.
 	// Hosts may differ in whom they see, so both parts may be in use at once.
-	// Chosen, not measured.
 	otherRegionsPart = 0.3
 )
 
@@ -54,7 +53,6 @@
 // (named), and a part that is held by a host without requests is of no use: with a
 // rate of 8 split by number over 98 hosts, of which 9 got all requests, less than one
 // of the 8 was used. What is left is for the time when the large hosts are gone.
-// Chosen, not measured.
 const largeHostsPart = 0.8
 
 // commonPart is this host's part of a limit of all hosts, from 0 to 1. Each region has
--- a/internal/gateway/fleet/registration.go
+++ b/internal/gateway/fleet/registration.go
@@ -11,23 +11,23 @@
 
 const (
 	// registryRetry is the pause between attempts to register while a list was not
-	// read. Chosen, not measured.
+	// read.
 	registryRetry = 500 * time.Millisecond
 	// renewalRetry is that pause once all were: nobody waits, and a store that is
-	// down for long is not asked twice a second by each host. Chosen, not measured.
+	// down for long is not asked twice a second by each host.
 	renewalRetry = 30 * time.Second
 	// listPause is the pause after the list of a region was read, for each host
 	// of the own region, so that hosts which start together do not read the lists
 	// of other regions faster than the store serves them: 5,900 hosts in 23
 	// regions read 4,600 a second. The own region's comes first, so that nobody
-	// waits for it. Chosen, not measured.
+	// waits for it.
 	listPause = 5 * time.Millisecond
-	// listEvery is how often a host registers again and reads all lists. Chosen, not
-	// measured: a quarter of forgetAfter, so that three may fail; 5,900 hosts in 23
-	// regions read 76 lists a second.
+	// listEvery is how often a host registers again and reads all lists: a quarter
+	// of forgetAfter, so that three may fail; 5,900 hosts in 23 regions read 76
+	// lists a second.
 	listEvery = 30 * time.Minute
 	// listJitter is the most that is added to listEvery at random, so that hosts
-	// which started together do not read the lists together. Chosen, not measured.
+	// which started together do not read the lists together.
 	listJitter = 3 * time.Minute
 )
 
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -13,12 +13,12 @@
 )
 
 const (
-	// maxRelayWait bounds how long a host holds a peer's long poll. Chosen,
-	// not measured; a watcher's long poll of a relay stays below it for bounds
-	// on staleness up to 3.3 s.
+	// maxRelayWait bounds how long a host holds a peer's long poll: a
+	// watcher's long poll of a relay stays below it for bounds on staleness up
+	// to 3.3 s.
 	maxRelayWait = 2 * time.Second
 	// backupRelays is how many more peers are polled when the parent and the
-	// store fail. Chosen, not measured.
+	// store fail.
 	backupRelays = 2
 )
 
--- a/internal/gateway/fleet/schedule.go
+++ b/internal/gateway/fleet/schedule.go
@@ -3,17 +3,16 @@
 import "time"
 
 const (
-	// heartbeatEvery is the time between heartbeats to a peer that is alive.
-	// Chosen, not measured: three fit into deadAfter.
+	// heartbeatEvery is the time between heartbeats to a peer that is alive:
+	// three fit into deadAfter.
 	heartbeatEvery = 800 * time.Millisecond
 	// heartbeatRetry is the time between heartbeats to a peer that is dead.
-	// Chosen, not measured.
 	heartbeatRetry = 2 * time.Second
 	// schedulerTick is how often the host looks which peers are due a
-	// heartbeat and which have died. Chosen, not measured.
+	// heartbeat and which have died.
 	schedulerTick = 200 * time.Millisecond
 	// heartbeatTimeout bounds one exchange. It is below heartbeatEvery, so
-	// that exchanges with a peer do not pile up. Chosen, not measured.
+	// that exchanges with a peer do not pile up.
 	heartbeatTimeout = 700 * time.Millisecond
 	// remoteFanout is how many live hosts of each other region get heartbeats.
 	// About as many of each region choose this host, so that traffic between
@@ -25,23 +24,20 @@
 	// of it. The others do so with these and with those of their own zone: with all,
 	// each of 98 hosts of a region sent and received 30 KB a second, five sixths of it
 	// about hosts that it has nothing to do with. Enough that any few may die at once.
-	// Chosen, not measured.
 	firstHostCount = 12
 	// introduceFor is how long a host exchanges heartbeats with all of its region after
 	// its start. It covers the list of them, which it may read up to a second later.
-	// Chosen, not measured.
 	introduceFor = 4 * time.Second
 	// maxDeadTried is how many dead hosts of another region get a heartbeat at a
 	// time. While that region is cut off none of its hosts lives, and each host of
 	// this one would try all of them every heartbeatRetry: 128 connections a second
-	// with 257 hosts, for as long as the cut lasts. Chosen, not measured.
+	// with 257 hosts, for as long as the cut lasts.
 	maxDeadTried = 8
 	// sendSoonEvery bounds how often status is sent out of turn, for each
-	// sendSoonHosts hosts of the region. Chosen, not measured.
+	// sendSoonHosts hosts of the region.
 	sendSoonEvery = 250 * time.Millisecond
 	// sendSoonHosts is the number of hosts in the region from which on
 	// sendSoonEvery is doubled, and so on, to keep the cost a host bounded.
-	// Chosen, not measured.
 	sendSoonHosts = 30
 )
 
--- a/internal/gateway/fleet/start.go
+++ b/internal/gateway/fleet/start.go
@@ -18,12 +18,12 @@
 	// startAtPeersFor is how long the others wait for a peer that has the tables
 	// before they read them from the store themselves. It covers the way of a table
 	// through three levels of relays, and is below the seconds after which a host that
-	// is not ready is missed. Chosen, not measured.
+	// is not ready is missed.
 	startAtPeersFor = 2 * time.Second
 	// otherListsWithin is within which time the others read the lists of hosts of
 	// other regions, each at a moment of its own. Until then they take no part in
-	// warming up the upstreams of a region that has no live host. Chosen, not
-	// measured: the lists are read each listEvery from then on.
+	// warming up the upstreams of a region that has no live host: the lists are
+	// read each listEvery from then on.
 	otherListsWithin = 5 * time.Minute
 )
 
--- a/internal/gateway/logline/logline.go
+++ b/internal/gateway/logline/logline.go
@@ -16,7 +16,7 @@
 )
 
 // maxLine is the longest line that is read, in bytes; a longer one is an
-// error. Chosen, not measured: far above any line of the log.
+// error: far above any line of the log.
 const maxLine = 1 << 20
 
 // Line is one line of a host's log, with the fields of every event that is read;
--- a/internal/gateway/outlier/baseline.go
+++ b/internal/gateway/outlier/baseline.go
@@ -7,13 +7,12 @@
 
 const (
 	// baselineSize is how many of a service's last responses make its
-	// baseline. Chosen, not measured.
+	// baseline.
 	baselineSize = 64
 	// baselineMin is how many responses it takes before there is a baseline.
-	// Chosen, not measured.
 	baselineMin = 32
 	// medianEvery is after how many responses the median is computed anew,
-	// to keep sorting off most of them. Chosen, not measured.
+	// to keep sorting off most of them.
 	medianEvery = baselineMin / 4
 	// overdueFactor is how many times the median a response may take before
 	// it is overdue. On an object that it has not served lately an upstream
@@ -21,7 +20,6 @@
 	// would count first requests as failures (docs/design/platform.md).
 	overdueFactor = 4
 	// minOverdueAfter is the least time after which a response is overdue.
-	// Chosen, not measured.
 	minOverdueAfter = 250 * time.Millisecond
 )
 
--- a/internal/gateway/outlier/consecutive.go
+++ b/internal/gateway/outlier/consecutive.go
@@ -4,18 +4,16 @@
 
 const (
 	// firstBackOff is how long this host avoids an upstream at first; it
-	// doubles with each further failure in a row. Chosen, not measured.
+	// doubles with each further failure in a row.
 	firstBackOff = 500 * time.Millisecond
-	// maxBackOffDoublings bounds that doubling, to 4 s. Chosen, not measured.
+	// maxBackOffDoublings bounds that doubling, to 4 s.
 	maxBackOffDoublings = 3
 	// failuresToBackOff is how many failures in a row it takes at an upstream
-	// that can be reached; one is enough at one that can't. Chosen, not
-	// measured.
+	// that can be reached; one is enough at one that can't.
 	failuresToBackOff = 3
 	// endedFor is how long a run of an upstream is avoided that has ended: about until
 	// its row lapses, after three missed heartbeats of 1 to 1.5 s. A run never comes
-	// back, but where rows do not tell runs apart the next one looks like it. Chosen,
-	// not measured.
+	// back, but where rows do not tell runs apart the next one looks like it.
 	endedFor = 4 * time.Second
 )
 
--- a/internal/gateway/outlier/detector.go
+++ b/internal/gateway/outlier/detector.go
@@ -9,7 +9,7 @@
 )
 
 // maxObservations bounds the upstreams in one list of observations, and so the
-// size of a heartbeat. Chosen, not measured.
+// size of a heartbeat.
 const maxObservations = 32
 
 // Reporter is notified of what a detector finds. Its methods are called
--- a/internal/gateway/outlier/evidence.go
+++ b/internal/gateway/outlier/evidence.go
@@ -11,22 +11,20 @@
 // it and 0.026 with it. None was measured alone.
 const (
 	// evidenceWindow is the time over which failures and successes count.
-	// Chosen, not measured.
 	evidenceWindow = 1600 * time.Millisecond
 	// minFailures is how many failures in a window it takes to eject an
-	// upstream. Chosen, not measured.
+	// upstream.
 	minFailures = 3
 	// maxSuccessRatio is how many successes for each failure an ejected
-	// upstream may have in the window: 1.5 is a failure rate of 0.4. Chosen,
-	// not measured.
+	// upstream may have in the window: 1.5 is a failure rate of 0.4.
 	maxSuccessRatio = 1.5
 	// firstEjection is how long an upstream is ejected at first; it doubles
-	// with each ejection that follows soon. Chosen, not measured.
+	// with each ejection that follows soon.
 	firstEjection = 2 * time.Second
-	// maxEjection bounds that doubling. Chosen, not measured.
+	// maxEjection bounds that doubling.
 	maxEjection = 8 * time.Second
 	// forgiveAfter is how long after an ejection's end the next one counts
-	// as the first again. Chosen, not measured.
+	// as the first again.
 	forgiveAfter = 5 * time.Second
 )
 
--- a/internal/gateway/proxy/arrivals.go
+++ b/internal/gateway/proxy/arrivals.go
@@ -6,12 +6,11 @@
 )
 
 const (
-	// arrivalSlot is the length of the slots in which arrivals are counted. Chosen,
-	// not measured.
+	// arrivalSlot is the length of the slots in which arrivals are counted.
 	arrivalSlot = 500 * time.Millisecond
 	// arrivalSlots is how many whole slots a rate is of: two seconds, long enough that
 	// a few requests more are no change, and no longer than clients keep a response of
-	// the directory. Chosen, not measured.
+	// the directory.
 	arrivalSlots = 4
 )
 
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -16,7 +16,6 @@
 
 // maxRefusal bounds what is read of a response that is not forwarded, in bytes:
 // reading it whole keeps the connection, a longer one is cheaper to close.
-// Chosen, not measured.
 const maxRefusal = 16 << 10
 
 // attempt is one attempt of a request at one upstream, in a goroutine of its own.
--- a/internal/gateway/proxy/deadline.go
+++ b/internal/gateway/proxy/deadline.go
@@ -7,8 +7,8 @@
 	"cairndock/internal/gateway/route"
 )
 
-// defaultTimeout bounds a request whose client does not say how long it waits.
-// Chosen, not measured; the platform's clients always say it.
+// defaultTimeout bounds a request whose client does not say how long it waits:
+// the platform's clients always say it.
 const defaultTimeout = 30 * time.Second
 
 // holdTime is how long a request is held: as long as the client waits, but no
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -181,8 +181,7 @@
 // response.
 func closeAfterResponse(w http.ResponseWriter) { w.Header().Set("Connection", "close") }
 
-// cleanUpEvery is how often CleanUp drops state. It bounds memory only; chosen,
-// not measured.
+// cleanUpEvery is how often CleanUp drops state. It bounds memory only.
 const cleanUpEvery = 2 * time.Second
 
 // CleanUp drops the load, health and connections of runs of upstreams
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -18,14 +18,14 @@
 	// prefixBytes is how much of a response is buffered before any of it is
 	// forwarded, in bytes. One that breaks off within it is a failed attempt,
 	// and the request may be sent again. selector/entry/dispatch has its own,
-	// which forwards longer ones from their first bytes. Chosen, not measured.
+	// which forwards longer ones from their first bytes.
 	prefixBytes = 32 << 10
 	// writeMargin is how long after its deadline a client may still take its
 	// response: what was sent in time may lie in buffers, and a host may be held
-	// up for seconds while it writes. Chosen, not measured.
+	// up for seconds while it writes.
 	writeMargin = 5 * time.Second
 	// copyBuffer is the size of the buffers that forward what is longer, in
-	// bytes. Chosen, not measured.
+	// bytes.
 	copyBuffer = 16 << 10
 )
 
--- a/internal/gateway/proxy/server.go
+++ b/internal/gateway/proxy/server.go
@@ -13,7 +13,7 @@
 
 const (
 	// maxHeader bounds the header that the server reads at all, in bytes. The
-	// configuration's own limit is checked after it. Chosen, not measured.
+	// configuration's own limit is checked after it.
 	maxHeader = 64 << 10
 	// maxListeners is how many listeners can fail without anybody reading
 	// Failed; a host has four.
--- a/internal/gateway/proxy/stop.go
+++ b/internal/gateway/proxy/stop.go
@@ -12,21 +12,17 @@
 const (
 	// drainPart is the part of the grace period in which new requests are still
 	// served: clients keep the directory's response for its TTL. With the
-	// defaults it is 0.45 * 6 s = 2.7 s, above the TTL of 2 s. Chosen, not
-	// measured against other values.
+	// defaults it is 0.45 * 6 s = 2.7 s, above the TTL of 2 s.
 	drainPart = 0.45
 	// exitMargin is the time from the abort to the end of the grace period. In
 	// the last sixth of it, 1 s by default, the platform does not count a request
-	// as cut whose upstream is still at work. Chosen, not measured against other
-	// values.
+	// as cut whose upstream is still at work.
 	exitMargin = 400 * time.Millisecond
 	// abortGrace is the part of exitMargin in which the error responses are
-	// written; the rest is for the process to exit. Chosen, not measured against
-	// other values.
+	// written; the rest is for the process to exit.
 	abortGrace = 150 * time.Millisecond
 	// othersGrace is the part of exitMargin in which the responses of the other
-	// listeners are finished; a look-up takes some milliseconds. Chosen, not
-	// measured.
+	// listeners are finished; a look-up takes some milliseconds.
 	othersGrace = 100 * time.Millisecond
 )
 
--- a/internal/gateway/quota/ask.go
+++ b/internal/gateway/quota/ask.go
@@ -8,12 +8,12 @@
 )
 
 const (
-	// askTimeout bounds one question to a holder. Chosen, not measured: within maxWait,
-	// and above a round trip between distant regions.
+	// askTimeout bounds one question to a holder: within maxWait, and above a round
+	// trip between distant regions.
 	askTimeout = 120 * time.Millisecond
 	// nearAsks is how many holders of the own region are asked, one after the other,
 	// and farAsks how many of others, together: asked one after the other, these take a
-	// round trip between regions each. Chosen, not measured.
+	// round trip between regions each.
 	nearAsks = 4
 	farAsks  = 5
 	// farSurplus is how many times what is wanted holders of other regions are asked for
@@ -23,10 +23,10 @@
 	// second. What is left over is used by the next requests, or lapses.
 	farSurplus = 2
 	// freeRounds is how many times holders are asked in a row, others each time, while
-	// none has anything, until the host pauses. Chosen, not measured.
+	// none has anything, until the host pauses.
 	freeRounds = 3
 	// emptyFor is how long a holder is not asked that gave less than it was asked for,
-	// and silentFor that time for one that did not answer. Chosen, not measured.
+	// and silentFor that time for one that did not answer.
 	emptyFor  = 250 * time.Millisecond
 	silentFor = 500 * time.Millisecond
 )
--- a/internal/gateway/quota/budget.go
+++ b/internal/gateway/quota/budget.go
@@ -4,32 +4,31 @@
 
 const (
 	// perRequest is how many tokens a request takes. A shard of a small account has less
-	// than a request in its first second, and a host makes one of what several have.
-	// Chosen: on a day on which all hosts start again it made no difference.
+	// than a request in its first second, and a host makes one of what several have: on
+	// a day on which all hosts start again it made no difference.
 	perRequest = 1000
 	// tokenLife is how long a host may use tokens that another gave it, counted from
 	// when it asked. Longer, a host asks less often, and more of the bound is withheld
-	// (Budget). Chosen: six round trips between distant regions, so that one is a small
-	// part of it.
+	// (Budget): six round trips between distant regions, so that one is a small part of
+	// it.
 	tokenLife = 450 * time.Millisecond
 	// usedPart is the part of the bound that is given out. The rest is for clocks of
 	// hosts that run unlike, and for the moment in which a holder still knows an older
-	// list of hosts. Chosen, not measured.
+	// list of hosts.
 	usedPart = 0.97
 	// rateGain is the part of the overshoot by which the rate of a budget is above the
 	// account's: tokens that lie at hosts without requests are lost to the others for
-	// a moment, and an account at its limit must not feel that. Chosen, not measured.
+	// a moment, and an account at its limit must not feel that.
 	rateGain = 0.3
 	// mostByRate is the most of the bound that the rate takes over a window; the rest
-	// is burst, without which no bucket ever holds a whole token. Chosen, not measured.
+	// is burst, without which no bucket ever holds a whole token.
 	mostByRate = 0.9
 	// shardBurst is the burst of a shard, in requests, at the least where there are several:
 	// below it, requests that come together find an empty bucket at a steady rate
-	// within the limit. Chosen, not measured.
+	// within the limit.
 	shardBurst = 3
 	// shardsPerZone is how many shards a zone has of an account whose burst suffices for
-	// so many. Of five, four are held by large hosts and one by a small one. Chosen, not
-	// measured.
+	// so many. Of five, four are held by large hosts and one by a small one.
 	shardsPerZone = 5
 )
 
--- a/internal/gateway/quota/limiter.go
+++ b/internal/gateway/quota/limiter.go
@@ -15,8 +15,7 @@
 	// below the limit from clients of one region 0.6 of 1,000 were refused, and 4.8 with
 	// 200 ms (TestRequestsBelowTheLimitAreNotRefused).
 	maxWait = 250 * time.Millisecond
-	// minWaiting is how many requests of an account may wait at the least. Chosen, not
-	// measured.
+	// minWaiting is how many requests of an account may wait at the least.
 	minWaiting = 4
 	// idleRate is the rate of requests, in a second, below which an account counts as
 	// idle: it has sent none for some seconds.
@@ -24,13 +23,13 @@
 
 	// leastPause and mostPause bound the time for which no holder is asked after none
 	// had a token. It doubles up to maxDoublings times, and a half more or less is drawn
-	// at random, so that hosts don't ask together. Chosen, not measured.
+	// at random, so that hosts don't ask together.
 	leastPause   = 100 * time.Millisecond
 	mostPause    = time.Second
 	maxDoublings = 4
 
 	// leastRetry and mostRetry bound the time after which the client of a refused
-	// request is told to return. Chosen, not measured.
+	// request is told to return.
 	leastRetry = 200 * time.Millisecond
 	mostRetry  = 3 * time.Second
 )
--- a/internal/gateway/quota/meter.go
+++ b/internal/gateway/quota/meter.go
@@ -6,8 +6,7 @@
 )
 
 // meterOver is the time over which a rate is averaged: long enough that single requests
-// don't count, short enough that clients that move are followed within a second. Chosen,
-// not measured.
+// don't count, short enough that clients that move are followed within a second.
 const meterOver = time.Second
 
 // meter is a rate, averaged with exponentially falling weights. The zero value is none.
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -12,8 +12,8 @@
 )
 
 // staleAboveMS is the age of a host's tables, in milliseconds, from which on it
-// may be a cause itself. Chosen, not measured: twice the 2 s within which a
-// change must be applied by default.
+// may be a cause itself: twice the 2 s within which a change must be applied by
+// default.
 const staleAboveMS = 4000
 
 // causes gives the cause of each reason that the gateway itself responds with.
--- a/internal/gateway/reqtrace/trace.go
+++ b/internal/gateway/reqtrace/trace.go
@@ -16,7 +16,7 @@
 )
 
 // lookBack is how long before a request's end a state change may have decided
-// it. Chosen, not measured.
+// it.
 const lookBack = 15 * time.Second
 
 // Trace is what the logs say about one request.
--- a/internal/gateway/retry/after.go
+++ b/internal/gateway/retry/after.go
@@ -23,7 +23,6 @@
 	// failurePause is when a client should return whose request did not run for
 	// another reason than load, such as an upstream that was gone. No queue has
 	// to shorten and another upstream can serve it at once, so it is shorter.
-	// Chosen, not measured.
 	failurePause = 150 * time.Millisecond
 	// declinedPause is the least time after which a client should return whose
 	// request an upstream refused though it had free capacity: there is no queue to
@@ -35,11 +34,10 @@
 	// with it.
 	declinedJitter = 60 * time.Millisecond
 	// quarantinePause is when a client should return whose request is quarantined: not
-	// while people have not looked at what it does. Chosen, not measured.
+	// while people have not looked at what it does.
 	quarantinePause = time.Minute
 	// startPause is when a client should return to a host that has no
-	// configuration yet: it is reading it, which ends by itself. Chosen, not
-	// measured.
+	// configuration yet: it is reading it, which ends by itself.
 	startPause = 200 * time.Millisecond
 )
 
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -16,11 +16,11 @@
 
 const (
 	// buckets is how many parts a window is counted in: more make it slide
-	// more evenly and cost more to sum up. Chosen, not measured.
+	// more evenly and cost more to sum up.
 	buckets = 10
 	// safetyMargin is the part of the limit that is used. The platform counts
 	// retries when they arrive and in windows that begin at any moment, which
-	// are not aligned with this host's buckets. Chosen, not measured.
+	// are not aligned with this host's buckets.
 	safetyMargin = 0.75
 )
 
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -132,8 +132,8 @@
 	return s, s.check()
 }
 
-// The defaults hold where the platform sets no bound. All are chosen, not
-// measured: they are stricter than the bounds of the sites known.
+// The defaults hold where the platform sets no bound. They are stricter
+// than the bounds of the sites known.
 const (
 	// defaultRetryRatio is in retries per request.
 	defaultRetryRatio = 0.1
@@ -153,8 +153,7 @@
 )
 
 // minWithin is the least bound that can be kept: a watcher's waits are parts of
-// it, and a question to another region takes 70 ms there and back. Chosen, not
-// measured.
+// it, and a question to another region takes 70 ms there and back.
 const minWithin = 500 * time.Millisecond
 
 // defaultSettings gives the values of keys that the file leaves out. A zero in
--- a/internal/gateway/soak/checks_test.go
+++ b/internal/gateway/soak/checks_test.go
@@ -22,7 +22,7 @@
 	// evacuateWithin is the bound for an evacuation.
 	evacuateWithin = 2 * time.Second
 	// slack is added to bounds that are measured from outside, for a loaded
-	// machine. Chosen, not measured.
+	// machine.
 	slack = 700 * time.Millisecond
 	// probeTimeout is what probes say they wait.
 	probeTimeout = 900 * time.Millisecond
--- a/internal/gateway/soak/client_test.go
+++ b/internal/gateway/soak/client_test.go
@@ -30,7 +30,7 @@
 	// connection up again; from the platform.
 	idleShare = 0.8
 	// lateShare is where the last part of that time begins, which half of the
-	// pauses of a clinging client reach. Chosen, not measured.
+	// pauses of a clinging client reach.
 	lateShare = 0.7
 	// maxPieces is the highest number of pieces of a body.
 	maxPieces = 3
--- a/internal/gateway/soak/conn_test.go
+++ b/internal/gateway/soak/conn_test.go
@@ -23,11 +23,11 @@
 	// connectTimeout is how long a client waits for a new connection; from the
 	// platform.
 	connectTimeout = time.Second
-	// exchangeTimeout bounds a whole exchange. Chosen, not measured: well above
-	// what clients say they wait.
+	// exchangeTimeout bounds a whole exchange: well above what clients say they
+	// wait.
 	exchangeTimeout = 5 * time.Second
-	// piecePause is the pause before each further write of a request. Chosen, not
-	// measured: so short that requests come in well before any timeout.
+	// piecePause is the pause before each further write of a request: so short
+	// that requests come in well before any timeout.
 	piecePause = 3 * time.Millisecond
 )
 
--- a/internal/gateway/soak/disruptions_test.go
+++ b/internal/gateway/soak/disruptions_test.go
@@ -10,8 +10,7 @@
 )
 
 // calmAfter is how long a host or the store must have been without faults for
-// rules bound by time to hold. Chosen, not measured: above every bound of the
-// settings.
+// rules bound by time to hold: above every bound of the settings.
 const calmAfter = 4 * time.Second
 
 // disruptions are the faults of a host, of an upstream or of the store.
--- a/internal/gateway/soak/link_test.go
+++ b/internal/gateway/soak/link_test.go
@@ -27,8 +27,8 @@
 	delay
 )
 
-// delayBy is how late a link with delay passes each piece on. Chosen, not
-// measured: well below the hosts' timeouts.
+// delayBy is how late a link with delay passes each piece on: well below
+// the hosts' timeouts.
 const delayBy = 150 * time.Millisecond
 
 // link is a TCP link with faults between two programs: a listener that connects
--- a/internal/gateway/soak/planned_test.go
+++ b/internal/gateway/soak/planned_test.go
@@ -8,10 +8,10 @@
 
 const (
 	// minIdleLimit is the shortest idle limit of clients that a configuration
-	// sets. Chosen: long enough that clients come back within it.
+	// sets: long enough that clients come back within it.
 	minIdleLimit = 300 * time.Millisecond
-	// maxShortIdleLimit is the longest but for longIdleLimit. Chosen: the time
-	// that a stopping host leaves open connections, nearly.
+	// maxShortIdleLimit is the longest but for longIdleLimit: the time that a
+	// stopping host leaves open connections, nearly.
 	maxShortIdleLimit = 2 * time.Second
 	// maxLimitChanges is how often the idle limit changes in a row at most.
 	maxLimitChanges = 4
@@ -23,7 +23,7 @@
 	// maxRepeats is how often a signal is repeated during a stop at most.
 	maxRepeats = 3
 	// youngFor is how long after its start a process may have no handler for
-	// signals. Chosen, not measured: some hundred times what it takes.
+	// signals: some hundred times what it takes.
 	youngFor = 300 * time.Millisecond
 )
 
--- a/internal/gateway/soak/size_test.go
+++ b/internal/gateway/soak/size_test.go
@@ -21,7 +21,7 @@
 	// memoryShare is the part of the machine's memory that the hosts of all runs
 	// of the test process may have together.
 	memoryShare = 0.5
-	// startTogether is how many hosts start at a time. Chosen, not measured.
+	// startTogether is how many hosts start at a time.
 	startTogether = 10
 	// maxClinging is how many clinging clients there are at most, but no fewer
 	// than hosts.
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -23,8 +23,8 @@
 	// minUpstreams is the number alive below which no fault takes one away.
 	minUpstreams = 6
 	// warmUpTime is how long an upstream is cold, and warmUpRate how many requests
-	// a second it bears then. Chosen: the rate so low that two processes of each
-	// host exceed it together, if each takes the host's whole part.
+	// a second it bears then: the rate so low that two processes of each host
+	// exceed it together, if each takes the host's whole part.
 	warmUpTime = time.Second
 	warmUpRate = 6
 	// roaming is how many clients send requests to the hosts that the directory
@@ -32,7 +32,7 @@
 	roaming = 12
 	// clingingPerHost is how many clients for each host cling to their connections.
 	clingingPerHost = 8
-	// longIdleLimit is the clients' idle limit to begin with. Chosen: with it,
+	// longIdleLimit is the clients' idle limit to begin with: with it,
 	// connections are idle when a stopping host closes those that are.
 	longIdleLimit = 4 * time.Second
 )
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -16,8 +16,7 @@
 	// hosts (docs/design/platform.md has the days); no other value was tried.
 	LapseGrace = 2200 * time.Millisecond
 	// rememberFor is how long, at least, a removed upstream is remembered: one
-	// whose entry comes back within that time has not restarted. Chosen, not
-	// measured.
+	// whose entry comes back within that time has not restarted.
 	rememberFor = time.Minute
 	// leavingKept is how long it is known of a run that it leaves: above the time that any
 	// upstream takes to end.
@@ -25,13 +24,12 @@
 	// LateGrace is how long an entry of an earlier run is ignored. If it was late, the
 	// present run writes its own again by then, as upstreams do each 1 to 1.5 s; if
 	// not, that run is the present one after all, and what stood there in between was
-	// someone else's. Below the 2 s within which a drain must be in force. Chosen, not
-	// measured.
+	// someone else's. Below the 2 s within which a drain must be in force.
 	LateGrace = 1600 * time.Millisecond
 	// maxPastRuns is how many earlier runs of an upstream are remembered, so that
-	// an entry which one of them wrote late is not taken for a restart. Chosen, not
-	// measured: an entry is late by seconds, and a process that starts again more
-	// often than four times in that time serves nothing anyway.
+	// an entry which one of them wrote late is not taken for a restart: an entry is
+	// late by seconds, and a process that starts again more often than four times
+	// in that time serves nothing anyway.
 	maxPastRuns = 4
 )
 
--- a/internal/gateway/warmup/sends.go
+++ b/internal/gateway/warmup/sends.go
@@ -7,8 +7,8 @@
 
 // Window is the time over which requests are counted against a quota. The
 // platform's bound counts what is sent and arrives in any one second; the rest
-// allows for the time between writing a request and noting that it was written
-// (chosen, not measured).
+// allows for the time between writing a request and noting that it was
+// written.
 const Window = 1150 * time.Millisecond
 
 // Sends are the requests for which a host has lately chosen one upstream. The zero
--- a/internal/gateway/watch/compress.go
+++ b/internal/gateway/watch/compress.go
@@ -12,11 +12,10 @@
 	// compressFrom is the size in bytes from which a value is kept and relayed
 	// compressed. A relay may have to send a large configuration to several
 	// hosts over a thin link: uncompressed, 1,160 routes to 26 hosts over 10
-	// Mbit/s were in force too late for 98 requests of a day. The size itself was
-	// chosen, not measured.
+	// Mbit/s were in force too late for 98 requests of a day.
 	compressFrom = 4 << 10
-	// maxValue bounds a decompressed value in bytes. Chosen, not measured;
-	// four times the largest response that is read from the store.
+	// maxValue bounds a decompressed value in bytes: four times the
+	// largest response that is read from the store.
 	maxValue = 16 << 20
 )
 
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -8,8 +8,8 @@
 
 const (
 	// tombstoneFor is how long a replica keeps the tombstone of a deleted row,
-	// so that hosts which poll it learn of the deletion. Chosen, not measured;
-	// far above any bound on staleness.
+	// so that hosts which poll it learn of the deletion: far above any bound
+	// on staleness.
 	tombstoneFor = time.Minute
 	// storeAwayAfter is the time without a confirmation after which the store
 	// counts as having been away. Its entries lapse after three missed
--- a/internal/gateway/watch/staleness.go
+++ b/internal/gateway/watch/staleness.go
@@ -22,7 +22,7 @@
 // configuration (deploy/days/pair-down-nodes-evacuate.toml).
 type Timing time.Duration
 
-// The parts of S: chosen, not measured, unless a figure is given.
+// The parts of S.
 const (
 	// longPollPart is for the store's long poll. It is below maxAgePart, so
 	// that a table without changes is confirmed before it counts as old.
@@ -51,15 +51,14 @@
 
 const (
 	// firstSlack is how much longer than its long poll a response of the store
-	// may take at first. Chosen, not measured.
+	// may take at first.
 	firstSlack = 500 * time.Millisecond
 	// maxSlack is what that doubles up to while responses are late, for a
-	// store that is slow. Chosen, not measured.
+	// store that is slow.
 	maxSlack = 2 * time.Second
-	// firstBackoff is the pause after a source's first failure. Chosen, not
-	// measured.
+	// firstBackoff is the pause after a source's first failure.
 	firstBackoff = 100 * time.Millisecond
-	// maxBackoff is what that doubles up to. Chosen, not measured.
+	// maxBackoff is what that doubles up to.
 	maxBackoff = 800 * time.Millisecond
 	// maxFallbackBackoff is what it doubles up to for a fallback. It is below the
 	// 3 s after the store's return from which on the platform holds a host to
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -11,14 +11,13 @@
 )
 
 const (
-	// noSourcePause is the pause when no source may be polled yet. Chosen, not
-	// measured.
+	// noSourcePause is the pause when no source may be polled yet.
 	noSourcePause = 50 * time.Millisecond
 	// startingRelayPause is the pause before a relay is asked again that has no rows
-	// yet. Chosen, not measured.
+	// yet.
 	startingRelayPause = 100 * time.Millisecond
 	// behindCheckEvery is how often a watcher looks during a poll whether the
-	// host has fallen behind. Chosen, not measured.
+	// host has fallen behind.
 	behindCheckEvery = 150 * time.Millisecond
 )
 
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -30,10 +30,10 @@
 const (
 	// upstreamDialTimeout bounds a new connection to an upstream. It is far
 	// above the longest way, 70 ms there and back between regions, and below
-	// the 1 s after which clients try another host. Chosen, not measured.
+	// the 1 s after which clients try another host.
 	upstreamDialTimeout = 500 * time.Millisecond
 	// storeDialTimeout bounds a new connection to the store or to a peer: both
-	// may be slow where an upstream may not. Chosen, not measured.
+	// may be slow where an upstream may not.
 	storeDialTimeout = 800 * time.Millisecond
 )
 
--- a/internal/httpserver/limits.go
+++ b/internal/httpserver/limits.go
@@ -4,10 +4,10 @@
 
 const (
 	// defaultHeader bounds the reading of a request's header where the limits
-	// say nothing. Chosen, not measured.
+	// say nothing.
 	defaultHeader = 5 * time.Second
 	// defaultIdle bounds the idle time of a connection where the limits say
-	// nothing. Chosen, not measured.
+	// nothing.
 	defaultIdle = 60 * time.Second
 )
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -34,11 +34,10 @@
 	readBuffer = 4 << 10
 	// readOutTime is how long a connection is still read after a write to it
 	// failed. A peer that closes right after its response makes a credit frame
-	// fail, and the response must not be lost with it. Chosen, not measured.
+	// fail, and the response must not be lost with it.
 	readOutTime = time.Second
 	// maxWrite is how many bytes are written at once. A peer must take them
 	// within silenceTimeout, a large frame on a slow link may take longer.
-	// Chosen, not measured.
 	maxWrite = 64 << 10
 )
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -11,7 +11,7 @@
 )
 
 // maxFrame is the largest frame in bytes, without its length. A larger one is
-// not sent, and closes the connection if received. Chosen, not measured.
+// not sent, and closes the connection if received.
 const maxFrame = 1 << 20
 
 // errFrame reports that a peer sent an invalid frame.
--- a/internal/peer/goaway.go
+++ b/internal/peer/goaway.go
@@ -9,11 +9,11 @@
 
 const (
 	// servedPoll is the time between two looks whether the streams of peers have
-	// ended. Chosen, not measured.
+	// ended.
 	servedPoll = 20 * time.Millisecond
 	// leaveTimeout is how long Mesh.Close waits for peers that were told to go
 	// elsewhere to close their connections. Closing with unread bytes may discard
-	// what tells them. Chosen, not measured.
+	// what tells them.
 	leaveTimeout = time.Second
 )
 
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -11,7 +11,7 @@
 const (
 	// protocolVersion must be the same at both ends of a connection.
 	protocolVersion = "cairndock/1"
-	// handshakeTimeout bounds the exchange of Hellos. Chosen, not measured.
+	// handshakeTimeout bounds the exchange of Hellos.
 	handshakeTimeout = 3 * time.Second
 )
 
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -15,16 +15,14 @@
 // end opens streams, and it pings as long as one is open: a peer or body that
 // takes long is not silent.
 const (
-	// pingEvery is the time between two pings while a stream is open. Chosen,
-	// not measured.
+	// pingEvery is the time between two pings while a stream is open.
 	pingEvery = 500 * time.Millisecond
 	// maxUnanswered is how many pings in a row may bring nothing in pingEvery
 	// before new requests use another connection. Counted, not timed, as a host
 	// that was paused must not take its own pause for the peer's silence.
 	maxUnanswered = 4
 	// maxSilent is how many it may be, 10 s, before the streams that are open end
-	// too: a peer that was paused for some seconds still answers them. Chosen, not
-	// measured.
+	// too: a peer that was paused for some seconds still answers them.
 	maxSilent = 20
 	// silenceTimeout is what the two make from the opening of a stream on, which
 	// is pingEvery before the first ping. After as long a silence, 2.5 s, a
@@ -32,12 +30,10 @@
 	// must take a part of a frame.
 	silenceTimeout = (1 + maxUnanswered) * pingEvery
 	// idlePingEvery is the time between two pings without a stream, so that a
-	// silent connection is mostly found before a request needs it. Chosen, not
-	// measured.
+	// silent connection is mostly found before a request needs it.
 	idlePingEvery = 15 * time.Second
 	// acceptedCheckEvery is how often the accepting end looks whether something
-	// came. Chosen, not measured; the end that waits for a response finds a
-	// silence sooner.
+	// came: the end that waits for a response finds a silence sooner.
 	acceptedCheckEvery = 2500 * time.Millisecond
 	// servingTimeout is how long nothing may come while a stream is served: ten
 	// pings, so that a slow opener is not cut off.
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -14,10 +14,10 @@
 )
 
 const (
-	// dialTimeout bounds the making of a connection. Chosen, not measured.
+	// dialTimeout bounds the making of a connection.
 	dialTimeout = 2 * time.Second
 	// redialPause is the time after a failed dial in which requests to the peer
-	// fail at once. Chosen, not measured.
+	// fail at once.
 	redialPause = 500 * time.Millisecond
 )
 
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -9,10 +9,10 @@
 
 const (
 	// window is how many bytes of a stream's body may be sent and not yet read.
-	// It bounds the memory that a slow reader holds. Chosen, not measured.
+	// It bounds the memory that a slow reader holds.
 	window = 256 << 10
 	// creditAfter is how many bytes are read before the peer gets credit for
-	// them, so that a short body costs no frame. Chosen, not measured.
+	// them, so that a short body costs no frame.
 	creditAfter = window / 4
 )
 
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -14,7 +14,7 @@
 	// seem: the way of the report between two regions, and a busy host. Ends that two
 	// hosts saw count as one after the other only beyond it. Otherwise a request that
 	// many upstreams ran when they were killed together would count as having ended
-	// them in turn. Chosen, not measured.
+	// them in turn.
 	betweenHosts = 100 * time.Millisecond
 	// sureRounds is how many it takes where another request ended exactly the same
 	// upstreams: one of the two is innocent, and the next end tells which.
@@ -23,11 +23,11 @@
 	// sureRounds, some that overlap, and some that were cleared.
 	maxEnds = 12
 	// quarantineTime is how long a request is refused after the last upstream that it
-	// ended. Then it is tried: one more end suffices to refuse it again. Chosen, not
-	// measured: long enough for people to find what sends it, and few enough upstreams
-	// an hour if they don't.
+	// ended. Then it is tried: one more end suffices to refuse it again: long enough
+	// for people to find what sends it, and few enough upstreams an hour if they
+	// don't.
 	quarantineTime = 10 * time.Minute
-	// forgetAfter is how long an end counts. Chosen: several times quarantineTime.
+	// forgetAfter is how long an end counts: several times quarantineTime.
 	forgetAfter = time.Hour
 )
 
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -22,8 +22,8 @@
 	// newPerSecond bounds the requests a second that become suspects, at each host. When
 	// many upstreams are killed at once, hundreds of innocent requests end with them, and
 	// each report would reach each host from all hosts that it hears. A poison request
-	// that is left out comes again, with all that is known of it. Chosen, not measured:
-	// some ten upstreams a second may end under the requests that they run.
+	// that is left out comes again, with all that is known of it: some ten upstreams a
+	// second may end under the requests that they run.
 	newPerSecond = 64
 	// newBurst is how many may become suspects at once: two seconds' worth. Chosen with
 	// newPerSecond.
--- a/internal/selector/caller/caller.go
+++ b/internal/selector/caller/caller.go
@@ -34,26 +34,25 @@
 
 const (
 	// defaultMaxBody limits a request's body, in bytes, unless callers.max_body
-	// is set. Chosen, not measured.
+	// is set.
 	defaultMaxBody = 256 << 10
 	// largestMaxBody is the highest callers.max_body, in bytes: a request
 	// travels between hosts in one frame of at most 1 MB (package peer), with
 	// its headers.
 	largestMaxBody = 768 << 10
 	// defaultMaxHeader limits a request's headers, in bytes, unless
-	// callers.max_header is set. Chosen, not measured.
+	// callers.max_header is set.
 	defaultMaxHeader = 16 << 10
 	// defaultTTL is how long clients may cache /v1/entries unless callers.ttl
-	// is set. Chosen, not measured.
+	// is set.
 	defaultTTL = 5 * time.Second
 	// headerFactor is how many times callers.max_header the HTTP server reads,
 	// so that a request above the limit is rejected with a verdict instead of
-	// the server's bare 431. Chosen, not measured.
+	// the server's bare 431.
 	headerFactor = 8
-	// headerTimeout limits reading a request's headers. Chosen, not measured.
+	// headerTimeout limits reading a request's headers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout ends a client's connection without a request. Chosen, not
-	// measured.
+	// idleTimeout ends a client's connection without a request.
 	idleTimeout = 2 * time.Minute
 )
 
--- a/internal/selector/caller/response.go
+++ b/internal/selector/caller/response.go
@@ -94,9 +94,8 @@
 }
 
 // refusalRetryAfter is when a client should return to a host that has no
-// configuration yet, or that is stopping. Chosen, not measured: the shortest time
-// that whole seconds can say, and what the entry package sets for every other
-// refusal.
+// configuration yet, or that is stopping: the shortest time that whole seconds
+// can say, and what the entry package sets for every other refusal.
 const refusalRetryAfter = time.Second
 
 // notReady is the error of a host that never had the newest configuration.
--- a/internal/selector/config/append.go
+++ b/internal/selector/config/append.go
@@ -19,14 +19,13 @@
 	// for an item.
 	maxInline = 200 << 10
 	// maxAppendAttempts limits how often an append that found the head moved
-	// starts again. Chosen, not measured: changes come 0.22 times a second
+	// starts again: changes come 0.22 times a second
 	// (docs/design/configuration.md), so that two in a row are rare.
 	maxAppendAttempts = 20
 	// firstThrottlePause is the first pause of a call that was throttled; it
-	// grows by the backoff package's defaults (1.5 times, 50% jitter). Chosen,
-	// not measured.
+	// grows by the backoff package's defaults (1.5 times, 50% jitter).
 	firstThrottlePause = 50 * time.Millisecond
-	// maxThrottlePause is the longest such pause. Chosen, not measured.
+	// maxThrottlePause is the longest such pause.
 	maxThrottlePause = time.Second
 )
 
--- a/internal/selector/config/blocks.go
+++ b/internal/selector/config/blocks.go
@@ -9,7 +9,7 @@
 )
 
 // manyEdits is the number of edits from which on a change copies the whole prefix
-// table once, instead of one path of it for each block. Chosen, not measured.
+// table once, instead of one path of it for each block.
 const manyEdits = 1000
 
 // blocks are the blocks of client addresses, in a prefix table that finds the
--- a/internal/selector/config/document.go
+++ b/internal/selector/config/document.go
@@ -21,19 +21,17 @@
 	// machine word of 64 bits.
 	maxSlots = 64
 	// longestMaxTimeout limits Service.MaxTimeout, and so how long the slots of
-	// a dead host stay unused. Chosen, not measured.
+	// a dead host stay unused.
 	longestMaxTimeout = 10 * time.Minute
-	// defaultTimeout is the timeout of a service that sets none. Chosen, not
-	// measured.
+	// defaultTimeout is the timeout of a service that sets none.
 	defaultTimeout = 2 * time.Second
 	// defaultMaxTimeout is the longest timeout of a service that sets none; it
-	// is never below the service's timeout. Chosen, not measured.
+	// is never below the service's timeout.
 	defaultMaxTimeout = 10 * time.Second
-	// defaultRetryShare limits retries as a share of requests. Chosen, not
-	// measured: a tenth, as docs/design/request.md says.
+	// defaultRetryShare limits retries as a share of requests: a tenth, as
+	// docs/design/request.md says.
 	defaultRetryShare = 0.1
 	// defaultReserved is the part of a link kept for interactive traffic.
-	// Chosen, not measured.
 	defaultReserved = 0.3
 )
 
--- a/internal/selector/config/log.go
+++ b/internal/selector/config/log.go
@@ -24,9 +24,9 @@
 	sortSnapshot = "snapshot"
 )
 
-// readPage is how many changes one read of the log requests. Chosen, not
-// measured: 19,000 changes a day (docs/design/configuration.md) are 0.22 a
-// second, so that a page covers a host's absence of 7 minutes.
+// readPage is how many changes one read of the log requests: 19,000
+// changes a day (docs/design/configuration.md) are 0.22 a second, so that
+// a page covers a host's absence of 7 minutes.
 const readPage = 100
 
 // Table is the part of the store's table that the log uses.
--- a/internal/selector/entry/admission/admission.go
+++ b/internal/selector/entry/admission/admission.go
@@ -25,7 +25,6 @@
 )
 
 // RetryAfter is when a client whose request was refused is asked to come back.
-// Chosen, not measured.
 const RetryAfter = time.Second
 
 // Client sends a request to an upstream, and calls done when the slot is free.
--- a/internal/selector/entry/configsync/poll.go
+++ b/internal/selector/entry/configsync/poll.go
@@ -17,15 +17,13 @@
 	// (docs/design/configuration.md).
 	pollInterval = time.Second
 	// pollJitter is the part of pollInterval by which a poll may come early
-	// or late, so that hosts that started together spread. Chosen, not
-	// measured.
+	// or late, so that hosts that started together spread.
 	pollJitter = 0.1
 	// selfPollAge is the age of the last proof of freshness at which a host
 	// that is no poller looks for itself, below FreezeAfter
 	// (docs/design/configuration.md).
 	selfPollAge = 2500 * time.Millisecond
-	// snapshotEvery is how many changes lie between two snapshots; chosen,
-	// not measured.
+	// snapshotEvery is how many changes lie between two snapshots.
 	snapshotEvery = 200
 )
 
--- a/internal/selector/entry/configsync/progress.go
+++ b/internal/selector/entry/configsync/progress.go
@@ -15,15 +15,14 @@
 
 const (
 	// confirmPause is the time between two looks at a change's progress, and
-	// between two heartbeats to a host that lags. Chosen, not measured.
+	// between two heartbeats to a host that lags.
 	confirmPause = 100 * time.Millisecond
 	// appendTimeout bounds the acceptance of a change, retries at the table
-	// included. Chosen, not measured.
+	// included.
 	appendTimeout = 10 * time.Second
 	// lapseMargin is how long after FreezeAfter a host that can't be asked
 	// has certainly frozen itself, as its last proof began before the change
-	// was accepted: 5 s in all (docs/design/configuration.md). The margin was
-	// chosen, not measured.
+	// was accepted: 5 s in all (docs/design/configuration.md).
 	lapseMargin = time.Second
 )
 
--- a/internal/selector/entry/configsync/relay.go
+++ b/internal/selector/entry/configsync/relay.go
@@ -17,16 +17,15 @@
 
 const (
 	// maxRecent is how many changes a host keeps to pass on.
-	// Chosen, not measured.
 	maxRecent = 1000
 	// relayFanout is how many hosts one host passes a change on to: a tree of
 	// four within the zone (docs/design/configuration.md).
 	relayFanout = 4
 	// fetchTimeout bounds the fetching of changes, or of the whole state,
-	// from a peer. Chosen, not measured.
+	// from a peer.
 	fetchTimeout = 20 * time.Second
 	// maxChanges bounds the changes in one reply, in encoded bytes. Above
-	// it the whole state is sent. Chosen, not measured.
+	// it the whole state is sent.
 	maxChanges = 256 << 10
 )
 
--- a/internal/selector/entry/directory/directory.go
+++ b/internal/selector/entry/directory/directory.go
@@ -42,10 +42,9 @@
 }
 
 const (
-	// maxEntries bounds the hosts named to a client; chosen, not measured.
+	// maxEntries bounds the hosts named to a client.
 	maxEntries = 16
 	// variants is how many orders the clients of one zone are spread over.
-	// Chosen, not measured.
 	variants = 16
 )
 
--- a/internal/selector/entry/dispatch/rules.go
+++ b/internal/selector/entry/dispatch/rules.go
@@ -11,14 +11,13 @@
 // The decisions on a request's tries, each a function of what is known then.
 
 const (
-	// maxTries bounds how often one request is sent to an upstream. Chosen,
-	// not measured.
+	// maxTries bounds how often one request is sent to an upstream.
 	maxTries = 4
 	// maxOffers bounds how often one request is offered to a zone, full ones
-	// included. Chosen, not measured.
+	// included.
 	maxOffers = 8
 	// queuePart is the part of the time left that a request may spend
-	// waiting for a slot: one in queuePart. Chosen, not measured.
+	// waiting for a slot: one in queuePart.
 	queuePart = 4
 	// maxQueues bounds the full zones of a rule at which a request asks to
 	// wait: where the first one's queue is full as well, another's may have
@@ -31,8 +30,7 @@
 	// of failing upstreams answered 600 of 600 where 567 were answered, the
 	// slowest in 512 ms instead of 904 ms (commit 28746b1).
 	hedgeAfter = 4
-	// hedgeLeast is the least time before a second lookup is sent. Chosen, not
-	// measured.
+	// hedgeLeast is the least time before a second lookup is sent.
 	hedgeLeast = 10 * time.Millisecond
 )
 
--- a/internal/selector/entry/dispatch/try.go
+++ b/internal/selector/entry/dispatch/try.go
@@ -110,7 +110,7 @@
 
 // maxPrefix is the size, in bytes, up to which a response is read whole before
 // any of it goes to the client: one that breaks off is then a verdict, and may
-// be asked for again (docs/design/request.md). Chosen, not measured.
+// be asked for again (docs/design/request.md).
 const maxPrefix = 32 << 10
 
 // bufferedBody gives the buffered prefix and then the rest.
--- a/internal/selector/entry/fence/fence.go
+++ b/internal/selector/entry/fence/fence.go
@@ -14,9 +14,8 @@
 
 const (
 	// maxPause is the longest gap between two ticks of the host's loop (every
-	// 250 ms) before the host takes itself for paused. Chosen, not measured;
-	// it is below member.LostAfter, the silence after which slots are given
-	// away.
+	// 250 ms) before the host takes itself for paused: it is below
+	// member.LostAfter, the silence after which slots are given away.
 	maxPause = 2 * time.Second
 	// maxIsolation is the longest silence of peers, platform and upstreams
 	// all together before the host takes itself for cut off from everything.
--- a/internal/selector/entry/links/links.go
+++ b/internal/selector/entry/links/links.go
@@ -20,8 +20,7 @@
 	"cairndock/internal/selector/member"
 )
 
-// maxLenders is how many hosts are asked for a loan at once; chosen, not
-// measured.
+// maxLenders is how many hosts are asked for a loan at once.
 const maxLenders = 8
 
 // Options are what Links are made of.
--- a/internal/selector/entry/loop.go
+++ b/internal/selector/entry/loop.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// tick is the pace of the host's own loop. Chosen, not measured: half of the
-// least time between two heartbeats to a host (package member).
+// tick is the pace of the host's own loop: half of the least time between
+// two heartbeats to a host (package member).
 const tick = 250 * time.Millisecond
 
 // loop ticks until ctx ends, and early when tickNow asks for it.
--- a/internal/selector/entry/peers/peers.go
+++ b/internal/selector/entry/peers/peers.go
@@ -17,8 +17,8 @@
 )
 
 // CallTimeout bounds one message to a peer and its reply, a heartbeat among
-// them. Chosen, not measured; it is below the 2 s of silence
-// after which a peer gets no requests (package member).
+// them: it is below the 2 s of silence after which a peer gets no requests
+// (package member).
 const CallTimeout = 1500 * time.Millisecond
 
 // Call sends a message to a host and gives its reply, within CallTimeout.
--- a/internal/selector/entry/platformcalls/platformcalls.go
+++ b/internal/selector/entry/platformcalls/platformcalls.go
@@ -18,14 +18,13 @@
 )
 
 const (
-	// burst is how many calls a host may make at once; chosen, not measured.
+	// burst is how many calls a host may make at once.
 	burst = 10
-	// timeout bounds one call, its wait for the rate included. Chosen, not
-	// measured.
+	// timeout bounds one call, its wait for the rate included.
 	timeout = 2 * time.Second
-	// retryMin is the first pause after a failed call; chosen, not measured.
+	// retryMin is the first pause after a failed call.
 	retryMin = 250 * time.Millisecond
-	// retryMax is the longest pause after failed calls; chosen, not measured.
+	// retryMax is the longest pause after failed calls.
 	retryMax = 5 * time.Second
 )
 
--- a/internal/selector/entry/rosters/changes.go
+++ b/internal/selector/entry/rosters/changes.go
@@ -85,10 +85,9 @@
 
 const (
 	// leaveTries is how often a host tries to write its own leaving, as other
-	// hosts may write the roster at the same time. Chosen, not measured.
+	// hosts may write the roster at the same time.
 	leaveTries = 5
 	// leavePause is the pause between two tries: one tick of the host's loop.
-	// Chosen, not measured.
 	leavePause = 250 * time.Millisecond
 )
 
@@ -133,10 +132,10 @@
 
 const (
 	// unlistedAfter is the silence after which a member is dead that this
-	// host never saw in the platform's list. Chosen, not measured.
+	// host never saw in the platform's list.
 	unlistedAfter = time.Minute
 	// deadMargin is how much longer than the longest deadline a gone member
-	// stays in the roster. Chosen, not measured.
+	// stays in the roster.
 	deadMargin = 2 * time.Second
 )
 
--- a/internal/selector/entry/rosters/loop.go
+++ b/internal/selector/entry/rosters/loop.go
@@ -21,7 +21,7 @@
 	// partitionRoster is the table's partition of the rosters, by zone.
 	partitionRoster = "roster"
 	// rosterInterval is the least time between two looks of a poller at the
-	// zone's roster. Chosen, not measured.
+	// zone's roster.
 	rosterInterval = time.Second
 	// HostsInterval is the time between two looks of a poller at the
 	// platform's host list: the time that an upstream's leaving by the list
@@ -30,21 +30,21 @@
 	// pollers is how many hosts of a zone look at the platform for all, so
 	// that one may fail (docs/design/configuration.md).
 	pollers = 2
-	// maxRosterRows bounds the zones read at once; chosen, not measured.
+	// maxRosterRows bounds the zones read at once.
 	maxRosterRows = 1000
 	// memberBytes is about the size of one member in a roster's row.
 	memberBytes = 110
 	// readBytesPerSecond is what a poller may spend on reading the roster, in
 	// bytes per second: a large one is read less often. Its writer sends
 	// the zone each new epoch anyway. Half of what heartbeats may take (package
-	// member); chosen, not measured.
+	// member).
 	readBytesPerSecond = 2000
 	// discoverInterval is the time between the first two looks at all zones'
 	// rosters while some zone can't be reached. It doubles up to
-	// maxDiscover. Chosen, not measured.
+	// maxDiscover.
 	discoverInterval = 5 * time.Second
 	// maxDiscover is the longest time between two such looks, so that a zone
-	// that is gone for long costs little. Chosen, not measured.
+	// that is gone for long costs little.
 	maxDiscover = 5 * time.Minute
 )
 
--- a/internal/selector/entry/settings.go
+++ b/internal/selector/entry/settings.go
@@ -10,13 +10,11 @@
 
 const (
 	// stopWindow is how long a planned stop may take at most, by default.
-	// Chosen, not measured.
 	stopWindow = 5 * time.Minute
 	// stopGrace is how long a stopping host waits for requests on their way
-	// before it looks whether it is idle, by default. Chosen, not measured.
+	// before it looks whether it is idle, by default.
 	stopGrace = 2 * time.Second
 	// callsPerSecond is a host's rate of calls to the platform, by default.
-	// Chosen, not measured.
 	callsPerSecond = 5
 )
 
--- a/internal/selector/entry/stop.go
+++ b/internal/selector/entry/stop.go
@@ -85,7 +85,6 @@
 }
 
 // idlePoll is the time between two looks whether a stopping host is idle.
-// Chosen, not measured.
 const idlePoll = 20 * time.Millisecond
 
 // waitIdle waits until nothing is in flight, or ctx ends.
--- a/internal/selector/entry/suspicions.go
+++ b/internal/selector/entry/suspicions.go
@@ -11,7 +11,7 @@
 )
 
 // newsEvery bounds how often a host reports changes of suspicions at once; heartbeats
-// bring the others. Chosen, not measured.
+// bring the others.
 const newsEvery = 250 * time.Millisecond
 
 // suspicionObserver reports changes of a host's suspicions.
--- a/internal/selector/entry/suspicions/suspicions.go
+++ b/internal/selector/entry/suspicions/suspicions.go
@@ -28,14 +28,14 @@
 )
 
 const (
-	// dialTimeout bounds the connection that tells whether an upstream has ended.
-	// Chosen, not measured: far above a round trip within a zone.
+	// dialTimeout bounds the connection that tells whether an upstream has ended:
+	// far above a round trip within a zone.
 	dialTimeout = 500 * time.Millisecond
 	// settles is how long it must last, as a process that ends closes its listener and
-	// its connections one by one. Chosen, not measured.
+	// its connections one by one.
 	settles = 20 * time.Millisecond
 	// retryAfter is when a client should return whose request is quarantined: not while
-	// people have not looked at what it does. Chosen, not measured.
+	// people have not looked at what it does.
 	retryAfter = time.Minute
 	// headerCredential tells who sends a request; empty where clients send none.
 	headerCredential = "Authorization"
--- a/internal/selector/entry/tickets/run.go
+++ b/internal/selector/entry/tickets/run.go
@@ -13,8 +13,7 @@
 	"cairndock/internal/verdict"
 )
 
-// maxResponse bounds the response to a request with a ticket, in bytes. Chosen,
-// not measured.
+// maxResponse bounds the response to a request with a ticket, in bytes.
 const maxResponse = 4 << 20
 
 // use runs a ticket's request, or gives the outcome of its first use.
--- a/internal/selector/entry/upstreams/upstreams.go
+++ b/internal/selector/entry/upstreams/upstreams.go
@@ -189,12 +189,11 @@
 
 const (
 	// probeInterval is the time between two probes of an upstream. Traffic
-	// reports sooner; this bounds an idle upstream's. Chosen, not measured.
+	// reports sooner; this bounds an idle upstream's.
 	probeInterval = 2 * time.Second
-	// probeTimeout bounds one probe; chosen, not measured.
+	// probeTimeout bounds one probe.
 	probeTimeout = time.Second
 	// maxProbes bounds the probes of one interval, whatever falls to a host.
-	// Chosen, not measured.
 	maxProbes = 20
 )
 
--- a/internal/selector/link/bucket.go
+++ b/internal/selector/link/bucket.go
@@ -25,8 +25,7 @@
 )
 
 const (
-	// burst is how much unused time a link may make up for. Chosen, not
-	// measured.
+	// burst is how much unused time a link may make up for.
 	burst = 25 * time.Millisecond
 	// debt is how far ahead of its rate interactive traffic may go, so that it
 	// need not wait for a chunk of bulk. On 1 MB/s interactive traffic waited
@@ -35,7 +34,7 @@
 	// frames one by one").
 	debt = 25 * time.Millisecond
 	// averageOver is the time constant of the moving average of interactive
-	// traffic. Chosen, not measured.
+	// traffic.
 	averageOver = 200 * time.Millisecond
 	// headroomPart is the room that interactive traffic keeps free for its next
 	// burst, as a part of what it uses. With 0.05 and debt, bulk used 95, 95, 92
@@ -44,10 +43,10 @@
 	headroomPart = 0.05
 	// leastBulkPart divides the rate into the least rate by which the wait of
 	// bulk is worked out while interactive leaves nothing, so that bulk asks
-	// again within a bounded time. Chosen, not measured.
+	// again within a bounded time.
 	leastBulkPart = 100
 	// leastRate, in bytes per second, stands for a limit below it, so that no
-	// wait is infinite. Chosen, not measured.
+	// wait is infinite.
 	leastRate = 1
 )
 
--- a/internal/selector/link/loans.go
+++ b/internal/selector/link/loans.go
@@ -4,16 +4,13 @@
 
 const (
 	// Term is how long a loan lasts, counted by the borrower from when it asked.
-	// Chosen, not measured.
 	Term = 2 * time.Second
 	// margin is how much longer the lender counts, from when it granted the
-	// loan, so that the borrower always stops first, also one that was paused.
-	// Chosen, not measured; a lender that counted 1 s in all failed
-	// TestLoansNeverAddUp (commit "Lend unused parts of a link between a
-	// region's hosts").
+	// loan, so that the borrower always stops first, also one that was paused:
+	// a lender that counted 1 s in all failed TestLoansNeverAddUp (commit
+	// "Lend unused parts of a link between a region's hosts").
 	margin = time.Second
-	// lendPart is the part of what is spare that one loan takes. Chosen, not
-	// measured.
+	// lendPart is the part of what is spare that one loan takes.
 	lendPart = 0.8
 	// keepPart is the part of its own that a host never lends: a loan can't be
 	// ended early, and the host's next lookup needs some rate at once. Without
@@ -21,8 +18,7 @@
 	// was used to 97% and 86% (commit "Let a lender of a link keep a fifth of
 	// its part").
 	keepPart = 0.2
-	// leastLoan is the least worth lending, in bytes per second. Chosen, not
-	// measured.
+	// leastLoan is the least worth lending, in bytes per second.
 	leastLoan = 1000
 )
 
--- a/internal/selector/link/pacer.go
+++ b/internal/selector/link/pacer.go
@@ -9,10 +9,9 @@
 )
 
 const (
-	// MaxChunk is the most bytes to send at once. Chosen, not measured.
+	// MaxChunk is the most bytes to send at once.
 	MaxChunk = 16 << 10
-	// leastChunk is the most bytes to send at once on the slowest links. Chosen,
-	// not measured.
+	// leastChunk is the most bytes to send at once on the slowest links.
 	leastChunk = 1 << 10
 	// chunkTime is how long one chunk may hold the link, so that interactive
 	// traffic does not wait behind bulk; see debt for the measurement.
--- a/internal/selector/load/changes.go
+++ b/internal/selector/load/changes.go
@@ -12,8 +12,8 @@
 )
 
 const (
-	// maxChangeRate is the highest rate of changes, per second. Chosen, not
-	// measured: hundreds of times the planned 0.22 a second.
+	// maxChangeRate is the highest rate of changes, per second: hundreds of
+	// times the planned 0.22 a second.
 	maxChangeRate = 100
 	// everywhereWait is how long a change may take to be in force everywhere:
 	// the default of the operator API.
--- a/internal/selector/load/load.go
+++ b/internal/selector/load/load.go
@@ -17,7 +17,7 @@
 	"github.com/rotisserie/eris"
 )
 
-// The limits of every load. They are chosen, not measured: a mistyped flag
+// The limits of every load: a mistyped flag
 // should not occupy the machine for hours.
 const (
 	// maxDuration is the longest load.
@@ -31,16 +31,14 @@
 
 const (
 	// longestLatency is the highest latency that histograms distinguish, in
-	// microseconds. Chosen, not measured: twice the longest timeout of the quick
-	// start, 60 s.
+	// microseconds: twice the longest timeout of the quick start, 60 s.
 	longestLatency = int64(2 * time.Minute / time.Microsecond)
 	// latencyDigits is the histograms' precision, in significant digits.
 	latencyDigits = 3
 	// refreshInterval is how often the hosts to use are requested again.
-	// Chosen, not measured.
 	refreshInterval = time.Second
 	// nearHosts is how many of the nearest hosts share the load, as clients
-	// that cache the entries do. Chosen, not measured.
+	// that cache the entries do.
 	nearHosts = 3
 )
 
--- a/internal/selector/load/request.go
+++ b/internal/selector/load/request.go
@@ -14,7 +14,7 @@
 )
 
 // maxKeptBody is how much of a response is kept to compare it, in bytes: the
-// stand-ins' echoes are far shorter. Chosen, not measured.
+// stand-ins' echoes are far shorter.
 const maxKeptBody = 4 << 10
 
 // ticket takes a ticket from a host. On any error it is "", and the request is
--- a/internal/selector/member/pace.go
+++ b/internal/selector/member/pace.go
@@ -8,21 +8,20 @@
 
 const (
 	// nearInterval is the least time between two heartbeats to a host of the own
-	// zone. Chosen, not measured.
+	// zone.
 	nearInterval = 500 * time.Millisecond
-	// farInterval is the same for a host of another zone. Chosen, not measured.
+	// farInterval is the same for a host of another zone.
 	farInterval = time.Second
 	// bytesPerSecond is what one host may spend on heartbeats, asking and
 	// responding, both ways: the users' 4 KB a second for control
 	// (docs/CAPACITY.md). With more hosts each is asked less often.
 	bytesPerSecond = 4000
-	// nearPart is the part of that for the own zone. Chosen, not measured.
+	// nearPart is the part of that for the own zone.
 	nearPart = 0.3
 	// firstExchange stands for the size of an exchange, in bytes, until one is
 	// known: it was 208 at 2 services and 332 at 22 (docs/design/heartbeats.md).
 	firstExchange = 300
 	// exchangeSamples is how many exchanges the average of their size goes back.
-	// Chosen, not measured.
 	exchangeSamples = 16
 	// zoneFanout bounds the hosts of the own zone that a host asks, so that its
 	// cost does not grow with the zone: a full mesh of 74 hosts cost over 70 KB a
--- a/internal/selector/member/peer.go
+++ b/internal/selector/member/peer.go
@@ -4,7 +4,7 @@
 
 const (
 	// downAfter is the least silence after which a peer gets no requests: four
-	// near intervals. Chosen, not measured.
+	// near intervals.
 	downAfter = 2 * time.Second
 	// LostAfter is the silence that must go with the platform's host list before
 	// a host counts as dead and its slots are given away. It is above
--- a/internal/selector/member/peers.go
+++ b/internal/selector/member/peers.go
@@ -16,8 +16,7 @@
 )
 
 const (
-	// maxContacts bounds the hosts that a zone names to others. Chosen, not
-	// measured.
+	// maxContacts bounds the hosts that a zone names to others.
 	maxContacts = 4
 	// maxFarHosts bounds the hosts of another zone that are kept, so that the
 	// host's own loop does not grow with the hosts of all zones: it took 6.5 ms
--- a/internal/selector/member/successor.go
+++ b/internal/selector/member/successor.go
@@ -6,7 +6,7 @@
 )
 
 // successorAge is how long a successor is remembered after a heartbeat last named
-// it. It is named for as long as the tickets matter. Chosen, not measured.
+// it. It is named for as long as the tickets matter.
 const successorAge = 5 * time.Minute
 
 // successor is the host that serves a stopped incarnation's tickets, and when a
--- a/internal/selector/operator/config.go
+++ b/internal/selector/operator/config.go
@@ -29,7 +29,7 @@
 	// the request sets it: one second above the 5 s after which a zone that
 	// can't be reached no longer counts (docs/design/configuration.md).
 	defaultWait = 6 * time.Second
-	// longestWait limits the wait that a request may set. Chosen, not measured.
+	// longestWait limits the wait that a request may set.
 	longestWait = time.Minute
 )
 
--- a/internal/selector/operator/operator.go
+++ b/internal/selector/operator/operator.go
@@ -32,12 +32,11 @@
 )
 
 const (
-	// headerTimeout limits reading a request's headers. Chosen, not measured.
+	// headerTimeout limits reading a request's headers.
 	headerTimeout = 10 * time.Second
-	// idleTimeout ends an operator's connection without a request. Chosen, not
-	// measured.
+	// idleTimeout ends an operator's connection without a request.
 	idleTimeout = 2 * time.Minute
-	// minToken is the shortest token, in characters. Chosen, not measured.
+	// minToken is the shortest token, in characters.
 	minToken = 16
 )
 
--- a/internal/selector/quickstart/document.go
+++ b/internal/selector/quickstart/document.go
@@ -6,8 +6,8 @@
 	"cairndock/internal/selector/config"
 )
 
-// The figures of the configuration. All are chosen, not measured: with them a
-// share, its limit and a link can be seen at work.
+// The figures of the configuration. With them a share, its limit and a link
+// can be seen at work.
 const (
 	// planningShare is the target share of each of the planning service's rules.
 	planningShare = 0.5
--- a/internal/selector/quickstart/once.go
+++ b/internal/selector/quickstart/once.go
@@ -7,8 +7,8 @@
 	"cairndock/internal/selector/load"
 )
 
-// The round of requests that Once sends. Chosen, not measured: a few hundred
-// within about a second.
+// The round of requests that Once sends: a few hundred within about a
+// second.
 const (
 	// onceDuration is how long requests arrive.
 	onceDuration = 1200 * time.Millisecond
--- a/internal/selector/quickstart/quickstart.go
+++ b/internal/selector/quickstart/quickstart.go
@@ -43,8 +43,8 @@
 	documents = "documents"
 )
 
-// The size and speed of the quick start. All are chosen, not measured: small
-// enough for one laptop, large enough that hosts share upstreams.
+// The size and speed of the quick start. Small enough for one laptop, large
+// enough that hosts share upstreams.
 const (
 	// planningPerZone is the planning service's upstreams in each zone.
 	planningPerZone = 4
--- a/internal/selector/server/abort/abort.go
+++ b/internal/selector/server/abort/abort.go
@@ -20,10 +20,9 @@
 	"cairndock/internal/httpserver"
 )
 
-// grace is how long the error responses of aborted requests may take. Chosen,
-// not measured: a handler needs some milliseconds to notice, and a connection
-// between requests is read for 50 ms after the drain began (package
-// httpserver).
+// grace is how long the error responses of aborted requests may take: a
+// handler needs some milliseconds to notice, and a connection between
+// requests is read for 50 ms after the drain began (package httpserver).
 const grace = 250 * time.Millisecond
 
 // errStopping is the cause of the end of an aborted request's context.
--- a/internal/selector/server/server.go
+++ b/internal/selector/server/server.go
@@ -118,8 +118,7 @@
 func (s *Server) Failed() <-chan error { return s.failed }
 
 // closeTimeout limits the wait for operators' requests, at the end of a stop.
-// Those that wait longer for a change to be in force are aborted. Chosen, not
-// measured.
+// Those that wait longer for a change to be in force are aborted.
 const closeTimeout = time.Second
 
 // Stop takes the host out of service as the settings' section [stop] says, and
--- a/internal/selector/shift/meter.go
+++ b/internal/selector/shift/meter.go
@@ -17,7 +17,7 @@
 	// so that idle time buys no burst. The bound that Meter states needs 1.
 	maxCredit = 1.0
 	// maxDeficit bounds, in requests, how long a rule that could not be served,
-	// or was served instead of others, is made up for. Chosen, not measured.
+	// or was served instead of others, is made up for.
 	maxDeficit = 16
 )
 
--- a/internal/selector/shift/ramp.go
+++ b/internal/selector/shift/ramp.go
@@ -4,13 +4,13 @@
 
 const (
 	// slowFactor is what each refusal at a rule's upstreams multiplies its pace
-	// by. Chosen, not measured.
+	// by.
 	slowFactor = 0.5
 	// slowest is the least pace, so that a ramp that is refused again and again
-	// still moves. Chosen, not measured.
+	// still moves.
 	slowest = 1.0 / 64
 	// recovery is what the pace gains in a second: from slowest to 1 takes about
-	// 10 s. Chosen, not measured.
+	// 10 s.
 	recovery = 0.1
 )
 
--- a/internal/selector/slot/choose.go
+++ b/internal/selector/slot/choose.go
@@ -7,15 +7,15 @@
 
 const (
 	// reportAge is the age at which an upstream's report of its load no longer
-	// counts. Chosen, not measured.
+	// counts.
 	reportAge = 5 * time.Second
 	// reportWeight is how much a fresh report of full load worsens an
 	// upstream's score: it doubles it at most, so that a wrong report can't
-	// outweigh what the host sees itself. Chosen, not measured.
+	// outweigh what the host sees itself.
 	reportWeight = 1.0
 	// unknownLatency stands for an upstream's latency, in seconds, before its
 	// first success. It is below what upstreams take, so that a new one is
-	// tried. Chosen, not measured.
+	// tried.
 	unknownLatency = 1e-3
 )
 
--- a/internal/selector/slot/eject.go
+++ b/internal/selector/slot/eject.go
@@ -8,17 +8,16 @@
 // has slots of its own at an upstream, and tries one request after each rest.
 const (
 	// failEjection is how long an upstream is ejected after its first failure
-	// in a row; each further one doubles it, up to maxFailEjection. Chosen, not
-	// measured.
+	// in a row; each further one doubles it, up to maxFailEjection.
 	failEjection = 200 * time.Millisecond
 	// maxFailEjection bounds the doubling after failures: one request in that
-	// time finds out that the upstream is back. Chosen, not measured.
+	// time finds out that the upstream is back.
 	maxFailEjection = 5 * time.Second
 	// shedEjection is how long an upstream is ejected that sheds although it
 	// has the least concurrency limit; each further such shed doubles it, up to
-	// maxShedEjection. Chosen, not measured.
+	// maxShedEjection.
 	shedEjection = 100 * time.Millisecond
-	// maxShedEjection bounds the doubling after sheds. Chosen, not measured.
+	// maxShedEjection bounds the doubling after sheds.
 	maxShedEjection = 2 * time.Second
 	// maxDoublings keeps the shift in ejection from overflowing. Both bounds are
 	// reached before it.
--- a/internal/selector/slot/gate.go
+++ b/internal/selector/slot/gate.go
@@ -8,7 +8,6 @@
 )
 
 // queueFactor bounds the waiting requests as a multiple of the slots held.
-// Chosen, not measured.
 const queueFactor = 1
 
 // clockStart is what a gate's clock reads when the gate is made, in
--- a/internal/selector/slot/limit.go
+++ b/internal/selector/slot/limit.go
@@ -4,14 +4,13 @@
 
 const (
 	// coldLimit is the concurrency limit, in slots, of an upstream that is new,
-	// was restarted or failed: its caches may be cold. Chosen, not measured.
+	// was restarted or failed: its caches may be cold.
 	coldLimit = 1.0
-	// decreaseFactor is what a shed multiplies the concurrency limit by.
-	// Chosen, not measured: the usual one of additive increase and
-	// multiplicative decrease.
+	// decreaseFactor is what a shed multiplies the concurrency limit by:
+	// the usual one of additive increase and multiplicative decrease.
 	decreaseFactor = 0.5
 	// decreaseInterval is the least time between two decreases: the sheds of
-	// one burst count once. Chosen, not measured.
+	// one burst count once.
 	decreaseInterval = 100 * time.Millisecond
 )
 
--- a/internal/selector/slot/upstream.go
+++ b/internal/selector/slot/upstream.go
@@ -16,8 +16,7 @@
 	Unused
 )
 
-// latencyWeight is the weight of a new latency in the moving average. Chosen,
-// not measured.
+// latencyWeight is the weight of a new latency in the moving average.
 const latencyWeight = 0.2
 
 // Spec describes an upstream to a pool.
--- a/internal/selector/standin/platform.go
+++ b/internal/selector/standin/platform.go
@@ -21,7 +21,7 @@
 	// control.
 	loopback = "127.0.0.1:0"
 	// platformHeaderTimeout limits reading the headers of a request to the
-	// platform stand-in. Chosen, not measured.
+	// platform stand-in.
 	platformHeaderTimeout = time.Second
 )
 
--- a/internal/selector/standin/table.go
+++ b/internal/selector/standin/table.go
@@ -18,7 +18,6 @@
 	// errorPrefix starts the names of DynamoDB's errors.
 	errorPrefix = "com.amazonaws.dynamodb.v20120810#"
 	// maxRequest limits what is read of a request to the table, in bytes.
-	// Chosen, not measured.
 	maxRequest = 16 << 20
 )
 
--- a/internal/selector/standin/upstream.go
+++ b/internal/selector/standin/upstream.go
@@ -16,7 +16,6 @@
 )
 
 // upstreamHeaderTimeout limits reading the headers of a request to an upstream.
-// Chosen, not measured.
 const upstreamHeaderTimeout = 10 * time.Second
 
 // Faults are what an Upstream does wrong.
--- a/internal/selector/steer/budget.go
+++ b/internal/selector/steer/budget.go
@@ -1,7 +1,6 @@
 package steer
 
-// maxRetryCredit bounds the retries that idle time saves up. Chosen, not
-// measured.
+// maxRetryCredit bounds the retries that idle time saves up.
 const maxRetryCredit = 10
 
 // Budget bounds a service's retries and hedges at one host, as a share of the
--- a/internal/selector/steer/plan.go
+++ b/internal/selector/steer/plan.go
@@ -10,8 +10,7 @@
 	// maxSites bounds the zones of one rule, one bit each in a Plan. The planned
 	// size is 80 zones (docs/CAPACITY.md); further ones get no request.
 	maxSites = 128
-	// planRules is how many rules a Plan orders without allocating. Chosen, not
-	// measured.
+	// planRules is how many rules a Plan orders without allocating.
 	planRules = 8
 )
 
--- a/internal/selector/steer/score.go
+++ b/internal/selector/steer/score.go
@@ -8,27 +8,26 @@
 
 const (
 	// reportAge is the age at which another zone's report of its slots counts
-	// for nothing. Chosen, not measured (docs/design/request.md).
+	// for nothing.
 	reportAge = 3 * time.Second
 	// refusedPause is how long a zone that refused a request for want of a free
-	// slot counts as full. Chosen, not measured.
+	// slot counts as full.
 	refusedPause = 200 * time.Millisecond
 	// neutralUse stands for the use of a zone of which nothing fresh is known:
 	// half, so that a report that is late or missing neither draws requests
-	// nor drives them off. Chosen, not measured.
+	// nor drives them off.
 	neutralUse = 0.5
 	// fullPenalty is what a full zone costs, as a multiple of the service's
-	// latency: the wait in its queue. Chosen, not measured.
+	// latency: the wait in its queue.
 	fullPenalty = 4
 	// headroomDistance is what a round trip is divided by where the service
-	// prefers headroom to latency. Chosen, not measured.
+	// prefers headroom to latency.
 	headroomDistance = 4
-	// headroomCrowding is what crowding is multiplied by there. Chosen, not
-	// measured.
+	// headroomCrowding is what crowding is multiplied by there.
 	headroomCrowding = 4
 	// frozenPenalty, in seconds, is what other zones cost while the
 	// configuration may be out of date: as much as a far zone, so that the own
-	// zone goes first. Chosen, not measured.
+	// zone goes first.
 	frozenPenalty = float64(otherRegionRTT) / float64(time.Second)
 )
 
--- a/internal/selector/steer/steer.go
+++ b/internal/selector/steer/steer.go
@@ -20,14 +20,14 @@
 )
 
 const (
-	// defaultLatency stands for a service's latency until one is known. Chosen,
-	// not measured; what quickstart's upstreams take.
+	// defaultLatency stands for a service's latency until one is known: what
+	// quickstart's upstreams take.
 	defaultLatency = 5 * time.Millisecond
 	// sameRegionRTT stands for the round trip to a zone of the same region until
-	// one is measured. Chosen, not measured.
+	// one is measured.
 	sameRegionRTT = 2 * time.Millisecond
 	// otherRegionRTT stands for the round trip to other regions until one is
-	// measured. Chosen, not measured.
+	// measured.
 	otherRegionRTT = 50 * time.Millisecond
 )
 
--- a/internal/selector/store/hostlist.go
+++ b/internal/selector/store/hostlist.go
@@ -14,11 +14,11 @@
 
 const (
 	// hostListTimeout limits one read of the host list, from connecting to
-	// the last byte. Chosen, not measured; the list is read every 2 s.
+	// the last byte: the list is read every 2 s.
 	hostListTimeout = 3 * time.Second
 	// maxHostListBytes limits the body that is read; a longer one fails to
-	// decode. Chosen, not measured; far above what the 5,900 hosts of
-	// docs/design/request.md need.
+	// decode: far above what the 5,900 hosts of docs/design/request.md
+	// need.
 	maxHostListBytes = 8 << 20
 )
 
--- a/internal/selector/ticket/store.go
+++ b/internal/selector/ticket/store.go
@@ -8,14 +8,12 @@
 
 const (
 	// maxKept bounds the body of a kept response, in bytes; of a larger one only
-	// the verdict is kept. Chosen, not measured; what it costs is in
-	// docs/CAPACITY.md.
+	// the verdict is kept: what it costs is in docs/CAPACITY.md.
 	maxKept = 64 << 10
 	// sweepInterval is the least time between two looks for records to forget.
-	// Chosen, not measured.
 	sweepInterval = time.Minute
 	// resendGrace is how long after a ticket's expiry its record is kept, in
-	// seconds, for a resend on its way. Chosen, not measured.
+	// seconds, for a resend on its way.
 	resendGrace = 60
 )
 
--- a/internal/selector/ticket/ticket.go
+++ b/internal/selector/ticket/ticket.go
@@ -43,11 +43,10 @@
 )
 
 const (
-	// Lifetime is how long a ticket may be used and its outcome is kept. Chosen,
-	// not measured; what it costs is in docs/CAPACITY.md.
+	// Lifetime is how long a ticket may be used and its outcome is kept: what it
+	// costs is in docs/CAPACITY.md.
 	Lifetime = 10 * time.Minute
 	// maxLength bounds the text of a ticket, in bytes, before it is decoded.
-	// Chosen, not measured.
 	maxLength = 256
 	// keySize is the length of a key in bytes: that of the hash, as RFC 2104
 	// advises.
--- a/internal/selector/tlsfiles/tlsfiles.go
+++ b/internal/selector/tlsfiles/tlsfiles.go
@@ -19,7 +19,6 @@
 )
 
 // recheckAfter is the least time between two checks of the files for changes.
-// Chosen, not measured.
 const recheckAfter = time.Second
 
 // Check adds the faults of a TLS section to f.
--- a/internal/selector/upstream/client.go
+++ b/internal/selector/upstream/client.go
@@ -32,17 +32,17 @@
 )
 
 const (
-	// dialTimeout limits connecting. Chosen, not measured: far above a round
-	// trip within a zone, and half of a service's default timeout of 2 s. Cut
-	// links are not probed as by gateway/dial: upstreams are in the own zone.
+	// dialTimeout limits connecting: far above a round trip within a zone,
+	// and half of a service's default timeout of 2 s. Cut links are not
+	// probed as by gateway/dial: upstreams are in the own zone.
 	dialTimeout = time.Second
-	// idleTimeout closes connections without a request. Chosen, not measured.
+	// idleTimeout closes connections without a request.
 	idleTimeout = 30 * time.Second
 	// maxIdle limits the idle connections to one upstream: the most slots that
 	// an upstream can have by its configuration.
 	maxIdle = 64
 	// maxHeaderBytes limits a response's header, and what is read of the body
-	// of a refusal or probe. Chosen, not measured.
+	// of a refusal or probe.
 	maxHeaderBytes = 64 << 10
 )
 
--- a/internal/selector/upstream/conn.go
+++ b/internal/selector/upstream/conn.go
@@ -11,7 +11,7 @@
 // cancelGrace is how long after a request's deadline an upstream that neither
 // responds nor closes may still be busy with it; then its slot counts as free.
 // Upstreams stop at the deadline they are sent (docs/design/request.md); the
-// margin for clocks and the network was chosen, not measured.
+// margin is for clocks and the network.
 const cancelGrace = 500 * time.Millisecond
 
 // errFenced is the error of a write after the request was abandoned or its
--- a/internal/suspend/suspend.go
+++ b/internal/suspend/suspend.go
@@ -35,7 +35,7 @@
 }
 
 // minGap is the least suspension that counts: below it the readings scatter, and
-// nothing is believed for so short a time. Chosen, not measured.
+// nothing is believed for so short a time.
 const minGap = 50 * time.Millisecond
 
 // Watch finds suspensions. It is safe for concurrent use.
