--- a/internal/gateway/notice/report.go
+++ b/internal/gateway/notice/report.go
@@ -85,14 +85,6 @@
 	}
 }
 
-// restElsewhere notes that a run wants none of another host for a time.
-func (t *Table) restElsewhere(run upstream.Run, d time.Duration, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.restsElsewhere[run] = now.Add(d)
-	t.resized()
-}
-
 func (t *Table) mergeLimit(r Report, now time.Time) (report func()) {
 	heard := now.Add(-time.Duration(max(0, r.AgeMS)) * time.Millisecond)
 	l := t.limits[r.Run]
--- a/internal/gateway/notice/table.go
+++ b/internal/gateway/notice/table.go
@@ -21,9 +21,6 @@
 	askAfter = 10 * time.Second
 	leastAsk = 30 * time.Second
 	mostAsk  = 10 * time.Minute
-	// leavingKept is how long a run that is not registered any more is known to leave: as
-	// long as one that comes back counts as the same (package upstream).
-	leavingKept = time.Minute
 	// endLasts is for how long other hosts are told that a limit has ended.
 	endLasts = 10 * time.Second
 )
@@ -73,12 +70,6 @@
 	restsUntil, restsElsewhere map[upstream.Run]time.Time
 }
 
-// leaver is a run that leaves.
-type leaver struct {
-	// told is when it became known, and registered when it was last registered.
-	told, registered time.Time
-}
-
 // NewTable makes the empty table of a host.
 func NewTable(host string, shares Shares, reporter Reporter) *Table {
 	return &Table{host: host, shares: shares, reporter: reporter, limits: map[upstream.Run]*limit{}, leaving: map[upstream.Run]*leaver{}, restsUntil: map[upstream.Run]time.Time{}, restsElsewhere: map[upstream.Run]time.Time{}}
@@ -110,36 +101,6 @@
 	report()
 }
 
-// leave notes that a run leaves. No response ends that: one that does not say so is only
-// slower.
-func (t *Table) leave(run upstream.Run, now time.Time) {
-	t.mu.Lock()
-	_, known := t.leaving[run]
-	if !known {
-		t.leaving[run] = &leaver{told: now, registered: now}
-		t.resized()
-	}
-	t.mu.Unlock()
-	if !known {
-		t.reporter.Leaves(run)
-	}
-}
-
-// rest notes that a run wants no request for a time from now on. It does not become shorter
-// by a later word, as those come in any order.
-func (t *Table) rest(run upstream.Run, d time.Duration, now time.Time) {
-	t.mu.Lock()
-	rested := now.Before(t.restsUntil[run])
-	if until := now.Add(d); until.After(t.restsUntil[run]) {
-		t.restsUntil[run] = until
-	}
-	t.resized()
-	t.mu.Unlock()
-	if !rested {
-		t.reporter.Rests(run, d)
-	}
-}
-
 // observeLimit takes what a response says of a limit; t.mu is held. It returns what to
 // report without it.
 func (t *Table) observeLimit(run upstream.Run, said Limit, sent, now time.Time) (report func()) {
@@ -211,17 +172,6 @@
 	return Withheld{Upstream: u.ID, PerSecond: l.perSecond, Share: l.share.Tokens, Tokens: tokensOf(l.perSecond), For: wait}
 }
 
-// RestsElsewhere reports whether an upstream wants no request of another host now. Most
-// likely it would refuse this host's as well.
-func (t *Table) RestsElsewhere(run upstream.Run, now time.Time) bool {
-	if t.size.Load() == 0 {
-		return false
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return now.Before(t.restsElsewhere[run])
-}
-
 // MaySend reports whether a request for which an upstream was chosen may still be sent: it
 // may have waited since, for a connection or for processor time.
 func (t *Table) MaySend(u *upstream.Upstream, now time.Time) bool {
--- a/internal/gateway/soak/cold_test.go
+++ b/internal/gateway/soak/cold_test.go
@@ -168,10 +168,15 @@
 // mostInASecond gives the highest number of the ordered times that lie within one
 // second, of those between two times, and the first of them.
 func mostInASecond(at []time.Time, from, to time.Time) (most int, first time.Time) {
-	at = slices.DeleteFunc(slices.Clone(at), func(x time.Time) bool { return x.Before(from) || x.After(to) })
+	return mostIn(slices.DeleteFunc(slices.Clone(at), func(x time.Time) bool { return x.Before(from) || x.After(to) }), time.Second)
+}
+
+// mostIn gives the highest number of the ordered times that lie within a span, and the
+// first of them.
+func mostIn(at []time.Time, span time.Duration) (most int, first time.Time) {
 	begin := 0
 	for end := range at {
-		for at[end].Sub(at[begin]) >= time.Second {
+		for at[end].Sub(at[begin]) >= span {
 			begin++
 		}
 		if n := end - begin + 1; n > most {
--- a/internal/gateway/soak/notice_test.go
+++ b/internal/gateway/soak/notice_test.go
@@ -154,18 +154,6 @@
 	return at
 }
 
-// mostIn gives the highest number of the ordered times that lie within a span.
-func mostIn(at []time.Time, span time.Duration) int {
-	most, begin := 0, 0
-	for end := range at {
-		for at[end].Sub(at[begin]) >= span {
-			begin++
-		}
-		most = max(most, end-begin+1)
-	}
-	return most
-}
-
 // Users saw an upstream that had named a limit of 5.8 requests a second get 108 in 4 s
 // from hosts that it had told, and one of 7.4 get 51.
 //
@@ -189,9 +177,10 @@
 	for i, limit := range limits {
 		at := n.bound(n.world.everyUpstream[i], since)
 		allowed := limit*limitFactor*limitSpan.Seconds() + limitRest
+		most, _ := mostIn(at, limitSpan)
 		used := float64(len(at)) / (limit * noticeLength.Seconds())
-		t.Logf("limit %g: %d in %s, %g allowed; %.2f of the limit used", limit, mostIn(at, limitSpan), limitSpan, allowed, used)
-		require.LessOrEqual(t, float64(mostIn(at, limitSpan)), allowed, "limit %g", limit)
+		t.Logf("limit %g: %d in %s, %g allowed; %.2f of the limit used", limit, most, limitSpan, allowed, used)
+		require.LessOrEqual(t, float64(most), allowed, "limit %g", limit)
 		if limit >= 1 {
 			require.GreaterOrEqual(t, used, leastLimitUsed, "limit %g", limit)
 		}
--- a/internal/gateway/soak/said_test.go
+++ b/internal/gateway/soak/said_test.go
@@ -242,7 +242,7 @@
 			at = append(at, a.arrived)
 		}
 	}
-	n := mostIn(at, limitSpan)
+	n, _ := mostIn(at, limitSpan)
 	if float64(n) > allowedAtLimit {
 		w.violation("limit: %s got %d requests in %s from hosts that it had told, %g allowed", l.upstream.ID, n, limitSpan, allowedAtLimit)
 	}
