--- a/internal/gateway/soak/artifacts_test.go
+++ b/internal/gateway/soak/artifacts_test.go
@@ -70,7 +70,7 @@
 	for _, h := range w.hosts {
 		h.kill()
 		w.keep(logsVar, "-"+h.name+".log", func(to io.Writer) error {
-			_, err := to.Write(h.log.Bytes())
+			_, err := io.WriteString(to, h.log.String())
 			return err
 		})
 	}
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -44,7 +45,7 @@
 	exitExpected bool
 	// stopping is when the process was told to stop; zero is not yet.
 	stopping time.Time
-	log      *bytes.Buffer
+	log      *logText
 	// processes counts the processes, and startedAt is when the last started.
 	processes int
 	startedAt time.Time
@@ -56,6 +57,25 @@
 	blind disruptions
 }
 
+// logText is a log that can be read while it is written.
+type logText struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (l *logText) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *logText) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // beginBlind records a fault that also keeps the host from learning of changes,
 // on until the function given is called.
 func (h *host) beginBlind() (end func()) {
@@ -135,7 +155,7 @@
 func newHost(t *testing.T, violation func(string, ...any), name string, z zone, store string) *host {
 	t.Helper()
 	h := &host{
-		t: t, violation: violation, name: name, zone: z, store: newLink(t, store), log: &bytes.Buffer{},
+		t: t, violation: violation, name: name, zone: z, store: newLink(t, store), log: &logText{},
 		clients: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t),
 		settings: filepath.Join(t.TempDir(), name+".toml"),
 	}
@@ -275,6 +295,17 @@
 	}
 }
 
+// linesOf gives the lines of the host's log on a request, by its id.
+func (h *host) linesOf(id string) string {
+	var lines strings.Builder
+	for line := range strings.Lines(h.log.String()) {
+		if strings.Contains(line, `"request":"`+id+`"`) {
+			lines.WriteString(line)
+		}
+	}
+	return lines.String()
+}
+
 // processNumber gives the number of the host's process, from 1.
 func (h *host) processNumber() int {
 	h.mu.Lock()
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -409,6 +409,11 @@
 	t.Logf("%d of %d served", served.Load(), sent.Load())
 	require.GreaterOrEqual(t, float64(served.Load()), popularShare*float64(sent.Load()))
 	for n := range 100 {
-		require.True(t, w.sendOnce(t.Context(), w.hosts[n%len(w.hosts)], fmt.Sprint("after-", n), http.MethodGet, "/safe/popular", ""), "request %d afterwards", n)
+		id := fmt.Sprint("after-", n)
+		status := w.sendFrom(t.Context(), http.DefaultClient, w.hosts[n%len(w.hosts)], id, http.MethodGet, "/safe/popular", "")
+		if status != http.StatusOK {
+			time.Sleep(100 * time.Millisecond) // until its lines are there
+			t.Fatalf("%s got %d: %s", id, status, w.hosts[n%len(w.hosts)].linesOf(id))
+		}
 	}
 }
