--- a/internal/gateway/balance/doc.go
+++ b/internal/gateway/balance/doc.go
@@ -14,6 +14,7 @@
 //   - preferencelist.go: the first of that order, for a request with a key;
 //   - summary.go: what all upstreams of a service say together;
 //   - ejected.go: when ejected upstreams are tried last;
+//   - withheld.go: which upstreams are passed over for what they say of themselves;
 //   - admission.go: whether an upstream takes a request, by its load and, while
 //     it is cold, by the host's warm-up quota;
 //   - preferred.go and leastloaded.go: which of the ordered upstreams is
@@ -26,5 +27,6 @@
 //
 // A Balancer owns what one host knows of the load of each upstream. It relies
 // on package upstream for which upstreams run and are cold, on package outlier
-// for which are ejected, and on package fleet for the host's warm-up quota.
+// for which are ejected, on package notice for which say that they take no request
+// now, and on package fleet for the host's warm-up quota.
 package balance
