Keep an upstream's limit while its row is away for a moment

Cause: limits of runs that are not registered were dropped at the next clean-up, within 2 s. A row that another writer overwrites, or that goes and comes back, is the same run: hosts that had been told sent to it without a limit until the next response. Found in reading.

Change: what a run said is kept for a minute without a row, as that it leaves.

--- a/internal/gateway/notice/leaving.go
+++ b/internal/gateway/notice/leaving.go
@@ -6,10 +6,6 @@
 	"cairndock/internal/gateway/upstream"
 )
 
-// leavingKept is how long a run that is not registered any more is known to leave: as
-// long as one that comes back counts as the same (package upstream).
-const leavingKept = time.Minute
-
 // leaver is a run that leaves.
 type leaver struct {
 	// told is when it became known, and registered when it was last registered.
--- a/internal/gateway/notice/limit.go
+++ b/internal/gateway/notice/limit.go
@@ -41,6 +41,8 @@
 	ended bool
 	// heard is when it was said last, here or at another host.
 	heard time.Time
+	// registered is when its run was last registered.
+	registered time.Time
 	// news is since when other hosts are told: since it changed, or was confirmed for the
 	// first time in a while.
 	news time.Time
--- a/internal/gateway/notice/table.go
+++ b/internal/gateway/notice/table.go
@@ -21,6 +21,9 @@
 	askAfter = 10 * time.Second
 	leastAsk = 30 * time.Second
 	mostAsk  = 10 * time.Minute
+	// goneAfter is how long what a run has said is kept that is not registered any more: as
+	// long as one that comes back counts as the same (package upstream).
+	goneAfter = time.Minute
 	// endLasts is for how long other hosts are told that a limit has ended.
 	endLasts = 10 * time.Second
 )
@@ -121,7 +124,7 @@
 func (t *Table) put(run upstream.Run, perSecond float64, heard, now time.Time) (report func()) {
 	l := t.limits[run]
 	if l == nil {
-		l = &limit{filledAt: now}
+		l = &limit{filledAt: now, registered: now}
 		t.limits[run] = l
 		t.resized()
 	}
@@ -244,14 +247,16 @@
 	}
 }
 
-// Retain drops the limits of the runs that keep rejects, what has ended, and rests that are
-// over. That
-// a run leaves is kept for longer: its row may come back.
+// Retain drops what runs have said that keep has rejected for goneAfter, limits that have
+// ended, and rests that are over.
 func (t *Table) Retain(keep func(upstream.Run) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	maps.DeleteFunc(t.limits, func(run upstream.Run, l *limit) bool {
-		return !keep(run) || l.ended && now.Sub(l.heard) >= endLasts
+		if keep(run) {
+			l.registered = now
+		}
+		return now.Sub(l.registered) >= goneAfter || l.ended && now.Sub(l.heard) >= endLasts
 	})
 	over := func(_ upstream.Run, until time.Time) bool { return !now.Before(until) }
 	maps.DeleteFunc(t.restsUntil, over)
@@ -260,7 +265,7 @@
 		if keep(run) {
 			l.registered = now
 		}
-		return now.Sub(l.registered) >= leavingKept
+		return now.Sub(l.registered) >= goneAfter
 	})
 	t.resized()
 }
