--- a/internal/gateway/quota/budget.go
+++ b/internal/gateway/quota/budget.go
@@ -4,8 +4,7 @@
 
 const (
 	// perRequest is how many tokens a request takes. A shard of a small account has less
-	// than a request in its first second, and a host makes one of what several have: on
-	// a day on which all hosts start again it made no difference.
+	// than a request in its first second, and a host makes one of what several have.
 	perRequest = 1000
 	// tokenLife is how long a host may use tokens that another gave it, counted from
 	// when it asked. Longer, a host asks less often, and more of the bound is withheld
