--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -93,7 +93,8 @@
 	p.world.mu.Lock()
 	defer p.world.mu.Unlock()
 	for _, u := range p.world.alive {
-		u.poisoned = p.end
+		end := p.end
+		u.poisoned.Store(&end)
 	}
 }
 
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -112,8 +112,8 @@
 	// refused is called for each request that it refuses and asks for rest.
 	refused func(request string)
 	// poisoned, if it is set, is called for each request that may end the upstream, and
-	// reports whether it does.
-	poisoned func(u *upstream) bool
+	// reports whether it does. It is set while requests come.
+	poisoned atomic.Pointer[func(u *upstream) bool]
 }
 
 func newUpstream(t *testing.T, id, zone string, l *ledger, late func(upstream, request string)) *upstream {
@@ -175,7 +175,7 @@
 		u.late(u.ID, id)
 	}
 	u.ledger.run(id)
-	if r.URL.Path == poisonPath(r.Method) && u.poisoned != nil && u.poisoned(u) {
+	if poisoned := u.poisoned.Load(); r.URL.Path == poisonPath(r.Method) && poisoned != nil && (*poisoned)(u) {
 		panic(http.ErrAbortHandler)
 	}
 	work := time.Duration(5+rand.IntN(20)) * time.Millisecond
