--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -110,9 +110,8 @@
 	mesh    *peer.Mesh
 	// limitPlace is this host's place in the limits of client accounts.
 	limitPlace atomic.Pointer[quota.Place]
-	// started is when this host's process started, and heardOfQuarantines is set once it
-	// has heard of the requests that are quarantined.
-	started            time.Time
+	// heardOfQuarantines is set once this host has heard of the requests that are
+	// quarantined.
 	heardOfQuarantines atomic.Bool
 
 	// mu guards what follows.
@@ -132,7 +131,7 @@
 // New returns a fleet that does not run yet.
 func New(o Options) *Fleet {
 	f := &Fleet{
-		options: o, started: time.Now(), members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
+		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
 		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)),
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -75,7 +75,7 @@
 // KnowsQuarantines reports whether this host has heard of the requests that are quarantined,
 // from the registry or from a host that serves, or has waited long enough.
 func (f *Fleet) KnowsQuarantines() bool {
-	return f.heardOfQuarantines.Load() || time.Since(f.started) >= quarantineWait
+	return f.heardOfQuarantines.Load() || time.Since(f.members.started) >= quarantineWait
 }
 
 // mergeStored adds the quarantines that the registry has, and removes those that count
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -211,7 +211,7 @@
 	require.True(t, second.KnowsQuarantines())
 
 	third := newFleet(r, host("a", "west-0", "west"), []string{"west"})
-	third.started = third.started.Add(-quarantineWait)
+	third.members.started = third.members.started.Add(-quarantineWait)
 	require.True(t, third.KnowsQuarantines())
 }
 
--- a/internal/gateway/notice/table.go
+++ b/internal/gateway/notice/table.go
@@ -252,20 +252,18 @@
 func (t *Table) Retain(keep func(upstream.Run) bool, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	maps.DeleteFunc(t.limits, func(run upstream.Run, l *limit) bool {
+	gone := func(run upstream.Run, registered *time.Time) bool {
 		if keep(run) {
-			l.registered = now
+			*registered = now
 		}
-		return now.Sub(l.registered) >= goneAfter || l.ended && now.Sub(l.heard) >= endLasts
+		return now.Sub(*registered) >= goneAfter
+	}
+	maps.DeleteFunc(t.leaving, func(run upstream.Run, l *leaver) bool { return gone(run, &l.registered) })
+	maps.DeleteFunc(t.limits, func(run upstream.Run, l *limit) bool {
+		return gone(run, &l.registered) || l.ended && now.Sub(l.heard) >= endLasts
 	})
 	over := func(_ upstream.Run, until time.Time) bool { return !now.Before(until) }
 	maps.DeleteFunc(t.restsUntil, over)
 	maps.DeleteFunc(t.restsElsewhere, over)
-	maps.DeleteFunc(t.leaving, func(run upstream.Run, l *leaver) bool {
-		if keep(run) {
-			l.registered = now
-		}
-		return now.Sub(l.registered) >= goneAfter
-	})
 	t.resized()
 }
--- a/internal/gateway/soak/notice_test.go
+++ b/internal/gateway/soak/notice_test.go
@@ -16,9 +16,6 @@
 )
 
 const (
-	// noticeHosts is how many hosts the runs have in which upstreams say something in
-	// their responses.
-	noticeHosts = 9
 	// noticeEvery is the time between two requests to one host, and noticeKeys how many
 	// affinity keys they have; half of the requests have none.
 	noticeEvery = 60 * time.Millisecond
@@ -59,9 +56,7 @@
 // newNoticeRun starts a world once it is the test's turn.
 func newNoticeRun(t *testing.T, seed uint64) *noticeRun {
 	t.Helper()
-	poisonTurn.Lock()
-	t.Cleanup(poisonTurn.Unlock) // after those of the world, which end its hosts
-	w := newWorld(t, seed, noticeHosts)
+	w := newTimedWorld(t, seed)
 	w.startHosts(10 * time.Second)
 	time.Sleep(calmAfter)
 	return &noticeRun{world: w}
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// poisonHosts is how many hosts the runs with a poison request have.
-	poisonHosts = 9
 	// poisonRepeats is how often the request comes, and poisonEvery the time between.
 	poisonRepeats = 80
 	poisonEvery   = 150 * time.Millisecond
@@ -45,18 +43,6 @@
 	mostUnanswered = 13
 )
 
-// poisonTurn is held by the test that runs poisonHosts hosts: several beside each other,
-// under the race detector, leave the machine too little for tests that measure times.
-var poisonTurn sync.Mutex
-
-// newPoisonWorld makes a world of poisonHosts hosts once it is the test's turn.
-func newPoisonWorld(t *testing.T, seed uint64) *world {
-	t.Helper()
-	poisonTurn.Lock()
-	t.Cleanup(poisonTurn.Unlock) // after those of the world, which end its hosts
-	return newWorld(t, seed, poisonHosts)
-}
-
 // poisonPath is the path of the request that ends upstreams, by its method.
 func poisonPath(method string) string {
 	if method == http.MethodGet {
@@ -244,7 +230,7 @@
 // had had time to know it.
 func testPoison(t *testing.T, method string, client func(int) *http.Client, disrupt func(w *world)) (late int) {
 	t.Helper()
-	w := newPoisonWorld(t, standardSeed)
+	w := newTimedWorld(t, standardSeed)
 	w.startHosts(10 * time.Second)
 	time.Sleep(calmAfter)
 	p := &poisonRun{world: w, client: client, disrupt: disrupt}
@@ -336,7 +322,7 @@
 // runWithPoison plays one seed and gives the violations.
 func runWithPoison(t *testing.T, seed uint64) []string {
 	t.Helper()
-	w := newPoisonWorld(t, seed)
+	w := newTimedWorld(t, seed)
 	w.startHosts(10 * time.Second)
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
@@ -381,7 +367,7 @@
 // no part in it.
 func TestAPopularRequestIsServedWhileUpstreamsEnd(t *testing.T) {
 	t.Parallel()
-	w := newPoisonWorld(t, standardSeed)
+	w := newTimedWorld(t, standardSeed)
 	for i := range moreUpstreams {
 		w.addUpstream(zones[i%len(zones)].name)
 	}
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -105,6 +105,21 @@
 	return w
 }
 
+// timedHosts is how many hosts the runs have that measure times.
+const timedHosts = 9
+
+// timedTurn is held by the test that runs timedHosts hosts: several beside each other,
+// under the race detector, leave the machine too little for tests that measure times.
+var timedTurn sync.Mutex
+
+// newTimedWorld makes a world of timedHosts hosts once it is the test's turn.
+func newTimedWorld(t *testing.T, seed uint64) *world {
+	t.Helper()
+	timedTurn.Lock()
+	t.Cleanup(timedTurn.Unlock) // after those of the world, which end its hosts
+	return newWorld(t, seed, timedHosts)
+}
+
 // violation records that a guarantee did not hold.
 func (w *world) violation(format string, args ...any) {
 	w.mu.Lock()
