--- a/internal/gateway/exchange/proof.go
+++ b/internal/gateway/exchange/proof.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"os"
+	"syscall"
 
 	"cairndock/internal/verdict"
 )
@@ -11,13 +12,16 @@
 // connectError gives the error of a request for which no connection was made.
 // Nothing was sent, so nothing ran. A dial that timed out by itself is an
 // unreachable upstream; only the request's own context makes it a lapsed
-// deadline.
+// deadline. A refused connection says more: the machine is there and no process
+// listens.
 func connectError(ctx context.Context, upstream string, err error) error {
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		return verdict.New(verdict.NotRun, verdict.CallerLeft, "client left before the request was sent").WithUpstream(upstream)
 	case ctx.Err() != nil:
 		return verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no connection before the deadline: %v", err).WithUpstream(upstream)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return verdict.New(verdict.NotRun, verdict.ConnectionRefused, "no connection: %v", err).WithUpstream(upstream)
 	default:
 		return verdict.New(verdict.NotRun, verdict.Unreachable, "no connection: %v", err).WithUpstream(upstream)
 	}
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -96,7 +96,12 @@
 // isUpstreamFault reports whether a failed attempt is evidence against its
 // upstream. Load shedding and canceled requests are not.
 func isUpstreamFault(r verdict.Reason) bool {
-	return r == verdict.UpstreamFailed || r == verdict.Unreachable || r == verdict.AnswerTruncated
+	switch r {
+	case verdict.UpstreamFailed, verdict.Unreachable, verdict.ConnectionRefused, verdict.AnswerTruncated:
+		return true
+	default:
+		return false
+	}
 }
 
 // outcomeOf gives how a failed attempt counts among this host's failures in a
@@ -105,7 +110,7 @@
 	switch r {
 	case verdict.UpstreamShed, verdict.UpstreamDeclined:
 		return outlier.Rejected
-	case verdict.Unreachable, verdict.Misdirected:
+	case verdict.Unreachable, verdict.ConnectionRefused, verdict.Misdirected:
 		return outlier.Unreachable
 	case verdict.CallerLeft, verdict.DeadlineLapsed, verdict.Superseded, verdict.Withheld:
 		return outlier.Canceled
--- a/internal/gateway/proxy/classify_test.go
+++ b/internal/gateway/proxy/classify_test.go
@@ -64,6 +64,7 @@
 		{verdict.UpstreamFailed, outlier.Failed, true},
 		{verdict.AnswerTruncated, outlier.Failed, true},
 		{verdict.Unreachable, outlier.Unreachable, true},
+		{verdict.ConnectionRefused, outlier.Unreachable, true},
 		{verdict.Misdirected, outlier.Unreachable, false},
 		{verdict.UpstreamShed, outlier.Rejected, false},
 		{verdict.UpstreamDeclined, outlier.Rejected, false},
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -55,7 +55,7 @@
 // whole response.
 func (f *inflight) logFinal(status int, e *verdict.Error) {
 	ev := eventlog.Final{
-		Request: f.info.ID, Service: f.service, Attempts: len(f.tried), Status: status, Verdict: verdict.Ran.String(),
+		Request: f.info.ID, Service: f.service, Attempts: f.started, Status: status, Verdict: verdict.Ran.String(),
 		ConfigAge: f.proxy.ConfigAge(), UpstreamsAge: f.proxy.UpstreamsAge(), Took: time.Since(f.began),
 		Client: clientEnd(f.client),
 	}
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -21,6 +21,11 @@
 	running  []*attempt
 	ends     chan attemptEnd
 	overdue  chan *attempt
+	// redialAt is when upstreams that did not answer are dialed again; nil if they are
+	// not.
+	redialAt <-chan time.Time
+	// done is closed when the request has its response or is given up.
+	done chan struct{}
 }
 
 // attemptEnd is how an attempt ended: with a response or an error.
@@ -30,22 +35,24 @@
 	err     error
 }
 
-// newAttempts has room in its channels for every attempt that the route allows,
-// so that none waits for a request that has ended.
+// newAttempts has room for the end of each attempt that the route allows; one that is
+// left waits for abandon.
 func (f *inflight) newAttempts(ctx context.Context) *attempts {
-	room := max(1, f.route.Attempts)
-	return &attempts{inflight: f, ctx: ctx, ends: make(chan attemptEnd, room), overdue: make(chan *attempt, room)}
+	ends := make(chan attemptEnd, max(1, f.route.Attempts))
+	return &attempts{inflight: f, ctx: ctx, ends: ends, overdue: make(chan *attempt), done: make(chan struct{})}
 }
 
 // start begins an attempt at an upstream that choose has chosen.
 func (s *attempts) start(c balance.Choice) {
 	f := s.inflight
 	f.tried = append(f.tried, c.Upstream.ID)
+	f.started++
+	f.attempts++
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	a := &attempt{inflight: f, choice: c, number: len(f.tried), began: time.Now(), cancel: cancel}
+	a := &attempt{inflight: f, choice: c, number: f.started, began: time.Now(), cancel: cancel}
 	a.overdueAfter = f.proxy.Detector.OverdueAfter(f.service, c.Load)
 	if a.overdueAfter > 0 {
-		a.timer = time.AfterFunc(a.overdueAfter, func() { s.overdue <- a })
+		a.timer = time.AfterFunc(a.overdueAfter, func() { s.tellOverdue(a) })
 	}
 	s.running = append(s.running, a)
 	go s.do(f.untilDeadline(ctx), a)
@@ -68,6 +75,14 @@
 	end.resp, end.err = a.do(ctx)
 }
 
+// tellOverdue says that an attempt's response is overdue, unless nobody waits for it.
+func (s *attempts) tellOverdue(a *attempt) {
+	select {
+	case s.overdue <- a:
+	case <-s.done:
+	}
+}
+
 // forget takes an attempt that has ended off those that run.
 func (s *attempts) forget(a *attempt) {
 	s.running = slices.DeleteFunc(s.running, func(r *attempt) bool { return r == a })
@@ -82,7 +97,7 @@
 	if end.err == nil {
 		return end.resp, true, nil
 	}
-	f.noteFailed(end.err)
+	f.noteFailed(end)
 	if s.onTime() {
 		return nil, false, nil
 	}
@@ -91,6 +106,8 @@
 	case err == nil:
 		s.start(c)
 		return nil, false, nil
+	case s.redialSoon(err):
+		return nil, false, nil
 	case len(s.running) > 0:
 		return nil, false, nil
 	default:
@@ -98,14 +115,16 @@
 	}
 }
 
-// next chooses the upstream of the attempt after one that failed. An attempt that was not
-// sent, as its upstream takes none any more, counts neither as one nor against the budget.
+// next chooses the upstream of the attempt after one that failed. In place of one that
+// was not sent another needs no retry of the budget, as no upstream has got anything.
 func (s *attempts) next(end attemptEnd) (balance.Choice, error) {
 	f := s.inflight
-	if verdict.From(end.err).Reason != verdict.Withheld || f.ended(s.ctx) {
+	if !isUnsent(verdict.From(end.err).Reason) {
 		return f.retry(s.ctx, end.err)
 	}
-	f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return id == end.attempt.choice.Upstream.ID })
+	if !f.retryState().MayRetry(f.ended(s.ctx)) {
+		return balance.Choice{}, end.err
+	}
 	return f.choose()
 }
 
@@ -133,7 +152,11 @@
 	if f.ended(s.ctx) || !f.retryState().MayHedge(f.deadline().Sub(now), a.overdueAfter) {
 		return
 	}
-	if c, err := f.chooseRetry(now); err == nil {
+	c, err := f.chooseRetry(now)
+	if isNoUpstream(err) && f.forgetUnanswered() {
+		c, err = f.chooseRetry(now)
+	}
+	if err == nil {
 		s.start(c)
 	}
 }
@@ -141,6 +164,7 @@
 // abandon cancels the attempts that still run when the request has its response
 // or is given up, and drops what they bring.
 func (s *attempts) abandon() {
+	close(s.done)
 	left := len(s.running)
 	if left == 0 {
 		return
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -38,8 +38,15 @@
 	digest     poison.Fingerprint
 	digestOnce sync.Once
 
-	// tried has the ids of the upstreams that the request was sent to.
+	// tried has the ids of the upstreams that are not chosen for it again.
 	tried []string
+	// started is how many attempts were begun, and attempts how many of them are looked
+	// at by the rules of package retry.
+	started, attempts int
+	// refused is how many connections were refused, and unanswered has the ids of the
+	// upstreams that could not be connected to in time.
+	refused    int
+	unanswered []string
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
 }
@@ -66,6 +73,10 @@
 			if resp, done, err := s.take(end); done {
 				return resp, err
 			}
+		case <-s.redialAt:
+			if err := s.redial(); err != nil && len(s.running) == 0 {
+				return nil, f.finalVerdict(err)
+			}
 		}
 	}
 }
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -14,7 +14,8 @@
 // retryState is what the rules of package retry look at.
 func (f *inflight) retryState() retry.State {
 	return retry.State{
-		Attempts: len(f.tried), MaxAttempts: f.route.Attempts, Repeatable: f.repeatable(), MayHaveRun: f.mayHaveRun != nil,
+		Attempts: f.attempts, MaxAttempts: f.route.Attempts, Refused: f.refused, Unanswered: len(f.unanswered),
+		Repeatable: f.repeatable(), MayHaveRun: f.mayHaveRun != nil,
 		Suspected: f.suspected(), Quarantined: f.quarantined(),
 	}
 }
@@ -38,11 +39,14 @@
 	return ctx.Err() != nil || f.client.Err() != nil || !time.Now().Before(f.deadline())
 }
 
-// noteFailed remembers an attempt's error if the request may have run.
-func (f *inflight) noteFailed(err error) {
-	if e := verdict.From(err); e.Verdict != verdict.NotRun {
+// noteFailed remembers what a failed attempt says of the request: that it may have run,
+// or was not sent.
+func (f *inflight) noteFailed(end attemptEnd) {
+	e := verdict.From(end.err)
+	if e.Verdict != verdict.NotRun {
 		f.mayHaveRun = e
 	}
+	f.noteUnsent(e.Reason, end.attempt.choice.Upstream.ID)
 }
 
 // errNoBudget is the error of a retry that the budget does not grant.
--- /dev/null
+++ b/internal/gateway/proxy/unsent.go
@@ -0,0 +1,91 @@
+package proxy
+
+import (
+	"slices"
+	"time"
+
+	"cairndock/internal/verdict"
+)
+
+// An attempt that was not sent left nothing at an upstream: the request may go to
+// another one as if it had not been made. What differs is what it says of the upstream
+// that was chosen. One that takes no requests now, or whose machine refused the
+// connection, is known not to serve; one that could not be connected to in time may be
+// cut off from this host, or the host was short of processor time.
+
+// redialPause is how long a request waits before upstreams are dialed again that did not
+// answer, so that a host that is short of processor time does not spend it on dials.
+const redialPause = 100 * time.Millisecond
+
+// isUnsent reports whether an attempt that failed for a reason was not sent.
+func isUnsent(r verdict.Reason) bool {
+	switch r {
+	case verdict.Withheld, verdict.ConnectionRefused, verdict.Unreachable:
+		return true
+	default:
+		return false
+	}
+}
+
+// isNoUpstream reports whether an error of a choice means that no upstream is left.
+func isNoUpstream(err error) bool {
+	return err != nil && verdict.From(err).Reason == verdict.NoUpstream
+}
+
+// noteUnsent remembers an attempt at an upstream that was not sent, by its reason. An
+// upstream that withheld it is passed over by the balancer while it does.
+func (f *inflight) noteUnsent(r verdict.Reason, upstream string) {
+	switch r {
+	case verdict.Withheld:
+		f.attempts--
+		f.untry(upstream)
+	case verdict.ConnectionRefused:
+		f.refused++
+	case verdict.Unreachable:
+		f.unanswered = append(f.unanswered, upstream)
+	}
+}
+
+// untry lets an upstream be chosen again.
+func (f *inflight) untry(upstream string) {
+	f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return id == upstream })
+}
+
+// redialSoon reports whether a request that no upstream is left for, by err, waits to
+// dial again those that did not answer.
+func (s *attempts) redialSoon(err error) bool {
+	f := s.inflight
+	now := time.Now().Add(redialPause)
+	if !isNoUpstream(err) || !f.retryState().MayRedial(now.Sub(f.began), f.deadline().Sub(f.began)) {
+		return false
+	}
+	s.redialAt = time.After(redialPause)
+	return true
+}
+
+// redial begins an attempt at one of the upstreams that did not answer.
+func (s *attempts) redial() error {
+	s.redialAt = nil
+	f := s.inflight
+	if f.ended(s.ctx) {
+		return verdict.New(verdict.NotRun, verdict.CallerLeft, "client left before the request was sent")
+	}
+	f.forgetUnanswered()
+	c, err := f.choose()
+	if err == nil {
+		s.start(c)
+	}
+	return err
+}
+
+// forgetUnanswered lets the upstreams be chosen again that did not answer, as if they
+// had not been dialed, and reports whether there are any.
+func (f *inflight) forgetUnanswered() bool {
+	for _, id := range f.unanswered {
+		f.untry(id)
+	}
+	forgotten := len(f.unanswered)
+	f.attempts -= forgotten
+	f.unanswered = nil
+	return forgotten > 0
+}
--- a/internal/gateway/retry/rule_test.go
+++ b/internal/gateway/retry/rule_test.go
@@ -27,6 +27,10 @@
 		{"what may have run is sent again if it is repeatable", with(failed, func(s *State) { s.MayHaveRun, s.Repeatable = true, true }), false, true},
 		{"the route's attempts are a bound", with(failed, func(s *State) { s.Attempts = 2 }), false, false},
 		{"a route without a bound has one attempt", with(failed, func(s *State) { s.MaxAttempts = 0 }), false, false},
+		{"refused connections leave the route's attempts", with(failed, func(s *State) { s.Attempts, s.Refused = 5, 4 }), false, true},
+		{"but not any number of them", with(failed, func(s *State) { s.Attempts, s.Refused = 6, 5 }), false, false},
+		{"connections that were not made in time leave the route's attempts", with(failed, func(s *State) { s.Attempts, s.Unanswered = 3, 2 }), false, true},
+		{"but not more than two", with(failed, func(s *State) { s.Attempts, s.Unanswered = 4, 3 }), false, false},
 		{"nothing is sent again when nobody waits for it", with(failed, func(s *State) { s.Repeatable = true }), true, false},
 	} {
 		t.Run(c.rule, func(t *testing.T) {
@@ -35,6 +39,23 @@
 	}
 }
 
+func TestMayRedial(t *testing.T) {
+	for _, c := range []struct {
+		rule       string
+		unanswered int
+		held       time.Duration
+		want       bool
+	}{
+		{"an upstream that did not answer is dialed again", 1, time.Second - 1, true},
+		{"where all are known not to serve there is none to dial", 0, time.Second - 1, false},
+		{"the client keeps half of its time for another host", 1, time.Second, false},
+	} {
+		t.Run(c.rule, func(t *testing.T) {
+			require.Equal(t, c.want, State{Unanswered: c.unanswered}.MayRedial(c.held, 2*time.Second))
+		})
+	}
+}
+
 func TestMayHedge(t *testing.T) {
 	overdue := State{Repeatable: true, Attempts: 1, MaxAttempts: 2}
 	for _, c := range []struct {
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -98,8 +98,10 @@
 	Warming Reason = "warming"
 	// Withheld: the upstreams that may serve the request say that they take none now.
 	Withheld Reason = "withheld"
-	// Unreachable: no connection to the upstream could be made.
+	// Unreachable: no connection to the upstream could be made in time.
 	Unreachable Reason = "unreachable"
+	// ConnectionRefused: nothing listens at the upstream's address.
+	ConnectionRefused Reason = "connection-refused"
 	// Misdirected: another upstream has the address now.
 	Misdirected Reason = "misdirected"
 	// Interrupted: the host's planned stop ended the request while an upstream
@@ -150,7 +152,7 @@
 		return http.StatusUnprocessableEntity
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case NotReady, Stopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, Misdirected, UpstreamShed, UpstreamDeclined:
+	case NotReady, Stopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, ConnectionRefused, Misdirected, UpstreamShed, UpstreamDeclined:
 		return http.StatusServiceUnavailable
 	case BodyStalled, DeadlineLapsed, Interrupted, CallerLeft:
 		return http.StatusGatewayTimeout
