--- a/internal/selector/caller/caller.go
+++ b/internal/selector/caller/caller.go
@@ -132,7 +132,7 @@
 // reject writes the response to a request that failed.
 func (h *handler) reject(c echo.Context, err error) error {
 	e := verdict.From(err)
-	if abort.Aborted(c.Request().Context()) && (e.Reason == verdict.Stopping || e.Reason == verdict.Interrupted) {
+	if e.Reason == verdict.Stopping || abort.Aborted(c.Request().Context()) && e.Reason == verdict.Interrupted {
 		abort.Cut(c.Response())
 	}
 	h.metrics.Count(`cairndock_refusals_total{reason="` + string(e.Reason) + `",verdict="` + e.Verdict.String() + `"}`)
--- a/internal/selector/caller/response.go
+++ b/internal/selector/caller/response.go
@@ -38,7 +38,10 @@
 	if e.Upstream != "" {
 		h.Set(call.HeaderUpstream, e.Upstream)
 	}
-	if e.RetryAfter > 0 {
+	switch {
+	case e.Reason == verdict.Stopping:
+		h.Set("Retry-After", "0") // another host serves the request at once
+	case e.RetryAfter > 0:
 		h.Set("Retry-After", retryAfter(e.RetryAfter))
 	}
 	w.WriteHeader(status)
--- a/internal/selector/entry/admission/admission.go
+++ b/internal/selector/entry/admission/admission.go
@@ -64,6 +64,8 @@
 		return lease, nil
 	case slot.Capped:
 		return lease, verdict.New(verdict.NotRun, verdict.Capped, "rule %q is at its limit here", rule).WithRetryAfter(RetryAfter)
+	case slot.Leaving:
+		return lease, verdict.New(verdict.NotRun, verdict.Stopping, "the host is stopping and holds no slots")
 	case slot.NoRule:
 		return lease, verdict.New(verdict.NotRun, verdict.NoUpstream, "no rule %q here", rule)
 	default:
--- a/internal/selector/entry/dispatch/request.go
+++ b/internal/selector/entry/dispatch/request.go
@@ -147,6 +147,9 @@
 		return nil, err
 	}
 	resp, err := r.Forwarder.Forward(ctx, r.req, c.Zone, c.Rule, until)
+	if err != nil && verdict.From(err).Reason == verdict.PeerStopping {
+		r.state.Decide(func(*steer.Decider) { r.sends-- }) // no upstream has got anything
+	}
 	return r.untilEnd(c, resp, err)
 }
 
--- a/internal/selector/entry/dispatch/rules.go
+++ b/internal/selector/entry/dispatch/rules.go
@@ -61,10 +61,15 @@
 }
 
 // mayQueueElsewhere says whether a request that was refused a place in a queue
-// may ask another zone: when its rule has come to its cap meanwhile, or the
-// queue was full as well.
+// may ask another zone: when its rule has come to its cap meanwhile, the queue was
+// full as well, or the host there leaves.
 func mayQueueElsewhere(reason verdict.Reason) bool {
-	return reason == verdict.Capped || reason == verdict.Full
+	switch reason {
+	case verdict.Capped, verdict.Full, verdict.PeerStopping:
+		return true
+	default:
+		return false
+	}
 }
 
 // mayHedge says whether a second try may run beside a request's first: only a
@@ -93,7 +98,7 @@
 	if doubt && out.Verdict == verdict.NotRun {
 		out.Verdict = verdict.MayHaveRun
 	}
-	if out.RetryAfter == 0 && out.Verdict == verdict.NotRun {
+	if out.RetryAfter == 0 && out.Verdict == verdict.NotRun && out.Reason != verdict.Stopping {
 		out.RetryAfter = admission.RetryAfter
 	}
 	return &out
--- a/internal/selector/entry/dispatch/rules_test.go
+++ b/internal/selector/entry/dispatch/rules_test.go
@@ -51,6 +51,8 @@
 		{verdict.Capped, false, true},
 		{verdict.UpstreamFailed, false, false},
 		{verdict.NoUpstream, false, false},
+		{verdict.Stopping, false, false},
+		{verdict.PeerStopping, false, true},
 	}
 	for _, tc := range cases {
 		require.Equal(t, tc.slows, slowsRamp(tc.reason), tc.reason)
--- a/internal/selector/entry/forward/message.go
+++ b/internal/selector/entry/forward/message.go
@@ -47,8 +47,14 @@
 	Free member.ServiceSlots `msgpack:"f"`
 }
 
+// err gives the verdict that a reply holds. That its host is stopping is not said of this
+// one, whose client would be sent away.
 func (r reply) err() *verdict.Error {
-	e := verdict.New(r.Verdict, r.Reason, "%s", r.Detail).WithUpstream(r.Upstream)
+	reason := r.Reason
+	if reason == verdict.Stopping {
+		reason = verdict.PeerStopping
+	}
+	e := verdict.New(r.Verdict, reason, "%s", r.Detail).WithUpstream(r.Upstream)
 	return e.WithRetryAfter(time.Duration(r.RetryMillis) * time.Millisecond)
 }
 
--- a/internal/selector/entry/forward/serve.go
+++ b/internal/selector/entry/forward/serve.go
@@ -35,7 +35,7 @@
 	}
 	until := time.Now().Add(time.Duration(msg.WaitMillis) * time.Millisecond)
 	lease, err := f.Admitter.Acquire(ctx, msg.Service, msg.Rule, time.Time{})
-	if err != nil && verdict.From(err).Reason == verdict.Full && !msg.Passed && f.ZoneMayHelp(msg.Service) {
+	if err != nil && mayPass(verdict.From(err).Reason) && !msg.Passed && f.ZoneMayHelp(msg.Service) {
 		resp, err := f.Forward(ctx, req, f.Zone, msg.Rule, time.Time{})
 		if err == nil || verdict.From(err).Verdict != verdict.NotRun {
 			return resp, err
@@ -50,6 +50,10 @@
 	return f.Admitter.Send(ctx, req, lease)
 }
 
+// mayPass reports whether another host of the zone may take a request that this one
+// refused for a reason.
+func mayPass(r verdict.Reason) bool { return r == verdict.Full || r == verdict.Stopping }
+
 // Respond sends a response, or the verdict err, to the peer that sent the
 // request, at the pace of the link to it.
 func (f *Forwarder) Respond(ctx context.Context, from peer.Hello, service string, resp *call.Response, err error, w *peer.Responder) {
--- a/internal/selector/entry/services/services.go
+++ b/internal/selector/entry/services/services.go
@@ -8,6 +8,7 @@
 import (
 	"iter"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cairndock/internal/selector/config"
@@ -58,6 +59,7 @@
 	view     func() *config.View
 	random   func() float64
 	services sync.Map // name to *Service
+	leaving  atomic.Bool
 }
 
 // NewSet makes a Set of the services of a changing view. Random gives random
@@ -73,9 +75,21 @@
 	}
 	meter := shift.NewMeter(s.random, time.Now())
 	svc, _ := s.services.LoadOrStore(name, &Service{name: name, Gate: slot.NewGate(), decider: steer.New(meter)})
+	if s.leaving.Load() {
+		svc.(*Service).Gate.Leave()
+	}
 	return svc.(*Service)
 }
 
+// Leave has the gates of all services, also of new ones, say that the host is leaving
+// once it holds no slots.
+func (s *Set) Leave() {
+	s.leaving.Store(true)
+	for _, svc := range s.All() {
+		svc.Gate.Leave()
+	}
+}
+
 // All gives every service by its name, those that are no longer configured
 // included.
 func (s *Set) All() iter.Seq2[string, *Service] {
--- a/internal/selector/entry/stop.go
+++ b/internal/selector/entry/stop.go
@@ -11,8 +11,8 @@
 type StopReport struct {
 	// Waited is how long the stop took.
 	Waited time.Duration
-	// Cut is how many requests were broken off, or got an error response since
-	// the host stopped, because the window ended.
+	// Cut is how many requests were broken off because the window ended, or got an
+	// error response since the host stops.
 	Cut int64
 	// HandedOver is set when another host is the successor for the tickets.
 	HandedOver bool
@@ -32,6 +32,7 @@
 	began := time.Now()
 	h.log.Info().Msg("entry: stop began")
 	h.leaving.Store(true)
+	h.services.Leave()
 	h.directory.Refresh()
 	h.heartbeats.NotifyAll()
 	h.rosters.Leave(ctx)
@@ -44,7 +45,7 @@
 	h.waitIdle(ctx) // for what came in between
 	report := StopReport{HandedOver: h.tickets.HandOver(context.WithoutCancel(ctx))}
 	report.Cut = cut + h.uncounted()
-	if report.Cut == 0 && h.services.Outstanding() == 0 {
+	if h.inFlight.Load() == 0 && h.services.Outstanding() == 0 {
 		// A host with a slot still taken stays a member, and its slots unused,
 		// until the platform calls it gone.
 		h.rosters.Remove(context.WithoutCancel(ctx))
--- a/internal/selector/entry/tickets/tickets.go
+++ b/internal/selector/entry/tickets/tickets.go
@@ -16,7 +16,6 @@
 	"cairndock/internal/peer"
 	"cairndock/internal/selector/call"
 	"cairndock/internal/selector/config"
-	"cairndock/internal/selector/entry/admission"
 	"cairndock/internal/selector/entry/forward"
 	"cairndock/internal/selector/entry/peers"
 	"cairndock/internal/selector/member"
@@ -100,7 +99,7 @@
 	defer i.mu.Unlock()
 	t, err := i.own.Issue(time.Now())
 	if err != nil {
-		return t, verdict.New(verdict.NotRun, verdict.Stopping, "host is stopping").WithRetryAfter(admission.RetryAfter)
+		return t, verdict.New(verdict.NotRun, verdict.Stopping, "host is stopping")
 	}
 	return t, nil
 }
--- a/internal/selector/server/abort/abort.go
+++ b/internal/selector/server/abort/abort.go
@@ -138,11 +138,12 @@
 // Stop takes no new connections and waits until all requests have their
 // responses, or the context ends. Then it aborts those in flight, gives their
 // error responses a little time and closes all connections. It returns how
-// many requests were cut: aborted, or still without an end when it closed them.
+// many requests were cut: given up since the host stops, aborted, or still without an
+// end when it closed them.
 func (s *Server) Stop(ctx context.Context) int64 {
 	s.CloseAfterResponses()
 	if s.Drain(ctx) == nil {
-		return 0
+		return s.cutOff()
 	}
 	s.abort(errStopping)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
--- a/internal/selector/slot/gate.go
+++ b/internal/selector/slot/gate.go
@@ -22,13 +22,17 @@
 	pool    *Pool
 	waiting list.List // of *waiter, the longest waiting first
 	made    time.Time
+	// leaving is set when the host gives its slots up for good.
+	leaving bool
 }
 
-// waiter is a request that waits for a slot; lease is set before ready closes.
+// waiter is a request that waits for a slot. Lease and refusal are set before ready
+// closes.
 type waiter struct {
-	rule  string
-	lease Lease
-	ready chan struct{}
+	rule    string
+	lease   Lease
+	refusal Refusal
+	ready   chan struct{}
 }
 
 // NewGate makes a gate on an empty pool.
@@ -43,6 +47,31 @@
 	defer g.mu.Unlock()
 	g.pool.Configure(specs, rules)
 	g.serveWaiting()
+	g.refuseWaiting()
+}
+
+// Leave has the gate refuse with Leaving, once the host holds no slots any more, who
+// waits and who comes: it will hold none again.
+func (g *Gate) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.leaving = true
+	g.refuseWaiting()
+}
+
+// left reports whether the host has left and holds no slots. g.mu is held.
+func (g *Gate) left() bool { return g.leaving && g.pool.held == 0 }
+
+// refuseWaiting ends all waits once the host has left. g.mu is held.
+func (g *Gate) refuseWaiting() {
+	if !g.left() {
+		return
+	}
+	for e := g.waiting.Front(); e != nil; e = g.waiting.Front() {
+		w := g.waiting.Remove(e).(*waiter)
+		w.refusal = Leaving
+		close(w.ready)
+	}
 }
 
 // Acquire takes a slot for a rule, waiting until a time at most, or until ctx
@@ -53,6 +82,10 @@
 	g.mu.Lock()
 	wait := time.Until(until)
 	lease, refusal := g.pool.Take(rule, g.now())
+	if refusal != Granted && g.left() {
+		// Without slots the host has no part of a rule's limits either.
+		refusal = Leaving
+	}
 	if refusal != Full || wait <= 0 || !g.hasRoom() || g.expectedWait() > wait {
 		g.mu.Unlock()
 		return lease, refusal
@@ -74,14 +107,14 @@
 	return g.pool.Latency() * time.Duration(g.waiting.Len()+1) / time.Duration(max(1, load.Warm))
 }
 
-// wait gives the slot that w got within a time, and else takes it out of its
+// wait gives the slot that w got, or why it gets none, within a time, and else takes it out of its
 // place in the queue.
 func (g *Gate) wait(ctx context.Context, w *waiter, place *list.Element, d time.Duration) (Lease, Refusal) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
 	select {
 	case <-w.ready:
-		return w.lease, Granted
+		return w.lease, w.refusal
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -89,8 +122,8 @@
 	defer g.mu.Unlock()
 	select {
 	case <-w.ready:
-		// The slot came while the lock was waited for.
-		return w.lease, Granted
+		// The end came while the lock was waited for.
+		return w.lease, w.refusal
 	default:
 		g.waiting.Remove(place)
 		return Lease{}, Full
--- a/internal/selector/slot/pool.go
+++ b/internal/selector/slot/pool.go
@@ -15,6 +15,8 @@
 	// Full says that each slot of the rule's upstreams is in use, above its
 	// upstream's concurrency limit, or at one that is ejected or leaving.
 	Full
+	// Leaving says that the host is leaving its zone and holds no slots any more.
+	Leaving
 )
 
 // Lease is a slot in use. It must be released exactly once.
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -125,6 +125,8 @@
 	AnswerNotKept Reason = "answer-not-kept"
 	// Capped: the rules' caps leave no share for the request.
 	Capped Reason = "capped"
+	// PeerStopping: the other host that was asked is stopping.
+	PeerStopping Reason = "peer-stopping"
 	// PeerFailed: the host that the request was forwarded to failed.
 	PeerFailed Reason = "peer-failed"
 )
@@ -152,7 +154,7 @@
 		return http.StatusUnprocessableEntity
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case NotReady, Stopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, ConnectionRefused, Misdirected, UpstreamShed, UpstreamDeclined:
+	case NotReady, Stopping, PeerStopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, ConnectionRefused, Misdirected, UpstreamShed, UpstreamDeclined:
 		return http.StatusServiceUnavailable
 	case BodyStalled, DeadlineLapsed, Interrupted, CallerLeft:
 		return http.StatusGatewayTimeout
