--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -51,6 +51,9 @@
 	if reason == balance.Withholding {
 		return withheld(service, first.Withheld)
 	}
+	if reason == balance.WarmUpLimited && first.WarmUp.Quota.Withheld == warmup.Stopping {
+		return verdict.New(verdict.NotRun, verdict.Stopping, "the host is stopping and has no part of the rate of %s", first.Upstream.ID)
+	}
 	why := verdict.Full
 	if reason == balance.WarmUpLimited {
 		why = verdict.Warming
--- a/internal/gateway/proxy/refuse_test.go
+++ b/internal/gateway/proxy/refuse_test.go
@@ -9,6 +9,7 @@
 
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/verdict"
 )
 
@@ -43,6 +44,9 @@
 
 func TestWhatWasNotSentDidNotRun(t *testing.T) {
 	first := balance.Choice{Upstream: &upstream.Upstream{Registration: upstream.Registration{ID: "i-1"}}, Load: 2.5}
+	// A host that had withdrawn itself told its clients that upstreams were warming up.
+	withdrawn := first
+	withdrawn.Cold, withdrawn.WarmUp.Quota.Withheld = true, warmup.Stopping
 	for _, c := range []struct {
 		err    error
 		reason verdict.Reason
@@ -52,6 +56,7 @@
 		{notChosen(balance.Overloaded, "s", first), verdict.Full},
 		{notChosen(balance.WarmUpLimited, "s", first), verdict.Warming},
 		{notChosen(balance.NoUpstream, "s", balance.Choice{}), verdict.NoUpstream},
+		{notChosen(balance.WarmUpLimited, "s", withdrawn), verdict.Stopping},
 	} {
 		t.Run(string(c.reason), func(t *testing.T) {
 			e := verdict.From(c.err)
