--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -113,6 +113,9 @@
 	// heardOfQuarantines is set once this host has heard of the requests that are
 	// quarantined.
 	heardOfQuarantines atomic.Bool
+	// quarantinesAwaited is since when nothing else keeps this host from serving; nil
+	// before.
+	quarantinesAwaited atomic.Pointer[time.Time]
 
 	// mu guards what follows.
 	mu      sync.Mutex
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -36,9 +36,9 @@
 }
 
 const (
-	// quarantineWait is how long after its start a host waits to hear of quarantines: above
-	// what it takes to read a list, and short beside what it is missed by while the store is
-	// away and no other host runs.
+	// quarantineWait is how long a host that knows all else waits to hear of quarantines:
+	// above what it takes to read a list, and short beside what it is missed by while no
+	// list can be read and no other host runs.
 	quarantineWait = time.Second
 	// quarantineWrites is how often a host tries to store a quarantine. The other hosts
 	// have it meanwhile.
@@ -73,9 +73,16 @@
 }
 
 // KnowsQuarantines reports whether this host has heard of the requests that are quarantined,
-// from the registry or from a host that serves, or has waited long enough.
+// from the registry or from a host that serves, or has waited long enough. It is asked once
+// the host knows all else that it needs to serve, and the wait begins with the first time:
+// a store that was away at its start has the list by then.
 func (f *Fleet) KnowsQuarantines() bool {
-	return f.heardOfQuarantines.Load() || time.Since(f.members.started) >= quarantineWait
+	if f.heardOfQuarantines.Load() {
+		return true
+	}
+	now := time.Now()
+	f.quarantinesAwaited.CompareAndSwap(nil, &now)
+	return now.Sub(*f.quarantinesAwaited.Load()) >= quarantineWait
 }
 
 // mergeStored adds the quarantines that the registry has, and removes those that count
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -209,10 +210,19 @@
 	r.noReads = false
 	_, _ = second.readLists(t.Context(), []string{"west"}, true)
 	require.True(t, second.KnowsQuarantines())
+}
 
-	third := newFleet(r, host("a", "west-0", "west"), []string{"west"})
-	third.members.started = third.members.started.Add(-quarantineWait)
-	require.True(t, third.KnowsQuarantines())
+// After a start of all hosts while the store was away for longer than the wait, hosts that
+// had just read the tables served at once, before the list with the quarantines.
+func TestAHostWaitsForQuarantinesFromWhenItCouldServe(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f := newFleet(r, host("a", "west-0", "west"), []string{"west"})
+		time.Sleep(3 * quarantineWait) // the store is away
+		require.False(t, f.KnowsQuarantines(), "the tables have come, the list has not")
+		time.Sleep(quarantineWait)
+		require.True(t, f.KnowsQuarantines(), "the list can't be read")
+	})
 }
 
 // readOwnList reports whether the host has read the list of its own region.
