--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -21,9 +21,10 @@
 	running  []*attempt
 	ends     chan attemptEnd
 	overdue  chan *attempt
-	// redialAt is when upstreams that did not answer are dialed again; nil if they are
-	// not.
-	redialAt <-chan time.Time
+	// redialAt is when upstreams that did not answer are dialed again, in place of ending
+	// the request with redialFor; nil if they are not.
+	redialAt  <-chan time.Time
+	redialFor error
 	// done is closed when the request has its response or is given up.
 	done chan struct{}
 }
@@ -55,6 +56,7 @@
 		a.timer = time.AfterFunc(a.overdueAfter, func() { s.tellOverdue(a) })
 	}
 	s.running = append(s.running, a)
+	s.redialAt = nil // there was another upstream
 	go s.do(f.untilDeadline(ctx), a)
 }
 
@@ -116,7 +118,7 @@
 }
 
 // next chooses the upstream of the attempt after one that failed. In place of one that
-// was not sent another needs no retry of the budget, as no upstream has got anything.
+// was not sent another needs no retry of the budget.
 func (s *attempts) next(end attemptEnd) (balance.Choice, error) {
 	f := s.inflight
 	if !isUnsent(verdict.From(end.err).Reason) {
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -51,25 +51,36 @@
 	f.tried = slices.DeleteFunc(f.tried, func(id string) bool { return id == upstream })
 }
 
-// redialSoon reports whether a request that no upstream is left for, by err, waits to
-// dial again those that did not answer.
+// redialSoon reports whether a request that got err in place of another attempt waits to
+// dial again the upstreams that did not answer: those are all that is left, or an overdue
+// attempt is, or it waits already.
 func (s *attempts) redialSoon(err error) bool {
-	f := s.inflight
-	now := time.Now().Add(redialPause)
-	if !isNoUpstream(err) || !f.retryState().MayRedial(now.Sub(f.began), f.deadline().Sub(f.began)) {
+	if s.redialAt == nil && (!isNoUpstream(err) && len(s.running) == 0 || !s.inflight.mayRedial(redialPause)) {
 		return false
 	}
-	s.redialAt = time.After(redialPause)
+	if s.redialAt == nil {
+		s.redialAt = time.After(redialPause)
+	}
+	s.redialFor = err
 	return true
 }
 
-// redial begins an attempt at one of the upstreams that did not answer.
+// mayRedial is the rule for a request that waits for a time to dial again.
+func (f *inflight) mayRedial(wait time.Duration) bool {
+	return f.retryState().MayRedial(time.Since(f.began)+wait, f.deadline().Sub(f.began))
+}
+
+// redial begins an attempt at one of the upstreams that did not answer. Otherwise it
+// gives the error to end the request with.
 func (s *attempts) redial() error {
 	s.redialAt = nil
 	f := s.inflight
 	if f.ended(s.ctx) {
 		return verdict.New(verdict.NotRun, verdict.CallerLeft, "client left before the request was sent")
 	}
+	if !f.mayRedial(0) {
+		return s.redialFor
+	}
 	f.forgetUnanswered()
 	c, err := f.choose()
 	if err == nil {
