--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -84,11 +84,18 @@
 	if !p.host.variant.Retry || !p.state().MayRetry(p.ended) {
 		return balance.Choice{}, false
 	}
-	if reason == verdict.ConnectionRefused {
-		c, why := p.host.balancer.Choose(p.query())
-		return c, why == balance.Chosen
+	if reason != verdict.ConnectionRefused {
+		return p.choose()
 	}
-	return p.choose()
+	c, why := p.host.balancer.Choose(p.query())
+	if why != balance.Chosen {
+		return c, false
+	}
+	if !p.state().MayGoTo(c.Load) {
+		p.host.balancer.Done(c)
+		return c, false
+	}
+	return c, true
 }
 
 // state is what the rules of retries look at. An attempt of the model fails only
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -118,16 +118,23 @@
 }
 
 // next chooses the upstream of the attempt after one that failed. In place of one that
-// was not sent another needs no retry of the budget.
+// was not sent another needs no retry of the budget. Otherwise it gives the error to end
+// the request with.
 func (s *attempts) next(end attemptEnd) (balance.Choice, error) {
 	f := s.inflight
 	if !isUnsent(verdict.From(end.err).Reason) {
 		return f.retry(s.ctx, end.err)
 	}
-	if !f.retryState().MayRetry(f.ended(s.ctx)) {
+	state := f.retryState()
+	if !state.MayRetry(f.ended(s.ctx)) {
 		return balance.Choice{}, end.err
 	}
-	return f.choose()
+	c, err := f.choose()
+	if err == nil && !state.MayGoTo(c.Load) {
+		f.proxy.Balancer.Done(c)
+		return balance.Choice{}, end.err
+	}
+	return c, err
 }
 
 // onTime reports whether an attempt runs that is not overdue.
--- a/internal/gateway/retry/rule.go
+++ b/internal/gateway/retry/rule.go
@@ -37,6 +37,16 @@
 // bound is the route's bound on attempts. A route without one has one attempt.
 func (s State) bound() int { return max(1, s.MaxAttempts) }
 
+// roomyLoad is the load, in its capacities, below which an upstream takes a request whose
+// refused connections are above its route's attempts. Such an upstream mostly does not know
+// the request's object: where many have ended and the rest is busy, its work would cost
+// more requests than the one that is served.
+const roomyLoad = 0.5
+
+// MayGoTo is the rule for a request that MayRetry lets go to another upstream, by that
+// one's load.
+func (s State) MayGoTo(load float64) bool { return s.Attempts < s.bound() || load < roomyLoad }
+
 // MayRetry is the rule for a request of which an attempt failed and none is left
 // that is on time. ended is set when there is nobody to serve: the deadline
 // passed, the host aborts or the client left. A connection that was not made in time is
--- a/internal/gateway/retry/rule_test.go
+++ b/internal/gateway/retry/rule_test.go
@@ -38,6 +38,14 @@
 	}
 }
 
+func TestARequestWithRefusedConnectionsOnlyAddsToUpstreamsWithRoom(t *testing.T) {
+	within := State{Attempts: 1, MaxAttempts: 2, Refused: 1}
+	above := with(within, func(s *State) { s.Attempts, s.Refused = 2, 2 })
+	require.True(t, within.MayGoTo(5))
+	require.True(t, above.MayGoTo(roomyLoad/2))
+	require.False(t, above.MayGoTo(roomyLoad))
+}
+
 func TestMayRedial(t *testing.T) {
 	unanswered := State{Attempts: 2, MaxAttempts: 2, Unanswered: 1}
 	for _, c := range []struct {
--- a/internal/selector/entry/dispatch/dispatch_test.go
+++ b/internal/selector/entry/dispatch/dispatch_test.go
@@ -152,6 +152,21 @@
 	}
 }
 
+// A host with no retries left refused requests with "full" beside a zone with room, when
+// the upstream that it had tried could not be connected to. Nothing had been sent.
+func TestATryThatWasNotSentNeedsNoRetry(t *testing.T) {
+	for _, reason := range []verdict.Reason{verdict.UpstreamFailed, verdict.PeerFailed, verdict.PeerStopping} {
+		t.Run(string(reason), func(t *testing.T) {
+			s := newSystem(t)
+			s.own = []outcome{verdict.New(verdict.NotRun, reason, "not sent")}
+			a, err := s.Dispatch(context.Background(), lookup(http.MethodPost))
+			require.NoError(t, err)
+			require.NoError(t, a.Body.Close())
+			require.Equal(t, []string{"costa-a", "costa-b"}, s.tries)
+		})
+	}
+}
+
 // fillQueue takes every slot of the own zone, and every place in its queue.
 func (s *system) fillQueue(ctx context.Context) {
 	gate := s.Services.Get("planning").Gate
--- a/internal/selector/entry/dispatch/request.go
+++ b/internal/selector/entry/dispatch/request.go
@@ -25,7 +25,8 @@
 	// doubt is set when a try may have run: the final verdict can't be less.
 	doubt bool
 	// offers counts the zones asked, and sends those that did not refuse
-	// for being full: only these cost the budget of retries, since a zone
+	// for being full and from which an upstream may have got something: only these
+	// cost the budget of retries, since a zone
 	// that is full costs a hop, and is then not asked for a while. They and
 	// spent are used in state.Decide, as a hedge runs beside the first try.
 	offers int
@@ -147,9 +148,6 @@
 		return nil, err
 	}
 	resp, err := r.Forwarder.Forward(ctx, r.req, c.Zone, c.Rule, until)
-	if err != nil && verdict.From(err).Reason == verdict.PeerStopping {
-		r.state.Decide(func(*steer.Decider) { r.sends-- }) // no upstream has got anything
-	}
 	return r.untilEnd(c, resp, err)
 }
 
@@ -237,5 +235,8 @@
 	if e.Verdict != verdict.NotRun {
 		r.doubt = true
 	}
+	if isUnsent(e.Verdict, e.Reason) {
+		r.state.Decide(func(*steer.Decider) { r.sends-- })
+	}
 	return e
 }
--- a/internal/selector/entry/dispatch/rules.go
+++ b/internal/selector/entry/dispatch/rules.go
@@ -35,7 +35,7 @@
 )
 
 // mayTry says whether a request may be offered to one more zone. Sends counts
-// those that did not refuse for being full, offers all, and spent is set when
+// those from which an upstream may have got something, offers all, and spent is set when
 // the service's budget of retries is used up.
 func mayTry(sends, offers int, spent bool) bool {
 	return sends < maxTries && offers < maxOffers && !spent
@@ -49,6 +49,18 @@
 	return v == verdict.NotRun || repeatable && !ticketed
 }
 
+// isUnsent says whether a try that ended with a verdict for a reason was committed and
+// reached no upstream: there was no connection to it, or to the host that was asked, or
+// that host was stopping.
+func isUnsent(v verdict.Verdict, r verdict.Reason) bool {
+	switch r {
+	case verdict.UpstreamFailed, verdict.PeerFailed, verdict.PeerStopping:
+		return v == verdict.NotRun
+	default:
+		return false
+	}
+}
+
 // slowsRamp says whether a failed try slows the ramp of its rule: a refusal or
 // shed there does (docs/design/shares.md).
 func slowsRamp(reason verdict.Reason) bool {
