--- a/internal/gateway/balance/ejected.go
+++ b/internal/gateway/balance/ejected.go
@@ -11,8 +11,7 @@
 	maxEjectedPart = 0.5
 	// maxHealthyLoad is the mean load of the other upstreams, in capacities,
 	// above which ejections are ignored: they could not bear the load of the
-	// ejected ones, whose keys take them longer at first. No other value was
-	// tried; docs/design/platform.md has a day with and without it.
+	// ejected ones, whose keys take them longer at first.
 	maxHealthyLoad = 0.6
 )
 
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -39,10 +39,8 @@
 // are tried: those that may serve the request and were not tried yet, by cost, and what
 // was withheld from it. Those that are withheld make room for the next ones.
 //
-// The whole order is not needed: of 1,188 upstreams two are, and to look at the load
-// and health of each and sort them took 428 us and 50 KB a choice; this takes 44 us
-// and 0.4 KB, each measured beside other work (BenchmarkChoose). What costs time is
-// asked of the few only that may be among the first.
+// The whole order is not needed: what costs time, load and health, is asked of the few
+// only that may be among the first (BenchmarkChoose).
 func (b *Balancer) preferenceList(q Query) ([]scored, Withheld) {
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
@@ -84,8 +82,8 @@
 
 // prefer puts the best upstream of the region that serves the key before all others,
 // whatever their cost, unless it is ejected. Otherwise a region with few upstreams has
-// none among the lowest of many random costs: with 2 of 20 it kept 0.13 to 0.19 of its
-// requests in place of 0.3. What follows it in the order may be of any region.
+// none among the lowest of many random costs. What follows it in the order may be of any
+// region.
 func (l *lowest) prefer(best ranked, ejected func(*upstream.Upstream) bool) {
 	l.list = slices.DeleteFunc(l.list, func(r ranked) bool { return r.upstream == best.upstream })
 	cost := best.cost - 2*affinitySpread
--- a/internal/gateway/balance/preferred.go
+++ b/internal/gateway/balance/preferred.go
@@ -3,18 +3,13 @@
 const (
 	// preferenceListSize is how many upstreams serve a key. At any other one
 	// the object is not warm, and a request takes about three times as long.
-	// Of 100 responses 92.1 came in time with 2, 81.6 with 1, as 6.5 were
-	// refused, and 91.7 with 3; docs/design/platform.md has plays of whole days.
 	preferenceListSize = 2
 	// spillAbove is the load, in capacities, from which a request goes to the
-	// next upstream of its key's preference list. Of 100 responses 92.1 came in
-	// time at 1.3, 91.0 at 1.6, and 93.6 at 1, which was not played otherwise.
+	// next upstream of its key's preference list.
 	spillAbove = 1.3
 	// spillBelow is the load from which an upstream takes no request that
 	// spills from another one: that one is as full, and does not know the
-	// object. Of 100 responses 92.1 came in time at 0.9, 91.9 at 0.5 and 92.3
-	// where it spills at any load, which is no difference; responses in time
-	// rose on three days that were played.
+	// object.
 	spillBelow = 0.9
 )
 
--- a/internal/gateway/outlier/detector.go
+++ b/internal/gateway/outlier/detector.go
@@ -91,10 +91,7 @@
 
 // RecordEnded records that a run of an upstream has ended, as this host or another saw.
 // Each host would otherwise learn it by requests of its own, and again after each
-// back-off: of 634 failed attempts in the logs of a day on which 34 upstreams ended one
-// after the other, 420 were refused connections to them. Beside a request that ends
-// upstreams, 76 to 78 of 80 others were served with it and 72 to 75 without
-// (TestARequestThatEndsUpstreamsIsSoonSentNoMore, nine and eight plays).
+// back-off.
 func (d *Detector) RecordEnded(run upstream.Run, now time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/internal/gateway/outlier/evidence.go
+++ b/internal/gateway/outlier/evidence.go
@@ -6,9 +6,6 @@
 	"cairndock/internal/gateway/upstream"
 )
 
-// The figures below were measured together, as one rule: on a day of high load, on
-// which 46 of 387 upstreams hang and 69 are slow, 0.035 of the requests failed before
-// it and 0.026 with it. None was measured alone.
 const (
 	// evidenceWindow is the time over which failures and successes count.
 	evidenceWindow = 1600 * time.Millisecond
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -25,8 +25,7 @@
 // configuration.
 //
 // A request without a key is spread by its id, so that such requests do not all
-// prefer the same upstreams: with one key for all, the busiest of 387 upstreams
-// got 7.4 times the mean on a day of high load, and 2.7 with the id.
+// prefer the same upstreams.
 func (f *inflight) query(now time.Time) balance.Query {
 	q := balance.Query{
 		Key:        cmp.Or(f.info.Key, f.info.ID),
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -145,8 +145,7 @@
 // hedge sends a request whose response is overdue, which is a failure of the
 // upstream, to another one beside it. The response may be lost, or only be late:
 // the attempt goes on until one of the two has responded, as the other upstream
-// may have no room, refuse or fail. When it was canceled first, 19 of 177 overdue
-// attempts on a day of faults left their request without an answer.
+// may have no room, refuse or fail.
 func (s *attempts) hedge(a *attempt) {
 	if !a.markOverdue() {
 		return
--- a/internal/gateway/retry/after.go
+++ b/internal/gateway/retry/after.go
@@ -13,12 +13,10 @@
 const (
 	// overloadPause is the least time after which a client that was refused for
 	// load should return: an upstream that is full needs about as long to work
-	// its queue off. Against a fixed 150 ms, 350 to 750 ms lowered the share of
-	// requests refused for good from 0.010 to 0.007 and from 0.042 to 0.034 on two
-	// days of high load; a fixed 300 and 600 ms did less (docs/design/platform.md).
+	// its queue off.
 	overloadPause = 350 * time.Millisecond
 	// overloadJitter is the most that is added to overloadPause at random, so
-	// that clients refused together do not return together. Measured with it.
+	// that clients refused together do not return together.
 	overloadJitter = 400 * time.Millisecond
 	// failurePause is when a client should return whose request did not run for
 	// another reason than load, such as an upstream that was gone. No queue has
@@ -26,12 +24,9 @@
 	failurePause = 150 * time.Millisecond
 	// declinedPause is the least time after which a client should return whose
 	// request an upstream refused though it had free capacity: there is no queue to
-	// wait for, and one more try is likely to be served in time. While upstreams
-	// refused half of their requests at random, late responses fell from 0.126 to
-	// 0.077 of all against overloadPause, in a play of package loadmodel.
+	// wait for, and one more try is likely to be served in time.
 	declinedPause = 20 * time.Millisecond
-	// declinedJitter is the most that is added to declinedPause at random. Chosen
-	// with it.
+	// declinedJitter is the most that is added to declinedPause at random.
 	declinedJitter = 60 * time.Millisecond
 	// quarantinePause is when a client should return whose request is quarantined: not
 	// while people have not looked at what it does.
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -43,10 +43,7 @@
 
 // slackFor is what a host may use of the slack whose part of it is given, from 0 to
 // 1. It has none before its process has run for a window, as the one before it may
-// have spent the part. With it, nine hosts
-// sent 99 retries of 76 within the window of their restart
-// (TestRetriesStayWithinTheLimitOverARestartOfAllHosts). The part that requests
-// give needs no knowledge.
+// have spent the part. The part that requests give needs no knowledge.
 func (l Limits) slackFor(part float64, uptime time.Duration) float64 {
 	if uptime < l.Window {
 		return 0
--- a/internal/gateway/retry/rule.go
+++ b/internal/gateway/retry/rule.go
@@ -62,9 +62,8 @@
 // MayHedge is the rule for a request whose response is overdue: the response
 // may be lost, so a request that may run more than once is sent to another
 // upstream if timeLeft, the time until its deadline, is enough for a response
-// from there, which normally takes overdueAfter at most. In the worst seconds of a
-// day of high load 0.62 in place of 0.59 of what was owed was served
-// (docs/design/platform.md). A suspected request could end two upstreams at a time.
+// from there, which normally takes overdueAfter at most. A suspected request could end
+// two upstreams at a time.
 // An upstream that did not answer a dial leaves it the attempt: the one that is overdue
 // may never respond.
 func (s State) MayHedge(timeLeft, overdueAfter time.Duration) bool {
--- a/internal/selector/entry/dispatch/request.go
+++ b/internal/selector/entry/dispatch/request.go
@@ -24,11 +24,10 @@
 	last  *verdict.Error
 	// doubt is set when a try may have run: the final verdict can't be less.
 	doubt bool
-	// offers counts the zones asked, and sends those that did not refuse
-	// for being full and from which an upstream may have got something: only these
-	// cost the budget of retries, since a zone
-	// that is full costs a hop, and is then not asked for a while. They and
-	// spent are used in state.Decide, as a hedge runs beside the first try.
+	// offers counts the zones asked, and sends those that did not refuse for being
+	// full and from which an upstream may have got something: only these cost the
+	// budget of retries, since a zone that is full costs a hop, and is then not asked
+	// for a while. They and spent are used in state.Decide, as a hedge runs beside the first try.
 	offers int
 	sends  int
 	// spent is set when the budget of retries is used up.
--- a/internal/selector/entry/dispatch/rules.go
+++ b/internal/selector/entry/dispatch/rules.go
@@ -21,14 +21,10 @@
 	queuePart = 4
 	// maxQueues bounds the full zones of a rule at which a request asks to
 	// wait: where the first one's queue is full as well, another's may have
-	// room. Asking one zone only and opening a starting host too early
-	// refused 2 to 16 of 1,750 requests while hosts were replaced, 0 to 7
-	// after both were mended (docs/findings.md).
+	// room.
 	maxQueues = 2
 	// hedgeAfter is how many usual latencies a lookup may take before a
-	// second one is sent. With one slow upstream in six, hedging and the rest
-	// of failing upstreams answered 600 of 600 where 567 were answered, the
-	// slowest in 512 ms instead of 904 ms (commit 28746b1).
+	// second one is sent.
 	hedgeAfter = 4
 	// hedgeLeast is the least time before a second lookup is sent.
 	hedgeLeast = 10 * time.Millisecond
--- a/internal/selector/slot/choose.go
+++ b/internal/selector/slot/choose.go
@@ -21,10 +21,8 @@
 
 // choose gives the upstream of a rule that a request goes to, nil when none has
 // a slot that may be used: the one with the lowest score. All upstreams may be
-// ejected at once: when half of a failing rule's upstreams were used all the
-// same, they used up the budget of retries and the service's other rule stayed
-// below its cap (commit "Hedge slow lookups, and let all failing upstreams
-// rest").
+// ejected at once: the requests of a failing rule would else use up the retries of the
+// service's other rules.
 func choose(upstreams []*upstream, now int64) *upstream {
 	var best *upstream
 	bestScore := math.MaxFloat64
