--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -24,6 +24,8 @@
 	choice   balance.Choice
 	// number counts the request's attempts from 1.
 	number int
+	// repeat is set when it took a retry of the budget.
+	repeat bool
 	began  time.Time
 	cancel context.CancelCauseFunc
 	// progress tells how far it is.
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/verdict"
@@ -46,11 +48,12 @@
 // start begins an attempt at an upstream that choose has chosen.
 func (s *attempts) start(c balance.Choice) {
 	f := s.inflight
+	repeat := f.retryState().IsRepeat()
 	f.tried = append(f.tried, c.Upstream.ID)
 	f.started++
 	f.attempts++
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	a := &attempt{inflight: f, choice: c, number: f.started, began: time.Now(), cancel: cancel}
+	a := &attempt{inflight: f, choice: c, number: f.started, repeat: repeat, began: time.Now(), cancel: cancel}
 	a.overdueAfter = f.proxy.Detector.OverdueAfter(f.service, c.Load)
 	if a.overdueAfter > 0 {
 		a.timer = time.AfterFunc(a.overdueAfter, func() { s.tellOverdue(a) })
@@ -117,9 +120,8 @@
 	}
 }
 
-// next chooses the upstream of the attempt after one that failed. In place of one that
-// was not sent another needs no retry of the budget. Otherwise it gives the error to end
-// the request with.
+// next chooses the upstream of the attempt after one that failed. Otherwise it gives the
+// error to end the request with.
 func (s *attempts) next(end attemptEnd) (balance.Choice, error) {
 	f := s.inflight
 	if !isUnsent(verdict.From(end.err).Reason) {
@@ -129,9 +131,12 @@
 	if !state.MayRetry(f.ended(s.ctx)) {
 		return balance.Choice{}, end.err
 	}
-	c, err := f.choose()
-	if err == nil && !state.MayGoTo(c.Load) {
-		f.proxy.Balancer.Done(c)
+	c, err := f.chooseNext()
+	switch {
+	case eris.Is(err, errNoBudget):
+		return c, end.err
+	case err == nil && !state.MayGoTo(c.Load):
+		f.unchoose(c)
 		return balance.Choice{}, end.err
 	}
 	return c, err
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -46,7 +46,9 @@
 	if e.Verdict != verdict.NotRun {
 		f.mayHaveRun = e
 	}
-	f.noteUnsent(e.Reason, end.attempt.choice.Upstream.ID)
+	if isUnsent(e.Reason) {
+		f.noteUnsent(e.Reason, end.attempt)
+	}
 }
 
 // errNoBudget is the error of a retry that the budget does not grant.
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -4,6 +4,9 @@
 	"slices"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"cairndock/internal/gateway/balance"
 	"cairndock/internal/verdict"
 )
 
@@ -32,9 +35,13 @@
 	return err != nil && verdict.From(err).Reason == verdict.NoUpstream
 }
 
-// noteUnsent remembers an attempt at an upstream that was not sent, by its reason. An
-// upstream that withheld it is passed over by the balancer while it does.
-func (f *inflight) noteUnsent(r verdict.Reason, upstream string) {
+// noteUnsent remembers an attempt that was not sent, for a reason, and gives back the retry
+// that it took. An upstream that withheld it is passed over by the balancer while it does.
+func (f *inflight) noteUnsent(r verdict.Reason, a *attempt) {
+	if a.repeat {
+		f.proxy.Budget.Return(f.service, time.Now())
+	}
+	upstream := a.choice.Upstream.ID
 	switch r {
 	case verdict.Withheld:
 		f.attempts--
@@ -82,13 +89,33 @@
 		return s.redialFor
 	}
 	f.forgetUnanswered()
-	c, err := f.choose()
-	if err == nil {
+	c, err := f.chooseNext()
+	switch {
+	case err == nil:
 		s.start(c)
+	case eris.Is(err, errNoBudget):
+		return s.redialFor
 	}
 	return err
 }
 
+// chooseNext chooses the upstream of another attempt, within the budget if it repeats one
+// that was sent.
+func (f *inflight) chooseNext() (balance.Choice, error) {
+	if f.retryState().IsRepeat() {
+		return f.chooseRetry(time.Now())
+	}
+	return f.choose()
+}
+
+// unchoose gives back a choice that no attempt is made for.
+func (f *inflight) unchoose(c balance.Choice) {
+	f.proxy.Balancer.Done(c)
+	if f.retryState().IsRepeat() {
+		f.proxy.Budget.Return(f.service, time.Now())
+	}
+}
+
 // forgetUnanswered lets the upstreams be chosen again that did not answer, as if they
 // had not been dialed, and reports whether there are any.
 func (f *inflight) forgetUnanswered() bool {
--- a/internal/gateway/retry/rule.go
+++ b/internal/gateway/retry/rule.go
@@ -31,8 +31,12 @@
 // no upstream has got anything, so that only those above maxRefused count.
 func (s State) attempted() int { return s.Attempts - min(s.Refused, maxRefused) }
 
-// sent is how many of them did not fail for want of a connection.
-func (s State) sent() int { return s.attempted() - s.Unanswered }
+// sent is how many attempts did not fail for want of a connection.
+func (s State) sent() int { return s.Attempts - s.Refused - s.Unanswered }
+
+// IsRepeat reports whether the next attempt repeats one that was sent, which needs the
+// budget.
+func (s State) IsRepeat() bool { return s.sent() > 0 }
 
 // bound is the route's bound on attempts. A route without one has one attempt.
 func (s State) bound() int { return max(1, s.MaxAttempts) }
--- a/internal/selector/slot/gate.go
+++ b/internal/selector/slot/gate.go
@@ -107,8 +107,8 @@
 	return g.pool.Latency() * time.Duration(g.waiting.Len()+1) / time.Duration(max(1, load.Warm))
 }
 
-// wait gives the slot that w got, or why it gets none, within a time, and else takes it out of its
-// place in the queue.
+// wait gives the slot that w got, or why it gets none, within a time, and else takes it
+// out of its place in the queue.
 func (g *Gate) wait(ctx context.Context, w *waiter, place *list.Element, d time.Duration) (Lease, Refusal) {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
