Read the store's era, and tell it beside each version that a host knows

What was missing: the log of a host that had refused listings of the store for eight seconds has the first failure of the source, a connection that was broken off, and nothing of the refusals; and nothing that names one life of the store stands in any log or metric.

A listing that is refused as older is logged with both versions and counted (listing-refused, cairndock_listings_refused_total), as is the first response in another era (store-era, cairndock_table_era). No decision reads the era yet.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/gateway/watch"
 	"cairndock/internal/poison"
 )
 
@@ -278,6 +281,23 @@
 	l.stateEvent("regained").Str("dependency", kind).Str("name", name).Float64("after_ms", ms(after)).Msg("dependency: regained")
 }
 
+// ListingRefused logs that a source's listing of a table was older than what is known, and
+// not applied.
+func (l *Log) ListingRefused(table, source string, listed, known watch.Version) {
+	l.versions("listing-refused", table, source, listed, known).Msg("table: listing is older than what is known, not applied")
+}
+
+// EraBegan logs that the store was found in another era, as it came back from an older copy.
+func (l *Log) EraBegan(table, source string, listed, known watch.Version) {
+	l.versions("store-era", table, source, listed, known).Msg("store: came back from an older copy")
+}
+
+// versions begins a line on the version that a source has of a table, beside the known one.
+func (l *Log) versions(event, table, source string, listed, known watch.Version) *zerolog.Event {
+	return l.stateEvent(event).Str("table", table).Str("name", source).Int64("era", listed.Era).Int64("version", listed.Number).
+		Int64("known_era", known.Era).Int64("known_version", known.Number)
+}
+
 // Suspended logs that the machine was suspended for a time, and counts it.
 func (l *Log) Suspended(gap time.Duration) {
 	l.metrics.Count("cairndock_suspensions_total")
--- a/internal/gateway/fleet/fuzz_test.go
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -19,7 +19,7 @@
 		heartbeat{Host: Host{Name: "h", Zone: "z", Region: "r", Incarnation: "1"}, Status: Status{Ready: true, Changes: []int64{1, -2},
 			Observations: []outlier.Observation{{Upstream: "i@1", Failures: 3}}}},
 		relayRequest{Table: -1, Full: true, After: -1, Wait: -time.Second},
-		relayResponse{Page: watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("x"), Compressed: true}}, Version: -1}},
+		relayResponse{Page: watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("x"), Compressed: true}}, Version: watch.Version{Number: -1}}},
 	} {
 		text, err := msgpack.Marshal(message)
 		require.NoError(f, err)
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -1,10 +1,12 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/watch"
 	"cairndock/internal/poison"
 )
 
@@ -37,6 +39,8 @@
 	// Changes is the version of the last change in each table's replica,
 	// indexed like Options.Tables.
 	Changes []int64 `msgpack:"c,omitempty"`
+	// Eras are the eras of Changes; hosts before eras leave them out.
+	Eras []int64 `msgpack:"b,omitempty"`
 	// Fresh reports that the store confirmed all replicas within
 	// watch.Timing.MaxAge.
 	Fresh bool `msgpack:"f,omitempty"`
@@ -47,6 +51,25 @@
 	Notices []notice.Report `msgpack:"n,omitempty"`
 }
 
+// WithLastChange returns the status with the last change of one more table.
+func (s Status) WithLastChange(v watch.Version) Status {
+	s.Changes = append(slices.Clip(s.Changes), v.Number)
+	s.Eras = append(slices.Clip(s.Eras), v.Era)
+	return s
+}
+
+// lastChanges returns the version of the last change in each table.
+func (s Status) lastChanges() []watch.Version {
+	versions := make([]watch.Version, len(s.Changes))
+	for table, number := range s.Changes {
+		versions[table].Number = number
+		if table < len(s.Eras) {
+			versions[table].Era = s.Eras[table]
+		}
+	}
+	return versions
+}
+
 // acceptsClients reports whether the directory may name the host.
 func (s Status) acceptsClients() bool { return s.Ready && !s.Leaving }
 
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -29,6 +29,8 @@
 	// Full asks for all rows instead of the changes after a version.
 	Full  bool  `msgpack:"w,omitempty"`
 	After int64 `msgpack:"a,omitempty"`
+	// AfterEra is the era of After; hosts before eras leave it out.
+	AfterEra int64 `msgpack:"e,omitempty"`
 	// Wait is how long the peer may wait for changes.
 	Wait time.Duration `msgpack:"d,omitempty"`
 	// MaxAge is the replica's age from which on the peer does not wait.
@@ -56,8 +58,8 @@
 
 // Changes waits until the peer's replica has changes after a version or is
 // confirmed by the store.
-func (r relay) Changes(ctx context.Context, after int64, wait time.Duration) (watch.Page, error) {
-	return r.poll(ctx, relayRequest{Table: r.table, After: after, Wait: wait, MaxAge: r.fleet.options.MaxAge})
+func (r relay) Changes(ctx context.Context, after watch.Version, wait time.Duration) (watch.Page, error) {
+	return r.poll(ctx, relayRequest{Table: r.table, After: after.Number, AfterEra: after.Era, Wait: wait, MaxAge: r.fleet.options.MaxAge})
 }
 
 func (r relay) poll(ctx context.Context, request relayRequest) (watch.Page, error) {
@@ -91,7 +93,7 @@
 	if r.Full {
 		return replica.List(ctx)
 	}
-	return replica.ChangesWithin(ctx, r.After, min(r.Wait, maxRelayWait), r.MaxAge)
+	return replica.ChangesWithin(ctx, watch.Version{Era: r.AfterEra, Number: r.After}, min(r.Wait, maxRelayWait), r.MaxAge)
 }
 
 // Sources returns the sources of a table, the best first. The root of the
@@ -124,23 +126,23 @@
 
 // versionSeen is the newest version of a table that any peer has.
 type versionSeen struct {
-	version int64
+	version watch.Version
 	// at is when a heartbeat first named it.
 	at time.Time
 }
 
 // recordVersions records the tables' versions in a peer's status; f.mu is held.
 func (f *Fleet) recordVersions(s Status, now time.Time) {
-	for table, version := range s.Changes {
-		if table < len(f.newest) && version > f.newest[table].version {
+	for table, version := range s.lastChanges() {
+		if table < len(f.newest) && version.Number > f.newest[table].version.Number {
 			f.newest[table] = versionSeen{version, now}
 		}
 	}
 }
 
 // NewestKnown returns the newest version of a table's last change that a peer
-// has reported, and how long ago that was; the version is 0 if none has.
-func (f *Fleet) NewestKnown(table int) (int64, time.Duration) {
+// has reported, and how long ago that was; the version is zero if none has.
+func (f *Fleet) NewestKnown(table int) (watch.Version, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.newest[table]
--- a/internal/gateway/fleet/start_test.go
+++ b/internal/gateway/fleet/start_test.go
@@ -126,7 +126,7 @@
 	return watch.Page{}, errors.New("not asked")
 }
 
-func (noTable) Changes(context.Context, int64, time.Duration) (watch.Page, error) {
+func (noTable) Changes(context.Context, watch.Version, time.Duration) (watch.Page, error) {
 	return watch.Page{}, errors.New("not asked")
 }
 
--- a/internal/gateway/routing/state.go
+++ b/internal/gateway/routing/state.go
@@ -143,3 +143,14 @@
 func (s *sink) Regained(source string, after time.Duration) {
 	s.state.log.Regained(s.table+" source", source, after)
 }
+
+// Refused logs and counts a listing of the table that was older than what is known.
+func (s *sink) Refused(source string, listed, known watch.Version) {
+	s.state.metrics.Count(`cairndock_listings_refused_total{table="` + s.table + `"}`)
+	s.state.log.ListingRefused(s.table, source, listed, known)
+}
+
+// EraBegan logs that the store was found in another era.
+func (s *sink) EraBegan(source string, listed, known watch.Version) {
+	s.state.log.EraBegan(s.table, source, listed, known)
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -23,7 +23,7 @@
 	s.Observations = g.detector.Observations(time.Now())
 	s.Notices = g.notices.Reports(time.Now())
 	for _, t := range g.tables {
-		s.Changes = append(s.Changes, t.Replica.LastChange())
+		s = s.WithLastChange(t.Replica.LastChange())
 		s.Fresh = s.Fresh && t.Replica.Age() < g.timing.MaxAge()
 	}
 	return s
@@ -124,6 +124,7 @@
 	for table, label := range tableLabels {
 		replica := g.tables[table].Replica
 		g.metrics.Gauge(`cairndock_table_age_seconds{table="`+label+`"}`, func() float64 { return replica.Age().Seconds() })
-		g.metrics.Gauge(`cairndock_table_version{table="`+label+`"}`, func() float64 { return float64(replica.Version()) })
+		g.metrics.Gauge(`cairndock_table_version{table="`+label+`"}`, func() float64 { return float64(replica.Version().Number) })
+		g.metrics.Gauge(`cairndock_table_era{table="`+label+`"}`, func() float64 { return float64(replica.Version().Era) })
 	}
 }
--- a/internal/gateway/watch/compress_test.go
+++ b/internal/gateway/watch/compress_test.go
@@ -11,7 +11,7 @@
 func TestALargeValueIsRelayedSmallAndReadWhole(t *testing.T) {
 	large := bytes.Repeat([]byte(`{"path_prefix":"/bookings/"},`), 20_000)
 	r := NewReplica()
-	r.replace(Page{Version: 1, Rows: []Row{{Key: "a", Value: large, Version: 1}, {Key: "b", Value: []byte("small"), Version: 1}}}, time.Now())
+	r.replace(Page{Version: at(1), Rows: []Row{{Key: "a", Value: large, Version: 1}, {Key: "b", Value: []byte("small"), Version: 1}}}, time.Now())
 	page, err := r.List(t.Context())
 	require.NoError(t, err)
 	for _, row := range page.Rows {
--- a/internal/gateway/watch/harness_test.go
+++ b/internal/gateway/watch/harness_test.go
@@ -26,7 +26,7 @@
 
 func newFakeStore() *fakeStore {
 	s := &fakeStore{replica: NewReplica()}
-	s.replica.replace(Page{Version: 1}, time.Now())
+	s.replica.replace(Page{Version: at(1)}, time.Now())
 	s.version = 1
 	return s
 }
@@ -40,7 +40,7 @@
 	s.version++
 	row.Version = s.version
 	s.mu.Unlock()
-	s.replica.apply(Page{Version: row.Version, Rows: []Row{row}}, time.Now())
+	s.replica.apply(Page{Version: at(row.Version), Rows: []Row{row}}, time.Now())
 }
 
 func (s *fakeStore) set(f func(*fakeStore)) {
@@ -94,7 +94,7 @@
 	return p, err
 }
 
-func (s *fakeStore) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+func (s *fakeStore) Changes(ctx context.Context, after Version, wait time.Duration) (Page, error) {
 	if err := s.enter(ctx); err != nil {
 		return Page{}, err
 	}
@@ -109,12 +109,17 @@
 	return p, err
 }
 
+// at is a version of the era that is not known.
+func at(number int64) Version { return Version{Number: number} }
+
 // recordingSink is a sink that records its calls.
 type recordingSink struct {
 	mu       sync.Mutex
 	rows     map[string]string
 	lost     []string
 	regained []string
+	// refused and eras count the calls of Refused and EraBegan.
+	refused, eras int
 }
 
 func (r *recordingSink) Apply(u Update) {
@@ -144,6 +149,18 @@
 	r.regained = append(r.regained, source)
 }
 
+func (r *recordingSink) Refused(string, Version, Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.refused++
+}
+
+func (r *recordingSink) EraBegan(string, Version, Version) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eras++
+}
+
 func (r *recordingSink) lostNames() []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -167,7 +184,7 @@
 
 var timing = Timing(staleness)
 
-func noneNewer() (int64, time.Duration) { return 0, 0 }
+func noneNewer() (Version, time.Duration) { return Version{}, 0 }
 
 // startWatcher runs a watcher in a bubble of fake time.
 func startWatcher(t *testing.T, newest NewestKnown, sources ...NamedSource) (*recordingSink, *Replica) {
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -29,10 +29,10 @@
 	// deletedAt is when each tombstone was put.
 	deletedAt map[string]time.Time
 	// version is the table's version that the replica is as of.
-	version int64
+	version Version
 	// lastChange is the version of the last change that a source has sent. A
 	// deletion that only a listing showed does not count.
-	lastChange int64
+	lastChange Version
 	// historyFrom is the version since which all changes are in rows.
 	historyFrom int64
 	// synced is set once the table has been listed.
@@ -56,14 +56,14 @@
 }
 
 // Version returns the table's version that the replica is as of.
-func (r *Replica) Version() int64 {
+func (r *Replica) Version() Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.version
 }
 
 // LastChange returns the version of the last change in the replica.
-func (r *Replica) LastChange() int64 {
+func (r *Replica) LastChange() Version {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.lastChange
@@ -113,7 +113,7 @@
 func (r *Replica) replace(p Page, now time.Time) (changes []Row, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.Version < r.version {
+	if p.Version.Number < r.version.Number {
 		return nil, false
 	}
 	changes = r.putAll(p.Rows, now)
@@ -125,12 +125,12 @@
 		if row.Deleted || listed[key] {
 			continue
 		}
-		tombstone := Row{Key: key, Version: p.Version, Deleted: true}
+		tombstone := Row{Key: key, Version: p.Version.Number, Deleted: true}
 		r.put(tombstone, now)
 		changes = append(changes, tombstone)
 	}
 	if !r.synced {
-		r.historyFrom, r.synced = p.Version, true
+		r.historyFrom, r.synced = p.Version.Number, true
 	}
 	r.advance(p, len(changes) > 0, now)
 	return changes, true
@@ -150,7 +150,7 @@
 	var changes []Row
 	for _, row := range rows {
 		if r.put(row, now) {
-			r.lastChange = max(r.lastChange, row.Version)
+			r.lastChange.Number = max(r.lastChange.Number, row.Version)
 			changes = append(changes, row)
 		}
 	}
@@ -178,7 +178,7 @@
 // advance records the version and age of a page that was applied; r.mu is
 // held. A page of a source that lags confirms nothing.
 func (r *Replica) advance(p Page, hasChanges bool, now time.Time) {
-	if p.Version >= r.version {
+	if p.Version.Number >= r.version.Number {
 		r.version = p.Version
 		r.confirm(now.Add(-p.Age), now)
 	}
--- a/internal/gateway/watch/replica_test.go
+++ b/internal/gateway/watch/replica_test.go
@@ -13,33 +13,33 @@
 	r := NewReplica()
 	_, err := r.List(t.Context())
 	require.ErrorIs(t, err, ErrHistoryGone, "a replica that was not listed does not pass for an empty table")
-	r.replace(Page{Version: 5, Rows: []Row{{Key: "a", Version: 3}, {Key: "b", Version: 4}}}, now)
-	_, err = r.Changes(t.Context(), 4, 0)
+	r.replace(Page{Version: at(5), Rows: []Row{{Key: "a", Version: 3}, {Key: "b", Version: 4}}}, now)
+	_, err = r.Changes(t.Context(), at(4), 0)
 	require.ErrorIs(t, err, ErrHistoryGone)
-	changes, ok := r.replace(Page{Version: 9, Rows: []Row{{Key: "b", Version: 8}}}, now)
+	changes, ok := r.replace(Page{Version: at(9), Rows: []Row{{Key: "b", Version: 8}}}, now)
 	require.True(t, ok)
 	require.Len(t, changes, 2)
-	p, err := r.Changes(t.Context(), 5, 0)
+	p, err := r.Changes(t.Context(), at(5), 0)
 	require.NoError(t, err)
 	require.ElementsMatch(t, []Row{{Key: "a", Version: 9, Deleted: true}, {Key: "b", Version: 8}}, p.Rows)
 	// A deleted row does not come back in an older version.
-	require.Empty(t, r.apply(Page{Version: 9, Rows: []Row{{Key: "a", Version: 7}}}, now))
+	require.Empty(t, r.apply(Page{Version: at(9), Rows: []Row{{Key: "a", Version: 7}}}, now))
 	// Once the tombstone is dropped, changes since older versions are gone.
-	r.apply(Page{Version: 10, Rows: []Row{{Key: "c", Version: 10}}}, now.Add(2*tombstoneFor))
-	_, err = r.Changes(t.Context(), 5, 0)
+	r.apply(Page{Version: at(10), Rows: []Row{{Key: "c", Version: 10}}}, now.Add(2*tombstoneFor))
+	_, err = r.Changes(t.Context(), at(5), 0)
 	require.ErrorIs(t, err, ErrHistoryGone)
 }
 
 func TestReplicasThatPollEachOtherGrowOlder(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a, b := NewReplica(), NewReplica()
-		a.replace(Page{Version: 1}, time.Now())
-		b.replace(Page{Version: 1}, time.Now())
+		a.replace(Page{Version: at(1)}, time.Now())
+		b.replace(Page{Version: at(1)}, time.Now())
 		for range 20 {
 			time.Sleep(time.Second)
-			pa, _ := a.Changes(t.Context(), 1, 0)
+			pa, _ := a.Changes(t.Context(), at(1), 0)
 			b.apply(pa, time.Now())
-			pb, _ := b.Changes(t.Context(), 1, 0)
+			pb, _ := b.Changes(t.Context(), at(1), 0)
 			a.apply(pb, time.Now())
 		}
 		require.Equal(t, 20*time.Second, a.Age())
@@ -49,13 +49,13 @@
 func TestAStoreCountsAsAwayAfterAWhile(t *testing.T) {
 	start := time.Now()
 	r := NewReplica()
-	r.replace(Page{Version: 1}, start)
+	r.replace(Page{Version: at(1)}, start)
 	require.Zero(t, r.storeReturned(), "the first listing is no return")
 	soon := start.Add(storeAwayAfter - time.Millisecond)
-	r.apply(Page{Version: 1}, soon)
+	r.apply(Page{Version: at(1)}, soon)
 	require.Zero(t, r.storeReturned())
 	late := soon.Add(storeAwayAfter + time.Second)
-	r.apply(Page{Version: 1, Age: 100 * time.Millisecond}, late)
+	r.apply(Page{Version: at(1), Age: 100 * time.Millisecond}, late)
 	require.Equal(t, late, r.storeReturned())
 }
 
@@ -63,16 +63,16 @@
 func TestARelayRespondsWhenTheStoreConfirmsIt(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := NewReplica()
-		r.replace(Page{Version: 1}, time.Now())
+		r.replace(Page{Version: at(1)}, time.Now())
 		time.Sleep(500 * time.Millisecond)
 		received := make(chan Page)
 		go func() {
-			p, err := r.ChangesWithin(t.Context(), 1, timing.part(relayLongPollPart), timing.MaxAge())
+			p, err := r.ChangesWithin(t.Context(), at(1), timing.part(relayLongPollPart), timing.MaxAge())
 			require.NoError(t, err)
 			received <- p
 		}()
 		time.Sleep(100 * time.Millisecond)
-		r.apply(Page{Version: 1}, time.Now())
+		r.apply(Page{Version: at(1)}, time.Now())
 		began := time.Now()
 		p := <-received
 		require.Zero(t, time.Since(began))
--- a/internal/gateway/watch/replicasource.go
+++ b/internal/gateway/watch/replicasource.go
@@ -25,7 +25,7 @@
 func (r *Replica) page() Page { return Page{Version: r.version, Age: r.age(time.Now())} }
 
 // Changes returns the rows changed after a version, or waits for one.
-func (r *Replica) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+func (r *Replica) Changes(ctx context.Context, after Version, wait time.Duration) (Page, error) {
 	return r.await(ctx, after, wait, nil)
 }
 
@@ -33,7 +33,7 @@
 // confirms the replica, so that ages do not add up over a chain of relays, and
 // when the replica reaches maxAge, so that the other host can poll a better
 // source.
-func (r *Replica) ChangesWithin(ctx context.Context, after int64, wait, maxAge time.Duration) (Page, error) {
+func (r *Replica) ChangesWithin(ctx context.Context, after Version, wait, maxAge time.Duration) (Page, error) {
 	r.mu.Lock()
 	confirmed := r.confirmed
 	// One millisecond more, so that the response is past maxAge.
@@ -44,7 +44,7 @@
 
 // await returns the changes after a version as soon as there is one, or an
 // empty page when wake is closed or the time is over.
-func (r *Replica) await(ctx context.Context, after int64, wait time.Duration, wake <-chan struct{}) (Page, error) {
+func (r *Replica) await(ctx context.Context, after Version, wait time.Duration, wake <-chan struct{}) (Page, error) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -67,15 +67,15 @@
 
 // since returns the rows changed after a version, and a channel that is closed
 // at the next change.
-func (r *Replica) since(after int64) (Page, <-chan struct{}, error) {
+func (r *Replica) since(after Version) (Page, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.synced || after < r.historyFrom {
+	if !r.synced || after.Number < r.historyFrom {
 		return Page{}, nil, ErrHistoryGone
 	}
 	page := r.page()
 	for _, row := range r.rows {
-		if row.Version > after {
+		if row.Version > after.Number {
 			page.Rows = append(page.Rows, row)
 		}
 	}
--- a/internal/gateway/watch/sources.go
+++ b/internal/gateway/watch/sources.go
@@ -33,7 +33,7 @@
 
 // NewestKnown returns the newest version of the table that any other host is
 // known to have, and for how long that has been known.
-type NewestKnown func() (version int64, since time.Duration)
+type NewestKnown func() (version Version, since time.Duration)
 
 // sourceState is a source's recent history.
 type sourceState struct {
--- a/internal/gateway/watch/staleness.go
+++ b/internal/gateway/watch/staleness.go
@@ -103,18 +103,18 @@
 // behind reports whether a host at a version has been behind for too long: the
 // newest version that any other host has reported, since a time ago, is newer.
 // Its source is then dead, or lags.
-func (t Timing) behind(version, newest int64, since time.Duration) bool {
-	return newest > version && since > t.part(behindPart)
+func (t Timing) behind(version, newest Version, since time.Duration) bool {
+	return newest.Number > version.Number && since > t.part(behindPart)
 }
 
 // relayFault returns why a relay's response, to a host at a version, does not
 // count as a success; nil if it does. Its rows are used in any case.
-func (t Timing) relayFault(p Page, version int64, behind bool) error {
+func (t Timing) relayFault(p Page, version Version, behind bool) error {
 	if p.Age > t.MaxAge() {
 		return eris.Errorf("relay is %s old", p.Age.Round(time.Millisecond))
 	}
-	if p.Version < version {
-		return eris.Errorf("relay is at version %d, %d is known", p.Version, version)
+	if p.Version.Number < version.Number {
+		return eris.Errorf("relay is at version %s, %s is known", p.Version, version)
 	}
 	if behind {
 		return eris.New("other hosts know newer changes")
--- a/internal/gateway/watch/staleness_test.go
+++ b/internal/gateway/watch/staleness_test.go
@@ -31,7 +31,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newFakeStore()
 		old := NewReplica()
-		old.replace(Page{Version: 1, Age: time.Minute}, time.Now())
+		old.replace(Page{Version: at(1), Age: time.Minute}, time.Now())
 		r, _ := startWatcher(t, noneNewer, NamedSource{Name: "peer", Source: old, Relay: true}, NamedSource{Name: "store", Source: s})
 		s.put("a", "1")
 		time.Sleep(2 * time.Second)
@@ -46,13 +46,13 @@
 	t.Helper()
 	s := newFakeStore()
 	dead := NewReplica()
-	dead.replace(Page{Version: 1}, time.Now())
+	dead.replace(Page{Version: at(1)}, time.Now())
 	began := time.Now()
-	newest := func() (int64, time.Duration) {
+	newest := func() (Version, time.Duration) {
 		if time.Since(began) < time.Second {
-			return 0, 0
+			return Version{}, 0
 		}
-		return 2, time.Since(began) - time.Second
+		return at(2), time.Since(began) - time.Second
 	}
 	r, _ := startWatcher(t, newest, NamedSource{Name: "peer", Source: dead, Relay: true}, NamedSource{Name: "store", Source: s})
 	time.Sleep(time.Second)
@@ -119,7 +119,7 @@
 	return r.replica.List(ctx)
 }
 
-func (r relaySource) Changes(ctx context.Context, after int64, wait time.Duration) (Page, error) {
+func (r relaySource) Changes(ctx context.Context, after Version, wait time.Duration) (Page, error) {
 	if err := r.link.enter(ctx); err != nil {
 		return Page{}, err
 	}
@@ -159,14 +159,14 @@
 		behind bool
 		fails  bool
 	}{
-		{"not while it is young and as new as this host", Page{Version: 5, Age: timing.MaxAge()}, false, false},
-		{"when it is old", Page{Version: 5, Age: timing.MaxAge() + 1}, false, true},
-		{"when it is older than this host", Page{Version: 4}, false, true},
-		{"when other hosts have a change that it lacks", Page{Version: 5}, true, true},
+		{"not while it is young and as new as this host", Page{Version: at(5), Age: timing.MaxAge()}, false, false},
+		{"when it is old", Page{Version: at(5), Age: timing.MaxAge() + 1}, false, true},
+		{"when it is older than this host", Page{Version: at(4)}, false, true},
+		{"when other hosts have a change that it lacks", Page{Version: at(5)}, true, true},
 	}
 	for _, tc := range cases {
 		t.Run(tc.name, func(t *testing.T) {
-			err := timing.relayFault(tc.page, 5, tc.behind)
+			err := timing.relayFault(tc.page, at(5), tc.behind)
 			require.Equal(t, tc.fails, err != nil, err)
 		})
 	}
--- a/internal/gateway/watch/table.go
+++ b/internal/gateway/watch/table.go
@@ -15,7 +15,7 @@
 type Row struct {
 	Key   string `msgpack:"k"`
 	Value []byte `msgpack:"v,omitempty"`
-	// Version is that of the row's last change.
+	// Version is the number of the row's last change, in the era of its page.
 	Version int64 `msgpack:"r"`
 	// Deleted marks a tombstone.
 	Deleted bool `msgpack:"g,omitempty"`
@@ -26,8 +26,9 @@
 // Page is a source's response: all rows of a table, or those that changed.
 type Page struct {
 	Rows []Row `msgpack:"r,omitempty"`
-	// Version is the table's version that the page is as of.
-	Version int64 `msgpack:"v"`
+	// Version is the table's version that the page is as of. It is embedded, as that has
+	// its fields stand among the page's on the wire.
+	Version
 	// Age is how long before the response the store confirmed the page. It is
 	// zero in a response of the store itself.
 	Age time.Duration `msgpack:"a,omitempty"`
@@ -40,5 +41,5 @@
 	// Changes returns the rows that changed after a version. If there are
 	// none it waits for one up to the given time and then returns an empty
 	// page. The error is ErrHistoryGone if the changes are no longer known.
-	Changes(ctx context.Context, after int64, wait time.Duration) (Page, error)
+	Changes(ctx context.Context, after Version, wait time.Duration) (Page, error)
 }
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -28,6 +28,10 @@
 	// again, with the time since.
 	Lost(source string, err error)
 	Regained(source string, after time.Duration)
+	// Refused is called when a listing was older than what is known, and not applied.
+	Refused(source string, listed, known Version)
+	// EraBegan is called when the store is first found in another era.
+	EraBegan(source string, listed, known Version)
 }
 
 // Update is the changes of one response.
@@ -55,6 +59,8 @@
 	// listedAt is when the table was last listed; zero once changes were read
 	// after that.
 	listedAt time.Time
+	// era is the latest that any source was found in; 0 is not known yet.
+	era int64
 }
 
 // New returns a watcher of a replica.
@@ -117,13 +123,16 @@
 	if !behind {
 		go w.cancelWhenBehind(ctx, cancel)
 	}
-	page, err := n.Source.Changes(ctx, w.replica.Version(), longPoll)
+	known := w.replica.Version()
+	page, err := n.Source.Changes(ctx, known, longPoll)
+	page.Version = page.Version.inEra(known.Era)
 	if w.mustList(err) {
 		return noChange, w.list(ctx, n)
 	}
 	if err != nil {
 		return noChange, err
 	}
+	w.noteEra(n, page.Version, known)
 	w.listedAt = time.Time{}
 	return w.apply(page), w.checkRelay(n, page)
 }
@@ -151,15 +160,30 @@
 	if err != nil {
 		return err
 	}
+	known := w.replica.Version()
+	page.Version = page.Version.inEra(known.Era)
+	w.noteEra(n, page.Version, known)
 	changes, ok := w.replica.replace(page, time.Now())
 	if !ok {
-		return eris.Errorf("source is at version %d, %d is known", page.Version, w.replica.Version())
+		w.sink.Refused(n.Name, page.Version, known)
+		return eris.Errorf("source is at version %s, %s is known", page.Version, known)
 	}
 	w.listedAt = time.Now()
 	w.sink.Apply(Update{Rows: changes, Full: true, StoreReturned: w.replica.storeReturned()})
 	return w.checkRelay(n, page)
 }
 
+// noteEra calls the sink when a source is first found in another era than the ones before.
+func (w *Watcher) noteEra(n NamedSource, listed, known Version) {
+	if listed.Era <= w.era {
+		return
+	}
+	if w.era != 0 {
+		w.sink.EraBegan(n.Name, listed, known)
+	}
+	w.era = listed.Era
+}
+
 // checkRelay returns why a relay's response counts as a failure. The store's
 // response never does.
 func (w *Watcher) checkRelay(n NamedSource, p Page) error {
--- a/internal/gateway/watch/watcher_test.go
+++ b/internal/gateway/watch/watcher_test.go
@@ -159,7 +159,7 @@
 		relay := NewReplica()
 		r, _ := startWatcher(t, noneNewer, NamedSource{Name: "relay", Source: relay, Relay: true})
 		time.Sleep(time.Second)
-		relay.replace(Page{Version: 5, Rows: []Row{{Key: "a", Value: []byte("1"), Version: 5}}}, time.Now())
+		relay.replace(Page{Version: at(5), Rows: []Row{{Key: "a", Value: []byte("1"), Version: 5}}}, time.Now())
 		time.Sleep(startingRelayPause + noSourcePause)
 		require.Equal(t, "1", r.value("a"))
 		require.Empty(t, r.lostNames())
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -63,7 +63,7 @@
 // newWatcher makes the watcher that keeps a table's replica up to date.
 func (g *Gateway) newWatcher(table int, sink watch.Sink) *watch.Watcher {
 	sources := func() []watch.NamedSource { return g.fleet.Sources(table) }
-	newest := func() (int64, time.Duration) { return g.fleet.NewestKnown(table) }
+	newest := func() (watch.Version, time.Duration) { return g.fleet.NewestKnown(table) }
 	return watch.New(g.tables[table].Replica, sources, newest, sink, g.timing)
 }
 
