Show that hosts learn nothing from a store that came back from a copy

The stand-in for the platform's store comes back from a copy: its version goes back and is given out again, its era rises, a read after a version that it lacks gets 410, and what the operator and upstreams wrote can be written again.

The test has nine hosts and three such returns in a row, with versions below, soon beyond and about at what hosts know.

--- /dev/null
+++ b/internal/gateway/soak/restore_test.go
@@ -0,0 +1,111 @@
+package soak
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/platform/platformtest"
+)
+
+const (
+	// awayFor is how long the store is away before it comes back from a copy.
+	awayFor = 700 * time.Millisecond
+	// rewrittenAfter is how long after its return the operator and the upstreams have written
+	// again what was lost.
+	rewrittenAfter = 1500 * time.Millisecond
+)
+
+// restoreStore has the store be away for a while and come back from a copy, and returns
+// what it lost.
+func (w *world) restoreStore(c platformtest.Copy, away time.Duration) platformtest.Lost {
+	w.store.SetFaults(platformtest.Faults{Reset: true})
+	time.Sleep(away)
+	lost := w.store.Restore(c)
+	w.store.SetFaults(platformtest.Faults{})
+	return lost
+}
+
+// raiseVersion has the store's version rise, by changes of rows that no host reads.
+func (w *world) raiseVersion(by int) {
+	for i := range by {
+		w.store.Put("other", "row", i)
+	}
+}
+
+// leave has an upstream say in its row that it leaves, and returns when.
+func (w *world) leave(u *upstream) time.Time {
+	w.store.PutUpstream(u.ID, u.row(true))
+	return time.Now()
+}
+
+// arrivedSince is how many requests reached an upstream since a time.
+func (w *world) arrivedSince(u *upstream, since time.Time) int {
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	n := 0
+	for _, arrivals := range w.ledger.arrivals {
+		n += len(timesAt(arrivals, u, since))
+	}
+	return n
+}
+
+// lacking are the hosts that do not have a version of the configuration in force.
+func (w *world) lacking(version int) []string {
+	var names []string
+	for _, h := range w.hosts {
+		if w.probe(h, version) == http.StatusNotFound {
+			names = append(names, h.name)
+		}
+	}
+	return names
+}
+
+// Hosts took versions of a store that was back from a copy for old ones, and learned of no
+// change until these had passed what they knew.
+func TestChangesAreInForceInTimeAfterTheStoreCameBackFromACopy(t *testing.T) {
+	t.Parallel()
+	n := newNoticeRun(t, standardSeed)
+	w := n.world
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	sending.Go(func() { n.send(22 * time.Second) })
+	for i, c := range []struct {
+		name string
+		// before and after are by how much the version rises in the seconds that are lost,
+		// and once the store is back.
+		before, after int
+	}{
+		{"below what hosts know", 40, 0},
+		{"soon beyond it", 5, 60},
+		{"about the same", 20, 16},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			first, second := w.everyUpstream[2*i], w.everyUpstream[2*i+1]
+			kept := w.store.Copy()
+			w.raiseVersion(c.before)
+			w.configure()
+			firstLeft := w.leave(first)
+			time.Sleep(time.Second) // hosts know both
+			lost := w.restoreStore(kept, awayFor)
+			w.raiseVersion(c.after)
+			time.Sleep(rewrittenAfter)
+			w.store.Rewrite(lost)
+			w.configure()
+			secondLeft := w.leave(second)
+			time.Sleep(applyWithin + slack/2)
+			lacking := w.lacking(w.version)
+			time.Sleep(slack / 2)
+			lateFirst := w.arrivedSince(first, firstLeft.Add(drainWithin))
+			lateSecond := w.arrivedSince(second, secondLeft.Add(drainWithin))
+			t.Logf("%d hosts without the change, %d and %d requests to upstreams that left", len(lacking), lateFirst, lateSecond)
+			require.Empty(t, lacking, fmt.Sprint("hosts without version ", w.version))
+			require.Zero(t, lateFirst, "left before the store went away")
+			require.Zero(t, lateSecond, "left after its return")
+		})
+	}
+}
