Order what is known of a table by the store's era, and then by its version

What callers saw: a configuration that had been acknowledged was not in force 3.2 s later, and requests reached upstreams 2.5 s after their leaving had been acknowledged.

Cause: a version is unique within one life of the store only, and was compared across two. When the store comes back from a copy its versions go back and are given out again. Hosts refused its listings as older than what they knew, and once the versions had passed that they asked for the changes after it and missed those given out again below.

Change: an era comes first in the order of versions, in one comparison that the watcher, the replica, relays and heartbeats use. A response of a later era has the table listed, one of an earlier era is not applied and confirms nothing, and a replica serves no changes across eras. The first listing of an era tells rows that were written since from those that the copy may have in an older state. Of the latter a run that drains still drains, an upstream that is gone is not back unless its entry stays, and one that is missing is kept until it can have registered again. Without that a copy would make upstreams ready that have left.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -287,9 +287,10 @@
 	l.versions("listing-refused", table, source, listed, known).Msg("table: listing is older than what is known, not applied")
 }
 
-// EraBegan logs that the store was found in another era, as it came back from an older copy.
-func (l *Log) EraBegan(table, source string, listed, known watch.Version) {
-	l.versions("store-era", table, source, listed, known).Msg("store: came back from an older copy")
+// EraBegan logs that the store was found in another era, as it came back from an older copy,
+// with how many of a table's rows are new there, and how many older than known or missing.
+func (l *Log) EraBegan(table, source string, listed, known watch.Version, changed, reverted int) {
+	l.versions("store-era", table, source, listed, known).Int("changed", changed).Int("reverted", reverted).Msg("store: came back from an older copy")
 }
 
 // versions begins a line on the version that a source has of a table, beside the known one.
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -134,7 +134,7 @@
 // recordVersions records the tables' versions in a peer's status; f.mu is held.
 func (f *Fleet) recordVersions(s Status, now time.Time) {
 	for table, version := range s.lastChanges() {
-		if table < len(f.newest) && version.Number > f.newest[table].version.Number {
+		if table < len(f.newest) && version.Newer(f.newest[table].version) {
 			f.newest[table] = versionSeen{version, now}
 		}
 	}
--- a/internal/gateway/routing/state.go
+++ b/internal/gateway/routing/state.go
@@ -151,6 +151,6 @@
 }
 
 // EraBegan logs that the store was found in another era.
-func (s *sink) EraBegan(source string, listed, known watch.Version) {
-	s.state.log.EraBegan(s.table, source, listed, known)
+func (s *sink) EraBegan(source string, listed, known watch.Version, u watch.Update) {
+	s.state.log.EraBegan(s.table, source, listed, known, len(u.Rows), len(u.Reverted))
 }
--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -15,8 +15,8 @@
 	stateDraining = "draining"
 	// stateGone has left the table.
 	stateGone = "gone"
-	// stateLapsed has left the table just after the store was away, and may
-	// come back.
+	// stateLapsed has left the table just after the store was away, or is missing
+	// from a copy that it came back from, and may come back.
 	stateLapsed = "entry lapsed"
 	// stateExpired lapsed and did not come back in time.
 	stateExpired = "gone, entry did not come back"
@@ -24,8 +24,11 @@
 	stateDiscarded = "entry can't be read"
 	// stateLate is an entry that an earlier run of the upstream wrote late.
 	stateLate = "entry of an earlier run, ignored for now"
-	// stateLateUsed is such an entry that still stands there after a while.
-	stateLateUsed = "entry of an earlier run, used as it stays"
+	// stateReverted is such an entry, or one of an upstream that was removed, in a store that
+	// came back from an older copy.
+	stateReverted = "entry of a restored store, ignored for now"
+	// stateLateUsed is an entry that was ignored and still stands there after a while.
+	stateLateUsed = "entry that was ignored, used as it stays"
 )
 
 // UpstreamSink applies changes of the upstreams' table.
@@ -45,11 +48,14 @@
 			lapsed = s.removeUpstream(row, now, u.StoreReturned) || lapsed
 			continue
 		}
-		s.putUpstream(row, now)
+		s.putUpstream(row, now, s.putInTime)
 	}
 	if lapsed {
 		time.AfterFunc(u.StoreReturned.Add(upstream.LapseGrace).Sub(now), s.expire)
 	}
+	if u.Restored {
+		s.applyReverted(u.Reverted, now)
+	}
 	if u.Full {
 		s.registry.MarkSynced()
 	}
@@ -60,11 +66,50 @@
 	}
 }
 
-// putUpstream adds or changes the upstream of a row; s.mu is held. A row that
+// applyReverted applies rows of a store that came back from an older copy; s.mu is held.
+func (s *State) applyReverted(rows []watch.Row, now time.Time) {
+	s.registry.StoreRestored(now)
+	for _, row := range rows {
+		if row.Deleted {
+			s.logRemoved(row, s.registry.RemoveReverted(row.Key, now))
+			continue
+		}
+		s.putUpstream(row, now, s.putReverted)
+	}
+	time.AfterFunc(upstream.RestoreGrace, s.expire)
+	time.AfterFunc(upstream.RestoreGrace, s.applyLate)
+}
+
+// putInTime puts a registration as of now, and returns its state in the log.
+func (s *State) putInTime(r upstream.Registration, now time.Time) string {
+	if s.registry.Put(r, now) {
+		return s.stateOf(r)
+	}
+	time.AfterFunc(upstream.LateGrace, s.applyLate)
+	return stateLate
+}
+
+// putReverted puts a registration that may be older than what was known.
+func (s *State) putReverted(r upstream.Registration, now time.Time) string {
+	if s.registry.PutReverted(r, now) {
+		return s.stateOf(r)
+	}
+	return stateReverted
+}
+
+// stateOf is the state in the log of an upstream that was put.
+func (s *State) stateOf(r upstream.Registration) string {
+	if s.registry.Drains(r.ID) {
+		return stateDraining
+	}
+	return stateReady
+}
+
+// putUpstream adds or changes the upstream of a row by put; s.mu is held. A row that
 // can't be decoded names no upstream to use: whoever wrote it, the one that stood
 // there gets no new work until its row can be read again. Those of the first
 // reading are not logged, as nothing changed.
-func (s *State) putUpstream(row watch.Row, now time.Time) {
+func (s *State) putUpstream(row watch.Row, now time.Time, put func(upstream.Registration, time.Time) string) {
 	registration, ok := decode(s, UpstreamTable, row, s.decoder.Upstream)
 	if !ok {
 		if s.registry.Discard(row.Key, now) {
@@ -72,14 +117,7 @@
 		}
 		return
 	}
-	state := stateReady
-	if registration.Draining || s.registry.Leaves(registration.Run()) {
-		state = stateDraining
-	}
-	if !s.registry.Put(registration, now) {
-		state = stateLate
-		time.AfterFunc(upstream.LateGrace, s.applyLate)
-	}
+	state := put(registration, now)
 	if s.synced.Load() {
 		s.log.Upstream(row.Key, registration, state, row.Version)
 	}
@@ -90,12 +128,16 @@
 // storeReturned is when the store last came back, or zero.
 func (s *State) removeUpstream(row watch.Row, now, storeReturned time.Time) (lapsed bool) {
 	lapsed = s.registry.Remove(row.Key, now, storeReturned)
+	s.logRemoved(row, lapsed)
+	return lapsed
+}
+
+func (s *State) logRemoved(row watch.Row, lapsed bool) {
 	state := stateGone
 	if lapsed {
 		state = stateLapsed
 	}
 	s.log.Upstream(row.Key, upstream.Registration{}, state, row.Version)
-	return lapsed
 }
 
 // MarkLeaving has a run of an upstream that said in a response that it leaves get no new
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -15,6 +15,10 @@
 	// back. Without it an outage of a busy store took all upstreams from the
 	// hosts (docs/design/platform.md has the days); no other value was tried.
 	LapseGrace = 2200 * time.Millisecond
+	// RestoreGrace is how long after the store came back from an older copy what it lost may
+	// take to be written again: by upstreams with a heartbeat, each 1 to 1.5 s, by operators
+	// once they notice. The platform removes an upstream that does not write within three.
+	RestoreGrace = 10 * time.Second
 	// rememberFor is how long, at least, a removed upstream is remembered: one
 	// whose entry comes back within that time has not restarted.
 	rememberFor = time.Minute
@@ -48,7 +52,8 @@
 	// leaving has the runs that said in a response that they leave, and since when, whatever
 	// their entries say.
 	leaving map[Run]time.Time
-	// late has the entries of earlier runs that came after those of later ones.
+	// late has the entries that are put off: of earlier runs, which came after those of later
+	// ones, and of upstreams that were removed, from a store that came back from an older copy.
 	late map[string]lateEntry
 	// set is the last one that was made, and changed has the ids of the upstreams
 	// that came, changed or went since.
@@ -62,7 +67,7 @@
 	lastRun
 }
 
-// lateEntry is an entry of an earlier run, which is ignored until a time.
+// lateEntry is an entry that is ignored until a time.
 type lateEntry struct {
 	registration Registration
 	until        time.Time
@@ -72,6 +77,8 @@
 type lastRun struct {
 	run       Run
 	coldUntil time.Time
+	// draining is set if it drained last.
+	draining bool
 	// past are the runs before it.
 	past pastRuns
 }
@@ -123,8 +130,23 @@
 	return true
 }
 
-// ApplyLate uses the entries of earlier runs that stand there since LateGrace, and
-// returns them.
+// PutReverted is Put of an entry of a store that came back from an older copy. A run that
+// was draining still drains. An entry of an earlier run, or of an upstream that was removed
+// since, changes nothing until ApplyLate: the upstream may have left for good, and its
+// address be another's.
+func (r *Registry) PutReverted(in Registration, now time.Time) bool {
+	last := r.lastRun(in.ID)
+	in.Draining = in.Draining || last.run == in.Run() && last.draining
+	_, removed := r.removed[in.ID]
+	if removed || last.past.contains(in.Run()) {
+		r.late[in.ID] = lateEntry{in, now.Add(RestoreGrace)}
+		return false
+	}
+	r.put(in, now)
+	return true
+}
+
+// ApplyLate uses the entries that were put off for long enough, and returns them.
 func (r *Registry) ApplyLate(now time.Time) []Registration {
 	var applied []Registration
 	for _, e := range r.late {
@@ -175,6 +197,9 @@
 	return ok
 }
 
+// Drains reports whether an upstream is known to take no new work.
+func (r *Registry) Drains(id string) bool { return r.lastRun(id).draining }
+
 // lastRun returns what is known of an upstream's last run, which may have been
 // removed lately; the zero value if there is none.
 func (r *Registry) lastRun(id string) lastRun {
@@ -211,22 +236,50 @@
 	if u == nil {
 		return false
 	}
-	if !mayHaveLapsed(u, now, storeReturned) {
+	if storeReturned.IsZero() {
 		r.remove(u, now)
 		return false
 	}
-	lapsed := *u
-	lapsed.expiresAt = storeReturned.Add(LapseGrace)
-	r.upstreams[id] = &lapsed
-	r.changed[id] = true
-	return true
+	return r.keepUntil(u, storeReturned.Add(LapseGrace), now)
+}
+
+// RemoveReverted removes an upstream that has no entry in a store that came back from an
+// older copy: one that had registered since stays until Expire, and RemoveReverted returns
+// true.
+func (r *Registry) RemoveReverted(id string, now time.Time) (stays bool) {
+	delete(r.late, id)
+	u := r.upstreams[id]
+	if u == nil {
+		return false
+	}
+	return r.keepUntil(u, now.Add(RestoreGrace), now)
+}
+
+// StoreRestored gives all that waits for entries to be written again the time for that anew:
+// the store came back from an older copy once more.
+func (r *Registry) StoreRestored(now time.Time) {
+	for _, u := range r.upstreams {
+		if !u.expiresAt.IsZero() {
+			r.keepUntil(u, now.Add(RestoreGrace), now)
+		}
+	}
+	for id, e := range r.late {
+		r.late[id] = lateEntry{e.registration, now.Add(RestoreGrace)}
+	}
 }
 
-// mayHaveLapsed decides whether an upstream whose entry is gone may still run:
-// the store came back within LapseGrace, so heartbeats may not have reached it
-// yet, and the upstream had not announced its end by draining.
-func mayHaveLapsed(u *Upstream, now, storeReturned time.Time) bool {
-	return !u.Draining && !storeReturned.IsZero() && now.Before(storeReturned.Add(LapseGrace))
+// keepUntil keeps an upstream without an entry until a time, unless that has passed or the
+// upstream had announced its end by draining: then it is removed.
+func (r *Registry) keepUntil(u *Upstream, until, now time.Time) (stays bool) {
+	if u.Draining || !now.Before(until) {
+		r.remove(u, now)
+		return false
+	}
+	lapsed := *u
+	lapsed.expiresAt = until
+	r.upstreams[u.ID] = &lapsed
+	r.changed[u.ID] = true
+	return true
 }
 
 func (r *Registry) remove(u *Upstream, now time.Time) {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -77,7 +77,7 @@
 }
 
 func (u *Upstream) lastRun() lastRun {
-	return lastRun{run: u.Run(), coldUntil: u.ColdUntil, past: u.past}
+	return lastRun{run: u.Run(), coldUntil: u.ColdUntil, draining: u.Draining, past: u.past}
 }
 
 // Seed returns a number that depends on the id alone, by which upstreams are ordered
--- a/internal/gateway/watch/harness_test.go
+++ b/internal/gateway/watch/harness_test.go
@@ -84,12 +84,12 @@
 	}
 	s.mu.Lock()
 	s.lists++
-	stale := s.stale
+	stale, replica := s.stale, s.replica
 	s.mu.Unlock()
 	if stale != nil {
 		return *stale, nil
 	}
-	p, err := s.replica.List(ctx)
+	p, err := replica.List(ctx)
 	p.Age = 0
 	return p, err
 }
@@ -99,12 +99,12 @@
 		return Page{}, err
 	}
 	s.mu.Lock()
-	historyGone := s.historyGone
+	historyGone, replica := s.historyGone, s.replica
 	s.mu.Unlock()
 	if historyGone {
 		return Page{}, ErrHistoryGone
 	}
-	p, err := s.replica.Changes(ctx, after, wait)
+	p, err := replica.Changes(ctx, after, wait)
 	p.Age = 0
 	return p, err
 }
@@ -155,7 +155,7 @@
 	r.refused++
 }
 
-func (r *recordingSink) EraBegan(string, Version, Version) {
+func (r *recordingSink) EraBegan(string, Version, Version, Update) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.eras++
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -107,16 +107,19 @@
 	}
 }
 
-// replace applies a listing and returns the rows that it changes; known rows
-// that are not in it become tombstones. A listing older than the replica is
-// not applied.
-func (r *Replica) replace(p Page, now time.Time) (changes []Row, ok bool) {
+// replace applies a listing and returns what it changes; known rows that are not
+// in it become tombstones. A listing older than the replica is not applied.
+func (r *Replica) replace(p Page, now time.Time) (u Update, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if p.Version.Number < r.version.Number {
-		return nil, false
+	if r.version.Newer(p.Version) {
+		return Update{}, false
 	}
-	changes = r.putAll(p.Rows, now)
+	if r.synced && p.Era > r.version.Era {
+		return r.restore(p, now), true
+	}
+	r.lastChange.Era = p.Era
+	changes := r.putAll(p.Rows, now)
 	listed := make(map[string]bool, len(p.Rows))
 	for _, row := range p.Rows {
 		listed[row.Key] = true
@@ -133,24 +136,28 @@
 		r.historyFrom, r.synced = p.Version.Number, true
 	}
 	r.advance(p, len(changes) > 0, now)
-	return changes, true
+	return Update{Rows: changes, Full: true, StoreReturned: r.returnedAt}, true
 }
 
-// apply applies changes and returns those that are new.
+// apply applies changes and returns those that are new. Changes of another era
+// than the replica's are not applied.
 func (r *Replica) apply(p Page, now time.Time) []Row {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if p.Era != r.version.Era {
+		return nil
+	}
 	changes := r.putAll(p.Rows, now)
 	r.advance(p, len(changes) > 0, now)
 	return changes
 }
 
-// putAll puts rows and returns those that are new; r.mu is held.
+// putAll puts rows of the replica's era and returns those that are new; r.mu is held.
 func (r *Replica) putAll(rows []Row, now time.Time) []Row {
 	var changes []Row
 	for _, row := range rows {
 		if r.put(row, now) {
-			r.lastChange.Number = max(r.lastChange.Number, row.Version)
+			r.noteChange(row)
 			changes = append(changes, row)
 		}
 	}
@@ -178,17 +185,27 @@
 // advance records the version and age of a page that was applied; r.mu is
 // held. A page of a source that lags confirms nothing.
 func (r *Replica) advance(p Page, hasChanges bool, now time.Time) {
-	if p.Version.Number >= r.version.Number {
+	if !r.version.Newer(p.Version) {
 		r.version = p.Version
 		r.confirm(now.Add(-p.Age), now)
 	}
 	r.dropTombstones(now)
 	if hasChanges {
-		close(r.changed)
-		r.changed = make(chan struct{})
+		r.notifyChanged()
 	}
 }
 
+// noteChange records a change that a source has sent; r.mu is held.
+func (r *Replica) noteChange(row Row) {
+	r.lastChange.Number = max(r.lastChange.Number, row.Version)
+}
+
+// notifyChanged wakes those who wait for a change; r.mu is held.
+func (r *Replica) notifyChanged() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 // confirm records that the store confirmed the replica at a time; r.mu is held.
 func (r *Replica) confirm(at, now time.Time) {
 	if !at.After(r.confirmedAt) {
--- a/internal/gateway/watch/replicasource.go
+++ b/internal/gateway/watch/replicasource.go
@@ -49,7 +49,7 @@
 	defer timer.Stop()
 	for {
 		page, changed, err := r.since(after)
-		if err != nil || len(page.Rows) > 0 {
+		if err != nil || len(page.Rows) > 0 || after.Era > page.Era {
 			return page, err
 		}
 		select {
@@ -66,14 +66,22 @@
 }
 
 // since returns the rows changed after a version, and a channel that is closed
-// at the next change.
+// at the next change. Of a later era than its own it knows no changes, and of an
+// earlier one none that are still true; a host that knows no era is served by the
+// number alone.
 func (r *Replica) since(after Version) (Page, <-chan struct{}, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.synced || after.Number < r.historyFrom {
+	if !r.synced {
 		return Page{}, nil, ErrHistoryGone
 	}
 	page := r.page()
+	if after.Era > r.version.Era {
+		return page, r.changed, nil
+	}
+	if after.Number < r.historyFrom || after.Era != 0 && after.Era < r.version.Era {
+		return page, nil, ErrHistoryGone
+	}
 	for _, row := range r.rows {
 		if row.Version > after.Number {
 			page.Rows = append(page.Rows, row)
--- a/internal/gateway/watch/staleness.go
+++ b/internal/gateway/watch/staleness.go
@@ -104,7 +104,7 @@
 // newest version that any other host has reported, since a time ago, is newer.
 // Its source is then dead, or lags.
 func (t Timing) behind(version, newest Version, since time.Duration) bool {
-	return newest.Number > version.Number && since > t.part(behindPart)
+	return newest.Newer(version) && since > t.part(behindPart)
 }
 
 // relayFault returns why a relay's response, to a host at a version, does not
@@ -113,7 +113,7 @@
 	if p.Age > t.MaxAge() {
 		return eris.Errorf("relay is %s old", p.Age.Round(time.Millisecond))
 	}
-	if p.Version.Number < version.Number {
+	if version.Newer(p.Version) {
 		return eris.Errorf("relay is at version %s, %s is known", p.Version, version)
 	}
 	if behind {
--- a/internal/gateway/watch/table.go
+++ b/internal/gateway/watch/table.go
@@ -40,6 +40,7 @@
 	List(ctx context.Context) (Page, error)
 	// Changes returns the rows that changed after a version. If there are
 	// none it waits for one up to the given time and then returns an empty
-	// page. The error is ErrHistoryGone if the changes are no longer known.
+	// page. The error is ErrHistoryGone if the changes are no longer known; the
+	// page then has the source's era, if that is known.
 	Changes(ctx context.Context, after Version, wait time.Duration) (Page, error)
 }
--- a/internal/gateway/watch/version.go
+++ b/internal/gateway/watch/version.go
@@ -1,6 +1,9 @@
 package watch
 
-import "fmt"
+import (
+	"cmp"
+	"fmt"
+)
 
 // UnknownEra is the era of a version whose source did not say it.
 const UnknownEra = -1
@@ -15,6 +18,11 @@
 	Number int64 `msgpack:"v"`
 }
 
+// Newer reports whether the version was given out after another one.
+func (v Version) Newer(other Version) bool {
+	return cmp.Or(cmp.Compare(v.Era, other.Era), cmp.Compare(v.Number, other.Number)) > 0
+}
+
 // inEra returns the version with an era in place of one that its source did not say.
 func (v Version) inEra(era int64) Version {
 	if v.Era == UnknownEra {
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -30,14 +30,20 @@
 	Regained(source string, after time.Duration)
 	// Refused is called when a listing was older than what is known, and not applied.
 	Refused(source string, listed, known Version)
-	// EraBegan is called when the store is first found in another era.
-	EraBegan(source string, listed, known Version)
+	// EraBegan is called when a listing of a later era is applied.
+	EraBegan(source string, listed, known Version, u Update)
 }
 
 // Update is the changes of one response.
 type Update struct {
 	// Rows are the rows that changed.
 	Rows []Row
+	// Restored reports that the store was found in a later era: it came back from
+	// an older copy. What was known and the copy lacks may be written again.
+	Restored bool
+	// Reverted are rows of such a store that may be older than what was known, and
+	// tombstones of known rows that it lacks.
+	Reverted []Row
 	// Full reports that the table was listed: what is not in Rows has not
 	// changed.
 	Full bool
@@ -59,8 +65,6 @@
 	// listedAt is when the table was last listed; zero once changes were read
 	// after that.
 	listedAt time.Time
-	// era is the latest that any source was found in; 0 is not known yet.
-	era int64
 }
 
 // New returns a watcher of a replica.
@@ -126,21 +130,28 @@
 	known := w.replica.Version()
 	page, err := n.Source.Changes(ctx, known, longPoll)
 	page.Version = page.Version.inEra(known.Era)
-	if w.mustList(err) {
+	if w.mustList(page, known, err) {
 		return noChange, w.list(ctx, n)
 	}
 	if err != nil {
 		return noChange, err
 	}
-	w.noteEra(n, page.Version, known)
+	if page.Era < known.Era {
+		return noChange, eris.Errorf("source is at version %s, %s is known", page.Version, known)
+	}
 	w.listedAt = time.Time{}
 	return w.apply(page), w.checkRelay(n, page)
 }
 
-// mustList reports whether an error calls for listing the table. A source that
-// still has no history just after it was listed lags, and fails.
-func (w *Watcher) mustList(err error) bool {
-	return errors.Is(err, ErrHistoryGone) && time.Since(w.listedAt) >= w.timing.part(longPollPart)
+// mustList reports whether a response calls for listing the table: the source is
+// in a later era, or has no history. One that still has none just after it was
+// listed lags, and fails.
+func (w *Watcher) mustList(p Page, known Version, err error) bool {
+	gone := errors.Is(err, ErrHistoryGone)
+	if p.Era > known.Era && (err == nil || gone) {
+		return true
+	}
+	return gone && time.Since(w.listedAt) >= w.timing.part(longPollPart)
 }
 
 // apply applies changes to the replica and the sink.
@@ -162,28 +173,19 @@
 	}
 	known := w.replica.Version()
 	page.Version = page.Version.inEra(known.Era)
-	w.noteEra(n, page.Version, known)
-	changes, ok := w.replica.replace(page, time.Now())
+	update, ok := w.replica.replace(page, time.Now())
 	if !ok {
 		w.sink.Refused(n.Name, page.Version, known)
 		return eris.Errorf("source is at version %s, %s is known", page.Version, known)
 	}
+	if update.Restored {
+		w.sink.EraBegan(n.Name, page.Version, known, update)
+	}
 	w.listedAt = time.Now()
-	w.sink.Apply(Update{Rows: changes, Full: true, StoreReturned: w.replica.storeReturned()})
+	w.sink.Apply(update)
 	return w.checkRelay(n, page)
 }
 
-// noteEra calls the sink when a source is first found in another era than the ones before.
-func (w *Watcher) noteEra(n NamedSource, listed, known Version) {
-	if listed.Era <= w.era {
-		return
-	}
-	if w.era != 0 {
-		w.sink.EraBegan(n.Name, listed, known)
-	}
-	w.era = listed.Era
-}
-
 // checkRelay returns why a relay's response counts as a failure. The store's
 // response never does.
 func (w *Watcher) checkRelay(n NamedSource, p Page) error {
