Keep a zone evacuated that a store which came back from a copy does not know of

What callers would see: requests sent to the upstreams of a zone that the operator evacuates, from the store's return until the operator has written the evacuation again.

A row that a copy lacks counted as deleted, though its deletion was never written.

One that the copy still has is in force, as its end may be what was lost. The configuration's own version already keeps an older one out of force, which is tested now.

--- a/internal/gateway/routing/operator.go
+++ b/internal/gateway/routing/operator.go
@@ -15,14 +15,17 @@
 }
 
 // applyOperatorRows applies changed rows. A deleted row ends its evacuation; a
-// deleted configuration stays in force, as there is none to replace it.
+// deleted configuration stays in force, as there is none to replace it. Of a store
+// that came back from an older copy an evacuation is taken, and none ends.
 func (s *State) applyOperatorRows(u watch.Update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	rows := slices.Concat(u.Rows, s.holdEvacuations(u))
 	evacuated := maps.Clone(s.evacuated)
 	version := int64(0)
-	for _, row := range u.Rows {
+	for _, row := range rows {
 		version = max(version, row.Version)
+		delete(s.held, row.Key)
 		if row.Deleted {
 			delete(evacuated, row.Key)
 			continue
--- a/internal/gateway/routing/restored_test.go
+++ b/internal/gateway/routing/restored_test.go
@@ -16,6 +16,74 @@
 	return watch.Update{Full: true, Restored: true, StoreReturned: time.Now(), Reverted: reverted}
 }
 
+func TestAnEvacuationHoldsWhileARestoredStoreLacksIt(t *testing.T) {
+	const second = time.Second
+	for _, c := range []struct {
+		name string
+		// then is what the operator or the store does a second after its return.
+		then func(h host)
+		// serving is whether the zone serves a second after that, after most of the grace
+		// and after it.
+		soon, before, after bool
+	}{
+		{"the operator does nothing", func(host) {}, false, false, true},
+		{"the evacuation is written again", func(h host) { h.operator(row("a", "evacuate z")) }, false, false, false},
+		{"it is written again and taken back", func(h host) { h.operator(row("a", "evacuate z")); h.operator(deleted("a")) }, true, true, true},
+		{"both come in one response", func(h host) { h.operator(deleted("a")) }, true, true, true},
+		{"the store is restored once more", func(h host) { h.state.OperatorSink().Apply(restored()) }, false, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				h := newHost()
+				defer h.log.Close()
+				h.upstreams(watch.Update{Full: true, Rows: []watch.Row{row("i-1", "upstream z")}})
+				h.operator(row("a", "evacuate z"))
+				require.Empty(t, h.serving())
+				h.state.OperatorSink().Apply(restored(deleted("a")))
+				require.Empty(t, h.serving())
+				time.Sleep(second)
+				c.then(h)
+				time.Sleep(second)
+				require.Equal(t, c.soon, len(h.serving()) > 0)
+				time.Sleep(upstream.RestoreGrace - 2*second - time.Millisecond)
+				require.Equal(t, c.before, len(h.serving()) > 0)
+				time.Sleep(time.Millisecond)
+				synctest.Wait()
+				require.Equal(t, c.after, len(h.serving()) > 0)
+				time.Sleep(2 * second)
+				if c.name == "the store is restored once more" {
+					require.NotEmpty(t, h.serving())
+				}
+			})
+		})
+	}
+}
+
+func TestAnEvacuationThatARestoredStoreStillHasIsInForce(t *testing.T) {
+	h := newHost()
+	defer h.log.Close()
+	h.upstreams(watch.Update{Full: true, Rows: []watch.Row{row("i-1", "upstream z")}})
+	h.operator(row("a", "evacuate z"))
+	h.operator(deleted("a"))
+	require.NotEmpty(t, h.serving())
+	h.state.OperatorSink().Apply(restored(row("a", "evacuate z")))
+	require.Empty(t, h.serving(), "its end may be lost, or it was evacuated again")
+	h.operator(deleted("a"))
+	require.NotEmpty(t, h.serving())
+}
+
+func TestAConfigurationNeverGoesBackToThatOfARestoredStore(t *testing.T) {
+	h := newHost()
+	defer h.log.Close()
+	h.operator(row("config", "config 7"))
+	h.state.OperatorSink().Apply(restored(row("config", "config 5")))
+	require.EqualValues(t, 7, h.state.Config().Version)
+	h.state.OperatorSink().Apply(restored(deleted("config")))
+	require.EqualValues(t, 7, h.state.Config().Version)
+	h.operator(row("config", "config 8"))
+	require.EqualValues(t, 8, h.state.Config().Version)
+}
+
 func TestUpstreamsOfARestoredStoreAreTakenWithCare(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := newHost()
--- a/internal/gateway/routing/state.go
+++ b/internal/gateway/routing/state.go
@@ -64,11 +64,15 @@
 	// evacuated has the zone of each row that asks for an evacuation, by the
 	// row's key.
 	evacuated map[string]string
+	// held has the keys of those that the store lost and that may be written again, until
+	// heldUntil.
+	held      map[string]bool
+	heldUntil time.Time
 }
 
 // New makes the state of a host that has just started.
 func New(d Decoder, log *eventlog.Log, m *telemetry.Metrics) *State {
-	s := &State{decoder: d, log: log, metrics: m, evacuated: map[string]string{}}
+	s := &State{decoder: d, log: log, metrics: m, evacuated: map[string]string{}, held: map[string]bool{}}
 	s.registry = upstream.NewRegistry(s.warmUp)
 	s.upstreams.Store(s.registry.Set())
 	return s
