Write again what hosts stored and a store that came back from a copy lost

What callers would see: a host that starts after the store's return does not find hosts whose announcements were lost, and so takes too large parts of the rates of cold upstreams, of their limits and of the retry budget; after an end of all hosts a request that ends upstreams is sent again, as its quarantine is gone.

An announcement was written once and then each half hour, a quarantine once, as what the store has acknowledged was taken to last.

Change: an announcement is known with the era in which it was made; once a table is of a later one the host announces itself again, within three seconds at a moment of its own, and the host of each region that polls the store stores the quarantines known.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -16,8 +16,9 @@
 
 // Registry is the stored list of hosts, and of the requests that they quarantined.
 type Registry interface {
-	// Announce adds a host, and Withdraw removes it.
-	Announce(ctx context.Context, h Host) error
+	// Announce adds a host, and returns the era of the store in which it did; Withdraw
+	// removes it.
+	Announce(ctx context.Context, h Host) (era int64, err error)
 	Withdraw(ctx context.Context, h Host) error
 	// Read returns what stands there of a region.
 	Read(ctx context.Context, region string) (RegionList, error)
@@ -38,7 +39,7 @@
 type Listing struct {
 	Host Host
 	// Version is that of its last announcement.
-	Version int64
+	Version watch.Version
 }
 
 // Reporter logs when peers die and come back.
@@ -66,6 +67,8 @@
 	Take(n poison.News, now time.Time) poison.Marks
 	// Merge adds what the registry has.
 	Merge(reports []poison.Report, now time.Time)
+	// Quarantines returns what is known of the quarantined requests.
+	Quarantines(now time.Time) []poison.Report
 }
 
 // Table is a table of the store that hosts relay to each other.
@@ -129,13 +132,15 @@
 	discovery   discovery
 	// newest is the newest version seen of each table.
 	newest []versionSeen
+	// announcedEra is the store's era in which this host was announced last.
+	announcedEra int64
 }
 
 // New returns a fleet that does not run yet.
 func New(o Options) *Fleet {
 	f := &Fleet{
 		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
-		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)),
+		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), announcedEra: notAnnounced,
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
 	"cairndock/internal/poison"
 )
@@ -37,7 +38,7 @@
 func listings(hosts []Host) []Listing {
 	var out []Listing
 	for _, h := range hosts {
-		out = append(out, Listing{Host: h, Version: 1})
+		out = append(out, Listing{Host: h, Version: watch.Version{Number: 1}})
 	}
 	return out
 }
@@ -110,8 +111,9 @@
 type fakeRegistry struct {
 	mu    sync.Mutex
 	hosts map[string]Host
-	// versions are those of the announcements.
+	// versions are those of the announcements, in the store's era.
 	versions    map[string]int64
+	era         int64
 	quarantines map[quarantineAt]StoredQuarantine
 	// down makes announcements fail, and noReads readings.
 	down, noReads bool
@@ -134,15 +136,21 @@
 	return slices.Sorted(maps.Keys(r.hosts))
 }
 
-func (r *fakeRegistry) Announce(_ context.Context, h Host) error {
+// announce announces a host.
+func (r *fakeRegistry) announce(ctx context.Context, h Host) error {
+	_, err := r.Announce(ctx, h)
+	return err
+}
+
+func (r *fakeRegistry) Announce(_ context.Context, h Host) (int64, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.down {
-		return errors.New("down")
+		return r.era, errors.New("down")
 	}
 	r.hosts[h.Name] = h
 	r.versions[h.Name]++
-	return nil
+	return r.era, nil
 }
 
 func (r *fakeRegistry) Withdraw(_ context.Context, h Host) error {
@@ -161,7 +169,7 @@
 	var out RegionList
 	for _, h := range r.hosts {
 		if h.Region == region {
-			out.Hosts = append(out.Hosts, Listing{Host: h, Version: r.versions[h.Name]})
+			out.Hosts = append(out.Hosts, Listing{Host: h, Version: watch.Version{Era: r.era, Number: r.versions[h.Name]}})
 		}
 	}
 	for at, q := range r.quarantines {
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -39,6 +39,7 @@
 		}
 		f.reportDead(last, now)
 		f.updatePlace(now)
+		f.rewriteLost(ctx)
 		last = now
 	}
 }
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -109,7 +109,7 @@
 	lastReported time.Time
 	// listedVersion is the version of the peer's announcement in the registry, and
 	// announcedAt when this host first read it; zero if it was never listed.
-	listedVersion int64
+	listedVersion watch.Version
 	announcedAt   time.Time
 	// getsHeartbeats is set while this host sends the peer heartbeats. Only
 	// such peers are logged as lost and regained.
--- a/internal/gateway/fleet/lists.go
+++ b/internal/gateway/fleet/lists.go
@@ -17,7 +17,7 @@
 func (m *members) addList(region string, hosts []Listing, whole bool, now time.Time) {
 	for _, l := range hosts {
 		m.addKnown(l.Host, now)
-		if p := m.peers[l.Host.Name]; p != nil && l.Version > p.listedVersion {
+		if p := m.peers[l.Host.Name]; p != nil && l.Version.Newer(p.listedVersion) {
 			p.listedVersion, p.announcedAt = l.Version, now
 		}
 	}
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -51,8 +51,12 @@
 // one first. It returns once that is done or was tried quarantineWrites times. Errors are
 // dropped: the tables' watchers log that the store is away.
 func (f *Fleet) StoreQuarantine(ctx context.Context, r poison.Report) {
+	f.storeQuarantine(ctx, r, f.regions())
+}
+
+// storeQuarantine is StoreQuarantine with some regions.
+func (f *Fleet) storeQuarantine(ctx context.Context, r poison.Report, left []string) {
 	q := StoredQuarantine{Report: r, StoredAt: time.Now().UnixMilli()}
-	left := f.regions()
 	for range quarantineWrites {
 		left = slices.DeleteFunc(left, func(region string) bool {
 			return f.options.Registry.Quarantine(ctx, region, q) == nil
--- a/internal/gateway/fleet/registration.go
+++ b/internal/gateway/fleet/registration.go
@@ -71,7 +71,7 @@
 		unread, listed = f.readBeforeAnnouncing(ctx, unread)
 	}
 	for ctx.Err() == nil && !f.isWithdrawn() {
-		announced = announced || f.options.Registry.Announce(ctx, f.options.Self) == nil
+		announced = announced || f.announce(ctx)
 		listed = listed || announced
 		unread, listed = f.readLists(ctx, unread, listed)
 		if announced && len(unread) == 0 {
--- a/internal/gateway/fleet/registration_test.go
+++ b/internal/gateway/fleet/registration_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/warmup"
+	"cairndock/internal/gateway/watch"
 	"cairndock/internal/pause"
 )
 
@@ -118,7 +119,7 @@
 		defer cancel()
 		go f.register(ctx, f.regions())
 		synctest.Wait()
-		require.NoError(t, r.Announce(ctx, host("w1", "west-0", "west")))
+		require.NoError(t, r.announce(ctx, host("w1", "west-0", "west")))
 		r.setReads(true)
 		time.Sleep(2 * registryRetry)
 		require.Equal(t, 2, f.Hosts())
@@ -136,7 +137,7 @@
 		r := newFakeRegistry()
 		f, stop := startRegistering(t, r, "west")
 		defer stop()
-		require.NoError(t, r.Announce(t.Context(), host("w1", "west-0", "west")))
+		require.NoError(t, r.announce(t.Context(), host("w1", "west-0", "west")))
 		require.Equal(t, 1, f.Hosts())
 		time.Sleep(listEvery + listJitter + time.Second)
 		require.Equal(t, 2, f.Hosts())
@@ -148,7 +149,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newFakeRegistry()
 		for _, h := range []Host{host("gone", "west-0", "west"), host("other", "east-0", "east"), host("cut", "west-0", "west")} {
-			require.NoError(t, r.Announce(t.Context(), h))
+			require.NoError(t, r.announce(t.Context(), h))
 		}
 		_, stop := startRegistering(t, r, "east", "west")
 		defer stop()
@@ -156,7 +157,7 @@
 		defer cancel()
 		go func() { // cut off from this host, but not from the registry
 			for pause.For(ctx, listEvery) {
-				_ = r.Announce(ctx, host("cut", "west-0", "west")) // it never fails
+				_ = r.announce(ctx, host("cut", "west-0", "west")) // it never fails
 			}
 		}()
 		time.Sleep(forgetAfter - time.Minute)
@@ -194,7 +195,7 @@
 func TestAnOlderRowIsNoNewAnnouncement(t *testing.T) {
 	now := time.Now()
 	m := newMembers(host("w0", "west-0", "west"), []string{"west"}, now)
-	rows := []Listing{{Host: host("w1", "west-0", "west"), Version: 7}, {Host: host("w1", "west-0", "west"), Version: 3}}
+	rows := []Listing{{Host: host("w1", "west-0", "west"), Version: watch.Version{Number: 7}}, {Host: host("w1", "west-0", "west"), Version: watch.Version{Number: 3}}}
 	m.addList("west", rows, true, now)
 	m.addList("west", rows, true, now.Add(forgetAfter))
 	require.Len(t, m.gone(now.Add(forgetAfter)), 1)
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -119,6 +119,17 @@
 	return all
 }
 
+// Quarantines returns what is known of the quarantined requests.
+func (t *Table) Quarantines(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []Report
+	for _, q := range t.quarantined() {
+		reports = append(reports, t.report(q.Fingerprint, now))
+	}
+	return reports
+}
+
 // Suspected reports whether an upstream has ended under the request, and it got no
 // response since.
 func (t *Table) Suspected(f Fingerprint) bool {
