Have the store come back from a copy in the soak, alone and beside other faults

Why it was missed: no fault of the soak or of the stand-in took back what the store had acknowledged, so no test asked what a version means after that.

A test plays an evacuation that is lost over two returns in a row, with a host that sleeps through one and another that is cut off.

--- a/internal/gateway/soak/faults_test.go
+++ b/internal/gateway/soak/faults_test.go
@@ -23,6 +23,7 @@
 	{"pause a host", (*world).pauseHost},
 	{"cut a host from the store", (*world).cutHost},
 	{"disrupt the store", (*world).disruptStore},
+	{"bring the store back from a copy", (*world).bringStoreBack},
 	{"crash an upstream", (*world).crashUpstream},
 	{"give an upstream a defect", (*world).breakUpstream},
 	{"disrupt an upstream's link", (*world).disruptLink},
@@ -108,6 +109,21 @@
 	w.store.SetFaults(platformtest.Faults{})
 }
 
+// bringStoreBack has the store lose what it acknowledged in the last seconds. What the
+// operator and the upstreams wrote then is written again soon.
+func (w *world) bringStoreBack() {
+	if !w.restoring.TryLock() {
+		return
+	}
+	defer w.restoring.Unlock()
+	kept := w.store.Copy()
+	time.Sleep(w.between(500*time.Millisecond, 4*time.Second))
+	defer w.storeDisruptions.begin()()
+	lost := w.restoreStore(kept, w.between(50*time.Millisecond, time.Second))
+	time.Sleep(w.between(50*time.Millisecond, 2*time.Second))
+	w.store.Rewrite(lost)
+}
+
 func (w *world) crashUpstream() {
 	u := w.takeUpstream()
 	if u == nil {
--- a/internal/gateway/soak/restore_test.go
+++ b/internal/gateway/soak/restore_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -109,3 +110,41 @@
 		})
 	}
 }
+
+// Requests went to a zone whose evacuation a restored store lacked, from hosts that had
+// known it. One host sleeps through a return of the store, and one is cut off from it.
+func TestAnEvacuationHoldsWhileTheStoreComesBackTwice(t *testing.T) {
+	t.Parallel()
+	n := newNoticeRun(t, standardSeed)
+	w := n.world
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	sending.Go(func() { n.send(10 * time.Second) })
+	zone := zones[1].name
+	kept := w.store.Copy()
+	w.store.Evacuate(zone)
+	evacuated := time.Now()
+	time.Sleep(time.Second) // hosts know
+	paused, cut := w.hosts[2], w.hosts[4]
+	cut.store.set(silence)
+	paused.signal(syscall.SIGSTOP)
+	lost := w.restoreStore(kept, awayFor)
+	w.raiseVersion(30)
+	time.Sleep(time.Second)
+	w.restoreStore(kept, awayFor)
+	paused.signal(syscall.SIGCONT)
+	time.Sleep(rewrittenAfter)
+	cut.store.set(pass)
+	w.store.Rewrite(lost)
+	time.Sleep(evacuateWithin)
+	late := 0
+	for _, u := range w.everyUpstream {
+		if u.zone == zone {
+			late += w.arrivedSince(u, evacuated.Add(evacuateWithin))
+		}
+	}
+	require.Zero(t, late, "requests to the zone")
+	w.store.EndEvacuation(zone)
+	time.Sleep(time.Second)
+	require.Empty(t, w.violations)
+}
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -53,8 +53,9 @@
 	ledger *ledger
 
 	storeDisruptions disruptions
-	// evacuating is held while a zone is evacuated.
-	evacuating sync.Mutex
+	// evacuating is held while a zone is evacuated, and restoring while the store comes back
+	// from a copy.
+	evacuating, restoring sync.Mutex
 
 	mu sync.Mutex
 	// rand is the seeded source of all faults.
