Leave the listing of a restored store to the relays in large regions

What callers would see at size: hosts without changes for minutes after a drill. All hosts find the store in a later era at the same time, as their relays are old by then, and each would list both tables from it: worked out, 1,770 calls with 295 hosts and 1,356 upstreams, 513,000 with 5,900 and 43,200.

Change: as at a start, the first 12 hosts of a region by rank list at once. The others put a listing of the store off once, for up to a second, and take the later era from their relay if it has it by then. Regions of up to 12 hosts behave as before.

Evidence: TestAHostOfManyLeavesTheListingOfARestoredStoreToItsRelay (no listing from the store while the relay has the era, one where it is cut off, in force within 3.5 s) and TestTheFirstHostsOfARegionListARestoredStoreAtOnce (12 of 98).

--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -111,7 +111,7 @@
 		sources = append(sources, f.relay(table, parent))
 	}
 	if selfReady || !f.members.startsAtPeers(f.options.FirstStart, f.discovery.complete, now) {
-		sources = append(sources, watch.NamedSource{Name: "store", Source: f.options.Tables[table].Store, Fallback: !root})
+		sources = append(sources, watch.NamedSource{Name: "store", Source: f.options.Tables[table].Store, Fallback: !root, ListAfter: f.members.listAfter(root)})
 	}
 	others := slices.DeleteFunc(f.members.freshPeers(now), func(h Host) bool { return h.Name == parent.Name })
 	for _, h := range others[:min(len(others), backupRelays)] {
--- a/internal/gateway/fleet/start.go
+++ b/internal/gateway/fleet/start.go
@@ -20,6 +20,10 @@
 	// through three levels of relays, and is below the seconds after which a host that
 	// is not ready is missed.
 	startAtPeersFor = 2 * time.Second
+	// listRestoredAfter is how long the others wait for a relay once they find the store in
+	// a later era. With the longest pause of a fallback before it, it is below the 4 s after
+	// the store's return from which on the platform holds a host to its bounds.
+	listRestoredAfter = time.Second
 	// otherListsWithin is within which time the others read the lists of hosts of
 	// other regions, each at a moment of its own. Until then they take no part in
 	// warming up the upstreams of a region that has no live host: the lists are
@@ -40,6 +44,15 @@
 	return m.place() >= startAtStore
 }
 
+// listAfter is how long this host waits for a relay before it lists a store that was found
+// in a later era: all hosts find that at the same time.
+func (m *members) listAfter(root bool) time.Duration {
+	if root || m.place() < startAtStore {
+		return 0
+	}
+	return listRestoredAfter
+}
+
 // place is this host's place among the known hosts of its region by rank, from 0.
 func (m *members) place() int {
 	return slices.Index(m.indexed().byRank, m.self.Name)
--- a/internal/gateway/fleet/start_test.go
+++ b/internal/gateway/fleet/start_test.go
@@ -31,6 +31,20 @@
 	require.Equal(t, 9, large, "those that clients are given first do not wait")
 }
 
+func TestTheFirstHostsOfARegionListARestoredStoreAtOnce(t *testing.T) {
+	now := time.Now()
+	all := largeAndSmall("west", 9, 89)
+	atOnce := 0
+	for _, self := range all {
+		m := startedMembers(self, all, now)
+		require.Zero(t, m.listAfter(true))
+		if m.listAfter(false) == 0 {
+			atOnce++
+		}
+	}
+	require.Equal(t, startAtStore, atOnce)
+}
+
 func TestWhereAHostThatStartsReadsTheTables(t *testing.T) {
 	now := time.Now()
 	all := regionHosts("west", 50)
--- a/internal/gateway/watch/restore_test.go
+++ b/internal/gateway/watch/restore_test.go
@@ -1,6 +1,7 @@
 package watch
 
 import (
+	"errors"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -202,3 +203,34 @@
 		require.Zero(t, r.eras)
 	})
 }
+
+// At 5,900 hosts and 43,200 upstreams the listings of all hosts at once are 500,000 calls.
+func TestAHostOfManyLeavesTheListingOfARestoredStoreToItsRelay(t *testing.T) {
+	for name, relayIsCut := range map[string]bool{"the relay has it soon": false, "the relay is cut off": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newRestoredStore()
+				s.write("a", "1")
+				relaysStore := &fakeStore{replica: s.replica}
+				_, relay := startWatcher(t, noneNewer, NamedSource{Name: "store", Source: relaysStore})
+				synctest.Wait()
+				ownStore := &fakeStore{replica: s.replica}
+				r, replica := startWatcher(t, noneNewer, NamedSource{Name: "relay", Source: relay, Relay: true},
+					NamedSource{Name: "store", Source: ownStore, Fallback: true, ListAfter: time.Second})
+				time.Sleep(time.Second)
+				require.Equal(t, "1", r.value("a"))
+				for _, f := range []*fakeStore{relaysStore, ownStore} {
+					f.set(func(f *fakeStore) { f.down = errors.New("away") })
+				}
+				time.Sleep(staleness)
+				s.restore([]Row{row("a", "2", 2)}, 2)
+				relaysStore.set(func(f *fakeStore) { f.replica = s.replica; f.silent = relayIsCut; f.down = nil })
+				ownStore.set(func(f *fakeStore) { f.replica = s.replica; f.down = nil })
+				time.Sleep(maxFallbackBackoff + time.Second + 100*time.Millisecond)
+				require.Equal(t, "2", r.value("a"))
+				require.Equal(t, in(2, 2), replica.Version())
+				require.Equal(t, relayIsCut, ownStore.listings() == 1)
+			})
+		})
+	}
+}
--- a/internal/gateway/watch/sources.go
+++ b/internal/gateway/watch/sources.go
@@ -18,6 +18,9 @@
 	// fails. While the store is down every host does, so they retry less often
 	// than the hosts whose first source it is.
 	Fallback bool
+	// ListAfter is for how long, at the most, this host waits for another source to
+	// have a later era before it lists that of the store; zero is not at all.
+	ListAfter time.Duration
 }
 
 // backoffLimit is the longest pause after a failure.
@@ -52,6 +55,12 @@
 	return &sourceState{backoff: firstBackoff, slack: firstSlack}
 }
 
+// putOff has the source polled again within a time, later than half of it: hosts that put
+// off a listing together do not list together.
+func (s *sourceState) putOff(within time.Duration, now time.Time) {
+	s.retryAt = now.Add(within/2 + rand.N(within/2+1))
+}
+
 // recordSuccess resets the waits. It returns when the failures began that have
 // now ended; zero if there were none.
 func (s *sourceState) recordSuccess() (failedSince time.Time) {
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -21,6 +21,9 @@
 	behindCheckEvery = 150 * time.Millisecond
 )
 
+// errPutOff reports that a listing was put off.
+var errPutOff = eris.New("listing is put off")
+
 // Sink receives a watcher's changes, all from one goroutine.
 type Sink interface {
 	Apply(Update)
@@ -65,6 +68,8 @@
 	// listedAt is when the table was last listed; zero once changes were read
 	// after that.
 	listedAt time.Time
+	// putOffEra is the last era whose listing was put off.
+	putOffEra int64
 }
 
 // New returns a watcher of a replica.
@@ -131,6 +136,9 @@
 	page, err := n.Source.Changes(ctx, known, longPoll)
 	page.Version = page.Version.inEra(known.Era)
 	if w.mustList(page, known, err) {
+		if w.putsOff(n, page, known) {
+			return noChange, errPutOff
+		}
 		return noChange, w.list(ctx, n)
 	}
 	if err != nil {
@@ -143,6 +151,16 @@
 	return w.apply(page), w.checkRelay(n, page)
 }
 
+// putsOff reports whether the listing of a later era is left to other sources for now,
+// which it is once for each.
+func (w *Watcher) putsOff(n NamedSource, p Page, known Version) bool {
+	if n.ListAfter == 0 || p.Era <= known.Era || p.Era == w.putOffEra {
+		return false
+	}
+	w.putOffEra = p.Era
+	return true
+}
+
 // mustList reports whether a response calls for listing the table: the source is
 // in a later era, or has no history. One that still has none just after it was
 // listed lags, and fails.
@@ -243,6 +261,10 @@
 		s.retryAt = now.Add(startingRelayPause)
 		return
 	}
+	if errors.Is(err, errPutOff) {
+		s.putOff(n.ListAfter, now)
+		return
+	}
 	if err != nil {
 		if s.recordFailure(err, n.backoffLimit(), now) {
 			w.sink.Lost(n.Name, err)
