Have a relay's era reach the host that asks it, with the history that is gone

What callers would see: a host that had listed a table within the last second takes a later era from its relay up to a second later than it could.

Cause: the relay's response had the era, and the client of relays dropped it with the error; the watcher then took it for a source that lags. Evidence: TestARelayTellsItsEraWithTheHistoryThatIsGone got era 0 in place of 2 before.

--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -68,7 +68,7 @@
 		return watch.Page{}, eris.Wrap(err, "ask relay")
 	}
 	if response.HistoryGone {
-		return watch.Page{}, watch.ErrHistoryGone
+		return response.Page, watch.ErrHistoryGone
 	}
 	return response.Page, nil
 }
--- a/internal/gateway/fleet/rewrite_test.go
+++ b/internal/gateway/fleet/rewrite_test.go
@@ -144,6 +144,21 @@
 	})
 }
 
+func TestARelayTellsItsEraWithTheHistoryThatIsGone(t *testing.T) {
+	table, replica := &eraTable{}, watch.NewReplica()
+	table.era.Store(2)
+	sources := func() []watch.NamedSource { return []watch.NamedSource{{Name: "store", Source: table}} }
+	w := watch.New(replica, sources, func() (watch.Version, time.Duration) { return watch.Version{}, 0 }, noSink{}, watch.Timing(2*time.Second))
+	go w.Run(t.Context())
+	r := newFakeRegistry()
+	a := startFleet(t, r, host("a", "z", "west"), nil, Table{Replica: replica, Store: table})
+	b := startFleet(t, r, host("b", "z", "west"), nil, Table{Replica: watch.NewReplica(), Store: table})
+	require.Eventually(t, func() bool { return replica.Version().Era == 2 }, time.Second, time.Millisecond)
+	page, err := relay{fleet: b, address: a.members.self.PeerAddress}.Changes(t.Context(), watch.Version{Era: 1, Number: 50}, 0)
+	require.ErrorIs(t, err, watch.ErrHistoryGone)
+	require.Equal(t, int64(2), page.Era)
+}
+
 func TestTheNewestVersionKnownIsOfTheLatestEra(t *testing.T) {
 	f := New(Options{Self: host("w0", "west-0", "west"), Tables: make([]Table, 1)})
 	now := time.Now()
