Take an upstream for gone that was removed before the store's copy was made

What callers would see: after a return of the store, requests sent for up to ten seconds to upstreams that had left for good while the host was cut off or slept; each costs an attempt, and one at an upstream that serves on after its removal breaks its leaving.

Cause: a row that a restored store lacks was held for lost, also where it can't be: rows that are the same in both eras show up to which change the copy has all, and one that was known before that was removed. Evidence: found in reading; the host kept both upstreams in TestAnUpstreamThatWasRemovedBeforeTheCopyIsGoneAtOnce before, and keeps the one that registered after the copy now.

Change: the first listing of an era tells that number, and the upstream's. Only what is done at a change of the era is touched.

--- a/internal/gateway/routing/restored.go
+++ b/internal/gateway/routing/restored.go
@@ -20,7 +20,7 @@
 			s.held[row.Key] = true
 			continue
 		}
-		others = append(others, row)
+		others = append(others, row.Row)
 	}
 	if len(s.held) > 0 {
 		s.heldUntil = time.Now().Add(upstream.RestoreGrace)
--- a/internal/gateway/routing/restored_test.go
+++ b/internal/gateway/routing/restored_test.go
@@ -12,8 +12,12 @@
 )
 
 // restored is an update by a store that came back from an older copy.
-func restored(reverted ...watch.Row) watch.Update {
-	return watch.Update{Full: true, Restored: true, StoreReturned: time.Now(), Reverted: reverted}
+func restored(rows ...watch.Row) watch.Update {
+	u := watch.Update{Full: true, Restored: true, StoreReturned: time.Now()}
+	for _, r := range rows {
+		u.Reverted = append(u.Reverted, watch.Reverted{Row: r, Known: 1})
+	}
+	return u
 }
 
 func TestAnEvacuationHoldsWhileARestoredStoreLacksIt(t *testing.T) {
@@ -101,3 +105,14 @@
 		require.Contains(t, lines, "gone, entry did not come back")
 	})
 }
+
+// A host that was cut off for long would send to upstreams that left meanwhile.
+func TestAnUpstreamThatWasRemovedBeforeTheCopyIsGoneAtOnce(t *testing.T) {
+	h := newHost()
+	defer h.log.Close()
+	h.upstreams(watch.Update{Full: true, Rows: []watch.Row{row("i-1", "upstream z"), row("i-2", "upstream z")}})
+	u := restored(deleted("i-1"), deleted("i-2"))
+	u.Reverted[0].Known, u.Reverted[1].Known, u.Shared = 5, 7, 6
+	h.upstreams(u)
+	require.Equal(t, []string{"i-2"}, h.serving())
+}
--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -54,7 +54,7 @@
 		time.AfterFunc(u.StoreReturned.Add(upstream.LapseGrace).Sub(now), s.expire)
 	}
 	if u.Restored {
-		s.applyReverted(u.Reverted, now)
+		s.applyReverted(u, now)
 	}
 	if u.Full {
 		s.registry.MarkSynced()
@@ -67,14 +67,19 @@
 }
 
 // applyReverted applies rows of a store that came back from an older copy; s.mu is held.
-func (s *State) applyReverted(rows []watch.Row, now time.Time) {
+func (s *State) applyReverted(u watch.Update, now time.Time) {
 	s.registry.StoreRestored(now)
-	for _, row := range rows {
-		if row.Deleted {
-			s.logRemoved(row, s.registry.RemoveReverted(row.Key, now))
-			continue
+	for _, row := range u.Reverted {
+		switch {
+		case row.Deleted && row.Known <= u.Shared:
+			// The copy is of after its registration, so it was removed. An upstream that
+			// writes again counts its writes, so that no such row passes for a shared one.
+			s.removeUpstream(row.Row, now, time.Time{})
+		case row.Deleted:
+			s.logRemoved(row.Row, s.registry.RemoveReverted(row.Key, now))
+		default:
+			s.putUpstream(row.Row, now, s.putReverted)
 		}
-		s.putUpstream(row, now, s.putReverted)
 	}
 	time.AfterFunc(upstream.RestoreGrace, s.expire)
 	time.AfterFunc(upstream.RestoreGrace, s.applyLate)
--- a/internal/gateway/watch/restore.go
+++ b/internal/gateway/watch/restore.go
@@ -5,6 +5,14 @@
 	"time"
 )
 
+// Reverted is a row of a store that came back from an older copy which may be older than
+// what was known, or the tombstone of a known row that the store lacks.
+type Reverted struct {
+	Row
+	// Known is the number that the known row had in the era before.
+	Known int64
+}
+
 // restore applies the first listing of a later era: the store came back from an older copy,
 // and its version of each row is compared with the one known. r.mu is held.
 //
@@ -23,9 +31,10 @@
 		r.noteChange(row)
 		old, ok := known[row.Key]
 		switch {
-		case ok && row.sameValue(old): // nothing new
+		case ok && row.sameValue(old):
+			u.Shared = max(u.Shared, sharedNumber(row, old))
 		case ok && row.Version < old.Version:
-			u.Reverted = append(u.Reverted, row)
+			u.Reverted = append(u.Reverted, Reverted{Row: row, Known: old.Version})
 		default:
 			u.Rows = append(u.Rows, row)
 		}
@@ -36,7 +45,7 @@
 		}
 		tombstone := Row{Key: key, Version: p.Version.Number, Deleted: true}
 		r.rows[key], r.deletedAt[key] = tombstone, now
-		u.Reverted = append(u.Reverted, tombstone)
+		u.Reverted = append(u.Reverted, Reverted{Row: tombstone, Known: old.Version})
 	}
 	r.returnedAt = now
 	r.confirm(now.Add(-p.Age), now)
@@ -45,6 +54,14 @@
 	return u
 }
 
+// sharedNumber returns the number of two rows of the same value, if they have the same.
+func sharedNumber(a, b Row) int64 {
+	if a.Version != b.Version {
+		return 0
+	}
+	return a.Version
+}
+
 // sameValue reports whether neither row is a tombstone and both have the same value.
 func (r Row) sameValue(other Row) bool {
 	return !r.Deleted && !other.Deleted && r.Compressed == other.Compressed && bytes.Equal(r.Value, other.Value)
--- a/internal/gateway/watch/restore_test.go
+++ b/internal/gateway/watch/restore_test.go
@@ -107,7 +107,10 @@
 	require.True(t, u.Restored)
 	require.Equal(t, now, u.StoreReturned)
 	require.Equal(t, []Row{row("given out again", "y", 12), row("newer", "n2", 16), row("back", "b2", 24), row("unknown", "u", 13)}, u.Rows)
-	require.Equal(t, []Row{row("stale", "old", 9), row("gone", "g", 5), {Key: "missing", Version: 24, Deleted: true}}, u.Reverted)
+	require.Equal(t, []Reverted{
+		{row("stale", "old", 9), 15}, {row("gone", "g", 5), 21}, {Row{Key: "missing", Version: 24, Deleted: true}, 14},
+	}, u.Reverted)
+	require.Equal(t, int64(3), u.Shared)
 	require.Equal(t, in(2, 24), r.Version())
 	require.Equal(t, in(2, 24), r.LastChange())
 }
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -44,9 +44,11 @@
 	// Restored reports that the store was found in a later era: it came back from
 	// an older copy. What was known and the copy lacks may be written again.
 	Restored bool
-	// Reverted are rows of such a store that may be older than what was known, and
-	// tombstones of known rows that it lacks.
-	Reverted []Row
+	// Reverted are what such a store has otherwise than it was known.
+	Reverted []Reverted
+	// Shared is the highest number of a row that is the same in both eras: the copy
+	// has all changes up to it.
+	Shared int64
 	// Full reports that the table was listed: what is not in Rows has not
 	// changed.
 	Full bool
