--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -22,6 +22,8 @@
 //	notice_test.go       what upstreams say of themselves in their responses, alone
 //	said_test.go         the same beside all faults
 //	recovery_test.go     what must work after all faults
+//	restore_test.go      the store comes back from a copy, alone
+//	stall_test.go        where the time of lost requests went
 //	recorder_test.go     a run second by second, and page_test.go its report
 //	artifacts_test.go    logs, heap profiles and reports kept of a run
 //
--- a/internal/gateway/soak/poison_test.go
+++ b/internal/gateway/soak/poison_test.go
@@ -377,13 +377,21 @@
 	defer stop()
 	var wait sync.WaitGroup
 	var sent, served atomic.Int64
+	var lost lostRequests
+	var stood stalls
+	wait.Go(func() { stood.watch(ctx) })
 	for i := range popularClients {
 		wait.Go(func() {
 			for n := 0; pause.For(ctx, popularPause); n++ {
 				sent.Add(1)
-				if w.sendOnce(t.Context(), w.hosts[(i+n)%len(w.hosts)], fmt.Sprintf("popular-%d-%d", i, n), http.MethodGet, "/safe/popular", "") {
+				r := lostRequest{id: fmt.Sprintf("popular-%d-%d", i, n), host: w.hosts[(i+n)%len(w.hosts)], sent: time.Now()}
+				r.status = w.sendFrom(t.Context(), http.DefaultClient, r.host, r.id, http.MethodGet, "/safe/popular", "")
+				if r.status == http.StatusOK {
 					served.Add(1)
+					continue
 				}
+				r.ended = time.Now()
+				lost.add(r)
 			}
 		})
 	}
@@ -393,7 +401,7 @@
 	}
 	stop()
 	wait.Wait()
-	t.Logf("%d of %d served", served.Load(), sent.Load())
+	t.Logf("%d of %d served; the first that were not:\n%s", served.Load(), sent.Load(), lost.tell(w, &stood))
 	require.GreaterOrEqual(t, float64(served.Load()), popularShare*float64(sent.Load()))
 	for n := range 100 {
 		id := fmt.Sprint("after-", n)
--- /dev/null
+++ b/internal/gateway/soak/stall_test.go
@@ -0,0 +1,102 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"time"
+)
+
+const (
+	// stallTick is how often the test's process looks whether it was scheduled, and
+	// stallFrom how late it must be to be told.
+	stallTick = 5 * time.Millisecond
+	stallFrom = 100 * time.Millisecond
+	// mostLostTold is how many lost requests are told.
+	mostLostTold = 8
+)
+
+// stalls are the times in which the process of the test, where clients and upstreams run,
+// was not scheduled.
+type stalls struct {
+	mu    sync.Mutex
+	spans []span
+}
+
+// watch records stalls until the context ends.
+func (s *stalls) watch(ctx context.Context) {
+	for last := time.Now(); ctx.Err() == nil; {
+		time.Sleep(stallTick)
+		now := time.Now()
+		if now.Sub(last) >= stallFrom {
+			s.mu.Lock()
+			s.spans = append(s.spans, span{last, now})
+			s.mu.Unlock()
+		}
+		last = now
+	}
+}
+
+// within is how much of a time was stalled.
+func (s *stalls) within(from, to time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var sum time.Duration
+	for _, x := range s.spans {
+		begin, end := x.from, x.to
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		sum += max(0, end.Sub(begin))
+	}
+	return sum
+}
+
+// lostRequest is a request that was not served.
+type lostRequest struct {
+	id   string
+	host *host
+	// sent and ended are as its client saw them.
+	sent, ended time.Time
+	status      int
+}
+
+// lostRequests are the requests of a run that were not served.
+type lostRequests struct {
+	mu  sync.Mutex
+	all []lostRequest
+}
+
+func (l *lostRequests) add(r lostRequest) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.all = append(l.all, r)
+}
+
+// tell says of the first lost requests where their time went: when each reached upstreams,
+// what its host logged, and for how long the test's own process stood still meanwhile.
+func (l *lostRequests) tell(w *world, s *stalls) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var text strings.Builder
+	for _, r := range l.all[:min(len(l.all), mostLostTold)] {
+		fmt.Fprintf(&text, "%s sent %s to %s, %d after %s, of which the test stood still for %s; reached upstreams after %s\n%s",
+			r.id, r.sent.UTC().Format("15:04:05.000"), r.host.name, r.status, r.ended.Sub(r.sent), s.within(r.sent, r.ended), w.reachedAfter(r), r.host.linesOf(r.id))
+	}
+	return text.String()
+}
+
+// reachedAfter is how long after a request was sent it reached each upstream that it did.
+func (w *world) reachedAfter(r lostRequest) []time.Duration {
+	w.ledger.mu.Lock()
+	defer w.ledger.mu.Unlock()
+	var after []time.Duration
+	for _, a := range w.ledger.arrivals[r.id] {
+		after = append(after, a.at.Sub(r.sent))
+	}
+	return after
+}
