--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -48,7 +48,7 @@
 			lapsed = s.removeUpstream(row, now, u.StoreReturned) || lapsed
 			continue
 		}
-		s.putUpstream(row, now, s.putInTime)
+		s.putUpstream(row, now, s.putCurrent)
 	}
 	if lapsed {
 		time.AfterFunc(u.StoreReturned.Add(upstream.LapseGrace).Sub(now), s.expire)
@@ -85,8 +85,9 @@
 	time.AfterFunc(upstream.RestoreGrace, s.applyLate)
 }
 
-// putInTime puts a registration as of now, and returns its state in the log.
-func (s *State) putInTime(r upstream.Registration, now time.Time) string {
+// putCurrent puts a registration of the store's present era, and returns its state in the
+// log.
+func (s *State) putCurrent(r upstream.Registration, now time.Time) string {
 	if s.registry.Put(r, now) {
 		return s.stateOf(r)
 	}
