Tell of a request that failed when the retry budget denied it another attempt

The final line of a response that the gateway generates says now how much of the budget was used, of how many requests it is a part and what slack the host has; trace repeats it; a metric counts denied attempts by service. One place takes retries, so that hedges and dials that are made again are covered as well.

TestTheFinalLineTellsThatTheRetryBudgetDeniedAnAttempt fails without the line.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -170,6 +170,9 @@
 	Took time.Duration
 	// Detail is one sentence on a failure.
 	Detail string
+	// RetryDenied says how much of the retry budget was used, if the gateway generated the
+	// response and the budget had denied another attempt; empty otherwise.
+	RetryDenied string
 }
 
 // Final logs the response that the client got.
@@ -181,7 +184,7 @@
 	e.Str("host_zone", l.zone).Str("route", f.Route).Str("service", f.Service).Str("account", f.Account).Int("priority", f.Priority).Float64("objective_ms", ms(f.Objective)).Int("attempts", f.Attempts).Int64("config", f.Config).
 		Float64("config_age_ms", ms(f.ConfigAge)).Float64("upstreams_age_ms", ms(f.UpstreamsAge)).
 		Int("status", f.Status).Str("client", string(f.Client)).Str("verdict", f.Verdict).Str("reason", f.Reason).
-		Float64("took_ms", ms(f.Took)).Str("detail", f.Detail).Msg("request: final response")
+		Float64("took_ms", ms(f.Took)).Str("detail", f.Detail).Str("retry_denied", f.RetryDenied).Msg("request: final response")
 }
 
 // Cut logs that the host closed a client's connection though it had read a
--- a/internal/gateway/logline/logline.go
+++ b/internal/gateway/logline/logline.go
@@ -59,6 +59,7 @@
 	Priority       int            `json:"priority"`
 	ObjectiveMS    float64        `json:"objective_ms"`
 	Client         string         `json:"client"`
+	RetryDenied    string         `json:"retry_denied"`
 
 	// Of lost dependencies.
 	Dependency string `json:"dependency"`
--- a/internal/gateway/proxy/attempts_test.go
+++ b/internal/gateway/proxy/attempts_test.go
@@ -10,7 +10,9 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.opentelemetry.io/otel/trace/noop"
 
+	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 )
 
@@ -101,3 +103,17 @@
 	_, _, err := g.do(t.Context(), http.MethodGet, "/x/", "")
 	require.Error(t, err)
 }
+
+// Of a request that failed after one attempt no line told that the retry budget of its host
+// had denied another one.
+func TestTheFinalLineTellsThatTheRetryBudgetDeniedAnAttempt(t *testing.T) {
+	g := newGateway(t, noop.NewTracerProvider(), retry.Limits{Ratio: 1, Window: time.Minute})
+	g.setRoutes(testRoute(route.Repeatable))
+	g.addUpstream(resetting)
+	g.addUpstream(resetting)
+	require.Equal(t, http.StatusBadGateway, g.getKey(1))
+	require.Contains(t, g.log.String(), `"retry_denied":"0 of 0.75 retries used, for 1 requests and a slack of 0.00"`)
+	var metrics strings.Builder
+	g.proxy.Metrics.Write(&metrics)
+	require.Contains(t, metrics.String(), `cairndock_retries_denied_total{service="s"} 1`)
+}
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -68,6 +68,16 @@
 	ev.Account = f.accountName()
 	if e != nil {
 		ev.Verdict, ev.Reason, ev.Detail, ev.Failed = e.Verdict.String(), string(e.Reason), e.Detail, true
+		ev.RetryDenied = f.retryDeniedDetail()
 	}
 	f.proxy.Log.Final(ev)
 }
+
+// retryDeniedDetail says how much of the retry budget was used when it denied the request
+// another attempt; nothing if it did not.
+func (f *inflight) retryDeniedDetail() string {
+	if f.retryDenied == nil {
+		return ""
+	}
+	return f.retryDenied.String()
+}
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -7,6 +7,7 @@
 
 	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/poison"
 	"cairndock/internal/verdict"
@@ -49,6 +50,9 @@
 	unanswered []string
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
+	// retryDenied is what was used of the retry budget when it last denied another attempt,
+	// or nil.
+	retryDenied *retry.Usage
 }
 
 // run sends the request until it has a response to forward or is given up.
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -58,7 +58,7 @@
 // share, and chooses an upstream for it. Without an upstream the retry goes
 // back: only requests that are sent count.
 func (f *inflight) chooseRetry(now time.Time) (balance.Choice, error) {
-	if !f.proxy.Budget.TryRetry(f.service, f.proxy.SlackPart(), now) {
+	if !f.takeRetry(now) {
 		return balance.Choice{}, errNoBudget
 	}
 	c, err := f.choose()
@@ -67,3 +67,16 @@
 	}
 	return c, err
 }
+
+// takeRetry takes a retry from the service's budget. One that is denied is counted, and
+// remembered for the request's final line.
+func (f *inflight) takeRetry(now time.Time) bool {
+	part := f.proxy.SlackPart()
+	if f.proxy.Budget.TryRetry(f.service, part, now) {
+		return true
+	}
+	f.proxy.Metrics.Count(`cairndock_retries_denied_total{service="` + f.service + `"}`)
+	usage := f.proxy.Budget.Usage(f.service, part, now)
+	f.retryDenied = &usage
+	return false
+}
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -51,6 +51,9 @@
 		return "unknown: the line of the final response is missing (left out, or the host ended before it)"
 	}
 	cause := t.causeOf(final)
+	if final.RetryDenied != "" {
+		cause += "; the retry budget allowed no other attempt: " + final.RetryDenied
+	}
 	if age := max(final.ConfigAgeMS, final.UpstreamsAgeMS); age > staleAboveMS {
 		cause += fmt.Sprintf("; the host's tables were last confirmed %.1f s earlier", age/1000)
 	}
--- a/internal/gateway/reqtrace/trace_test.go
+++ b/internal/gateway/reqtrace/trace_test.go
@@ -65,6 +65,7 @@
 		{"an attempt's line is missing", []logline.Line{final(verdict.Unreachable)}, "could not connect to upstream (its attempt is not in the logs): it is gone, cut off or overloaded"},
 		{"no upstream", []logline.Line{final(verdict.NoUpstream)}, "no eligible upstream of s: all are draining, evacuated or outside the allowed regions"},
 		{"no route", []logline.Line{final(verdict.UnknownRoute)}, "no route matches the request in configuration 7"},
+		{"no retry left", []logline.Line{attempt(1, "i-1", "upstream-failed"), {Event: eventlog.EventFinal, Reason: verdict.UpstreamFailed, Detail: "reset", RetryDenied: "0 of 0.30 retries used"}}, "upstream i-1 failed: reset; the retry budget allowed no other attempt: 0 of 0.30 retries used"},
 		{"a reason without a text of its own", []logline.Line{final(verdict.BodyTooLarge)}, "body-too-large: of the response"},
 	} {
 		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, Trace{lines: c.lines}.Cause()) })
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -10,6 +10,7 @@
 package retry
 
 import (
+	"fmt"
 	"sync"
 	"time"
 )
@@ -84,16 +85,46 @@
 func (b *Budget) TryRetry(service string, slackPart float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	w := b.window(service, now)
-	total := w.total()
-	slack := b.limits.slackFor(slackPart, now.Sub(b.started))
-	if float64(total.retries+1) > b.limits.allowed(total.requests, slack) {
+	if !b.usage(service, slackPart, now).leavesOne() {
 		return false
 	}
-	w.current().retries++
+	b.window(service, now).current().retries++
 	return true
 }
 
+// Usage is what a host has used of its part of a service's limit, in the window that ends
+// now.
+type Usage struct {
+	// Requests and Retries are the host's own.
+	Requests, Retries int
+	// Slack is the host's part of Limits.Slack, and Allowed how many retries Requests and
+	// Slack allow it.
+	Slack, Allowed float64
+}
+
+// leavesOne reports whether one more retry is allowed.
+func (u Usage) leavesOne() bool { return float64(u.Retries+1) <= u.Allowed }
+
+// String says how much is used of how much, and where that comes from.
+func (u Usage) String() string {
+	return fmt.Sprintf("%d of %.2f retries used, for %d requests and a slack of %.2f", u.Retries, u.Allowed, u.Requests, u.Slack)
+}
+
+// Usage returns what this host has used of its part of a service's limit. slackPart is
+// that of TryRetry.
+func (b *Budget) Usage(service string, slackPart float64, now time.Time) Usage {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.usage(service, slackPart, now)
+}
+
+// usage is Usage; b.mu is held.
+func (b *Budget) usage(service string, slackPart float64, now time.Time) Usage {
+	total := b.window(service, now).total()
+	slack := b.limits.slackFor(slackPart, now.Sub(b.started))
+	return Usage{Requests: total.requests, Retries: total.retries, Slack: slack, Allowed: b.limits.allowed(total.requests, slack)}
+}
+
 // Return gives a retry back that was taken at the same moment and not sent.
 func (b *Budget) Return(service string, now time.Time) {
 	b.mu.Lock()
