Report when a host's process had no processor time

Requests without a response in their client's time could not be told from those at a host that stood still: only the process of the test measured itself.

The loop of the heartbeats measures how late its tick is and reports 0.2 s and more as a line (stalled) and in a histogram; it adds no wake-up. The test of a popular request tells it of the host of each lost request.

TestAProcessWithoutProcessorTimeIsReported holds the rule.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -25,6 +25,8 @@
 	EventNotice = "notice"
 	// EventWarmUp is a request that was sent to a cold upstream.
 	EventWarmUp = "warm-up"
+	// EventStalled is a time in which the process had no processor time.
+	EventStalled = "stalled"
 	// EventLost is a dependency that stopped responding.
 	EventLost = "lost"
 )
@@ -308,6 +310,12 @@
 	l.stateEvent("suspended").Float64("for_ms", ms(gap)).Msg("process: the machine was suspended")
 }
 
+// Stalled logs that the process had no processor time for a time, and counts it.
+func (l *Log) Stalled(d time.Duration) {
+	l.metrics.Observe("cairndock_stall_seconds", d.Seconds())
+	l.stateEvent(EventStalled).Float64("for_ms", ms(d)).Msg("process: had no processor time")
+}
+
 // Process logs a step in the process's life: start, reload, stop or stopped.
 func (l *Log) Process(step, detail string) {
 	l.stateEvent(step).Str("detail", detail).Msg("process: " + step)
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -46,6 +46,8 @@
 type Reporter interface {
 	Lost(kind, name string, err error)
 	Regained(kind, name string, after time.Duration)
+	// Stalled is told for how long the process had no processor time.
+	Stalled(d time.Duration)
 }
 
 // ObservationSink receives what the hosts of this host's region observed of
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -215,6 +215,7 @@
 
 func (noReport) Lost(string, string, error)             {}
 func (noReport) Regained(string, string, time.Duration) {}
+func (noReport) Stalled(time.Duration)                  {}
 
 // freeAddress returns an address that nothing listens on.
 func freeAddress(t *testing.T) string {
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -27,6 +27,7 @@
 	ticker := time.NewTicker(schedulerTick)
 	defer ticker.Stop()
 	last := time.Now()
+	idleSince := last
 	for {
 		select {
 		case <-ctx.Done():
@@ -34,6 +35,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
+		f.reportStall(now.Sub(idleSince))
 		for _, p := range f.due(now) {
 			go f.exchangeHeartbeat(ctx, p.host)
 		}
@@ -41,6 +43,19 @@
 		f.updatePlace(now)
 		f.rewriteLost(ctx)
 		last = now
+		idleSince = time.Now()
+	}
+}
+
+// minStall is how late a tick must be to be reported: a host with a part of a core may wait
+// for a tenth of a second while its part is used up.
+const minStall = 200 * time.Millisecond
+
+// reportStall reports a wait for a tick that took much longer than a tick: meanwhile the
+// process had no processor time, and its requests waited as well.
+func (f *Fleet) reportStall(waited time.Duration) {
+	if late := waited - schedulerTick; late >= minStall {
+		f.options.Report.Stalled(late)
 	}
 }
 
--- a/internal/gateway/fleet/schedule_test.go
+++ b/internal/gateway/fleet/schedule_test.go
@@ -211,3 +211,21 @@
 	}
 	require.Empty(t, m.expire(start, now.Add(time.Second)))
 }
+
+// stallRecorder records reported stalls.
+type stallRecorder struct {
+	noReport
+	stalls []time.Duration
+}
+
+func (r *stallRecorder) Stalled(d time.Duration) { r.stalls = append(r.stalls, d) }
+
+// Requests timed out at a host that stood still, and nothing of its own told.
+func TestAProcessWithoutProcessorTimeIsReported(t *testing.T) {
+	var r stallRecorder
+	f := &Fleet{options: Options{Report: &r}}
+	for _, waited := range []time.Duration{0, schedulerTick, schedulerTick + minStall - 1, schedulerTick + time.Second} {
+		f.reportStall(waited)
+	}
+	require.Equal(t, []time.Duration{time.Second}, r.stalls)
+}
--- a/internal/gateway/soak/stall_test.go
+++ b/internal/gateway/soak/stall_test.go
@@ -6,6 +6,11 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/logline"
 )
 
 const (
@@ -17,8 +22,8 @@
 	mostLostTold = 8
 )
 
-// stalls are the times in which the process of the test, where clients and upstreams run,
-// was not scheduled.
+// stalls are the times in which a process was not scheduled: that of the test, where
+// clients and upstreams run, or a host's.
 type stalls struct {
 	mu    sync.Mutex
 	spans []span
@@ -56,6 +61,18 @@
 	return sum
 }
 
+// stalls are the times in which the host logged that its process was not scheduled.
+func (h *host) stalls() *stalls {
+	s := &stalls{}
+	err := logline.Read(strings.NewReader(h.log.String()), func(l logline.Line) {
+		if l.Event == eventlog.EventStalled {
+			s.spans = append(s.spans, span{l.Time.Add(-time.Duration(l.ForMS * float64(time.Millisecond))), l.Time})
+		}
+	})
+	require.NoError(h.t, err)
+	return s
+}
+
 // lostRequest is a request that was not served.
 type lostRequest struct {
 	id   string
@@ -84,8 +101,8 @@
 	defer l.mu.Unlock()
 	var text strings.Builder
 	for _, r := range l.all[:min(len(l.all), mostLostTold)] {
-		fmt.Fprintf(&text, "%s sent %s to %s, %d after %s, of which the test stood still for %s; reached upstreams after %s\n%s",
-			r.id, r.sent.UTC().Format("15:04:05.000"), r.host.name, r.status, r.ended.Sub(r.sent), s.within(r.sent, r.ended), w.reachedAfter(r), r.host.linesOf(r.id))
+		fmt.Fprintf(&text, "%s sent %s to %s, %d after %s, of which the test stood still for %s and the host for %s; reached upstreams after %s\n%s",
+			r.id, r.sent.UTC().Format("15:04:05.000"), r.host.name, r.status, r.ended.Sub(r.sent), s.within(r.sent, r.ended), r.host.stalls().within(r.sent, r.ended), w.reachedAfter(r), r.host.linesOf(r.id))
 	}
 	return text.String()
 }
