Send a request to another zone once two upstreams of one have refused it

Callers saw 503, not run, 4 ms after their request while 16 of 24 upstreams had room: all upstreams of their host's zone had ended a moment before. It is the second cause of one of 100 requests after the ends that was not served.

Cause: without affinity the own zone comes first, and a request goes through its upstreams one by one; the two attempts of its route and four refused connections are all that it has.

Change: two upstreams of a zone that refused a request put the zone's others last for it, three of a region that region's.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -148,7 +148,7 @@
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
-	ejections := b.policy.Ejections && sum.honorEjections(q)
+	last := b.comesLast(q, sum)
 	list := make([]scored, 0, len(q.Upstreams))
 	var held Withheld
 	for _, u := range q.Upstreams {
@@ -156,8 +156,8 @@
 			continue
 		}
 		x := b.scored(u, o.cost(u, key^u.Seed()), q.Now)
-		if ejections && b.avoided(u, q.Now) {
-			x.cost += ejectedCost
+		if last(u) {
+			x.cost += lastCost
 		}
 		list = append(list, x)
 	}
@@ -165,7 +165,17 @@
 	return list, held
 }
 
-// avoided reports whether an upstream comes last: it is ejected, or refuses another host.
+// comesLast tells which upstreams are tried after all others: those that are ejected or
+// refuse another host, while ejections are honored, and those beside several that refused
+// the request.
+func (b *Balancer) comesLast(q Query, sum *summary) func(*upstream.Upstream) bool {
+	ejections := b.policy.Ejections && sum.honorEjections(q)
+	return func(u *upstream.Upstream) bool {
+		return ejections && b.avoided(u, q.Now) || q.refusedAround(u)
+	}
+}
+
+// avoided reports whether an upstream is ejected, or refuses another host.
 func (b *Balancer) avoided(u *upstream.Upstream, now time.Time) bool {
 	return b.detector.Ejected(u.Run(), now) || b.notices.RestsElsewhere(u.Run(), now)
 }
--- a/internal/gateway/balance/ejected.go
+++ b/internal/gateway/balance/ejected.go
@@ -1,10 +1,9 @@
 package balance
 
 const (
-	// ejectedCost is added to the cost of an ejected upstream. It is above
-	// every other cost (at most twice affinitySpread), so that ejected
-	// upstreams come last.
-	ejectedCost = 4 * affinitySpread
+	// lastCost is added to the cost of an upstream that is ejected or otherwise comes
+	// last. It is above every other cost (at most twice affinitySpread).
+	lastCost = 4 * affinitySpread
 	// maxEjectedPart is the part of a request's upstreams above which
 	// ejections are ignored: when most of them fail, the fault is more likely
 	// elsewhere, such as the host's own network.
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -45,8 +45,7 @@
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
-	ejections := b.policy.Ejections && sum.honorEjections(q)
-	ejected := func(u *upstream.Upstream) bool { return ejections && b.avoided(u, q.Now) }
+	last := b.comesLast(q, sum)
 	// One more, as the region's best may be among them.
 	first := lowest{size: b.policy.PreferenceList + 1}
 	regionBest := lowest{size: 1}
@@ -63,15 +62,15 @@
 		if inRegion {
 			regionBest.add(u, cost)
 		}
-		if ejected(u) {
-			cost += ejectedCost
+		if last(u) {
+			cost += lastCost
 		}
 		if first.admits(cost) {
 			first.add(u, cost)
 		}
 	}
 	if b.policy.RegionFirst && len(regionBest.list) > 0 {
-		first.prefer(regionBest.list[0], ejected)
+		first.prefer(regionBest.list[0], last)
 	}
 	list := make([]scored, 0, b.policy.PreferenceList)
 	for _, r := range first.list[:min(len(first.list), b.policy.PreferenceList)] {
@@ -81,14 +80,14 @@
 }
 
 // prefer puts the best upstream of the region that serves the key before all others,
-// whatever their cost, unless it is ejected. Otherwise a region with few upstreams has
+// whatever their cost, unless it comes last. Otherwise a region with few upstreams has
 // none among the lowest of many random costs. What follows it in the order may be of any
 // region.
-func (l *lowest) prefer(best ranked, ejected func(*upstream.Upstream) bool) {
+func (l *lowest) prefer(best ranked, last func(*upstream.Upstream) bool) {
 	l.list = slices.DeleteFunc(l.list, func(r ranked) bool { return r.upstream == best.upstream })
 	cost := best.cost - 2*affinitySpread
-	if ejected(best.upstream) {
-		cost += ejectedCost
+	if last(best.upstream) {
+		cost += lastCost
 	}
 	if l.admits(cost) {
 		l.add(best.upstream, cost)
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -41,6 +41,8 @@
 	Priority int
 	// Tried are the ids of the upstreams that earlier attempts were sent to.
 	Tried []string
+	// Refused are those of them that refused the connection.
+	Refused []*upstream.Upstream
 	// WarmUpRate is how many requests a second a cold upstream bears from all
 	// hosts together.
 	WarmUpRate float64
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -35,6 +35,7 @@
 		Bulk:       f.route.Bulk,
 		Mixed:      f.config.Mixed(f.service),
 		Tried:      f.tried,
+		Refused:    f.refused,
 		WarmUpRate: f.config.Service(f.service).WarmUpRate,
 		Now:        now,
 	}
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -135,8 +135,10 @@
 	// capacity is that of the upstreams which are added.
 	capacity int
 	// cold is how long those upstreams are cold.
-	cold  time.Duration
-	fleet oneHost
+	cold time.Duration
+	// zone and region are theirs; to begin with the host's own.
+	zone, region string
+	fleet        oneHost
 	// quarantinesUnknown is set while the host has not heard of quarantines.
 	quarantinesUnknown atomic.Bool
 	suspicions         *poison.Table
@@ -158,7 +160,7 @@
 
 func newGateway(t *testing.T, traces trace.TracerProvider, retries retry.Limits) *testGateway {
 	t.Helper()
-	g := &testGateway{t: t, log: &logBuffer{}, capacity: 2}
+	g := &testGateway{t: t, zone: "z", region: "r", log: &logBuffer{}, capacity: 2}
 	g.fleet.quota.Store(standardQuota)
 	m := telemetry.NewMetrics()
 	log := eventlog.New(g.log, eventlog.Options{Host: "h", Level: zerolog.InfoLevel, Sampling: eventlog.DefaultSampling(), Metrics: m})
@@ -293,7 +295,7 @@
 	g.t.Helper()
 	g.upstreams++
 	id := fmt.Sprint("i-", g.upstreams)
-	value, err := json.Marshal(upstream.Registration{ID: id, Service: service, Address: address, Zone: "z", Region: "r", Capacity: capacity, ColdLeft: g.cold})
+	value, err := json.Marshal(upstream.Registration{ID: id, Service: service, Address: address, Zone: g.zone, Region: g.region, Capacity: capacity, ColdLeft: g.cold})
 	require.NoError(g.t, err)
 	g.version++
 	g.state.UpstreamSink().Apply(watch.Update{Rows: []watch.Row{{Key: id, Value: value, Version: g.version}}, Full: true})
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -9,6 +9,7 @@
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/poison"
 	"cairndock/internal/verdict"
 )
@@ -44,9 +45,9 @@
 	// started is how many attempts were begun, and attempts how many of them are looked
 	// at by the rules of package retry.
 	started, attempts int
-	// refused is how many connections were refused, and unanswered has the ids of the
-	// upstreams that could not be connected to in time.
-	refused    int
+	// refused are the upstreams that refused the connection, and unanswered has the ids of
+	// those that could not be connected to in time.
+	refused    []*upstream.Upstream
 	unanswered []string
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -14,7 +14,7 @@
 // retryState is what the rules of package retry look at.
 func (f *inflight) retryState() retry.State {
 	return retry.State{
-		Attempts: f.attempts, MaxAttempts: f.route.Attempts, Refused: f.refused, Unanswered: len(f.unanswered),
+		Attempts: f.attempts, MaxAttempts: f.route.Attempts, Refused: len(f.refused), Unanswered: len(f.unanswered),
 		Repeatable: f.repeatable(), MayHaveRun: f.mayHaveRun != nil,
 		Suspected: f.suspected(), Quarantined: f.quarantined(),
 	}
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -47,7 +47,7 @@
 		f.attempts--
 		f.untry(upstream)
 	case verdict.ConnectionRefused:
-		f.refused++
+		f.refused = append(f.refused, a.choice.Upstream)
 	case verdict.Unreachable:
 		f.unanswered = append(f.unanswered, upstream)
 	}
--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -82,6 +82,34 @@
 	}
 }
 
+// Requests were refused with 503 beside upstreams with room, as they went through the
+// upstreams of a zone or region that had all ended one by one.
+func TestRefusedConnectionsOfAZoneAreFollowedByAnAttemptInAnother(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		zones        []string
+		zone, region string
+	}{
+		{"a zone ended", []string{"z"}, "y", "r"},
+		{"a region ended", []string{"z", "y", "x"}, "w", "q"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			for key := range 8 {
+				g := newUnsentGateway(t, 500*time.Millisecond)
+				for _, g.zone = range c.zones {
+					for range 8 {
+						g.addEnded()
+					}
+				}
+				g.zone, g.region = c.zone, c.region
+				requests := g.addUpstream(healthy)
+				require.Equal(t, http.StatusOK, g.getKey(key))
+				require.EqualValues(t, 1, requests.Load())
+			}
+		})
+	}
+}
+
 // Where nothing listens at any address the client is told at once.
 func TestARequestIsRefusedAtOnceWhereAllUpstreamsHaveEnded(t *testing.T) {
 	g := newUnsentGateway(t, 20*time.Second)
