Round the part of a retry budget at random, as hosts have few requests each

Callers saw 502 after one attempt for a request that may be repeated and had nine tenths of its time left.

Cause: a host's part of the budget is 0.15 of its own requests in its first 10 s, rounded down. For its first six requests that is nothing; for each of 295 hosts with 1,000 requests in 10 s together as well, though the limit allows 258.

Change: each process draws a number below one that is added before rounding down, so that all hosts together use what they are allowed on average.

Result: the two new tests fail without it (none of 258 used by 295 hosts, none by 1,000 processes with 6 requests each) and pass with it; the tests of the limit, over a restart of all hosts too, pass with the least and the most that can be drawn, at nine hosts.

--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -55,7 +55,7 @@
 	m := h.model
 	h.detector = outlier.New(silent{})
 	h.balancer = balance.New(balance.Location{Zone: h.zone.Name, Region: h.zone.Region, Regions: len(m.regions)}, unlimited{}, h.detector, h.variant.Balance)
-	h.budget = retry.NewBudget(m.limits, m.clock.now.Add(-m.limits.Window))
+	h.budget = retry.NewBudget(m.limits, m.clock.now.Add(-m.limits.Window), 0)
 }
 
 // serve takes a call.
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -180,7 +180,7 @@
 	g.proxy = proxy.New(proxy.Options{
 		State: g.state, Detector: detector, Notices: notices,
 		Balancer:         balancer,
-		Budget:           retry.NewBudget(retries, time.Now().Add(-retries.Window)),
+		Budget:           retry.NewBudget(retries, time.Now().Add(-retries.Window), 0),
 		Suspicions:       g.suspicions,
 		SuspendWatch:     suspend.NewWatch(&g.suspension),
 		Client:           exchange.NewClient(g.dial, protocol{}),
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -58,6 +58,11 @@
 // setting, which each host counts for itself without a clock.
 type Budget struct {
 	limits Limits
+	// rounding is added to what is allowed before that is rounded down, from 0 to below 1.
+	// Where each of many hosts has few requests, each would be allowed less than one retry,
+	// and all of them together none. Drawn at random by each process, the allowances of all
+	// hosts add up to the limit's on average, and safetyMargin leaves room for the draw.
+	rounding float64
 	// started is when the process started, and the first bucket. Buckets are
 	// numbered by the monotonic time since then, as the time of day may jump.
 	started time.Time
@@ -67,9 +72,9 @@
 }
 
 // NewBudget makes a budget that has seen no requests, for a process that started at
-// a time.
-func NewBudget(l Limits, started time.Time) *Budget {
-	return &Budget{limits: l, started: started, services: map[string]*window{}}
+// a time. rounding is drawn at random by each process, from 0 to below 1.
+func NewBudget(l Limits, started time.Time, rounding float64) *Budget {
+	return &Budget{limits: l, started: started, rounding: rounding, services: map[string]*window{}}
 }
 
 // RecordRequest counts a request for a service.
@@ -98,7 +103,7 @@
 	// Requests and Retries are the host's own.
 	Requests, Retries int
 	// Slack is the host's part of Limits.Slack, and Allowed how many retries Requests and
-	// Slack allow it.
+	// Slack allow it, with its rounding.
 	Slack, Allowed float64
 }
 
@@ -122,7 +127,7 @@
 func (b *Budget) usage(service string, slackPart float64, now time.Time) Usage {
 	total := b.window(service, now).total()
 	slack := b.limits.slackFor(slackPart, now.Sub(b.started))
-	return Usage{Requests: total.requests, Retries: total.retries, Slack: slack, Allowed: b.limits.allowed(total.requests, slack)}
+	return Usage{Requests: total.requests, Retries: total.retries, Slack: slack, Allowed: b.rounding + b.limits.allowed(total.requests, slack)}
 }
 
 // Return gives a retry back that was taken at the same moment and not sent.
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -1,6 +1,9 @@
 package retry_test
 
 import (
+	"fmt"
+	"math"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -11,14 +14,23 @@
 
 var limits = retry.Limits{Ratio: 0.2, Window: 10 * time.Second, Slack: 58}
 
+// mostRounding is the most that a process can draw.
+var mostRounding = math.Nextafter(1, 0)
+
 // All hosts together stay within the limit in every window, however many
 // retries they are asked for.
 func TestRetriesOfAllHostsStayWithinTheLimitInEveryWindow(t *testing.T) {
+	for _, rounding := range []float64{0, mostRounding} {
+		t.Run(fmt.Sprint(rounding), func(t *testing.T) { testRetriesOfAllHosts(t, rounding) })
+	}
+}
+
+func testRetriesOfAllHosts(t *testing.T, rounding float64) {
 	const hosts = 9
 	start := time.Now()
 	budgets := make([]*retry.Budget, hosts)
 	for i := range budgets {
-		budgets[i] = retry.NewBudget(limits, start.Add(-limits.Window))
+		budgets[i] = retry.NewBudget(limits, start.Add(-limits.Window), rounding)
 	}
 	var taken []time.Time
 	const step, requestsPerStep = 100 * time.Millisecond, 4
@@ -51,12 +63,18 @@
 // started has neither. Nine hosts with a request a second each sent more retries
 // within a window than the limit, by spending their parts of the slack again.
 func TestRetriesStayWithinTheLimitOverARestartOfAllHosts(t *testing.T) {
+	for _, rounding := range []float64{0, mostRounding} {
+		t.Run(fmt.Sprint(rounding), func(t *testing.T) { testRetriesOverARestart(t, rounding) })
+	}
+}
+
+func testRetriesOverARestart(t *testing.T, rounding float64) {
 	const hosts = 9
 	start := time.Now()
 	restart := start.Add(25 * time.Second)
 	var taken []time.Time
 	for range hosts {
-		before, after := retry.NewBudget(limits, start), retry.NewBudget(limits, restart)
+		before, after := retry.NewBudget(limits, start, rounding), retry.NewBudget(limits, restart, rounding)
 		for at := start; at.Before(restart.Add(limits.Window)); at = at.Add(time.Second) {
 			b := before
 			if !at.Before(restart) {
@@ -85,7 +103,7 @@
 
 func TestBudgetRecoversWithTheWindowAndForEachServiceAlone(t *testing.T) {
 	now := time.Now()
-	b := retry.NewBudget(limits, now.Add(-limits.Window))
+	b := retry.NewBudget(limits, now.Add(-limits.Window), 0)
 	for b.TryRetry("a", 1.0/9, now) {
 	}
 	require.True(t, b.TryRetry("b", 1.0/9, now))
@@ -110,7 +128,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			now := time.Now()
-			b := retry.NewBudget(limits, now.Add(-limits.Window))
+			b := retry.NewBudget(limits, now.Add(-limits.Window), 0)
 			for range c.requests {
 				b.RecordRequest("s", now)
 			}
@@ -127,7 +145,7 @@
 // for as long.
 func TestAStartingHostHasNoPartOfTheSlackForAWindow(t *testing.T) {
 	now := time.Now()
-	b := retry.NewBudget(limits, now)
+	b := retry.NewBudget(limits, now, 0)
 	require.False(t, b.TryRetry("s", 1.0/9, now))
 	require.False(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window-1)))
 	require.True(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window)))
@@ -135,10 +153,75 @@
 
 func TestARetryThatWasNotSentGoesBack(t *testing.T) {
 	now := time.Now()
-	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second))
+	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second), 0)
 	require.True(t, b.TryRetry("a", 1.0, now))
 	require.False(t, b.TryRetry("a", 1.0, now))
 	b.Return("a", now)
 	require.True(t, b.TryRetry("a", 1.0, now))
 	require.False(t, b.TryRetry("a", 1.0, now))
 }
+
+// retriesOf gives how many retries hosts take in a window, in which each wants one for each
+// of its requests. Their requests differ: some have many, most have few.
+func retriesOf(hosts, requests int, random *rand.Rand) (sent, retries int) {
+	now := time.Now()
+	for range hosts {
+		b := retry.NewBudget(limits, now.Add(-limits.Window), random.Float64())
+		own := int(random.ExpFloat64()*float64(requests)/float64(hosts) + random.Float64())
+		for range own {
+			b.RecordRequest("s", now)
+		}
+		sent += own
+		for range own {
+			if b.TryRetry("s", 1/float64(hosts), now) {
+				retries++
+			}
+		}
+	}
+	return sent, retries
+}
+
+// Each of many hosts had few requests, and so none was allowed a retry, though all of them
+// together were allowed hundreds.
+func TestHostsWithFewRequestsEachUseTheLimitTogether(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
+	for _, c := range []struct {
+		hosts, requests int
+		// least is the part of the limit that must be used.
+		least float64
+	}{
+		{9, 80, 0.5},
+		{67, 200, 0.5},
+		{295, 1000, 0.5},
+		{5900, 6000, 0.5},
+		{5900, 80, 0}, // more is not asked for
+	} {
+		t.Run(fmt.Sprint(c.hosts, " hosts, ", c.requests, " requests"), func(t *testing.T) {
+			for range 20 {
+				sent, retries := retriesOf(c.hosts, c.requests, random)
+				limit := limits.Ratio*float64(sent) + limits.Slack
+				require.LessOrEqual(t, float64(retries), limit)
+				require.GreaterOrEqual(t, float64(retries), c.least*limit)
+			}
+		})
+	}
+}
+
+// Requests that came first to a host that had just started were not sent again when their
+// upstream ended: a part of so few is less than one retry.
+func TestTheFirstRequestsOfAHostMayBeSentAgain(t *testing.T) {
+	random := rand.New(rand.NewPCG(3, 4))
+	const hosts, requests = 1000, 6
+	now, retries := time.Now(), 0
+	for range hosts {
+		b := retry.NewBudget(limits, now, random.Float64())
+		for range requests {
+			b.RecordRequest("s", now)
+		}
+		for b.TryRetry("s", 1.0/hosts, now) {
+			retries++
+		}
+	}
+	require.LessOrEqual(t, float64(retries), limits.Ratio*hosts*requests)
+	require.GreaterOrEqual(t, float64(retries), limits.Ratio*hosts*requests/2)
+}
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"cairndock/internal/gateway/balance"
@@ -79,7 +80,7 @@
 		Balancer:     balancer,
 		Notices:      g.notices,
 		Detector:     g.detector,
-		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started),
+		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started, rand.Float64()),
 		Suspicions:   g.suspicions,
 		SuspendWatch: g.suspendWatch,
 		Client:       client,
