Send a request to another zone once an upstream of one has not answered it

Callers saw 503 after a second beside upstreams with room: both attempts that their route allows met upstreams of a zone that was dark.

Cause: the one of the zone whose upstreams have all ended, where connections are not refused but get no answer: the own zone's upstreams were tried one by one.

Evidence: TestADialWithoutAnAnswerIsFollowedByAnAttemptInAnotherZone, four dark upstreams in the host's zone and one in another, got 503 with two attempts.

Change: one dial without an answer puts the other upstreams of its zone last for the request, until it dials again those that did not answer.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -166,12 +166,12 @@
 }
 
 // comesLast tells which upstreams are tried after all others: those that are ejected or
-// refuse another host, while ejections are honored, and those beside several that refused
-// the request.
+// refuse another host, while ejections are honored, and those beside ones that the request
+// could not reach.
 func (b *Balancer) comesLast(q Query, sum *summary) func(*upstream.Upstream) bool {
 	ejections := b.policy.Ejections && sum.honorEjections(q)
 	return func(u *upstream.Upstream) bool {
-		return ejections && b.avoided(u, q.Now) || q.refusedAround(u)
+		return ejections && b.avoided(u, q.Now) || q.besideUnreachable(u)
 	}
 }
 
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -41,8 +41,9 @@
 	Priority int
 	// Tried are the ids of the upstreams that earlier attempts were sent to.
 	Tried []string
-	// Refused are those of them that refused the connection.
-	Refused []*upstream.Upstream
+	// Refused are those of them that refused the connection, and Unanswered those that did
+	// not answer it in time.
+	Refused, Unanswered []*upstream.Upstream
 	// WarmUpRate is how many requests a second a cold upstream bears from all
 	// hosts together.
 	WarmUpRate float64
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -36,6 +36,7 @@
 		Mixed:      f.config.Mixed(f.service),
 		Tried:      f.tried,
 		Refused:    f.refused,
+		Unanswered: f.unanswered,
 		WarmUpRate: f.config.Service(f.service).WarmUpRate,
 		Now:        now,
 	}
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -45,10 +45,9 @@
 	// started is how many attempts were begun, and attempts how many of them are looked
 	// at by the rules of package retry.
 	started, attempts int
-	// refused are the upstreams that refused the connection, and unanswered has the ids of
-	// those that could not be connected to in time.
-	refused    []*upstream.Upstream
-	unanswered []string
+	// refused are the upstreams that refused the connection, and unanswered those that could
+	// not be connected to in time.
+	refused, unanswered []*upstream.Upstream
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
 	// retryDenied is what was used of the retry budget when it last denied another attempt,
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -41,15 +41,15 @@
 	if a.repeat {
 		f.proxy.Budget.Return(f.service, time.Now())
 	}
-	upstream := a.choice.Upstream.ID
+	u := a.choice.Upstream
 	switch r {
 	case verdict.Withheld:
 		f.attempts--
-		f.untry(upstream)
+		f.untry(u.ID)
 	case verdict.ConnectionRefused:
-		f.refused = append(f.refused, a.choice.Upstream)
+		f.refused = append(f.refused, u)
 	case verdict.Unreachable:
-		f.unanswered = append(f.unanswered, upstream)
+		f.unanswered = append(f.unanswered, u)
 	}
 }
 
@@ -119,8 +119,8 @@
 // forgetUnanswered lets the upstreams be chosen again that did not answer, as if they
 // had not been dialed, and reports whether there are any.
 func (f *inflight) forgetUnanswered() bool {
-	for _, id := range f.unanswered {
-		f.untry(id)
+	for _, u := range f.unanswered {
+		f.untry(u.ID)
 	}
 	forgotten := len(f.unanswered)
 	f.attempts -= forgotten
--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -201,6 +201,21 @@
 	require.Equal(t, 2, strings.Count(g.log.String(), `"event":"attempt"`))
 }
 
+// Requests were refused with 503 after a second beside upstreams with room, as both attempts
+// that their route allows met upstreams of a dark zone.
+func TestADialWithoutAnAnswerIsFollowedByAnAttemptInAnotherZone(t *testing.T) {
+	for key := range 4 {
+		g := newUnsentGateway(t, 20*time.Second)
+		for range 4 {
+			g.addDark()
+		}
+		g.zone = "y"
+		requests := g.addUpstream(healthy)
+		require.Equal(t, http.StatusOK, g.getKey(key))
+		require.EqualValues(t, 1, requests.Load())
+	}
+}
+
 // A client that leaves while its request waits for an upstream to answer is not served.
 func TestAClientThatLeavesEndsTheWaitForAnUpstream(t *testing.T) {
 	g := newTestGateway(t)
