--- a/internal/gateway/soak/stall_test.go
+++ b/internal/gateway/soak/stall_test.go
@@ -73,6 +73,34 @@
 	return s
 }
 
+// sum is how much was stalled at all.
+func (s *stalls) sum() (sum time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range s.spans {
+		sum += x.to.Sub(x.from)
+	}
+	return sum
+}
+
+// tellStalls has the test tell at its end for how long its own process and those of the hosts
+// stood still. What it measures by time says little if they did.
+func (w *world) tellStalls() {
+	var own stalls
+	ctx, stop := context.WithCancel(context.Background())
+	var wait sync.WaitGroup
+	wait.Go(func() { own.watch(ctx) })
+	w.t.Cleanup(func() {
+		stop()
+		wait.Wait()
+		text := fmt.Sprint("stood still: the test for ", own.sum().Round(time.Millisecond))
+		for _, h := range w.hosts {
+			text += fmt.Sprint(", ", h.name, " for ", h.stalls().sum().Round(time.Millisecond))
+		}
+		w.t.Log(text)
+	})
+}
+
 // lostRequest is a request that was not served.
 type lostRequest struct {
 	id   string
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -118,7 +118,9 @@
 	t.Helper()
 	timedTurn.Lock()
 	t.Cleanup(timedTurn.Unlock) // after those of the world, which end its hosts
-	return newWorld(t, seed, timedHosts)
+	w := newWorld(t, seed, timedHosts)
+	w.tellStalls()
+	return w
 }
 
 // violation records that a guarantee did not hold.
