--- a/internal/gateway/soak/stall_test.go
+++ b/internal/gateway/soak/stall_test.go
@@ -73,14 +73,23 @@
 	return s
 }
 
-// sum is how much was stalled at all.
-func (s *stalls) sum() (sum time.Duration) {
+// String says how much was stalled at all, and when the longest stall began.
+func (s *stalls) String() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var sum time.Duration
+	var longest span
 	for _, x := range s.spans {
 		sum += x.to.Sub(x.from)
+		if x.to.Sub(x.from) > longest.to.Sub(longest.from) {
+			longest = x
+		}
 	}
-	return sum
+	if sum == 0 {
+		return "0s"
+	}
+	return fmt.Sprintf("%s, the longest from %s for %s", sum.Round(time.Millisecond),
+		longest.from.UTC().Format("15:04:05.0"), longest.to.Sub(longest.from).Round(time.Millisecond))
 }
 
 // tellStalls has the test tell at its end for how long its own process and those of the hosts
@@ -93,9 +102,9 @@
 	w.t.Cleanup(func() {
 		stop()
 		wait.Wait()
-		text := fmt.Sprint("stood still: the test for ", own.sum().Round(time.Millisecond))
+		text := "stood still: the test for " + own.String()
 		for _, h := range w.hosts {
-			text += fmt.Sprint(", ", h.name, " for ", h.stalls().sum().Round(time.Millisecond))
+			text += "; " + h.name + " for " + h.stalls().String()
 		}
 		w.t.Log(text)
 	})
