--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -27,7 +27,6 @@
 	ticker := time.NewTicker(schedulerTick)
 	defer ticker.Stop()
 	last := time.Now()
-	idleSince := last
 	for {
 		select {
 		case <-ctx.Done():
@@ -35,7 +34,7 @@
 		case <-ticker.C:
 		}
 		now := time.Now()
-		f.reportStall(now.Sub(idleSince))
+		f.reportStall(now.Sub(last))
 		for _, p := range f.due(now) {
 			go f.exchangeHeartbeat(ctx, p.host)
 		}
@@ -43,7 +42,6 @@
 		f.updatePlace(now)
 		f.rewriteLost(ctx)
 		last = now
-		idleSince = time.Now()
 	}
 }
 
@@ -51,10 +49,10 @@
 // for a tenth of a second while its part is used up.
 const minStall = 200 * time.Millisecond
 
-// reportStall reports a wait for a tick that took much longer than a tick: meanwhile the
-// process had no processor time, and its requests waited as well.
-func (f *Fleet) reportStall(waited time.Duration) {
-	if late := waited - schedulerTick; late >= minStall {
+// reportStall reports that a tick came much later than the one before: meanwhile the process
+// had no processor time, and its requests waited as well.
+func (f *Fleet) reportStall(sinceLast time.Duration) {
+	if late := sinceLast - schedulerTick; late >= minStall {
 		f.options.Report.Stalled(late)
 	}
 }
