Ask for each upstream whether it comes last, without a closure that is allocated

The rule for zones that could not be reached cost each choice two allocations and 224 bytes (BenchmarkChoose/204: 11 and 594, before it 9 and 370). Now 9 and 370; the decisions are the same, the tests of the package pass.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -148,7 +148,7 @@
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
-	last := b.comesLast(q, sum)
+	ejections := b.honorsEjections(q, sum)
 	list := make([]scored, 0, len(q.Upstreams))
 	var held Withheld
 	for _, u := range q.Upstreams {
@@ -156,7 +156,7 @@
 			continue
 		}
 		x := b.scored(u, o.cost(u, key^u.Seed()), q.Now)
-		if last(u) {
+		if b.comesLast(u, &q, ejections) {
 			x.cost += lastCost
 		}
 		list = append(list, x)
@@ -165,14 +165,16 @@
 	return list, held
 }
 
-// comesLast tells which upstreams are tried after all others: those that are ejected or
-// refuse another host, while ejections are honored, and those beside ones that the request
-// could not reach.
-func (b *Balancer) comesLast(q Query, sum *summary) func(*upstream.Upstream) bool {
-	ejections := b.policy.Ejections && sum.honorEjections(q)
-	return func(u *upstream.Upstream) bool {
-		return ejections && b.avoided(u, q.Now) || q.besideUnreachable(u)
-	}
+// honorsEjections reports whether ejected upstreams come last for a request.
+func (b *Balancer) honorsEjections(q Query, sum *summary) bool {
+	return b.policy.Ejections && sum.honorEjections(q)
+}
+
+// comesLast reports whether an upstream is tried after all others: it is ejected or refuses
+// another host, while ejections are honored, or is beside ones that the request could not
+// reach.
+func (b *Balancer) comesLast(u *upstream.Upstream, q *Query, ejections bool) bool {
+	return ejections && b.avoided(u, q.Now) || q.besideUnreachable(u)
 }
 
 // avoided reports whether an upstream is ejected, or refuses another host.
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -45,7 +45,8 @@
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
-	last := b.comesLast(q, sum)
+	ejections := b.honorsEjections(q, sum)
+	last := func(u *upstream.Upstream) bool { return b.comesLast(u, &q, ejections) }
 	// One more, as the region's best may be among them.
 	first := lowest{size: b.policy.PreferenceList + 1}
 	regionBest := lowest{size: 1}
--- a/internal/gateway/balance/unreachable.go
+++ b/internal/gateway/balance/unreachable.go
@@ -20,7 +20,7 @@
 
 // besideUnreachable reports whether an upstream comes last for the request, as it could
 // reach none of others around it.
-func (q Query) besideUnreachable(u *upstream.Upstream) bool {
+func (q *Query) besideUnreachable(u *upstream.Upstream) bool {
 	sameZone := func(o *upstream.Upstream) bool { return o.Zone == u.Zone && o.Region == u.Region }
 	if slices.ContainsFunc(q.Unanswered, sameZone) {
 		return true
