Name the soak's steady load for what it does

It sends what the tests of restored stores send as well as those of notices; its name was that of the latter. Only names change; the package builds and vets.

--- a/internal/gateway/soak/notice_test.go
+++ b/internal/gateway/soak/notice_test.go
@@ -44,26 +44,26 @@
 	leastLimitUsed = 0.5
 )
 
-// noticeRun sends requests to all hosts, and knows by their ids which host each was
-// sent to.
-type noticeRun struct {
+// steadyLoad sends requests to all hosts, each at the same rate, and knows by their ids
+// which host each was sent to.
+type steadyLoad struct {
 	world *world
 	// sent, served and refused count the requests, those that got 200 and those that got 503
 	// at first.
 	sent, served, refused atomic.Int64
 }
 
-// newNoticeRun starts a world once it is the test's turn.
-func newNoticeRun(t *testing.T, seed uint64) *noticeRun {
+// newSteadyLoad starts a world once it is the test's turn.
+func newSteadyLoad(t *testing.T, seed uint64) *steadyLoad {
 	t.Helper()
 	w := newTimedWorld(t, seed)
 	w.startHosts(10 * time.Second)
 	time.Sleep(calmAfter)
-	return &noticeRun{world: w}
+	return &steadyLoad{world: w}
 }
 
 // send sends requests to all hosts for a time, and waits for their responses.
-func (n *noticeRun) send(length time.Duration) {
+func (n *steadyLoad) send(length time.Duration) {
 	var wait sync.WaitGroup
 	for host := range n.world.hosts {
 		wait.Go(func() { n.sendTo(host, length, &wait) })
@@ -71,7 +71,7 @@
 	wait.Wait()
 }
 
-func (n *noticeRun) sendTo(host int, length time.Duration, wait *sync.WaitGroup) {
+func (n *steadyLoad) sendTo(host int, length time.Duration, wait *sync.WaitGroup) {
 	ticker := time.NewTicker(noticeEvery)
 	defer ticker.Stop()
 	for end := time.Now().Add(length); time.Now().Before(end); <-ticker.C {
@@ -86,7 +86,7 @@
 
 // sendOne sends a request, and once more if it was refused, as the platform's clients do: a
 // route's attempts may all meet upstreams that refuse.
-func (n *noticeRun) sendOne(host int, r platformtest.Request) {
+func (n *steadyLoad) sendOne(host int, r platformtest.Request) {
 	for try := range 2 {
 		status := n.world.sendKeyed(n.world.t.Context(), http.DefaultClient, n.world.hosts[host], r, http.MethodGet, "/safe/notice", "")
 		if status == http.StatusOK {
@@ -106,7 +106,7 @@
 
 // byHost gives when requests reached an upstream since a time, in order, by the host that
 // sent them.
-func (n *noticeRun) byHost(u *upstream, since time.Time) [][]time.Time {
+func (n *steadyLoad) byHost(u *upstream, since time.Time) [][]time.Time {
 	byHost := make([][]time.Time, len(n.world.hosts))
 	n.world.ledger.mu.Lock()
 	defer n.world.ledger.mu.Unlock()
@@ -125,7 +125,7 @@
 
 // bound gives when requests reached an upstream from hosts that were bound then by what
 // it says since a time: each host from toldAfter after its first response on.
-func (n *noticeRun) bound(u *upstream, since time.Time) []time.Time {
+func (n *steadyLoad) bound(u *upstream, since time.Time) []time.Time {
 	var bound []time.Time
 	for _, at := range n.byHost(u, since) {
 		if len(at) == 0 {
@@ -162,7 +162,7 @@
 // upstream with a limit of 0.3 got 74 requests in 4 s.
 func TestAnUpstreamsLimitHoldsOverAllHosts(t *testing.T) {
 	t.Parallel()
-	n := newNoticeRun(t, standardSeed)
+	n := newSteadyLoad(t, standardSeed)
 	limits := []float64{0.3, 6, 12}
 	since := time.Now()
 	for i, limit := range limits {
@@ -197,7 +197,7 @@
 // the hosts, counted as read by nothing.
 func TestAnUpstreamThatSaysItLeavesGetsNoMore(t *testing.T) {
 	t.Parallel()
-	n := newNoticeRun(t, standardSeed)
+	n := newSteadyLoad(t, standardSeed)
 	since := time.Now()
 	leaving := n.world.everyUpstream[:2]
 	for _, u := range leaving {
@@ -216,7 +216,7 @@
 
 // lateFrom is how many requests reached an upstream from hosts that it had told something
 // at least a time before.
-func (n *noticeRun) lateFrom(u *upstream, since time.Time, after time.Duration) int {
+func (n *steadyLoad) lateFrom(u *upstream, since time.Time, after time.Duration) int {
 	late := 0
 	for _, at := range n.byHost(u, since) {
 		for _, x := range at {
@@ -240,7 +240,7 @@
 // by nothing.
 func TestAnUpstreamThatAsksForRestGetsIt(t *testing.T) {
 	t.Parallel()
-	n := newNoticeRun(t, standardSeed)
+	n := newSteadyLoad(t, standardSeed)
 	// A process that has just started has no retries until it has had requests.
 	n.send(3 * time.Second)
 	first := n.haveRest(n.world.everyUpstream[0])
@@ -267,7 +267,7 @@
 }
 
 // haveRest has an upstream refuse each request from now on, and ask for rest.
-func (n *noticeRun) haveRest(u *upstream) resting {
+func (n *steadyLoad) haveRest(u *upstream) resting {
 	since := time.Now()
 	u.notice.Store(&platformtest.Notice{Rest: fmt.Sprint(restFor.Seconds())})
 	return resting{u, since}
--- a/internal/gateway/soak/restore_test.go
+++ b/internal/gateway/soak/restore_test.go
@@ -70,7 +70,7 @@
 // change until these had passed what they knew.
 func TestChangesAreInForceInTimeAfterTheStoreCameBackFromACopy(t *testing.T) {
 	t.Parallel()
-	n := newNoticeRun(t, standardSeed)
+	n := newSteadyLoad(t, standardSeed)
 	w := n.world
 	var sending sync.WaitGroup
 	defer sending.Wait()
@@ -115,7 +115,7 @@
 // known it. One host sleeps through a return of the store, and one is cut off from it.
 func TestAnEvacuationHoldsWhileTheStoreComesBackTwice(t *testing.T) {
 	t.Parallel()
-	n := newNoticeRun(t, standardSeed)
+	n := newSteadyLoad(t, standardSeed)
 	w := n.world
 	var sending sync.WaitGroup
 	defer sending.Wait()
