Wait for the final line before a test counts a request's attempts

Its own log, printed at its end, has both attempts and the final line: lines are written after the response, by another goroutine, and the test counted before the second was there.

Three tests count once the final line is there, which follows all attempts; what they ask for is the same.

--- a/internal/gateway/proxy/attempts_test.go
+++ b/internal/gateway/proxy/attempts_test.go
@@ -112,7 +112,7 @@
 	g.addUpstream(resetting)
 	g.addUpstream(resetting)
 	require.Equal(t, http.StatusBadGateway, g.getKey(1))
-	require.Contains(t, g.log.String(), `"retry_denied":"0 of 0.75 retries used, for 1 requests and a slack of 0.00"`)
+	g.requireLogged(`"retry_denied":"0 of 0.75 retries used, for 1 requests and a slack of 0.00"`)
 	var metrics strings.Builder
 	g.proxy.Metrics.Write(&metrics)
 	require.Contains(t, metrics.String(), `cairndock_retries_denied_total{service="s"} 1`)
--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -47,6 +47,14 @@
 	return func() { go serveUpstream(l, new(atomic.Int64), healthy) }
 }
 
+// loggedAttempts is how many attempts the log has once it has the final line of a request,
+// which is written after them; both may come later than the response.
+func (g *testGateway) loggedAttempts() int {
+	g.t.Helper()
+	g.requireLogged(`"event":"final"`)
+	return strings.Count(g.log.String(), `"event":"attempt"`)
+}
+
 // newUnsentGateway is a gateway whose retry budget is empty.
 func newUnsentGateway(t *testing.T, timeout time.Duration) *testGateway {
 	t.Helper()
@@ -119,7 +127,7 @@
 	began := time.Now()
 	require.Equal(t, http.StatusServiceUnavailable, g.getKey(1))
 	require.Less(t, time.Since(began), 5*time.Second, "to wait for them would take half of its time")
-	require.Equal(t, 3, strings.Count(g.log.String(), `"event":"attempt"`))
+	require.Equal(t, 3, g.loggedAttempts())
 }
 
 // Among many that have ended a request looks for a running one a few times only.
@@ -129,7 +137,7 @@
 		g.addEnded()
 	}
 	require.Equal(t, http.StatusServiceUnavailable, g.getKey(1))
-	require.Equal(t, 6, strings.Count(g.log.String(), `"event":"attempt"`), "two of the route, and four that were refused")
+	require.Equal(t, 6, g.loggedAttempts(), "two of the route, and four that were refused")
 }
 
 // Requests were refused with 503 long before their deadline, as the only upstream could
@@ -198,7 +206,7 @@
 		g.addDark()
 	}
 	require.Equal(t, http.StatusServiceUnavailable, g.getKey(1))
-	require.Equal(t, 2, strings.Count(g.log.String(), `"event":"attempt"`))
+	require.Equal(t, 2, g.loggedAttempts())
 }
 
 // Requests were refused with 503 after a second beside upstreams with room, as both attempts
