retry: leave sixteen refused connections out of the attempts

Cause: where a third of all upstreams end at once, a request meets more of them than the four refused connections that did not count as attempts, and gets 503 within milliseconds while two thirds have room.

--- a/internal/gateway/retry/rule.go
+++ b/internal/gateway/retry/rule.go
@@ -25,9 +25,10 @@
 }
 
 // maxUncountedRefusals is the number of refused connections that do not count as
-// attempts. Each takes only a round trip, and several upstreams may have terminated at
-// the same time.
-const maxUncountedRefusals = 4
+// attempts. Each takes only a round trip. The value is high enough that a request still
+// finds a running upstream when half of them have terminated at the same time, and it
+// bounds how long a request tries while a whole service is down.
+const maxUncountedRefusals = 16
 
 // countedAttempts is the number of attempts that count towards the limit of the route. No
 // upstream received anything over a refused connection, so only those above
