rollout: decide when a service's traffic moves to another version

The decisions of a roll-out, without a network: which upstreams get a request in each phase, the comparison of a version with the others of its service by sequential tests for each route, when the next phase is due, and the reports of hosts that add up. upstream.Registration has the software version.

--- /dev/null
+++ b/internal/gateway/rollout/judge.go
@@ -0,0 +1,233 @@
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// alarmThreshold is the log-likelihood ratio from which on a test counts the target
+	// as bad. Its exponential bounds the rate of false alarms of one test.
+	alarmThreshold = 8
+	// failureTolerance is how much higher the target's rate of failures may be than that
+	// of the other versions, and failureEffect how much higher than that the rate is
+	// which the test detects fastest.
+	failureTolerance = 0.015
+	failureEffect    = 0.08
+	// slowTolerance and slowEffect are the same for slow responses. The tolerance is
+	// larger, because an upstream responds more slowly to the first request for an
+	// object, and the target's upstreams have seen none before the roll-out.
+	slowTolerance = 0.06
+	slowEffect    = 0.2
+	// leftOutFraction is the fraction of the target's upstreams that may be faulty without
+	// the version being so. The worst ones are left out, and the others must show the
+	// fault as well. Outlier detection handles faults of single upstreams.
+	leftOutFraction = 0.4
+	// minLeftOut is how many upstreams are left out at least, if as many others remain. Few
+	// keys reach only few upstreams.
+	minLeftOut = 3
+	// affectedPart is the part of the rate of all upstreams that the other ones must show.
+	affectedPart = 0.25
+	// baseMemory is the factor by which the counts of the other versions decay from one
+	// observation to the next, so that a fault of all versions is not attributed to the
+	// target.
+	baseMemory = 0.8
+	// groupMemory is the corresponding factor for the groups of the target's upstreams.
+	// It is longer, because single upstreams get few requests.
+	groupMemory = 0.96
+	// basePrior and basePriorRate are a prior of the other versions' rate: as many
+	// requests at that rate.
+	basePrior     = 20
+	basePriorRate = 0.005
+)
+
+// Finding is the result of a comparison of the target with the other versions.
+type Finding struct {
+	// Bad is set when the target is bad.
+	Bad bool
+	// Reason is one sentence with the figures that decided; empty unless Bad is set.
+	Reason string
+}
+
+// Judge compares the target with the other versions by sequential tests (CUSUM): one for
+// failures and one for slow responses of each route, because a version may be bad on one
+// route only, and only from some time on.
+type Judge struct {
+	seen  map[string]RouteEvidence
+	tests map[string]*routeTests
+	// seenGroups and groups are the counts of the groups when they were last observed, and
+	// their recent increases, which decay.
+	seenGroups map[int]GroupOutcomes
+	groups     map[int]recentOutcomes
+}
+
+// recentOutcomes are decayed counts of GroupOutcomes.
+type recentOutcomes struct{ ended, failed, compared, slow float64 }
+
+// NewJudge returns a judge that has seen no evidence.
+func NewJudge() *Judge {
+	return &Judge{seen: map[string]RouteEvidence{}, tests: map[string]*routeTests{}, seenGroups: map[int]GroupOutcomes{}, groups: map[int]recentOutcomes{}}
+}
+
+// allRoutes stands for the sum of all routes, which has a test of its own: a fault of few
+// requests on each route is noticed sooner in it.
+const allRoutes = "any"
+
+// Observe evaluates the evidence of all hosts so far. Evidence may be less than before when
+// hosts have ended.
+func (j *Judge) Observe(e Evidence) Finding {
+	j.observeGroups(e)
+	found := j.observe(allRoutes, e.total())
+	for name, now := range e.Routes {
+		if f := j.observe(name, now); f.Bad {
+			found = f
+		}
+	}
+	return found
+}
+
+// observe evaluates the evidence of one route.
+func (j *Judge) observe(name string, now RouteEvidence) Finding {
+	t := j.tests[name]
+	if t == nil {
+		t = &routeTests{}
+		j.tests[name] = t
+	}
+	before := j.seen[name]
+	j.seen[name] = now
+	t.failures.observe(
+		since(now.Target.Ended, before.Target.Ended), since(now.Target.Failed, before.Target.Failed),
+		since(now.Others.Ended, before.Others.Ended), since(now.Others.Failed, before.Others.Failed), failureTolerance, failureEffect)
+	t.slowness.observe(
+		since(now.Target.Compared, before.Target.Compared), since(now.Target.Slow, before.Target.Slow),
+		since(now.Others.Compared, before.Others.Compared), since(now.Others.Slow, before.Others.Slow), slowTolerance, slowEffect)
+	return j.finding(t, name, now)
+}
+
+// observeGroups updates the recent outcomes of the target's groups of upstreams.
+func (j *Judge) observeGroups(e Evidence) {
+	for group, now := range e.Groups {
+		before, recent := j.seenGroups[group], j.groups[group]
+		j.groups[group] = recentOutcomes{
+			ended:    groupMemory*recent.ended + float64(since(now.Ended, before.Ended)),
+			failed:   groupMemory*recent.failed + float64(since(now.Failed, before.Failed)),
+			compared: groupMemory*recent.compared + float64(since(now.Compared, before.Compared)),
+			slow:     groupMemory*recent.slow + float64(since(now.Slow, before.Slow)),
+		}
+		j.seenGroups[group] = now
+	}
+}
+
+// isCommon reports whether the target's upstreams show a fault in general: also those that
+// remain when the worst ones are left out.
+func (j *Judge) isCommon(counts func(recentOutcomes) (all, faulty float64)) bool {
+	var groups []faultCount
+	for _, recent := range j.groups {
+		if all, faulty := counts(recent); all > 0 {
+			groups = append(groups, faultCount{all, faulty})
+		}
+	}
+	slices.SortFunc(groups, func(a, b faultCount) int { return cmp.Compare(b.faulty*a.all, a.faulty*b.all) })
+	leftOut := max(int(leftOutFraction*float64(len(groups))), min(minLeftOut, len(groups)/2))
+	rest := groups[max(0, leftOut):]
+	return rateOf(rest) >= affectedPart*rateOf(groups)
+}
+
+// faultCount is the number of requests and of the faulty ones among them.
+type faultCount struct{ all, faulty float64 }
+
+// rateOf returns the rate of faults of several counts.
+func rateOf(counts []faultCount) float64 {
+	var sum faultCount
+	for _, c := range counts {
+		sum.all += c.all
+		sum.faulty += c.faulty
+	}
+	return sum.faulty / max(1, sum.all)
+}
+
+// since returns by how much a count has grown.
+func since(now, before int) int { return max(0, now-before) }
+
+// routeTests are the tests of one route.
+type routeTests struct{ failures, slowness sequentialTest }
+
+// finding returns the result of a route's tests.
+func (j *Judge) finding(t *routeTests, route string, now RouteEvidence) Finding {
+	failed := func(r recentOutcomes) (all, faulty float64) { return r.ended, r.failed }
+	slow := func(r recentOutcomes) (all, faulty float64) { return r.compared, r.slow }
+	switch {
+	case t.failures.score >= alarmThreshold && j.isCommon(failed):
+		return Finding{true, fmt.Sprintf("%d of %d requests of route %s failed, and %d of %d at other versions",
+			now.Target.Failed, now.Target.Ended, route, now.Others.Failed, now.Others.Ended)}
+	case t.slowness.score >= alarmThreshold && j.isCommon(slow):
+		return Finding{true, fmt.Sprintf("%d of %d responses of route %s were slow, and %d of %d at other versions",
+			now.Target.Slow, now.Target.Compared, route, now.Others.Slow, now.Others.Compared)}
+	}
+	return Finding{}
+}
+
+// sequentialTest is a one-sided CUSUM test of a rate against that of the other versions.
+type sequentialTest struct {
+	// score is the log-likelihood ratio of a raised rate since the time that is most
+	// favorable for it.
+	score float64
+	// baseCount and baseHits are the decayed counts of the other versions.
+	baseCount, baseHits float64
+}
+
+// observe adds count requests of the target, of which hits are faulty, and those of the
+// other versions in the same time.
+func (t *sequentialTest) observe(count, hits, baseCount, baseHits int, tolerance, effect float64) {
+	t.baseCount = baseMemory*t.baseCount + float64(baseCount)
+	t.baseHits = baseMemory*t.baseHits + float64(baseHits)
+	base := (t.baseHits + basePrior*basePriorRate) / (t.baseCount + basePrior)
+	good := min(0.9, base+tolerance)
+	bad := min(0.95, good+effect)
+	faulty, sound := math.Log(bad/good), math.Log((1-bad)/(1-good))
+	hits = min(hits, count)
+	t.score = max(0, t.score+float64(hits)*faulty+float64(count-hits)*sound)
+}
+
+const (
+	// slowFactor is the multiple of the other versions' typical latency from which on a
+	// response is slow. Bad versions are several times slower.
+	slowFactor = 2
+	// newObjectFactor is the factor while requests for new objects go to the target. The
+	// first response for an object takes longer than the others.
+	newObjectFactor = 3.5
+	// minSlowThreshold is the minimum threshold. Below it, the network and the load of
+	// this host decide the latency.
+	minSlowThreshold = 50 * time.Millisecond
+	// settleTime is how long requests for new objects go to the target after its fraction
+	// has changed.
+	settleTime = 2 * time.Second
+)
+
+// slowThreshold returns the latency from which on a response counts as slow, or zero if the
+// latencies of the other versions are not known.
+func slowThreshold(others Histogram, factor float64) time.Duration {
+	typical := others.quantile(0.5)
+	if typical == 0 {
+		return 0
+	}
+	return max(minSlowThreshold, time.Duration(factor*float64(typical)))
+}
+
+// slowThresholds returns the latency from which on a response of each route is slow.
+func slowThresholds(e Evidence, r Record, clock int64) map[string]time.Duration {
+	factor := float64(slowFactor)
+	if r.Phase != Canary || after(r.ChangedAt, clock) < settleTime {
+		factor = newObjectFactor
+	}
+	slow := make(map[string]time.Duration, len(e.Routes))
+	for route, evidence := range e.Routes {
+		if threshold := slowThreshold(evidence.Others.Latency, factor); threshold > 0 {
+			slow[route] = threshold
+		}
+	}
+	return slow
+}
--- /dev/null
+++ b/internal/gateway/rollout/report.go
@@ -0,0 +1,89 @@
+package rollout
+
+import (
+	"maps"
+	"time"
+)
+
+// reportTTL is how long the report of a host counts. Hosts report several times in this
+// time. A host that ended or reports to another host is dropped after it.
+const reportTTL = 1500 * time.Millisecond
+
+// Report is what a host and those that report to it know of the running roll-outs, by
+// service. It is sent from host to host (msgpack), along the tree of a region.
+type Report map[string]ServiceReport
+
+// ServiceReport is a report about one service.
+type ServiceReport struct {
+	// Order is the version of the order that the report is about.
+	Order    int64    `msgpack:"o"`
+	Evidence Evidence `msgpack:"e"`
+	// Confirmed is the sum of the IDs of the hosts that have confirmed, for the revision
+	// of the record, that they send nothing to other versions and have no request in
+	// flight there. A host that is counted twice makes the sum differ from that of all
+	// hosts, so that no other host can be missing unnoticed.
+	Confirmed uint64 `msgpack:"c,omitempty"`
+	Revision  int64  `msgpack:"v,omitempty"`
+}
+
+// plus returns the sum of two reports. Reports about another order are not added, and
+// confirmations of another revision do not count.
+func (r ServiceReport) plus(other ServiceReport) ServiceReport {
+	if r.Order != other.Order {
+		return r
+	}
+	r.Evidence = r.Evidence.plus(other.Evidence)
+	if r.Revision == other.Revision {
+		r.Confirmed += other.Confirmed
+	}
+	return r
+}
+
+// Reply is the reply to a Report, by service.
+type Reply map[string]ServiceReply
+
+// ServiceReply is a reply about one service.
+type ServiceReply struct {
+	// Order is the version of the order that the reply is about.
+	Order int64 `msgpack:"o"`
+	// Slow is the latency from which on a response of each route is slow.
+	Slow map[string]time.Duration `msgpack:"s,omitempty"`
+	// Suspend is set when the target was found to be bad. Hosts then send nothing more
+	// there, also while the store, and thus the decision, is out of reach.
+	Suspend bool `msgpack:"b,omitempty"`
+}
+
+// reports holds the reports of the hosts that report to this one.
+type reports struct {
+	received map[string]receivedReport
+}
+
+type receivedReport struct {
+	report Report
+	at     time.Time
+}
+
+// add adds the report of a host, which replaces its earlier one.
+func (r *reports) add(host string, report Report, now time.Time) {
+	if r.received == nil {
+		r.received = map[string]receivedReport{}
+	}
+	maps.DeleteFunc(r.received, func(_ string, old receivedReport) bool { return now.Sub(old.at) >= reportTTL })
+	r.received[host] = receivedReport{report, now}
+}
+
+// plus returns a host's own report plus those that it received.
+func (r *reports) plus(own Report, now time.Time) Report {
+	sum := maps.Clone(own)
+	for _, received := range r.received {
+		if now.Sub(received.at) >= reportTTL {
+			continue
+		}
+		for service, report := range received.report {
+			if mine, known := sum[service]; known {
+				sum[service] = mine.plus(report)
+			}
+		}
+	}
+	return sum
+}
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -30,6 +30,8 @@
 	Address string
 	Zone    string
 	Region  string
+	// SoftwareVersion is the version of the upstream's program.
+	SoftwareVersion string
 	// Capacity is the number of requests that the upstream processes at the same time.
 	Capacity int
 	// Draining means that the upstream takes no new work.
