gateway: roll out versions as operators order it

The order is a row of the operators' table, the progress one of a table of the hosts', which is watched and relayed from the first order on. Any host that collects its region's reports stores the next phase, in a transaction with the versions of the order and of the progress; the operators' view of it changes with it. Requests go by the plan of their service's roll-out, and ask for it once more when they count as in flight, so that a host's confirmation that nothing is in flight at other versions holds. The first upstreams of a version are used once the host can know of their order.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -60,6 +60,8 @@
 // sees them.
 type state struct {
 	load loadEstimate
+	// upstream is the upstream as it was last chosen; nil before the first choice.
+	upstream *upstream.Upstream
 	// sends are the recent requests for which the upstream was chosen.
 	sends warmup.Sends
 }
@@ -123,6 +125,7 @@
 	if reason == Chosen {
 		b.notices.Take(chosen.upstream, q.Now)
 		chosen.state.load.outstanding++
+		chosen.state.upstream = chosen.upstream
 		choice.send = chosen.state.sends.Add(q.Now, choice.Cold)
 	}
 	if choice.Cold {
@@ -226,6 +229,19 @@
 	c.send.End()
 }
 
+// InFlight returns the number of requests in flight at the upstreams that match.
+func (b *Balancer) InFlight(match func(*upstream.Upstream) bool) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	count := 0
+	for _, s := range b.states {
+		if s.load.outstanding > 0 && s.upstream != nil && match(s.upstream) {
+			count += s.load.outstanding
+		}
+	}
+	return count
+}
+
 // ObserveLoad records an upstream's own report of its running and waiting requests.
 func (b *Balancer) ObserveLoad(u *upstream.Upstream, running, waiting int, now time.Time) {
 	b.mu.Lock()
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -95,6 +95,7 @@
 	Notices      NoticeSink
 	Suspicions   Suspicions
 	Tokens       TokenProvider
+	Rollouts     Rollouts
 	// Status returns the current status of this host.
 	Status func() Status
 	// Seeds are peer addresses that a starting host queries for other hosts.
@@ -222,6 +223,8 @@
 		f.serveRelay(ctx, payload, w)
 	case peer.KindTokens:
 		f.serveTokens(payload, w)
+	case peer.KindRollout:
+		f.serveRollout(payload, w)
 	default:
 		fail(w)
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -11,6 +11,7 @@
 	"github.com/rotisserie/eris"
 	"go.opentelemetry.io/otel/trace"
 
+	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/dial"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/fleet"
@@ -18,6 +19,7 @@
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/poison"
@@ -46,13 +48,18 @@
 	// suspicions tracks requests under which upstreams terminated.
 	suspicions   *poison.Table
 	suspendWatch *suspend.Watch
-	timing       watch.Timing
-	tables       [tableCount]fleet.Table
-	watchers     [tableCount]*watch.Watcher
-	fleet        *fleet.Fleet
-	quota        *quota.Limiter
-	proxy        *proxy.Proxy
-	server       *proxy.Server
+	balancer     *balance.Balancer
+	rollouts     *rollout.Table
+	controller   *rollout.Controller
+	// rolloutOrdered is closed when the first roll-out is ordered.
+	rolloutOrdered chan struct{}
+	timing         watch.Timing
+	tables         [tableCount]fleet.Table
+	watchers       [tableCount]*watch.Watcher
+	fleet          *fleet.Fleet
+	quota          *quota.Limiter
+	proxy          *proxy.Proxy
+	server         *proxy.Server
 }
 
 // New returns a host that writes its log to out. Call Run to start it.
@@ -70,11 +77,16 @@
 	store := platform.NewStore(set.Store.Address, dial.New(storeDialTimeout).DialContext)
 	g.tables[operatorTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.OperatorTable(store)}
 	g.tables[upstreamTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.UpstreamTable(store)}
+	g.tables[rolloutTable] = fleet.Table{Replica: watch.NewReplica(), Store: platform.RolloutTable(store)}
 	g.notices = notice.NewTable(set.Host.Name, g, g)
+	g.rollouts = g.newRollouts()
+	g.state.UseRollouts(g.rollouts, g.tables[operatorTable].Replica.Version)
 	g.fleet = g.newFleet(store)
 	g.quota = g.newQuota()
 	g.watchers[operatorTable] = g.newWatcher(operatorTable, g.state.OperatorSink())
 	g.watchers[upstreamTable] = g.newWatcher(upstreamTable, g.state.UpstreamSink())
+	g.watchers[rolloutTable] = g.newWatcher(rolloutTable, g.state.RolloutSink())
+	g.controller = g.newController(store)
 	g.proxy = g.newProxy(time.Now())
 	g.server = proxy.NewServer(g.proxy)
 	g.watchSuspension()
@@ -90,9 +102,9 @@
 	g.log.Process("start", "zone "+g.settings.Host.Zone)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	for _, w := range g.watchers {
-		go w.Run(ctx)
-	}
+	go g.watchers[operatorTable].Run(ctx)
+	go g.watchers[upstreamTable].Run(ctx)
+	go g.runRollouts(ctx)
 	if err := g.fleet.Start(ctx); err != nil {
 		return err
 	}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
 )
@@ -31,6 +32,8 @@
 	cancel     context.CancelCauseFunc
 	// progress is the state of the exchange with the upstream.
 	progress exchange.Progress
+	// sample counts the attempt for the service's roll-out; nil if there is none.
+	sample *rollout.Attempt
 
 	// overdueAfter is the longest time that a response normally takes; zero while there
 	// is no latency baseline.
@@ -73,6 +76,7 @@
 	ctx, span := f.startAttempt(ctx, a)
 	defer func() { endSpan(span, err) }()
 	resp, err := a.roundTrip(ctx, f.tracedRequest(ctx, span))
+	defer func() { a.sample.End(rolloutOutcome(resp, err), time.Now()) }()
 	if err != nil {
 		a.cancel(nil)
 		e := verdict.From(err)
@@ -87,7 +91,9 @@
 func (a *attempt) roundTrip(ctx context.Context, r *exchange.Request) (*exchange.Response, error) {
 	u := a.choice.Upstream
 	a.progress.OnSent = a.recordSent
-	a.progress.MaySend = func() bool { return a.inflight.proxy.Notices.MaySend(u, time.Now()) }
+	a.progress.MaySend = func() bool {
+		return a.inflight.plan().Allows(u) && a.inflight.proxy.Notices.MaySend(u, time.Now())
+	}
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
 	if err == nil {
 		err = a.inflight.checkResponse(u, resp, a.began)
@@ -104,7 +110,9 @@
 
 // recordSent is called when the request has been written.
 func (a *attempt) recordSent() {
-	a.inflight.proxy.Balancer.Sent(a.choice, time.Now())
+	f, now := a.inflight, time.Now()
+	f.proxy.Balancer.Sent(a.choice, now)
+	a.sample = f.proxy.Rollouts.Sent(f.service, f.route.Name, a.choice.Upstream, !a.choice.Cold, now)
 	if a.choice.Cold {
 		a.logWarmUp()
 	}
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/rollout"
 )
 
 // choose asks the balancer for the next upstream of the request. The request counts as
@@ -13,11 +14,39 @@
 	if err := f.confirmKey(); err != nil {
 		return balance.Choice{}, err
 	}
-	choice, reason := f.proxy.Balancer.Choose(f.query(time.Now()))
-	if reason != balance.Chosen {
-		return balance.Choice{}, notChosen(reason, f.service, choice)
+	for {
+		choice, reason := f.chooseBy(f.plan())
+		if reason != balance.Chosen {
+			return balance.Choice{}, notChosen(reason, f.service, choice)
+		}
+		// The request counts as in flight from here on. A host that confirms that none is in
+		// flight at a version has changed the plan before.
+		if f.plan().Allows(choice.Upstream) {
+			return choice, nil
+		}
+		f.proxy.Balancer.Done(choice)
 	}
-	return choice, nil
+}
+
+// plan returns the plan of the roll-out of the request's service; nil if there is none.
+func (f *inflight) plan() *rollout.Plan {
+	return f.proxy.Rollouts.Plan(f.service, f.proxy.State.Upstreams())
+}
+
+// chooseBy asks the balancer for an upstream among those that a plan names.
+func (f *inflight) chooseBy(plan *rollout.Plan) (balance.Choice, balance.Reason) {
+	q := f.query(time.Now())
+	if plan == nil {
+		return f.proxy.Balancer.Choose(q)
+	}
+	preferred, fallback := plan.Candidates(q.Key, f.startedAttempts == 0)
+	q.Upstreams = preferred
+	choice, reason := f.proxy.Balancer.Choose(q)
+	if reason == balance.Chosen || len(fallback) == 0 {
+		return choice, reason
+	}
+	q.Upstreams = fallback
+	return f.proxy.Balancer.Choose(q)
 }
 
 // query returns the input of a choice, apart from the load and health of the upstreams:
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -10,6 +10,7 @@
 
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
 )
@@ -130,6 +131,18 @@
 	return outlier.Succeeded
 }
 
+// rolloutOutcome returns the outcome of an attempt for the comparison of versions.
+func rolloutOutcome(resp *exchange.Response, err error) rollout.Outcome {
+	switch {
+	case err == nil && resp.Status < http.StatusInternalServerError:
+		return rollout.Answered
+	case err == nil, isUpstreamFault(verdict.From(err).Reason):
+		return rollout.Failed
+	default:
+		return rollout.Undecided
+	}
+}
+
 // recordHealth reports the result of an attempt to the outlier detector. An overdue
 // attempt was recorded as a failure when its timer fired. Its duration is still included
 // in the latency of the service, so that the baseline adapts when the whole service has
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -32,6 +32,7 @@
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/retry"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
@@ -179,7 +180,7 @@
 	balancer := balance.New(balance.Location{Zone: "z", Region: "r", Regions: 1}, &g.fleet, detector, balance.DefaultPolicy())
 	balancer.HonorNotices(notices)
 	g.proxy = proxy.New(proxy.Options{
-		State: g.state, Detector: detector, Notices: notices,
+		State: g.state, Detector: detector, Notices: notices, Rollouts: rollout.NewTable(rollout.TableOptions{}),
 		Balancer:         balancer,
 		Budget:           retry.NewBudget(retries, time.Now().Add(-retries.Window), 0),
 		Suspicions:       g.suspicions,
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -15,6 +15,7 @@
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/retry"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/pause"
@@ -58,6 +59,8 @@
 	State *routing.State
 	// Balancer chooses an upstream for each attempt.
 	Balancer *balance.Balancer
+	// Rollouts plans which versions of a service get requests, and compares them.
+	Rollouts *rollout.Table
 	// Detector ejects upstreams based on the outcomes of attempts.
 	Detector *outlier.Detector
 	// Budget limits how many requests are sent more than once.
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -12,6 +12,7 @@
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/proxy"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
@@ -135,3 +136,7 @@
 	var in upstream.Registration
 	return in, eris.Wrap(json.Unmarshal(value, &in), "parse")
 }
+
+func (decoder) Rollout(string, []byte) (rollout.Record, error) {
+	return rollout.Record{}, eris.New("there are no roll-outs")
+}
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -122,5 +122,22 @@
 // Mixed reports whether a service has both large and small responses.
 func (t *Table) Mixed(service string) bool { return t.mixed[service] }
 
+// MaxTimeout returns the longest timeout of a service's routes; zero if one of them has none.
+func (t *Table) MaxTimeout(service string) time.Duration {
+	longest := time.Duration(0)
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			if !slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service }) {
+				continue
+			}
+			if r.Timeout == 0 {
+				return 0
+			}
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return longest
+}
+
 // Routes returns the number of routes.
 func (t *Table) Routes() int { return t.routes }
--- a/internal/gateway/routing/routing_test.go
+++ b/internal/gateway/routing/routing_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
@@ -47,6 +48,10 @@
 	return upstream.Registration{ID: key, Service: "s", Zone: zone}, nil
 }
 
+func (decoder) Rollout(string, []byte) (rollout.Record, error) {
+	return rollout.Record{}, eris.New("unknown row")
+}
+
 // host is the state of a host with its sinks and its log.
 type host struct {
 	state *routing.State
--- a/internal/gateway/routing/state.go
+++ b/internal/gateway/routing/state.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/watch"
@@ -27,15 +28,19 @@
 	OperatorTable = "intent"
 	// UpstreamTable is the upstreams' table.
 	UpstreamTable = "upstream"
+	// RolloutTable is the hosts' table of the progress of roll-outs.
+	RolloutTable = "rollout"
 )
 
-// OperatorRow is one row of the operator's table: either a configuration or a zone to
-// evacuate. Exactly one of the two is set.
+// OperatorRow is one row of the operator's table: a configuration, a zone to evacuate or
+// the order of a roll-out. Exactly one of them is set.
 type OperatorRow struct {
 	// Table is a complete configuration.
 	Table *route.Table
 	// Evacuate is the zone whose upstreams must receive no requests.
 	Evacuate string
+	// Rollout is an order, without the version of its row.
+	Rollout *rollout.Order
 }
 
 // Decoder decodes rows of the watched tables.
@@ -44,8 +49,24 @@
 	OperatorRow(key string, value []byte) (OperatorRow, error)
 	// Upstream decodes a row of the upstreams' table.
 	Upstream(key string, value []byte) (upstream.Registration, error)
+	// Rollout decodes a row of the table of roll-outs, without the version of the row.
+	Rollout(key string, value []byte) (rollout.Record, error)
 }
 
+// Rollouts receives the orders and the progress of roll-outs. *rollout.Table implements it.
+type Rollouts interface {
+	SetOrders(orders map[string]rollout.Order)
+	PutRecord(r rollout.Record)
+	StoreRestored()
+}
+
+// noRollouts implements Rollouts for hosts without roll-outs.
+type noRollouts struct{}
+
+func (noRollouts) SetOrders(map[string]rollout.Order) {}
+func (noRollouts) PutRecord(rollout.Record)           {}
+func (noRollouts) StoreRestored()                     {}
+
 // State is the host's copy of the operator configuration and of the upstreams. All methods
 // may be called concurrently.
 type State struct {
@@ -55,8 +76,14 @@
 
 	config    atomic.Pointer[route.Table]
 	upstreams atomic.Pointer[upstream.Set]
-	// synced is set once a full listing of the upstreams was applied.
-	synced atomic.Bool
+	// synced is set once a full listing of the upstreams was applied, and rolloutsSynced
+	// once one of the roll-outs was. ready is set once the host has been ready.
+	synced, rolloutsSynced, ready atomic.Bool
+	// ordered is set while a roll-out is ordered.
+	ordered  atomic.Bool
+	rollouts Rollouts
+	// operatorVersion returns the version of this host's copy of the operator's table.
+	operatorVersion func() watch.Version
 
 	// mu is held by writers; readers use the pointers above.
 	mu       sync.Mutex
@@ -67,16 +94,33 @@
 	// force until heldUntil so that their rows can be written again.
 	held      map[string]bool
 	heldUntil time.Time
+	// orders holds the orders of roll-outs by the keys of their rows.
+	orders map[string]rollout.Order
+	// newVersions holds the rows of upstreams that are not used yet because of their
+	// software version, and versions the versions of each service that are used.
+	newVersions map[string]watch.Row
+	versions    map[string]map[string]bool
 }
 
 // New returns the state of a host that has just started.
 func New(d Decoder, log *eventlog.Log, m *telemetry.Metrics) *State {
-	s := &State{decoder: d, log: log, metrics: m, evacuated: map[string]string{}, held: map[string]bool{}}
+	s := &State{
+		decoder: d, log: log, metrics: m, evacuated: map[string]string{}, held: map[string]bool{},
+		rollouts: noRollouts{}, orders: map[string]rollout.Order{},
+		newVersions: map[string]watch.Row{}, versions: map[string]map[string]bool{},
+	}
 	s.registry = upstream.NewRegistry(s.warmUp)
 	s.upstreams.Store(s.registry.Set())
 	return s
 }
 
+// UseRollouts sets the receiver of orders and progress of roll-outs. operatorVersion returns
+// the version of this host's copy of the operator's table. UseRollouts must be called before
+// the state is used.
+func (s *State) UseRollouts(r Rollouts, operatorVersion func() watch.Version) {
+	s.rollouts, s.operatorVersion = r, operatorVersion
+}
+
 // warmUp returns how long an upstream of a service is cold after its start.
 func (s *State) warmUp(service string) time.Duration {
 	t := s.config.Load()
@@ -101,11 +145,18 @@
 // Upstreams returns the known upstreams.
 func (s *State) Upstreams() *upstream.Set { return s.upstreams.Load() }
 
-// Ready reports whether the host has the data that it needs to serve: a configuration and
-// a full listing of the upstreams. Once ready, the state stays ready, even while the
-// sources are unavailable.
+// Ready reports whether the host has the data that it needs to serve: a configuration, a
+// full listing of the upstreams and, if a roll-out is ordered, its progress. Once ready, the
+// state stays ready, even while the sources are unavailable.
 func (s *State) Ready() bool {
-	return s.config.Load() != nil && s.synced.Load()
+	if s.ready.Load() {
+		return true
+	}
+	ready := s.config.Load() != nil && s.synced.Load() && (!s.ordered.Load() || s.rolloutsSynced.Load())
+	if ready {
+		s.ready.Store(true)
+	}
+	return ready
 }
 
 // publish makes the registry's upstreams visible to readers. s.mu must be held.
--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -122,11 +122,15 @@
 func (s *State) putUpstream(row watch.Row, now time.Time, put func(upstream.Registration, time.Time) string) {
 	registration, ok := decode(s, UpstreamTable, row, s.decoder.Upstream)
 	if !ok {
+		delete(s.newVersions, row.Key)
 		if s.registry.Discard(row.Key, now) {
 			s.log.Upstream(row.Key, upstream.Registration{}, stateDiscarded, row.Version)
 		}
 		return
 	}
+	if s.holdNewVersion(row, registration) {
+		return
+	}
 	state := put(registration, now)
 	if s.synced.Load() {
 		s.log.Upstream(row.Key, registration, state, row.Version)
@@ -137,6 +141,7 @@
 // lapsed; a lapsed upstream stays until expire. storeReturned is when the store last
 // became available again, or zero. s.mu must be held.
 func (s *State) removeUpstream(row watch.Row, now, storeReturned time.Time) (lapsed bool) {
+	delete(s.newVersions, row.Key)
 	lapsed = s.registry.Remove(row.Key, now, storeReturned)
 	s.logRemoved(row, lapsed)
 	return lapsed
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -99,6 +99,11 @@
 	QuotaWindow    settings.Duration `toml:"quota_window"`
 	QuotaOvershoot float64           `toml:"quota_overshoot"`
 	QuotaSlack     float64           `toml:"quota_slack"`
+	// CanaryShare is the maximum fraction of a service's requests that a bad version may get
+	// while it is rolled out, and CanarySlack the number of requests that it may get in
+	// addition.
+	CanaryShare float64 `toml:"canary_share"`
+	CanarySlack float64 `toml:"canary_slack"`
 	// DirectoryTTL is how long clients may cache a response of the directory.
 	DirectoryTTL settings.Duration `toml:"directory_ttl"`
 }
@@ -151,6 +156,8 @@
 	// deployments.
 	defaultMaxRevocationDelay = 5 * time.Second
 	defaultQuotaWindow        = 5 * time.Second
+	// defaultCanaryShare is in requests to the new version per request.
+	defaultCanaryShare = 0.1
 	// defaultDirectoryTTL is well below 5 s, the time for which clients accept a cached
 	// response.
 	defaultDirectoryTTL = 2 * time.Second
@@ -171,7 +178,7 @@
 		Limits: LimitSettings{
 			RetryRatio: defaultRetryRatio, RetryWindow: settings.Duration(defaultRetryWindow), WarmUpOvershoot: defaultWarmUpOvershoot,
 			RevokeWithin: settings.Duration(defaultMaxRevocationDelay), QuotaWindow: settings.Duration(defaultQuotaWindow),
-			DirectoryTTL: settings.Duration(defaultDirectoryTTL),
+			CanaryShare: defaultCanaryShare, DirectoryTTL: settings.Duration(defaultDirectoryTTL),
 		},
 		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
 		Log:  LogSettings(eventlog.DefaultSampling()),
@@ -198,6 +205,8 @@
 	f.Require(s.Limits.QuotaWindow > 0, "limits.quota_window", "must be above 0")
 	f.Require(s.Limits.QuotaOvershoot >= 0, "limits.quota_overshoot", "must not be below 0")
 	f.Require(s.Limits.QuotaSlack >= 0, "limits.quota_slack", "must not be below 0")
+	f.Require(s.Limits.CanaryShare >= 0 && s.Limits.CanaryShare <= 1, "limits.canary_share", "must be from 0 to 1")
+	f.Require(s.Limits.CanarySlack >= 0, "limits.canary_slack", "must not be below 0")
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
 	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -88,7 +88,9 @@
 // upstream is a fake upstream behind a link.
 type upstream struct {
 	platformtest.Upstream
-	zone    string
+	zone string
+	// version is the version of the upstream's program; empty for that of most upstreams.
+	version string
 	ledger  *ledger
 	server  *http.Server
 	link    *link
@@ -133,7 +135,7 @@
 
 // row returns the upstream's row in the store.
 func (u *upstream) row(draining bool) platformtest.UpstreamRow {
-	return platformtest.UpstreamRow{Service: service, Address: u.link.address(), Zone: u.zone, Capacity: capacity, Draining: draining, ColdLeft: u.cold.remaining(), StartedAt: time.Unix(0, u.startedAt.Load())}
+	return platformtest.UpstreamRow{Service: service, Address: u.link.address(), Zone: u.zone, Version: u.version, Capacity: capacity, Draining: draining, ColdLeft: u.cold.remaining(), StartedAt: time.Unix(0, u.startedAt.Load())}
 }
 
 // setStartedAt sets the start time of the upstream's process.
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -22,9 +22,10 @@
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
 	s.Observations = g.detector.Observations(time.Now())
 	s.Notices = g.notices.Reports(time.Now())
-	for _, t := range g.tables {
+	for table, t := range g.tables {
 		s = s.WithLastChange(t.Replica.LastChange())
-		s.Fresh = s.Fresh && t.Replica.Age() < g.timing.MaxAge()
+		// The table of roll-outs is not watched before the first order.
+		s.Fresh = s.Fresh && (table == rolloutTable || t.Replica.Age() < g.timing.MaxAge())
 	}
 	return s
 }
@@ -131,6 +132,7 @@
 	g.metrics.Gauge("cairndock_upstreams_limited", func() float64 { return float64(g.notices.Limits()) })
 	g.metrics.Gauge("cairndock_requests_suspected", func() float64 { n, _ := g.suspicions.Counts(); return float64(n) })
 	g.metrics.Gauge("cairndock_requests_quarantined", func() float64 { _, n := g.suspicions.Counts(); return float64(n) })
+	g.metrics.Gauge("cairndock_rollouts_running", func() float64 { return float64(g.rollouts.Running()) })
 	for table, label := range tableLabels {
 		replica := g.tables[table].Replica
 		g.metrics.Gauge(`cairndock_table_age_seconds{table="`+label+`"}`, func() float64 { return replica.Age().Seconds() })
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -22,11 +22,13 @@
 const (
 	operatorTable = iota
 	upstreamTable
+	// rolloutTable is watched only from the first order of a roll-out on.
+	rolloutTable
 	tableCount
 )
 
 // tableLabels are the labels of the tables in metrics.
-var tableLabels = [tableCount]string{routing.OperatorTable, routing.UpstreamTable}
+var tableLabels = [tableCount]string{routing.OperatorTable, routing.UpstreamTable, routing.RolloutTable}
 
 const (
 	// upstreamDialTimeout is the timeout of a new connection to an upstream. It is far
@@ -47,7 +49,7 @@
 			Incarnation: g.incarnation,
 			Capacity:    resources.Capacity(),
 		},
-		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
+		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Rollouts: g.rollouts, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
@@ -73,12 +75,13 @@
 	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
-	balancer := balance.New(location, g, g.detector, balance.DefaultPolicy())
-	balancer.HonorNotices(g.notices)
+	g.balancer = balance.New(location, g, g.detector, balance.DefaultPolicy())
+	g.balancer.HonorNotices(g.notices)
 	return proxy.New(proxy.Options{
 		State:        g.state,
-		Balancer:     balancer,
+		Balancer:     g.balancer,
 		Notices:      g.notices,
+		Rollouts:     g.rollouts,
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started, rand.Float64()),
 		Suspicions:   g.suspicions,
@@ -103,7 +106,7 @@
 // shares of limits count for longer, and ejections and warm-up end later.
 func (g *Gateway) watchSuspension() {
 	for _, f := range []func(time.Duration){
-		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.fleet.Suspended,
+		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.tables[rolloutTable].Replica.Suspended, g.fleet.Suspended,
 		g.detector.Suspended, g.notices.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.quota.Suspended, g.suspicions.Suspended, g.log.Suspended,
 	} {
 		g.suspendWatch.OnGap(f)
--- a/internal/peer/kind.go
+++ b/internal/peer/kind.go
@@ -32,4 +32,6 @@
 	KindDrain
 	// KindTokens requests tokens of the limit of a client account.
 	KindTokens
+	// KindRollout reports what the peer's children know of running roll-outs.
+	KindRollout
 )
