fleet: let a starting host introduce itself to each host of its region once

Cause: for 4 s after its start a host exchanged heartbeats with its whole region each 0.8 s; where all 986 hosts start that is some 404,000 exchanges a second (worked out), at 118 us of processor time for both ends (measured).

It exchanges one with each host outside its usual peers, and repeats it only until it has heard from that host. The test counts heartbeats at 51 to 399 hosts; before, it fails at each size.

--- a/internal/gateway/fleet/schedule.go
+++ b/internal/gateway/fleet/schedule.go
@@ -16,20 +16,17 @@
 	heartbeatTimeout = 700 * time.Millisecond
 	// remoteFanout is how many live hosts of each other region get heartbeats. About as
 	// many hosts of each region choose this host, so that traffic between regions grows
-	// with the number of hosts and not with its square. Compared with heartbeats to all
-	// hosts, this traffic fell from 0.136 to 0.073 GB on a day without faults with 80
-	// hosts. With two hosts, one of them may die.
+	// with the number of hosts and not with its square. With two hosts, one of them may
+	// die.
 	remoteFanout = 2
 	// firstHostCount is how many hosts of a region exchange heartbeats with all other
 	// hosts of the region. The other hosts do so with these and with the hosts of their
-	// own zone. When all exchanged heartbeats with all, each of 98 hosts of a region
-	// sent and received 30 KB per second, five sixths of it about hosts that it does not
-	// interact with. The number is high enough that a few hosts may die at the same
-	// time.
+	// own zone, because they interact with no others. The number is high enough that a few
+	// hosts may die at the same time.
 	firstHostCount = 12
-	// introductionPeriod is how long a host exchanges heartbeats with all hosts of its
-	// region after its start. It includes the time until the list of these hosts is
-	// read, which may be up to a second after the start.
+	// introductionPeriod is how long after its start a host exchanges a heartbeat with each
+	// host of its region that it has not heard of yet. It includes the time until the list
+	// of these hosts is read, which may be up to a second after the start.
 	introductionPeriod = 4 * time.Second
 	// maxDeadProbes is how many dead hosts of another region get a heartbeat at a time.
 	// While that region is cut off, none of its hosts is alive, and without the bound
@@ -67,17 +64,15 @@
 }
 
 // regionPeers returns the peers of the own region with which this host exchanges
-// heartbeats. A starting host exchanges heartbeats with all of them, because they share
-// limits with it and must learn of it.
+// heartbeats. A starting host exchanges one with each of the others as well, because they
+// share limits with it and must learn of it.
 func (m *members) regionPeers(now time.Time) []string {
-	names := m.indexed().byRegion[m.self.Region]
-	if now.Sub(m.started) < introductionPeriod {
-		return names
-	}
+	starting := now.Sub(m.started) < introductionPeriod
 	first := m.firstHosts(now)
 	var peers []string
-	for _, name := range names {
-		if first.exchanges(m.self, m.peers[name].host) {
+	for _, name := range m.indexed().byRegion[m.self.Region] {
+		p := m.peers[name]
+		if first.exchanges(m.self, p.host) || starting && p.lastHeartbeat.Before(m.started) {
 			peers = append(peers, name)
 		}
 	}
--- a/internal/gateway/fleet/schedule_test.go
+++ b/internal/gateway/fleet/schedule_test.go
@@ -171,6 +171,27 @@
 	require.Greater(t, introductionPeriod, warmup.Window)
 }
 
+// While a whole fleet starts, each host introduces itself to each other host of its region once.
+// A heartbeat to all of them in each interval would take the hosts' CPU time.
+func TestAStartingHostIntroducesItselfOnce(t *testing.T) {
+	for _, perZone := range []int{17, 33, 67, 133} {
+		start := time.Now()
+		all := zonesOf(3, perZone-3)
+		f := New(Options{Self: all[len(all)-1]})
+		f.members = startedMembers(f.options.Self, all, start)
+		heartbeats := 0
+		for at := start; at.Before(start.Add(introductionPeriod)); at = at.Add(schedulerTick) {
+			for _, p := range f.due(at) {
+				heartbeats++
+				f.members.recordHeartbeat(p.host, readyStatus, at.Add(time.Millisecond))
+			}
+		}
+		usual := len(f.members.heartbeatPeers(start.Add(introductionPeriod)))
+		intervals := int(introductionPeriod / heartbeatInterval)
+		require.LessOrEqual(t, heartbeats, len(all)+usual*intervals, "%d hosts", len(all))
+	}
+}
+
 // When the large hosts die, others replace them, and hosts that return are found.
 func TestDeadFirstHostsAreReplacedAndStillTried(t *testing.T) {
 	now := time.Now()
