fleet: relay whole tables in chunks

Cause: a table above a frame (1 MB, some 4,700 upstreams) could not be relayed, so that each host that starts listed it from the store, page by page, once the request to its relay had timed out.

A host asks its relay for the rows behind a key, and gets 256 KB of them at a time. Hosts of earlier versions ignore that and send all rows, and get all rows. The relay keeps its keys sorted while none is added or removed.

--- a/internal/gateway/fleet/fuzz_test.go
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -8,6 +8,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
 )
@@ -19,6 +20,11 @@
 		heartbeat{Host: Host{Name: "h", Zone: "z", Region: "r", Incarnation: "1"}, Status: Status{Ready: true, Changes: []int64{1, -2},
 			Observations: []outlier.Observation{{Upstream: "i@1", Failures: 3}}}},
 		relayRequest{Table: -1, Full: true, After: -1, Wait: -time.Second},
+		relayRequest{Full: true, Chunk: true, From: "k"},
+		rolloutReport{Host: "h", Report: rollout.Report{"s": {Order: -1, Evidence: rollout.Evidence{
+			Routes: map[string]rollout.RouteEvidence{"r": {Others: rollout.Outcomes{Latency: rollout.Histogram{-5: 1, 999: 2}}}},
+			Groups: map[int]rollout.GroupOutcomes{-1: {Ended: 1}, 99: {Ended: -1}},
+		}}}},
 		relayResponse{Page: watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("x"), Compressed: true}}, Version: watch.Version{Number: -1}}},
 	} {
 		text, err := msgpack.Marshal(message)
@@ -35,7 +41,10 @@
 		}
 		if r, err := peer.Decode[relayRequest](payload); err == nil {
 			ctx := t.Context()
-			_, _ = relayRequest{Table: r.Table, After: r.After, Full: r.Full}.read(ctx, watch.NewReplica())
+			_, _, _ = relayRequest{Table: r.Table, After: r.After, Full: r.Full, Chunk: r.Chunk, From: r.From}.read(ctx, watch.NewReplica())
+		}
+		if r, err := peer.Decode[rolloutReport](payload); err == nil {
+			rollout.NewTable(rollout.TableOptions{}).Receive(r.Host, r.Report, time.Now())
 		}
 		if r, err := peer.Decode[relayResponse](payload); err == nil {
 			for _, row := range r.Page.Rows {
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -33,6 +33,10 @@
 	Wait time.Duration `msgpack:"d,omitempty"`
 	// MaxAge is the age of the replica from which on the peer does not wait.
 	MaxAge time.Duration `msgpack:"m,omitempty"`
+	// Chunk requests only a part of all rows: those whose keys come after From. Hosts of
+	// versions without chunks ignore both and send all rows.
+	Chunk bool   `msgpack:"k,omitempty"`
+	From  string `msgpack:"f,omitempty"`
 }
 
 // relayResponse is the response to a relayRequest.
@@ -40,6 +44,8 @@
 	Page watch.Page `msgpack:"p"`
 	// HistoryGone reports that the peer no longer has the requested changes.
 	HistoryGone bool `msgpack:"g,omitempty"`
+	// More reports that there are rows with higher keys than those of the page.
+	More bool `msgpack:"o,omitempty"`
 }
 
 // relay is a source that reads a peer's replica of a table.
@@ -49,26 +55,51 @@
 	table   int
 }
 
-// List reads all rows of the peer's replica.
+// maxChunkBytes is the size of the keys and values in a chunk of a table. It is far below
+// the maximum size of a frame, whose other bytes belong to the rows' versions.
+const maxChunkBytes = 256 << 10
+
+// errRestored reports that the peer's replica changed its era during a listing.
+var errRestored = eris.New("the relay's era changed during a listing")
+
+// List reads all rows of the peer's replica, in chunks that fit into a frame. Later chunks may
+// be newer. List returns the version and the age of the first one, so that the changes after
+// that version include all changes made meanwhile.
 func (r relay) List(ctx context.Context) (watch.Page, error) {
-	return r.poll(ctx, relayRequest{Table: r.table, Full: true})
+	request := relayRequest{Table: r.table, Full: true, Chunk: true}
+	all, err := r.request(ctx, request)
+	for err == nil && all.More && len(all.Page.Rows) > 0 {
+		request.From = all.Page.Rows[len(all.Page.Rows)-1].Key
+		var next relayResponse
+		if next, err = r.request(ctx, request); err != nil {
+			break
+		}
+		if next.Page.Era != all.Page.Era {
+			return watch.Page{}, errRestored
+		}
+		all.Page.Rows, all.More = append(all.Page.Rows, next.Page.Rows...), next.More && len(next.Page.Rows) > 0
+	}
+	return all.Page, err
 }
 
 // Changes waits until the peer's replica has changes after a version or the store has
 // confirmed the replica.
 func (r relay) Changes(ctx context.Context, after watch.Version, wait time.Duration) (watch.Page, error) {
-	return r.poll(ctx, relayRequest{Table: r.table, After: after.Number, AfterEra: after.Era, Wait: wait, MaxAge: r.fleet.options.MaxAge})
+	response, err := r.request(ctx, relayRequest{Table: r.table, After: after.Number, AfterEra: after.Era, Wait: wait, MaxAge: r.fleet.options.MaxAge})
+	return response.Page, err
 }
 
-func (r relay) poll(ctx context.Context, request relayRequest) (watch.Page, error) {
+// request sends a request to the peer. The error is watch.ErrHistoryGone if the peer does not
+// have the requested rows.
+func (r relay) request(ctx context.Context, request relayRequest) (relayResponse, error) {
 	response, err := peer.Call[relayResponse](ctx, r.fleet.mesh, r.address, peer.KindChanges, request)
 	if err != nil {
-		return watch.Page{}, eris.Wrap(err, "poll relay")
+		return relayResponse{}, eris.Wrap(err, "poll relay")
 	}
 	if response.HistoryGone {
-		return response.Page, watch.ErrHistoryGone
+		return response, watch.ErrHistoryGone
 	}
-	return response.Page, nil
+	return response, nil
 }
 
 // serveRelay serves a peer's poll. A request that cannot be decoded or that has no valid
@@ -79,19 +110,25 @@
 		fail(w)
 		return
 	}
-	page, err := request.read(ctx, f.options.Tables[request.Table].Replica)
+	page, more, err := request.read(ctx, f.options.Tables[request.Table].Replica)
 	if err != nil && !errors.Is(err, watch.ErrHistoryGone) {
 		fail(w) // the peer has disconnected, or this host is stopping
 		return
 	}
-	respond(w, relayResponse{Page: page, HistoryGone: err != nil})
+	respond(w, relayResponse{Page: page, HistoryGone: err != nil, More: more})
 }
 
-func (r relayRequest) read(ctx context.Context, replica *watch.Replica) (watch.Page, error) {
-	if r.Full {
-		return replica.List(ctx)
+// read returns the rows that are requested. more is set if a chunk is not the last one.
+func (r relayRequest) read(ctx context.Context, replica *watch.Replica) (page watch.Page, more bool, err error) {
+	switch {
+	case r.Full && r.Chunk:
+		return replica.Chunk(r.From, maxChunkBytes)
+	case r.Full:
+		page, err = replica.List(ctx)
+	default:
+		page, err = replica.ChangesWithin(ctx, watch.Version{Era: r.AfterEra, Number: r.After}, min(r.Wait, maxRelayWait), r.MaxAge)
 	}
-	return replica.ChangesWithin(ctx, watch.Version{Era: r.AfterEra, Number: r.After}, min(r.Wait, maxRelayWait), r.MaxAge)
+	return page, false, err
 }
 
 // Sources returns the sources of a table, in order of preference. The root of the
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -26,6 +26,8 @@
 	mu sync.Mutex
 	// rows holds the rows and the tombstones by key.
 	rows map[string]Row
+	// sortedKeys has the keys of rows in order; nil after a key was added or removed.
+	sortedKeys []string
 	// deletedAt is when each tombstone was stored.
 	deletedAt map[string]time.Time
 	// version is the version of the table that the replica reflects.
@@ -175,6 +177,9 @@
 	if !known && row.Deleted {
 		return false
 	}
+	if !known {
+		r.sortedKeys = nil
+	}
 	r.rows[row.Key] = row.compressed()
 	delete(r.deletedAt, row.Key)
 	if row.Deleted {
@@ -231,5 +236,6 @@
 		r.historyFrom = max(r.historyFrom, r.rows[key].Version)
 		delete(r.rows, key)
 		delete(r.deletedAt, key)
+		r.sortedKeys = nil
 	}
 }
--- a/internal/gateway/watch/replicasource.go
+++ b/internal/gateway/watch/replicasource.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -22,6 +24,37 @@
 	return page, nil
 }
 
+// Chunk returns the rows whose keys come after from, in the order of their keys, until their
+// keys and values exceed a size in bytes. more is set if there are further rows. The error is
+// ErrHistoryGone until the table has been listed.
+func (r *Replica) Chunk(from string, size int) (page Page, more bool, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.synced {
+		return Page{}, false, ErrHistoryGone
+	}
+	if r.sortedKeys == nil {
+		r.sortedKeys = slices.Sorted(maps.Keys(r.rows))
+	}
+	page = r.page()
+	first, found := slices.BinarySearch(r.sortedKeys, from)
+	if found {
+		first++
+	}
+	for _, key := range r.sortedKeys[first:] {
+		row := r.rows[key]
+		if row.Deleted {
+			continue
+		}
+		if size <= 0 {
+			return page, true, nil
+		}
+		size -= len(row.Key) + len(row.Value)
+		page.Rows = append(page.Rows, row)
+	}
+	return page, false, nil
+}
+
 func (r *Replica) page() Page { return Page{Version: r.version, Age: r.age(time.Now())} }
 
 // Changes returns the rows that changed after a version. If there are none, it waits for
