fleet: cross the border of each zone once in the relay tree

Cause: the hosts of a region formed the tree by rank alone, so that in a region of three zones two of three hosts polled one in another zone, and each change of a table crossed their border once for each.

The first host of each zone is its head; heads poll heads, and the others of a zone poll within it. The test bounds crossings and children at 51 to 399 hosts: two crossings in three zones, where nearly two thirds of all hosts were across.

--- a/internal/gateway/fleet/relaytree.go
+++ b/internal/gateway/fleet/relaytree.go
@@ -15,43 +15,84 @@
 const relayFanout = 6
 
 // relayParent returns the peer whose replicas this host polls, or this host itself if it
-// is the root, which polls the store. The live hosts of a region form a tree: in the
-// order of rank, the first host polls the store, the next relayFanout hosts poll the
-// first, and so on. The load on the store thus grows with the number of regions and not
-// with the number of hosts. Each host polls only hosts that precede it. The order
-// depends only on announced properties of the hosts, so that there is no cycle even if
-// the hosts differ in which hosts they see alive.
+// is the root, which polls the store. The live hosts of a region form a tree, in the order
+// of rank. The first host of each zone is the zone's head. The first head polls the store,
+// the next relayFanout heads poll it, and so on; the other hosts of a zone form such a tree
+// below their head. The load on the store thus grows with the number of regions, and a
+// change crosses the border of each zone once, whatever the number of hosts. Each host polls
+// only hosts that precede it. The order depends only on announced properties of the hosts,
+// so that there is no cycle even if the hosts differ in which hosts they see alive.
 //
 // Leaving hosts are skipped. Once this host is ready (selfReady), so are hosts that are
 // not ready, because they may have nothing to relay. Before that they are included,
 // because otherwise each of the hosts that start together would poll the store.
 func (m *members) relayParent(selfReady bool, now time.Time) (parent Host, root bool) {
-	before := 0
-	for range m.relayCandidates(selfReady, now) {
-		before++
+	candidates := m.zoneCandidates(selfReady, now)
+	count := length(candidates)
+	if count == 0 {
+		candidates = m.headCandidates(selfReady, now)
+		count = length(candidates)
 	}
-	if before == 0 {
+	if count == 0 {
 		return m.self, true
 	}
-	position := (before - 1) / relayFanout
-	for name := range m.relayCandidates(selfReady, now) {
+	position := (count - 1) / relayFanout
+	for p := range candidates {
 		if position == 0 {
-			return m.peers[name].host, false
+			parent = p.host
+			break
 		}
 		position--
 	}
-	return m.self, true // not reached: the position is below the number of candidates
+	return parent, false
 }
 
-// relayCandidates returns the peers that precede this host and may relay tables, by rank.
-func (m *members) relayCandidates(selfReady bool, now time.Time) iter.Seq[string] {
-	return func(yield func(string) bool) {
+// length returns the number of elements of a sequence.
+func length(peers iter.Seq[*peerState]) int {
+	count := 0
+	for range peers {
+		count++
+	}
+	return count
+}
+
+// relayCandidates returns the peers of the region that precede this host and may relay
+// tables, by rank.
+func (m *members) relayCandidates(selfReady bool, now time.Time) iter.Seq[*peerState] {
+	return func(yield func(*peerState) bool) {
 		for _, name := range m.indexed().byRank {
 			if name == m.self.Name {
 				return
 			}
 			p := m.peers[name]
-			if p.alive(now) && !p.status.Leaving && (!selfReady || p.status.Ready) && !yield(name) {
+			if p.alive(now) && !p.status.Leaving && (!selfReady || p.status.Ready) && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
+// zoneCandidates returns the candidates of this host's zone.
+func (m *members) zoneCandidates(selfReady bool, now time.Time) iter.Seq[*peerState] {
+	return func(yield func(*peerState) bool) {
+		for p := range m.relayCandidates(selfReady, now) {
+			if p.host.Zone == m.self.Zone && !yield(p) {
+				return
+			}
+		}
+	}
+}
+
+// headCandidates returns the first candidate of each zone.
+func (m *members) headCandidates(selfReady bool, now time.Time) iter.Seq[*peerState] {
+	return func(yield func(*peerState) bool) {
+		var zones []string
+		for p := range m.relayCandidates(selfReady, now) {
+			if slices.Contains(zones, p.host.Zone) {
+				continue
+			}
+			zones = append(zones, p.host.Zone)
+			if !yield(p) {
 				return
 			}
 		}
--- a/internal/gateway/fleet/relaytree_test.go
+++ b/internal/gateway/fleet/relaytree_test.go
@@ -65,6 +65,58 @@
 	}
 }
 
+// A change must cross the border of each zone once, however many hosts a zone has, and no host
+// may have many children.
+func TestTheTreeCrossesEachZonesBorderOnce(t *testing.T) {
+	now := time.Now()
+	for _, perZone := range []int{17, 33, 67, 133} {
+		all := zonesOf(3, perZone-3)
+		crossings, roots, children := 0, 0, map[string]int{}
+		for _, self := range all {
+			parent, root := membersOf(self, all, now).relayParent(true, now)
+			if root {
+				roots++
+				continue
+			}
+			children[parent.Name]++
+			if parent.Zone != self.Zone {
+				crossings++
+			}
+		}
+		require.Equal(t, 1, roots, "%d hosts", len(all))
+		require.Equal(t, 2, crossings, "%d hosts", len(all))
+		for name, n := range children {
+			require.LessOrEqual(t, n, relayFanout+2, name)
+		}
+	}
+}
+
+// A zone that is cut off from the others of its region has a root of its own, which polls the
+// store if it can.
+func TestAZoneThatIsCutOffHasARoot(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(1, 5)
+	later := now.Add(deadTimeout)
+	roots := 0
+	for _, self := range all {
+		if self.Zone != "west-1" {
+			continue
+		}
+		m := membersOf(self, all, now)
+		for _, h := range all {
+			if h.Zone == self.Zone {
+				m.recordHeartbeat(h, readyStatus, later)
+			}
+		}
+		parent, root := m.relayParent(true, later)
+		require.Equal(t, "west-1", parent.Zone)
+		if root {
+			roots++
+		}
+	}
+	require.Equal(t, 1, roots)
+}
+
 // Hosts that differ in which hosts they see alive must not poll each other in a cycle.
 func TestRelaysNeverFormACycle(t *testing.T) {
 	now := time.Now()
