--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -84,26 +84,23 @@
 	past pastRuns
 }
 
-// pastRuns are the runs of an upstream before its last one, the latest first.
-type pastRuns [maxPastRuns]Run
+// pastRuns are the runs of an upstream before its last one, the latest first; at most
+// maxPastRuns. Most upstreams have none. The list is immutable.
+type pastRuns []Run
 
-func (p pastRuns) contains(r Run) bool { return slices.Contains(p[:], r) }
+func (p pastRuns) contains(r Run) bool { return slices.Contains(p, r) }
 
 // without returns the runs except r.
 func (p pastRuns) without(r Run) pastRuns {
-	for i := range p {
-		if p[i] == r {
-			p[i] = ""
-		}
+	if !p.contains(r) {
+		return p
 	}
-	return p
+	return slices.DeleteFunc(slices.Clone(p), func(past Run) bool { return past == r })
 }
 
 // with returns the runs with r added as the latest.
 func (p pastRuns) with(r Run) pastRuns {
-	copy(p[1:], p[:])
-	p[0] = r
-	return p
+	return append(pastRuns{r}, p[:min(len(p), maxPastRuns-1)]...)
 }
 
 // NewRegistry returns an empty registry. warmUp returns how long an upstream of a service is
