fleet: close connections to hosts that were introduced only

Cause: a host that starts exchanges a heartbeat with each host of its region, 328 of 986, and kept the connections to those it does not go on with, 202 in a region of three zones (worked out).

--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -96,6 +96,11 @@
 	}
 	f.recordHeartbeat(response)
 	f.addKnown(response.Hosts)
+	if !f.staysPeer(response.Host) {
+		// The host was introduced only. A connection to each host of a large region would
+		// take memory and descriptors of both.
+		f.mesh.Drop(to.PeerAddress)
+	}
 	if query == queryAll {
 		f.mu.Lock()
 		f.discovery.complete = true
@@ -103,6 +108,14 @@
 	}
 }
 
+// staysPeer reports whether this host goes on exchanging heartbeats with another one: with
+// those of its own region that it always does, and with the few it chose of other regions.
+func (f *Fleet) staysPeer(h Host) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return h.Region != f.options.Self.Region || f.members.firstHosts(time.Now()).exchanges(f.options.Self, h)
+}
+
 // recordHeartbeat records a heartbeat or the response to one.
 func (f *Fleet) recordHeartbeat(b heartbeat) {
 	now := time.Now()
--- a/internal/gateway/fleet/schedule_test.go
+++ b/internal/gateway/fleet/schedule_test.go
@@ -192,6 +192,23 @@
 	}
 }
 
+// Connections to hosts that were only introduced are not kept.
+func TestConnectionsAreKeptToPeersOnly(t *testing.T) {
+	now := time.Now()
+	all := zonesOf(9, 30)
+	self := all[len(all)-1]
+	f := New(Options{Self: self})
+	f.members = membersOf(self, all, now)
+	kept := 0
+	for _, h := range all {
+		if f.staysPeer(h) {
+			kept++
+		}
+	}
+	require.Equal(t, 39+firstHostCount-4, kept, "its zone and the first hosts, a third of them in its zone")
+	require.True(t, f.staysPeer(host("east", "east-0", "east")))
+}
+
 // When the large hosts die, others replace them, and hosts that return are found.
 func TestDeadFirstHostsAreReplacedAndStillTried(t *testing.T) {
 	now := time.Now()
