--- a/internal/gateway/rollout/judge.go
+++ b/internal/gateway/rollout/judge.go
@@ -12,16 +12,6 @@
 	// alarmThreshold is the log-likelihood ratio from which on a test counts the target
 	// as bad. Its exponential bounds the rate of false alarms of one test.
 	alarmThreshold = 8
-	// failureTolerance is how much higher the target's rate of failures may be than that
-	// of the other versions, and failureEffect how much higher than that the rate is
-	// which the test detects fastest.
-	failureTolerance = 0.015
-	failureEffect    = 0.08
-	// slowTolerance and slowEffect are the same for slow responses. The tolerance is
-	// larger, because an upstream responds more slowly to the first request for an
-	// object, and the target's upstreams have seen none before the roll-out.
-	slowTolerance = 0.06
-	slowEffect    = 0.2
 	// leftOutFraction is the fraction of the target's upstreams that may be faulty without
 	// the version being so. The worst ones are left out, and the others must show the
 	// fault as well. Outlier detection handles faults of single upstreams.
@@ -42,8 +32,26 @@
 	// requests at that rate.
 	basePrior     = 20
 	basePriorRate = 0.005
+	// maxGoodRate and maxBadRate keep the rates of a test below 1 and apart.
+	maxGoodRate = 0.9
+	maxBadRate  = 0.95
 )
 
+// The rates that the tests look for. The tolerance for slow responses is larger, because an
+// upstream responds more slowly to the first request for an object, and the target's upstreams
+// have seen none before the roll-out.
+var (
+	raisedFailures = raisedRate{tolerance: 0.015, effect: 0.08}
+	raisedSlowness = raisedRate{tolerance: 0.06, effect: 0.2}
+)
+
+// raisedRate is how a bad version's rate of faults differs from that of the other versions.
+type raisedRate struct {
+	// tolerance is how much higher a good version's rate may be, and effect how much
+	// higher than that the rate is which the test detects fastest.
+	tolerance, effect float64
+}
+
 // Finding is the result of a comparison of the target with the other versions.
 type Finding struct {
 	// Bad is set when the target is bad.
@@ -98,12 +106,8 @@
 	}
 	before := j.seen[name]
 	j.seen[name] = now
-	t.failures.observe(
-		since(now.Target.Ended, before.Target.Ended), since(now.Target.Failed, before.Target.Failed),
-		since(now.Others.Ended, before.Others.Ended), since(now.Others.Failed, before.Others.Failed), failureTolerance, failureEffect)
-	t.slowness.observe(
-		since(now.Target.Compared, before.Target.Compared), since(now.Target.Slow, before.Target.Slow),
-		since(now.Others.Compared, before.Others.Compared), since(now.Others.Slow, before.Others.Slow), slowTolerance, slowEffect)
+	t.failures.observe(raisedFailures, now.Target.failures().since(before.Target.failures()), now.Others.failures().since(before.Others.failures()))
+	t.slowness.observe(raisedSlowness, now.Target.slowness().since(before.Target.slowness()), now.Others.slowness().since(before.Others.slowness()))
 	return j.finding(t, name, now)
 }
 
@@ -112,10 +116,10 @@
 	for group, now := range e.Groups {
 		before, recent := j.seenGroups[group], j.groups[group]
 		j.groups[group] = recentOutcomes{
-			ended:    groupMemory*recent.ended + float64(since(now.Ended, before.Ended)),
-			failed:   groupMemory*recent.failed + float64(since(now.Failed, before.Failed)),
-			compared: groupMemory*recent.compared + float64(since(now.Compared, before.Compared)),
-			slow:     groupMemory*recent.slow + float64(since(now.Slow, before.Slow)),
+			ended:    groupMemory*recent.ended + float64(growth(now.Ended, before.Ended)),
+			failed:   groupMemory*recent.failed + float64(growth(now.Failed, before.Failed)),
+			compared: groupMemory*recent.compared + float64(growth(now.Compared, before.Compared)),
+			slow:     groupMemory*recent.slow + float64(growth(now.Slow, before.Slow)),
 		}
 		j.seenGroups[group] = now
 	}
@@ -149,8 +153,19 @@
 	return sum.faulty / max(1, sum.all)
 }
 
-// since returns by how much a count has grown.
-func since(now, before int) int { return max(0, now-before) }
+// growth returns by how much a count has grown.
+func growth(now, before int) int { return max(0, now-before) }
+
+// faults is a number of requests and of the faulty ones among them.
+type faults struct{ all, faulty int }
+
+func (o Outcomes) failures() faults { return faults{o.Ended, o.Failed} }
+func (o Outcomes) slowness() faults { return faults{o.Compared, o.Slow} }
+
+// since returns by how much both counts have grown.
+func (f faults) since(before faults) faults {
+	return faults{growth(f.all, before.all), growth(f.faulty, before.faulty)}
+}
 
 // routeTests are the tests of one route.
 type routeTests struct{ failures, slowness sequentialTest }
@@ -175,21 +190,21 @@
 	// score is the log-likelihood ratio of a raised rate since the time that is most
 	// favorable for it.
 	score float64
-	// baseCount and baseHits are the decayed counts of the other versions.
-	baseCount, baseHits float64
+	// baseAll and baseFaulty are the decayed counts of the other versions.
+	baseAll, baseFaulty float64
 }
 
-// observe adds count requests of the target, of which hits are faulty, and those of the
-// other versions in the same time.
-func (t *sequentialTest) observe(count, hits, baseCount, baseHits int, tolerance, effect float64) {
-	t.baseCount = baseMemory*t.baseCount + float64(baseCount)
-	t.baseHits = baseMemory*t.baseHits + float64(baseHits)
-	base := (t.baseHits + basePrior*basePriorRate) / (t.baseCount + basePrior)
-	good := min(0.9, base+tolerance)
-	bad := min(0.95, good+effect)
-	faulty, sound := math.Log(bad/good), math.Log((1-bad)/(1-good))
-	hits = min(hits, count)
-	t.score = max(0, t.score+float64(hits)*faulty+float64(count-hits)*sound)
+// observe adds requests of the target and those of the other versions in the same time.
+func (t *sequentialTest) observe(r raisedRate, target, others faults) {
+	t.baseAll = baseMemory*t.baseAll + float64(others.all)
+	t.baseFaulty = baseMemory*t.baseFaulty + float64(others.faulty)
+	base := (t.baseFaulty + basePrior*basePriorRate) / (t.baseAll + basePrior)
+	good := min(maxGoodRate, base+r.tolerance)
+	bad := min(maxBadRate, good+r.effect)
+	faulty := min(target.faulty, target.all)
+	sound := target.all - faulty
+	t.score += float64(faulty)*math.Log(bad/good) + float64(sound)*math.Log((1-bad)/(1-good))
+	t.score = max(0, t.score)
 }
 
 const (
--- a/internal/gateway/rollout/next.go
+++ b/internal/gateway/rollout/next.go
@@ -23,7 +23,7 @@
 	observeDelay = 600 * time.Millisecond
 	// loadTime is how long the ramp lasts at least, so that the requests of its fraction add
 	// up to the usual load.
-	loadTime = 1000 * time.Millisecond
+	loadTime = time.Second
 	// finishMargin is the time that is left for the last write before the end.
 	finishMargin = 1500 * time.Millisecond
 	// minCanaryTime is the part of the duration that the canary gets at least, however long
@@ -35,6 +35,9 @@
 	// Keys differ in how often they are requested, so that a fraction of the keys gets a
 	// different fraction of the requests.
 	adjustFactor = 1.5
+	// minAdjustment is the least change of the fraction that is worth a write, as a part of
+	// the fraction.
+	minAdjustment = 0.1
 	// minAdjustRequests is the number of requests that are needed to measure it.
 	minAdjustRequests = 100
 	// capacityReserve is the part of the target's capacity that stays free when the
@@ -187,35 +190,38 @@
 // adjust sets the canary's fraction so that the target gets the intended part of the
 // requests.
 func (s Situation) adjust() (Record, bool) {
-	r := s.Record
-	if s.Target.Count == 0 {
+	r, want := s.Record, s.canaryFraction()
+	switch {
+	case s.Target.Count == 0:
 		return r, false
-	}
-	want := s.canaryFraction()
-	if r.Fraction == 0 && want > 0 {
+	case r.Fraction == 0 && want > 0:
 		return r.WithFraction(want, s.Now), true
-	}
-	if after(r.ChangedAt, s.Now) < adjustInterval {
+	case after(r.ChangedAt, s.Now) < adjustInterval:
 		return r, false
-	}
-	if want == 0 && r.Fraction > 0 {
+	case r.Fraction > 0 && want == 0:
 		return r.WithFraction(0, s.Now), true
 	}
+	next := s.correctedFraction(want)
+	if math.Abs(next-r.Fraction) < minAdjustment*r.Fraction {
+		return r, false
+	}
+	return r.WithFraction(next, s.Now), true
+}
+
+// correctedFraction returns the fraction of the keys of which the wanted fraction of the
+// requests is expected, given the fraction that was measured.
+func (s Situation) correctedFraction(want float64) float64 {
 	all := s.Evidence.total()
 	sent := all.Target.Sent + all.Others.Sent
 	if sent < minAdjustRequests {
-		return r, false
+		return s.Record.Fraction
 	}
 	measured := float64(all.Target.Sent) / float64(sent)
 	if measured < want*adjustFactor && measured > want/adjustFactor {
-		return r, false
+		return s.Record.Fraction
 	}
 	factor := min(2, max(0.5, want/max(measured, want/2)))
-	next := min(maxCanaryFraction, r.Fraction*factor)
-	if math.Abs(next-r.Fraction) < 0.1*r.Fraction {
-		return r, false
-	}
-	return r.WithFraction(next, s.Now), true
+	return min(maxCanaryFraction, s.Record.Fraction*factor)
 }
 
 // canaryFraction returns the fraction of the requests that the canary shall get; zero once
--- /dev/null
+++ b/internal/gateway/rollout/service.go
@@ -0,0 +1,51 @@
+package rollout
+
+import (
+	"time"
+
+	"cairndock/internal/gateway/upstream"
+)
+
+// suspendTime is how long a reply that suspends the target applies. Replies repeat it until
+// the roll-out is rolled back.
+const suspendTime = 2 * time.Second
+
+// serviceState is the state of a service that has or had a roll-out.
+type serviceState struct {
+	// record is the progress; of an order that no host has recorded yet, its first record.
+	record Record
+	// stored is the record that the store was last known to have; nil if none was.
+	stored *Record
+	// unsaved is set if the record is not in the store as it is here.
+	unsaved   bool
+	withdrawn bool
+	observer  *observer
+	// confirmed is the revision for which this host has confirmed that no request is in
+	// flight at other versions.
+	confirmed      int64
+	suspendedUntil time.Time
+	slow           map[string]time.Duration
+
+	// plan is the plan for planned, the list of upstreams, and for the cautious flag.
+	plan     *Plan
+	planned  *upstream.Set
+	cautious bool
+}
+
+// replace replaces the record.
+func (s *serviceState) replace(r Record, unsaved bool) {
+	if !s.record.isSame(r.Order) {
+		s.observer, s.slow = newObserver(r.Order), nil
+	}
+	s.record, s.unsaved, s.plan = r, unsaved, nil
+}
+
+// isCautious reports whether the target gets no requests although its phase allows some. A
+// host that has confirmed that it sends nothing to other versions stays with that.
+func (s *serviceState) isCautious(fresh bool, now time.Time) bool {
+	suspended := now.Before(s.suspendedUntil)
+	if s.record.Phase == Shift {
+		return suspended && s.confirmed != s.record.Revision
+	}
+	return suspended || !fresh || s.unsaved
+}
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -10,10 +10,6 @@
 	"cairndock/internal/gateway/upstream"
 )
 
-// suspendTime is how long a reply that suspends the target applies. Replies repeat it until
-// the roll-out is rolled back.
-const suspendTime = 2 * time.Second
-
 // Observer logs what happens to roll-outs.
 type Observer interface {
 	// RolloutOrdered is called when an order is first seen, or when it was deleted.
@@ -52,28 +48,6 @@
 	onOrder func()
 }
 
-// serviceState is the state of a service that has or had a roll-out.
-type serviceState struct {
-	// record is the progress; of an order that no host has recorded yet, its first record.
-	record Record
-	// stored is the record that the store was last known to have; nil if none was.
-	stored *Record
-	// unsaved is set if the record is not in the store as it is here.
-	unsaved   bool
-	withdrawn bool
-	observer  *observer
-	// confirmed is the revision for which this host has confirmed that no request is in
-	// flight at other versions.
-	confirmed      int64
-	suspendedUntil time.Time
-	slow           map[string]time.Duration
-
-	// plan is the plan for planned, the list of upstreams, and for the cautious flag.
-	plan     *Plan
-	planned  *upstream.Set
-	cautious bool
-}
-
 // NewTable returns a table without orders.
 func NewTable(o TableOptions) *Table {
 	return &Table{options: o, orders: map[string]Order{}, services: map[string]*serviceState{}, onOrder: func() {}}
@@ -83,9 +57,6 @@
 // called before the table is used.
 func (t *Table) OnFirstOrder(f func()) { t.onOrder = f }
 
-// InUse reports whether there was an order since the start of the process.
-func (t *Table) InUse() bool { return t.inUse.Load() }
-
 // SetOrders replaces the orders in force.
 func (t *Table) SetOrders(orders map[string]Order) {
 	t.mu.Lock()
@@ -136,14 +107,6 @@
 	s.replace(newRecord(o, &s.record, 0), true)
 }
 
-// replace replaces the record.
-func (s *serviceState) replace(r Record, unsaved bool) {
-	if !s.record.isSame(r.Order) {
-		s.observer, s.slow = newObserver(r.Order), nil
-	}
-	s.record, s.unsaved, s.plan = r, unsaved, nil
-}
-
 // PutRecord applies a record that the store has.
 func (t *Table) PutRecord(r Record) {
 	t.mu.Lock()
@@ -210,16 +173,6 @@
 	return s.plan
 }
 
-// isCautious reports whether the target gets no requests although its phase allows some. A
-// host that has confirmed that it sends nothing to other versions stays with that.
-func (s *serviceState) isCautious(fresh bool, now time.Time) bool {
-	suspended := now.Before(s.suspendedUntil)
-	if s.record.Phase == Shift {
-		return suspended && s.confirmed != s.record.Revision
-	}
-	return suspended || !fresh || s.unsaved
-}
-
 // Sent records an attempt that was sent to an upstream. comparable is set if its latency
 // may be compared with that of others. The result is nil if no roll-out is running.
 func (t *Table) Sent(service, route string, u *upstream.Upstream, comparable bool, now time.Time) *Attempt {
