--- a/internal/gateway/soak/rollout_test.go
+++ b/internal/gateway/soak/rollout_test.go
@@ -144,3 +144,56 @@
 	require.LessOrEqual(t, all, 50+int(sent.Load())/10)
 	require.Positive(t, all)
 }
+
+// Hosts that end, and a store that is out of reach for a while, may make a roll-out late. They must
+// neither cut requests at the old upstreams nor undo what was decided.
+func TestARollOutBesideFaultsCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	for _, c := range []struct {
+		name  string
+		fault func(w *world)
+	}{
+		{"hosts are killed", func(w *world) {
+			for _, h := range w.hosts[:3] {
+				time.Sleep(time.Second)
+				h.kill()
+				h.expectExit(false)
+				h.start()
+				w.awaitHost(h, 10*time.Second)
+			}
+		}},
+		{"the store is out of reach", func(w *world) {
+			time.Sleep(2 * time.Second)
+			w.store.SetFaults(platformtest.Faults{Silent: true})
+			time.Sleep(4 * time.Second)
+			w.store.SetFaults(platformtest.Faults{})
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := newTimedWorld(t, defaultSeed)
+			w.startHosts(10 * time.Second)
+			time.Sleep(settleTime)
+			old := append([]*upstream(nil), w.alive...)
+			var sent, failed atomic.Int64
+			ctx, cancel := context.WithCancel(t.Context())
+			wait := w.sendObjects(ctx, &sent, &failed)
+			w.store.OrderRollout(service, newVersion, rolloutDuration)
+			w.startVersion(len(old), healthy)
+			c.fault(w)
+			before := failed.Load()
+			state := w.awaitRollout(t, 4*rolloutDuration)
+			succeeded := time.Now()
+			for _, u := range old {
+				u.crash()
+				w.store.DeleteUpstream(u.ID)
+			}
+			time.Sleep(time.Second)
+			cancel()
+			wait.Wait()
+			t.Logf("%s; %d of %d requests failed beside the fault, %d after it", state, before, sent.Load(), failed.Load()-before)
+			require.Equal(t, "succeeded", state)
+			require.Zero(t, w.arrivalsAfter(old, succeeded))
+			require.Zero(t, failed.Load()-before)
+		})
+	}
+}
