--- a/internal/gateway/routing/rollouts_test.go
+++ b/internal/gateway/routing/rollouts_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,12 +35,12 @@
 
 // rollouts records what the state passes on.
 type rollouts struct {
-	orders   map[string]rollout.Order
+	orders   atomic.Pointer[map[string]rollout.Order]
 	records  []rollout.Record
 	restored int
 }
 
-func (r *rollouts) SetOrders(orders map[string]rollout.Order) { r.orders = orders }
+func (r *rollouts) SetOrders(orders map[string]rollout.Order) { r.orders.Store(&orders) }
 func (r *rollouts) PutRecord(c rollout.Record)                { r.records = append(r.records, c) }
 func (r *rollouts) StoreRestored()                            { r.restored++ }
 
@@ -52,11 +53,11 @@
 
 // newRolloutHost returns a state, the roll-outs that it passes on, and the version of its copy
 // of the operator's table, which tests set.
-func newRolloutHost(t *testing.T) (s *routing.State, r *rollouts, operator *watch.Version) {
+func newRolloutHost(t *testing.T) (s *routing.State, r *rollouts, operator *atomic.Int64) {
 	h := newHost()
 	t.Cleanup(h.log.Close)
-	s, r, operator = routing.New(rolloutDecoder{}, h.log, telemetry.NewMetrics()), &rollouts{}, &watch.Version{}
-	s.UseRollouts(r, func() watch.Version { return *operator })
+	s, r, operator = routing.New(rolloutDecoder{}, h.log, telemetry.NewMetrics()), &rollouts{}, &atomic.Int64{}
+	s.UseRollouts(r, func() watch.Version { return watch.Version{Number: operator.Load()} })
 	return s, r, operator
 }
 
@@ -68,13 +69,13 @@
 		order := rollout.Order{Service: "s", Target: "v2"}
 		sink.Apply(watch.Update{Rows: []watch.Row{encode(t, 7, "rollout/s", order)}})
 		order.Version = 7
-		require.Equal(t, map[string]rollout.Order{"s": order}, r.orders)
+		require.Equal(t, map[string]rollout.Order{"s": order}, *r.orders.Load())
 		lost := watch.Reverted{Row: watch.Row{Key: "rollout/s", Version: 3, Deleted: true}, Known: 7}
 		sink.Apply(watch.Update{Restored: true, Reverted: []watch.Reverted{lost}})
-		require.Len(t, r.orders, 1)
+		require.Len(t, *r.orders.Load(), 1)
 		time.Sleep(upstream.RestoreGrace)
 		synctest.Wait()
-		require.Empty(t, r.orders)
+		require.Empty(t, *r.orders.Load())
 	})
 }
 
@@ -82,9 +83,9 @@
 	s, r, _ := newRolloutHost(t)
 	s.OperatorSink().Apply(watch.Update{Rows: []watch.Row{encode(t, 7, "rollout/s", rollout.Order{Service: "s", Target: "v2"})}})
 	s.OperatorSink().Apply(watch.Update{Rows: []watch.Row{{Key: "rollout/s", Value: []byte("{"), Version: 8}}})
-	require.Equal(t, int64(7), r.orders["s"].Version)
+	require.Equal(t, int64(7), (*r.orders.Load())["s"].Version)
 	s.OperatorSink().Apply(watch.Update{Rows: []watch.Row{{Key: "rollout/s", Version: 9, Deleted: true}}})
-	require.Empty(t, r.orders)
+	require.Empty(t, *r.orders.Load())
 }
 
 func TestTheProgressOfRollOutsIsPassedOn(t *testing.T) {
@@ -109,7 +110,7 @@
 			u := upstream.Registration{ID: id, Service: "s", SoftwareVersion: software}
 			sink.Apply(watch.Update{Full: full, Rows: []watch.Row{encode(t, version, id, u)}})
 		}
-		operator.Number = 10
+		operator.Store(10)
 		put(10, "old", "v1", true)
 		put(20, "more", "v1", false)
 		put(21, "new", "v2", false)
@@ -118,7 +119,7 @@
 		time.Sleep(time.Second)
 		synctest.Wait()
 		require.Equal(t, 2, s.Upstreams().Len())
-		operator.Number = 21
+		operator.Store(21)
 		time.Sleep(time.Second)
 		synctest.Wait()
 		require.Equal(t, 3, s.Upstreams().Len())
