--- a/internal/gateway/rollout/table_test.go
+++ b/internal/gateway/rollout/table_test.go
@@ -9,14 +9,17 @@
 	"cairndock/internal/gateway/upstream"
 )
 
-// recorder records what a table reports.
-type recorder struct{ phases []Phase }
+// noopObserver drops what a table reports.
+type noopObserver struct{}
 
-func (r *recorder) RolloutOrdered(Order, bool)       {}
-func (r *recorder) RolloutChanged(c Record)          { r.phases = append(r.phases, c.Phase) }
-func (r *recorder) RolloutWriteFailed(Record, error) {}
-func (r *recorder) last() (p Phase)                  { return append([]Phase{""}, r.phases...)[len(r.phases)] }
-func orders(o ...Order) map[string]Order             { return map[string]Order{o[0].Service: o[0]} }
+func (noopObserver) RolloutOrdered(Order, bool)       {}
+func (noopObserver) RolloutChanged(Record)            {}
+func (noopObserver) RolloutWriteFailed(Record, error) {}
+
+// orders returns the orders in force, of which there is one.
+func orders(o Order) map[string]Order { return map[string]Order{o.Service: o} }
+
+// stored returns a record as the store has it.
 func stored(o Order, p Phase, revision int64) Record {
 	return Record{Order: o, Phase: p, Revision: revision}
 }
@@ -24,7 +27,6 @@
 // testTable is a table whose surroundings the tests set.
 type testTable struct {
 	*Table
-	recorder
 	stale, isolated bool
 	inFlight        int
 	set             *upstream.Set
@@ -33,7 +35,7 @@
 func newTestTable() *testTable {
 	t := &testTable{}
 	t.Table = NewTable(TableOptions{
-		HostID: 5, Observer: &t.recorder,
+		HostID: 5, Observer: noopObserver{},
 		Fresh: func() bool { return !t.stale }, Isolated: func() bool { return t.isolated }, InFlight: func(string, string) int { return t.inFlight },
 	})
 	registry := upstream.NewRegistry(func(string) time.Duration { return 0 })
