--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -118,8 +118,6 @@
 	// limitAssignment is the assignment of the shards of account limits to hosts.
 	limitAssignment atomic.Pointer[quota.Assignment]
 	cachedStatus    statusCache
-	// relayed has the last response about each of Options.Tables.
-	relayed []relayCache
 	// quarantinesLearned is set once this host has learned which requests are
 	// quarantined.
 	quarantinesLearned atomic.Bool
@@ -147,7 +145,7 @@
 func New(o Options) *Fleet {
 	f := &Fleet{
 		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
-		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), relayed: make([]relayCache, len(o.Tables)), announcedEra: notAnnounced,
+		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), announcedEra: notAnnounced,
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -28,10 +28,6 @@
 	rows map[string]Row
 	// sortedKeys has the keys of rows in order; nil after a key was added or removed.
 	sortedKeys []string
-	// sinceRows are the rows that changed after the version number sinceNumber; nil after a
-	// change of the rows. The hosts that poll this one ask for the same changes.
-	sinceRows   []Row
-	sinceNumber int64
 	// deletedAt is when each tombstone was stored.
 	deletedAt map[string]time.Time
 	// version is the version of the table that the replica reflects.
@@ -184,7 +180,6 @@
 	if !known {
 		r.sortedKeys = nil
 	}
-	r.sinceRows = nil
 	r.rows[row.Key] = row.compressed()
 	delete(r.deletedAt, row.Key)
 	if row.Deleted {
@@ -241,6 +236,6 @@
 		r.historyFrom = max(r.historyFrom, r.rows[key].Version)
 		delete(r.rows, key)
 		delete(r.deletedAt, key)
-		r.sortedKeys, r.sinceRows = nil, nil
+		r.sortedKeys = nil
 	}
 }
--- a/internal/gateway/watch/replicasource.go
+++ b/internal/gateway/watch/replicasource.go
@@ -116,22 +116,10 @@
 	if after.Number < r.historyFrom || after.Era != 0 && after.Era < r.version.Era {
 		return page, nil, ErrHistoryGone
 	}
-	page.Rows = r.rowsAfter(after.Number)
-	return page, r.changed, nil
-}
-
-// rowsAfter returns the rows that changed after a version number. r.mu must be held, and the
-// result must not be changed.
-func (r *Replica) rowsAfter(number int64) []Row {
-	if r.sinceRows != nil && r.sinceNumber == number {
-		return r.sinceRows
-	}
-	rows := []Row{}
 	for _, row := range r.rows {
-		if row.Version > number {
-			rows = append(rows, row)
+		if row.Version > after.Number {
+			page.Rows = append(page.Rows, row)
 		}
 	}
-	r.sinceRows, r.sinceNumber = rows, number
-	return rows
+	return page, r.changed, nil
 }
--- a/internal/gateway/watch/restore.go
+++ b/internal/gateway/watch/restore.go
@@ -25,7 +25,6 @@
 func (r *Replica) restore(p Page, now time.Time) Update {
 	known := r.rows
 	r.rows, r.deletedAt, r.sortedKeys = make(map[string]Row, len(p.Rows)), map[string]time.Time{}, nil
-	r.sinceRows = nil
 	r.version, r.historyFrom = p.Version, p.Version.Number
 	r.lastChange = Version{Era: p.Version.Era}
 	u := Update{Full: true, Restored: true}
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -53,11 +53,6 @@
 	if err != nil {
 		return err
 	}
-	return r.SendEncoded(payload)
-}
-
-// SendEncoded is Send for a message that was encoded with Encode.
-func (r *Responder) SendEncoded(payload []byte) error {
 	if err := r.Reply(payload); err != nil {
 		return err
 	}
