retry: hold that the refused connections passed over suffice at each size

Cause: the number of refused connections that do not count as attempts was raised from four to sixteen without a test of the requests that gain, and without figures for other sizes.

--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -131,6 +131,28 @@
 	require.Equal(t, 3, g.loggedAttempts())
 }
 
+// Requests were refused with 503 although half of the upstreams had free capacity. A request must
+// find one of these whatever the number of upstreams.
+func TestARequestFindsARunningUpstreamWhenHalfHaveTerminated(t *testing.T) {
+	const rounds, keys = 20, 5
+	refused := map[int]int{}
+	for _, upstreams := range []int{20, 40, 80, 160} {
+		for round := range rounds {
+			g := newGatewayWithoutRetries(t, 500*time.Millisecond)
+			for range upstreams / 2 {
+				g.addTerminated()
+				g.addUpstream(healthy)
+			}
+			for key := range keys {
+				if g.getKey(keys*round+key) != http.StatusOK {
+					refused[upstreams]++
+				}
+			}
+		}
+	}
+	require.Empty(t, refused, "requests refused by the number of upstreams")
+}
+
 // Among many terminated upstreams, a request makes a bounded number of attempts to find a
 // running one, and is then refused at once.
 func TestARequestIsRefusedAfterAFewRefusedConnections(t *testing.T) {
