--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -28,7 +28,7 @@
 func (g *Gateway) newController(store *platform.Store) *rollout.Controller {
 	limits := g.settings.Limits
 	return rollout.NewController(rollout.ControllerOptions{
-		Table: g.rollouts, Store: platform.Rollouts{Store: store}, Hosts: g.fleet,
+		Table: g.rollouts, Store: platform.Rollouts{Store: store, Log: g.log}, Hosts: g.fleet,
 		Region: g.settings.Host.Region, Regions: g.settings.regions(),
 		Upstreams: g.state.Upstreams, MaxRequest: g.maxRequest,
 		Limits: rollout.Limits{Fraction: limits.CanaryShare, Slack: limits.CanarySlack},
