rollout: plan anew for the service's own upstreams only, count latencies in place

Cause: while a service has a record, which it keeps after its roll-out, each change of any upstream made its plan anew in the next request, which looks at each of its upstreams; each attempt copied its route's histogram. Reports and exchanges of evidence that fail had no log line. Change: a plan is kept while the service's list is the same one; latencies are counted in place; the first failure of a series is logged.

--- a/internal/gateway/fleet/fuzz_test.go
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -25,6 +25,7 @@
 			Routes: map[string]rollout.RouteEvidence{"r": {Others: rollout.Outcomes{Latency: rollout.Histogram{-5: 1, 999: 2}}}},
 			Groups: map[int]rollout.GroupOutcomes{-1: {Ended: 1}, 99: {Ended: -1}},
 		}}}},
+		rollout.Reply{"s": {Order: 7, Suspend: true, Slow: map[string]time.Duration{"r": -1}}},
 		relayResponse{Page: watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("x"), Compressed: true}}, Version: watch.Version{Number: -1}}},
 	} {
 		text, err := msgpack.Marshal(message)
@@ -46,6 +47,12 @@
 		if r, err := peer.Decode[rolloutReport](payload); err == nil {
 			rollout.NewTable(rollout.TableOptions{}).Receive(r.Host, r.Report, time.Now())
 		}
+		if r, err := peer.Decode[rollout.Reply](payload); err == nil {
+			table := rollout.NewTable(rollout.TableOptions{Observer: noObserver{}})
+			table.SetOrders(map[string]rollout.Order{"s": {Service: "s", Target: "v2", Version: 7}})
+			table.Apply(r, time.Now())
+			table.Report(time.Now())
+		}
 		if r, err := peer.Decode[relayResponse](payload); err == nil {
 			for _, row := range r.Page.Rows {
 				_, _ = row.Bytes()
@@ -53,3 +60,8 @@
 		}
 	})
 }
+
+// noObserver is an observer of orders that drops them.
+type noObserver struct{ rollout.Observer }
+
+func (noObserver) RolloutOrdered(rollout.Order, bool) {}
--- a/internal/gateway/fleet/status.go
+++ b/internal/gateway/fleet/status.go
@@ -6,7 +6,7 @@
 )
 
 // statusTTL is how long this host's status is used once it was determined. A host of a large
-// zone exchanges hundreds of heartbeats per second, and each of them has the same status.
+// zone exchanges many heartbeats in this time, and each of them has the same status.
 const statusTTL = 50 * time.Millisecond
 
 // statusCache has the last status of this host.
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -32,8 +32,8 @@
 	cancel     context.CancelCauseFunc
 	// progress is the state of the exchange with the upstream.
 	progress exchange.Progress
-	// sample counts the attempt for the service's roll-out; nil if there is none.
-	sample *rollout.Attempt
+	// rollout counts the attempt for the service's roll-out; nil if there is none.
+	rollout *rollout.Attempt
 
 	// overdueAfter is the longest time that a response normally takes; zero while there
 	// is no latency baseline.
@@ -76,7 +76,7 @@
 	ctx, span := f.startAttempt(ctx, a)
 	defer func() { endSpan(span, err) }()
 	resp, err := a.roundTrip(ctx, f.tracedRequest(ctx, span))
-	defer func() { a.sample.End(rolloutOutcome(resp, err), time.Now()) }()
+	defer func() { a.rollout.End(rolloutOutcome(resp, err), time.Now()) }()
 	if err != nil {
 		a.cancel(nil)
 		e := verdict.From(err)
@@ -112,7 +112,7 @@
 func (a *attempt) recordSent() {
 	f, now := a.inflight, time.Now()
 	f.proxy.Balancer.Sent(a.choice, now)
-	a.sample = f.proxy.Rollouts.Sent(f.service, f.route.Name, a.choice.Upstream, !a.choice.Cold, now)
+	a.rollout = f.proxy.Rollouts.Sent(f.service, f.route.Name, a.choice.Upstream, !a.choice.Cold, now)
 	if a.choice.Cold {
 		a.logWarmUp()
 	}
--- a/internal/gateway/rollout/controller.go
+++ b/internal/gateway/rollout/controller.go
@@ -84,6 +84,9 @@
 type Controller struct {
 	ControllerOptions
 	decisions map[string]*decision
+	// reportFailed and exchangeFailed are set while reports and exchanges of evidence
+	// fail.
+	reportFailed, exchangeFailed bool
 }
 
 // decision is the state of the decisions about one order.
@@ -132,8 +135,8 @@
 		return
 	}
 	reply, collects, err := c.Hosts.SendReport(ctx, report)
-	if err != nil {
-		return // the next report replaces this one, and a lost peer is logged as such
+	if c.observeError(&c.reportFailed, "report", err); err != nil {
+		return // the next report replaces this one
 	}
 	if !collects {
 		c.Table.Apply(reply, now)
@@ -202,8 +205,8 @@
 		Confirmed: r.Phase == Shift && report.Revision == r.Revision && c.Hosts.AllConfirmed(report.Confirmed),
 	}
 	regions, err := c.exchange(ctx, own)
-	if err != nil {
-		return // the watchers of the tables log a store that is out of reach
+	if c.observeError(&c.exchangeFailed, "evidence", err); err != nil {
+		return // the next exchange follows soon
 	}
 	d.total, d.confirmed = c.sum(regions, r)
 	if found := d.all.Observe(d.total); found.Bad {
@@ -219,8 +222,16 @@
 	if err := c.Store.PutEvidence(ctx, own); err != nil {
 		return nil, err
 	}
-	stored, err := c.Store.Evidence(ctx)
-	return stored, err
+	return c.Store.Evidence(ctx)
+}
+
+// observeError tells the observer about an error of what is repeated several times per second:
+// only the first one until it succeeds again. failed is set while it fails.
+func (c *Controller) observeError(failed *bool, what string, err error) {
+	if err != nil && !*failed {
+		c.Table.options.Observer.RolloutNotReported(what, err)
+	}
+	*failed = err != nil
 }
 
 // sum returns the evidence of all regions, and whether all have confirmed the record's
--- a/internal/gateway/rollout/controller_test.go
+++ b/internal/gateway/rollout/controller_test.go
@@ -164,3 +164,34 @@
 	require.Equal(t, []string{"v1", "v3"}, host.use())
 	require.Equal(t, Canary, s.record.Phase)
 }
+
+// failingHosts fails to send reports while err is set.
+type failingHosts struct {
+	soleHosts
+	err error
+}
+
+func (h *failingHosts) SendReport(context.Context, Report) (Reply, bool, error) {
+	return nil, true, h.err
+}
+
+// failures counts the failures that are logged.
+type failures struct {
+	noopObserver
+	count int
+}
+
+func (f *failures) RolloutNotReported(string, error) { f.count++ }
+
+// Reports are sent several times per second. One that fails must be logged, but not each of them.
+func TestAReportThatFailsIsLoggedOnce(t *testing.T) {
+	s := &fakeStore{order: testOrder.Version, evidence: map[string]RegionEvidence{}}
+	host, log, hosts := newRegions(s, "a")[0], &failures{}, &failingHosts{}
+	host.options.Observer, host.controller.Hosts = log, hosts
+	host.SetOrders(orders(testOrder))
+	for _, err := range []error{nil, errors.New("refused"), errors.New("refused"), nil, errors.New("refused")} {
+		hosts.err = err
+		host.controller.step(t.Context(), time.Now())
+	}
+	require.Equal(t, 2, log.count)
+}
--- a/internal/gateway/rollout/evidence.go
+++ b/internal/gateway/rollout/evidence.go
@@ -66,9 +66,17 @@
 	Latency Histogram `msgpack:"l,omitempty" json:"latency,omitempty"`
 }
 
-// plus returns the sum of two evidences.
+// newEvidence returns evidence without attempts.
+func newEvidence() Evidence {
+	return Evidence{Routes: map[string]RouteEvidence{}, Groups: map[int]GroupOutcomes{}}
+}
+
+// clone returns a copy that shares no map with e.
+func (e Evidence) clone() Evidence { return newEvidence().plus(e) }
+
+// plus returns the sum of two evidences, which shares no map with either.
 func (e Evidence) plus(other Evidence) Evidence {
-	sum := Evidence{Routes: make(map[string]RouteEvidence, len(e.Routes)+len(other.Routes)), Groups: map[int]GroupOutcomes{}}
+	sum := newEvidence()
 	for _, groups := range []map[int]GroupOutcomes{e.Groups, other.Groups} {
 		for group, g := range groups {
 			group = max(0, min(group, maxGroups-1))
@@ -102,6 +110,14 @@
 	o.Slow += c.Slow
 }
 
+// addLatency counts a latency. It changes the histogram, which must not be shared.
+func (o *Outcomes) addLatency(d time.Duration) {
+	if o.Latency == nil {
+		o.Latency = Histogram{}
+	}
+	o.Latency[bucketOf(d)]++
+}
+
 // total returns the outcomes of all routes.
 func (e Evidence) total() RouteEvidence {
 	var sum RouteEvidence
--- a/internal/gateway/rollout/judge.go
+++ b/internal/gateway/rollout/judge.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"math"
 	"slices"
-	"time"
 )
 
 const (
@@ -73,7 +72,7 @@
 }
 
 // recentOutcomes are decayed counts of GroupOutcomes.
-type recentOutcomes struct{ ended, failed, compared, slow float64 }
+type recentOutcomes struct{ failures, slowness faults }
 
 // NewJudge returns a judge that has seen no evidence.
 func NewJudge() *Judge {
@@ -116,10 +115,8 @@
 	for group, now := range e.Groups {
 		before, recent := j.seenGroups[group], j.groups[group]
 		j.groups[group] = recentOutcomes{
-			ended:    groupMemory*recent.ended + float64(growth(now.Ended, before.Ended)),
-			failed:   groupMemory*recent.failed + float64(growth(now.Failed, before.Failed)),
-			compared: groupMemory*recent.compared + float64(growth(now.Compared, before.Compared)),
-			slow:     groupMemory*recent.slow + float64(growth(now.Slow, before.Slow)),
+			failures: recent.failures.decayed(groupMemory).plus(now.failures().since(before.failures())),
+			slowness: recent.slowness.decayed(groupMemory).plus(now.slowness().since(before.slowness())),
 		}
 		j.seenGroups[group] = now
 	}
@@ -127,58 +124,29 @@
 
 // isCommon reports whether the target's upstreams show a fault in general: also those that
 // remain when the worst ones are left out.
-func (j *Judge) isCommon(counts func(recentOutcomes) (all, faulty float64)) bool {
-	var groups []faultCount
+func (j *Judge) isCommon(kind func(recentOutcomes) faults) bool {
+	var groups []faults
 	for _, recent := range j.groups {
-		if all, faulty := counts(recent); all > 0 {
-			groups = append(groups, faultCount{all, faulty})
+		if f := kind(recent); f.all > 0 {
+			groups = append(groups, f)
 		}
 	}
-	slices.SortFunc(groups, func(a, b faultCount) int { return cmp.Compare(b.faulty*a.all, a.faulty*b.all) })
+	slices.SortFunc(groups, func(a, b faults) int { return cmp.Compare(b.faulty*a.all, a.faulty*b.all) })
 	leftOut := max(int(leftOutFraction*float64(len(groups))), min(minLeftOut, len(groups)/2))
-	rest := groups[max(0, leftOut):]
+	rest := groups[leftOut:]
 	return rateOf(rest) >= affectedPart*rateOf(groups)
 }
 
-// faultCount is the number of requests and of the faulty ones among them.
-type faultCount struct{ all, faulty float64 }
-
-// rateOf returns the rate of faults of several counts.
-func rateOf(counts []faultCount) float64 {
-	var sum faultCount
-	for _, c := range counts {
-		sum.all += c.all
-		sum.faulty += c.faulty
-	}
-	return sum.faulty / max(1, sum.all)
-}
-
-// growth returns by how much a count has grown.
-func growth(now, before int) int { return max(0, now-before) }
-
-// faults is a number of requests and of the faulty ones among them.
-type faults struct{ all, faulty int }
-
-func (o Outcomes) failures() faults { return faults{o.Ended, o.Failed} }
-func (o Outcomes) slowness() faults { return faults{o.Compared, o.Slow} }
-
-// since returns by how much both counts have grown.
-func (f faults) since(before faults) faults {
-	return faults{growth(f.all, before.all), growth(f.faulty, before.faulty)}
-}
-
 // routeTests are the tests of one route.
 type routeTests struct{ failures, slowness sequentialTest }
 
 // finding returns the result of a route's tests.
 func (j *Judge) finding(t *routeTests, route string, now RouteEvidence) Finding {
-	failed := func(r recentOutcomes) (all, faulty float64) { return r.ended, r.failed }
-	slow := func(r recentOutcomes) (all, faulty float64) { return r.compared, r.slow }
 	switch {
-	case t.failures.score >= alarmThreshold && j.isCommon(failed):
+	case t.failures.score >= alarmThreshold && j.isCommon(func(r recentOutcomes) faults { return r.failures }):
 		return Finding{true, fmt.Sprintf("%d of %d requests of route %s failed, and %d of %d at other versions",
 			now.Target.Failed, now.Target.Ended, route, now.Others.Failed, now.Others.Ended)}
-	case t.slowness.score >= alarmThreshold && j.isCommon(slow):
+	case t.slowness.score >= alarmThreshold && j.isCommon(func(r recentOutcomes) faults { return r.slowness }):
 		return Finding{true, fmt.Sprintf("%d of %d responses of route %s were slow, and %d of %d at other versions",
 			now.Target.Slow, now.Target.Compared, route, now.Others.Slow, now.Others.Compared)}
 	}
@@ -190,59 +158,18 @@
 	// score is the log-likelihood ratio of a raised rate since the time that is most
 	// favorable for it.
 	score float64
-	// baseAll and baseFaulty are the decayed counts of the other versions.
-	baseAll, baseFaulty float64
+	// base is the decayed count of the other versions.
+	base faults
 }
 
 // observe adds requests of the target and those of the other versions in the same time.
 func (t *sequentialTest) observe(r raisedRate, target, others faults) {
-	t.baseAll = baseMemory*t.baseAll + float64(others.all)
-	t.baseFaulty = baseMemory*t.baseFaulty + float64(others.faulty)
-	base := (t.baseFaulty + basePrior*basePriorRate) / (t.baseAll + basePrior)
-	good := min(maxGoodRate, base+r.tolerance)
+	t.base = t.base.decayed(baseMemory).plus(others)
+	rate := (t.base.faulty + basePrior*basePriorRate) / (t.base.all + basePrior)
+	good := min(maxGoodRate, rate+r.tolerance)
 	bad := min(maxBadRate, good+r.effect)
 	faulty := min(target.faulty, target.all)
 	sound := target.all - faulty
-	t.score += float64(faulty)*math.Log(bad/good) + float64(sound)*math.Log((1-bad)/(1-good))
+	t.score += faulty*math.Log(bad/good) + sound*math.Log((1-bad)/(1-good))
 	t.score = max(0, t.score)
 }
-
-const (
-	// slowFactor is the multiple of the other versions' typical latency from which on a
-	// response is slow. Bad versions are several times slower.
-	slowFactor = 2
-	// newObjectFactor is the factor while requests for new objects go to the target. The
-	// first response for an object takes longer than the others.
-	newObjectFactor = 3.5
-	// minSlowThreshold is the minimum threshold. Below it, the network and the load of
-	// this host decide the latency.
-	minSlowThreshold = 50 * time.Millisecond
-	// settleTime is how long requests for new objects go to the target after its fraction
-	// has changed.
-	settleTime = 2 * time.Second
-)
-
-// slowThreshold returns the latency from which on a response counts as slow, or zero if the
-// latencies of the other versions are not known.
-func slowThreshold(others Histogram, factor float64) time.Duration {
-	typical := others.quantile(0.5)
-	if typical == 0 {
-		return 0
-	}
-	return max(minSlowThreshold, time.Duration(factor*float64(typical)))
-}
-
-// slowThresholds returns the latency from which on a response of each route is slow.
-func slowThresholds(e Evidence, r Record, clock int64) map[string]time.Duration {
-	factor := float64(slowFactor)
-	if r.Phase != Canary || after(r.ChangedAt, clock) < settleTime {
-		factor = newObjectFactor
-	}
-	slow := make(map[string]time.Duration, len(e.Routes))
-	for route, evidence := range e.Routes {
-		if threshold := slowThreshold(evidence.Others.Latency, factor); threshold > 0 {
-			slow[route] = threshold
-		}
-	}
-	return slow
-}
--- a/internal/gateway/rollout/observer.go
+++ b/internal/gateway/rollout/observer.go
@@ -30,7 +30,7 @@
 }
 
 func newObserver(o Order) *observer {
-	return &observer{order: o, evidence: Evidence{}.plus(Evidence{}), running: map[*Attempt]struct{}{}}
+	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}}
 }
 
 // Attempt is an attempt that was sent to an upstream of a service with a roll-out. A nil
@@ -102,7 +102,7 @@
 	o.change(a, func(all *Outcomes) {
 		all.add(c)
 		if c.Compared > 0 {
-			all.Latency = all.Latency.plus(Histogram{bucketOf(took): 1})
+			all.addLatency(took)
 		}
 	})
 	if a.target {
@@ -122,7 +122,7 @@
 func (o *observer) snapshot(now time.Time) Evidence {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	snapshot := Evidence{}.plus(o.evidence)
+	snapshot := o.evidence.clone()
 	for a := range o.running {
 		took := now.Sub(a.sentAt)
 		if !o.isSlow(a, took) {
--- a/internal/gateway/rollout/report.go
+++ b/internal/gateway/rollout/report.go
@@ -87,3 +87,74 @@
 	}
 	return sum
 }
+
+// Report returns what this host and those that report to it know.
+func (t *Table) Report(now time.Time) Report {
+	own := Report{}
+	for _, service := range t.running() {
+		own[service] = t.ownReport(service, now)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports.plus(own, now)
+}
+
+func (t *Table) ownReport(service string, now time.Time) ServiceReport {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[service]
+	report := ServiceReport{Order: s.record.Version, Evidence: s.observer.snapshot(now), Revision: s.record.Revision}
+	if t.confirm(s, now) {
+		report.Confirmed = t.options.HostID
+	}
+	return report
+}
+
+// confirm reports whether no request is in flight at other versions and none will be sent
+// there; t.mu is held. A request that was chosen by an earlier plan counts as in flight
+// before it asks for the plan once more, so that either this function or the request notices
+// the other.
+func (t *Table) confirm(s *serviceState, now time.Time) bool {
+	if s.record.Phase != Shift || s.withdrawn || s.unsaved {
+		return false
+	}
+	if s.confirmed == s.record.Revision {
+		return true
+	}
+	if s.isCautious(true, now) || t.options.InFlight(s.record.Service, s.record.Target) > 0 {
+		return false
+	}
+	s.confirmed = s.record.Revision
+	return true
+}
+
+// Receive records the report of another host, and returns the reply.
+func (t *Table) Receive(host string, report Report, now time.Time) Reply {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reports.add(host, report, now)
+	reply := Reply{}
+	for service := range report {
+		if s := t.services[service]; s != nil {
+			reply[service] = ServiceReply{Order: s.record.Version, Slow: s.slow, Suspend: now.Before(s.suspendedUntil)}
+		}
+	}
+	return reply
+}
+
+// Apply applies the reply to this host's report.
+func (t *Table) Apply(reply Reply, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for service, r := range reply {
+		s := t.services[service]
+		if s == nil || s.record.Version != r.Order {
+			continue
+		}
+		s.slow = r.Slow
+		s.observer.setSlow(r.Slow)
+		if r.Suspend {
+			s.suspendedUntil = now.Add(suspendTime)
+		}
+	}
+}
--- a/internal/gateway/rollout/service.go
+++ b/internal/gateway/rollout/service.go
@@ -26,12 +26,27 @@
 	suspendedUntil time.Time
 	slow           map[string]time.Duration
 
-	// plan is the plan for planned, the list of upstreams, and for the cautious flag.
+	// plan is the plan for planned, the list of the service's upstreams, and for the
+	// cautious flag.
 	plan     *Plan
-	planned  *upstream.Set
+	planned  []*upstream.Upstream
 	cautious bool
 }
 
+// planFor returns the plan for the service's upstreams. It is made anew only if the list is
+// another one, because making it takes time for each of them.
+func (s *serviceState) planFor(list []*upstream.Upstream, cautious bool) *Plan {
+	if s.plan == nil || s.cautious != cautious || !isSameList(s.planned, list) {
+		s.plan, s.planned, s.cautious = newPlan(s.record, s.withdrawn, cautious, list), list, cautious
+	}
+	return s.plan
+}
+
+// isSameList reports whether two immutable lists are one.
+func isSameList(a, b []*upstream.Upstream) bool {
+	return len(a) == len(b) && (len(a) == 0 || &a[0] == &b[0])
+}
+
 // replace replaces the record.
 func (s *serviceState) replace(r Record, unsaved bool) {
 	if !s.record.isSame(r.Order) {
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -18,6 +18,9 @@
 	RolloutChanged(r Record)
 	// RolloutWriteFailed is called when a change could not be stored.
 	RolloutWriteFailed(r Record, err error)
+	// RolloutNotReported is called when this host could not pass on what it observed: its
+	// "report" to another host, or the "evidence" of its region to the store.
+	RolloutNotReported(what string, err error)
 }
 
 // TableOptions are the dependencies of a Table.
@@ -166,11 +169,7 @@
 		// The upstreams of either version may be stopped without this host learning it.
 		return &Plan{phase: s.record.Phase, order: s.record.Order}
 	}
-	cautious := s.isCautious(fresh, time.Now())
-	if s.plan == nil || s.planned != set || s.cautious != cautious {
-		s.plan, s.planned, s.cautious = newPlan(s.record, s.withdrawn, cautious, set.Service(service)), set, cautious
-	}
-	return s.plan
+	return s.planFor(set.Service(service), s.isCautious(fresh, time.Now()))
 }
 
 // Sent records an attempt that was sent to an upstream. comparable is set if its latency
@@ -209,77 +208,6 @@
 // Running returns the number of roll-outs that have not ended.
 func (t *Table) Running() int { return len(t.running()) }
 
-// Report returns what this host and those that report to it know.
-func (t *Table) Report(now time.Time) Report {
-	own := Report{}
-	for _, service := range t.running() {
-		own[service] = t.ownReport(service, now)
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.reports.plus(own, now)
-}
-
-func (t *Table) ownReport(service string, now time.Time) ServiceReport {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.services[service]
-	report := ServiceReport{Order: s.record.Version, Evidence: s.observer.snapshot(now), Revision: s.record.Revision}
-	if t.confirm(s, now) {
-		report.Confirmed = t.options.HostID
-	}
-	return report
-}
-
-// confirm reports whether no request is in flight at other versions and none will be sent
-// there; t.mu is held. A request that was chosen by an earlier plan counts as in flight
-// before it asks for the plan once more, so that either this function or the request notices
-// the other.
-func (t *Table) confirm(s *serviceState, now time.Time) bool {
-	if s.record.Phase != Shift || s.withdrawn || s.unsaved {
-		return false
-	}
-	if s.confirmed == s.record.Revision {
-		return true
-	}
-	if s.isCautious(true, now) || t.options.InFlight(s.record.Service, s.record.Target) > 0 {
-		return false
-	}
-	s.confirmed = s.record.Revision
-	return true
-}
-
-// Receive records the report of another host, and returns the reply.
-func (t *Table) Receive(host string, report Report, now time.Time) Reply {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.reports.add(host, report, now)
-	reply := Reply{}
-	for service := range report {
-		if s := t.services[service]; s != nil {
-			reply[service] = ServiceReply{Order: s.record.Version, Slow: s.slow, Suspend: now.Before(s.suspendedUntil)}
-		}
-	}
-	return reply
-}
-
-// Apply applies the reply to this host's report.
-func (t *Table) Apply(reply Reply, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for service, r := range reply {
-		s := t.services[service]
-		if s == nil || s.record.Version != r.Order {
-			continue
-		}
-		s.slow = r.Slow
-		s.observer.setSlow(r.Slow)
-		if r.Suspend {
-			s.suspendedUntil = now.Add(suspendTime)
-		}
-	}
-}
-
 // progress returns the record of a service and whether its order was withdrawn. unsaved is
 // set if the store does not have the record.
 func (t *Table) progress(service string) (r Record, withdrawn, unsaved bool) {
--- a/internal/gateway/rollout/table_test.go
+++ b/internal/gateway/rollout/table_test.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -15,6 +16,7 @@
 func (noopObserver) RolloutOrdered(Order, bool)       {}
 func (noopObserver) RolloutChanged(Record)            {}
 func (noopObserver) RolloutWriteFailed(Record, error) {}
+func (noopObserver) RolloutNotReported(string, error) {}
 
 // orders returns the orders in force, of which there is one.
 func orders(o Order) map[string]Order { return map[string]Order{o.Service: o} }
@@ -172,3 +174,25 @@
 	require.Equal(t, 960, sum["s"].Evidence.total().Others.Sent)
 	require.Equal(t, uint64(5), table.Report(now.Add(reportTTL))["s"].Confirmed)
 }
+
+// Rows of other services change all the time. The plan of a service must not be made anew for
+// them, which would take time for each of its upstreams.
+func TestAPlanIsMadeAnewOnlyForItsServicesUpstreams(t *testing.T) {
+	for _, count := range []int{50, 100, 200, 400} {
+		table := newTestTable()
+		table.PutRecord(stored(testOrder, Succeeded, 8))
+		registry := upstream.NewRegistry(func(string) time.Duration { return 0 })
+		put := func(service string, i int) *upstream.Set {
+			registry.Put(upstream.Registration{ID: fmt.Sprint(service, i), Service: service, SoftwareVersion: "v2"}, time.Now())
+			return registry.Set()
+		}
+		for i := range count {
+			put("s", i)
+		}
+		plan := table.Plan("s", put("other", 0))
+		require.Same(t, plan, table.Plan("s", put("other", 1)))
+		changed := table.Plan("s", put("s", count))
+		require.NotSame(t, plan, changed)
+		require.Len(t, changed.all, count+1)
+	}
+}
