proxy: count requests, granted and returned retries of each service

Instances received more repeats of a service's requests than all hosts together may send, and nothing a host wrote told why: only denied retries were counted. Three causes could not be told apart: hosts that are each within their part while the sum is above the limit, retries that are returned although something was sent, and attempts that use no retry.

Each host now counts, by service, the requests that its budget is computed from, the retries that the budget granted, and those returned because nothing was sent.

TestMetricsCountRequestsAndTheirRetries; the decisions are unchanged.

--- a/internal/gateway/proxy/attempts_test.go
+++ b/internal/gateway/proxy/attempts_test.go
@@ -114,7 +114,27 @@
 	g.addUpstream(resetting)
 	require.Equal(t, http.StatusBadGateway, g.getKey(1))
 	g.requireLogged(`"retry_denied":"0 of 0.75 retries used, for 1 requests and a slack of 0.00"`)
+	g.requireMetric(`cairndock_retries_denied_total{service="s"} 1`)
+}
+
+// Without these counts, the requests and retries of a host could not be compared with what
+// upstreams received.
+func TestMetricsCountRequestsAndTheirRetries(t *testing.T) {
+	g := newGateway(t, noop.NewTracerProvider(), retry.Limits{Window: time.Minute, Slack: 2})
+	g.setRoutes(testRoute(route.Repeatable))
+	g.addUpstream(resetting)
+	require.Equal(t, http.StatusBadGateway, g.getKey(1), "there is no other upstream")
+	g.addUpstream(resetting)
+	require.Equal(t, http.StatusBadGateway, g.getKey(1))
+	g.requireMetric(`cairndock_requests_total{service="s"} 2`)
+	g.requireMetric(`cairndock_retries_granted_total{service="s"} 2`)
+	g.requireMetric(`cairndock_retries_returned_total{service="s"} 1`)
+}
+
+// requireMetric requires a line of the metrics.
+func (g *testGateway) requireMetric(line string) {
+	g.t.Helper()
 	var metrics strings.Builder
 	g.proxy.Metrics.Write(&metrics)
-	require.Contains(t, metrics.String(), `cairndock_retries_denied_total{service="s"} 1`)
+	require.Contains(g.t, metrics.String(), line)
 }
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -58,7 +58,7 @@
 // run sends the request until there is a response to forward or the request has failed.
 func (f *inflight) run(ctx context.Context) (*response, error) {
 	f.proxy.SuspendWatch.Check()
-	f.proxy.Budget.RecordRequest(f.service, f.began)
+	f.recordRequest()
 	if f.quarantined() {
 		return nil, errQuarantined()
 	}
@@ -85,6 +85,12 @@
 	}
 }
 
+// recordRequest counts the request for the retry budget of its service.
+func (f *inflight) recordRequest() {
+	f.proxy.Metrics.Count(`cairndock_requests_total{service="` + f.service + `"}`)
+	f.proxy.Budget.RecordRequest(f.service, f.began)
+}
+
 // finalVerdict returns the final error of a request that failed with err.
 func (f *inflight) finalVerdict(err error) error {
 	hostAborted := f.clientCtx.Err() == nil && f.proxy.aborted.Err() != nil
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -63,16 +63,23 @@
 	}
 	c, err := f.choose()
 	if err != nil {
-		f.proxy.Budget.Return(f.service, now)
+		f.returnRetry(now)
 	}
 	return c, err
 }
 
+// returnRetry returns a retry for which nothing was sent to the budget.
+func (f *inflight) returnRetry(now time.Time) {
+	f.proxy.Metrics.Count(`cairndock_retries_returned_total{service="` + f.service + `"}`)
+	f.proxy.Budget.Return(f.service, now)
+}
+
 // takeRetry takes a retry from the budget of the service. A denied retry is counted in a
 // metric and recorded for the final log line of the request.
 func (f *inflight) takeRetry(now time.Time) bool {
 	share := f.proxy.SlackShare()
 	if f.proxy.Budget.TryRetry(f.service, share, now) {
+		f.proxy.Metrics.Count(`cairndock_retries_granted_total{service="` + f.service + `"}`)
 		return true
 	}
 	f.proxy.Metrics.Count(`cairndock_retries_denied_total{service="` + f.service + `"}`)
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -41,7 +41,7 @@
 // over as long as it accepts no requests.
 func (f *inflight) recordUnsent(r verdict.Reason, a *attempt) {
 	if a.usesBudget {
-		f.proxy.Budget.Return(f.service, time.Now())
+		f.returnRetry(time.Now())
 	}
 	u := a.choice.Upstream
 	switch r {
@@ -115,7 +115,7 @@
 func (f *inflight) returnChoice(c balance.Choice) {
 	f.proxy.Balancer.Done(c)
 	if f.retryState().NeedsBudget() {
-		f.proxy.Budget.Return(f.service, time.Now())
+		f.returnRetry(time.Now())
 	}
 }
 
