retry: return an unsent retry to the bucket that it was taken from

What callers saw: after dials that timed out, requests that could have been sent again got the error of their first attempt, although the budget had retries left. The opposite was possible as well: a host could exceed its part of the limit.

Cause: a returned retry was subtracted from the bucket of the return. If that bucket had none, the return was lost, and the retry stayed used for up to a window. If it had some, one of those that were sent was no longer counted once the bucket of the grant had left the window.

TryRetry returns a grant that says where the retry is counted, and Return takes it. The attempt carries its grant, in place of a flag that was computed a second time.

The two tests of retries that are returned later fail on the code before: a fourth retry within a window where three are allowed, and none where one is allowed.

--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -112,12 +112,13 @@
 func (req *request) choose() (balance.Choice, bool) {
 	h, now := req.host, req.host.model.clock.now
 	service := req.call.route.Service
-	if !h.budget.TryRetry(service, 1/float64(len(h.model.hosts)), now) {
+	grant := h.budget.TryRetry(service, 1/float64(len(h.model.hosts)), now)
+	if grant == nil {
 		return balance.Choice{}, false
 	}
 	c, reason := h.balancer.Choose(req.query())
 	if reason != balance.Chosen {
-		h.budget.Return(service, now)
+		h.budget.Return(grant, now)
 		return balance.Choice{}, false
 	}
 	return c, true
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -10,6 +10,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/verdict"
@@ -26,10 +27,10 @@
 	choice   balance.Choice
 	// number is the position among the request's attempts, starting from 1.
 	number int
-	// usesBudget is set when the attempt consumed a retry of the budget.
-	usesBudget bool
-	began      time.Time
-	cancel     context.CancelCauseFunc
+	// grant is the retry of the budget that the attempt uses; nil if it uses none.
+	grant  *retry.Grant
+	began  time.Time
+	cancel context.CancelCauseFunc
 	// progress is the state of the exchange with the upstream.
 	progress exchange.Progress
 	// rollout counts the attempt for the service's roll-out; nil if there is none.
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -9,7 +9,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/verdict"
 )
@@ -47,15 +46,14 @@
 	return &attempts{inflight: f, ctx: ctx, results: results, overdue: make(chan *attempt), done: make(chan struct{})}
 }
 
-// start begins an attempt at an upstream that choose returned.
-func (s *attempts) start(c balance.Choice) {
-	f := s.inflight
-	usesBudget := f.retryState().NeedsBudget()
+// start begins an attempt.
+func (s *attempts) start(next nextAttempt) {
+	f, c := s.inflight, next.choice
 	f.tried = append(f.tried, c.Upstream.ID)
 	f.startedAttempts++
 	f.countedAttempts++
 	ctx, cancel := context.WithCancelCause(s.ctx)
-	a := &attempt{inflight: f, choice: c, number: f.startedAttempts, usesBudget: usesBudget, began: time.Now(), cancel: cancel}
+	a := &attempt{inflight: f, choice: c, number: f.startedAttempts, grant: next.grant, began: time.Now(), cancel: cancel}
 	a.overdueAfter = f.proxy.Detector.OverdueAfter(f.service, c.Load)
 	if a.overdueAfter > 0 {
 		a.timer = time.AfterFunc(a.overdueAfter, func() { s.notifyOverdue(a) })
@@ -109,10 +107,10 @@
 	if s.hasOnTimeAttempt() {
 		return nil, false, nil
 	}
-	c, err := s.chooseAfter(result)
+	next, err := s.chooseAfter(result)
 	switch {
 	case err == nil:
-		s.start(c)
+		s.start(next)
 		return nil, false, nil
 	case s.scheduleRedial(err):
 		return nil, false, nil
@@ -125,24 +123,24 @@
 
 // chooseAfter chooses the upstream for the attempt after a failed one. If there is none,
 // it returns the error to end the request with.
-func (s *attempts) chooseAfter(failed attemptResult) (balance.Choice, error) {
+func (s *attempts) chooseAfter(failed attemptResult) (nextAttempt, error) {
 	f := s.inflight
 	if !isUnsent(verdict.From(failed.err).Reason) {
 		return f.retry(s.ctx, failed.err)
 	}
 	state := f.retryState()
 	if !state.MayRetry(f.isDone(s.ctx)) {
-		return balance.Choice{}, failed.err
+		return nextAttempt{}, failed.err
 	}
-	c, err := f.chooseNext()
+	next, err := f.chooseNext()
 	switch {
 	case eris.Is(err, errNoBudget):
-		return c, failed.err
-	case err == nil && !state.MayUseUpstream(c.Load):
-		f.returnChoice(c)
-		return balance.Choice{}, failed.err
+		return nextAttempt{}, failed.err
+	case err == nil && !state.MayUseUpstream(next.choice.Load):
+		f.cancelNext(next)
+		return nextAttempt{}, failed.err
 	}
-	return c, err
+	return next, err
 }
 
 // hasOnTimeAttempt reports whether an attempt is running that is not overdue.
@@ -169,12 +167,12 @@
 	if f.isDone(s.ctx) || !f.retryState().MayHedge(f.deadline().Sub(now), a.overdueAfter) {
 		return
 	}
-	c, err := f.chooseRetry(now)
+	next, err := f.chooseRetry(now)
 	if isNoUpstream(err) && f.resetUnanswered() {
-		c, err = f.chooseRetry(now)
+		next, err = f.chooseRetry(now)
 	}
 	if err == nil {
-		s.start(c)
+		s.start(next)
 	}
 }
 
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -68,7 +68,7 @@
 	}
 	s := f.newAttempts(ctx)
 	defer s.abandon()
-	s.start(choice)
+	s.start(nextAttempt{choice: choice})
 	for {
 		select {
 		case a := <-s.overdue:
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -20,17 +20,24 @@
 	}
 }
 
+// nextAttempt is the upstream that was chosen for an attempt, and the retry of the budget
+// that the attempt uses. grant is nil if it uses none.
+type nextAttempt struct {
+	choice balance.Choice
+	grant  *retry.Grant
+}
+
 // retry chooses the upstream for the next attempt after a failed one. If there is none,
 // it returns the error to end the request with.
-func (f *inflight) retry(ctx context.Context, failed error) (balance.Choice, error) {
+func (f *inflight) retry(ctx context.Context, failed error) (nextAttempt, error) {
 	if !f.retryState().MayRetry(f.isDone(ctx)) {
-		return balance.Choice{}, failed
+		return nextAttempt{}, failed
 	}
-	c, err := f.chooseRetry(time.Now())
+	next, err := f.chooseRetry(time.Now())
 	if eris.Is(err, errNoBudget) {
-		return c, failed
+		return next, failed
 	}
-	return c, err
+	return next, err
 }
 
 // isDone reports whether nobody waits for the response any more.
@@ -57,33 +64,39 @@
 // chooseRetry takes a retry from the budget of the service, which all known hosts share,
 // and chooses an upstream for it. If there is no upstream, the retry is returned, because
 // only requests that are sent count.
-func (f *inflight) chooseRetry(now time.Time) (balance.Choice, error) {
-	if !f.takeRetry(now) {
-		return balance.Choice{}, errNoBudget
+func (f *inflight) chooseRetry(now time.Time) (nextAttempt, error) {
+	grant := f.takeRetry(now)
+	if grant == nil {
+		return nextAttempt{}, errNoBudget
 	}
 	c, err := f.choose()
 	if err != nil {
-		f.returnRetry(now)
+		f.returnRetry(grant)
+		return nextAttempt{}, err
 	}
-	return c, err
+	return nextAttempt{choice: c, grant: grant}, nil
 }
 
-// returnRetry returns a retry for which nothing was sent to the budget.
-func (f *inflight) returnRetry(now time.Time) {
+// returnRetry returns a retry to the budget because nothing was sent. grant may be nil.
+func (f *inflight) returnRetry(grant *retry.Grant) {
+	if grant == nil {
+		return
+	}
 	f.proxy.Metrics.Count(`cairndock_retries_returned_total{service="` + f.service + `"}`)
-	f.proxy.Budget.Return(f.service, now)
+	f.proxy.Budget.Return(grant, time.Now())
 }
 
-// takeRetry takes a retry from the budget of the service. A denied retry is counted in a
-// metric and recorded for the final log line of the request.
-func (f *inflight) takeRetry(now time.Time) bool {
+// takeRetry takes a retry from the budget of the service. It returns nil if the budget
+// denies it. A denied retry is counted in a metric and recorded for the final log line of
+// the request.
+func (f *inflight) takeRetry(now time.Time) *retry.Grant {
 	share := f.proxy.SlackShare()
-	if f.proxy.Budget.TryRetry(f.service, share, now) {
+	if grant := f.proxy.Budget.TryRetry(f.service, share, now); grant != nil {
 		f.proxy.Metrics.Count(`cairndock_retries_granted_total{service="` + f.service + `"}`)
-		return true
+		return grant
 	}
 	f.proxy.Metrics.Count(`cairndock_retries_denied_total{service="` + f.service + `"}`)
 	usage := f.proxy.Budget.Usage(f.service, share, now)
 	f.retryDenied = &usage
-	return false
+	return nil
 }
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -6,7 +6,6 @@
 
 	"github.com/rotisserie/eris"
 
-	"cairndock/internal/gateway/balance"
 	"cairndock/internal/verdict"
 )
 
@@ -40,9 +39,7 @@
 // An upstream that withheld the request remains eligible, because the balancer passes it
 // over as long as it accepts no requests.
 func (f *inflight) recordUnsent(r verdict.Reason, a *attempt) {
-	if a.usesBudget {
-		f.returnRetry(time.Now())
-	}
+	f.returnRetry(a.grant)
 	u := a.choice.Upstream
 	switch r {
 	case verdict.Withheld:
@@ -92,10 +89,10 @@
 		return s.redialErr
 	}
 	f.resetUnanswered()
-	c, err := f.chooseNext()
+	next, err := f.chooseNext()
 	switch {
 	case err == nil:
-		s.start(c)
+		s.start(next)
 	case eris.Is(err, errNoBudget):
 		return s.redialErr
 	}
@@ -104,19 +101,18 @@
 
 // chooseNext chooses the upstream for another attempt. If the attempt repeats one that
 // was sent, it needs a retry from the budget.
-func (f *inflight) chooseNext() (balance.Choice, error) {
+func (f *inflight) chooseNext() (nextAttempt, error) {
 	if f.retryState().NeedsBudget() {
 		return f.chooseRetry(time.Now())
 	}
-	return f.choose()
+	c, err := f.choose()
+	return nextAttempt{choice: c}, err
 }
 
-// returnChoice returns a choice for which no attempt is made.
-func (f *inflight) returnChoice(c balance.Choice) {
-	f.proxy.Balancer.Done(c)
-	if f.retryState().NeedsBudget() {
-		f.returnRetry(time.Now())
-	}
+// cancelNext returns the choice and the retry of an attempt that is not made.
+func (f *inflight) cancelNext(next nextAttempt) {
+	f.proxy.Balancer.Done(next.choice)
+	f.returnRetry(next.grant)
 }
 
 // resetUnanswered allows the upstreams that did not answer to be chosen again, as if they
--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -211,7 +211,7 @@
 		time.AfterFunc(300*time.Millisecond, serve)
 		require.Equal(t, http.StatusOK, g.getKey(key))
 		require.EqualValues(t, 1, failing.Load())
-		require.False(t, g.proxy.Budget.TryRetry("s", 1, time.Now()), "its one retry is used")
+		require.Nil(t, g.proxy.Budget.TryRetry("s", 1, time.Now()), "its one retry is used")
 	}
 }
 
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -87,18 +87,26 @@
 	b.window(service, now).current().requests++
 }
 
-// TryRetry counts a retry and returns true, unless this host has used up its share of the
-// service's limit. slackShare is its share of the slack, from 0 to 1. The shares of all
+// Grant is a retry that a budget granted.
+type Grant struct {
+	service string
+	// bucket is the number of the bucket in which the retry is counted.
+	bucket int64
+}
+
+// TryRetry counts a retry and returns its grant, or nil if this host has used up its share
+// of the service's limit. slackShare is its share of the slack, from 0 to 1. The shares of all
 // hosts must not add up to more than 1, even if the hosts have different views of which
 // hosts are alive.
-func (b *Budget) TryRetry(service string, slackShare float64, now time.Time) bool {
+func (b *Budget) TryRetry(service string, slackShare float64, now time.Time) *Grant {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.usage(service, slackShare, now).allowsRetry() {
-		return false
+		return nil
 	}
-	b.window(service, now).current().retries++
-	return true
+	w := b.window(service, now)
+	w.current().retries++
+	return &Grant{service: service, bucket: w.newest}
 }
 
 // Usage is how much of its share of a service's limit a host has used, in the window that
@@ -134,12 +142,14 @@
 	return Usage{Requests: total.requests, Retries: total.retries, Slack: slack, Allowed: b.rounding + b.limits.allowed(total.requests, slack)}
 }
 
-// Return undoes a retry that was taken at the same moment and not sent.
-func (b *Budget) Return(service string, now time.Time) {
+// Return undoes a granted retry that was not sent. It must be called at most once for
+// each grant.
+func (b *Budget) Return(g *Grant, now time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	bucket := b.window(service, now).current()
-	bucket.retries = max(0, bucket.retries-1)
+	if w := b.window(g.service, now); w.contains(g.bucket) {
+		w.ring[g.bucket%buckets].retries--
+	}
 }
 
 // window returns the window of a service, advanced to now.
@@ -165,6 +175,9 @@
 	ring   [buckets]counts
 }
 
+// contains reports whether a bucket is within the window.
+func (w *window) contains(bucket int64) bool { return w.newest-bucket < buckets }
+
 func (w *window) current() *counts { return &w.ring[w.newest%buckets] }
 
 // advance moves the window to a bucket and clears the buckets that it passes.
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -38,7 +38,7 @@
 		for _, b := range budgets {
 			for range requestsPerStep {
 				b.RecordRequest("s", at)
-				if b.TryRetry("s", 1.0/hosts, at) {
+				if b.TryRetry("s", 1.0/hosts, at) != nil {
 					taken = append(taken, at)
 				}
 			}
@@ -81,7 +81,7 @@
 				b = after
 			}
 			b.RecordRequest("s", at)
-			for b.TryRetry("s", 1.0/hosts, at) {
+			for b.TryRetry("s", 1.0/hosts, at) != nil {
 				taken = append(taken, at)
 			}
 		}
@@ -104,12 +104,12 @@
 func TestBudgetRecoversWithTheWindowForEachService(t *testing.T) {
 	now := time.Now()
 	b := retry.NewBudget(limits, now.Add(-limits.Window), 0)
-	for b.TryRetry("a", 1.0/9, now) {
+	for b.TryRetry("a", 1.0/9, now) != nil {
 	}
-	require.True(t, b.TryRetry("b", 1.0/9, now))
-	require.False(t, b.TryRetry("a", 1.0/9, now.Add(5*time.Second)))
-	require.True(t, b.TryRetry("a", 1.0/9, now.Add(11*time.Second)))
-	require.True(t, b.TryRetry("a", 1.0/9, now.Add(time.Hour)), "after many windows without requests")
+	require.NotNil(t, b.TryRetry("b", 1.0/9, now))
+	require.Nil(t, b.TryRetry("a", 1.0/9, now.Add(5*time.Second)))
+	require.NotNil(t, b.TryRetry("a", 1.0/9, now.Add(11*time.Second)))
+	require.NotNil(t, b.TryRetry("a", 1.0/9, now.Add(time.Hour)), "after many windows without requests")
 }
 
 func TestHostUsesItsShareOfTheLimit(t *testing.T) {
@@ -133,7 +133,7 @@
 				b.RecordRequest("s", now)
 			}
 			retries := 0
-			for b.TryRetry("s", c.share, now) {
+			for b.TryRetry("s", c.share, now) != nil {
 				retries++
 			}
 			require.Equal(t, c.retries, retries)
@@ -146,19 +146,47 @@
 func TestStartingHostHasNoSlackForAWindow(t *testing.T) {
 	now := time.Now()
 	b := retry.NewBudget(limits, now, 0)
-	require.False(t, b.TryRetry("s", 1.0/9, now))
-	require.False(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window-1)))
-	require.True(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window)))
+	require.Nil(t, b.TryRetry("s", 1.0/9, now))
+	require.Nil(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window-1)))
+	require.NotNil(t, b.TryRetry("s", 1.0/9, now.Add(limits.Window)))
 }
 
 func TestReturnUndoesARetry(t *testing.T) {
 	now := time.Now()
 	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second), 0)
-	require.True(t, b.TryRetry("a", 1.0, now))
-	require.False(t, b.TryRetry("a", 1.0, now))
-	b.Return("a", now)
-	require.True(t, b.TryRetry("a", 1.0, now))
-	require.False(t, b.TryRetry("a", 1.0, now))
+	g := b.TryRetry("a", 1.0, now)
+	require.NotNil(t, g)
+	require.Nil(t, b.TryRetry("a", 1.0, now))
+	b.Return(g, now)
+	require.NotNil(t, b.TryRetry("a", 1.0, now))
+	require.Nil(t, b.TryRetry("a", 1.0, now))
+}
+
+func TestARetryThatIsReturnedLaterHidesNoneThatWasSent(t *testing.T) {
+	now := time.Now()
+	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 4}, now.Add(-10*time.Second), 0)
+	unsent := b.TryRetry("a", 1.0, now)
+	sent := now.Add(1500 * time.Millisecond)
+	require.NotNil(t, b.TryRetry("a", 1.0, sent))
+	b.Return(unsent, sent)
+	later := now.Add(10500 * time.Millisecond) // within a window of the one that was sent
+	require.NotNil(t, b.TryRetry("a", 1.0, later))
+	require.NotNil(t, b.TryRetry("a", 1.0, later))
+	require.Nil(t, b.TryRetry("a", 1.0, later), "0.75 x 4 retries were sent")
+}
+
+func TestARetryThatIsReturnedLaterCanBeTakenAgain(t *testing.T) {
+	now := time.Now()
+	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second), 0)
+	unsent := b.TryRetry("a", 1.0, now)
+	later := now.Add(1500 * time.Millisecond)
+	b.Return(unsent, later)
+	again := b.TryRetry("a", 1.0, later)
+	require.NotNil(t, again)
+	afterWindow := later.Add(time.Minute)
+	b.Return(again, afterWindow)
+	require.NotNil(t, b.TryRetry("a", 1.0, afterWindow))
+	require.Nil(t, b.TryRetry("a", 1.0, afterWindow))
 }
 
 // retriesInWindow returns how many requests and retries the hosts send in a window in
@@ -174,7 +202,7 @@
 		}
 		sent += own
 		for range own {
-			if b.TryRetry("s", 1/float64(hosts), now) {
+			if b.TryRetry("s", 1/float64(hosts), now) != nil {
 				retries++
 			}
 		}
@@ -220,7 +248,7 @@
 		for range requests {
 			b.RecordRequest("s", now)
 		}
-		for b.TryRetry("s", 1.0/hosts, now) {
+		for b.TryRetry("s", 1.0/hosts, now) != nil {
 			retries++
 		}
 	}
--- a/internal/gateway/retry/hosts_test.go
+++ b/internal/gateway/retry/hosts_test.go
@@ -47,7 +47,7 @@
 	for _, b := range s.budgets[first:last] {
 		b.RecordRequest("s", now)
 		s.requests = append(s.requests, at)
-		for at >= s.failing && b.TryRetry("s", 1/float64(len(s.budgets)), now) {
+		for at >= s.failing && b.TryRetry("s", 1/float64(len(s.budgets)), now) != nil {
 			s.retries = append(s.retries, at)
 		}
 	}
