retry: let credits for retries expire long before the window ends

Cause: a limit over a sliding window that each host keeps for itself, by the requests of its own last window. After a calm time a host may send a whole window's retries at once. If then its clients move to other hosts, or its process is replaced, the requests that follow allow as many again, so that two windows of requests pay for the retries of one. Only a quarter of the limit was held back.

Fix: a request earns 0.15 of a credit, as before, and a credit lasts a fifth of the window. All that is used in a window was earned in it or within that fifth before it, by whichever host: 0.15 x 12 s of requests, less than the limit's 0.2 x 10 s. The slack is counted apart, by the time of each use.

The text of retry_denied names credits now.

--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -118,7 +118,7 @@
 	}
 	c, reason := h.balancer.Choose(req.query())
 	if reason != balance.Chosen {
-		h.budget.Return(grant, now)
+		h.budget.Return(grant)
 		return balance.Choice{}, false
 	}
 	return c, true
--- a/internal/gateway/proxy/attempts_test.go
+++ b/internal/gateway/proxy/attempts_test.go
@@ -113,7 +113,7 @@
 	g.addUpstream(resetting)
 	g.addUpstream(resetting)
 	require.Equal(t, http.StatusBadGateway, g.getKey(1))
-	g.requireLogged(`"retry_denied":"0 of 0.75 retries used, for 1 requests and a slack of 0.00"`)
+	g.requireLogged(`"retry_denied":"0 of 0 retries used that the requests of the last 12s allow, and 0 of 0.00 that the slack allows"`)
 	g.requireMetric(`cairndock_retries_denied_total{service="s"} 1`)
 }
 
--- a/internal/gateway/proxy/retry.go
+++ b/internal/gateway/proxy/retry.go
@@ -83,7 +83,7 @@
 		return
 	}
 	f.proxy.Metrics.Count(`cairndock_retries_returned_total{service="` + f.service + `"}`)
-	f.proxy.Budget.Return(grant, time.Now())
+	f.proxy.Budget.Return(grant)
 }
 
 // takeRetry takes a retry from the budget of the service. It returns nil if the budget
--- a/internal/gateway/retry/budget.go
+++ b/internal/gateway/retry/budget.go
@@ -12,18 +12,21 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	// buckets is the number of buckets in a window. More buckets make the window slide
-	// more evenly, but cost more to sum up.
-	buckets = 10
-	// usedFraction is the fraction of the limit that is used. The platform counts retries
-	// on arrival and in windows that begin at any time, which are not aligned with the
-	// buckets of this host.
+	// usedFraction is the fraction of the limit that is used.
 	usedFraction = 0.75
+	// windowLifetimes is the length of a window in lifetimes of a credit. The credits that
+	// are used in a window come from its requests and from those of one lifetime before it,
+	// so that usedFraction * (1 + 1/windowLifetimes) must be below 1. The remainder covers
+	// the time from the client's request to its arrival here, and from the grant of a retry
+	// to its arrival at the upstream.
+	windowLifetimes = 5
 )
 
 // Limits bound the retries of one service in any window, over all hosts together: Ratio *
@@ -37,11 +40,11 @@
 	Slack float64
 }
 
-// allowed returns how many retries this host may send in a window with the given number
-// of requests and the host's share of the slack.
-func (l Limits) allowed(requests int, slack float64) float64 {
-	return usedFraction * (l.Ratio*float64(requests) + slack)
-}
+// creditLifetime returns how long a credit lasts.
+func (l Limits) creditLifetime() time.Duration { return l.Window / windowLifetimes }
+
+// creditRate returns the number of credits that a request earns.
+func (l Limits) creditRate() float64 { return usedFraction * l.Ratio }
 
 // hostSlack returns the slack that a host may use, in retries per window. share is the
 // host's share of the slack, from 0 to 1. The slack is zero until the process has run for
@@ -51,47 +54,61 @@
 	if uptime < l.Window {
 		return 0
 	}
-	return l.Slack * share
+	return usedFraction * l.Slack * share
 }
 
 // Budget counts the requests and retries of one host for each service. It is safe for
 // concurrent use. It differs from the budget of selector/steer: this limit is set by the
 // platform and applies to all hosts in a time window. The other limit is a setting of the
 // service, which each host enforces for itself without a clock.
+//
+// A request earns a fraction of a credit, and each credit allows one retry. Credits expire
+// long before the end of a window. Otherwise the requests of up to two windows could allow
+// the retries of one, when clients move from hosts that have just used their credits to
+// hosts or new processes that earn credits of their own.
 type Budget struct {
 	limits Limits
-	// rounding is added to the allowed retries before they are rounded down, from 0 to
-	// below 1. When many hosts have few requests each, every host would be allowed less
-	// than one retry, and all hosts together none. Each process draws its rounding at
-	// random, so that the retries allowed to all hosts add up to the limit on average.
-	// usedFraction leaves a margin for the variation.
+	// rounding is added to the earned credits and to the slack before they are rounded
+	// down, from 0 to below 1. When many hosts have few requests each, every host would be
+	// allowed less than one retry, and all hosts together none. Each process draws its
+	// rounding at random, so that the retries allowed to all hosts add up to the limit on
+	// average. usedFraction leaves a margin for the variation.
 	rounding float64
-	// started is when the process started, and the start of the first bucket. Buckets are
-	// numbered by the monotonic time since then, because the wall clock may jump.
+	// started is when the process started.
 	started time.Time
 
 	mu       sync.Mutex
-	services map[string]*window
+	services map[string]*serviceRetries
 }
 
 // NewBudget returns a budget without requests for a process that started at the given
 // time. Each process draws rounding at random, from 0 to below 1.
 func NewBudget(l Limits, started time.Time, rounding float64) *Budget {
-	return &Budget{limits: l, started: started, rounding: rounding, services: map[string]*window{}}
+	return &Budget{limits: l, started: started, rounding: rounding, services: map[string]*serviceRetries{}}
 }
 
-// RecordRequest counts a request for a service.
-func (b *Budget) RecordRequest(service string, now time.Time) {
+// RecordRequest counts a request for a service that arrived at the given time.
+func (b *Budget) RecordRequest(service string, arrived time.Time) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.window(service, now).current().requests++
+	s := b.service(service, arrived)
+	s.requests++
+	if b.creditsFor(s.requests) > b.creditsFor(s.requests-1) {
+		s.credits = append(s.credits, &credit{expires: arrived.Add(b.limits.creditLifetime())})
+	}
+}
+
+// creditsFor returns how many credits a number of requests since the start has earned.
+func (b *Budget) creditsFor(requests int) float64 {
+	return math.Floor(b.rounding + b.limits.creditRate()*float64(requests))
 }
 
 // Grant is a retry that a budget granted.
 type Grant struct {
-	service string
-	// bucket is the number of the bucket in which the retry is counted.
-	bucket int64
+	service *serviceRetries
+	// credit is the credit that the retry used; nil if it used the slack at slackUsed.
+	credit    *credit
+	slackUsed time.Time
 }
 
 // TryRetry counts a retry and returns its grant, or nil if this host has used up its share
@@ -101,30 +118,58 @@
 func (b *Budget) TryRetry(service string, slackShare float64, now time.Time) *Grant {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.usage(service, slackShare, now).allowsRetry() {
+	s := b.service(service, now)
+	if c := s.unusedCredit(now); c != nil {
+		c.used = true
+		return &Grant{service: s, credit: c}
+	}
+	if float64(len(s.slackUsed)+1) > b.allowedSlack(slackShare, now) {
 		return nil
 	}
-	w := b.window(service, now)
-	w.current().retries++
-	return &Grant{service: service, bucket: w.newest}
+	s.slackUsed = append(s.slackUsed, now)
+	return &Grant{service: s, slackUsed: now}
 }
 
-// Usage is how much of its share of a service's limit a host has used, in the window that
-// ends now.
-type Usage struct {
-	// Requests and Retries are the counts of this host.
-	Requests, Retries int
-	// Slack is the host's share of Limits.Slack, in retries. Allowed is the number of
-	// retries that Requests and Slack allow the host, including its rounding.
-	Slack, Allowed float64
+// allowedSlack returns the number of retries that this host's share of the slack allows in
+// a window, including its rounding. A host without a share is allowed none.
+func (b *Budget) allowedSlack(share float64, now time.Time) float64 {
+	slack := b.limits.hostSlack(share, now.Sub(b.started))
+	if slack == 0 {
+		return 0
+	}
+	return b.rounding + slack
+}
+
+// Return undoes a granted retry that was not sent. It must be called at most once for
+// each grant.
+func (b *Budget) Return(g *Grant) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if g.credit != nil {
+		g.credit.used = false
+		return
+	}
+	if i := slices.Index(g.service.slackUsed, g.slackUsed); i >= 0 {
+		g.service.slackUsed = slices.Delete(g.service.slackUsed, i, i+1)
+	}
 }
 
-// allowsRetry reports whether one more retry is allowed.
-func (u Usage) allowsRetry() bool { return float64(u.Retries+1) <= u.Allowed }
+// Usage is how much of its share of a service's limit a host has used.
+type Usage struct {
+	// Credits is the number of credits that have not expired, and CreditsUsed how many of
+	// them were used. Lifetime is how long a credit lasts.
+	Credits, CreditsUsed int
+	Lifetime             time.Duration
+	// Slack is the number of retries that the host's share of Limits.Slack allows in a
+	// window, including its rounding. SlackUsed is how many of them were used in the window
+	// that ends now.
+	Slack     float64
+	SlackUsed int
+}
 
 // String describes the usage and how the allowed number is made up.
 func (u Usage) String() string {
-	return fmt.Sprintf("%d of %.2f retries used, for %d requests and a slack of %.2f", u.Retries, u.Allowed, u.Requests, u.Slack)
+	return fmt.Sprintf("%d of %d retries used that the requests of the last %s allow, and %d of %.2f that the slack allows", u.CreditsUsed, u.Credits, u.Lifetime, u.SlackUsed, u.Slack)
 }
 
 // Usage returns how much of its share of a service's limit this host has used. slackShare
@@ -132,70 +177,62 @@
 func (b *Budget) Usage(service string, slackShare float64, now time.Time) Usage {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.usage(service, slackShare, now)
-}
-
-// usage implements Usage; b.mu must be held.
-func (b *Budget) usage(service string, slackShare float64, now time.Time) Usage {
-	total := b.window(service, now).total()
-	slack := b.limits.hostSlack(slackShare, now.Sub(b.started))
-	return Usage{Requests: total.requests, Retries: total.retries, Slack: slack, Allowed: b.rounding + b.limits.allowed(total.requests, slack)}
-}
-
-// Return undoes a granted retry that was not sent. It must be called at most once for
-// each grant.
-func (b *Budget) Return(g *Grant, now time.Time) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if w := b.window(g.service, now); w.contains(g.bucket) {
-		w.ring[g.bucket%buckets].retries--
+	s := b.service(service, now)
+	u := Usage{Lifetime: b.limits.creditLifetime(), Slack: b.allowedSlack(slackShare, now), SlackUsed: len(s.slackUsed)}
+	for _, c := range s.credits {
+		u.Credits++
+		if c.used {
+			u.CreditsUsed++
+		}
 	}
+	return u
 }
 
-// window returns the window of a service, advanced to now.
-func (b *Budget) window(service string, now time.Time) *window {
-	w := b.services[service]
-	if w == nil {
-		w = &window{}
-		b.services[service] = w
+// service returns the credits and retries of a service that have not expired.
+func (b *Budget) service(name string, now time.Time) *serviceRetries {
+	s := b.services[name]
+	if s == nil {
+		s = &serviceRetries{}
+		b.services[name] = s
 	}
-	w.advance(int64(now.Sub(b.started) / (b.limits.Window / buckets)))
-	return w
+	s.expire(now, b.limits.Window)
+	return s
 }
 
-// counts are the requests and retries in a bucket or window.
-type counts struct {
+// serviceRetries has the credits and retries of one service.
+type serviceRetries struct {
+	// requests is the number of requests since the process started.
 	requests int
-	retries  int
+	// credits are in the order in which they were earned.
+	credits []*credit
+	// slackUsed are the times of the retries that used the slack, in order.
+	slackUsed []time.Time
 }
 
-// window is a ring of the latest buckets. newest is the number of the current bucket.
-type window struct {
-	newest int64
-	ring   [buckets]counts
+// credit allows one retry.
+type credit struct {
+	expires time.Time
+	used    bool
 }
 
-// contains reports whether a bucket is within the window.
-func (w *window) contains(bucket int64) bool { return w.newest-bucket < buckets }
-
-func (w *window) current() *counts { return &w.ring[w.newest%buckets] }
-
-// advance moves the window to a bucket and clears the buckets that it passes.
-func (w *window) advance(bucket int64) {
-	if bucket-w.newest > buckets {
-		w.newest = bucket - buckets
+// expire drops the credits that have expired and the retries that are older than a window.
+// A request may be recorded some time after its arrival, so that an expired credit may
+// follow one that has not expired.
+func (s *serviceRetries) expire(now time.Time, window time.Duration) {
+	for len(s.credits) > 0 && !now.Before(s.credits[0].expires) {
+		s.credits = s.credits[1:]
 	}
-	for w.newest < bucket {
-		w.newest++
-		*w.current() = counts{}
+	for len(s.slackUsed) > 0 && now.Sub(s.slackUsed[0]) >= window {
+		s.slackUsed = s.slackUsed[1:]
 	}
 }
 
-func (w *window) total() counts {
-	var sum counts
-	for _, c := range w.ring {
-		sum.requests += c.requests
-		sum.retries += c.retries
+// unusedCredit returns the first unused credit that has not expired, or nil.
+func (s *serviceRetries) unusedCredit(now time.Time) *credit {
+	for _, c := range s.credits {
+		if !c.used && now.Before(c.expires) {
+			return c
+		}
 	}
-	return sum
+	return nil
 }
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -157,7 +157,7 @@
 	g := b.TryRetry("a", 1.0, now)
 	require.NotNil(t, g)
 	require.Nil(t, b.TryRetry("a", 1.0, now))
-	b.Return(g, now)
+	b.Return(g)
 	require.NotNil(t, b.TryRetry("a", 1.0, now))
 	require.Nil(t, b.TryRetry("a", 1.0, now))
 }
@@ -168,7 +168,7 @@
 	unsent := b.TryRetry("a", 1.0, now)
 	sent := now.Add(1500 * time.Millisecond)
 	require.NotNil(t, b.TryRetry("a", 1.0, sent))
-	b.Return(unsent, sent)
+	b.Return(unsent)
 	later := now.Add(10500 * time.Millisecond) // within a window of the one that was sent
 	require.NotNil(t, b.TryRetry("a", 1.0, later))
 	require.NotNil(t, b.TryRetry("a", 1.0, later))
@@ -180,11 +180,11 @@
 	b := retry.NewBudget(retry.Limits{Window: 10 * time.Second, Slack: 2}, now.Add(-10*time.Second), 0)
 	unsent := b.TryRetry("a", 1.0, now)
 	later := now.Add(1500 * time.Millisecond)
-	b.Return(unsent, later)
+	b.Return(unsent)
 	again := b.TryRetry("a", 1.0, later)
 	require.NotNil(t, again)
 	afterWindow := later.Add(time.Minute)
-	b.Return(again, afterWindow)
+	b.Return(again)
 	require.NotNil(t, b.TryRetry("a", 1.0, afterWindow))
 	require.Nil(t, b.TryRetry("a", 1.0, afterWindow))
 }
