soak: check the limit on retries of all hosts together

No soak compared the arrivals at upstreams with the requests of clients, so that only the users could see that hosts together exceed the limit on retries.

Each run now checks it in all windows that begin at an arrival, with the platform's bound.

--- a/internal/gateway/soak/checks_test.go
+++ b/internal/gateway/soak/checks_test.go
@@ -79,6 +79,7 @@
 	req.Host = hostname
 	id := fmt.Sprintf("probe-%s-%d-%d", h.name, version, rand.Int64())
 	platformtest.Request{ID: id, Credential: key, Timeout: probeTimeout}.SetHeaders(req.Header)
+	w.recordRequest()
 	resp, err := probeClient.Do(req)
 	if err != nil {
 		return 0
--- a/internal/gateway/soak/client_test.go
+++ b/internal/gateway/soak/client_test.go
@@ -143,6 +143,7 @@
 	}
 	m := c.message()
 	idle := time.Since(conn.lastEnd)
+	c.world.recordRequest()
 	c.world.recordSent(m.id, address)
 	r := conn.exchange(m)
 	c.world.record.request(r.began, r.ended.Sub(r.began), r.outcome())
--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -18,6 +18,7 @@
 //	cuts_test.go         the check that no request is cut
 //	cold_test.go         the check that cold upstreams are not overloaded
 //	checks_test.go       other checks during and after a run
+//	retries_test.go      the check that hosts together stay within the limit on retries
 //	accounts_test.go     client accounts: revoked keys, and a limit
 //	entries_test.go      restarted upstreams, and malformed entries in the store
 //	notice_test.go       notices in upstreams' responses, without other faults
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -135,9 +135,9 @@
 west-2 = "west"
 east-1 = "east"
 [limits]
-retry_ratio = 0.2
-retry_window = "10s"
-retry_slack = 58.0
+retry_ratio = %g
+retry_window = "%s"
+retry_slack = %g
 warm_up_overshoot = %g
 warm_up_slack = %g
 apply_within = "2s"
@@ -161,7 +161,7 @@
 		clients: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t),
 		settings: filepath.Join(t.TempDir(), name+".toml"),
 	}
-	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), warmUpOvershoot, warmUpSlack, quotaWindow, quotaOvershoot, float64(quotaSlack), grace)
+	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), retryRatio, retryWindow, float64(retrySlack), warmUpOvershoot, warmUpSlack, quotaWindow, quotaOvershoot, float64(quotaSlack), grace)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -131,6 +131,7 @@
 	w.checkCuts()
 	w.checkCold()
 	w.checkLimit()
+	w.checkRetries()
 	w.checkNotices()
 	ends := w.record.totals()
 	w.writeArtifact(reportVar, ".html", w.record.writePage)
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -77,6 +77,8 @@
 	// notRun holds the requests that a host refused as not run: the host's address by
 	// the request's ID.
 	notRun map[string]string
+	// requestsSent holds the times at which clients sent requests.
+	requestsSent []time.Time
 	// closedRequests holds the requests whose connection was closed without a response.
 	closedRequests []closedRequest
 	// notices records the notices in upstreams' responses.
@@ -134,6 +136,13 @@
 	w.violations = append(w.violations, fmt.Sprintf(format, args...))
 }
 
+// recordRequest records that a client sends a request now.
+func (w *world) recordRequest() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.requestsSent = append(w.requestsSent, time.Now())
+}
+
 // configure writes the next version of the configuration. Each version has a route for
 // itself and each earlier one, so that probes show which version a host uses.
 func (w *world) configure() {
