reach: notice and log that a host reaches no upstream

Callers of a host that had lost its links to all upstreams got 503 after a second, and nothing told on-call that the host itself was the cause: its log has one failed attempt after the other, like that of a host whose upstreams are ill.

Failed attempts at three upstreams in two zones, or requests without a response there, are a suspicion. The host then opens connections to a sample of six upstreams. If none of them accepts one, it logs that it has lost the upstreams, and checks again each half second until two do. A check that takes longer than its timeout by 0.2 s says nothing, because the host had no CPU time. cairndock_isolated tells the state.

No decision on requests changes. The connections of a check are kept for requests.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -165,6 +165,16 @@
 	return x.readOwnResponse(ctx)
 }
 
+// Connect opens a new connection to an upstream and keeps it for later requests.
+func (c *Client) Connect(ctx context.Context, to Target) error {
+	nc, err := c.pool.dial(ctx, "tcp", to.Address)
+	if err != nil {
+		return err
+	}
+	c.pool.putUnused(to.Run, newConn(nc))
+	return nil
+}
+
 // timeLeft returns the time until the context's deadline, or the maximum duration when
 // the context has none.
 func timeLeft(ctx context.Context) time.Duration {
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -81,6 +81,13 @@
 	return w != nil && w.timer != nil && w.isSilent()
 }
 
+// UsedNewConnection reports whether the request was sent on a connection that was opened
+// for it.
+func (p *Progress) UsedNewConnection() bool {
+	w := p.silence.Load()
+	return w != nil && w.timer == nil
+}
+
 // ConnectionClosed reports whether the upstream closed or reset the connection after the
 // request was sent and before a response arrived.
 func (p *Progress) ConnectionClosed() bool { return p.connectionClosed.Load() }
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,6 +19,7 @@
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
+	"cairndock/internal/gateway/reach"
 	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/watch"
@@ -48,6 +49,7 @@
 	// suspicions tracks requests under which upstreams terminated.
 	suspicions   *poison.Table
 	suspendWatch *suspend.Watch
+	reach        *reach.Monitor
 	balancer     *balance.Balancer
 	rollouts     *rollout.Table
 	controller   *rollout.Controller
@@ -109,6 +111,7 @@
 		return err
 	}
 	go g.proxy.CleanUp(ctx)
+	go g.reach.Run(ctx)
 	if err := g.listen(); err != nil {
 		return err
 	}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -96,6 +96,7 @@
 		return a.inflight.plan().Allows(u) && a.inflight.proxy.Notices.MaySend(u, time.Now())
 	}
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
+	a.recordReach(err)
 	if err == nil {
 		err = a.inflight.checkResponse(u, resp, a.began)
 	}
@@ -109,6 +110,20 @@
 	return resp, err
 }
 
+// recordReach reports to the monitor whether the upstream could be reached. err is the error
+// of the exchange; nil if there was a response.
+func (a *attempt) recordReach(err error) {
+	monitor, u := a.inflight.proxy.Reach, a.choice.Upstream
+	switch {
+	case err == nil:
+		monitor.RecordResponse(a.progress.UsedNewConnection())
+	case isUnconnected(verdict.From(err).Reason):
+		monitor.RecordUnconnected(u)
+	case a.progress.ConnectionClosed():
+		monitor.RecordUnanswered(u)
+	}
+}
+
 // recordSent is called when the request has been written.
 func (a *attempt) recordSent() {
 	f, now := a.inflight, time.Now()
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -31,6 +31,7 @@
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
+	"cairndock/internal/gateway/reach"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/route"
@@ -184,6 +185,7 @@
 		Balancer:         balancer,
 		Budget:           retry.NewBudget(retries, time.Now().Add(-retries.Window), 0),
 		Suspicions:       g.suspicions,
+		Reach:            g.newReach(log),
 		SuspendWatch:     suspend.NewWatch(&g.suspension),
 		Client:           exchange.NewClient(g.dial, protocol{}),
 		Quota:            quota.NewLimiter(quota.Options{Zone: "z", Region: "r", Bound: quota.Bound{Window: time.Second}, Hosts: soleHost{}, Metrics: m}),
@@ -196,6 +198,17 @@
 	return g
 }
 
+// newReach returns a monitor of the path to the upstreams. Only its method Check checks the path.
+func (g *testGateway) newReach(log *eventlog.Log) *reach.Monitor {
+	return reach.New(reach.Options{
+		Upstreams: func() []*upstream.Upstream { return g.state.Upstreams().Serving() },
+		Connect: func(ctx context.Context, u *upstream.Upstream) error {
+			return g.proxy.Client.Connect(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address})
+		},
+		Report: log,
+	})
+}
+
 // dial connects to an upstream after dialDelay.
 func (g *testGateway) dial(ctx context.Context, network, address string) (net.Conn, error) {
 	time.Sleep(time.Duration(g.dialDelay.Load()))
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -157,6 +157,7 @@
 		return
 	}
 	f, now := s.inflight, time.Now()
+	f.proxy.Reach.RecordUnanswered(a.choice.Upstream)
 	// If the request was sent on a reused connection, the connection may have gone silent
 	// instead of the upstream. If all reused connections did, three hosts would eject an
 	// upstream that works. The next request to it uses a new connection, and its failure
--- a/internal/gateway/proxy/hedgerule_test.go
+++ b/internal/gateway/proxy/hedgerule_test.go
@@ -12,6 +12,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/reach"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/upstream"
@@ -47,7 +48,7 @@
 		t.Run(c.rule, func(t *testing.T) {
 			detector := outlier.New(ignoreEjections{})
 			f := &inflight{
-				proxy: New(Options{Detector: detector, Suspicions: poison.NewTable("h", time.Now(), nil), SuspendWatch: suspend.NewWatch(suspend.Machine{}), SlackShare: func() float64 { return 1 }, Metrics: telemetry.NewMetrics(), Budget: retry.NewBudget(retry.Limits{Window: time.Second, Slack: c.retries}, time.Now().Add(-time.Second), 0)}),
+				proxy: New(Options{Detector: detector, Suspicions: poison.NewTable("h", time.Now(), nil), SuspendWatch: suspend.NewWatch(suspend.Machine{}), Reach: reach.New(reach.Options{}), SlackShare: func() float64 { return 1 }, Metrics: telemetry.NewMetrics(), Budget: retry.NewBudget(retry.Limits{Window: time.Second, Slack: c.retries}, time.Now().Add(-time.Second), 0)}),
 				route: &route.Route{Repeat: c.repeat, Attempts: 2, Timeout: time.Minute},
 				tried: []string{"i-1"}, began: time.Now(), clientCtx: t.Context(),
 			}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/quota"
+	"cairndock/internal/gateway/reach"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/routing"
@@ -69,6 +70,8 @@
 	Suspicions *poison.Table
 	// SuspendWatch detects that the machine was suspended.
 	SuspendWatch *suspend.Watch
+	// Reach determines whether the host reaches the upstreams.
+	Reach *reach.Monitor
 	// Notices holds the notices that upstreams send in their responses.
 	Notices *notice.Table
 	// Client sends attempts to upstreams.
--- a/internal/gateway/proxy/unsent.go
+++ b/internal/gateway/proxy/unsent.go
@@ -30,6 +30,11 @@
 	}
 }
 
+// isUnconnected reports whether an attempt that failed for this reason had no connection.
+func isUnconnected(r verdict.Reason) bool {
+	return r == verdict.ConnectionRefused || r == verdict.Unreachable
+}
+
 // isNoUpstream reports whether the error of a choice means that no upstream is left.
 func isNoUpstream(err error) bool {
 	return err != nil && verdict.From(err).Reason == verdict.NoUpstream
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -122,12 +122,21 @@
 	return g.fleet.ClientAddresses(zone, region, allowed)
 }
 
+// isolatedGauge returns 1 while this host reaches no upstream, otherwise 0.
+func (g *Gateway) isolatedGauge() float64 {
+	if g.reach.Isolated() {
+		return 1
+	}
+	return 0
+}
+
 // registerGauges registers the gauges, whose values are computed when the metrics are
 // read.
 func (g *Gateway) registerGauges() {
 	g.metrics.Gauge("cairndock_requests_in_flight", func() float64 { return float64(g.proxy.InFlight()) })
 	g.metrics.Gauge("cairndock_hosts_known", func() float64 { return float64(g.fleet.Hosts()) })
 	g.metrics.Gauge("cairndock_host_lists_unread", func() float64 { return float64(g.fleet.UnreadLists()) })
+	g.metrics.Gauge("cairndock_isolated", g.isolatedGauge)
 	g.metrics.Gauge("cairndock_upstreams_known", func() float64 { return float64(g.state.Upstreams().Len()) })
 	g.metrics.Gauge("cairndock_upstreams_limited", func() float64 { return float64(g.notices.Limits()) })
 	g.metrics.Gauge("cairndock_requests_suspected", func() float64 { n, _ := g.suspicions.Counts(); return float64(n) })
--- a/internal/gateway/upstream/set.go
+++ b/internal/gateway/upstream/set.go
@@ -86,6 +86,16 @@
 // ascending id.
 func (s *Set) Service(name string) []*Upstream { return s.serving[name] }
 
+// Serving returns the upstreams of all services that may receive new work, in no particular
+// order.
+func (s *Set) Serving() []*Upstream {
+	var all []*Upstream
+	for _, list := range s.serving {
+		all = append(all, list...)
+	}
+	return all
+}
+
 // Runs returns the runs of all known upstreams, including those that receive no new work.
 func (s *Set) Runs() map[Run]bool {
 	runs := make(map[Run]bool, s.Len())
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 
@@ -10,8 +11,10 @@
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
+	"cairndock/internal/gateway/reach"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/routing"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
 	"cairndock/platform"
@@ -74,6 +77,7 @@
 	limits := g.settings.Limits
 	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
+	g.reach = g.newReach(client)
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
 	g.balancer = balance.New(location, g, g.detector, balance.DefaultPolicy())
 	g.balancer.HonorNotices(g.notices)
@@ -85,6 +89,7 @@
 		Detector:     g.detector,
 		Budget:       retry.NewBudget(retry.Limits{Ratio: limits.RetryRatio, Window: time.Duration(limits.RetryWindow), Slack: limits.RetrySlack}, started, rand.Float64()),
 		Suspicions:   g.suspicions,
+		Reach:        g.reach,
 		SuspendWatch: g.suspendWatch,
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
@@ -101,6 +106,18 @@
 	})
 }
 
+// newReach returns the monitor of the path to the upstreams. Its connections are kept by the
+// client.
+func (g *Gateway) newReach(client *exchange.Client) *reach.Monitor {
+	return reach.New(reach.Options{
+		Upstreams: func() []*upstream.Upstream { return g.state.Upstreams().Serving() },
+		Connect: func(ctx context.Context, u *upstream.Upstream) error {
+			return client.Connect(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address})
+		},
+		Report: g.log,
+	})
+}
+
 // watchSuspension registers the functions that correct data with an age after the machine
 // was suspended. All other data is left unchanged, which errs on the safe side: spent
 // shares of limits count for longer, and ejections and warm-up end later.
