--- a/internal/gateway/reach/monitor_test.go
+++ b/internal/gateway/reach/monitor_test.go
@@ -117,9 +117,15 @@
 	n.connect = connect
 }
 
-func (n *network) Lost(kind, _ string, _ error) { n.events = append(n.events, "lost "+kind) }
+func (n *network) Lost(kind, _ string, _ error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.events = append(n.events, "lost "+kind)
+}
 
 func (n *network) Regained(kind, _ string, after time.Duration) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	n.events = append(n.events, "regained "+kind)
 	n.outage = after
 }
@@ -168,11 +174,13 @@
 				n.set(accepting)
 				time.Sleep(time.Second)
 				require.False(t, m.Isolated(), "the path is back for a second")
-				require.Equal(t, []string{"lost upstreams", "regained upstreams"}, n.events)
-				require.InDelta(t, 10.5, n.outage.Seconds(), 0.5)
 				checked := n.attempted()
 				time.Sleep(time.Minute)
 				require.Equal(t, checked, n.attempted())
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				require.Equal(t, []string{"lost upstreams", "regained upstreams"}, n.events)
+				require.InDelta(t, 10.5, n.outage.Seconds(), 0.5)
 			})
 		})
 	}
