soak: show that clients of hosts without a path to upstreams are refused (failing)

The soak can now cut a host's process off: the gateway takes a function that opens connections to upstreams as an option, and the child process refuses them or lets them time out as a file says. Each host connects from a loopback address of its own, by which the links before upstreams reset or silence its open connections.

--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/gateway"
 	"cairndock/internal/selector/config"
 	"cairndock/internal/telemetry"
 )
@@ -68,8 +69,10 @@
 	return exitCode(c.run(ctx, f))
 }
 
-// Run runs the command named on the command line and returns its exit code.
-func Run() int {
+// Run runs the command named on the command line and returns its exit code. The options
+// apply to the command gateway.
+func Run(options ...gateway.Option) int {
+	gatewayOptions = options
 	telemetry.UseW3C()
 	c := subcommands.NewCommander(flag.CommandLine, "cairndock")
 	c.Register(c.HelpCommand(), "")
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -11,6 +11,9 @@
 	"cairndock/internal/telemetry"
 )
 
+// gatewayOptions are the options of gateway hosts. Run sets them.
+var gatewayOptions []gateway.Option
+
 // gatewayCmd runs one gateway host.
 type gatewayCmd struct{ settings string }
 
@@ -37,7 +40,7 @@
 	}
 	// The process is ending, so spans that the exporter can't deliver are lost.
 	defer func() { _ = traces.Shutdown(context.WithoutCancel(ctx)) }()
-	err = gateway.New(set, os.Stdout, telemetry.Tracer(traces)).Run(ctx, c.settings, signals)
+	err = gateway.New(set, os.Stdout, telemetry.Tracer(traces), gatewayOptions...).Run(ctx, c.settings, signals)
 	if errors.Is(err, gateway.ErrAborted) {
 		return errReported // the reason is in the log
 	}
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/dial"
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
@@ -61,12 +62,24 @@
 	fleet          *fleet.Fleet
 	quota          *quota.Limiter
 	proxy          *proxy.Proxy
-	server         *proxy.Server
+	// dialUpstream opens connections to upstreams.
+	dialUpstream exchange.Dial
+	server       *proxy.Server
 }
 
+// Option changes how a Gateway is assembled.
+type Option func(*Gateway)
+
+// WithUpstreamDial replaces the function that opens connections to upstreams.
+func WithUpstreamDial(d exchange.Dial) Option { return func(g *Gateway) { g.dialUpstream = d } }
+
 // New returns a host that writes its log to out. Call Run to start it.
-func New(set Settings, out io.Writer, tracer trace.Tracer) *Gateway {
+func New(set Settings, out io.Writer, tracer trace.Tracer, options ...Option) *Gateway {
 	g := &Gateway{settings: set, incarnation: ulid.Make().String(), metrics: telemetry.NewMetrics(), tracer: tracer}
+	g.dialUpstream = dial.New(UpstreamDialTimeout).DialContext
+	for _, o := range options {
+		o(g)
+	}
 	g.timing = watch.Timing(set.Limits.Staleness())
 	g.log = eventlog.New(out, eventlog.Options{
 		Host: set.Host.Name, Zone: set.Host.Zone, Level: telemetry.Level(set.Telemetry.LogLevel),
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -53,6 +53,9 @@
 	// served is the number of the last process that responded to a probe.
 	served int
 
+	// source is the IP address from which the host connects to upstreams.
+	source string
+
 	disruptions disruptions
 	// isolation holds the disruptions that keep the host from receiving changes.
 	isolation disruptions
@@ -159,7 +162,7 @@
 	h := &host{
 		t: t, violation: violation, name: name, zone: z, store: newLink(t, store), log: &logText{},
 		clients: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t),
-		settings: filepath.Join(t.TempDir(), name+".toml"),
+		settings: filepath.Join(t.TempDir(), name+".toml"), source: nextSource(),
 	}
 	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), retryRatio, retryWindow, float64(retrySlack), warmUpOvershoot, warmUpSlack, quotaWindow, quotaOvershoot, float64(quotaSlack), grace)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
@@ -174,7 +177,7 @@
 	cmd := exec.Command(os.Args[0], "gateway", "--settings", h.settings)
 	// With the race detector a process sleeps for one second at its exit, which
 	// would count as part of its stop. Races are reported when they are detected.
-	cmd.Env = append(os.Environ(), childVar+"=1", "GORACE=atexit_sleep_ms=0")
+	cmd.Env = append(os.Environ(), childVar+"=1", sourceVar+"="+h.source, cutVar+"="+h.cutFile(), "GORACE=atexit_sleep_ms=0")
 	cmd.Stdout, cmd.Stderr = h.log, h.log
 	require.NoError(h.t, cmd.Start())
 	h.cmd, h.ended, h.stopping = cmd, make(chan struct{}), time.Time{}
--- a/internal/gateway/soak/link_test.go
+++ b/internal/gateway/soak/link_test.go
@@ -38,6 +38,10 @@
 
 	mu   sync.Mutex
 	mode linkMode
+	// modes are the modes of connections from some source addresses, which precede mode.
+	modes map[string]linkMode
+	// sources has the source address of the connection that each side belongs to.
+	sources map[*net.TCPConn]string
 	// conns holds both sides of each open connection. The value is true if the
 	// connection is permanently silent.
 	conns map[*net.TCPConn]bool
@@ -47,7 +51,7 @@
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	k := &link{listener: l, target: target, conns: map[*net.TCPConn]bool{}}
+	k := &link{listener: l, target: target, conns: map[*net.TCPConn]bool{}, modes: map[string]linkMode{}, sources: map[*net.TCPConn]string{}}
 	t.Cleanup(k.close)
 	go k.accept()
 	return k
@@ -86,6 +90,27 @@
 	}
 }
 
+// setFor changes the mode of connections from a source address. The mode of the link applies
+// to them while theirs is pass. As with set, bytes that were held back are lost.
+func (k *link) setFor(source string, m linkMode) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	previous := k.modes[source]
+	if m == previous {
+		return
+	}
+	k.modes[source] = m
+	if m != refuse && previous != silence {
+		return
+	}
+	for c, silent := range k.conns {
+		if !silent && k.sources[c] == source {
+			resetConn(c)
+			delete(k.conns, c)
+		}
+	}
+}
+
 // silenceOpenConns makes the open connections permanently silent: no bytes pass, and
 // neither side is notified when the other one closes. New connections are not affected.
 // It returns the number of silenced sides.
@@ -116,6 +141,9 @@
 	if k.conns[c] {
 		return silence
 	}
+	if m := k.modes[k.sources[c]]; m != pass {
+		return m
+	}
 	return k.mode
 }
 
@@ -124,19 +152,30 @@
 func (k *link) add(c, other *net.TCPConn) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if k.mode == refuse {
+	if k.mode == refuse || k.modes[sourceOf(c)] == refuse {
 		resetConn(c)
 		return false
 	}
 	k.conns[c] = k.conns[other]
+	k.sources[c] = sourceOf(c)
+	if other != nil {
+		k.sources[c] = k.sources[other]
+	}
 	return true
 }
 
+// sourceOf returns the IP address at the other end of a connection.
+func sourceOf(c *net.TCPConn) string {
+	address, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // empty if it is malformed
+	return address
+}
+
 // drop closes a side, and also the other side unless the connection is silent.
 func (k *link) drop(c, other *net.TCPConn) {
 	k.mu.Lock()
 	silent := k.conns[c]
 	delete(k.conns, c)
+	delete(k.sources, c)
 	if !silent {
 		delete(k.conns, other)
 	}
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -13,12 +13,13 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/cmd"
+	"cairndock/internal/gateway"
 )
 
 // TestMain runs the gateway instead of the tests in a child process.
 func TestMain(m *testing.M) {
 	if os.Getenv(childVar) != "" {
-		os.Exit(cmd.Run())
+		os.Exit(cmd.Run(gateway.WithUpstreamDial(dialUnlessCut)))
 	}
 	os.Exit(m.Run())
 }
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -34,10 +34,10 @@
 var tableLabels = [tableCount]string{routing.OperatorTable, routing.UpstreamTable, routing.RolloutTable}
 
 const (
-	// upstreamDialTimeout is the timeout of a new connection to an upstream. It is far
+	// UpstreamDialTimeout is the timeout of a new connection to an upstream. It is far
 	// above the longest round trip, 70 ms between regions, and below the 1 s after which
 	// clients try another host.
-	upstreamDialTimeout = 500 * time.Millisecond
+	UpstreamDialTimeout = 500 * time.Millisecond
 	// storeDialTimeout is the timeout of a new connection to the store or to a peer,
 	// which may be slower than an upstream.
 	storeDialTimeout = 800 * time.Millisecond
@@ -75,7 +75,7 @@
 
 func (g *Gateway) newProxy(started time.Time) *proxy.Proxy {
 	limits := g.settings.Limits
-	client := exchange.NewClient(dial.New(upstreamDialTimeout).DialContext, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
+	client := exchange.NewClient(g.dialUpstream, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	g.reach = g.newReach(client)
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
