indirect: send requests of a host that reaches no upstream through another host

What callers saw: hosts that had lost their links to all upstreams refused nearly all first tries, while clients, the store and the other hosts reached them.

Cause: a host could send requests to upstreams only by itself. Each request tried upstreams anew until its attempts or its time were used up, and nothing was learned from it. A way to serve depended on one network path where another one was there.

Fix: while package reach finds the host isolated, a request takes one hop to another host, which sends it like one of its own clients. Hosts say in heartbeats that they reach upstreams. Near ones are asked first, in proportion to their room. A refusal proves that nothing ran, and the next host is asked; a connection that breaks later leaves the request in doubt. Accounts, homes, the retry budget, the route's attempts and the deadline hold over both hosts (docs/design/platform.md). Requests in flight follow when the isolation is found: attempts that have written nothing are withdrawn. A planned stop waits for requests of other hosts. Hosts of older versions are not asked.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -17,6 +17,9 @@
 	EventAttempt = "attempt"
 	// EventFinal is the response that the client got, one for each request.
 	EventFinal = "final"
+	// EventIndirect is a request that a host without a path to upstreams sends through
+	// another host.
+	EventIndirect = "indirect"
 	// EventUpstream is a state change of one upstream.
 	EventUpstream = "upstream"
 	// EventEjected is an upstream that is ejected for a time.
@@ -91,6 +94,46 @@
 		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("withheld", a.Withheld).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
 }
 
+// Direction is the direction of a request between two hosts.
+type Direction string
+
+const (
+	// SentTo is a request that this host sent through another one.
+	SentTo Direction = "sent-to"
+	// ReceivedFrom is a request that another host sent through this one.
+	ReceivedFrom Direction = "received-from"
+)
+
+// Indirect describes a request that a host without a path to upstreams sends through another
+// host. Both hosts log it.
+type Indirect struct {
+	// Request is the id that the client gave the request.
+	Request   string
+	Direction Direction
+	// Peer is the name of the other host.
+	Peer string
+	// Outcome is OutcomeAnswered or the reason of the failure, and Verdict is that of a
+	// failure.
+	Outcome, Verdict string
+	// Status is the HTTP status of the response; 0 without a response.
+	Status int
+	// Failed is set unless there was a complete response.
+	Failed bool
+	Took   time.Duration
+	// Detail is one sentence about the failure.
+	Detail string
+}
+
+// Indirect logs a request between two hosts.
+func (l *Log) Indirect(i Indirect) {
+	e := l.requestEvent(EventIndirect, i.Request, i.Failed)
+	if e == nil {
+		return
+	}
+	e.Str("direction", string(i.Direction)).Str("name", i.Peer).Str("outcome", i.Outcome).Str("verdict", i.Verdict).
+		Int("status", i.Status).Float64("took_ms", ms(i.Took)).Str("detail", i.Detail).Msg("request: exchanged with another host")
+}
+
 // WarmUp describes a request that was sent to a cold upstream.
 type WarmUp struct {
 	// Request is the id that the client gave the request.
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -95,6 +95,7 @@
 	Notices      NoticeSink
 	Suspicions   Suspicions
 	Tokens       TokenProvider
+	Indirect     IndirectServer
 	Rollouts     Rollouts
 	// Status returns the current status of this host.
 	Status func() Status
@@ -217,7 +218,7 @@
 }
 
 // ServePeer serves a request from a peer.
-func (f *Fleet) ServePeer(ctx context.Context, _ peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
+func (f *Fleet) ServePeer(ctx context.Context, from peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
 	switch kind {
 	case peer.KindHeartbeat:
 		f.serveHeartbeat(payload, w)
@@ -225,6 +226,8 @@
 		f.serveRelay(ctx, payload, w)
 	case peer.KindTokens:
 		f.serveTokens(payload, w)
+	case peer.KindForward:
+		f.serveIndirect(ctx, from, payload, w)
 	case peer.KindRollout:
 		f.serveRollout(payload, w)
 	default:
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -34,6 +34,9 @@
 	Leaving bool `msgpack:"l,omitempty"`
 	// Withdrawn reports that the host has released its shares of all limits.
 	Withdrawn bool `msgpack:"w,omitempty"`
+	// TakesIndirect reports that the host reaches upstreams and sends requests of hosts
+	// there that reach none. Hosts of older versions don't.
+	TakesIndirect bool `msgpack:"i,omitempty"`
 	// Rate is the recent rate of client requests to the host, in requests per second.
 	Rate int `msgpack:"q,omitempty"`
 	// Changes is the version of the last change in each table's replica, in the order of
--- a/internal/gateway/proxy/account.go
+++ b/internal/gateway/proxy/account.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cairndock/internal/gateway/account"
 	"cairndock/internal/verdict"
 )
 
@@ -44,12 +45,23 @@
 	if current == f.config || current.Accounts == nil {
 		return f.checkKeyAge()
 	}
-	if _, ok := current.Accounts.ByKey(f.info.Credential); !ok && !f.route.Public {
+	if !f.isKnownTo(current.Accounts) && !f.route.Public {
 		return errUnknownKey()
 	}
 	return f.checkKeyAge()
 }
 
+// isKnownTo reports whether the request's account is in a set. A request of another host has
+// no API key, because that host has checked it.
+func (f *inflight) isKnownTo(accounts *account.Set) bool {
+	if f.indirect {
+		_, ok := accounts.ByName(f.account.Name)
+		return ok
+	}
+	_, ok := accounts.ByKey(f.info.Credential)
+	return ok
+}
+
 // takeToken takes a token from the rate limit of the request's account.
 func (f *inflight) takeToken() error {
 	if f.account == nil || !f.account.Limited() {
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -40,6 +40,9 @@
 	// is no latency baseline.
 	overdueAfter time.Duration
 	timer        *time.Timer
+	// sending holds a sendState. The attempt and the request that withdraws it race to set
+	// it.
+	sending atomic.Uint32
 	// wait holds a waitState. The end of the attempt and its timer race to set it.
 	wait atomic.Uint32
 }
@@ -56,6 +59,25 @@
 	overdue
 )
 
+// sendState is whether the request has been written.
+type sendState = uint32
+
+const (
+	// unsent: no byte was written.
+	unsent sendState = iota
+	// sent: the request may have been written.
+	sent
+	// withdrawn: the request will not be written.
+	withdrawn
+)
+
+// isUnsent reports whether no byte of the request was written so far.
+func (a *attempt) isUnsent() bool { return a.sending.Load() == unsent }
+
+// withdraw prevents the attempt from sending the request. It returns false if the request may
+// have been sent.
+func (a *attempt) withdraw() bool { return a.sending.CompareAndSwap(unsent, withdrawn) }
+
 // markOverdue marks the response as overdue. It returns false if the attempt has ended or
 // is marked already.
 func (a *attempt) markOverdue() bool { return a.wait.CompareAndSwap(waiting, overdue) }
@@ -93,7 +115,7 @@
 	u := a.choice.Upstream
 	a.progress.OnSent = a.recordSent
 	a.progress.MaySend = func() bool {
-		return a.inflight.plan().Allows(u) && a.inflight.proxy.Notices.MaySend(u, time.Now())
+		return a.inflight.plan().Allows(u) && a.sending.CompareAndSwap(unsent, sent) && a.inflight.proxy.Notices.MaySend(u, time.Now())
 	}
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
 	a.recordReach(err)
@@ -190,6 +212,9 @@
 // release removes a request from the upstream's outstanding requests in the balancer, and
 // records its outcome.
 func (p *Proxy) release(c balance.Choice, o outlier.Outcome) {
+	if c.Upstream == nil {
+		return // the response came through another host
+	}
 	p.Balancer.Done(c)
 	p.Detector.RecordOutcome(c.Upstream.Run(), o, time.Now())
 }
--- a/internal/gateway/proxy/doc.go
+++ b/internal/gateway/proxy/doc.go
@@ -12,6 +12,8 @@
 //	why this upstream was chosen    choose.go, then package balance
 //	why the request was sent twice  package retry for the rules, retry.go and
 //	                                hedge.go for the attempts
+//	why another host sent it        package indirect for the choice of the host,
+//	                                indirect.go and serveindirect.go
 //	what a response means           classify.go; without a response, proof.go of
 //	                                package exchange
 //	how long the request may take   deadline.go
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -148,6 +148,8 @@
 	suspicions         *poison.Table
 	// suspension is the clock that reports how long the machine was suspended.
 	suspension suspendtest.Clock
+	// peers are the other hosts.
+	peers testPeers
 	// dialDelay is added to the time of each dial to an upstream, in nanoseconds.
 	dialDelay atomic.Int64
 }
@@ -186,6 +188,8 @@
 		Budget:           retry.NewBudget(retries, time.Now().Add(-retries.Window), 0),
 		Suspicions:       g.suspicions,
 		Reach:            g.newReach(log),
+		Peers:            &g.peers,
+		Location:         balance.Location{Zone: "z", Region: "r"},
 		SuspendWatch:     suspend.NewWatch(&g.suspension),
 		Client:           exchange.NewClient(g.dial, protocol{}),
 		Quota:            quota.NewLimiter(quota.Options{Zone: "z", Region: "r", Bound: quota.Bound{Window: time.Second}, Hosts: soleHost{}, Metrics: m}),
--- a/internal/gateway/proxy/hedge.go
+++ b/internal/gateway/proxy/hedge.go
@@ -104,6 +104,9 @@
 		return result.resp, true, nil
 	}
 	f.recordFailed(result)
+	if s.endForIndirect() {
+		return nil, true, f.finalVerdict(result.err)
+	}
 	if s.hasOnTimeAttempt() {
 		return nil, false, nil
 	}
--- /dev/null
+++ b/internal/gateway/proxy/indirect.go
@@ -0,0 +1,202 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/indirect"
+	"cairndock/internal/verdict"
+)
+
+// While this host reaches no upstream, its requests go through another host (package
+// indirect). Requests that other hosts send are in serveindirect.go.
+
+// maxPeers is the number of hosts that are asked to send a request.
+const maxPeers = 3
+
+// errNoPeer is the error when no other host takes requests.
+var errNoPeer = eris.New("no other host reaches the upstreams")
+
+// errIsolated returns the error of a request that a host does not send because it reaches no
+// upstream.
+func errIsolated() *verdict.Error {
+	return verdict.New(verdict.NotRun, verdict.Unreachable, "the host reaches no upstream")
+}
+
+// goesIndirect reports whether the request may be sent through another host, and this host
+// reaches no upstream. A request takes one such hop at most.
+func (f *inflight) goesIndirect() bool {
+	return f.proxy.Reach.Isolated() && !f.indirect && f.retryState().MayGoIndirect(f.isDone(f.clientCtx))
+}
+
+// endForIndirect reports whether the attempts end so that the request can be sent through
+// another host. Attempts that have not sent the request are withdrawn. An attempt that may have
+// sent it is abandoned only if the request may run more than once and the retry budget grants
+// another attempt.
+func (s *attempts) endForIndirect() bool {
+	f := s.inflight
+	if !f.proxy.Reach.Isolated() || f.indirect || len(f.indirectHosts()) == 0 {
+		return false
+	}
+	var unsent []*attempt
+	for _, a := range s.running {
+		if a.isUnsent() {
+			unsent = append(unsent, a)
+		}
+	}
+	inDoubt := len(s.running) > len(unsent)
+	state := f.retryState()
+	state.Attempts -= len(unsent)
+	if inDoubt && !f.repeatable() || !state.MayGoIndirect(f.isDone(s.ctx)) {
+		return false
+	}
+	if state.NeedsBudget() {
+		if f.indirectGrant = f.takeRetry(time.Now()); f.indirectGrant == nil {
+			return false
+		}
+	}
+	return s.withdrawAll(unsent, inDoubt)
+}
+
+// withdrawAll withdraws attempts that have not sent the request. It returns false if one of them
+// has begun to send it in the meantime.
+func (s *attempts) withdrawAll(unsent []*attempt, inDoubt bool) bool {
+	f := s.inflight
+	for _, a := range unsent {
+		if !a.withdraw() {
+			f.returnRetry(f.indirectGrant)
+			f.indirectGrant = nil
+			return false
+		}
+	}
+	for _, a := range unsent {
+		f.countedAttempts--
+		f.returnRetry(a.grant)
+	}
+	if inDoubt && f.mayHaveRun == nil {
+		f.mayHaveRun = verdict.New(verdict.MayHaveRun, verdict.UpstreamFailed, "the host lost its path to the upstreams")
+	}
+	return true
+}
+
+// indirectHosts returns the other hosts that may send the request, in the order in which to
+// ask them. The body of a request that is restricted to regions must not leave these.
+func (f *inflight) indirectHosts() []indirect.Host {
+	p := f.proxy
+	var allowed []indirect.Host
+	for _, h := range p.Peers.IndirectHosts() {
+		if !f.isRegionRestricted() || f.allows(h.Region) {
+			allowed = append(allowed, h)
+		}
+	}
+	return indirect.Order(allowed, indirect.Sender{Zone: p.Location.Zone, Region: p.Location.Region, Rate: p.Rate(time.Now())})
+}
+
+// sendIndirect sends the request through another host. A host that refuses proves that the
+// request did not run, so that the next host is asked. The error is errNoPeer if there is no
+// such host, and errNoBudget if the request may have been sent to an upstream before and the
+// retry budget denies another attempt.
+func (f *inflight) sendIndirect(ctx context.Context) (*response, error) {
+	hosts := f.indirectHosts()
+	if len(hosts) == 0 {
+		return nil, errNoPeer
+	}
+	grant := f.indirectGrant
+	f.indirectGrant = nil
+	if grant == nil && f.retryState().NeedsBudget() {
+		if grant = f.takeRetry(time.Now()); grant == nil {
+			return nil, errNoBudget
+		}
+	}
+	var last *verdict.Error
+	for _, h := range hosts[:min(maxPeers, len(hosts))] {
+		resp, err := f.sendThrough(ctx, h)
+		if err == nil {
+			return resp, nil
+		}
+		last = verdict.From(err)
+		if last.Verdict != verdict.NotRun {
+			f.mayHaveRun = last
+			f.countedAttempts++
+			grant = nil // it is used
+		}
+		if !f.goesIndirect() {
+			break
+		}
+		if grant == nil && f.retryState().NeedsBudget() {
+			if grant = f.takeRetry(time.Now()); grant == nil {
+				break
+			}
+		}
+	}
+	f.returnRetry(grant)
+	return nil, f.finalVerdict(last)
+}
+
+// sendThrough sends the request through one host and buffers the beginning of the response.
+func (f *inflight) sendThrough(ctx context.Context, to indirect.Host) (_ *response, err error) {
+	began := time.Now()
+	ctx, span := f.proxy.Tracer.Start(ctx, "peer", trace.WithSpanKind(trace.SpanKindClient), trace.WithAttributes(attribute.String("peer", to.Name)))
+	defer func() { endSpan(span, err) }()
+	resp, counted, err := indirect.Send(ctx, f.proxy.Peers, to, f.indirectRequest(ctx))
+	f.counted = counted
+	if err != nil {
+		f.logIndirect(to.Name, 0, verdict.From(err), began)
+		return nil, err
+	}
+	out, err := bufferIndirect(ctx, resp)
+	f.logIndirect(to.Name, resp.Status, verdict.From(err), began)
+	return out, err
+}
+
+// bufferIndirect reads the beginning of a response that came through another host.
+func bufferIndirect(ctx context.Context, resp *exchange.Response) (*response, error) {
+	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
+	if err != nil {
+		_ = resp.Body.Close() // the request has already failed
+		return nil, truncated(ctx, "", err)
+	}
+	out := &response{Response: resp, prefix: prefix}
+	if out.isComplete() {
+		out.Length = int64(len(prefix))
+	}
+	return out, nil
+}
+
+// indirectRequest returns the message for another host.
+func (f *inflight) indirectRequest(ctx context.Context) indirect.Request {
+	carrier := propagation.MapCarrier{}
+	otel.GetTextMapPropagator().Inject(ctx, carrier)
+	r := f.request
+	return indirect.Request{
+		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Body: r.Body,
+		Key: f.info.Key, Account: f.accountName(), Client: f.address, Fingerprint: f.fingerprint(),
+		Config: f.config.Version, LeftMillis: time.Until(f.deadline()).Milliseconds(),
+		Attempts: f.retryState().SentAttempts(), Counted: f.counted, Trace: carrier,
+	}
+}
+
+// logIndirect logs and counts a request that was sent through another host. e is nil if there
+// was a response.
+func (f *inflight) logIndirect(peer string, status int, e *verdict.Error, began time.Time) {
+	f.proxy.Metrics.Count("cairndock_indirect_sent_total")
+	f.proxy.Log.Indirect(indirectEvent(f.info.ID, eventlog.SentTo, peer, status, e, began))
+}
+
+// indirectEvent returns the event for a request between two hosts.
+func indirectEvent(id string, direction eventlog.Direction, peer string, status int, e *verdict.Error, began time.Time) eventlog.Indirect {
+	ev := eventlog.Indirect{Request: id, Direction: direction, Peer: peer, Status: status, Outcome: eventlog.OutcomeAnswered, Took: time.Since(began)}
+	if e != nil {
+		ev.Outcome, ev.Verdict, ev.Detail, ev.Failed = string(e.Reason), e.Verdict.String(), e.Detail, true
+	}
+	return ev
+}
--- /dev/null
+++ b/internal/gateway/proxy/indirect_test.go
@@ -0,0 +1,276 @@
+package proxy_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/gateway/indirect"
+	"cairndock/internal/gateway/route"
+	"cairndock/internal/peer"
+	"cairndock/internal/verdict"
+)
+
+// testPeers are the other hosts of a testGateway.
+type testPeers struct {
+	mesh  *peer.Mesh
+	mu    sync.Mutex
+	hosts []indirect.Host
+}
+
+func (p *testPeers) IndirectHosts() []indirect.Host {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hosts
+}
+
+func (p *testPeers) set(hosts ...indirect.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.hosts = hosts
+}
+
+func (p *testPeers) OpenStream(ctx context.Context, address string, kind peer.Kind, payload []byte) (*peer.Stream, error) {
+	return p.mesh.Open(ctx, address, kind, payload)
+}
+
+// peerHandler serves the streams of other hosts.
+type peerHandler func(ctx context.Context, from peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder)
+
+func (h peerHandler) ServePeer(ctx context.Context, from peer.Hello, kind peer.Kind, payload []byte, w *peer.Responder) {
+	h(ctx, from, kind, payload, w)
+}
+
+// listenPeers starts a mesh and returns it as another host.
+func listenPeers(t *testing.T, name string, h peerHandler) (*peer.Mesh, indirect.Host) {
+	t.Helper()
+	m := peer.NewMesh(peer.Hello{Host: name, Zone: "z", Incarnation: name}, peer.TCP((&net.Dialer{}).DialContext), h)
+	address, err := m.Listen("127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(m.Close)
+	return m, indirect.Host{Name: name, Zone: "z", Region: "r", Address: address, Room: 1000}
+}
+
+// host returns the gateway as another host.
+func (g *testGateway) host(name string) indirect.Host {
+	g.t.Helper()
+	m, h := listenPeers(g.t, name, func(ctx context.Context, from peer.Hello, _ peer.Kind, payload []byte, w *peer.Responder) {
+		g.proxy.ServeIndirect(ctx, from.Host, payload, w)
+	})
+	g.peers.mesh = m
+	return h
+}
+
+// newIsolated returns a gateway that has upstreams and reaches none of them, and another one
+// that reaches an upstream. Both have the same configuration.
+func newIsolated(t *testing.T, r route.Route, respond func(c net.Conn, r *http.Request)) (isolated, other *testGateway, requests *atomic.Int64) {
+	t.Helper()
+	isolated, other = newTestGateway(t), newTestGateway(t)
+	isolated.setRoutes(r)
+	other.setRoutes(r)
+	for _, isolated.zone = range []string{"z", "y", "x"} {
+		isolated.addTerminated()
+	}
+	requests = other.addUpstream(respond)
+	isolated.host("isolated")
+	isolated.peers.set(other.host("other"))
+	require.True(t, isolated.proxy.Reach.Check(t.Context()))
+	return isolated, other, requests
+}
+
+func TestRequestsOfAnIsolatedHostGoThroughAnother(t *testing.T) {
+	for _, repeat := range []route.Repeat{route.Repeatable, route.Once} {
+		isolated, other, requests := newIsolated(t, testRoute(repeat), healthy)
+		for key := range 8 {
+			require.Equal(t, http.StatusOK, isolated.getKey(key))
+		}
+		require.EqualValues(t, 8, requests.Load())
+		isolated.requireMetric("cairndock_indirect_sent_total 8")
+		other.requireMetric("cairndock_indirect_received_total 8")
+		isolated.requireNoMetric("cairndock_attempt_failures_total") // no client's request is used to find out whether the path is back
+	}
+}
+
+// The retry budget of all hosts is computed from the requests of clients, each counted once.
+func TestARequestThroughAnotherHostCountsOnceForTheRetryBudget(t *testing.T) {
+	isolated, other, _ := newIsolated(t, testRoute(route.Repeatable), resetting)
+	require.Equal(t, http.StatusBadGateway, isolated.getKey(1))
+	other.requireMetric(`cairndock_requests_total{service="s"} 1`)
+	isolated.requireNoMetric(`cairndock_requests_total`)
+}
+
+func TestARequestTakesOneHopOnly(t *testing.T) {
+	isolated, other, _ := newIsolated(t, testRoute(route.Repeatable), healthy)
+	for _, other.zone = range []string{"z", "y", "x"} {
+		other.addTerminated()
+	}
+	other.drainUpstreams()
+	for _, other.zone = range []string{"z", "y", "x"} {
+		other.addTerminated()
+	}
+	require.True(t, other.proxy.Reach.Check(t.Context()))
+	other.peers.set(isolated.host("isolated-again"))
+	began := time.Now()
+	require.Equal(t, http.StatusServiceUnavailable, isolated.getKey(1))
+	require.Less(t, time.Since(began), 200*time.Millisecond)
+	isolated.requireMetric("cairndock_indirect_sent_total 1")
+	other.requireNoMetric("cairndock_indirect_sent_total")
+}
+
+// A host that refuses proves that nothing ran, so that the next one is asked.
+func TestARefusedRequestGoesThroughTheNextHost(t *testing.T) {
+	for _, repeat := range []route.Repeat{route.Repeatable, route.Once} {
+		isolated, other, requests := newIsolated(t, testRoute(repeat), healthy)
+		leaving := newTestGateway(t)
+		leaving.setRoutes(testRoute(repeat))
+		leaving.proxy.Leave()
+		gone := indirect.Host{Name: "gone", Zone: "z", Region: "r", Address: "127.0.0.1:1", Room: 1 << 30}
+		near := leaving.host("leaving")
+		near.Room = 1 << 20
+		far := other.host("far")
+		far.Region, far.Zone = "elsewhere", "far"
+		isolated.peers.set(gone, near, far)
+		require.Equal(t, http.StatusOK, isolated.getKey(1))
+		require.EqualValues(t, 1, requests.Load())
+	}
+}
+
+// If the other host is lost after it got the request, the request may have run.
+func TestALostHostMayHaveRunTheRequest(t *testing.T) {
+	for _, c := range []struct {
+		repeat route.Repeat
+		status int
+	}{{route.Once, http.StatusBadGateway}, {route.Repeatable, http.StatusOK}} {
+		isolated, other, requests := newIsolated(t, testRoute(c.repeat), healthy)
+		var lost *peer.Mesh
+		lost, near := listenPeers(t, "lost", func(context.Context, peer.Hello, peer.Kind, []byte, *peer.Responder) { go lost.Close() })
+		far := other.host("far")
+		far.Region, far.Zone = "elsewhere", "far"
+		isolated.peers.set(near, far)
+		require.Equal(t, c.status, isolated.getKey(1))
+		if c.repeat == route.Once {
+			require.Zero(t, requests.Load())
+		}
+	}
+}
+
+// The body of a request that is restricted to regions must not leave these.
+func TestARestrictedRequestGoesThroughHostsOfItsRegionsOnly(t *testing.T) {
+	r := testRoute(route.Repeatable)
+	r.Regions = []string{"r"}
+	isolated, other, requests := newIsolated(t, r, healthy)
+	far := other.host("far")
+	far.Region = "elsewhere"
+	isolated.peers.set(far)
+	require.Equal(t, http.StatusServiceUnavailable, isolated.getKey(1))
+	require.Zero(t, requests.Load())
+	isolated.requireNoMetric("cairndock_indirect_sent_total")
+}
+
+func TestAHostRefusesRequestsOfOthers(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(isolated, other *testGateway)
+		detail string
+	}{
+		{"with an older configuration", func(isolated, _ *testGateway) { isolated.setRoutes(testRoute(route.Repeatable)) }, "the configuration is older"},
+		{"while it is stopping", func(_, other *testGateway) { other.proxy.Leave() }, "the host is stopping"},
+		{"above its capacity", func(_, other *testGateway) {
+			other.proxy.Capacity = 1
+			for range 10 {
+				other.getKey(1)
+			}
+			time.Sleep(time.Second) // until the rate is known
+		}, "the host gets more than 1 requests per second"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			isolated, other, requests := newIsolated(t, testRoute(route.Repeatable), healthy)
+			c.change(isolated, other)
+			before := requests.Load()
+			require.Equal(t, http.StatusServiceUnavailable, isolated.getKey(1))
+			require.Equal(t, before, requests.Load())
+			isolated.requireLogged(c.detail)
+		})
+	}
+}
+
+func TestALongBodyComesThroughAnotherHostWhole(t *testing.T) {
+	const size = 3 << 20
+	text := strings.Repeat("0123456789abcdef", size/16)
+	isolated, _, _ := newIsolated(t, testRoute(route.Repeatable), func(c net.Conn, r *http.Request) {
+		reply(c, r, http.StatusOK, "Genuine: 1\r\n", text)
+	})
+	resp, body := isolated.get()
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, text, body)
+}
+
+// A request whose body does not fit into a message is refused, with the proof that it did not
+// run.
+func TestABodyThatIsTooLargeForAMessageIsRefused(t *testing.T) {
+	var p testPeers
+	var h indirect.Host
+	p.mesh, h = listenPeers(t, "other", func(context.Context, peer.Hello, peer.Kind, []byte, *peer.Responder) { t.Error("got a request") })
+	_, _, err := indirect.Send(t.Context(), &p, h, indirect.Request{Body: make([]byte, 1<<20)})
+	require.Equal(t, verdict.NotRun, verdict.From(err).Verdict)
+	require.Equal(t, verdict.PeerFailed, verdict.From(err).Reason)
+}
+
+// A request that waits for an upstream when the host loses its path is sent through another
+// host at once if it may run more than once.
+func TestARequestInFlightGoesThroughAnotherHost(t *testing.T) {
+	r := testRoute(route.Repeatable)
+	r.Timeout = 5 * time.Second
+	isolated, other := newTestGateway(t), newTestGateway(t)
+	isolated.setRoutes(r)
+	other.setRoutes(r)
+	var close [3]func()
+	for i, zone := range []string{"z", "y", "x"} {
+		isolated.zone = zone
+		isolated.addClosableUpstream(silent, &close[i])
+	}
+	other.addUpstream(healthy)
+	isolated.host("isolated")
+	isolated.peers.set(other.host("other"))
+	time.AfterFunc(100*time.Millisecond, func() {
+		for _, c := range close {
+			c()
+		}
+		isolated.proxy.Reach.Check(t.Context())
+	})
+	began := time.Now()
+	require.Equal(t, http.StatusOK, isolated.getKey(1))
+	require.Less(t, time.Since(began), time.Second)
+}
+
+// A planned stop waits for the requests of other hosts.
+func TestAStopWaitsForRequestsOfOtherHosts(t *testing.T) {
+	r := testRoute(route.Once)
+	r.Timeout = 5 * time.Second
+	isolated, other, requests := newIsolated(t, r, func(c net.Conn, r *http.Request) {
+		time.Sleep(500 * time.Millisecond)
+		healthy(c, r)
+	})
+	status := make(chan int)
+	go func() { status <- isolated.getKey(1) }()
+	require.Eventually(t, func() bool { return requests.Load() == 1 }, time.Second, time.Millisecond)
+	server, _ := other.listen()
+	require.Zero(t, server.Stop(t.Context(), 3*time.Second))
+	require.Zero(t, other.proxy.InFlight())
+	require.Equal(t, http.StatusOK, <-status)
+}
+
+// requireNoMetric requires that no line of the metrics begins with a text.
+func (g *testGateway) requireNoMetric(prefix string) {
+	g.t.Helper()
+	var metrics strings.Builder
+	g.proxy.Metrics.Write(&metrics)
+	require.NotContains(g.t, metrics.String(), "\n"+prefix)
+}
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
+
 	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/retry"
@@ -40,6 +42,10 @@
 	digest     poison.Fingerprint
 	digestOnce sync.Once
 
+	// indirect is set if another host sent the request, and counted if a host has counted
+	// it for the retry budget.
+	indirect, counted bool
+
 	// tried has the IDs of the upstreams that are not chosen again for this request.
 	tried []string
 	// startedAttempts is the number of attempts that were started. countedAttempts is the
@@ -50,18 +56,44 @@
 	refused, unanswered []*upstream.Upstream
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
+	// indirectGrant is the retry of the budget that the request uses to go through another
+	// host; nil if it uses none.
+	indirectGrant *retry.Grant
 	// retryDenied is the usage of the retry budget when it last denied another attempt,
 	// or nil.
 	retryDenied *retry.Usage
 }
 
-// run sends the request until there is a response to forward or the request has failed.
+// run sends the request until there is a response to forward or the request has failed. While
+// this host reaches no upstream, the request goes through another host.
 func (f *inflight) run(ctx context.Context) (*response, error) {
 	f.proxy.SuspendWatch.Check()
-	f.recordRequest()
 	if f.quarantined() {
+		f.recordRequest()
 		return nil, errQuarantined()
 	}
+	if f.goesIndirect() {
+		resp, err := f.sendIndirect(ctx)
+		if !eris.Is(err, errNoPeer) {
+			return resp, err
+		}
+	}
+	f.recordRequest()
+	resp, err := f.runAttempts(ctx)
+	if err == nil || !f.goesIndirect() {
+		return resp, err
+	}
+	resp, indirectErr := f.sendIndirect(ctx)
+	if eris.Is(indirectErr, errNoPeer) || eris.Is(indirectErr, errNoBudget) {
+		return nil, err
+	}
+	return resp, indirectErr
+}
+
+// runAttempts sends the request to upstreams until there is a response to forward or the
+// request has failed. It also ends when the host loses its path to the upstreams and the
+// request may go through another host.
+func (f *inflight) runAttempts(ctx context.Context) (*response, error) {
 	choice, err := f.choose()
 	if err != nil {
 		return nil, f.finalVerdict(err)
@@ -69,8 +101,14 @@
 	s := f.newAttempts(ctx)
 	defer s.abandon()
 	s.start(nextAttempt{choice: choice})
+	isolated := f.proxy.Reach.IsolationBegan()
 	for {
 		select {
+		case <-isolated:
+			if s.endForIndirect() {
+				return nil, f.finalVerdict(errIsolated())
+			}
+			isolated = nil
 		case a := <-s.overdue:
 			s.hedge(a)
 		case result := <-s.results:
@@ -85,8 +123,12 @@
 	}
 }
 
-// recordRequest counts the request for the retry budget of its service.
+// recordRequest counts the request for the retry budget of its service, once over all hosts.
 func (f *inflight) recordRequest() {
+	if f.counted {
+		return
+	}
+	f.counted = true
 	f.proxy.Metrics.Count(`cairndock_requests_total{service="` + f.service + `"}`)
 	f.proxy.Budget.RecordRequest(f.service, f.began)
 }
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/indirect"
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/quota"
@@ -42,6 +43,14 @@
 	Timeout time.Duration
 }
 
+// Peers are the other hosts. *fleet.Fleet implements it.
+type Peers interface {
+	indirect.Peers
+	// IndirectHosts returns the live hosts that take requests of hosts without a path to
+	// upstreams.
+	IndirectHosts() []indirect.Host
+}
+
 // Codec reads and writes the headers that clients and the gateway exchange.
 type Codec interface {
 	// ParseRequest reads the metadata of a request from its headers.
@@ -84,6 +93,12 @@
 	// SlackShare returns this host's share of the retry budget's slack, from 0 to 1. It is
 	// zero while the host does not know which hosts share the slack.
 	SlackShare func() float64
+	// Peers are the other hosts, for requests while this host reaches no upstream.
+	Peers Peers
+	// Location is the host's own location.
+	Location balance.Location
+	// Capacity is the requests per second that the host can handle; zero if it is unknown.
+	Capacity int
 	// Quota enforces the limits of client accounts.
 	Quota *quota.Limiter
 	// MaxKeyAge is the maximum age of the operator configuration for which API keys are
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -31,7 +31,8 @@
 // response is an upstream's response with the beginning of its body buffered.
 type response struct {
 	*exchange.Response
-	// choice is the balancer's choice of the upstream that sent the response.
+	// choice is the balancer's choice of the upstream that sent the response. It has no
+	// upstream if the response came through another host.
 	choice balance.Choice
 	// prefix is the beginning of the body; Body has the rest.
 	prefix []byte
--- /dev/null
+++ b/internal/gateway/proxy/serveindirect.go
@@ -0,0 +1,172 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"net/url"
+	"time"
+
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/propagation"
+	"go.opentelemetry.io/otel/trace"
+
+	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/indirect"
+	"cairndock/internal/peer"
+	"cairndock/internal/verdict"
+)
+
+// ServeIndirect serves a request that another host sends because it reaches no upstream. A
+// refusal proves that the request did not run. The context ends when the other host cancels
+// the request or is lost.
+func (p *Proxy) ServeIndirect(ctx context.Context, from string, payload []byte, w *peer.Responder) {
+	began := time.Now()
+	p.arrivals.add(began)
+	p.inFlight.Add(1)
+	defer p.inFlight.Add(-1)
+	p.Metrics.Count("cairndock_indirect_received_total")
+	msg, err := peer.Decode[indirect.Request](payload)
+	if err != nil {
+		e := verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
+		refuseIndirect(w, e, false)
+		p.Log.Indirect(indirectEvent("", eventlog.ReceivedFrom, from, 0, e, began))
+		return
+	}
+	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.MapCarrier(msg.Trace))
+	ctx, span := p.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", msg.ID), attribute.String("from", from)))
+	status, err := p.newIndirect(ctx, msg).serveIndirect(msg, w)
+	endSpan(span, err)
+	p.Log.Indirect(indirectEvent(msg.ID, eventlog.ReceivedFrom, from, status, verdict.From(err), began))
+}
+
+// serveIndirect sends the request to an upstream and replies. It returns the status of the
+// response, or the error.
+func (f *inflight) serveIndirect(msg indirect.Request, w *peer.Responder) (status int, err error) {
+	if err := f.prepareIndirect(msg); err != nil {
+		refuseIndirect(w, err, f.counted)
+		return 0, err
+	}
+	ctx, cancel := f.context()
+	defer cancel()
+	resp, err := f.run(ctx)
+	if err != nil {
+		refuseIndirect(w, err, f.counted)
+		return 0, err
+	}
+	return resp.Status, f.forwardIndirect(w, resp)
+}
+
+// newIndirect returns the request of a message.
+func (p *Proxy) newIndirect(ctx context.Context, msg indirect.Request) *inflight {
+	f := &inflight{
+		proxy: p, info: RequestInfo{ID: msg.ID, Key: msg.Key, Timeout: max(msg.Left(), time.Millisecond)},
+		began: time.Now(), suspendedAtStart: p.SuspendWatch.Total(), clientCtx: ctx, address: msg.Client,
+		indirect: true, counted: msg.Counted, countedAttempts: msg.Attempts,
+		request: &exchange.Request{ID: msg.ID, Method: msg.Method, Target: msg.Target, Host: msg.Host, Header: msg.Header, Body: msg.Body},
+	}
+	f.digestOnce.Do(func() { f.digest = msg.Fingerprint })
+	return f
+}
+
+// checkIndirect returns an error if this host takes no requests of other hosts, or not this
+// one.
+func (p *Proxy) checkIndirect(msg indirect.Request) error {
+	switch {
+	case !p.canServe() || p.State.Config().Version < msg.Config:
+		return verdict.New(verdict.NotRun, verdict.NotReady, "the configuration is older than version %d", msg.Config)
+	case p.leaving.Load():
+		return verdict.New(verdict.NotRun, verdict.Stopping, "the host is stopping")
+	case p.Reach.Isolated():
+		return errIsolated()
+	case p.Capacity > 0 && p.Rate(time.Now()) > p.Capacity:
+		return verdict.New(verdict.NotRun, verdict.Full, "the host gets more than %d requests per second", p.Capacity)
+	case msg.Left() <= 0:
+		return verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no time left")
+	}
+	return nil
+}
+
+// prepareIndirect finds the route and the account of a request. The other host has checked its
+// key, its size and the limit of its account.
+func (f *inflight) prepareIndirect(msg indirect.Request) error {
+	if err := f.proxy.checkIndirect(msg); err != nil {
+		return err
+	}
+	target, err := url.ParseRequestURI(msg.Target)
+	if err != nil {
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
+	}
+	f.config = f.proxy.State.Config()
+	route, ok := f.config.Match(hostname(msg.Host), target.Path)
+	if !ok {
+		return verdict.New(verdict.NotRun, verdict.UnknownRoute, "no route for %s%s", msg.Host, target.Path)
+	}
+	f.route, f.service = route, route.Pick(msg.ID)
+	if f.config.Accounts == nil {
+		return nil
+	}
+	f.account, ok = f.config.Accounts.ByName(msg.Account)
+	if !ok && !f.route.Public {
+		return errUnknownKey()
+	}
+	return f.checkKeyAge()
+}
+
+// refuseIndirect sends an error to the other host. A write error means that the connection is
+// lost, which the other host notices as well.
+func refuseIndirect(w *peer.Responder, err error, counted bool) {
+	_ = w.Send(indirect.NewErrorReply(verdict.From(err), counted))
+}
+
+// forwardIndirect sends a response to the other host and releases the upstream. If the
+// response breaks off, the other host gets no complete body.
+func (f *inflight) forwardIndirect(w *peer.Responder, resp *response) (err error) {
+	defer func() {
+		_ = resp.Body.Close() // err already says whether the body was read completely
+		f.proxy.release(resp.choice, outcomeOfForward(err))
+	}()
+	if err := f.sendResponse(w, resp); err != nil {
+		_ = w.Fail() // the connection may be lost, which the other host notices
+		return verdict.New(verdict.MayHaveRun, verdict.AnswerTruncated, "%v", err)
+	}
+	f.recordResponse(resp.Status)
+	return nil
+}
+
+// sendResponse sends the header and the body of a response.
+func (f *inflight) sendResponse(w *peer.Responder, resp *response) error {
+	head, err := peer.Encode(indirect.Reply{Status: resp.Status, Header: resp.Header, Length: resp.Length, Upstream: resp.choice.Upstream.ID, Counted: f.counted})
+	if err != nil {
+		return err
+	}
+	if err := w.Reply(head); err != nil {
+		return err
+	}
+	if err := resp.copyBody(w); err != nil {
+		return err
+	}
+	return w.End()
+}
+
+// copyBody writes the body in chunks that fit into the flow-control window of the peer.
+func (r *response) copyBody(w io.Writer) error {
+	for prefix := r.prefix; len(prefix) > 0; {
+		n := min(copyBufferBytes, len(prefix))
+		if _, err := w.Write(prefix[:n]); err != nil {
+			return err
+		}
+		prefix = prefix[n:]
+	}
+	if r.isComplete() {
+		return nil
+	}
+	buf := buffers.Get().(*[copyBufferBytes]byte)
+	defer buffers.Put(buf)
+	_, err := io.CopyBuffer(onlyWriter{w}, onlyReader{r.Body}, buf[:])
+	return err
+}
+
+// onlyReader hides the WriteTo method of the reader, which would choose the size of the chunks.
+type onlyReader struct{ io.Reader }
--- a/internal/gateway/proxy/stop.go
+++ b/internal/gateway/proxy/stop.go
@@ -47,7 +47,7 @@
 	served, cancel := context.WithDeadline(ctx, began.Add(grace-exitMargin))
 	defer cancel()
 	aborted := int64(0)
-	if s.clients.Drain(served) != nil {
+	if s.clients.Drain(served) != nil || s.proxy.awaitIdle(served) != nil {
 		aborted = s.abort(ctx)
 	}
 	ctx, cancel = context.WithTimeout(ctx, otherServersGrace)
@@ -56,6 +56,19 @@
 	return aborted
 }
 
+// idlePollInterval is how often awaitIdle checks the number of requests in flight.
+const idlePollInterval = 5 * time.Millisecond
+
+// awaitIdle waits until no request is in flight, including those of other hosts.
+func (p *Proxy) awaitIdle(ctx context.Context) error {
+	for p.InFlight() > 0 {
+		if !pause.For(ctx, idlePollInterval) {
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
 // abort ends the requests in flight with error responses, and returns their number. It
 // waits even if the number is zero, because a request may have been read but not counted
 // yet, or its response may not be completely written.
@@ -64,6 +77,7 @@
 	s.proxy.abort()
 	ctx, cancel := context.WithTimeout(ctx, abortGrace)
 	defer cancel()
-	_ = s.clients.Drain(ctx) // Close ends connections whose response has not been taken
+	_ = s.clients.Drain(ctx)   // Close ends connections whose response has not been taken
+	_ = s.proxy.awaitIdle(ctx) // the end of the process ends the requests of other hosts
 	return aborted
 }
--- a/internal/gateway/reach/monitor.go
+++ b/internal/gateway/reach/monitor.go
@@ -57,6 +57,8 @@
 	connections, responses suspicion
 	// since is when the isolation began.
 	since time.Time
+	// began is closed while the host is isolated.
+	began chan struct{}
 	// running is the check in progress; nil if there is none.
 	running *check
 }
@@ -70,12 +72,19 @@
 
 // New returns a monitor of a host that is not isolated.
 func New(o Options) *Monitor {
-	return &Monitor{options: o, suspected: make(chan struct{}, 1), connections: suspicion{}, responses: suspicion{}}
+	return &Monitor{options: o, suspected: make(chan struct{}, 1), connections: suspicion{}, responses: suspicion{}, began: make(chan struct{})}
 }
 
 // Isolated reports whether the host reaches no upstream.
 func (m *Monitor) Isolated() bool { return m.isolated.Load() }
 
+// IsolationBegan returns a channel that is closed as soon as the host is isolated.
+func (m *Monitor) IsolationBegan() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.began
+}
+
 // RecordUnconnected records that no connection to an upstream could be opened.
 func (m *Monitor) RecordUnconnected(u *upstream.Upstream) {
 	m.mu.Lock()
@@ -198,8 +207,12 @@
 	clear(m.connections)
 	clear(m.responses)
 	since := m.since
-	if c.isolated && !before {
+	switch {
+	case c.isolated && !before:
 		m.since = now
+		close(m.began)
+	case before && !c.isolated:
+		m.began = make(chan struct{})
 	}
 	m.mu.Unlock()
 	close(c.done)
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -40,6 +40,8 @@
 	verdict.Superseded:        "another upstream responded before {upstream}",
 	verdict.CallerLeft:        "the client disconnected before there was a response",
 	verdict.UpstreamFailed:    "upstream {upstream} failed: {detail}",
+	verdict.PeerFailed:        "the host reached no upstream, and the host that it sent the request through failed: {detail}",
+	verdict.PeerStopping:      "the host reached no upstream, and the host that it sent the request through was stopping: {detail}",
 	verdict.AnswerTruncated:   "the response of upstream {upstream} broke off: {detail}",
 }
 
--- a/internal/gateway/retry/rule.go
+++ b/internal/gateway/retry/rule.go
@@ -35,12 +35,12 @@
 // maxUncountedRefusals count.
 func (s State) countedAttempts() int { return s.Attempts - min(s.Refused, maxUncountedRefusals) }
 
-// sentAttempts is the number of attempts that got a connection.
-func (s State) sentAttempts() int { return s.Attempts - s.Refused - s.Unanswered }
+// SentAttempts is the number of attempts that got a connection.
+func (s State) SentAttempts() int { return s.Attempts - s.Refused - s.Unanswered }
 
 // NeedsBudget reports whether the next attempt repeats one that was sent. Such an attempt
 // needs a retry from the budget.
-func (s State) NeedsBudget() bool { return s.sentAttempts() > 0 }
+func (s State) NeedsBudget() bool { return s.SentAttempts() > 0 }
 
 // attemptLimit is the limit of the route on attempts. A route without a limit has one
 // attempt.
@@ -79,7 +79,14 @@
 // not answer a dial does not use up an attempt here, because the overdue response may
 // never come.
 func (s State) MayHedge(timeLeft, overdueAfter time.Duration) bool {
-	return s.Repeatable && !s.Suspected && s.sentAttempts() < s.attemptLimit() && timeLeft >= overdueAfter
+	return s.Repeatable && !s.Suspected && s.SentAttempts() < s.attemptLimit() && timeLeft >= overdueAfter
+}
+
+// MayGoIndirect is the rule for a request of a host that reaches no upstream, which may be sent
+// through another host. done is the same as for MayRetry. Attempts without a connection don't
+// count, because the host could not make any.
+func (s State) MayGoIndirect(done bool) bool {
+	return !done && s.SentAttempts() < s.attemptLimit() && s.maySend()
 }
 
 // MayRedial is the rule for a request for which only upstreams are left that did not
@@ -87,5 +94,5 @@
 // to half of its total time, so that its client has time left for another host. elapsed
 // is the time since the request arrived, and total the time that the request may take.
 func (s State) MayRedial(elapsed, total time.Duration) bool {
-	return s.Unanswered > 0 && elapsed < total/2 && s.sentAttempts() < s.attemptLimit() && s.maySend()
+	return s.Unanswered > 0 && elapsed < total/2 && s.SentAttempts() < s.attemptLimit() && s.maySend()
 }
--- a/internal/gateway/soak/isolation_test.go
+++ b/internal/gateway/soak/isolation_test.go
@@ -139,7 +139,7 @@
 const (
 	// isolationTouch is the time after the begin of a cut from which clients must be served.
 	isolationTouch = 4 * time.Second
-	// isolationLength is how long a cut lasts after that.
+	// isolationLength is how long the cut lasts after that.
 	isolationLength = 4 * time.Second
 	// isolationGap is the time between two requests to a host.
 	isolationGap = 30 * time.Millisecond
@@ -161,11 +161,11 @@
 				cutHosts[h] = cuts[i%len(cuts)]
 			}
 			end := w.cutOff(cutHosts)
-			time.Sleep(isolationTouch)
-			sent := w.sendEvenly(t, name, isolationLength)
+			begin := time.Now()
+			sent := w.sendEvenly(t, name, isolationTouch+isolationLength)
 			end()
 			time.Sleep(2 * time.Second) // until the path is used again
-			sent.requireServed(t, cutHosts)
+			sent.requireServed(t, cutHosts, begin.Add(isolationTouch))
 			sent.requireProof(t, w.ledger)
 			for _, h := range hosts {
 				require.Zero(t, h.metric(t, "cairndock_isolated"), h.name)
@@ -190,6 +190,7 @@
 	id     string
 	host   *host
 	method string
+	sentAt time.Time
 	status int
 }
 
@@ -205,7 +206,7 @@
 	var wait sync.WaitGroup
 	for end, n := time.Now().Add(length), 0; time.Now().Before(end); n++ {
 		for _, h := range w.hosts {
-			r := sentRequest{id: fmt.Sprint(name, "-", h.name, "-", n), host: h, method: http.MethodGet}
+			r := sentRequest{id: fmt.Sprint(name, "-", h.name, "-", n), host: h, method: http.MethodGet, sentAt: time.Now()}
 			path := "/safe/x"
 			if n%2 == 1 {
 				r.method, path = http.MethodPost, "/once/x"
@@ -223,15 +224,20 @@
 	return &sent
 }
 
-// requireServed requires that each host without a path served at least two thirds as much as
-// the others, which is the platform's bound.
-func (s *sentRequests) requireServed(t *testing.T, cutHosts map[*host]cut) {
+// requireServed requires that of the requests that were sent from a time on, each host without
+// a path served at least two thirds as much as the others, which is the platform's bound.
+func (s *sentRequests) requireServed(t *testing.T, cutHosts map[*host]cut, from time.Time) {
 	sent, served := map[*host]float64{}, map[*host]float64{}
 	othersSent, othersServed := 0.0, 0.0
 	for _, r := range s.all {
+		if r.sentAt.Before(from) {
+			continue
+		}
 		ok := 0.0
 		if r.status == http.StatusOK {
 			ok = 1
+		} else {
+			t.Logf("%s at %s: status %d\n%s", r.id, r.host.name, r.status, r.host.requestLog(r.id))
 		}
 		sent[r.host]++
 		served[r.host] += ok
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -10,6 +10,7 @@
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
+	"cairndock/internal/peer"
 	"cairndock/internal/poison"
 )
 
@@ -20,6 +21,7 @@
 	// clients. Clients should then use other hosts.
 	ready := g.state.Ready() && g.fleet.KnowsQuarantines()
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
+	s.TakesIndirect = s.Ready && !s.Leaving && !g.reach.Isolated()
 	s.Observations = g.detector.Observations(time.Now())
 	s.Notices = g.notices.Reports(time.Now())
 	for table, t := range g.tables {
@@ -30,6 +32,11 @@
 	return s
 }
 
+// ServeIndirect serves a request that a host without a path to upstreams sends to this one.
+func (g *Gateway) ServeIndirect(ctx context.Context, from string, payload []byte, w *peer.Responder) {
+	g.proxy.ServeIndirect(ctx, from, payload, w)
+}
+
 // FailureSeen sends this host's observations to the hosts of its region without waiting
 // for the next heartbeat.
 func (g *Gateway) FailureSeen() { g.fleet.TriggerHeartbeats() }
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -52,7 +52,7 @@
 			Incarnation: g.incarnation,
 			Capacity:    resources.Capacity(),
 		},
-		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Rollouts: g.rollouts, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
+		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Indirect: g, Rollouts: g.rollouts, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
 		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
 	})
@@ -94,6 +94,9 @@
 		Client:       client,
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackShare:   g.fleet.CommonShare,
+		Peers:        g.fleet,
+		Location:     location,
+		Capacity:     fleet.Resources(g.settings.Resources).Capacity(),
 		Quota:        g.quota,
 		MaxKeyAge:    limits.maxKeyAge(),
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
@@ -114,10 +117,25 @@
 		Connect: func(ctx context.Context, u *upstream.Upstream) error {
 			return client.Connect(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address})
 		},
-		Report: g.log,
+		Report: reachReporter{g},
 	})
 }
 
+// reachReporter logs when the host loses its path to the upstreams, and when it has it again.
+// It tells the other hosts without waiting for the next heartbeat, because they send requests
+// through this one only while it has the path.
+type reachReporter struct{ gateway *Gateway }
+
+func (r reachReporter) Lost(kind, name string, err error) {
+	r.gateway.log.Lost(kind, name, err)
+	r.gateway.fleet.TriggerAllHeartbeats()
+}
+
+func (r reachReporter) Regained(kind, name string, after time.Duration) {
+	r.gateway.log.Regained(kind, name, after)
+	r.gateway.fleet.TriggerAllHeartbeats()
+}
+
 // watchSuspension registers the functions that correct data with an age after the machine
 // was suspended. All other data is left unchanged, which errs on the safe side: spent
 // shares of limits count for longer, and ejections and warm-up end later.
