reach: confirm with further upstreams before a host counts as isolated

A check of six upstreams reaches none if all six have terminated: of 24 upstreams of which half have, in 0.7 in 100 checks (worked out). The host would then send requests through others, and the hop would serve nobody.

If none of the first six accepts a connection, 18 further ones are tried before the host counts as isolated. Check also no longer ends with the context of its caller, which would have made each connection fail at once.

TestAHostIsNotIsolatedWhileMostUpstreamsHaveTerminated fails on the code before.

--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -81,7 +81,7 @@
 	requests = other.addUpstream(respond)
 	isolated.host("isolated")
 	isolated.peers.set(other.host("other"))
-	require.True(t, isolated.proxy.Reach.Check(t.Context()))
+	require.True(t, isolated.proxy.Reach.Check())
 	return isolated, other, requests
 }
 
@@ -115,7 +115,7 @@
 	for _, other.zone = range []string{"z", "y", "x"} {
 		other.addTerminated()
 	}
-	require.True(t, other.proxy.Reach.Check(t.Context()))
+	require.True(t, other.proxy.Reach.Check())
 	other.peers.set(isolated.host("isolated-again"))
 	began := time.Now()
 	require.Equal(t, http.StatusServiceUnavailable, isolated.getKey(1))
@@ -243,7 +243,7 @@
 		for _, c := range close {
 			c()
 		}
-		isolated.proxy.Reach.Check(t.Context())
+		isolated.proxy.Reach.Check()
 	})
 	began := time.Now()
 	require.Equal(t, http.StatusOK, isolated.getKey(1))
--- a/internal/gateway/reach/monitor.go
+++ b/internal/gateway/reach/monitor.go
@@ -135,7 +135,7 @@
 			case <-m.suspected:
 			}
 		}
-		m.Check(ctx)
+		m.Check()
 		if !pause.For(ctx, checkInterval) {
 			return
 		}
@@ -144,12 +144,12 @@
 
 // Check reports whether the host is isolated, by a check that begins now. Concurrent calls
 // share a check only if it began after they did.
-func (m *Monitor) Check(ctx context.Context) bool {
+func (m *Monitor) Check() bool {
 	called := time.Now()
 	for {
 		c, started := m.begin()
 		if started {
-			m.complete(c, m.reached(ctx))
+			m.complete(c, m.reached())
 		}
 		<-c.done
 		if started || !c.began.Before(called) {
@@ -176,10 +176,20 @@
 	err error
 }
 
-// reached connects to a sample of the upstreams at the same time.
-func (m *Monitor) reached(ctx context.Context) result {
-	chosen := sample(m.options.Upstreams())
-	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
+// reached connects to a sample of the upstreams, and to another one if it reached none.
+func (m *Monitor) reached() result {
+	first, confirmation := samples(m.options.Upstreams())
+	r := m.connect(first)
+	if r.reached > 0 {
+		return r
+	}
+	further := m.connect(confirmation)
+	return result{sampled: r.sampled + further.sampled, reached: further.reached, err: r.err}
+}
+
+// connect connects to upstreams at the same time.
+func (m *Monitor) connect(chosen []*upstream.Upstream) result {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
 	defer cancel()
 	errs := make(chan error, len(chosen))
 	for _, u := range chosen {
@@ -231,7 +241,7 @@
 		return false
 	case r.reached >= min(minReached, r.sampled):
 		return false
-	case r.reached == 0 && took < checkTimeout+maxCheckDelay:
+	case r.reached == 0 && took < 2*checkTimeout+maxCheckDelay:
 		return true
 	default:
 		return isolated
--- a/internal/gateway/reach/monitor_test.go
+++ b/internal/gateway/reach/monitor_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -48,8 +49,8 @@
 		{"a single one can: others may have terminated", false, one, checkTimeout, false},
 		{"a single one can: the host stays isolated", true, one, checkTimeout, true},
 		{"two can", true, two, checkTimeout, false},
-		{"the host had no CPU time", false, none, checkTimeout + maxCheckDelay, false},
-		{"the host had no CPU time while isolated", true, none, checkTimeout + maxCheckDelay, true},
+		{"the host had no CPU time", false, none, 2*checkTimeout + maxCheckDelay, false},
+		{"the host had no CPU time while isolated", true, none, 2*checkTimeout + maxCheckDelay, true},
 		{"too few upstreams", true, result{}, 0, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -68,26 +69,32 @@
 	return all
 }
 
-func TestSample(t *testing.T) {
+func TestSamples(t *testing.T) {
 	for _, c := range []struct {
-		name        string
-		upstreams   []*upstream.Upstream
-		size, zones int
+		name      string
+		upstreams []*upstream.Upstream
+		// sizes and zones are the numbers of upstreams and zones in the two samples.
+		sizes, zones [2]int
 	}{
-		{"many zones", upstreams(4, "a", "b", "c", "d", "e", "f", "g"), sampleSize, sampleSize},
-		{"two zones", upstreams(9, "a", "b"), sampleSize, 2},
-		{"few upstreams", upstreams(2, "a", "b"), 4, 2},
-		{"one zone", upstreams(9, "a"), 0, 0},
-		{"two upstreams", upstreams(1, "a", "b"), 0, 0},
-		{"none", nil, 0, 0},
+		{"many zones", upstreams(4, "a", "b", "c", "d", "e", "f", "g"), [2]int{6, 18}, [2]int{6, 7}},
+		{"two zones", upstreams(9, "a", "b"), [2]int{6, 12}, [2]int{2, 2}},
+		{"few upstreams", upstreams(2, "a", "b"), [2]int{4, 0}, [2]int{2, 0}},
+		{"one zone", upstreams(9, "a"), [2]int{}, [2]int{}},
+		{"two upstreams", upstreams(1, "a", "b"), [2]int{}, [2]int{}},
+		{"none", nil, [2]int{}, [2]int{}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			ids, zones := map[string]bool{}, map[string]bool{}
-			for _, u := range sample(c.upstreams) {
-				ids[u.ID], zones[u.Zone] = true, true
+			first, confirmation := samples(c.upstreams)
+			all := map[string]bool{}
+			for i, chosen := range [][]*upstream.Upstream{first, confirmation} {
+				zones := map[string]bool{}
+				for _, u := range chosen {
+					require.False(t, all[u.ID])
+					all[u.ID], zones[u.Zone] = true, true
+				}
+				require.Len(t, chosen, c.sizes[i])
+				require.Len(t, zones, c.zones[i])
 			}
-			require.Len(t, ids, c.size)
-			require.Len(t, zones, c.zones)
 		})
 	}
 }
@@ -144,6 +151,17 @@
 	return ctx.Err()
 }
 
+// mostlyTerminated is a network on which every upstream but one of ten has terminated.
+func mostlyTerminated() func(context.Context) error {
+	var n atomic.Int32
+	return func(context.Context) error {
+		if n.Add(1)%10 == 0 {
+			return nil
+		}
+		return errors.New("connection refused")
+	}
+}
+
 // delayed is a network on which the host has no CPU time while it connects.
 func delayed(context.Context) error {
 	time.Sleep(time.Second)
@@ -167,7 +185,7 @@
 				for _, u := range all[:5] {
 					m.RecordUnconnected(u)
 				}
-				time.Sleep(checkTimeout + time.Millisecond)
+				time.Sleep(2*checkTimeout + time.Millisecond)
 				require.True(t, m.Isolated())
 				time.Sleep(10 * time.Second)
 				require.True(t, m.Isolated())
@@ -203,11 +221,18 @@
 	})
 }
 
+func TestAHostIsNotIsolatedWhileMostUpstreamsHaveTerminated(t *testing.T) {
+	n := &network{connect: mostlyTerminated()}
+	m := New(Options{Upstreams: func() []*upstream.Upstream { return upstreams(10, "a", "b", "c") }, Connect: n.Connect, Report: n})
+	require.False(t, m.Check())
+	require.Empty(t, n.events)
+}
+
 func TestAHostWithoutCPUTimeIsNotIsolated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &network{connect: delayed}
 		m := New(Options{Upstreams: func() []*upstream.Upstream { return upstreams(4, "a", "b") }, Connect: n.Connect, Report: n})
-		require.False(t, m.Check(t.Context()))
+		require.False(t, m.Check())
 		require.Empty(t, n.events)
 	})
 }
@@ -243,9 +268,9 @@
 			return nil
 		}}
 		m := New(Options{Upstreams: func() []*upstream.Upstream { return upstreams(4, "a", "b") }, Connect: n.Connect, Report: n})
-		go m.Check(t.Context())
+		go m.Check()
 		time.Sleep(50 * time.Millisecond)
 		n.set(refusing)
-		require.True(t, m.Check(t.Context()))
+		require.True(t, m.Check())
 	})
 }
--- a/internal/gateway/reach/sample.go
+++ b/internal/gateway/reach/sample.go
@@ -6,13 +6,30 @@
 	"cairndock/internal/gateway/upstream"
 )
 
-// sampleSize is the number of upstreams that a check connects to.
-const sampleSize = 6
+const (
+	// sampleSize is the number of upstreams that a check connects to first.
+	sampleSize = 6
+	// confirmationSize is the number of further upstreams that it connects to if it reached
+	// none of the first, because these may all have terminated.
+	confirmationSize = 18
+)
+
+// samples returns two samples of upstreams, each of random upstreams from as many zones as
+// possible. They are empty if there are too few upstreams or zones to distinguish the failure
+// of these from that of the host's own network.
+func samples(upstreams []*upstream.Upstream) (first, confirmation []*upstream.Upstream) {
+	order := spread(upstreams)
+	if order == nil {
+		return nil, nil
+	}
+	n := min(sampleSize, len(order))
+	m := min(n+confirmationSize, len(order))
+	return order[:n], order[n:m]
+}
 
-// sample returns random upstreams from as many zones as possible. It is empty if there are
-// too few upstreams or zones to distinguish the failure of these from that of the host's own
-// network.
-func sample(upstreams []*upstream.Upstream) []*upstream.Upstream {
+// spread returns upstreams in a random order in which the zones alternate, or nil if there
+// are too few upstreams or zones.
+func spread(upstreams []*upstream.Upstream) []*upstream.Upstream {
 	byZone := map[string][]*upstream.Upstream{}
 	var zones []string
 	for _, i := range rand.Perm(len(upstreams)) {
@@ -25,13 +42,13 @@
 	if len(upstreams) < minUpstreams || len(zones) < minZones {
 		return nil
 	}
-	var chosen []*upstream.Upstream
-	for round := 0; len(chosen) < min(sampleSize, len(upstreams)); round++ {
+	order := make([]*upstream.Upstream, 0, len(upstreams))
+	for round := 0; len(order) < len(upstreams); round++ {
 		for _, zone := range zones {
-			if list := byZone[zone]; round < len(list) && len(chosen) < sampleSize {
-				chosen = append(chosen, list[round])
+			if list := byZone[zone]; round < len(list) {
+				order = append(order, list[round])
 			}
 		}
 	}
-	return chosen
+	return order
 }
