exchange: take no upstream for terminated while the host reaches none

What callers saw: nothing yet; found while the same cause was looked for elsewhere. When the connections of a host to all upstreams are reset and new ones refused, each upstream looks as if its process had terminated. The host recorded that, and told all hosts, which then avoid these upstreams; the requests in flight were suspected of it, and three such upstreams in turn would quarantine a request on all hosts.

Cause: the loss of the host's own network was not distinguished from the end of an upstream's process.

Fix: before an upstream counts as terminated, the host checks whether it reaches others (package reach). If it reaches none, nothing is recorded, nor kept for later checks.

The tests of terminations, suspicions and quarantines pass.

--- a/internal/gateway/exchange/ended.go
+++ b/internal/gateway/exchange/ended.go
@@ -63,6 +63,8 @@
 // and reset connections. An upstream over its limit of connections resets new ones and
 // still responds on others.
 //
+// A host that reaches no upstream at all (ConfirmTerminations) takes none for terminated.
+//
 // HasTerminated opens a new connection, which is kept for later requests if the upstream
 // runs. Concurrent calls for one run share one check.
 func (c *Client) HasTerminated(ctx context.Context, to Target) bool {
@@ -70,7 +72,11 @@
 	if started {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), terminationCheckTimeout)
 		defer cancel()
-		c.terminations.finish(to.Run, check, c.probe(ctx, to))
+		result := c.probe(ctx, to)
+		if result != running && !c.hasPath() {
+			result = running
+		}
+		c.terminations.finish(to.Run, check, result)
 	}
 	<-check.done
 	return check.terminated
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -95,11 +95,13 @@
 	pool         *pool
 	protocol     Protocol
 	terminations *terminations
+	// hasPath reports whether the host reaches other upstreams.
+	hasPath func() bool
 }
 
 // NewClient returns a client that connects to upstreams by dial.
 func NewClient(dial Dial, protocol Protocol) *Client {
-	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, terminations: newTerminations()}
+	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, terminations: newTerminations(), hasPath: func() bool { return true }}
 }
 
 // OnSilent sets a callback for silent connections. When a connection to an upstream
@@ -108,6 +110,12 @@
 // is used.
 func (c *Client) OnSilent(f func(connections int)) { c.pool.onSilent = f }
 
+// ConfirmTerminations sets the function that is asked before an upstream counts as terminated.
+// It reports whether the host reaches other upstreams, because the connections of a host that
+// reaches none end in the same way. ConfirmTerminations must be called before the client is
+// used.
+func (c *Client) ConfirmTerminations(hasPath func() bool) { c.hasPath = hasPath }
+
 // Retain closes the idle connections to the runs for which keep returns false.
 func (c *Client) Retain(keep func(upstream.Run) bool) {
 	c.pool.retain(keep)
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -197,6 +197,7 @@
 		Codec:            codec{}, SlackShare: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
+	g.proxy.Client.ConfirmTerminations(func() bool { return !g.proxy.Reach.Check() })
 	g.server = httptest.NewServer(g.proxy)
 	t.Cleanup(g.server.Close)
 	return g
--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -274,3 +274,34 @@
 	g.proxy.Metrics.Write(&metrics)
 	require.NotContains(g.t, metrics.String(), "\n"+prefix)
 }
+
+// A host that had lost its path took all upstreams for terminated, and told the other hosts.
+func TestAnIsolatedHostTakesNoUpstreamForTerminated(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Once))
+	cut := make(chan struct{})
+	var closeListener [3]func()
+	var received [3]*atomic.Int64
+	for i := range closeListener {
+		g.zone = []string{"z", "y", "x"}[i]
+		received[i] = g.addClosableUpstream(func(c net.Conn, r *http.Request) {
+			<-cut
+			resetting(c, r)
+		}, &closeListener[i])
+	}
+	var requests sync.WaitGroup
+	for key := range 24 {
+		requests.Go(func() { g.getKey(key) })
+	}
+	for _, n := range received {
+		require.Eventually(t, func() bool { return n.Load() > 0 }, time.Second, time.Millisecond)
+	}
+	for _, c := range closeListener {
+		c()
+	}
+	close(cut)
+	requests.Wait()
+	time.Sleep(500 * time.Millisecond) // until the checks have ended
+	require.Zero(t, strings.Count(g.log.String(), `"event":"upstream-ended"`))
+	require.True(t, g.suspicions.Empty())
+}
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -78,6 +78,7 @@
 	client := exchange.NewClient(g.dialUpstream, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	g.reach = g.newReach(client)
+	client.ConfirmTerminations(func() bool { return !g.reach.Check() })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
 	g.balancer = balance.New(location, g, g.detector, balance.DefaultPolicy())
 	g.balancer.HonorNotices(g.notices)
