outlier: send no observations while the host may have lost its own network

What callers saw: nothing directly; found while the same cause was looked for elsewhere. A host that loses its path to all upstreams observes a failure at each of them, and sends that to its region.

Cause: observations were sent however unlikely they are to be about the upstreams.

Fix: while a host suspects its own network (failures at three upstreams in two zones without a response since) or is isolated, its heartbeats have no observations. When it is found to be isolated, it drops those that it made.

Measured: TestClientsOfHostsWithoutAPathToUpstreamsAreServed also requires that hosts with a path eject nothing.

--- a/internal/gateway/outlier/detector.go
+++ b/internal/gateway/outlier/detector.go
@@ -159,6 +159,16 @@
 	}
 }
 
+// DropOwn drops the failures and successes that this host observed, because the failures were
+// those of its own network. Ejections remain in force.
+func (d *Detector) DropOwn() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, s := range d.upstreams {
+		s.evidence.own = counter{}
+	}
+}
+
 // Retain drops the state of all runs for which keep returns false.
 func (d *Detector) Retain(keep func(upstream.Run) bool) {
 	d.mu.Lock()
--- a/internal/gateway/outlier/detector_test.go
+++ b/internal/gateway/outlier/detector_test.go
@@ -176,3 +176,18 @@
 	d.RecordOutcome("a", outlier.Succeeded, now)
 	require.False(t, d.Ejected("a", now), "a success may come from the next run with the same identifier")
 }
+
+func TestDroppedObservationsCountNoMore(t *testing.T) {
+	d, reports := newDetector()
+	now := time.Now()
+	fail(d, "i", 2, now)
+	d.DropOwn()
+	require.Empty(t, d.Observations(now))
+	fail(d, "i", 2, now)
+	require.False(t, d.Ejected("i", now))
+	fail(d, "i", 1, now)
+	require.True(t, d.Ejected("i", now))
+	d.DropOwn()
+	require.True(t, d.Ejected("i", now), "an ejection remains in force")
+	require.Len(t, reports.ejections, 1)
+}
--- a/internal/gateway/reach/monitor.go
+++ b/internal/gateway/reach/monitor.go
@@ -78,6 +78,14 @@
 // Isolated reports whether the host reaches no upstream.
 func (m *Monitor) Isolated() bool { return m.isolated.Load() }
 
+// Suspected reports whether the host is isolated, or may be and is being checked. Failures that
+// it observes then say nothing about the upstreams.
+func (m *Monitor) Suspected() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.Isolated() || m.connections.warranted() || m.responses.warranted()
+}
+
 // IsolationBegan returns a channel that is closed as soon as the host is isolated.
 func (m *Monitor) IsolationBegan() <-chan struct{} {
 	m.mu.Lock()
--- a/internal/gateway/reach/monitor_test.go
+++ b/internal/gateway/reach/monitor_test.go
@@ -256,6 +256,7 @@
 			m.RecordResponse(c.newConnection)
 			c.record(m, all[2])
 			require.Equal(t, c.suspected, len(m.suspected) == 1)
+			require.Equal(t, c.suspected, m.Suspected())
 		})
 	}
 }
--- a/internal/gateway/soak/isolation_test.go
+++ b/internal/gateway/soak/isolation_test.go
@@ -161,15 +161,20 @@
 				cutHosts[h] = cuts[i%len(cuts)]
 			}
 			end := w.cutOff(cutHosts)
-			begin := time.Now()
+			begin, ejections := time.Now(), w.ejections(t)
 			sent := w.sendEvenly(t, name, isolationTouch+isolationLength)
 			end()
 			time.Sleep(2 * time.Second) // until the path is used again
 			sent.requireServed(t, cutHosts, begin.Add(isolationTouch))
 			sent.requireProof(t, w.ledger)
-			for _, h := range hosts {
+			for _, h := range w.hosts {
 				require.Zero(t, h.metric(t, "cairndock_isolated"), h.name)
 			}
+			for h, n := range w.ejections(t) {
+				if cutHosts[h] == "" {
+					require.Equal(t, ejections[h], n, "%s ejected upstreams that work", h.name)
+				}
+			}
 		})
 	}
 }
@@ -270,6 +275,15 @@
 	}
 }
 
+// ejections returns how many upstreams each host has ejected so far.
+func (w *world) ejections(t *testing.T) map[*host]float64 {
+	n := map[*host]float64{}
+	for _, h := range w.hosts {
+		n[h] = h.metric(t, "cairndock_ejections_total")
+	}
+	return n
+}
+
 // metric returns the value of a metric without labels.
 func (h *host) metric(t *testing.T, name string) float64 {
 	resp, err := probeClient.Get("http://" + h.metrics + "/")
@@ -284,6 +298,6 @@
 			return v
 		}
 	}
-	require.Fail(t, "no metric "+name)
-	return 0
+	require.True(t, strings.HasSuffix(name, "_total"), "no metric %s", name)
+	return 0 // nothing was counted yet
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -22,7 +22,9 @@
 	ready := g.state.Ready() && g.fleet.KnowsQuarantines()
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
 	s.TakesIndirect = s.Ready && !s.Leaving && !g.reach.Isolated()
-	s.Observations = g.detector.Observations(time.Now())
+	if !g.reach.Suspected() {
+		s.Observations = g.detector.Observations(time.Now())
+	}
 	s.Notices = g.notices.Reports(time.Now())
 	for table, t := range g.tables {
 		s = s.WithLastChange(t.Replica.LastChange())
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -123,12 +123,14 @@
 }
 
 // reachReporter logs when the host loses its path to the upstreams, and when it has it again.
-// It tells the other hosts without waiting for the next heartbeat, because they send requests
+// The failures that the host observed until then must not count against upstreams. It tells
+// the other hosts without waiting for the next heartbeat, because they send requests
 // through this one only while it has the path.
 type reachReporter struct{ gateway *Gateway }
 
 func (r reachReporter) Lost(kind, name string, err error) {
 	r.gateway.log.Lost(kind, name, err)
+	r.gateway.detector.DropOwn()
 	r.gateway.fleet.TriggerAllHeartbeats()
 }
 
