dial: document when the kernel gives up a silent connection

The comment said 2.5 s, from a probe interval of 0.5 s and three probes. The runtime rounds the interval up to whole seconds, and a TCP_USER_TIMEOUT that is set decides when probes give up, whatever their count: with 1.2 s that is at the second probe, after 2 s.

The constant now has the value that the kernel got all along. No behavior changes: a single probe that is lost still ends an idle connection.

--- a/internal/gateway/dial/dial.go
+++ b/internal/gateway/dial/dial.go
@@ -17,13 +17,15 @@
 
 const (
 	// keepAliveIdle is how long a connection is silent before the kernel sends the first
-	// probe. With the two constants below, a link that is cut without a reset is
-	// detected within keepAliveIdle + keepAliveCount*keepAliveInterval, which is 2.5 s.
-	keepAliveIdle = time.Second
-	// keepAliveInterval is the interval between two probes.
-	keepAliveInterval = 500 * time.Millisecond
-	// keepAliveCount is the number of unanswered probes after which the
-	// connection is closed.
+	// probe, and keepAliveInterval the interval between two probes. Both are whole seconds,
+	// because the kernel accepts no others. The kernel closes the connection at the first
+	// probe that is due maxUnacknowledged or longer after the last byte from the other end,
+	// if the one before was not answered. A link that is cut without a reset is therefore
+	// detected after keepAliveIdle + keepAliveInterval.
+	keepAliveIdle     = time.Second
+	keepAliveInterval = time.Second
+	// keepAliveCount is the number of unanswered probes after which the connection is
+	// closed on systems on which TCP_USER_TIMEOUT does not apply to probes.
 	keepAliveCount = 3
 	// maxUnacknowledged is the maximum time for which sent data may stay unacknowledged
 	// before the connection fails (TCP_USER_TIMEOUT).
