soak: cut hosts off from all upstreams beside all other faults

The second phase of each run now also cuts off one host, most of a zone or a whole zone, for 0.3 to 5 s, again and again: connections are reset, silent, or live on while new ones are refused. It has a random source of its own, so that earlier seeds keep their other faults.

--- a/internal/gateway/soak/isolation_test.go
+++ b/internal/gateway/soak/isolation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,6 +21,7 @@
 
 	"cairndock/internal/gateway"
 	"cairndock/internal/gateway/dial"
+	"cairndock/internal/pause"
 	"cairndock/platform/platformtest"
 )
 
@@ -301,3 +303,41 @@
 	require.True(t, strings.HasSuffix(name, "_total"), "no metric %s", name)
 	return 0 // nothing was counted yet
 }
+
+const (
+	// minIsolationPause and maxIsolationPause bound the time between two cuts in a run, and
+	// minIsolation and maxIsolation their length.
+	minIsolationPause, maxIsolationPause = 200 * time.Millisecond, 1500 * time.Millisecond
+	minIsolation, maxIsolation           = 300 * time.Millisecond, 5 * time.Second
+)
+
+// isolateHosts cuts hosts off from all upstreams again and again until the context ends: one
+// host, most of a zone or a whole zone. It has a random source of its own, so that it does not
+// change which other faults a seed has.
+func (w *world) isolateHosts(ctx context.Context) {
+	random := rand.New(rand.NewPCG(w.seed, 67))
+	between := func(a, b time.Duration) time.Duration { return a + time.Duration(random.Int64N(int64(b-a))) }
+	for pause.For(ctx, between(minIsolationPause, maxIsolationPause)) {
+		hosts := w.hostsOf(zones[random.IntN(len(zones))].name)
+		random.Shuffle(len(hosts), func(i, j int) { hosts[i], hosts[j] = hosts[j], hosts[i] })
+		n := []int{1, max(1, len(hosts)-1), len(hosts)}[random.IntN(3)]
+		cutHosts := map[*host]cut{}
+		for _, h := range hosts[:min(n, len(hosts))] {
+			cutHosts[h] = cuts[random.IntN(len(cuts))]
+		}
+		w.isolate(ctx, cutHosts, between(minIsolation, maxIsolation))
+	}
+}
+
+// isolate cuts hosts off from all upstreams for a time.
+func (w *world) isolate(ctx context.Context, cutHosts map[*host]cut, length time.Duration) {
+	began := time.Now()
+	for h, c := range cutHosts {
+		w.t.Logf("seed %d: cut %s off from all upstreams (%s) for %s", w.seed, h.name, c, length)
+		defer h.disruptions.begin()()
+	}
+	end := w.cutOff(cutHosts)
+	pause.For(ctx, length)
+	end()
+	w.record.fault(began, "cut hosts off from all upstreams")
+}
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -115,13 +115,14 @@
 	var noticesDone sync.WaitGroup
 	noticesDone.Go(func() { w.injectNotices(noticesCtx) })
 	w.phase(ctx, "planned", plannedFaults, length, plannedGap)
-	entriesCtx, stopEntries := context.WithCancel(ctx)
-	var entriesDone sync.WaitGroup
-	entriesDone.Go(func() { w.disruptEntries(entriesCtx) })
+	secondCtx, stopSecond := context.WithCancel(ctx)
+	var secondDone sync.WaitGroup
+	secondDone.Go(func() { w.disruptEntries(secondCtx) })
+	secondDone.Go(func() { w.isolateHosts(secondCtx) })
 	w.phase(ctx, "all", slices.Concat(plannedFaults, unplannedFaults), length, allGap)
-	stopEntries()
+	stopSecond()
 	stopNotices()
-	entriesDone.Wait()
+	secondDone.Wait()
 	noticesDone.Wait()
 	w.checkRecovery()
 	w.writeArtifact(logsVar, ".heap", w.writeHeapProfile) // of a host under load
