proxy: keep the ports of terminated upstreams bound in tests

Of two runs beside a soak, TestAHostRefusesRequestsOfOthers failed once: a host with three terminated upstreams was not found to be isolated, which is so if one of them accepts a connection.

The port stays bound now, without a listener.

--- a/internal/gateway/proxy/unsent_test.go
+++ b/internal/gateway/proxy/unsent_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"os"
@@ -18,13 +19,17 @@
 	"cairndock/internal/gateway/route"
 )
 
-// addTerminated adds an upstream at whose address nothing listens.
+// addTerminated adds an upstream at whose address nothing listens. The port stays bound, so
+// that no other process of the machine can listen there.
 func (g *testGateway) addTerminated() {
 	g.t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	require.NoError(g.t, err)
-	require.NoError(g.t, l.Close())
-	g.register("s", l.Addr().String(), g.capacity)
+	g.t.Cleanup(func() { _ = syscall.Close(fd) })
+	require.NoError(g.t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+	address, err := syscall.Getsockname(fd)
+	require.NoError(g.t, err)
+	g.register("s", fmt.Sprintf("127.0.0.1:%d", address.(*syscall.SockaddrInet4).Port), g.capacity)
 }
 
 // addUnresponsive adds an upstream that does not answer new connections until serve is
