proxy: return unused grants of requests that leave for another host

If the path to the upstreams came back, or the last other host was gone, between the end of a request's attempts and its hop, the retry that it had taken was not returned, and a request whose attempts were given up ended with their error. It now takes the hop whenever its attempts ended for it. sendIndirect and endForIndirect are split into steps.

--- a/internal/gateway/proxy/indirect.go
+++ b/internal/gateway/proxy/indirect.go
@@ -47,12 +47,7 @@
 	if !f.proxy.Reach.Isolated() || f.indirect || len(f.indirectHosts()) == 0 {
 		return false
 	}
-	var unsent []*attempt
-	for _, a := range s.running {
-		if a.isUnsent() {
-			unsent = append(unsent, a)
-		}
-	}
+	unsent := s.unsent()
 	inDoubt := len(s.running) > len(unsent)
 	state := f.retryState()
 	state.Attempts -= len(unsent)
@@ -64,26 +59,39 @@
 			return false
 		}
 	}
-	return s.withdrawAll(unsent, inDoubt)
+	if !s.withdraw(unsent) {
+		f.returnIndirectGrant()
+		return false
+	}
+	if inDoubt && f.mayHaveRun == nil {
+		f.mayHaveRun = verdict.New(verdict.MayHaveRun, verdict.UpstreamFailed, "the host lost its path to the upstreams")
+	}
+	f.endedForIndirect = true
+	return true
+}
+
+// unsent returns the running attempts that have not sent the request.
+func (s *attempts) unsent() []*attempt {
+	var unsent []*attempt
+	for _, a := range s.running {
+		if a.isUnsent() {
+			unsent = append(unsent, a)
+		}
+	}
+	return unsent
 }
 
-// withdrawAll withdraws attempts that have not sent the request. It returns false if one of them
+// withdraw withdraws attempts that have not sent the request. It returns false if one of them
 // has begun to send it in the meantime.
-func (s *attempts) withdrawAll(unsent []*attempt, inDoubt bool) bool {
-	f := s.inflight
+func (s *attempts) withdraw(unsent []*attempt) bool {
 	for _, a := range unsent {
 		if !a.withdraw() {
-			f.returnRetry(f.indirectGrant)
-			f.indirectGrant = nil
 			return false
 		}
 	}
 	for _, a := range unsent {
-		f.countedAttempts--
-		f.returnRetry(a.grant)
-	}
-	if inDoubt && f.mayHaveRun == nil {
-		f.mayHaveRun = verdict.New(verdict.MayHaveRun, verdict.UpstreamFailed, "the host lost its path to the upstreams")
+		s.inflight.countedAttempts--
+		s.inflight.returnRetry(a.grant)
 	}
 	return true
 }
@@ -108,14 +116,11 @@
 func (f *inflight) sendIndirect(ctx context.Context) (*response, error) {
 	hosts := f.indirectHosts()
 	if len(hosts) == 0 {
+		f.returnIndirectGrant()
 		return nil, errNoPeer
 	}
-	grant := f.indirectGrant
-	f.indirectGrant = nil
-	if grant == nil && f.retryState().NeedsBudget() {
-		if grant = f.takeRetry(time.Now()); grant == nil {
-			return nil, errNoBudget
-		}
+	if !f.takeIndirectGrant() {
+		return nil, errNoBudget
 	}
 	var last *verdict.Error
 	for _, h := range hosts[:min(maxPeers, len(hosts))] {
@@ -124,24 +129,40 @@
 			return resp, nil
 		}
 		last = verdict.From(err)
-		if last.Verdict != verdict.NotRun {
-			f.mayHaveRun = last
-			f.countedAttempts++
-			grant = nil // it is used
-		}
-		if !f.goesIndirect() {
+		if !f.mayAskNext(last) {
 			break
 		}
-		if grant == nil && f.retryState().NeedsBudget() {
-			if grant = f.takeRetry(time.Now()); grant == nil {
-				break
-			}
-		}
 	}
-	f.returnRetry(grant)
+	f.returnIndirectGrant()
 	return nil, f.finalVerdict(last)
 }
 
+// mayAskNext records the error of a host and reports whether the next host may be asked.
+func (f *inflight) mayAskNext(e *verdict.Error) bool {
+	if e.Verdict != verdict.NotRun {
+		f.mayHaveRun = e
+		f.countedAttempts++
+		f.indirectGrant = nil // it is used
+	}
+	return f.goesIndirect() && f.takeIndirectGrant()
+}
+
+// takeIndirectGrant takes a retry from the budget if the request may have been sent before and
+// has none yet. It returns false if the budget denies it.
+func (f *inflight) takeIndirectGrant() bool {
+	if f.indirectGrant == nil && f.retryState().NeedsBudget() {
+		f.indirectGrant = f.takeRetry(time.Now())
+		return f.indirectGrant != nil
+	}
+	return true
+}
+
+// returnIndirectGrant returns the retry that the request has for another host, if any.
+func (f *inflight) returnIndirectGrant() {
+	f.returnRetry(f.indirectGrant)
+	f.indirectGrant = nil
+}
+
 // sendThrough sends the request through one host and buffers the beginning of the response.
 func (f *inflight) sendThrough(ctx context.Context, to indirect.Host) (_ *response, err error) {
 	began := time.Now()
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -56,6 +56,9 @@
 	refused, unanswered []*upstream.Upstream
 	// mayHaveRun is the last error after which the request may have run, or nil.
 	mayHaveRun *verdict.Error
+	// endedForIndirect is set if the attempts ended so that the request can be sent through
+	// another host.
+	endedForIndirect bool
 	// indirectGrant is the retry of the budget that the request uses to go through another
 	// host; nil if it uses none.
 	indirectGrant *retry.Grant
@@ -80,7 +83,7 @@
 	}
 	f.recordRequest()
 	resp, err := f.runAttempts(ctx)
-	if err == nil || !f.goesIndirect() {
+	if err == nil || !f.endedForIndirect {
 		return resp, err
 	}
 	resp, indirectErr := f.sendIndirect(ctx)
