--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/indirect"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/peer"
@@ -305,3 +306,47 @@
 	require.Zero(t, strings.Count(g.log.String(), `"event":"upstream-ended"`))
 	require.True(t, g.suspicions.Empty())
 }
+
+// Keys are secrets: another host gets the name of the account, by which it applies the
+// account's priority and regions.
+func TestAnotherHostGetsTheAccountAndNoKey(t *testing.T) {
+	isolated, other, _ := newIsolated(t, testRoute(route.Repeatable), echoAccount)
+	var payloads sync.Map
+	mesh, watched := listenPeers(t, "watched", func(ctx context.Context, from peer.Hello, _ peer.Kind, payload []byte, w *peer.Responder) {
+		payloads.Store(string(payload), true)
+		other.proxy.ServeIndirect(ctx, from.Host, payload, w)
+	})
+	isolated.peers.mesh = mesh
+	isolated.peers.set(watched)
+	for _, g := range []*testGateway{isolated, other} {
+		g.setAccountsAt(1000, railAccount())
+	}
+	resp, body := isolated.sendWith(http.MethodGet, "/x/", headerSecret, "k-rail")
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Equal(t, "account=rail secret=", body)
+	sent := 0
+	payloads.Range(func(payload, _ any) bool {
+		sent++
+		require.Contains(t, payload, "rail")
+		require.NotContains(t, payload, "k-rail")
+		return true
+	})
+	require.Equal(t, 1, sent)
+}
+
+// The client's host has accepted its key, so that the client must not be told that it is
+// unknown.
+func TestAnAccountThatAnotherHostLacksIsRefusedAsNotRun(t *testing.T) {
+	isolated, other, requests := newIsolated(t, testRoute(route.Repeatable), healthy)
+	isolated.setAccountsAt(1000, railAccount())
+	other.setAccountsAt(1000, account.Entry{Account: account.Account{Name: "yard"}, Keys: []string{"k-yard"}})
+	resp, _ := isolated.sendWith(http.MethodGet, "/x/", headerSecret, "k-rail")
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Zero(t, requests.Load())
+	isolated.requireLogged("belongs to no client account")
+}
+
+// setAccountsAt applies a configuration with a version and one client account.
+func (g *testGateway) setAccountsAt(version int64, e account.Entry) {
+	g.putOperatorRow("config", operatorRow{Version: version, Routes: []route.Route{testRoute(route.Repeatable)}, Accounts: []account.Entry{e}})
+}
