soak: cut off a whole zone and one host of each other zone at once

One cut of five of nine hosts, in place of a cut of one host a zone and then one of a zone: fewer hosts are left to serve the others, and the test takes 15 s in place of 26.

--- a/internal/gateway/soak/isolation_test.go
+++ b/internal/gateway/soak/isolation_test.go
@@ -156,28 +156,25 @@
 	}
 	w.startHosts(10 * time.Second)
 	time.Sleep(settleTime)
-	for name, hosts := range map[string][]*host{"one host a zone": w.hosts[:len(zones)], "a whole zone": w.hostsOf(zones[0].name)} {
-		t.Run(name, func(t *testing.T) {
-			cutHosts := map[*host]cut{}
-			for i, h := range hosts {
-				cutHosts[h] = cuts[i%len(cuts)]
-			}
-			end := w.cutOff(cutHosts)
-			begin, ejections := time.Now(), w.ejections(t)
-			sent := w.sendEvenly(t, name, isolationTouch+isolationLength)
-			end()
-			time.Sleep(2 * time.Second) // until the path is used again
-			sent.requireServed(t, cutHosts, begin.Add(isolationTouch))
-			sent.requireProof(t, w.ledger)
-			for _, h := range w.hosts {
-				require.Zero(t, h.metric(t, "cairndock_isolated"), h.name)
-			}
-			for h, n := range w.ejections(t) {
-				if cutHosts[h] == "" {
-					require.Equal(t, ejections[h], n, "%s ejected upstreams that work", h.name)
-				}
-			}
-		})
+	cutHosts := map[*host]cut{}
+	for i, h := range append(w.hostsOf(zones[0].name), w.hosts[1], w.hosts[2]) {
+		cutHosts[h] = cuts[i%len(cuts)]
+	}
+	require.Len(t, cutHosts, 5, "all hosts of a zone, and one of each other zone")
+	end := w.cutOff(cutHosts)
+	begin, ejections := time.Now(), w.ejections(t)
+	sent := w.sendEvenly(t, "isolation", isolationTouch+isolationLength)
+	end()
+	time.Sleep(2 * time.Second) // until the path is used again
+	sent.requireServed(t, cutHosts, begin.Add(isolationTouch))
+	sent.requireProof(t, w.ledger)
+	for _, h := range w.hosts {
+		require.Zero(t, h.metric(t, "cairndock_isolated"), h.name)
+	}
+	for h, n := range w.ejections(t) {
+		if cutHosts[h] == "" {
+			require.Equal(t, ejections[h], n, "%s ejected upstreams that work", h.name)
+		}
 	}
 }
 
