indirect: take a reply that is no response for a failure

What callers saw: nothing yet; found when the change was read once more. A host that replies with an empty message, or with a status that HTTP doesn't know, made the server panic at the status: the client's connection was closed without a response.

Cause: what another host sends was decoded and not checked, and had no fuzz target.

A reply counts as a response only with a final status and a possible length; else the request may have run, 502.

--- a/internal/gateway/indirect/message.go
+++ b/internal/gateway/indirect/message.go
@@ -62,6 +62,14 @@
 	return Reply{Verdict: e.Verdict, Reason: e.Reason, Detail: e.Detail, Upstream: e.Upstream, RetryMillis: e.RetryAfter.Milliseconds(), Counted: counted}
 }
 
+// isResponse reports whether the reply is the head of a final response.
+func (r Reply) isResponse() bool {
+	return r.Reason == "" && r.Status >= http.StatusOK && r.Status <= maxStatus && r.Length >= -1
+}
+
+// maxStatus is the highest status that HTTP permits.
+const maxStatus = 999
+
 // err returns the error of a reply, or nil. A stopping peer does not mean that this host is
 // stopping. A route or an account that the peer does not know is known to this host, so that
 // the client must not be told that they don't exist.
--- a/internal/gateway/indirect/sender.go
+++ b/internal/gateway/indirect/sender.go
@@ -36,6 +36,10 @@
 		_ = stream.Close() // there is no body
 		return nil, counted, e
 	}
+	if !reply.isResponse() {
+		_ = stream.Close() // the reply is not used
+		return nil, counted, verdict.New(verdict.MayHaveRun, verdict.PeerFailed, "%s replied with status %d and length %d", to.Name, reply.Status, reply.Length)
+	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
 	return &exchange.Response{
 		Status: reply.Status, Header: reply.Header, Info: exchange.ResponseInfo{Signed: true}, Length: reply.Length,
--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -351,3 +351,17 @@
 func (g *testGateway) setAccountsAt(version int64, e account.Entry) {
 	g.putOperatorRow("config", operatorRow{Version: version, Routes: []route.Route{testRoute(route.Repeatable)}, Accounts: []account.Entry{e}})
 }
+
+// A reply that is no response must not be forwarded: the server would panic at its status.
+func TestAReplyThatIsNoResponseIsAFailure(t *testing.T) {
+	for _, reply := range []any{map[string]any{}, nil, indirect.Reply{Status: 99}, indirect.Reply{Status: 1000}, "text"} {
+		isolated, _, _ := newIsolated(t, testRoute(route.Once), healthy)
+		mesh, broken := listenPeers(t, "broken", func(_ context.Context, _ peer.Hello, _ peer.Kind, _ []byte, w *peer.Responder) { _ = w.Send(reply) })
+		isolated.peers.mesh = mesh
+		isolated.peers.set(broken)
+		resp, _, err := isolated.do(t.Context(), http.MethodPost, "/x/", "")
+		require.NoError(t, err, "%v", reply)
+		require.Equal(t, http.StatusBadGateway, resp.StatusCode, "%v", reply)
+		require.Equal(t, verdict.MayHaveRun.String(), resp.Header.Get("Verdict"), "%v", reply)
+	}
+}
