indirect: refuse malformed requests of other hosts

Cause: method, target and host of a message were written to the upstream as they came, so that a line break in them would have begun another request there; a message without headers made the attempt panic, and a negative count of attempts allowed more of them than the route. Hosts of this version send none of these.

DecodeRequest checks the message, and what it refuses did not run. A test holds as well that a client that leaves cancels its request at the upstream over both hosts; it passed before.

--- a/internal/gateway/indirect/message.go
+++ b/internal/gateway/indirect/message.go
@@ -2,8 +2,12 @@
 
 import (
 	"net/http"
+	"strings"
 	"time"
 
+	"github.com/rotisserie/eris"
+
+	"cairndock/internal/peer"
 	"cairndock/internal/poison"
 	"cairndock/internal/verdict"
 )
@@ -41,6 +45,34 @@
 // Left returns the time left until the deadline.
 func (r Request) Left() time.Duration { return time.Duration(r.LeftMillis) * time.Millisecond }
 
+// DecodeRequest decodes a message. It returns an error if the message is not a request that a
+// host sends.
+func DecodeRequest(payload []byte) (Request, error) {
+	r, err := peer.Decode[Request](payload)
+	if err != nil {
+		return Request{}, err
+	}
+	return r, r.check()
+}
+
+// check returns an error if a field is out of range. The method, the target and the host are
+// written to the upstream as they are, so that a delimiter in them would begin another header
+// line or request.
+func (r Request) check() error {
+	switch {
+	case r.Header == nil, r.Method == "", r.Target == "", r.Attempts < 0, r.LeftMillis > maxLeft.Milliseconds():
+		return eris.New("a field is missing or out of range")
+	case strings.ContainsFunc(r.Method+r.Target+r.Host, isDelimiter):
+		return eris.New("the method, target or host contains a space or a control character")
+	}
+	return nil
+}
+
+// maxLeft is the longest time left that is accepted.
+const maxLeft = 24 * time.Hour
+
+func isDelimiter(c rune) bool { return c <= ' ' || c == 0x7f }
+
 // Reply is the head of a response, or an error if Reason is set.
 type Reply struct {
 	Status int         `msgpack:"s,omitempty"`
--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -365,3 +365,52 @@
 		require.Equal(t, verdict.MayHaveRun.String(), resp.Header.Get("Verdict"), "%v", reply)
 	}
 }
+
+// A client that leaves ends its request at the upstream, over both hosts.
+func TestAClientThatLeavesCancelsItsRequestAtTheOtherHost(t *testing.T) {
+	arrived, canceled := make(chan struct{}), make(chan struct{})
+	r := testRoute(route.Repeatable)
+	r.Timeout = 10 * time.Second
+	isolated, _, _ := newIsolated(t, r, func(c net.Conn, _ *http.Request) {
+		close(arrived)
+		_, _ = c.Read(make([]byte, 1)) // returns when the other host closes the connection
+		close(canceled)
+	})
+	ctx, leave := context.WithCancel(t.Context())
+	go func() { _, _, _ = isolated.do(ctx, http.MethodGet, "/x/", "") }()
+	<-arrived
+	left := time.Now()
+	leave()
+	select {
+	case <-canceled:
+		require.Less(t, time.Since(left), 500*time.Millisecond)
+	case <-time.After(5 * time.Second):
+		require.Fail(t, "the upstream still works for a client that has left")
+	}
+}
+
+// The method and the host of a message are written to the upstream as they are, so that a
+// delimiter in them smuggled in another request.
+func TestAMalformedRequestOfAnotherHostIsRefused(t *testing.T) {
+	isolated, other, requests := newIsolated(t, testRoute(route.Repeatable), healthy)
+	to := other.host("other")
+	valid := indirect.Request{ID: "1", Method: http.MethodGet, Host: "a.example", Target: "/x/", Header: http.Header{headerID: {"1"}}, LeftMillis: 1000}
+	resp, _, err := indirect.Send(t.Context(), &isolated.peers, to, valid)
+	require.NoError(t, err)
+	require.NoError(t, resp.Body.Close())
+	for name, change := range map[string]func(r *indirect.Request){
+		"a request in the method":  func(r *indirect.Request) { r.Method = "GET /y HTTP/1.1\r\nHost: b\r\n\r\nGET" },
+		"a header in the host":     func(r *indirect.Request) { r.Host = "a.example:1\r\nX: y" },
+		"a space in the target":    func(r *indirect.Request) { r.Target = "/x/ HTTP/1.0" },
+		"no header":                func(r *indirect.Request) { r.Header = nil },
+		"a negative attempt count": func(r *indirect.Request) { r.Attempts = -5 },
+		"a time that overflows":    func(r *indirect.Request) { r.LeftMillis = 1 << 62 },
+	} {
+		r := valid
+		change(&r)
+		_, _, err := indirect.Send(t.Context(), &isolated.peers, to, r)
+		require.Error(t, err, name)
+		require.Equal(t, verdict.NotRun, verdict.From(err).Verdict, name)
+	}
+	require.EqualValues(t, 1, requests.Load())
+}
--- a/internal/gateway/proxy/serveindirect.go
+++ b/internal/gateway/proxy/serveindirect.go
@@ -27,7 +27,7 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	p.Metrics.Count("cairndock_indirect_received_total")
-	msg, err := peer.Decode[indirect.Request](payload)
+	msg, err := indirect.DecodeRequest(payload)
 	if err != nil {
 		e := verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
 		refuseIndirect(w, e, false)
