--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -63,20 +63,20 @@
 type sendState = uint32
 
 const (
-	// unsent: no byte was written.
-	unsent sendState = iota
-	// sent: the request may have been written.
-	sent
+	// notSent: no byte was written.
+	notSent sendState = iota
+	// maySent: the request may have been written.
+	maySent
 	// withdrawn: the request will not be written.
 	withdrawn
 )
 
-// isUnsent reports whether no byte of the request was written so far.
-func (a *attempt) isUnsent() bool { return a.sending.Load() == unsent }
+// isPending reports whether no byte of the request was written so far.
+func (a *attempt) isPending() bool { return a.sending.Load() == notSent }
 
 // withdraw prevents the attempt from sending the request. It returns false if the request may
 // have been sent.
-func (a *attempt) withdraw() bool { return a.sending.CompareAndSwap(unsent, withdrawn) }
+func (a *attempt) withdraw() bool { return a.sending.CompareAndSwap(notSent, withdrawn) }
 
 // markOverdue marks the response as overdue. It returns false if the attempt has ended or
 // is marked already.
@@ -115,7 +115,7 @@
 	u := a.choice.Upstream
 	a.progress.OnSent = a.recordSent
 	a.progress.MaySend = func() bool {
-		return a.inflight.plan().Allows(u) && a.sending.CompareAndSwap(unsent, sent) && a.inflight.proxy.Notices.MaySend(u, time.Now())
+		return a.inflight.plan().Allows(u) && a.sending.CompareAndSwap(notSent, maySent) && a.inflight.proxy.Notices.MaySend(u, time.Now())
 	}
 	resp, err := a.inflight.proxy.Client.SendWatched(ctx, exchange.Target{Upstream: u.ID, Run: u.Run(), Address: u.Address}, r, &a.progress)
 	a.recordReach(err)
@@ -181,9 +181,8 @@
 // has failed. Otherwise forward or discard releases the response.
 func (a *attempt) buffer(ctx context.Context, resp *exchange.Response) (*response, error) {
 	f, u := a.inflight, a.choice.Upstream
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
+	out, err := bufferPrefix(resp)
 	if err != nil {
-		_ = resp.Body.Close() // the attempt has already failed
 		e := truncated(ctx, u.ID, err)
 		f.proxy.release(a.choice, outcomeOfTruncated(e.Reason))
 		if isUpstreamFault(e.Reason) {
@@ -196,10 +195,7 @@
 		return nil, e
 	}
 	f.logAttempt(a, resp.Status, nil)
-	out := &response{Response: resp, choice: a.choice, prefix: prefix}
-	if out.isComplete() {
-		out.Length = int64(len(prefix))
-	}
+	out.choice = a.choice
 	return out, nil
 }
 
--- a/internal/gateway/proxy/indirect.go
+++ b/internal/gateway/proxy/indirect.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -12,7 +11,6 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"cairndock/internal/gateway/eventlog"
-	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/indirect"
 	"cairndock/internal/verdict"
 )
@@ -47,10 +45,10 @@
 	if !f.proxy.Reach.Isolated() || f.indirect || len(f.indirectHosts()) == 0 {
 		return false
 	}
-	unsent := s.unsent()
-	inDoubt := len(s.running) > len(unsent)
+	pending := s.pending()
+	inDoubt := len(s.running) > len(pending)
 	state := f.retryState()
-	state.Attempts -= len(unsent)
+	state.Attempts -= len(pending)
 	if inDoubt && !f.repeatable() || !state.MayGoIndirect(f.isDone(s.ctx)) {
 		return false
 	}
@@ -59,7 +57,7 @@
 			return false
 		}
 	}
-	if !s.withdraw(unsent) {
+	if !s.withdraw(pending) {
 		f.returnIndirectGrant()
 		return false
 	}
@@ -70,26 +68,26 @@
 	return true
 }
 
-// unsent returns the running attempts that have not sent the request.
-func (s *attempts) unsent() []*attempt {
-	var unsent []*attempt
+// pending returns the running attempts that have not sent the request.
+func (s *attempts) pending() []*attempt {
+	var pending []*attempt
 	for _, a := range s.running {
-		if a.isUnsent() {
-			unsent = append(unsent, a)
+		if a.isPending() {
+			pending = append(pending, a)
 		}
 	}
-	return unsent
+	return pending
 }
 
-// withdraw withdraws attempts that have not sent the request. It returns false if one of them
-// has begun to send it in the meantime.
-func (s *attempts) withdraw(unsent []*attempt) bool {
-	for _, a := range unsent {
+// withdraw withdraws pending attempts. It returns false if one of them has begun to send the
+// request in the meantime.
+func (s *attempts) withdraw(pending []*attempt) bool {
+	for _, a := range pending {
 		if !a.withdraw() {
 			return false
 		}
 	}
-	for _, a := range unsent {
+	for _, a := range pending {
 		s.inflight.countedAttempts--
 		s.inflight.returnRetry(a.grant)
 	}
@@ -174,23 +172,12 @@
 		f.logIndirect(to.Name, 0, verdict.From(err), began)
 		return nil, err
 	}
-	out, err := bufferIndirect(ctx, resp)
-	f.logIndirect(to.Name, resp.Status, verdict.From(err), began)
-	return out, err
-}
-
-// bufferIndirect reads the beginning of a response that came through another host.
-func bufferIndirect(ctx context.Context, resp *exchange.Response) (*response, error) {
-	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
+	out, err := bufferPrefix(resp)
 	if err != nil {
-		_ = resp.Body.Close() // the request has already failed
-		return nil, truncated(ctx, "", err)
+		err = truncated(ctx, "", err)
 	}
-	out := &response{Response: resp, prefix: prefix}
-	if out.isComplete() {
-		out.Length = int64(len(prefix))
-	}
-	return out, nil
+	f.logIndirect(to.Name, resp.Status, verdict.From(err), began)
+	return out, err
 }
 
 // indirectRequest returns the message for another host.
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -27,7 +27,7 @@
 // 431. Next is the account's limit, 429, so that a refused request is not read. The body
 // comes last: 413 or 408.
 func (f *inflight) prepare(w http.ResponseWriter, r *http.Request) error {
-	if err := f.matchRoute(r); err != nil {
+	if err := f.matchRoute(r.Host, r.URL.Path); err != nil {
 		return err
 	}
 	if err := f.authenticate(); err != nil {
@@ -53,14 +53,14 @@
 
 // matchRoute finds the route by host and path. If the route is split among several
 // services, the request ID selects the service.
-func (f *inflight) matchRoute(r *http.Request) error {
+func (f *inflight) matchRoute(host, path string) error {
 	if !f.proxy.canServe() {
 		return verdict.New(verdict.NotRun, verdict.NotReady, "the configuration, the upstreams or the quarantined requests are not available yet")
 	}
 	f.config = f.proxy.State.Config()
-	route, ok := f.config.Match(hostname(r.Host), r.URL.Path)
+	route, ok := f.config.Match(hostname(host), path)
 	if !ok {
-		return verdict.New(verdict.NotRun, verdict.UnknownRoute, "no route for %s%s", r.Host, r.URL.Path)
+		return verdict.New(verdict.NotRun, verdict.UnknownRoute, "no route for %s%s", host, path)
 	}
 	f.route, f.service = route, route.Pick(f.info.ID)
 	return nil
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -38,6 +38,20 @@
 	prefix []byte
 }
 
+// bufferPrefix reads the beginning of a response. If it breaks off there, it is closed.
+func bufferPrefix(resp *exchange.Response) (*response, error) {
+	prefix, err := io.ReadAll(io.LimitReader(resp.Body, prefixBytes))
+	if err != nil {
+		_ = resp.Body.Close() // the response has already failed
+		return nil, err
+	}
+	out := &response{Response: resp, prefix: prefix}
+	if out.isComplete() {
+		out.Length = int64(len(prefix))
+	}
+	return out, nil
+}
+
 // isComplete reports whether the prefix is the whole body.
 func (r *response) isComplete() bool { return len(r.prefix) < prefixBytes }
 
--- a/internal/gateway/proxy/serveindirect.go
+++ b/internal/gateway/proxy/serveindirect.go
@@ -98,15 +98,13 @@
 	if err != nil {
 		return verdict.New(verdict.NotRun, verdict.BadRequest, "%v", err)
 	}
-	f.config = f.proxy.State.Config()
-	route, ok := f.config.Match(hostname(msg.Host), target.Path)
-	if !ok {
-		return verdict.New(verdict.NotRun, verdict.UnknownRoute, "no route for %s%s", msg.Host, target.Path)
+	if err := f.matchRoute(msg.Host, target.Path); err != nil {
+		return err
 	}
-	f.route, f.service = route, route.Pick(msg.ID)
 	if f.config.Accounts == nil {
 		return nil
 	}
+	var ok bool
 	f.account, ok = f.config.Accounts.ByName(msg.Account)
 	if !ok && !f.route.Public {
 		return errUnknownKey()
