--- a/internal/gateway/indirect/choose.go
+++ b/internal/gateway/indirect/choose.go
@@ -23,31 +23,31 @@
 // may have lost their path at the same time and send to the same hosts.
 const roomFactor = 2
 
-// Order returns the hosts in the order in which to ask them. The nearest hosts with enough
+// Choose returns up to n hosts in the order in which to ask them. The nearest hosts with enough
 // room for the sender's requests together come first, in a random order that gives each a
 // share of the requests in proportion to its room. The others follow in the same way. Hosts
 // without room are left out.
-func Order(hosts []Host, s Sender) []Host {
-	var order, near []Host
+func Choose(hosts []Host, s Sender, n int) []Host {
+	var chosen []Host
+	var near []*Host
 	room := 0
 	for _, tier := range tiers(hosts, s) {
-		for _, h := range tier {
-			near = append(near, h)
-			room += h.Room
-		}
+		near = append(near, tier...)
+		room += totalRoom(tier)
 		if room >= roomFactor*s.Rate {
-			order = append(order, shuffle(near)...)
+			chosen = append(chosen, draw(near, n-len(chosen))...)
 			near, room = nil, 0
 		}
 	}
-	return append(order, shuffle(near)...)
+	return append(chosen, draw(near, n-len(chosen))...)
 }
 
 // tiers returns the hosts with room in the sender's zone, in the rest of its region, and in
 // other regions.
-func tiers(hosts []Host, s Sender) [3][]Host {
-	var tiers [3][]Host
-	for _, h := range hosts {
+func tiers(hosts []Host, s Sender) [3][]*Host {
+	var tiers [3][]*Host
+	for i := range hosts {
+		h := &hosts[i]
 		distance := 2
 		switch {
 		case h.Room <= 0:
@@ -62,21 +62,28 @@
 	return tiers
 }
 
-// shuffle returns the hosts in a random order. The probability of each next host is in
-// proportion to its room. It modifies hosts.
-func shuffle(hosts []Host) []Host {
+func totalRoom(hosts []*Host) int {
 	total := 0
 	for _, h := range hosts {
 		total += h.Room
 	}
-	for i := range hosts {
-		n := rand.IntN(total)
+	return total
+}
+
+// draw returns up to n different hosts. The probability of each next host is in proportion to
+// its room. It reorders hosts.
+func draw(hosts []*Host, n int) []Host {
+	var drawn []Host
+	total := totalRoom(hosts)
+	for i := range min(n, len(hosts)) {
+		left := rand.IntN(total)
 		next := i
-		for ; n >= hosts[next].Room; next++ {
-			n -= hosts[next].Room
+		for ; left >= hosts[next].Room; next++ {
+			left -= hosts[next].Room
 		}
 		total -= hosts[next].Room
+		drawn = append(drawn, *hosts[next])
 		hosts[i], hosts[next] = hosts[next], hosts[i]
 	}
-	return hosts
+	return drawn
 }
--- a/internal/gateway/indirect/choose_test.go
+++ b/internal/gateway/indirect/choose_test.go
@@ -1,6 +1,7 @@
 package indirect
 
 import (
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -18,7 +19,7 @@
 	return h
 }
 
-func TestOrder(t *testing.T) {
+func TestChoose(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		hosts []Host
@@ -28,11 +29,12 @@
 		{"near hosts first", []Host{otherRegion, sameRegion, sameZone}, 10, []string{"a", "c", "d"}},
 		{"hosts without room are left out", []Host{withRoom(sameZone, 0), withRoom(sameRegion, -5), otherRegion}, 10, []string{"d"}},
 		{"no host", nil, 10, nil},
+		{"no more than are asked for", []Host{sameZone, sameRegion, otherRegion, withRoom(otherRegion, 1)}, 10, []string{"a", "c", "d"}},
 		{"a sender without requests yet", []Host{otherRegion, sameZone}, 0, []string{"a", "d"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var names []string
-			for _, h := range Order(c.hosts, Sender{Zone: "z1", Region: "r1", Rate: c.rate}) {
+			for _, h := range Choose(c.hosts, Sender{Zone: "z1", Region: "r1", Rate: c.rate}, 3) {
 				names = append(names, h.Name)
 			}
 			require.Equal(t, c.want, names)
@@ -40,7 +42,7 @@
 	}
 }
 
-func TestOrderSharesInProportionToTheRoom(t *testing.T) {
+func TestChooseSharesInProportionToTheRoom(t *testing.T) {
 	for _, c := range []struct {
 		name  string
 		hosts []Host
@@ -56,7 +58,7 @@
 			const draws = 4000
 			first := map[string]float64{}
 			for range draws {
-				first[Order(c.hosts, Sender{Zone: "z1", Region: "r1", Rate: c.rate})[0].Name] += 1.0 / draws
+				first[Choose(c.hosts, Sender{Zone: "z1", Region: "r1", Rate: c.rate}, 1)[0].Name] += 1.0 / draws
 			}
 			require.Len(t, first, len(c.shares))
 			for name, share := range c.shares {
@@ -65,3 +67,17 @@
 		})
 	}
 }
+
+// BenchmarkChoose measures a request of an isolated host that knows the hosts of a large region
+// and two of each other one.
+func BenchmarkChoose(b *testing.B) {
+	var hosts []Host
+	for i := range 300 {
+		h := []Host{sameZone, sameRegion, otherRegion}[i%3]
+		h.Name = strconv.Itoa(i)
+		hosts = append(hosts, h)
+	}
+	for b.Loop() {
+		Choose(hosts, Sender{Zone: "z1", Region: "r1", Rate: 1000}, 3)
+	}
+}
--- a/internal/gateway/proxy/indirect.go
+++ b/internal/gateway/proxy/indirect.go
@@ -94,8 +94,8 @@
 	return true
 }
 
-// indirectHosts returns the other hosts that may send the request, in the order in which to
-// ask them. The body of a request that is restricted to regions must not leave these.
+// indirectHosts returns other hosts that may send the request, in the order in which to ask
+// them. The body of a request that is restricted to regions must not leave these.
 func (f *inflight) indirectHosts() []indirect.Host {
 	p := f.proxy
 	var allowed []indirect.Host
@@ -104,7 +104,7 @@
 			allowed = append(allowed, h)
 		}
 	}
-	return indirect.Order(allowed, indirect.Sender{Zone: p.Location.Zone, Region: p.Location.Region, Rate: p.Rate(time.Now())})
+	return indirect.Choose(allowed, indirect.Sender{Zone: p.Location.Zone, Region: p.Location.Region, Rate: p.Rate(time.Now())}, maxPeers)
 }
 
 // sendIndirect sends the request through another host. A host that refuses proves that the
@@ -121,7 +121,7 @@
 		return nil, errNoBudget
 	}
 	var last *verdict.Error
-	for _, h := range hosts[:min(maxPeers, len(hosts))] {
+	for _, h := range hosts {
 		resp, err := f.sendThrough(ctx, h)
 		if err == nil {
 			return resp, nil
--- a/internal/gateway/reach/monitor.go
+++ b/internal/gateway/reach/monitor.go
@@ -101,8 +101,7 @@
 	m.suspectIf(m.connections.warranted())
 }
 
-// RecordUnanswered records that an upstream did not respond on an open connection: it was
-// silent for too long, or the connection was closed.
+// RecordUnanswered records that an upstream did not respond in time, or closed the connection.
 func (m *Monitor) RecordUnanswered(u *upstream.Upstream) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/gateway/retry/budget_test.go
+++ b/internal/gateway/retry/budget_test.go
@@ -255,3 +255,27 @@
 	require.LessOrEqual(t, float64(retries), limits.Ratio*hosts*requests)
 	require.GreaterOrEqual(t, float64(retries), limits.Ratio*hosts*requests/2)
 }
+
+// BenchmarkRecordRequest measures a request at a host that gets 1,000 a second.
+func BenchmarkRecordRequest(b *testing.B) {
+	now := time.Now()
+	budget := retry.NewBudget(limits, now, 0)
+	for b.Loop() {
+		now = now.Add(time.Millisecond)
+		budget.RecordRequest("s", now)
+	}
+}
+
+// BenchmarkTryRetryWhenAllCreditsAreUsed measures a retry that is denied at such a host.
+func BenchmarkTryRetryWhenAllCreditsAreUsed(b *testing.B) {
+	now := time.Now()
+	budget := retry.NewBudget(limits, now, 0)
+	for range 2000 {
+		now = now.Add(time.Millisecond)
+		budget.RecordRequest("s", now)
+		budget.TryRetry("s", 0, now)
+	}
+	for b.Loop() {
+		budget.TryRetry("s", 0, now)
+	}
+}
