indirect: let what upstreams said to a host hold for its requests through others

What callers saw: nothing; an upstream that had said that it leaves got new work.

Cause: a host without a path to upstreams sends through a host that may not have been told, such as one that has just started: hosts announce a notice for 3 s. And the notice in a response that came through another host was not read by the host that forwarded it.

Fix: a request carries the notices in force at its sender, which the other host takes over, and the sender reads the notice in the response.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -183,6 +183,12 @@
 	return nil
 }
 
+// ParseResponse parses the header of a response that came through another host. requestID is
+// the ID of its request.
+func (c *Client) ParseResponse(requestID string, status int, h http.Header) ResponseInfo {
+	return c.protocol.ParseResponse(requestID, status, h)
+}
+
 // timeLeft returns the time until the context's deadline, or the maximum duration when
 // the context has none.
 func timeLeft(ctx context.Context) time.Duration {
--- a/internal/gateway/indirect/message.go
+++ b/internal/gateway/indirect/message.go
@@ -7,6 +7,8 @@
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/gateway/notice"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/peer"
 	"cairndock/internal/poison"
 	"cairndock/internal/verdict"
@@ -38,6 +40,9 @@
 	Attempts int `msgpack:"n,omitempty"`
 	// Counted is set if a host has counted the request for the retry budget.
 	Counted bool `msgpack:"r,omitempty"`
+	// Notices are the notices of upstreams that are in force at the sender. They hold for
+	// its requests at the other host too.
+	Notices []notice.Report `msgpack:"o,omitempty"`
 	// Trace is the trace context.
 	Trace map[string]string `msgpack:"x,omitempty"`
 }
@@ -78,11 +83,13 @@
 	Status int         `msgpack:"s,omitempty"`
 	Header http.Header `msgpack:"h,omitempty"`
 	// Length is that of the body in bytes, or -1 if it is unknown.
-	Length   int64           `msgpack:"l,omitempty"`
-	Upstream string          `msgpack:"u,omitempty"`
-	Verdict  verdict.Verdict `msgpack:"v,omitempty"`
-	Reason   verdict.Reason  `msgpack:"r,omitempty"`
-	Detail   string          `msgpack:"d,omitempty"`
+	Length   int64  `msgpack:"l,omitempty"`
+	Upstream string `msgpack:"u,omitempty"`
+	// Run is the run of the upstream that responded.
+	Run     upstream.Run    `msgpack:"n,omitempty"`
+	Verdict verdict.Verdict `msgpack:"v,omitempty"`
+	Reason  verdict.Reason  `msgpack:"r,omitempty"`
+	Detail  string          `msgpack:"d,omitempty"`
 	// RetryMillis is the delay after which the client should retry; zero for none.
 	RetryMillis int64 `msgpack:"y,omitempty"`
 	// Counted is set if the replying host has counted the request for the retry budget.
--- a/internal/gateway/indirect/sender.go
+++ b/internal/gateway/indirect/sender.go
@@ -5,6 +5,7 @@
 	"errors"
 
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/peer"
 	"cairndock/internal/verdict"
 )
@@ -14,10 +15,17 @@
 	OpenStream(ctx context.Context, address string, kind peer.Kind, payload []byte) (*peer.Stream, error)
 }
 
+// Response is a response that came through another host.
+type Response struct {
+	*exchange.Response
+	// Run is the run of the upstream that responded.
+	Run upstream.Run
+}
+
 // Send sends a request to a host and waits for the header of the response until the context
 // ends. The response is canceled when the context ends. counted reports whether a host has
 // counted the request for the retry budget. The error is a *verdict.Error.
-func Send(ctx context.Context, peers Peers, to Host, r Request) (_ *exchange.Response, counted bool, err error) {
+func Send(ctx context.Context, peers Peers, to Host, r Request) (_ *Response, counted bool, err error) {
 	payload, err := peer.Encode(r)
 	if err != nil {
 		return nil, r.Counted, verdict.New(verdict.NotRun, verdict.PeerFailed, "encode the request: %v", err)
@@ -41,10 +49,8 @@
 		return nil, counted, verdict.New(verdict.MayHaveRun, verdict.PeerFailed, "%s replied with status %d and length %d", to.Name, reply.Status, reply.Length)
 	}
 	stop := context.AfterFunc(ctx, func() { _ = stream.Close() })
-	return &exchange.Response{
-		Status: reply.Status, Header: reply.Header, Info: exchange.ResponseInfo{Signed: true}, Length: reply.Length,
-		Body: &body{Stream: stream, stop: stop},
-	}, counted, nil
+	resp := &exchange.Response{Status: reply.Status, Header: reply.Header, Length: reply.Length, Body: &body{Stream: stream, stop: stop}}
+	return &Response{Response: resp, Run: reply.Run}, counted, nil
 }
 
 // openError returns the error of a request without a reply. Only a request that was not sent
--- a/internal/gateway/notice/report.go
+++ b/internal/gateway/notice/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -52,9 +53,15 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.reports(now, announcePeriod)
+}
+
+// reports returns reports of the state that was announced within a period, the most recent
+// state first; t.mu is held.
+func (t *Table) reports(now time.Time, period time.Duration) []Report {
 	reports := make([]Report, 0, len(t.limits)+len(t.leaving)+len(t.backoffUntil))
 	for run, l := range t.leaving {
-		if age := now.Sub(l.learnedAt); age < announcePeriod {
+		if age := now.Sub(l.learnedAt); age < period {
 			reports = append(reports, Report{Run: run, Leaving: true, AgeMS: age.Milliseconds()})
 		}
 	}
@@ -64,7 +71,7 @@
 		}
 	}
 	for run, l := range t.limits {
-		if now.Sub(l.announcedAt) >= announcePeriod {
+		if now.Sub(l.announcedAt) >= period {
 			continue
 		}
 		reports = append(reports, Report{Run: run, PerSecond: l.perSecond, Ended: l.ended, AgeMS: now.Sub(l.reportedAt).Milliseconds()})
@@ -73,6 +80,16 @@
 	return reports[:min(len(reports), maxReports)]
 }
 
+// InForce returns reports of all notices that are in force, the most recent state first.
+func (t *Table) InForce(now time.Time) []Report {
+	if t.size.Load() == 0 {
+		return nil
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reports(now, math.MaxInt64)
+}
+
 // Merge applies the reports of another host. For each run's limit, the most recent report
 // of the upstream wins.
 func (t *Table) Merge(reports []Report, now time.Time) {
--- a/internal/gateway/proxy/indirect.go
+++ b/internal/gateway/proxy/indirect.go
@@ -172,7 +172,8 @@
 		f.logIndirect(to.Name, 0, verdict.From(err), began)
 		return nil, err
 	}
-	out, err := bufferPrefix(resp)
+	f.observeIndirect(resp, began)
+	out, err := bufferPrefix(resp.Response)
 	if err != nil {
 		err = truncated(ctx, "", err)
 	}
@@ -180,6 +181,13 @@
 	return out, err
 }
 
+// observeIndirect applies the notice of an upstream in a response that came through another
+// host. A backoff binds that host only.
+func (f *inflight) observeIndirect(resp *indirect.Response, sent time.Time) {
+	resp.Info = f.proxy.Client.ParseResponse(f.info.ID, resp.Status, resp.Header)
+	f.proxy.Notices.Observe(resp.Run, resp.Info.Notice.WithBackoff(0), sent, time.Now())
+}
+
 // indirectRequest returns the message for another host.
 func (f *inflight) indirectRequest(ctx context.Context) indirect.Request {
 	carrier := propagation.MapCarrier{}
@@ -189,7 +197,8 @@
 		ID: r.ID, Method: r.Method, Host: r.Host, Target: r.Target, Header: r.Header, Body: r.Body,
 		Key: f.info.Key, Account: f.accountName(), Client: f.address, Fingerprint: f.fingerprint(),
 		Config: f.config.Version, LeftMillis: time.Until(f.deadline()).Milliseconds(),
-		Attempts: f.retryState().SentAttempts(), Counted: f.counted, Trace: carrier,
+		Attempts: f.retryState().SentAttempts(), Counted: f.counted,
+		Notices: f.proxy.Notices.InForce(time.Now()), Trace: carrier,
 	}
 }
 
--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -14,6 +14,7 @@
 
 	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/indirect"
+	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/peer"
 	"cairndock/internal/verdict"
@@ -414,3 +415,27 @@
 	}
 	require.EqualValues(t, 1, requests.Load())
 }
+
+// An upstream had said to a host that it leaves. The host's requests reached it through another
+// host that had not been told.
+func TestWhatAHostWasToldHoldsForItsRequestsThroughAnother(t *testing.T) {
+	isolated, other, leaving := newIsolated(t, testRoute(route.Repeatable), healthy)
+	run := other.state.Upstreams().Service("s")[0].Run()
+	staying := other.addUpstream(healthy)
+	now := time.Now()
+	isolated.proxy.Notices.Observe(run, notice.Notice{}.WithLeaving(), now, now.Add(-time.Minute)) // no longer announced
+	for key := range 8 {
+		require.Equal(t, http.StatusOK, isolated.getKey(key))
+	}
+	require.Zero(t, leaving.Load())
+	require.EqualValues(t, 8, staying.Load())
+}
+
+func TestAHostLearnsWhatAnUpstreamSaysThroughAnother(t *testing.T) {
+	isolated, other, _ := newIsolated(t, testRoute(route.Repeatable), func(c net.Conn, r *http.Request) {
+		reply(c, r, 200, "Genuine: 1\r\n"+headerLeaving+": 1\r\n", "whole")
+	})
+	u := other.state.Upstreams().Service("s")[0]
+	require.Equal(t, http.StatusOK, isolated.getKey(1))
+	require.False(t, isolated.proxy.Notices.MaySend(u, time.Now()))
+}
--- a/internal/gateway/proxy/serveindirect.go
+++ b/internal/gateway/proxy/serveindirect.go
@@ -36,6 +36,7 @@
 	}
 	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.MapCarrier(msg.Trace))
 	ctx, span := p.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", msg.ID), attribute.String("from", from)))
+	p.Notices.Merge(msg.Notices, time.Now())
 	status, err := p.newIndirect(ctx, msg).serveIndirect(msg, w)
 	endSpan(span, err)
 	p.Log.Indirect(indirectEvent(msg.ID, eventlog.ReceivedFrom, from, status, verdict.From(err), began))
@@ -135,7 +136,7 @@
 
 // sendResponse sends the header and the body of a response.
 func (f *inflight) sendResponse(w *peer.Responder, resp *response) error {
-	head, err := peer.Encode(indirect.Reply{Status: resp.Status, Header: resp.Header, Length: resp.Length, Upstream: resp.choice.Upstream.ID, Counted: f.counted})
+	head, err := peer.Encode(indirect.Reply{Status: resp.Status, Header: resp.Header, Length: resp.Length, Upstream: resp.choice.Upstream.ID, Run: resp.choice.Upstream.Run(), Counted: f.counted})
 	if err != nil {
 		return err
 	}
