loadmodel: report how evenly requests are spread over upstreams

Cause: the results show what clients get, but not whether a request queued although another upstream was idle, nor how old the reports are that hosts choose by.

Change: each variant reports the fraction of requests that arrive beside a free slot (in the zone, in the region), the busiest upstream relative to the mean, and the age of the load reports used.

--- a/internal/gateway/loadmodel/model.go
+++ b/internal/gateway/loadmodel/model.go
@@ -62,6 +62,7 @@
 	for _, name := range slices.Sorted(maps.Keys(m.upstreams)) {
 		m.result.FirstLoads += m.upstreams[name].firstLoads
 	}
+	m.result.Spread.finish(m.byService)
 	return m.result
 }
 
--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -55,6 +55,7 @@
 		a.overdueTimer = m.clock.after(overdueDelay, a.markOverdue)
 	}
 	h.balancer.Sent(c, m.clock.now)
+	m.result.Spread.chosen(c.LoadAge)
 	delay := m.oneWayDelay(h.zone, c.Upstream)
 	if a.upstream.down {
 		m.clock.after(2*delay, func() { a.fail(verdict.ConnectionRefused) })
--- a/internal/gateway/loadmodel/result.go
+++ b/internal/gateway/loadmodel/result.go
@@ -59,6 +59,8 @@
 	// Attempts is the number of requests sent to upstreams. CrossRegion is the number of
 	// these that went to a region other than that of the host.
 	Attempts, CrossRegion int
+	// Spread describes how evenly the requests were spread over the upstreams.
+	Spread Spread
 
 	latencies *hdrhistogram.Histogram
 }
@@ -69,7 +71,7 @@
 func newResult() *Result {
 	return &Result{
 		Regions: map[string]*Figures{}, Routes: map[string]*Figures{}, Seconds: map[int]*Figures{},
-		latencies: hdrhistogram.New(1, maxLatencyMS, 3),
+		latencies: hdrhistogram.New(1, maxLatencyMS, 3), Spread: newSpread(),
 	}
 }
 
@@ -144,6 +146,7 @@
 			float64(r.Total.InTime)/n, float64(r.Total.Late)/n, float64(r.Total.Refused)/n, float64(r.Total.Failed)/n,
 			r.FirstLoads, float64(r.CrossRegion)/float64(max(1, r.Attempts)), r.Latency(50), r.Latency(99))
 	}
+	printSpread(t, results)
 	fmt.Fprintln(t, "\nsecond\tcredit of each variant\t")
 	for _, second := range allSeconds(results) {
 		fmt.Fprintf(t, "%d\t", second)
@@ -157,6 +160,17 @@
 	return t.Flush()
 }
 
+// printSpread writes how evenly each variant spread the requests.
+func printSpread(t io.Writer, results []*Result) {
+	fmt.Fprintln(t, "\nvariant\tbeside a free slot: zone\tregion\tbusiest/mean: requests\ttime\tno report\treport age p50\tp90\t")
+	for _, r := range results {
+		s := &r.Spread
+		arrivals, choices := float64(max(1, s.Arrivals)), float64(max(1, s.Choices))
+		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.2f\t%.2f\t%.3f\t%s\t%s\t\n", r.Variant, float64(s.BesideFreeInZone)/arrivals, float64(s.BesideFreeInRegion)/arrivals,
+			s.BusiestByRequests, s.BusiestByTime, float64(s.Unreported)/choices, s.ReportAge(50), s.ReportAge(90))
+	}
+}
+
 // allSeconds returns the sorted seconds for which any result has figures.
 func allSeconds(results []*Result) []int {
 	all := map[int]bool{}
--- a/internal/gateway/loadmodel/upstream.go
+++ b/internal/gateway/loadmodel/upstream.go
@@ -25,6 +25,10 @@
 	down bool
 	// firstLoads counts the requests for objects that were not in the cache.
 	firstLoads int
+	// arrivals counts the requests that arrived, and processing is the time for which slots
+	// were in use.
+	arrivals   int
+	processing time.Duration
 }
 
 // job is one request at an upstream.
@@ -34,7 +38,9 @@
 	// done receives the response; canceled is set when the host no longer waits for it.
 	done     func(response)
 	canceled bool
-	finish   *event
+	// startedAt is when the upstream began to process the request.
+	startedAt time.Time
+	finish    *event
 }
 
 // response is the response of an upstream.
@@ -47,6 +53,7 @@
 
 // receive starts, queues or refuses a request.
 func (u *upstreamSim) receive(j *job) {
+	u.model.result.Spread.arrived(u)
 	switch {
 	case u.model.random.Float64() < u.shed, len(u.waiting) >= u.config.Queue && u.running >= u.config.Slots:
 		u.respond(j, false)
@@ -64,12 +71,14 @@
 	if u.lookup(j.object) {
 		duration *= j.route.CachedFraction
 	}
+	j.startedAt = u.model.clock.now
 	j.finish = u.model.clock.after(time.Duration(duration), func() { u.complete(j) })
 }
 
 // complete responds to a request and starts the next one from the queue.
 func (u *upstreamSim) complete(j *job) {
 	u.running--
+	u.processing += u.model.clock.now.Sub(j.startedAt)
 	if !j.canceled {
 		u.respond(j, true)
 	}
