poison: let each host that saw a termination store the quarantine

Cause: only the host that saw the last termination stored a quarantine. Hosts order terminations by when reports arrive, and the transit of a report makes another host's termination seem later. Two hosts that each saw one at nearly the same time both took the other's for the last one, and neither wrote.

Change: Quarantine.Own is set at each host that saw at least one of the terminations.

Result: TestAQuarantineIsStoredWhenHostsDisagreeOnItsLastTermination fails before (neither of two hosts has Own) and passes now, beside all other tests (go test -count=1 ./internal/poison ./internal/gateway/fleet).

--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -56,7 +56,7 @@
 }
 
 // Quarantined logs that a request is quarantined, and stores the quarantine if this host
-// was the first to detect it.
+// saw one of its terminations.
 func (g *Gateway) Quarantined(q poison.Quarantine) {
 	g.log.Quarantined(q)
 	if q.Own {
--- a/internal/poison/change.go
+++ b/internal/poison/change.go
@@ -102,10 +102,10 @@
 		if !s.quarantined {
 			continue
 		}
-		terminations := s.unclearedExcept(skipNone)
-		q := Quarantine{Fingerprint: f, Own: terminations[len(terminations)-1].host == t.host}
-		for _, e := range terminations {
+		q := Quarantine{Fingerprint: f}
+		for _, e := range s.unclearedExcept(skipNone) {
 			q.Runs = append(q.Runs, e.run)
+			q.Own = q.Own || e.host == t.host
 		}
 		all = append(all, q)
 	}
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -44,8 +44,9 @@
 	Fingerprint Fingerprint
 	// Runs are the runs of upstreams that terminated under the request, the earliest first.
 	Runs []string
-	// Own is set if this host saw the last of these terminations, and therefore decided
-	// first.
+	// Own is set if this host saw at least one of these terminations. Hosts may disagree
+	// on which termination was the last, because the transit of a report makes it seem
+	// later, so that the last one does not determine a host that stores the quarantine.
 	Own bool
 	// Report has the request's terminations as of the decision.
 	Report Report
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -280,3 +280,24 @@
 	require.Empty(t, table.suspects)
 	require.Zero(t, events.changes)
 }
+
+// Two hosts that saw terminations at nearly the same time each took the other's for the last one,
+// so that no host stored the quarantine.
+func TestAQuarantineIsStoredWhenHostsDisagreeOnItsLastTermination(t *testing.T) {
+	f := fingerprintOf("poison")
+	a, seenByA := newTable("a")
+	b, seenByB := newTable("b")
+	attempt{"u1", 0, 10}.record(a, f)
+	known := sendUpdate(a, b, 0, 20, 0)
+	attempt{"u2", 200, 210}.record(b, f)
+	attempt{"u3", 400, 500}.record(a, f)
+	attempt{"u4", 205, 505}.record(b, f)
+	fromA, _ := a.Since(known, at(510))
+	fromB, _ := b.Since(0, at(510))
+	const transit = 20
+	b.Merge(fromA, at(510+transit))
+	a.Merge(fromB, at(510+transit))
+	require.Len(t, seenByA.quarantined, 1)
+	require.Len(t, seenByB.quarantined, 1)
+	require.True(t, seenByA.quarantined[0].Own || seenByB.quarantined[0].Own)
+}
