fleet: have several hosts store a quarantine until it is stored

Cause: one host stored a quarantine, with five tries in ten seconds. If it was killed before its write, or the store refused it or was down for longer, the row never came, and a write under way at a release left a row behind. A request that was tried again after its quarantine and terminated one more upstream kept the row with the earlier terminations, which lapses.

Change: the hosts that saw a termination store the quarantine under all regions, and the first two live hosts of each region under their own. Each host writes one row at a time and tries again every 0.5 s while the quarantine lasts, rows with the fewest failures first. It removes the rows that it wrote once the request is released, and writes a row again when its last termination is a minute older than the known one. The event quarantine-stored tells when a row was stored and after how many writes.

Tests: the stub of suspicions in rewrite_test.go returns quarantines with their details and runs the task that stores them, as that task took over from rewrite; its checks are unchanged.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -279,6 +279,12 @@
 	l.stateEvent("released").Str("fingerprint", f.String()).Msg("request: released from quarantine")
 }
 
+// QuarantineStored logs that this host stored a quarantine under a region, and how many
+// writes that took.
+func (l *Log) QuarantineStored(f poison.Fingerprint, region string, attempts int) {
+	l.stateEvent("quarantine-stored").Str("fingerprint", f.String()).Str("name", region).Int("attempts", attempts).Msg("request: quarantine stored under a region")
+}
+
 // Upstream logs an upstream's new state with the version of the table, which is 0 if
 // the state changed without a change of a row. Package routing defines the states. An
 // upstream whose row was deleted has neither service nor zone in the log.
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -48,6 +48,9 @@
 	Regained(kind, name string, after time.Duration)
 	// Stalled reports for how long the process had no CPU time.
 	Stalled(d time.Duration)
+	// QuarantineStored reports that this host stored a quarantine under a region, and how
+	// many writes that took.
+	QuarantineStored(f poison.Fingerprint, region string, attempts int)
 }
 
 // ObservationSink receives the failures and successes that other hosts of this host's
@@ -70,8 +73,8 @@
 	MergeUpdate(n poison.Update, now time.Time) poison.Watermarks
 	// Merge adds reports that were read from the registry.
 	Merge(reports []poison.Report, now time.Time)
-	// Quarantines returns the reports of the quarantined requests.
-	Quarantines(now time.Time) []poison.Report
+	// Quarantines returns the quarantined requests with their reports.
+	Quarantines(now time.Time) []poison.Quarantine
 }
 
 // Table is a table of the store that hosts relay to each other.
@@ -125,6 +128,8 @@
 	// quarantineWaitStart is when this host first had all other data that it needs to
 	// serve; nil before that.
 	quarantineWaitStart atomic.Pointer[time.Time]
+	// quarantinesChanged wakes keepQuarantinesStored.
+	quarantinesChanged chan struct{}
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -140,6 +145,8 @@
 	newest []versionSeen
 	// announcedEra is the era of the store in which this host was last announced.
 	announcedEra int64
+	// quarantineRows has the rows of quarantines that this host has written or read.
+	quarantineRows map[quarantineRow]rowState
 }
 
 // New returns a fleet that is not running yet.
@@ -147,6 +154,7 @@
 	f := &Fleet{
 		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
 		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), announcedEra: notAnnounced,
+		quarantinesChanged: make(chan struct{}, 1), quarantineRows: map[quarantineRow]rowState{},
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
@@ -164,6 +172,7 @@
 	}
 	go f.keepRegistered(ctx)
 	go f.heartbeatLoop(ctx)
+	go f.keepQuarantinesStored(ctx)
 	return nil
 }
 
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -216,6 +216,8 @@
 func (noopReporter) Regained(string, string, time.Duration) {}
 func (noopReporter) Stalled(time.Duration)                  {}
 
+func (noopReporter) QuarantineStored(poison.Fingerprint, string, int) {}
+
 // freeAddress returns an address that no process listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -2,17 +2,16 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
-	"cairndock/internal/pause"
 	"cairndock/internal/poison"
 )
 
 // Quarantines are also stored in the registry, so that they survive when all hosts stop
 // at the same time. They are stored with the hosts of every region, because a starting
 // host reads the list of its own region first and those of other regions up to a second
-// after it starts to serve. Reading them thus takes no additional call. Running hosts
+// after it starts to serve. Reading them thus takes no additional call. Which hosts store
+// them is decided in quarantinestore.go. Running hosts
 // learn of quarantines from heartbeats. A starting host serves only once it has learned
 // of them from either source, because the quarantined requests keep coming during its
 // start.
@@ -42,43 +41,8 @@
 	// quarantines. It is longer than reading a list takes, and adds little to the time
 	// for which a host is missing while no list can be read and no other host runs.
 	quarantineTimeout = time.Second
-	// maxQuarantineWrites is how many times a host tries to store a quarantine. The
-	// other hosts learn of it from heartbeats in the meantime.
-	maxQuarantineWrites = 5
-	// quarantineRetryDelay is the pause between two of these attempts.
-	quarantineRetryDelay = 2 * time.Second
 )
 
-// StoreQuarantine stores a quarantine that this host decided under every region, the own
-// region first. It returns once this has succeeded or was tried maxQuarantineWrites
-// times. Errors are dropped because the watchers of the tables log that the store is
-// unavailable.
-func (f *Fleet) StoreQuarantine(ctx context.Context, r poison.Report) {
-	f.storeQuarantine(ctx, r, f.regions())
-}
-
-// storeQuarantine stores a quarantine under the remaining regions; see StoreQuarantine.
-func (f *Fleet) storeQuarantine(ctx context.Context, r poison.Report, remaining []string) {
-	q := StoredQuarantine{Report: r, StoredAt: time.Now().UnixMilli()}
-	for range maxQuarantineWrites {
-		remaining = slices.DeleteFunc(remaining, func(region string) bool {
-			return f.options.Registry.Quarantine(ctx, region, q) == nil
-		})
-		if len(remaining) == 0 || !pause.For(ctx, quarantineRetryDelay) {
-			return
-		}
-	}
-}
-
-// RemoveQuarantine removes a quarantine that this host released. An entry that remains
-// after an error is valid for an hour at most, and only for hosts that start while no
-// other host runs.
-func (f *Fleet) RemoveQuarantine(ctx context.Context, fingerprint poison.Fingerprint) {
-	for _, region := range f.regions() {
-		_ = f.options.Registry.Release(ctx, region, fingerprint)
-	}
-}
-
 // KnowsQuarantines reports whether this host has learned which requests are quarantined,
 // from the registry or from a host that serves, or has waited for quarantineTimeout. It
 // is called once the host has all other data that it needs to serve. The wait begins
@@ -108,5 +72,6 @@
 			continue
 		}
 		f.options.Suspicions.Merge([]poison.Report{r}, now)
+		f.recordStored(region, r, now)
 	}
 }
--- a/internal/gateway/fleet/rewrite.go
+++ b/internal/gateway/fleet/rewrite.go
@@ -68,8 +68,8 @@
 	}
 }
 
-// rewrite announces this host. If the host is the one that polls the store for its
-// region, rewrite also stores the known quarantines.
+// rewrite announces this host, and makes it store the quarantines again for which it is
+// responsible.
 func (f *Fleet) rewrite(ctx context.Context) {
 	if !pause.For(ctx, rand.N(maxRewriteDelay)) {
 		return
@@ -79,13 +79,5 @@
 			return
 		}
 	}
-	f.mu.Lock()
-	_, root := f.members.relayParent(true, time.Now())
-	f.mu.Unlock()
-	if !root || f.options.Suspicions == nil {
-		return
-	}
-	for _, r := range f.options.Suspicions.Quarantines(time.Now()) {
-		f.storeQuarantine(ctx, r, []string{f.options.Self.Region})
-	}
+	f.forgetStored()
 }
--- a/internal/gateway/fleet/rewrite_test.go
+++ b/internal/gateway/fleet/rewrite_test.go
@@ -38,14 +38,14 @@
 func (noopSink) EraBegan(string, watch.Version, watch.Version, watch.Update) {}
 
 // quarantines are Suspicions that consist of quarantines only.
-type quarantines []poison.Report
+type quarantines []poison.Quarantine
 
 func (quarantines) UpdateFor(poison.Watermarks, time.Time) poison.Update { return poison.Update{} }
 func (quarantines) MergeUpdate(poison.Update, time.Time) poison.Watermarks {
 	return poison.Watermarks{}
 }
-func (quarantines) Merge([]poison.Report, time.Time)        {}
-func (q quarantines) Quarantines(time.Time) []poison.Report { return q }
+func (quarantines) Merge([]poison.Report, time.Time)            {}
+func (q quarantines) Quarantines(time.Time) []poison.Quarantine { return q }
 
 // restorableHost is a host that watches a table of a store that is restored from copies.
 type restorableHost struct {
@@ -60,7 +60,7 @@
 	r.era = era
 	f := New(Options{
 		Self: host("w0", "west-0", "west"), Regions: []string{"west"}, Registry: r, Report: noopReporter{}, Status: func() Status { return readyStatus },
-		Tables: []Table{{Replica: replica, Store: table}}, Suspicions: quarantines{{Fingerprint: poison.Fingerprint{1}}},
+		Tables: []Table{{Replica: replica, Store: table}}, Suspicions: quarantines{{Fingerprint: poison.Fingerprint{1}, Report: poison.Report{Fingerprint: poison.Fingerprint{1}}}},
 	})
 	sources := func() []watch.NamedSource { return []watch.NamedSource{{Name: "store", Source: table}} }
 	w := watch.New(replica, sources, func() (watch.Version, time.Duration) { return f.NewestKnown(0) }, noopSink{}, watch.Timing(2*time.Second))
@@ -72,6 +72,7 @@
 	go w.Run(ctx)
 	go f.keepRegistered(ctx)
 	go f.heartbeatLoop(ctx)
+	go f.keepQuarantinesStored(ctx)
 	time.Sleep(time.Second)
 	return restorableHost{f, r, table}
 }
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -20,11 +20,7 @@
 func (o *observer) SuspicionsChanged()                 { o.fleet.TriggerAllHeartbeats() }
 func (*observer) UpstreamTerminated(string, time.Time) {}
 
-func (o *observer) Quarantined(q poison.Quarantine) {
-	if q.Own {
-		go o.fleet.StoreQuarantine(context.Background(), q.Report)
-	}
-}
+func (o *observer) Quarantined(poison.Quarantine) { o.fleet.StoreQuarantines() }
 
 func (o *observer) Released(f poison.Fingerprint, own bool) {
 	if own {
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -56,12 +56,10 @@
 }
 
 // Quarantined logs that a request is quarantined, and stores the quarantine if this host
-// saw one of its terminations.
+// is responsible for that.
 func (g *Gateway) Quarantined(q poison.Quarantine) {
 	g.log.Quarantined(q)
-	if q.Own {
-		go g.fleet.StoreQuarantine(context.Background(), q.Report)
-	}
+	g.fleet.StoreQuarantines()
 }
 
 // Released logs that a request is no longer quarantined, and removes the quarantine from
--- a/internal/poison/change.go
+++ b/internal/poison/change.go
@@ -102,7 +102,7 @@
 		if !s.quarantined {
 			continue
 		}
-		q := Quarantine{Fingerprint: f}
+		q := Quarantine{Fingerprint: f, Last: s.last}
 		for _, e := range s.unclearedExcept(skipNone) {
 			q.Runs = append(q.Runs, e.run)
 			q.Own = q.Own || e.host == t.host
--- a/internal/poison/report.go
+++ b/internal/poison/report.go
@@ -17,6 +17,17 @@
 	return slices.ContainsFunc(r.Terminations, func(e Termination) bool { return e.Age < terminationRetention.Milliseconds() })
 }
 
+// Last returns when the last of the terminations happened that no response cleared, for a
+// report that is created now; zero if there is none.
+func (r Report) Last(now time.Time) (last time.Time) {
+	for _, e := range r.Terminations {
+		if at := now.Add(-time.Duration(e.Age) * time.Millisecond); !e.Cleared && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // Termination is the termination of one run of an upstream while it ran a request. Its times are in
 // milliseconds.
 type Termination struct {
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -44,11 +44,13 @@
 	Fingerprint Fingerprint
 	// Runs are the runs of upstreams that terminated under the request, the earliest first.
 	Runs []string
+	// Last is when the last of these runs terminated.
+	Last time.Time
 	// Own is set if this host saw at least one of these terminations. Hosts may disagree
 	// on which termination was the last, because the transit of a report makes it seem
 	// later, so that the last one does not determine a host that stores the quarantine.
 	Own bool
-	// Report has the request's terminations as of the decision.
+	// Report has the request's terminations.
 	Report Report
 }
 
@@ -125,15 +127,15 @@
 	return all
 }
 
-// Quarantines returns the reports of the quarantined requests.
-func (t *Table) Quarantines(now time.Time) []Report {
+// Quarantines returns the quarantined requests with their reports.
+func (t *Table) Quarantines(now time.Time) []Quarantine {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var reports []Report
-	for _, q := range t.quarantined() {
-		reports = append(reports, t.report(q.Fingerprint, now))
+	all := t.quarantined()
+	for i := range all {
+		all[i].Report = t.report(all[i].Fingerprint, now)
 	}
-	return reports
+	return all
 }
 
 // Suspected reports whether an upstream has terminated under the request, and the request
