poison: acknowledge no update for an earlier process, merge all quarantines

Cause: a peer that has not noticed a host's restart sends it only what the earlier process did not have. The restarted host acknowledged that update up to its end, so that the peer never sent the earlier suspicions. And of more than 128 quarantines that a starting host reads at once, the rate of new suspects left out the rest.

Change: an update that acknowledges changes of another process is merged and not acknowledged. The rate does not apply to a request that is reported with enough terminations to be quarantined.

--- a/internal/poison/change.go
+++ b/internal/poison/change.go
@@ -5,14 +5,11 @@
 // Each change of a table applies the change, evicts suspects beyond the maximum, decides on
 // quarantines and notifies the observer, in one step.
 
-// add adds a termination that was learned at a time to those of a request; t.mu is held. It
-// reports whether something has changed.
-func (t *Table) add(f Fingerprint, e *termination, now time.Time) bool {
+// add adds a termination to those of a request; t.mu is held. It reports whether something
+// has changed.
+func (t *Table) add(f Fingerprint, e *termination) bool {
 	s := t.suspects[f]
 	if s == nil {
-		if !t.newSuspects.AllowN(now, 1) {
-			return false
-		}
 		s = &suspect{}
 		t.suspects[f] = s
 	}
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -34,11 +34,32 @@
 
 // MergeUpdate merges an update of another host, and then returns the new watermarks. Until
 // MergeUpdate has returned, no message may acknowledge the changes of the update.
+//
+// An update that the sender made for an earlier process of this host contains only what that
+// process did not have. It is merged and not acknowledged, so that the sender's next update
+// has everything.
 func (t *Table) MergeUpdate(u Update, now time.Time) Watermarks {
 	t.Merge(u.Reports, now)
-	return Watermarks{Acked: u.Acked, Merged: u.UpTo}
+	w := Watermarks{Acked: u.Acked}
+	if t.isForThisProcess(u) {
+		w.Merged = u.UpTo
+	}
+	return w
 }
 
+// isForThisProcess reports whether an update acknowledges no changes, or changes of this
+// process and not of an earlier one.
+func (t *Table) isForThisProcess(u Update) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return u.Acked == 0 || u.Acked >= t.first && u.Acked <= t.sequence
+}
+
+// Completes reports whether this table has all suspicions of the sender of an update once
+// it has merged the update. It has not after an update for an earlier process of this host,
+// or one that was cut at maxReports.
+func (t *Table) Completes(u Update) bool { return t.isForThisProcess(u) && len(u.Reports) < maxReports }
+
 // Merge adds the terminations that another host reports.
 func (t *Table) Merge(reports []Report, now time.Time) {
 	if len(reports) == 0 {
@@ -47,16 +68,36 @@
 	t.change(false, func() bool {
 		changed := false
 		for _, r := range reports {
-			for _, reported := range r.Terminations {
-				if e, ok := reported.termination(now); ok {
-					changed = t.add(r.Fingerprint, e, now) || changed
-				}
-			}
+			changed = t.merge(r, now) || changed
 		}
 		return changed
 	})
 }
 
+// merge adds the terminations of a report; t.mu is held. It reports whether something has
+// changed. The rate of new suspects does not apply to a request with enough terminations to
+// be quarantined: the sender does not report it again, and hundreds of quarantines may be
+// read at a start.
+func (t *Table) merge(r Report, now time.Time) (changed bool) {
+	var terminations []*termination
+	uncleared := 0
+	for _, reported := range r.Terminations {
+		if e, ok := reported.termination(now); ok {
+			terminations = append(terminations, e)
+			if !e.cleared {
+				uncleared++
+			}
+		}
+	}
+	if t.suspects[r.Fingerprint] == nil && uncleared < quarantineThreshold && len(terminations) > 0 && !t.newSuspects.AllowN(now, 1) {
+		return false
+	}
+	for _, e := range terminations {
+		changed = t.add(r.Fingerprint, e) || changed
+	}
+	return changed
+}
+
 // Since returns the suspects that changed after a sequence number, the earliest change
 // first and at most maxReports, and the number up to which the reports are complete. A
 // number that this table has not returned is treated as one before the first change.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -158,8 +158,11 @@
 // RecordTermination records that an upstream terminated under a request.
 func (t *Table) RecordTermination(f Fingerprint, a Attempt) {
 	t.change(true, func() bool {
+		if t.suspects[f] == nil && !t.newSuspects.AllowN(a.Ended, 1) {
+			return false
+		}
 		added := &termination{run: a.Run, host: t.host, began: a.Began.Sub(t.started), ended: a.Ended.Sub(t.started), at: a.Ended}
-		return t.add(f, added, a.Ended)
+		return t.add(f, added)
 	})
 }
 
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -301,3 +301,46 @@
 	require.Len(t, seenByB.quarantined, 1)
 	require.True(t, seenByA.quarantined[0].Own || seenByB.quarantined[0].Own)
 }
+
+// A host that starts reads all quarantines at once. The rate of new suspects, which is meant
+// for requests that fail together, left out those beyond newSuspectBurst.
+func TestAllQuarantinesThatAreReadAtOnceAreInForce(t *testing.T) {
+	var stored []Report
+	for n := range maxSuspects {
+		r := Report{Fingerprint: fingerprintOf(fmt.Sprint(n))}
+		for i := range int64(quarantineThreshold) {
+			r.Terminations = append(r.Terminations, Termination{Run: fmt.Sprint(n, "-", i), Host: "x", Began: 100 * i, Ended: 100*i + 50, Age: 1000 - 100*i})
+		}
+		stored = append(stored, r)
+	}
+	table, _ := newTable("a")
+	table.Merge(stored, at(0))
+	for _, r := range stored {
+		require.True(t, table.Quarantined(r.Fingerprint, at(0)))
+	}
+}
+
+// A host that starts must not take the update that a peer made for its earlier process for
+// all that the peer knows, nor the first message of several. It acknowledged the former, and
+// the peer never sent it the earlier suspicions.
+func TestAnUpdateForAnEarlierProcessIsNotComplete(t *testing.T) {
+	a, _ := newTable("a")
+	earlier, _ := newTable("b1")
+	attempt{"u", 0, 10}.record(a, fingerprintOf("f"))
+	ofB := a.MergeUpdate(earlier.UpdateFor(Watermarks{}, at(20)), at(20))
+	ofA := earlier.MergeUpdate(a.UpdateFor(ofB, at(30)), at(30))
+	ofB = a.MergeUpdate(earlier.UpdateFor(ofA, at(40)), at(40))
+	next := a.UpdateFor(ofB, at(50))
+	require.Empty(t, next.Reports)
+	require.True(t, earlier.Completes(next))
+	restarted, _ := newTable("b2")
+	require.False(t, restarted.Completes(next))
+	ofA = restarted.MergeUpdate(next, at(50))
+	ofB = a.MergeUpdate(restarted.UpdateFor(ofA, at(60)), at(60))
+	require.Len(t, a.UpdateFor(ofB, at(70)).Reports, 1)
+	require.True(t, restarted.Completes(a.UpdateFor(Watermarks{}, at(60))))
+	for n := range maxReports {
+		attempt{fmt.Sprint("u", n), 100, 110}.record(a, fingerprintOf(fmt.Sprint(n)))
+	}
+	require.False(t, restarted.Completes(a.UpdateFor(Watermarks{}, at(200))), "more follow")
+}
