fleet: let a starting host serve only with quarantines that it really knows

Cause: a host that had waited for one second served without the list, and each host that heard of it took that for knowledge of the quarantines. So did a restarted host that got a heartbeat made for its earlier process, or the first of several messages. After a failed read, a starting host tried to announce itself, for up to 2 s, before it read again.

Change: a heartbeat counts as a source only if it is complete for this process and its sender knows the quarantines (the field is absent, and means that it does, in heartbeats of older hosts). A separate task reads the lists of all regions in turn until the host knows them; it makes no call if the first read succeeds within a second. The wait is 3 s in place of 1 s: a read without a response takes 2 s, and the platform expects nothing of a host for 4 s after its start. A host that serves without the list refuses suspected requests for 30 s at most. Quarantines of a list are merged at once, expired rows are removed after that. Events quarantines-learned and quarantines-unread.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -285,6 +285,18 @@
 	l.stateEvent("quarantine-stored").Str("fingerprint", f.String()).Str("name", region).Int("attempts", attempts).Msg("request: quarantine stored under a region")
 }
 
+// QuarantinesLearned logs from which region's list or from which host this host learned
+// which requests are quarantined.
+func (l *Log) QuarantinesLearned(source string) {
+	l.stateEvent("quarantines-learned").Str("name", source).Msg("requests: quarantines learned")
+}
+
+// QuarantinesUnread logs that this host serves without knowing which requests are
+// quarantined, because it could not read a list in time.
+func (l *Log) QuarantinesUnread(waited time.Duration) {
+	l.stateEvent("quarantines-unread").Float64("after_ms", ms(waited)).Msg("requests: serving without the quarantines, no list could be read")
+}
+
 // Upstream logs an upstream's new state with the version of the table, which is 0 if
 // the state changed without a change of a row. Package routing defines the states. An
 // upstream whose row was deleted has neither service nor zone in the log.
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -51,6 +51,10 @@
 	// QuarantineStored reports that this host stored a quarantine under a region, and how
 	// many writes that took.
 	QuarantineStored(f poison.Fingerprint, region string, attempts int)
+	// QuarantinesLearned reports from which region's list or from which host a starting
+	// host learned of quarantines, and QuarantinesUnread that it no longer waits for them.
+	QuarantinesLearned(source string)
+	QuarantinesUnread(waited time.Duration)
 }
 
 // ObservationSink receives the failures and successes that other hosts of this host's
@@ -71,6 +75,9 @@
 	// merges an update that it sent.
 	UpdateFor(m poison.Watermarks, now time.Time) poison.Update
 	MergeUpdate(n poison.Update, now time.Time) poison.Watermarks
+	// Completes reports whether an update, once merged, leaves out none of the sender's
+	// suspicions.
+	Completes(u poison.Update) bool
 	// Merge adds reports that were read from the registry.
 	Merge(reports []poison.Report, now time.Time)
 	// Quarantines returns the quarantined requests with their reports.
@@ -126,8 +133,9 @@
 	// quarantined.
 	quarantinesLearned atomic.Bool
 	// quarantineWaitStart is when this host first had all other data that it needs to
-	// serve; nil before that.
+	// serve; nil before that. quarantineWaitEnded is set once it no longer waited.
 	quarantineWaitStart atomic.Pointer[time.Time]
+	quarantineWaitEnded atomic.Bool
 	// quarantinesChanged wakes keepQuarantinesStored.
 	quarantinesChanged chan struct{}
 
@@ -172,6 +180,7 @@
 	}
 	go f.keepRegistered(ctx)
 	go f.heartbeatLoop(ctx)
+	go f.readQuarantines(ctx)
 	go f.keepQuarantinesStored(ctx)
 	return nil
 }
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -217,6 +217,8 @@
 func (noopReporter) Stalled(time.Duration)                  {}
 
 func (noopReporter) QuarantineStored(poison.Fingerprint, string, int) {}
+func (noopReporter) QuarantinesLearned(string)                        {}
+func (noopReporter) QuarantinesUnread(time.Duration)                  {}
 
 // freeAddress returns an address that no process listens on.
 func freeAddress(t *testing.T) string {
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -129,9 +129,8 @@
 	if regained {
 		f.options.Report.Regained("peer", b.Host.Name, 0)
 	}
-	f.mergeSuspicions(b, now)
-	if b.Status.Ready {
-		f.quarantinesLearned.Store(true) // a host is ready only after it has learned of them
+	if complete := f.mergeSuspicions(b, now); complete && b.Status.Ready && !b.Status.QuarantinesUnknown {
+		f.recordQuarantinesLearned(b.Host.Name)
 	}
 	if f.options.Notices != nil {
 		f.options.Notices.Merge(b.Status.Notices, now)
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -37,6 +37,10 @@
 	// TakesIndirect reports that the host reaches upstreams and sends requests of hosts
 	// there that reach none. Hosts of older versions don't.
 	TakesIndirect bool `msgpack:"i,omitempty"`
+	// QuarantinesUnknown reports that the host serves without having learned which requests
+	// are quarantined, so that other hosts do not learn that from it. Hosts of older
+	// versions don't report it.
+	QuarantinesUnknown bool `msgpack:"k,omitempty"`
 	// Rate is the recent rate of client requests to the host, in requests per second.
 	Rate int `msgpack:"q,omitempty"`
 	// Changes is the version of the last change in each table's replica, in the order of
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cairndock/internal/pause"
 	"cairndock/internal/poison"
 )
 
@@ -38,11 +39,33 @@
 
 const (
 	// quarantineTimeout is how long a host that has all other data waits for
-	// quarantines. It is longer than reading a list takes, and adds little to the time
-	// for which a host is missing while no list can be read and no other host runs.
-	quarantineTimeout = time.Second
+	// quarantines. A read of the list that gets no response takes 2 s, and the next one
+	// then has time to succeed. It is below the 4 s after a start in which the platform
+	// expects nothing of a host.
+	quarantineTimeout = 3 * time.Second
+	// suspectedTimeout is how long a host that serves without the quarantines refuses each
+	// suspected request. It is bounded, because an innocent request that many clients send
+	// is suspected, too, and the store may be down for a long time.
+	suspectedTimeout = 30 * time.Second
+	// quarantineReadInterval is the pause before each read of a list only for its
+	// quarantines. No such read is made by a host that reads its list at once.
+	quarantineReadInterval = time.Second
 )
 
+// readQuarantines reads the lists of all regions in turn, until this host has learned of
+// quarantines. keepRegistered reads the lists as well, but between two attempts it waits for
+// writes, and it reads the list of the own region first, which may be the one that cannot
+// be read.
+func (f *Fleet) readQuarantines(ctx context.Context) {
+	regions := f.regions()
+	for n := 0; pause.For(ctx, quarantineReadInterval) && !f.quarantinesLearned.Load(); n++ {
+		region := regions[n%len(regions)]
+		if list, err := f.options.Registry.Read(ctx, region); err == nil {
+			f.mergeStored(ctx, region, list.Quarantines)
+		}
+	}
+}
+
 // KnowsQuarantines reports whether this host has learned which requests are quarantined,
 // from the registry or from a host that serves, or has waited for quarantineTimeout. It
 // is called once the host has all other data that it needs to serve. The wait begins
@@ -52,26 +75,65 @@
 	if f.quarantinesLearned.Load() {
 		return true
 	}
+	waited := f.waitedForQuarantines()
+	if waited < quarantineTimeout {
+		return false
+	}
+	if f.quarantineWaitEnded.CompareAndSwap(false, true) {
+		f.options.Report.QuarantinesUnread(waited)
+	}
+	return true
+}
+
+// RefusesSuspected reports whether this host must refuse each request under which an
+// upstream terminated, because the request may be quarantined and the host has not
+// learned of quarantines yet.
+func (f *Fleet) RefusesSuspected() bool {
+	if f.quarantinesLearned.Load() {
+		return false
+	}
+	start := f.quarantineWaitStart.Load()
+	return start == nil || time.Since(*start) < suspectedTimeout
+}
+
+// QuarantinesLearned reports whether this host has learned which requests are quarantined.
+func (f *Fleet) QuarantinesLearned() bool { return f.quarantinesLearned.Load() }
+
+// waitedForQuarantines returns the time since its first call.
+func (f *Fleet) waitedForQuarantines() time.Duration {
 	now := time.Now()
 	f.quarantineWaitStart.CompareAndSwap(nil, &now)
-	return now.Sub(*f.quarantineWaitStart.Load()) >= quarantineTimeout
+	return now.Sub(*f.quarantineWaitStart.Load())
+}
+
+// recordQuarantinesLearned records that this host has learned of quarantines from a region's
+// list or from a host.
+func (f *Fleet) recordQuarantinesLearned(source string) {
+	if f.quarantinesLearned.CompareAndSwap(false, true) {
+		f.options.Report.QuarantinesLearned(source)
+	}
 }
 
 // mergeStored adds the quarantines that were read from the registry, and removes those
 // that are no longer valid.
 func (f *Fleet) mergeStored(ctx context.Context, region string, stored []StoredQuarantine) {
-	defer f.quarantinesLearned.Store(true)
-	if f.options.Suspicions == nil {
-		return
-	}
 	now := time.Now()
+	var current, expired []poison.Report
 	for _, q := range stored {
-		r := q.aged(now)
-		if !r.Current() {
-			_ = f.options.Registry.Release(ctx, region, r.Fingerprint) // the next host that reads the list retries
-			continue
+		if r := q.aged(now); r.Current() {
+			current = append(current, r)
+		} else {
+			expired = append(expired, r)
 		}
-		f.options.Suspicions.Merge([]poison.Report{r}, now)
-		f.recordStored(region, r, now)
+	}
+	if f.options.Suspicions != nil {
+		f.options.Suspicions.Merge(current, now) // at once, because each change decides on all suspects
+		for _, r := range current {
+			f.recordStored(region, r, now)
+		}
+	}
+	f.recordQuarantinesLearned(region)
+	for _, r := range expired {
+		_ = f.options.Registry.Release(ctx, region, r.Fingerprint) // the next host that reads the list retries
 	}
 }
--- a/internal/gateway/fleet/rewrite_test.go
+++ b/internal/gateway/fleet/rewrite_test.go
@@ -44,6 +44,7 @@
 func (quarantines) MergeUpdate(poison.Update, time.Time) poison.Watermarks {
 	return poison.Watermarks{}
 }
+func (quarantines) Completes(poison.Update) bool                { return true }
 func (quarantines) Merge([]poison.Report, time.Time)            {}
 func (q quarantines) Quarantines(time.Time) []poison.Quarantine { return q }
 
--- a/internal/gateway/fleet/suspicions.go
+++ b/internal/gateway/fleet/suspicions.go
@@ -24,17 +24,20 @@
 	return b
 }
 
-// mergeSuspicions merges the suspicions of a received heartbeat.
-func (f *Fleet) mergeSuspicions(b heartbeat, now time.Time) {
+// mergeSuspicions merges the suspicions of a received heartbeat. It reports whether this
+// host then has all suspicions of the sender.
+func (f *Fleet) mergeSuspicions(b heartbeat, now time.Time) (complete bool) {
 	if f.options.Suspicions == nil {
-		return
+		return true
 	}
+	complete = f.options.Suspicions.Completes(b.Suspicions)
 	watermarks := f.options.Suspicions.MergeUpdate(b.Suspicions, now)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if p := f.members.peers[b.Host.Name]; p != nil && p.host.Incarnation == b.Host.Incarnation {
 		p.suspicions = watermarks
 	}
+	return complete
 }
 
 // TriggerAllHeartbeats makes the next heartbeats to all heartbeatTargets due now, so
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"testing"
@@ -219,6 +220,108 @@
 	})
 }
 
+// One host that had waited in vain for the list served, and all hosts that heard of it
+// served as well.
+func TestAHostThatDoesNotKnowQuarantinesIsNoSourceOfThem(t *testing.T) {
+	r := newFakeRegistry()
+	f := newFleet(r, host("a", "west-0", "west"), []string{"west"})
+	f.recordHeartbeat(heartbeat{Host: host("b", "west-0", "west"), Status: Status{Ready: true, QuarantinesUnknown: true}})
+	require.False(t, f.KnowsQuarantines())
+}
+
+// A peer that has not noticed a host's restart sends it only what the earlier process did
+// not have. The restarted host took that for all quarantines.
+func TestARestartedHostLearnsQuarantinesFromAPeerThatKnowsOfItsRestart(t *testing.T) {
+	r := &guardedRegistry{fakeRegistry: newFakeRegistry()}
+	a, earlier := newStoringHost(r, "a"), newStoringHost(r, "b")
+	f := poison.Content{Target: "/x"}.Fingerprint()
+	a.quarantine(f)
+	exchange := func(from, to storingHost) {
+		to.recordHeartbeat(from.withSuspicions(heartbeat{Host: from.options.Self, Status: readyStatus}, to.options.Self.Name))
+	}
+	for range 2 {
+		exchange(earlier, a)
+		exchange(a, earlier)
+	}
+	require.True(t, earlier.table.Quarantined(f, time.Now()))
+	require.True(t, earlier.KnowsQuarantines())
+	restarted := newStoringHost(r, "b")
+	restarted.options.Self.Incarnation = "2"
+	exchange(a, restarted)
+	require.False(t, restarted.KnowsQuarantines())
+	exchange(restarted, a)
+	exchange(a, restarted)
+	require.True(t, restarted.table.Quarantined(f, time.Now()))
+	require.True(t, restarted.KnowsQuarantines())
+}
+
+// slowRegistry is a registry of which one region cannot be read, and whose announcements
+// take long and fail.
+type slowRegistry struct {
+	*fakeRegistry
+	unreadable string
+}
+
+func (r *slowRegistry) Announce(context.Context, Host) (int64, error) {
+	time.Sleep(2 * time.Second)
+	return 0, errors.New("no response")
+}
+
+func (r *slowRegistry) Read(ctx context.Context, region string) (RegionList, error) {
+	if region == r.unreadable {
+		return RegionList{}, errors.New("refused")
+	}
+	return r.fakeRegistry.Read(ctx, region)
+}
+
+// A starting host that could not read its own list at once tried to announce itself before
+// it read again, and served before that without the quarantines, which it could read.
+func TestAStartingHostReadsQuarantinesFromAnyRegion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := &slowRegistry{newFakeRegistry(), "west"}
+		f := poison.Content{Target: "/x"}.Fingerprint()
+		known := poison.NewTable("z", time.Now(), &observer{fleet: newFleet(r, host("z", "west-0", "west"), []string{"west"})})
+		for i := range 3 {
+			now := time.Now()
+			known.RecordTermination(f, poison.Attempt{Run: fmt.Sprint("run-", i), Began: now, Ended: now.Add(20 * time.Millisecond)})
+			time.Sleep(30 * time.Millisecond)
+		}
+		q := known.Quarantines(time.Now())[0]
+		require.NoError(t, r.Quarantine(t.Context(), "east", StoredQuarantine{Report: q.Report, StoredAt: time.Now().UnixMilli()}))
+		started := newStoringHost(nil, "a")
+		started.options.Registry = r
+		ctx, cancel := context.WithCancel(t.Context())
+		go started.keepRegistered(ctx)
+		go started.readQuarantines(ctx)
+		for !started.KnowsQuarantines() {
+			time.Sleep(10 * time.Millisecond)
+		}
+		require.True(t, started.table.Quarantined(f, time.Now()))
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// While no list can be read, a host refuses suspected requests, but not for long: requests
+// that many clients send are suspected, too.
+func TestAHostRefusesSuspectedRequestsForABoundedTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newFakeRegistry()
+		f := newFleet(r, host("a", "west-0", "west"), []string{"west"})
+		require.False(t, f.KnowsQuarantines())
+		time.Sleep(quarantineTimeout)
+		require.True(t, f.KnowsQuarantines())
+		require.True(t, f.RefusesSuspected())
+		time.Sleep(suspectedTimeout - quarantineTimeout)
+		require.False(t, f.RefusesSuspected())
+
+		f = newFleet(r, host("a", "west-0", "west"), []string{"west"})
+		require.False(t, f.KnowsQuarantines())
+		_, _ = f.readLists(t.Context(), []string{"west"}, true)
+		require.False(t, f.RefusesSuspected())
+	})
+}
+
 // readOwnList reports whether the host has read the list of its own region.
 func (h hostWithSuspicions) readOwnList() bool {
 	h.mu.Lock()
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -145,7 +145,9 @@
 	fleet        singleHostFleet
 	// quarantinesUnknown is set while the host has not received the list of quarantines.
 	quarantinesUnknown atomic.Bool
-	suspicions         *poison.Table
+	// refusesSuspected is set while the host serves without this list.
+	refusesSuspected atomic.Bool
+	suspicions       *poison.Table
 	// suspension is the clock that reports how long the machine was suspended.
 	suspension suspendtest.Clock
 	// peers are the other hosts.
@@ -194,6 +196,7 @@
 		Client:           exchange.NewClient(g.dial, protocol{}),
 		Quota:            quota.NewLimiter(quota.Options{Zone: "z", Region: "r", Bound: quota.Bound{Window: time.Second}, Hosts: soleHost{}, Metrics: m}),
 		KnowsQuarantines: func() bool { return !g.quarantinesUnknown.Load() },
+		RefusesSuspected: g.refusesSuspected.Load,
 		Codec:            codec{}, SlackShare: func() float64 { return 1 }, ConfigAge: age, UpstreamsAge: age, Log: log, Metrics: m,
 		Tracer: telemetry.Tracer(traces),
 	})
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -90,6 +90,9 @@
 	// KnowsQuarantines reports whether the host has received the list of quarantined
 	// requests. Until then the host serves no requests.
 	KnowsQuarantines func() bool
+	// RefusesSuspected reports whether the host serves without that list, and must treat
+	// each suspected request as quarantined.
+	RefusesSuspected func() bool
 	// SlackShare returns this host's share of the retry budget's slack, from 0 to 1. It is
 	// zero while the host does not know which hosts share the slack.
 	SlackShare func() float64
--- a/internal/gateway/proxy/suspicion.go
+++ b/internal/gateway/proxy/suspicion.go
@@ -36,7 +36,10 @@
 }
 
 func (f *inflight) quarantined() bool {
-	return !f.proxy.Suspicions.Empty() && f.proxy.Suspicions.Quarantined(f.fingerprint(), time.Now())
+	if f.proxy.Suspicions.Empty() {
+		return false
+	}
+	return f.proxy.Suspicions.Quarantined(f.fingerprint(), time.Now()) || f.proxy.RefusesSuspected() && f.suspected()
 }
 
 // errQuarantined returns the error of a quarantined request, which is sent to no
--- a/internal/gateway/proxy/suspicion_test.go
+++ b/internal/gateway/proxy/suspicion_test.go
@@ -126,3 +126,31 @@
 	g.get()
 	require.EqualValues(t, 1, sent.Load())
 }
+
+// After a restart of all hosts whose list could not be read, each quarantined request
+// terminated three more upstreams. A host that serves without the list refuses a request
+// after the first one, until it has read the list.
+func TestAHostWithoutTheQuarantinesRefusesSuspectedRequests(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Repeatable))
+	var sent atomic.Int64
+	for range 4 {
+		g.addTerminatingUpstream(&sent, isPoison)
+	}
+	g.refusesSuspected.Store(true)
+	send := func() string {
+		resp, _, err := g.do(t.Context(), http.MethodPost, "/x/poison", "body")
+		require.NoError(t, err)
+		time.Sleep(50 * time.Millisecond) // the termination is recorded concurrently with the response
+		return resp.Header.Get("Reason")
+	}
+	send()
+	before := sent.Load()
+	require.Equal(t, string(verdict.Quarantined), send())
+	require.Equal(t, before, sent.Load())
+	resp, _, err := g.do(t.Context(), http.MethodPost, "/x/other", "body")
+	require.NoError(t, err)
+	require.Equal(t, http.StatusOK, resp.StatusCode)
+	g.refusesSuspected.Store(false)
+	require.NotEqual(t, string(verdict.Quarantined), send(), "it is not among the quarantined ones")
+}
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -21,6 +21,7 @@
 	// clients. Clients should then use other hosts.
 	ready := g.state.Ready() && g.fleet.KnowsQuarantines()
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
+	s.QuarantinesUnknown = !g.fleet.QuarantinesLearned()
 	s.TakesIndirect = s.Ready && !s.Leaving && !g.reach.Isolated()
 	if !g.reach.Suspected() {
 		s.Observations = g.detector.Observations(time.Now())
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -107,6 +107,7 @@
 		Tracer:       g.tracer,
 
 		KnowsQuarantines: g.fleet.KnowsQuarantines,
+		RefusesSuspected: g.fleet.RefusesSuspected,
 	})
 }
 
