exchange: let the check for a termination wait for a reset from another region

Cause: a check whether an upstream has terminated takes a new connection that stays open for 20 ms as proof that it runs. A load balancer accepts before it resets, so that the reset arrives a round trip after the connection is open: 70 ms with 35 ms one way. Hosts of other regions took a terminated upstream behind one for running, and its poison request was not counted.

Change: the connection must stay open for the time that opening it took besides. The wait ends with the check's 0.5 s.

Result: TestAnAddressOfAnotherRegionThatResetsEachConnectionHasTerminated fails before and passes now; go test -race -count=1 ./internal/gateway/exchange.

--- a/internal/gateway/exchange/ended.go
+++ b/internal/gateway/exchange/ended.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cairndock/internal/gateway/upstream"
+	"cairndock/internal/pause"
 )
 
 const (
@@ -16,9 +17,10 @@
 	// several new connections between two regions.
 	terminationCheckTimeout = 500 * time.Millisecond
 	// settleDelay is how long a new connection must stay open after another one was
-	// closed to show that the process runs. A process that terminates closes its
-	// listener and its connections one by one, so a connection that is opened meanwhile
-	// is reset at once.
+	// closed to show that the process runs, beside the time that it took to open. A process
+	// that terminates closes its listener and its connections one by one, so a connection
+	// that is opened meanwhile is reset at once. A load balancer accepts it first, so that
+	// its reset arrives a round trip after the connection is open.
 	settleDelay = 20 * time.Millisecond
 	// terminationRetention is how long a termination is remembered, for the attempts
 	// that notice it later.
@@ -100,6 +102,7 @@
 // receive many.
 func (c *Client) probe(ctx context.Context, to Target) probeResult {
 	for wait := settleDelay; ctx.Err() == nil; wait *= 2 {
+		began := time.Now()
 		nc, err := c.pool.dial(ctx, "tcp", to.Address)
 		switch {
 		case errors.Is(err, syscall.ECONNREFUSED):
@@ -111,7 +114,7 @@
 			return running
 		}
 		opened := newConn(nc)
-		time.Sleep(wait)
+		pause.For(ctx, wait+time.Since(began))
 		if opened.idleError() == nil {
 			c.pool.put(to.Run, opened, time.Now(), 0)
 			return running
--- a/internal/gateway/exchange/ended_test.go
+++ b/internal/gateway/exchange/ended_test.go
@@ -1,6 +1,7 @@
 package exchange_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -25,6 +26,23 @@
 	require.Less(t, accepted.Load(), int64(10), "the address does not receive many connections")
 }
 
+// With 35 ms one way between regions, the reset of an accepted connection arrives 70 ms after
+// the connection is open. Hosts of other regions took the upstream for running.
+func TestAnAddressOfAnotherRegionThatResetsEachConnectionHasTerminated(t *testing.T) {
+	const roundTrip = 70 * time.Millisecond
+	l, _ := listenAndReset(t, func(int) bool {
+		time.Sleep(roundTrip)
+		return true
+	})
+	near := dial.New(time.Second).DialContext
+	far := func(ctx context.Context, network, address string) (net.Conn, error) {
+		time.Sleep(roundTrip)
+		return near(ctx, network, address)
+	}
+	client := exchange.NewClient(far, nil)
+	require.True(t, client.HasTerminated(t.Context(), exchange.Target{Upstream: "a", Run: "a", Address: l.Addr().String()}))
+}
+
 // An upstream over its limit of connections resets new ones while it responds on others.
 func TestAnUpstreamOverItsConnectionLimitHasNotTerminated(t *testing.T) {
 	t.Run("it accepts a connection again", func(t *testing.T) {
