--- a/internal/gateway/fleet/quarantinestore_test.go
+++ b/internal/gateway/fleet/quarantinestore_test.go
@@ -61,16 +61,19 @@
 // responsible for the quarantine, so that the request was sent again after a restart of all
 // hosts.
 func TestAQuarantineIsStoredThoughTheHostThatDecidedItEnds(t *testing.T) {
-	shared := newFakeRegistry()
-	a := startHostWithSuspicions(t, &guardedRegistry{fakeRegistry: shared, refused: true}, host("a", "west-0", "west"))
-	others := &guardedRegistry{fakeRegistry: shared}
-	b := startHostWithSuspicions(t, others, host("b", "west-0", "west"))
-	require.Eventually(t, func() bool { return a.Hosts() == 2 && b.Hosts() == 2 }, 3*time.Second, 5*time.Millisecond)
-	f := poison.Content{Target: "/x"}.Fingerprint()
-	a.quarantine(f)
-	require.Eventually(t, func() bool { return b.table.Quarantined(f, time.Now()) }, 3*time.Second, 5*time.Millisecond)
-	a.mesh.Close()
-	require.Eventually(t, func() bool { return others.has("west", f) }, 2*time.Second, 5*time.Millisecond)
+	synctest.Test(t, func(t *testing.T) {
+		refusing := &guardedRegistry{fakeRegistry: newFakeRegistry(), refused: true}
+		a, stopA := startStoringHost(t, refusing, "a")
+		shared := &guardedRegistry{fakeRegistry: refusing.fakeRegistry}
+		b, _ := startStoringHost(t, shared, "b")
+		f := poison.Content{Target: "/x"}.Fingerprint()
+		a.quarantine(f)
+		a.sendHeartbeat(b)
+		stopA()
+		time.Sleep(time.Second)
+		require.True(t, b.table.Quarantined(f, time.Now()))
+		require.True(t, shared.has("west", f))
+	})
 }
 
 // storingHost is a host that stores quarantines, without other hosts.
@@ -86,16 +89,22 @@
 	return storingHost{hostWithSuspicions{o.fleet, table}, r}
 }
 
-// startStoringHost starts a host whose only task is to store quarantines.
-func startStoringHost(t *testing.T) storingHost {
-	h := newStoringHost(&guardedRegistry{fakeRegistry: newFakeRegistry()}, "a")
+// sendHeartbeat sends a heartbeat of a host that serves.
+func (h storingHost) sendHeartbeat(to storingHost) {
+	to.recordHeartbeat(h.withSuspicions(heartbeat{Host: h.options.Self, Status: readyStatus}, to.options.Self.Name))
+}
+
+// startStoringHost starts a host whose only task is to store quarantines, until stop is
+// called or the test ends.
+func startStoringHost(t *testing.T, r *guardedRegistry, name string) (h storingHost, stop func()) {
+	h = newStoringHost(r, name)
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
 		cancel()
 		synctest.Wait()
 	})
 	go h.keepQuarantinesStored(ctx)
-	return h
+	return h, cancel
 }
 
 // A host gave up after five writes in ten seconds, while stores are down for minutes. A
@@ -107,7 +116,7 @@
 	}{{"refused at once", 0}, {"no response", 2 * time.Second}} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				h := startStoringHost(t)
+				h, _ := startStoringHost(t, &guardedRegistry{fakeRegistry: newFakeRegistry()}, "a")
 				h.registry.set(true, c.delay)
 				f := poison.Content{Target: "/x"}.Fingerprint()
 				h.quarantine(f)
@@ -125,7 +134,7 @@
 // A write that is under way at the release would leave a row that no host removes.
 func TestAQuarantineThatIsReleasedDuringItsWriteIsRemoved(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := startStoringHost(t)
+		h, _ := startStoringHost(t, &guardedRegistry{fakeRegistry: newFakeRegistry()}, "a")
 		h.registry.set(false, time.Second)
 		f := poison.Content{Target: "/x"}.Fingerprint()
 		h.quarantine(f)
@@ -140,7 +149,7 @@
 // sent again.
 func TestAQuarantineIsStoredAgainAfterALaterTermination(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		h := startStoringHost(t)
+		h, _ := startStoringHost(t, &guardedRegistry{fakeRegistry: newFakeRegistry()}, "a")
 		f := poison.Content{Target: "/x"}.Fingerprint()
 		h.quarantine(f)
 		time.Sleep(time.Second)
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -236,21 +236,18 @@
 	a, earlier := newStoringHost(r, "a"), newStoringHost(r, "b")
 	f := poison.Content{Target: "/x"}.Fingerprint()
 	a.quarantine(f)
-	exchange := func(from, to storingHost) {
-		to.recordHeartbeat(from.withSuspicions(heartbeat{Host: from.options.Self, Status: readyStatus}, to.options.Self.Name))
-	}
 	for range 2 {
-		exchange(earlier, a)
-		exchange(a, earlier)
+		earlier.sendHeartbeat(a)
+		a.sendHeartbeat(earlier)
 	}
 	require.True(t, earlier.table.Quarantined(f, time.Now()))
 	require.True(t, earlier.KnowsQuarantines())
 	restarted := newStoringHost(r, "b")
 	restarted.options.Self.Incarnation = "2"
-	exchange(a, restarted)
+	a.sendHeartbeat(restarted)
 	require.False(t, restarted.KnowsQuarantines())
-	exchange(restarted, a)
-	exchange(a, restarted)
+	restarted.sendHeartbeat(a)
+	a.sendHeartbeat(restarted)
 	require.True(t, restarted.table.Quarantined(f, time.Now()))
 	require.True(t, restarted.KnowsQuarantines())
 }
