Test decisions that assume properties of earlier fleets on deployment B

Cause: sizes of zones, upstreams in a zone, delays and nearness to the store differ in deployment B (78 hosts in six zones, 35 ms between regions), and which decisions rest on them was not written down.

--- a/internal/gateway/balance/region_test.go
+++ b/internal/gateway/balance/region_test.go
@@ -100,3 +100,34 @@
 	require.InDelta(t, 0.6, got["west"], 0.03)
 	require.InDelta(t, 0.4, got["east"], 0.03)
 }
+
+// Two services with different numbers of upstreams in each region share a host, and one has
+// half as many as the other. Each is spread by its own upstreams.
+func TestEachServiceIsSpreadByItsOwnUpstreams(t *testing.T) {
+	service := func(name string, west, east, north int) (all []*upstream.Upstream) {
+		for _, r := range []struct {
+			region string
+			n      int
+		}{{"west", west}, {"east", east}, {"north", north}} {
+			for i := range r.n {
+				all = append(all, newUpstream(name+r.region+strconv.Itoa(i), r.region+"-"+strconv.Itoa(i%2), r.region))
+			}
+		}
+		return all
+	}
+	services := [][]*upstream.Upstream{service("a", 22, 88, 106), service("b", 63, 13, 50)}
+	b := balance.New(balance.Location{Zone: "west-1", Region: "west", Regions: 3}, fixedQuota(1), noneEjected{}, balance.DefaultPolicy())
+	const keys = 1000
+	var own [2]float64
+	for key := range keys {
+		for i, all := range services {
+			c := choose(t, b, balance.Query{Key: strconv.Itoa(key), Upstreams: all, Now: time.Now()})
+			b.Done(c)
+			if c.Upstream.Region == "west" {
+				own[i] += 1.0 / keys
+			}
+		}
+	}
+	require.InDelta(t, 22*3/216.0, own[0], 0.05)
+	require.InDelta(t, 1, own[1], 1e-6)
+}
--- a/internal/gateway/reach/monitor_test.go
+++ b/internal/gateway/reach/monitor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -99,6 +100,24 @@
 	}
 }
 
+// While a region of three is cut off, its hosts reach its upstreams only, and the other hosts
+// all others. Each check must sample upstreams that such a host reaches, whichever service the
+// upstreams belong to.
+func TestASampleHasUpstreamsOfEachRegion(t *testing.T) {
+	for _, perZone := range []int{21, 36} {
+		all := upstreams(perZone, "west-1", "west-2", "east-1", "east-2", "south-1", "south-2")
+		for range 50 {
+			first, _ := samples(all)
+			regions := map[string]int{}
+			for _, u := range first {
+				region, _, _ := strings.Cut(u.Zone, "-")
+				regions[region]++
+			}
+			require.Equal(t, map[string]int{"west": 2, "east": 2, "south": 2}, regions)
+		}
+	}
+}
+
 // network is a fake network between a host and its upstreams.
 type network struct {
 	mu sync.Mutex
