--- a/internal/gateway/fleet/quarantinestore.go
+++ b/internal/gateway/fleet/quarantinestore.go
@@ -45,8 +45,8 @@
 	// upstream terminated, as of that row.
 	stored bool
 	last   time.Time
-	// attempts is the number of this process's writes that failed since the last one that
-	// succeeded. written is set once this process has tried to write the row.
+	// attempts is the number of this process's writes since the last one that succeeded.
+	// written is set once this process has tried to write the row.
 	attempts int
 	written  bool
 }
