exchange: play the reset from another region in fake time

Cause: TestAnAddressOfAnotherRegionThatResetsEachConnectionHasTerminated failed once at a load of 19 (go test -race -count=1 ./internal/gateway/exchange with eight other packages): its reset is due 20 ms before the check looks, in real time, and the process was busy for longer.

Change: the connection and its reset are played in fake time, with the same check and one on the number of connections besides.

--- a/internal/gateway/exchange/ended_test.go
+++ b/internal/gateway/exchange/ended_test.go
@@ -6,7 +6,9 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -29,20 +31,42 @@
 // With 35 ms one way between regions, the reset of an accepted connection arrives 70 ms after
 // the connection is open. Hosts of other regions took the upstream for running.
 func TestAnAddressOfAnotherRegionThatResetsEachConnectionHasTerminated(t *testing.T) {
-	const roundTrip = 70 * time.Millisecond
-	l, _ := listenAndReset(t, func(int) bool {
-		time.Sleep(roundTrip)
-		return true
+	synctest.Test(t, func(t *testing.T) {
+		const roundTrip = 70 * time.Millisecond
+		dials := 0
+		dialFar := func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			time.Sleep(roundTrip)
+			c, _ := net.Pipe()
+			return lateResetConn{c, time.Now().Add(roundTrip)}, nil
+		}
+		client := exchange.NewClient(dialFar, nil)
+		require.True(t, client.HasTerminated(t.Context(), exchange.Target{Upstream: "a", Run: "a", Address: "far"}))
+		require.Less(t, dials, 10, "the address does not receive many connections")
 	})
-	near := dial.New(time.Second).DialContext
-	far := func(ctx context.Context, network, address string) (net.Conn, error) {
-		time.Sleep(roundTrip)
-		return near(ctx, network, address)
+}
+
+// lateResetConn is a connection whose reset arrives at a time.
+type lateResetConn struct {
+	net.Conn
+	resetAt time.Time
+}
+
+// SyscallConn implements syscall.Conn.
+func (c lateResetConn) SyscallConn() (syscall.RawConn, error) {
+	if time.Now().Before(c.resetAt) {
+		return openRawConn{}, nil
 	}
-	client := exchange.NewClient(far, nil)
-	require.True(t, client.HasTerminated(t.Context(), exchange.Target{Upstream: "a", Run: "a", Address: l.Addr().String()}))
+	return nil, syscall.ECONNRESET
 }
 
+// openRawConn is the raw connection of an open connection without data.
+type openRawConn struct{}
+
+func (openRawConn) Control(func(fd uintptr)) error    { return nil }
+func (openRawConn) Read(func(fd uintptr) bool) error  { return nil }
+func (openRawConn) Write(func(fd uintptr) bool) error { return nil }
+
 // An upstream over its limit of connections resets new ones while it responds on others.
 func TestAnUpstreamOverItsConnectionLimitHasNotTerminated(t *testing.T) {
 	t.Run("it accepts a connection again", func(t *testing.T) {
