--- a/internal/gateway/exchange/ended_test.go
+++ b/internal/gateway/exchange/ended_test.go
@@ -1,11 +1,14 @@
 package exchange_test
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -25,6 +28,45 @@
 	require.Less(t, accepted.Load(), int64(10), "the address does not receive many connections")
 }
 
+// With 35 ms one way between regions, the reset of an accepted connection arrives 70 ms after
+// the connection is open. Hosts of other regions took the upstream for running.
+func TestAnAddressOfAnotherRegionThatResetsEachConnectionHasTerminated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const roundTrip = 70 * time.Millisecond
+		dials := 0
+		dialFar := func(context.Context, string, string) (net.Conn, error) {
+			dials++
+			time.Sleep(roundTrip)
+			c, _ := net.Pipe()
+			return lateResetConn{c, time.Now().Add(roundTrip)}, nil
+		}
+		client := exchange.NewClient(dialFar, nil)
+		require.True(t, client.HasTerminated(t.Context(), exchange.Target{Upstream: "a", Run: "a", Address: "far"}))
+		require.Less(t, dials, 10, "the address does not receive many connections")
+	})
+}
+
+// lateResetConn is a connection whose reset arrives at a time.
+type lateResetConn struct {
+	net.Conn
+	resetAt time.Time
+}
+
+// SyscallConn implements syscall.Conn.
+func (c lateResetConn) SyscallConn() (syscall.RawConn, error) {
+	if time.Now().Before(c.resetAt) {
+		return openRawConn{}, nil
+	}
+	return nil, syscall.ECONNRESET
+}
+
+// openRawConn is the raw connection of an open connection without data.
+type openRawConn struct{}
+
+func (openRawConn) Control(func(fd uintptr)) error    { return nil }
+func (openRawConn) Read(func(fd uintptr) bool) error  { return nil }
+func (openRawConn) Write(func(fd uintptr) bool) error { return nil }
+
 // An upstream over its limit of connections resets new ones while it responds on others.
 func TestAnUpstreamOverItsConnectionLimitHasNotTerminated(t *testing.T) {
 	t.Run("it accepts a connection again", func(t *testing.T) {
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -48,6 +48,13 @@
 	Regained(kind, name string, after time.Duration)
 	// Stalled reports for how long the process had no CPU time.
 	Stalled(d time.Duration)
+	// QuarantineStored reports that this host stored a quarantine under a region, and how
+	// many writes that took.
+	QuarantineStored(f poison.Fingerprint, region string, attempts int)
+	// QuarantinesLearned reports from which region's list or from which host a starting
+	// host learned of quarantines, and QuarantinesUnread that it no longer waits for them.
+	QuarantinesLearned(source string)
+	QuarantinesUnread(waited time.Duration)
 }
 
 // ObservationSink receives the failures and successes that other hosts of this host's
@@ -68,10 +75,13 @@
 	// merges an update that it sent.
 	UpdateFor(m poison.Watermarks, now time.Time) poison.Update
 	MergeUpdate(n poison.Update, now time.Time) poison.Watermarks
+	// Completes reports whether an update, once merged, leaves out none of the sender's
+	// suspicions.
+	Completes(u poison.Update) bool
 	// Merge adds reports that were read from the registry.
 	Merge(reports []poison.Report, now time.Time)
-	// Quarantines returns the reports of the quarantined requests.
-	Quarantines(now time.Time) []poison.Report
+	// Quarantines returns the quarantined requests with their reports.
+	Quarantines(now time.Time) []poison.Quarantine
 }
 
 // Table is a table of the store that hosts relay to each other.
@@ -123,8 +133,11 @@
 	// quarantined.
 	quarantinesLearned atomic.Bool
 	// quarantineWaitStart is when this host first had all other data that it needs to
-	// serve; nil before that.
+	// serve; nil before that. quarantineWaitEnded is set once it no longer waited.
 	quarantineWaitStart atomic.Pointer[time.Time]
+	quarantineWaitEnded atomic.Bool
+	// quarantinesChanged wakes keepQuarantinesStored.
+	quarantinesChanged chan struct{}
 
 	// mu guards the fields below.
 	mu      sync.Mutex
@@ -140,6 +153,8 @@
 	newest []versionSeen
 	// announcedEra is the era of the store in which this host was last announced.
 	announcedEra int64
+	// quarantineRows has the rows of quarantines that this host has written or read.
+	quarantineRows map[quarantineRow]rowState
 }
 
 // New returns a fleet that is not running yet.
@@ -147,6 +162,7 @@
 	f := &Fleet{
 		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
 		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), announcedEra: notAnnounced,
+		quarantinesChanged: make(chan struct{}, 1), quarantineRows: map[quarantineRow]rowState{},
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
@@ -164,6 +180,8 @@
 	}
 	go f.keepRegistered(ctx)
 	go f.heartbeatLoop(ctx)
+	go f.readQuarantines(ctx)
+	go f.keepQuarantinesStored(ctx)
 	return nil
 }
 
--- a/internal/gateway/fleet/quarantine.go
+++ b/internal/gateway/fleet/quarantine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"cairndock/internal/pause"
@@ -12,7 +11,8 @@
 // Quarantines are also stored in the registry, so that they survive when all hosts stop
 // at the same time. They are stored with the hosts of every region, because a starting
 // host reads the list of its own region first and those of other regions up to a second
-// after it starts to serve. Reading them thus takes no additional call. Running hosts
+// after it starts to serve. Reading them thus takes no additional call. Which hosts store
+// them is decided in quarantinestore.go. Running hosts
 // learn of quarantines from heartbeats. A starting host serves only once it has learned
 // of them from either source, because the quarantined requests keep coming during its
 // start.
@@ -39,46 +39,33 @@
 
 const (
 	// quarantineTimeout is how long a host that has all other data waits for
-	// quarantines. It is longer than reading a list takes, and adds little to the time
-	// for which a host is missing while no list can be read and no other host runs.
-	quarantineTimeout = time.Second
-	// maxQuarantineWrites is how many times a host tries to store a quarantine. The
-	// other hosts learn of it from heartbeats in the meantime.
-	maxQuarantineWrites = 5
-	// quarantineRetryDelay is the pause between two of these attempts.
-	quarantineRetryDelay = 2 * time.Second
+	// quarantines. A read of the list that gets no response takes 2 s, and the next one
+	// then has time to succeed. It is below the 4 s after a start in which the platform
+	// expects nothing of a host.
+	quarantineTimeout = 3 * time.Second
+	// suspectedTimeout is how long a host that serves without the quarantines refuses each
+	// suspected request. It is bounded, because an innocent request that many clients send
+	// is suspected, too, and the store may be down for a long time.
+	suspectedTimeout = 30 * time.Second
+	// quarantineReadInterval is the pause before each read of a list only for its
+	// quarantines. No such read is made by a host that reads its list at once.
+	quarantineReadInterval = time.Second
 )
 
-// StoreQuarantine stores a quarantine that this host decided under every region, the own
-// region first. It returns once this has succeeded or was tried maxQuarantineWrites
-// times. Errors are dropped because the watchers of the tables log that the store is
-// unavailable.
-func (f *Fleet) StoreQuarantine(ctx context.Context, r poison.Report) {
-	f.storeQuarantine(ctx, r, f.regions())
-}
-
-// storeQuarantine stores a quarantine under the remaining regions; see StoreQuarantine.
-func (f *Fleet) storeQuarantine(ctx context.Context, r poison.Report, remaining []string) {
-	q := StoredQuarantine{Report: r, StoredAt: time.Now().UnixMilli()}
-	for range maxQuarantineWrites {
-		remaining = slices.DeleteFunc(remaining, func(region string) bool {
-			return f.options.Registry.Quarantine(ctx, region, q) == nil
-		})
-		if len(remaining) == 0 || !pause.For(ctx, quarantineRetryDelay) {
-			return
+// readQuarantines reads the lists of all regions in turn, until this host has learned of
+// quarantines. keepRegistered reads the lists as well, but between two attempts it waits for
+// writes, and it reads the list of the own region first, which may be the one that cannot
+// be read.
+func (f *Fleet) readQuarantines(ctx context.Context) {
+	regions := f.regions()
+	for n := 0; pause.For(ctx, quarantineReadInterval) && !f.quarantinesLearned.Load(); n++ {
+		region := regions[n%len(regions)]
+		if list, err := f.options.Registry.Read(ctx, region); err == nil {
+			f.mergeStored(ctx, region, list.Quarantines)
 		}
 	}
 }
 
-// RemoveQuarantine removes a quarantine that this host released. An entry that remains
-// after an error is valid for an hour at most, and only for hosts that start while no
-// other host runs.
-func (f *Fleet) RemoveQuarantine(ctx context.Context, fingerprint poison.Fingerprint) {
-	for _, region := range f.regions() {
-		_ = f.options.Registry.Release(ctx, region, fingerprint)
-	}
-}
-
 // KnowsQuarantines reports whether this host has learned which requests are quarantined,
 // from the registry or from a host that serves, or has waited for quarantineTimeout. It
 // is called once the host has all other data that it needs to serve. The wait begins
@@ -88,25 +75,65 @@
 	if f.quarantinesLearned.Load() {
 		return true
 	}
+	waited := f.waitedForQuarantines()
+	if waited < quarantineTimeout {
+		return false
+	}
+	if f.quarantineWaitEnded.CompareAndSwap(false, true) {
+		f.options.Report.QuarantinesUnread(waited)
+	}
+	return true
+}
+
+// RefusesSuspected reports whether this host must refuse each request under which an
+// upstream terminated, because the request may be quarantined and the host has not
+// learned of quarantines yet.
+func (f *Fleet) RefusesSuspected() bool {
+	if f.quarantinesLearned.Load() {
+		return false
+	}
+	start := f.quarantineWaitStart.Load()
+	return start == nil || time.Since(*start) < suspectedTimeout
+}
+
+// QuarantinesLearned reports whether this host has learned which requests are quarantined.
+func (f *Fleet) QuarantinesLearned() bool { return f.quarantinesLearned.Load() }
+
+// waitedForQuarantines returns the time since its first call.
+func (f *Fleet) waitedForQuarantines() time.Duration {
 	now := time.Now()
 	f.quarantineWaitStart.CompareAndSwap(nil, &now)
-	return now.Sub(*f.quarantineWaitStart.Load()) >= quarantineTimeout
+	return now.Sub(*f.quarantineWaitStart.Load())
+}
+
+// recordQuarantinesLearned records that this host has learned of quarantines from a region's
+// list or from a host.
+func (f *Fleet) recordQuarantinesLearned(source string) {
+	if f.quarantinesLearned.CompareAndSwap(false, true) {
+		f.options.Report.QuarantinesLearned(source)
+	}
 }
 
 // mergeStored adds the quarantines that were read from the registry, and removes those
 // that are no longer valid.
 func (f *Fleet) mergeStored(ctx context.Context, region string, stored []StoredQuarantine) {
-	defer f.quarantinesLearned.Store(true)
-	if f.options.Suspicions == nil {
-		return
-	}
 	now := time.Now()
+	var current, expired []poison.Report
 	for _, q := range stored {
-		r := q.aged(now)
-		if !r.Current() {
-			_ = f.options.Registry.Release(ctx, region, r.Fingerprint) // the next host that reads the list retries
-			continue
+		if r := q.aged(now); r.Current() {
+			current = append(current, r)
+		} else {
+			expired = append(expired, r)
 		}
-		f.options.Suspicions.Merge([]poison.Report{r}, now)
+	}
+	if f.options.Suspicions != nil {
+		f.options.Suspicions.Merge(current, now) // at once, because each change decides on all suspects
+		for _, r := range current {
+			f.recordStored(region, r, now)
+		}
+	}
+	f.recordQuarantinesLearned(region)
+	for _, r := range expired {
+		_ = f.options.Registry.Release(ctx, region, r.Fingerprint) // the next host that reads the list retries
 	}
 }
--- a/internal/gateway/status.go
+++ b/internal/gateway/status.go
@@ -21,6 +21,7 @@
 	// clients. Clients should then use other hosts.
 	ready := g.state.Ready() && g.fleet.KnowsQuarantines()
 	s := fleet.Status{Ready: ready, Leaving: ready && !g.proxy.Ready(), Fresh: true, Rate: g.proxy.Rate(time.Now())}
+	s.QuarantinesUnknown = !g.fleet.QuarantinesLearned()
 	s.TakesIndirect = s.Ready && !s.Leaving && !g.reach.Isolated()
 	if !g.reach.Suspected() {
 		s.Observations = g.detector.Observations(time.Now())
@@ -56,12 +57,10 @@
 }
 
 // Quarantined logs that a request is quarantined, and stores the quarantine if this host
-// was the first to detect it.
+// is responsible for that.
 func (g *Gateway) Quarantined(q poison.Quarantine) {
 	g.log.Quarantined(q)
-	if q.Own {
-		go g.fleet.StoreQuarantine(context.Background(), q.Report)
-	}
+	g.fleet.StoreQuarantines()
 }
 
 // Released logs that a request is no longer quarantined, and removes the quarantine from
--- a/internal/poison/change.go
+++ b/internal/poison/change.go
@@ -5,14 +5,11 @@
 // Each change of a table applies the change, evicts suspects beyond the maximum, decides on
 // quarantines and notifies the observer, in one step.
 
-// add adds a termination that was learned at a time to those of a request; t.mu is held. It
-// reports whether something has changed.
-func (t *Table) add(f Fingerprint, e *termination, now time.Time) bool {
+// add adds a termination to those of a request; t.mu is held. It reports whether something
+// has changed.
+func (t *Table) add(f Fingerprint, e *termination) bool {
 	s := t.suspects[f]
 	if s == nil {
-		if !t.newSuspects.AllowN(now, 1) {
-			return false
-		}
 		s = &suspect{}
 		t.suspects[f] = s
 	}
@@ -102,10 +99,10 @@
 		if !s.quarantined {
 			continue
 		}
-		terminations := s.unclearedExcept(skipNone)
-		q := Quarantine{Fingerprint: f, Own: terminations[len(terminations)-1].host == t.host}
-		for _, e := range terminations {
+		q := Quarantine{Fingerprint: f, Last: s.last}
+		for _, e := range s.unclearedExcept(skipNone) {
 			q.Runs = append(q.Runs, e.run)
+			q.Own = q.Own || e.host == t.host
 		}
 		all = append(all, q)
 	}
