rollout: choose the keys of a fraction by their requests

Cause: a fraction of the keys was taken as the same fraction of the requests.

The canary and the ramp take the keys that have the intended fraction of the requests. The record has that fraction, which decides the number of upstreams. Evidence of hosts of older versions lacks the counts; without any, the measured fraction corrects as before.

--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -151,6 +151,9 @@
 	f, now := a.inflight, time.Now()
 	f.proxy.Balancer.Sent(a.choice, now)
 	a.rollout = f.proxy.Rollouts.Sent(f.service, f.route.Name, a.choice.Upstream, !a.choice.Cold, now)
+	if a.number == 1 {
+		a.rollout.CountKey(f.key())
+	}
 	if a.choice.Cold {
 		a.logWarmUp()
 	}
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -49,14 +49,15 @@
 	return f.proxy.Balancer.Choose(q)
 }
 
+// key returns the key that decides which upstreams the request prefers. A request without a key
+// uses its ID instead, so that such requests do not all prefer the same upstreams.
+func (f *inflight) key() string { return cmp.Or(f.info.Key, f.info.ID) }
+
 // query returns the input of a choice, apart from the load and health of the upstreams:
 // the key and priority of the request, and the configuration of its route and service.
-//
-// A request without a key uses its ID instead, so that such requests do not all prefer
-// the same upstreams.
 func (f *inflight) query(now time.Time) balance.Query {
 	q := balance.Query{
-		Key:        cmp.Or(f.info.Key, f.info.ID),
+		Key:        f.key(),
 		NoAffinity: f.info.Key == "" || !f.route.Sticky,
 		Upstreams:  f.proxy.State.Upstreams().Service(f.service),
 		Priority:   f.priority(),
--- a/internal/gateway/rollout/evidence.go
+++ b/internal/gateway/rollout/evidence.go
@@ -25,6 +25,9 @@
 	// Groups are the outcomes at the target's upstreams, which are put into groups by the
 	// hash of their runs.
 	Groups map[int]GroupOutcomes `msgpack:"g,omitempty" json:"groups,omitempty"`
+	// Positions are the first attempts by the position of their key. Hosts of older versions
+	// do not send them.
+	Positions Positions `msgpack:"p,omitempty" json:"positions,omitempty"`
 }
 
 // GroupOutcomes counts the attempts at a group of upstreams, like Outcomes.
@@ -68,7 +71,7 @@
 
 // newEvidence returns evidence without attempts.
 func newEvidence() Evidence {
-	return Evidence{Routes: map[string]RouteEvidence{}, Groups: map[int]GroupOutcomes{}}
+	return Evidence{Routes: map[string]RouteEvidence{}, Groups: map[int]GroupOutcomes{}, Positions: Positions{}}
 }
 
 // clone returns a copy that shares no map with e.
@@ -77,6 +80,7 @@
 // plus returns the sum of two evidences, which shares no map with either.
 func (e Evidence) plus(other Evidence) Evidence {
 	sum := newEvidence()
+	sum.Positions = e.Positions.plus(other.Positions)
 	for _, groups := range []map[int]GroupOutcomes{e.Groups, other.Groups} {
 		for group, g := range groups {
 			group = max(0, min(group, maxGroups-1))
--- a/internal/gateway/rollout/next.go
+++ b/internal/gateway/rollout/next.go
@@ -111,7 +111,10 @@
 		return s.adjust()
 	}
 	next := s.Record.WithPhase(Ramp, s.summary(), s.Now)
-	next.Fraction = rampFraction
+	next.Fraction, next.Requests = rampFraction, 0
+	if s.knowsPositions() {
+		next.Fraction, next.Requests = s.Evidence.Positions.fractionFor(rampFraction), rampFraction
+	}
 	return next, true
 }
 
@@ -195,17 +198,20 @@
 	case s.Target.Count == 0:
 		return r, false
 	case r.Fraction == 0 && want > 0:
-		return r.WithFraction(want, s.Now), true
+		return r.WithFraction(want, 0, s.Now), true
 	case after(r.ChangedAt, s.Now) < adjustInterval:
 		return r, false
 	case r.Fraction > 0 && want == 0:
-		return r.WithFraction(0, s.Now), true
+		return r.WithFraction(0, 0, s.Now), true
+	}
+	next, requests := s.correctedFraction(want), 0.0
+	if s.knowsPositions() {
+		requests = want
 	}
-	next := s.correctedFraction(want)
 	if math.Abs(next-r.Fraction) < minAdjustment*r.Fraction {
 		return r, false
 	}
-	return r.WithFraction(next, s.Now), true
+	return r.WithFraction(next, requests, s.Now), true
 }
 
 // correctedFraction returns the fraction of the keys of which the wanted fraction of the
@@ -217,13 +223,25 @@
 		return s.Record.Fraction
 	}
 	measured := float64(all.Target.Sent) / float64(sent)
+	if s.knowsPositions() {
+		measured = s.Evidence.Positions.requestsOf(s.Record.Fraction)
+	}
 	if measured < want*adjustFactor && measured > want/adjustFactor {
 		return s.Record.Fraction
 	}
+	if s.knowsPositions() {
+		return min(maxCanaryFraction, s.Evidence.Positions.fractionFor(want))
+	}
 	factor := min(2, max(0.5, want/max(measured, want/2)))
 	return min(maxCanaryFraction, s.Record.Fraction*factor)
 }
 
+// knowsPositions reports whether it is known what fraction of the requests a fraction of the keys
+// has. Hosts of older versions do not report it.
+func (s Situation) knowsPositions() bool {
+	return s.Evidence.Positions.total() >= minAdjustRequests
+}
+
 // canaryFraction returns the fraction of the requests that the canary shall get; zero once
 // the target has used the canary's part of the budget for the whole duration.
 func (s Situation) canaryFraction() float64 {
--- a/internal/gateway/rollout/observer.go
+++ b/internal/gateway/rollout/observer.go
@@ -57,6 +57,18 @@
 	return a
 }
 
+// CountKey counts the attempt by the position of its request's key. It is called for the first
+// attempt of a request only.
+func (a *Attempt) CountKey(key string) {
+	if a == nil {
+		return
+	}
+	o := a.observer
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.evidence.Positions[positionBucket(position(key, o.order.Version))]++
+}
+
 // change changes the counts of an attempt's route and version; o.mu is held.
 func (o *observer) change(a *Attempt, f func(*Outcomes)) {
 	r := o.evidence.Routes[a.route]
--- a/internal/gateway/rollout/plan.go
+++ b/internal/gateway/rollout/plan.go
@@ -56,7 +56,7 @@
 	}
 	p.toTarget, p.toOthers = p.allowed(cautious)
 	if p.toTarget && p.toOthers && p.phase != Succeeded {
-		p.canary = canaryUpstreams(p.target, p.fraction, r.Order.Version)
+		p.canary = canaryUpstreams(p.target, cmp.Or(r.Requests, p.fraction), r.Order.Version)
 	}
 	return p
 }
--- a/internal/gateway/rollout/record.go
+++ b/internal/gateway/rollout/record.go
@@ -39,6 +39,9 @@
 	// Fraction is the fraction of the requests, by key, that go to the target in the
 	// phases Canary and Ramp.
 	Fraction float64 `json:"fraction,omitempty"`
+	// Requests is the fraction of the requests that these keys are expected to have, which
+	// decides how many upstreams get them; zero if it is not known.
+	Requests float64 `json:"requests,omitempty"`
 	// StartedAt and ChangedAt are when the roll-out began and when its phase or fraction
 	// last changed, in milliseconds of the store's clock.
 	StartedAt int64 `json:"started_ms"`
@@ -77,14 +80,15 @@
 func (r Record) WithPhase(p Phase, reason string, now int64) Record {
 	r.Phase, r.Reason, r.ChangedAt = p, reason, now
 	if p != Canary && p != Ramp {
-		r.Fraction = 0
+		r.Fraction, r.Requests = 0, 0
 	}
 	return r
 }
 
-// WithFraction returns the record with another fraction.
-func (r Record) WithFraction(f float64, now int64) Record {
-	r.Fraction, r.ChangedAt = f, now
+// WithFraction returns the record with another fraction of the keys, which are expected to have
+// a fraction of the requests; zero if that is not known.
+func (r Record) WithFraction(f, requests float64, now int64) Record {
+	r.Fraction, r.Requests, r.ChangedAt = f, requests, now
 	return r
 }
 
