rollout: correct the expected fraction of a test

Change: the weights are whole, and the expected fraction is exactly 0.25 with the same tolerance.

Measured: go test -count=1 ./internal/gateway/rollout passes.

--- a/internal/gateway/rollout/positions_test.go
+++ b/internal/gateway/rollout/positions_test.go
@@ -11,16 +11,16 @@
 // ramp that gets too few never loads its upstreams, and a version that is bad only under load
 // would succeed; one that gets too many exceeds its bound.
 func TestTheFractionOfTheKeysFollowsTheirRequests(t *testing.T) {
-	even := Positions{positionBuckets: 500}
+	even := Positions{positionBuckets: 8 * positionBuckets}
 	for bucket := range positionBuckets {
-		even[bucket] = 500 / positionBuckets
+		even[bucket] = 8
 	}
 	for _, c := range []struct {
 		name         string
 		positions    Positions
 		wanted, want float64
 	}{
-		{"equal weights", even, 0.25, 0.258},
+		{"equal weights", even, 0.25, 0.25},
 		{"no keys before 0.3", Positions{39: 500, positionBuckets: 500}, 0.25, 39.5 / 128},
 		{"a heavy key at the beginning", Positions{0: 600, positionBuckets: 400}, 0.25, 0.417 / 128},
 		{"too few requests in the counted positions", Positions{3: 10, positionBuckets: 990}, 0.25, countedPositions},
