rollout: do not count failures of a host without a path to upstreams

Cause: requests in flight when a host loses its path to all upstreams counted as failures of the version that they were sent to, and those that hung as slow.

Requests that hang during an isolation are not slow. Failures that a response reports count at once as before.

--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -136,10 +136,17 @@
 	switch {
 	case err == nil && resp.Status < http.StatusInternalServerError:
 		return rollout.Answered
-	case err == nil, isUpstreamFault(verdict.From(err).Reason):
+	case err == nil:
 		return rollout.Failed
-	default:
+	}
+	reason := verdict.From(err).Reason
+	switch {
+	case !isUpstreamFault(reason):
 		return rollout.Undecided
+	case resp == nil, reason == verdict.AnswerTruncated:
+		return rollout.Unanswered
+	default:
+		return rollout.Failed
 	}
 }
 
--- a/internal/gateway/proxy/classify_test.go
+++ b/internal/gateway/proxy/classify_test.go
@@ -10,6 +10,7 @@
 
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/verdict"
 )
 
@@ -107,3 +108,27 @@
 		})
 	}
 }
+
+// A connection that ends without a whole response may be the fault of this host's network, so
+// that the comparison of versions must tell it from a response that reports a failure.
+func TestTheOutcomeOfAnAttemptForTheComparisonOfVersions(t *testing.T) {
+	response := func(status int) *exchange.Response { return &exchange.Response{Status: status} }
+	failed := func(r verdict.Reason) error { return verdict.New(verdict.MayHaveRun, r, "x") }
+	for _, c := range []struct {
+		name string
+		resp *exchange.Response
+		err  error
+		want rollout.Outcome
+	}{
+		{"a response", response(404), nil, rollout.Answered},
+		{"a response that reports a failure", response(500), nil, rollout.Failed},
+		{"a response that proves nothing", response(200), failed(verdict.UpstreamFailed), rollout.Failed},
+		{"a closed connection", nil, failed(verdict.UpstreamFailed), rollout.Unanswered},
+		{"a lost connection", nil, failed(verdict.Unreachable), rollout.Unanswered},
+		{"a truncated response", response(200), failed(verdict.AnswerTruncated), rollout.Unanswered},
+		{"a deadline", nil, failed(verdict.DeadlineLapsed), rollout.Undecided},
+		{"a refusal for load", response(503), failed(verdict.UpstreamShed), rollout.Undecided},
+	} {
+		t.Run(c.name, func(t *testing.T) { require.Equal(t, c.want, rolloutOutcome(c.resp, c.err)) })
+	}
+}
--- a/internal/gateway/reach/monitor.go
+++ b/internal/gateway/reach/monitor.go
@@ -55,8 +55,8 @@
 	// those that did not respond on one. They are separate because connections that are
 	// open may continue to work while no new ones can be opened.
 	connections, responses suspicion
-	// since is when the isolation began.
-	since time.Time
+	// since is when the isolation began, and until when the last one ended.
+	since, until time.Time
 	// began is closed while the host is isolated.
 	began chan struct{}
 	// running is the check in progress; nil if there is none.
@@ -78,6 +78,16 @@
 // Isolated reports whether the host reaches no upstream.
 func (m *Monitor) Isolated() bool { return m.isolated.Load() }
 
+// IsolatedSince reports whether the host was isolated at some time since then.
+func (m *Monitor) IsolatedSince(then time.Time) bool {
+	if m.Isolated() {
+		return true
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.until.After(then)
+}
+
 // Suspected reports whether the host is isolated, or may be and is being checked. Failures that
 // it observes then say nothing about the upstreams.
 func (m *Monitor) Suspected() bool {
@@ -229,6 +239,7 @@
 		m.since = now
 		close(m.began)
 	case before && !c.isolated:
+		m.until = now
 		m.began = make(chan struct{})
 	}
 	m.mu.Unlock()
--- a/internal/gateway/reach/monitor_test.go
+++ b/internal/gateway/reach/monitor_test.go
@@ -179,6 +179,7 @@
 				defer cancel()
 				go m.Run(ctx)
 
+				before := time.Now()
 				n.set(cut)
 				time.Sleep(time.Minute)
 				require.Zero(t, n.attempted(), "nothing is checked without a failure")
@@ -187,11 +188,14 @@
 				}
 				time.Sleep(2*checkTimeout + time.Millisecond)
 				require.True(t, m.Isolated())
+				require.True(t, m.IsolatedSince(time.Now()))
 				time.Sleep(10 * time.Second)
 				require.True(t, m.Isolated())
 				n.set(accepting)
 				time.Sleep(time.Second)
 				require.False(t, m.Isolated(), "the path is back for a second")
+				require.True(t, m.IsolatedSince(before))
+				require.False(t, m.IsolatedSince(time.Now()))
 				checked := n.attempted()
 				time.Sleep(time.Minute)
 				require.Equal(t, checked, n.attempted())
--- a/internal/gateway/rollout/observer.go
+++ b/internal/gateway/rollout/observer.go
@@ -17,6 +17,9 @@
 	Failed
 	// Undecided is an attempt that ended for another reason.
 	Undecided
+	// Unanswered is a failure without a complete response. It counts as Failed, unless this
+	// host had lost its path to all upstreams.
+	Unanswered
 )
 
 // observer counts the attempts at the upstreams of one service.
@@ -27,10 +30,17 @@
 	running  map[*Attempt]struct{}
 	// slow is the latency from which on a response of each route is slow.
 	slow map[string]time.Duration
+	// lost reports whether this host has had no path to any upstream at some time since
+	// then.
+	lost func(since time.Time) bool
+	// unanswered are attempts that do not count before it is known whether this host had
+	// lost its path, and provenAt is when the last attempt that got a response was sent.
+	unanswered []unanswered
+	provenAt   time.Time
 }
 
 func newObserver(o Order) *observer {
-	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}}
+	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}, lost: func(time.Time) bool { return false }}
 }
 
 // Attempt is an attempt that was sent to an upstream of a service with a roll-out. A nil
@@ -93,7 +103,13 @@
 	}
 	delete(o.running, a)
 	took := now.Sub(a.sentAt)
-	if outcome == Undecided && !o.isSlow(a, took) {
+	switch {
+	case outcome == Unanswered:
+		o.addUnanswered(a, now)
+		return
+	case outcome != Undecided:
+		o.provenAt = laterOf(o.provenAt, a.sentAt)
+	case !o.isSlow(a, took) || o.lost(a.sentAt):
 		return
 	}
 	o.count(a, outcome, took)
@@ -134,10 +150,11 @@
 func (o *observer) snapshot(now time.Time) Evidence {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.resolveUnanswered(now)
 	snapshot := o.evidence.clone()
 	for a := range o.running {
 		took := now.Sub(a.sentAt)
-		if !o.isSlow(a, took) {
+		if !o.isSlow(a, took) || o.lost(a.sentAt) {
 			continue
 		}
 		slow := GroupOutcomes{Ended: 1, Compared: 1, Slow: 1}
--- a/internal/gateway/rollout/service.go
+++ b/internal/gateway/rollout/service.go
@@ -50,7 +50,9 @@
 // replace replaces the record.
 func (s *serviceState) replace(r Record, unsaved bool) {
 	if !s.record.isSame(r.Order) {
+		lost := s.observer.lost
 		s.observer, s.slow = newObserver(r.Order), nil
+		s.observer.lost = lost
 	}
 	s.record, s.unsaved, s.plan = r, unsaved, nil
 }
--- a/internal/gateway/rollout/table.go
+++ b/internal/gateway/rollout/table.go
@@ -30,6 +30,9 @@
 	// Fresh reports whether the host's copies of the orders and of the records are
 	// recent, and Isolated whether it also has no contact to most other hosts.
 	Fresh, Isolated func() bool
+	// LostPath reports whether the host had no path to any upstream at some time since then;
+	// nil if that is not known.
+	LostPath func(since time.Time) bool
 	// InFlight returns the number of requests in flight at the upstreams of a service
 	// that have other versions than the given one.
 	InFlight func(service, version string) int
@@ -86,6 +89,15 @@
 	}
 }
 
+// newObserver returns an observer of the attempts of this host.
+func (t *Table) newObserver(o Order) *observer {
+	observer := newObserver(o)
+	if t.options.LostPath != nil {
+		observer.lost = t.options.LostPath
+	}
+	return observer
+}
+
 // update derives the state of a service from its order; t.mu is held.
 func (t *Table) update(service string) {
 	s := t.services[service]
@@ -94,7 +106,7 @@
 		if !ordered {
 			return
 		}
-		s = &serviceState{record: newRecord(o, nil, 0), unsaved: true, observer: newObserver(o)}
+		s = &serviceState{record: newRecord(o, nil, 0), unsaved: true, observer: t.newObserver(o)}
 		t.services[service] = s
 		return
 	}
@@ -118,7 +130,7 @@
 	o, ordered := t.orders[r.Service]
 	s := t.services[r.Service]
 	if s == nil {
-		s = &serviceState{record: r, stored: &r, observer: newObserver(r.Order), withdrawn: !ordered}
+		s = &serviceState{record: r, stored: &r, observer: t.newObserver(r.Order), withdrawn: !ordered}
 		t.services[r.Service] = s
 		t.options.Observer.RolloutChanged(r)
 		t.update(r.Service)
--- a/internal/gateway/rollouts.go
+++ b/internal/gateway/rollouts.go
@@ -17,6 +17,7 @@
 		HostID:   fleet.HostID(fleet.Host{Name: g.settings.Host.Name, Incarnation: g.incarnation}),
 		Fresh:    g.knowsRollouts,
 		Isolated: func() bool { return g.fleet.Isolated() },
+		LostPath: func(since time.Time) bool { return g.reach.IsolatedSince(since) },
 		InFlight: g.inFlightAtOthers,
 		Observer: g.log,
 	})
