soak: roll out two services at once under failure

Cause: on real processes roll-outs were tested with killed hosts and a silent store only, one service at a time.

--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -89,6 +90,8 @@
 type upstream struct {
 	platformtest.Upstream
 	zone string
+	// service is the service of the upstream; empty for that of most upstreams.
+	service string
 	// version is the version of the upstream's program; empty for that of most upstreams.
 	version string
 	ledger  *ledger
@@ -135,7 +138,7 @@
 
 // row returns the upstream's row in the store.
 func (u *upstream) row(draining bool) platformtest.UpstreamRow {
-	return platformtest.UpstreamRow{Service: service, Address: u.link.address(), Zone: u.zone, Version: u.version, Capacity: capacity, Draining: draining, ColdLeft: u.cold.remaining(), StartedAt: time.Unix(0, u.startedAt.Load())}
+	return platformtest.UpstreamRow{Service: cmp.Or(u.service, service), Address: u.link.address(), Zone: u.zone, Version: u.version, Capacity: capacity, Draining: draining, ColdLeft: u.cold.remaining(), StartedAt: time.Unix(0, u.startedAt.Load())}
 }
 
 // setStartedAt sets the start time of the upstream's process.
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -50,6 +50,10 @@
 	record *recorder
 	store  *platformtest.Store
 	server *httptest.Server
+	// hasSecondService is set if the configuration has secondService.
+	hasSecondService bool
+	// writes knows which host last wrote to the store.
+	writes *writeLog
 	hosts  []*host
 	ledger *ledger
 
@@ -96,7 +100,8 @@
 		store:  platformtest.NewStore(), ledger: newLedger(),
 		acceptedAt: map[int]time.Time{}, notRun: map[string]string{}, notices: newNoticeLog(), limitedSent: map[string]time.Time{}, idleLimits: []idleLimit{{time.Now(), longIdleLimit}},
 	}
-	w.server = httptest.NewServer(w.store)
+	w.writes = &writeLog{store: w.store}
+	w.server = httptest.NewServer(w.writes)
 	t.Cleanup(w.server.Close)
 	t.Cleanup(func() { w.store.SetFaults(platformtest.Faults{}) })
 	w.configure()
@@ -153,12 +158,20 @@
 		"safe": route("/safe/", platformtest.Safe),
 		"once": route("/once/", platformtest.Unsafe),
 	}
+	settings := platformtest.Service{HealthCheckPath: "/healthz", MaxConnections: 300, WarmUpSeconds: warmUpTime.Seconds(), WarmUpRate: warmUpRate}
+	services := map[string]platformtest.Service{service: settings}
+	if w.hasSecondService {
+		services[secondService] = settings
+		second := route("/second/", platformtest.Safe)
+		second.Service = secondService
+		routes["second"] = second
+	}
 	for v := 1; v <= w.version; v++ {
 		routes[fmt.Sprint("v", v)] = route(fmt.Sprintf("/v%d/", v), platformtest.Safe)
 	}
 	w.store.PutConfig(platformtest.Config{
 		Version: w.version, Routes: routes,
-		Services: map[string]platformtest.Service{service: {HealthCheckPath: "/healthz", MaxConnections: 300, WarmUpSeconds: warmUpTime.Seconds(), WarmUpRate: warmUpRate}},
+		Services: services,
 		Accounts: accountsOf(w.version),
 		Limits:   platformtest.Limits{MaxHeaderBytes: 16384, MaxBodyBytes: 1 << 20, HeaderTimeoutMS: 3000, IdleTimeoutMS: int(w.idleLimits[len(w.idleLimits)-1].limit.Milliseconds())},
 	})
