loadmodel: play roll-outs in scenarios

Cause: cairndock simulate played no roll-outs, so that they were tried with one host that stands for all only.

Change: a scenario may order another version of a service, good or bad: failing or slow, at once, from some time on, while some requests are at the upstream, or on one route. The tables and controllers of all hosts run on a store in memory; the result says how each roll-out ended, what each version got, the last request after the 50th bad response, and the requests that were interrupted or came later. Controller.Step and ReportInterval are exported for it.

--- a/internal/gateway/loadmodel/attempt.go
+++ b/internal/gateway/loadmodel/attempt.go
@@ -5,6 +5,7 @@
 
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/verdict"
 )
 
@@ -18,6 +19,8 @@
 	isOverdue    bool
 	job          *job
 	done         bool
+	// rollout counts the attempt for a roll-out; nil without one.
+	rollout *rollout.Attempt
 }
 
 // handleResponse processes the upstream's response.
@@ -31,6 +34,15 @@
 		a.fail(a.refusalReason(r))
 		return
 	}
+	if r.failed {
+		a.rollout.End(rollout.Failed, now)
+		h.detector.RecordFailure(a.choice.Upstream.Run(), now)
+		a.release(outlier.Succeeded)
+		a.request.finish()
+		a.request.call.failed()
+		return
+	}
+	a.rollout.End(rollout.Answered, now)
 	service := a.request.call.route.Service
 	if a.isOverdue {
 		h.detector.RecordLatency(service, now.Sub(a.startedAt))
@@ -103,6 +115,7 @@
 	}
 	a.done = true
 	a.overdueTimer.cancel()
+	a.rollout.End(rollout.Undecided, a.request.host.model.clock.now) // unless it ended before
 	req := a.request
 	for i, r := range req.running {
 		if r == a {
--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -7,6 +7,7 @@
 	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/retry"
+	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/verdict"
@@ -25,6 +26,9 @@
 	balancer *balance.Balancer
 	detector *outlier.Detector
 	budget   *retry.Budget
+	// tables and controllers are those of the roll-outs that were ordered.
+	tables      map[*rolloutSim]*rollout.Table
+	controllers map[*rolloutSim]*rollout.Controller
 }
 
 // unlimitedQuotas grants unlimited warm-up quotas, because the simulated upstreams
@@ -57,6 +61,8 @@
 	h.detector = outlier.New(discardReporter{})
 	h.balancer = balance.New(balance.Location{Zone: h.zone.Name, Region: h.zone.Region, Regions: len(m.regions)}, unlimitedQuotas{}, h.detector, h.variant.Balance)
 	h.budget = retry.NewBudget(m.limits, m.clock.now.Add(-m.limits.Window), 0)
+	h.tables, h.controllers = map[*rolloutSim]*rollout.Table{}, map[*rolloutSim]*rollout.Controller{}
+	h.orderRollouts()
 }
 
 // serve handles a call that arrives at the host.
@@ -64,7 +70,7 @@
 	now := h.model.clock.now
 	req := &request{host: h, call: c, startedAt: now}
 	h.budget.RecordRequest(c.route.Service, now)
-	choice, reason := h.balancer.Choose(req.query())
+	choice, reason := req.chooseUpstream()
 	if reason != balance.Chosen {
 		req.refuse(verdictReason(reason))
 		return
--- a/internal/gateway/loadmodel/model.go
+++ b/internal/gateway/loadmodel/model.go
@@ -31,6 +31,7 @@
 	byService map[string][]*upstreamSim
 	entries   map[string][]*upstream.Upstream
 	result    *Result
+	rollouts  []*rolloutSim
 }
 
 // delays are one-way network delays.
@@ -117,6 +118,7 @@
 			}
 		}
 	}
+	m.scheduleRollouts(s.Rollouts)
 	for _, h := range m.hosts {
 		m.clock.every(heartbeatInterval, m.end, h.heartbeat)
 	}
--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -15,7 +15,9 @@
 	host      *host
 	call      *call
 	startedAt time.Time
-	tried     []string
+	// key is the key of the last choice.
+	key   string
+	tried []string
 	// refusedConnections is the number of upstreams in tried that refused the
 	// connection.
 	refusedConnections int
@@ -39,6 +41,7 @@
 	if key == "" {
 		key = strconv.Itoa(req.host.model.random.Int())
 	}
+	req.key = key
 	return balance.Query{
 		Key: key, NoAffinity: r.Objects == 0, Upstreams: req.host.model.entries[r.Service],
 		Priority: r.Priority, Tried: req.tried, Now: req.host.model.clock.now,
@@ -55,6 +58,7 @@
 		a.overdueTimer = m.clock.after(overdueDelay, a.markOverdue)
 	}
 	h.balancer.Sent(c, m.clock.now)
+	a.countForRollout(req.key)
 	m.result.Spread.chosen(c.LoadAge)
 	delay := m.oneWayDelay(h.zone, c.Upstream)
 	if a.upstream.down {
@@ -90,7 +94,7 @@
 	if reason != verdict.ConnectionRefused {
 		return req.choose()
 	}
-	c, result := req.host.balancer.Choose(req.query())
+	c, result := req.chooseUpstream()
 	if result != balance.Chosen {
 		return c, false
 	}
@@ -117,7 +121,7 @@
 	if grant == nil {
 		return balance.Choice{}, false
 	}
-	c, reason := h.balancer.Choose(req.query())
+	c, reason := req.chooseUpstream()
 	if reason != balance.Chosen {
 		h.budget.Return(grant)
 		return balance.Choice{}, false
--- a/internal/gateway/loadmodel/result.go
+++ b/internal/gateway/loadmodel/result.go
@@ -61,6 +61,8 @@
 	Attempts, CrossRegion int
 	// Spread describes how evenly the requests were spread over the upstreams.
 	Spread Spread
+	// Rollouts are the roll-outs of the scenario, in its order.
+	Rollouts []*RolloutResult
 
 	latencies *hdrhistogram.Histogram
 }
@@ -147,6 +149,7 @@
 			r.FirstLoads, float64(r.CrossRegion)/float64(max(1, r.Attempts)), r.Latency(50), r.Latency(99))
 	}
 	printSpread(t, results)
+	printRollouts(t, results)
 	fmt.Fprintln(t, "\nsecond\tcredit of each variant\t")
 	for _, second := range allSeconds(results) {
 		fmt.Fprintf(t, "%d\t", second)
--- a/internal/gateway/loadmodel/scenario.go
+++ b/internal/gateway/loadmodel/scenario.go
@@ -24,6 +24,7 @@
 	Services []Service `toml:"service"`
 	Routes   []Route   `toml:"route"`
 	Faults   []Fault   `toml:"fault"`
+	Rollouts []Rollout `toml:"rollout"`
 	Retries  Retries   `toml:"retries"`
 	Variants []Variant `toml:"-"`
 }
@@ -233,6 +234,11 @@
 			return eris.Errorf("fault %s: service %q is not defined", f.Kind, f.Service)
 		}
 	}
+	for _, r := range s.Rollouts {
+		if err := r.check(services); err != nil {
+			return err
+		}
+	}
 	hosts, load := 0, 0.0
 	for _, z := range s.Zones {
 		hosts += z.Hosts
--- a/internal/gateway/loadmodel/upstream.go
+++ b/internal/gateway/loadmodel/upstream.go
@@ -29,6 +29,8 @@
 	// were in use.
 	arrivals   int
 	processing time.Duration
+	// rollout is the roll-out of the service; nil without one.
+	rollout *rolloutSim
 }
 
 // job is one request at an upstream.
@@ -41,12 +43,16 @@
 	// startedAt is when the upstream began to process the request.
 	startedAt time.Time
 	finish    *event
+	// failed is set if the request fails at the upstream.
+	failed bool
 }
 
 // response is the response of an upstream.
 type response struct {
 	// executed is false if the upstream refused the request.
 	executed bool
+	// failed is set if the request was processed and the response reports a failure.
+	failed bool
 	// running and waiting are the load that the upstream reports, in requests.
 	running, waiting int
 }
@@ -54,6 +60,7 @@
 // receive starts, queues or refuses a request.
 func (u *upstreamSim) receive(j *job) {
 	u.model.result.Spread.arrived(u)
+	u.countRollout()
 	switch {
 	case u.model.random.Float64() < u.shed, len(u.waiting) >= u.config.Queue && u.running >= u.config.Slots:
 		u.respond(j, false)
@@ -71,6 +78,8 @@
 	if u.lookup(j.object) {
 		duration *= j.route.CachedFraction
 	}
+	factor, failed := u.spoil(j)
+	duration, j.failed = duration*factor, failed
 	j.startedAt = u.model.clock.now
 	j.finish = u.model.clock.after(time.Duration(duration), func() { u.complete(j) })
 }
@@ -104,7 +113,7 @@
 }
 
 func (u *upstreamSim) respond(j *job, executed bool) {
-	j.done(response{executed: executed, running: u.running, waiting: len(u.waiting)})
+	j.done(response{executed: executed, failed: executed && j.failed, running: u.running, waiting: len(u.waiting)})
 }
 
 // lookup reports whether an object is in the cache, and adds it if not. The object
--- a/internal/gateway/rollout/controller.go
+++ b/internal/gateway/rollout/controller.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// reportInterval is the time between the reports of a host while a roll-out runs.
-	reportInterval = 250 * time.Millisecond
+	// ReportInterval is the time between the reports of a host while a roll-out runs.
+	ReportInterval = 250 * time.Millisecond
 	// canaryExchange is how many reports apart the regions exchange evidence in the
 	// phase Canary, in which the target gets few requests. Each exchange costs two calls
 	// of the store.
@@ -113,7 +113,7 @@
 
 // Run reports and decides until the context ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(reportInterval)
+	ticker := time.NewTicker(ReportInterval)
 	defer ticker.Stop()
 	for {
 		select {
@@ -121,12 +121,13 @@
 			return
 		case <-ticker.C:
 		}
-		c.step(ctx, time.Now())
+		c.Step(ctx, time.Now())
 	}
 }
 
-// step makes one report.
-func (c *Controller) step(ctx context.Context, now time.Time) {
+// Step makes one report and, if this host collects the reports of its region, decides. Run calls it
+// several times per second.
+func (c *Controller) Step(ctx context.Context, now time.Time) {
 	ctx, cancel := context.WithTimeout(ctx, reportTTL)
 	defer cancel()
 	report := c.Table.Report(now)
