rollout: compare repeated requests apart from possible first ones

Cause: an upstream responds more slowly to the first request for an object. One threshold for all responses is too low for first ones where they take more than 3.5 times the typical latency, so that good versions were rolled back.

Change: a host remembers which objects it has requested at which upstream since the order (at most 65,536). A response to a repeated request is slow from 3 times the typical latency on, 3.5 while keys move; any other from 5 times on; one without affinity as before. Replies carry the three thresholds; hosts of earlier versions send and use the first only. The test of a good version plays 12 and 90 hosts, and a new one plays slow versions.

--- a/internal/gateway/loadmodel/rollout.go
+++ b/internal/gateway/loadmodel/rollout.go
@@ -279,4 +279,7 @@
 	if len(a.request.tried) == 1 {
 		a.rollout.CountKey(key)
 	}
+	if route.Objects > 0 {
+		a.rollout.SetObject(key)
+	}
 }
--- a/internal/gateway/loadmodel/rollout_test.go
+++ b/internal/gateway/loadmodel/rollout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"testing"
 	"time"
 
@@ -72,13 +73,40 @@
 	}
 }
 
-// A good version must succeed also where each of many hosts sends few requests for an object, so
-// that first requests for objects, which take three times as long, go on for seconds.
+// A good version must succeed where first requests for objects, which take three times as long,
+// go on for seconds: those of many hosts, each of which has requested few objects before, and
+// those of few hosts, which have requested most of them.
 func TestAGoodVersionSucceedsBesideManyObjects(t *testing.T) {
-	s, err := Load("testdata/many-hosts.toml")
-	require.NoError(t, err)
-	s.Length = duration(18 * time.Second)
-	s.Rollouts = []Rollout{{Service: "plans", At: duration(5 * time.Second), Duration: duration(12 * time.Second)}}
-	r := Run(s, DefaultVariant(), 1).Rollouts[0]
-	require.Equal(t, rollout.Succeeded, r.Phase, "%s after %s: %s", r.Phase, r.Took, r.Reason)
+	for _, hosts := range []int{2, 15} {
+		t.Run(fmt.Sprint(hosts, " hosts in a zone"), func(t *testing.T) {
+			t.Parallel()
+			s, err := Load("testdata/many-hosts.toml")
+			require.NoError(t, err)
+			s.Length = duration(26 * time.Second)
+			for i := range s.Zones {
+				s.Zones[i].Hosts = hosts
+			}
+			s.Rollouts = []Rollout{{Service: "plans", At: duration(5 * time.Second), Duration: duration(20 * time.Second)}}
+			r := Run(s, DefaultVariant(), 1).Rollouts[0]
+			require.Equal(t, rollout.Succeeded, r.Phase, "%s after %s: %s", r.Phase, r.Took, r.Reason)
+		})
+	}
+}
+
+// A version that is slow there, at once or while three requests are at an upstream, must be told
+// from a good one by the responses to repeated requests and by first ones that take too long.
+func TestASlowVersionIsRolledBackBesideManyObjects(t *testing.T) {
+	for _, load := range []int{0, 3} {
+		t.Run(fmt.Sprint("from a load of ", load, " on"), func(t *testing.T) {
+			t.Parallel()
+			s, err := Load("testdata/many-hosts.toml")
+			require.NoError(t, err)
+			s.Length = duration(26 * time.Second)
+			s.Rollouts = []Rollout{{Service: "plans", At: duration(5 * time.Second), Duration: duration(20 * time.Second), SlowPart: 0.5, SlowFactor: 4, Load: load}}
+			r := Run(s, DefaultVariant(), 1).Rollouts[0]
+			require.Equal(t, rollout.RolledBack, r.Phase)
+			require.LessOrEqual(t, r.Bound(), 1.0)
+			require.LessOrEqual(t, r.LatestAfterBad, 5*time.Second)
+		})
+	}
 }
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -154,6 +154,9 @@
 	if a.number == 1 {
 		a.rollout.CountKey(f.key())
 	}
+	if f.hasAffinity() {
+		a.rollout.SetObject(f.info.Key)
+	}
 	if a.choice.Cold {
 		a.logWarmUp()
 	}
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -53,12 +53,16 @@
 // uses its ID instead, so that such requests do not all prefer the same upstreams.
 func (f *inflight) key() string { return cmp.Or(f.info.Key, f.info.ID) }
 
+// hasAffinity reports whether an upstream that served the request's object recently is
+// faster on it.
+func (f *inflight) hasAffinity() bool { return f.info.Key != "" && f.route.Sticky }
+
 // query returns the input of a choice, apart from the load and health of the upstreams:
 // the key and priority of the request, and the configuration of its route and service.
 func (f *inflight) query(now time.Time) balance.Query {
 	q := balance.Query{
 		Key:        f.key(),
-		NoAffinity: f.info.Key == "" || !f.route.Sticky,
+		NoAffinity: !f.hasAffinity(),
 		Upstreams:  f.proxy.State.Upstreams().Service(f.service),
 		Priority:   f.priority(),
 		Bulk:       f.route.Bulk,
--- a/internal/gateway/rollout/controller.go
+++ b/internal/gateway/rollout/controller.go
@@ -161,7 +161,8 @@
 		return
 	}
 	c.evaluate(ctx, d, record, report)
-	c.Table.Apply(Reply{service: {Order: record.Version, Slow: slowThresholds(report.Evidence, record, clock), Suspend: d.found.Bad}}, now)
+	slow := slowThresholds(report.Evidence, record, clock)
+	c.Table.Apply(Reply{service: {Order: record.Version, Slow: slow.Any, SlowRepeated: slow.Repeated, SlowFirst: slow.First, Suspend: d.found.Bad}}, now)
 	next, due := Next(c.situation(d, record, withdrawn, clock))
 	if due && c.isTurn(d, next, now) {
 		c.store(ctx, next, withdrawn)
--- a/internal/gateway/rollout/model_test.go
+++ b/internal/gateway/rollout/model_test.go
@@ -193,6 +193,7 @@
 	m.inFlight[u]++
 	a := m.observer.start(route, u, !cold, m.now)
 	a.CountKey(fmt.Sprint("object-", object))
+	a.SetObject(fmt.Sprint("object-", object))
 	m.after(min(took, modelMaxRequest), func() {
 		m.inFlight[u]--
 		if took > modelMaxRequest {
--- a/internal/gateway/rollout/observer.go
+++ b/internal/gateway/rollout/observer.go
@@ -28,8 +28,9 @@
 	order    Order
 	evidence Evidence
 	running  map[*Attempt]struct{}
-	// slow is the latency from which on a response of each route is slow.
-	slow map[string]time.Duration
+	slow     thresholds
+	// objects are the objects that this host has requested since the order.
+	objects objects
 	// lost reports whether this host has had no path to any upstream at some time since
 	// then.
 	lost func(since time.Time) bool
@@ -40,7 +41,7 @@
 }
 
 func newObserver(o Order) *observer {
-	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}, lost: func(time.Time) bool { return false }}
+	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}, objects: objects{}, lost: func(time.Time) bool { return false }}
 }
 
 // Attempt is an attempt that was sent to an upstream of a service with a roll-out. A nil
@@ -52,6 +53,7 @@
 	target   bool
 	// comparable is set if the upstream was not cold.
 	comparable bool
+	load       load
 	sentAt     time.Time
 }
 
@@ -141,7 +143,7 @@
 
 // isSlow reports whether an attempt that took so long is slow; o.mu is held.
 func (o *observer) isSlow(a *Attempt, took time.Duration) bool {
-	threshold := o.slow[a.route]
+	threshold := o.threshold(a)
 	return a.comparable && threshold > 0 && took >= threshold
 }
 
@@ -171,8 +173,8 @@
 	return snapshot
 }
 
-// setSlow sets the latencies from which on responses are slow, by route.
-func (o *observer) setSlow(slow map[string]time.Duration) {
+// setSlow sets the thresholds for slow responses.
+func (o *observer) setSlow(slow thresholds) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.slow = slow
--- a/internal/gateway/rollout/report.go
+++ b/internal/gateway/rollout/report.go
@@ -46,8 +46,11 @@
 type ServiceReply struct {
 	// Order is the version of the order that the reply is about.
 	Order int64 `msgpack:"o"`
-	// Slow is the latency from which on a response of each route is slow.
-	Slow map[string]time.Duration `msgpack:"s,omitempty"`
+	// Slow, SlowRepeated and SlowFirst are the thresholds for slow responses. Hosts of versions
+	// without the last two send and use Slow only.
+	Slow         map[string]time.Duration `msgpack:"s,omitempty"`
+	SlowRepeated map[string]time.Duration `msgpack:"p,omitempty"`
+	SlowFirst    map[string]time.Duration `msgpack:"f,omitempty"`
 	// Suspend is set when the target was found to be bad. Hosts then send nothing more
 	// there, also while the store, and thus the decision, is out of reach.
 	Suspend bool `msgpack:"b,omitempty"`
@@ -136,7 +139,7 @@
 	reply := Reply{}
 	for service := range report {
 		if s := t.services[service]; s != nil {
-			reply[service] = ServiceReply{Order: s.record.Version, Slow: s.slow, Suspend: now.Before(s.suspendedUntil)}
+			reply[service] = ServiceReply{Order: s.record.Version, Slow: s.slow.Any, SlowRepeated: s.slow.Repeated, SlowFirst: s.slow.First, Suspend: now.Before(s.suspendedUntil)}
 		}
 	}
 	return reply
@@ -151,8 +154,8 @@
 		if s == nil || s.record.Version != r.Order {
 			continue
 		}
-		s.slow = r.Slow
-		s.observer.setSlow(r.Slow)
+		s.slow = thresholds{Any: r.Slow, Repeated: r.SlowRepeated, First: r.SlowFirst}
+		s.observer.setSlow(s.slow)
 		if r.Suspend {
 			s.suspendedUntil = now.Add(suspendTime)
 		}
--- a/internal/gateway/rollout/service.go
+++ b/internal/gateway/rollout/service.go
@@ -24,7 +24,7 @@
 	// flight at other versions.
 	confirmed      int64
 	suspendedUntil time.Time
-	slow           map[string]time.Duration
+	slow           thresholds
 
 	// plan is the plan for planned, the list of the service's upstreams, and for the
 	// cautious flag.
@@ -51,7 +51,7 @@
 func (s *serviceState) replace(r Record, unsaved bool) {
 	if !s.record.isSame(r.Order) {
 		lost := s.observer.lost
-		s.observer, s.slow = newObserver(r.Order), nil
+		s.observer, s.slow = newObserver(r.Order), thresholds{}
 		s.observer.lost = lost
 	}
 	s.record, s.unsaved, s.plan = r, unsaved, nil
--- a/internal/gateway/rollout/unanswered_test.go
+++ b/internal/gateway/rollout/unanswered_test.go
@@ -50,7 +50,7 @@
 	now, u := time.Now(), versions(map[string]int{"v2": 1})[0]
 	for _, lost := range []bool{false, true} {
 		o := newObserver(testOrder)
-		o.setSlow(map[string]time.Duration{"r": 100 * time.Millisecond})
+		o.setSlow(thresholds{Any: map[string]time.Duration{"r": 100 * time.Millisecond}})
 		o.lost = func(time.Time) bool { return lost }
 		ended := o.start("r", u, true, now)
 		o.start("r", u, true, now)
