--- a/internal/gateway/rollout/objects.go
+++ b/internal/gateway/rollout/objects.go
@@ -24,15 +24,14 @@
 	maxObjects = 1 << 16
 )
 
-// load says whether a request may be the first one for its object at its upstream.
+// load says whether a request may be the first one for its object at its upstream. It is zero
+// for a request without an object, or one whose object is not known.
 type load uint8
 
 const (
-	// noObject is a request without an object, or one whose object is not known.
-	noObject load = iota
 	// possiblyFirst is a request for an object that this host has not requested there
 	// before. Other hosts may have.
-	possiblyFirst
+	possiblyFirst load = iota + 1
 	// repeated is a request for an object that this host has requested there before.
 	repeated
 )
