--- a/internal/gateway/rollout/model_test.go
+++ b/internal/gateway/rollout/model_test.go
@@ -42,7 +42,7 @@
 	modelDuration   = 20 * time.Second
 	evidenceDelay   = 300 * time.Millisecond
 	changeDelay     = 150 * time.Millisecond
-	decisionPause   = reportInterval
+	decisionPause   = ReportInterval
 	warmUpOfTarget  = 3 * time.Second
 	firstLongerBy   = 3 // how much longer the first request for an object takes
 	usualFailures   = 0.003
@@ -192,6 +192,8 @@
 	}
 	m.inFlight[u]++
 	a := m.observer.start(route, u, !cold, m.now)
+	a.CountKey(fmt.Sprint("object-", object))
+	a.SetObject(fmt.Sprint("object-", object))
 	m.after(min(took, modelMaxRequest), func() {
 		m.inFlight[u]--
 		if took > modelMaxRequest {
--- a/internal/gateway/rollout/observer.go
+++ b/internal/gateway/rollout/observer.go
@@ -17,6 +17,9 @@
 	Failed
 	// Undecided is an attempt that ended for another reason.
 	Undecided
+	// Unanswered is a failure without a complete response. It counts as Failed, unless this
+	// host had lost its path to all upstreams.
+	Unanswered
 )
 
 // observer counts the attempts at the upstreams of one service.
@@ -25,12 +28,20 @@
 	order    Order
 	evidence Evidence
 	running  map[*Attempt]struct{}
-	// slow is the latency from which on a response of each route is slow.
-	slow map[string]time.Duration
+	slow     thresholds
+	// objects are the objects that this host has requested since the order.
+	objects objects
+	// lost reports whether this host has had no path to any upstream at some time since
+	// then.
+	lost func(since time.Time) bool
+	// unanswered are attempts that do not count before it is known whether this host had
+	// lost its path, and provenAt is when the last attempt that got a response was sent.
+	unanswered []unanswered
+	provenAt   time.Time
 }
 
 func newObserver(o Order) *observer {
-	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}}
+	return &observer{order: o, evidence: newEvidence(), running: map[*Attempt]struct{}{}, objects: objects{}, lost: func(time.Time) bool { return false }}
 }
 
 // Attempt is an attempt that was sent to an upstream of a service with a roll-out. A nil
@@ -42,6 +53,7 @@
 	target   bool
 	// comparable is set if the upstream was not cold.
 	comparable bool
+	load       load
 	sentAt     time.Time
 }
 
@@ -57,6 +69,18 @@
 	return a
 }
 
+// CountKey counts the attempt by the position of its request's key. It is called for the first
+// attempt of a request only.
+func (a *Attempt) CountKey(key string) {
+	if a == nil {
+		return
+	}
+	o := a.observer
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.evidence.Positions[positionBucket(position(key, o.order.Version))]++
+}
+
 // change changes the counts of an attempt's route and version; o.mu is held.
 func (o *observer) change(a *Attempt, f func(*Outcomes)) {
 	r := o.evidence.Routes[a.route]
@@ -81,7 +105,13 @@
 	}
 	delete(o.running, a)
 	took := now.Sub(a.sentAt)
-	if outcome == Undecided && !o.isSlow(a, took) {
+	switch {
+	case outcome == Unanswered:
+		o.addUnanswered(a, now)
+		return
+	case outcome != Undecided:
+		o.provenAt = laterOf(o.provenAt, a.sentAt)
+	case !o.isSlow(a, took) || o.lost(a.sentAt):
 		return
 	}
 	o.count(a, outcome, took)
@@ -113,7 +143,7 @@
 
 // isSlow reports whether an attempt that took so long is slow; o.mu is held.
 func (o *observer) isSlow(a *Attempt, took time.Duration) bool {
-	threshold := o.slow[a.route]
+	threshold := o.threshold(a)
 	return a.comparable && threshold > 0 && took >= threshold
 }
 
@@ -122,10 +152,11 @@
 func (o *observer) snapshot(now time.Time) Evidence {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	o.resolveUnanswered(now)
 	snapshot := o.evidence.clone()
 	for a := range o.running {
 		took := now.Sub(a.sentAt)
-		if !o.isSlow(a, took) {
+		if !o.isSlow(a, took) || o.lost(a.sentAt) {
 			continue
 		}
 		slow := GroupOutcomes{Ended: 1, Compared: 1, Slow: 1}
@@ -142,8 +173,8 @@
 	return snapshot
 }
 
-// setSlow sets the latencies from which on responses are slow, by route.
-func (o *observer) setSlow(slow map[string]time.Duration) {
+// setSlow sets the thresholds for slow responses.
+func (o *observer) setSlow(slow thresholds) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.slow = slow
