exchange: bound the head of a response

Cause: http.ReadResponse read from a connection without a bound, so an upstream that sends bytes without end made a host read and keep them until the deadline.

Change: while a head is parsed, the connection returns at most limits.max_response_head_bytes (65,536 by default, 4,096 to 1,048,576, checked at the start). At most 8 interim responses are skipped, at most 1 MiB of a response to another request, and a first line that does not begin with HTTP/1. is rejected as its bytes arrive. The error names the upstream, the limit and the setting. The attempt ends as upstream-failed, may-have-run, so that a request that may be repeated goes elsewhere and the upstream is ejected as for any other failure.

--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -25,6 +25,8 @@
 	// idleUntil is when the pool closes the connection. Both are set by pool.put.
 	idleSince time.Time
 	idleUntil time.Time
+	// head limits the reads of the goroutine that parses a response head.
+	head headLimit
 }
 
 func newConn(nc net.Conn) *conn {
@@ -33,9 +35,17 @@
 	return c
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. While a response head is parsed, it returns no more bytes than the
+// head may have.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.head.err != nil {
+		if c.head.left <= 0 {
+			return 0, c.head.err
+		}
+		p = p[:min(len(p), c.head.left)]
+	}
 	n, err := c.Conn.Read(p)
+	c.head.left -= n
 	c.received.Add(int64(n))
 	return n, err
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -97,11 +97,12 @@
 	terminations *terminations
 	// hasPath reports whether the host reaches other upstreams.
 	hasPath func() bool
+	limits  ResponseLimits
 }
 
 // NewClient returns a client that connects to upstreams by dial.
 func NewClient(dial Dial, protocol Protocol) *Client {
-	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, terminations: newTerminations(), hasPath: func() bool { return true }}
+	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, terminations: newTerminations(), hasPath: func() bool { return true }, limits: ResponseLimits{HeadBytes: DefaultMaxHeadBytes}}
 }
 
 // OnSilent sets a callback for silent connections. When a connection to an upstream
@@ -116,6 +117,10 @@
 // used.
 func (c *Client) ConfirmTerminations(hasPath func() bool) { c.hasPath = hasPath }
 
+// LimitResponses sets the maximum sizes of responses. It must be called before the client is
+// used.
+func (c *Client) LimitResponses(l ResponseLimits) { c.limits = l }
+
 // Retain closes the idle connections to the runs for which keep returns false.
 func (c *Client) Retain(keep func(upstream.Run) bool) {
 	c.pool.retain(keep)
--- /dev/null
+++ b/internal/gateway/exchange/limits.go
@@ -0,0 +1,105 @@
+package exchange
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/rotisserie/eris"
+)
+
+const (
+	// DefaultMaxHeadBytes is the default of ResponseLimits.HeadBytes. It is far above the heads
+	// of real responses. MinHeadBytes is its minimum: the size of the read buffer, up to which
+	// bytes may have been read before the head begins.
+	DefaultMaxHeadBytes = 64 << 10
+	MinHeadBytes        = readBuffer
+	// maxInterimResponses is the maximum number of interim responses (1xx) before a response.
+	maxInterimResponses = 8
+	// maxSkippedBytes is the maximum size of the body of a response to another request that is
+	// skipped.
+	maxSkippedBytes = 1 << 20
+	// statusLinePrefix is the beginning of each response.
+	statusLinePrefix = "HTTP/1."
+)
+
+// errNotHTTP is the error of a response whose first bytes are not those of a status line.
+var errNotHTTP = eris.New("the response is not HTTP/1")
+
+// ResponseLimits are the maximum sizes of an upstream's responses.
+type ResponseLimits struct {
+	// HeadBytes limits the status line and the header. It also applies to each interim response.
+	HeadBytes int
+}
+
+// LimitError reports that an upstream exceeded a limit on its responses.
+type LimitError struct {
+	// Upstream is the ID of the upstream.
+	Upstream string
+	// Limited is what the limit applies to, with its unit, and Limit its value.
+	Limited string
+	Limit   int64
+	// Setting is the key of the setting; empty if the limit is constant.
+	Setting string
+}
+
+// Error implements the error interface.
+func (e *LimitError) Error() string {
+	text := fmt.Sprintf("upstream %s exceeds the limit of %d %s", e.Upstream, e.Limit, e.Limited)
+	if e.Setting != "" {
+		text += " (" + e.Setting + ")"
+	}
+	return text
+}
+
+func (x *roundTrip) headLimitError() *LimitError {
+	return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response head", Limit: int64(x.client.limits.HeadBytes), Setting: "limits.max_response_head_bytes"}
+}
+
+// headLimit limits the bytes that are read from a connection while a response head is parsed.
+type headLimit struct {
+	// err is the error when no byte is left; nil while no head is parsed.
+	err  error
+	left int
+}
+
+// readHead parses one response head. The connection returns no more bytes than the head may
+// have, so that the parser cannot read or keep more.
+func (x *roundTrip) readHead() (*http.Response, error) {
+	reader := x.conn.reader
+	if err := checkStatusLine(reader); err != nil {
+		return nil, err
+	}
+	x.conn.head = headLimit{err: x.headLimitError(), left: x.client.limits.HeadBytes - reader.Buffered()}
+	resp, err := http.ReadResponse(reader, &http.Request{Method: x.request.Method})
+	x.conn.head = headLimit{}
+	return resp, err
+}
+
+// checkStatusLine checks the first bytes of a response as they arrive. The parser would wait for
+// the end of a line.
+func checkStatusLine(reader *bufio.Reader) error {
+	for n := 1; n <= len(statusLinePrefix); n++ {
+		start, err := reader.Peek(n)
+		if string(start) != statusLinePrefix[:len(start)] {
+			return errNotHTTP
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// skipBody reads the body of a response to another request.
+func (x *roundTrip) skipBody(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
+	if n > maxSkippedBytes {
+		return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response to another request", Limit: maxSkippedBytes}
+	}
+	if err != nil || resp.Close {
+		return eris.New("connection ended after a response to another request")
+	}
+	return nil
+}
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -84,8 +84,8 @@
 			b := &body{roundTrip: x, inner: resp.Body, reusable: !resp.Close, idleTimeout: keepAliveTimeout(resp.Header)}
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: b}, nil
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil || resp.Close {
-			return nil, x.fail(ctx, eris.New("connection ended after a response to another request"), true)
+		if err := x.skipBody(resp); err != nil {
+			return nil, x.fail(ctx, err, true)
 		}
 	}
 	return nil, x.fail(ctx, eris.New("too many responses to other requests"), true)
@@ -94,8 +94,8 @@
 // readResponse reads one response's header. Interim responses (1xx) are
 // skipped.
 func (x *roundTrip) readResponse() (*http.Response, error) {
-	for {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.request.Method})
+	for range maxInterimResponses + 1 {
+		resp, err := x.readHead()
 		if err != nil {
 			return nil, err
 		}
@@ -103,6 +103,7 @@
 			return resp, nil
 		}
 	}
+	return nil, &LimitError{Upstream: x.to.Upstream, Limited: "interim responses", Limit: maxInterimResponses}
 }
 
 // fail closes the connection, which cancels the request at the upstream, and returns the
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -343,6 +343,20 @@
 	_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nGenuine: 1\r\nContent-Length: 50\r\n\r\nhalf", r.Header.Get(headerID))
 }
 
+// endlessHead writes a header field without end.
+func endlessHead(c net.Conn, _ *http.Request) { writeEndlessly(c, "HTTP/1.1 200 OK\r\nX: ", "x") }
+
+// writeEndlessly writes texts, and repeats the last one until the connection is closed.
+func writeEndlessly(c net.Conn, texts ...string) {
+	last := len(texts) - 1
+	_, _ = io.WriteString(c, strings.Join(texts[:last], ""))
+	for block := []byte(strings.Repeat(texts[last], 16<<10)); ; {
+		if _, err := c.Write(block); err != nil {
+			return
+		}
+	}
+}
+
 // send sends a request and reads the complete response.
 func (g *testGateway) send(ctx context.Context, method, path, body string, header map[string]string) (*http.Response, string, error) {
 	g.t.Helper()
--- a/internal/gateway/proxy/overdue_test.go
+++ b/internal/gateway/proxy/overdue_test.go
@@ -22,6 +22,7 @@
 	}{
 		{"silent", silent},
 		{"truncating", truncating},
+		{"head without end", endlessHead},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			g := newTestGateway(t)
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -12,6 +12,7 @@
 	"github.com/rotisserie/eris"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/settings"
 	"cairndock/internal/telemetry"
 	"cairndock/internal/tomlfile"
@@ -106,6 +107,9 @@
 	CanarySlack float64 `toml:"canary_slack"`
 	// DirectoryTTL is how long clients may cache a response of the directory.
 	DirectoryTTL settings.Duration `toml:"directory_ttl"`
+	// MaxResponseHeadBytes is the maximum size of the status line and the header of an
+	// upstream's response.
+	MaxResponseHeadBytes int `toml:"max_response_head_bytes"`
 }
 
 // StopSettings configure a planned stop.
@@ -171,6 +175,10 @@
 // watcher are fractions of the bound and a round trip to another region takes 70 ms.
 const minStaleness = 500 * time.Millisecond
 
+// maxHeadBytes is the maximum of limits.max_response_head_bytes. A hundred heads of this size in
+// flight take more than half of the memory of a small host, 184 MB.
+const maxHeadBytes = 1 << 20
+
 // defaultSettings returns the values of keys that are missing in the file. A zero in the
 // file remains zero.
 func defaultSettings() Settings {
@@ -179,6 +187,7 @@
 			RetryRatio: defaultRetryRatio, RetryWindow: settings.Duration(defaultRetryWindow), WarmUpOvershoot: defaultWarmUpOvershoot,
 			RevokeWithin: settings.Duration(defaultMaxRevocationDelay), QuotaWindow: settings.Duration(defaultQuotaWindow),
 			CanaryShare: defaultCanaryShare, DirectoryTTL: settings.Duration(defaultDirectoryTTL),
+			MaxResponseHeadBytes: exchange.DefaultMaxHeadBytes,
 		},
 		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
 		Log:  LogSettings(eventlog.DefaultSampling()),
@@ -208,6 +217,7 @@
 	f.Require(s.Limits.CanaryShare >= 0 && s.Limits.CanaryShare <= 1, "limits.canary_share", "must be from 0 to 1")
 	f.Require(s.Limits.CanarySlack >= 0, "limits.canary_slack", "must not be below 0")
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
+	f.Require(s.Limits.MaxResponseHeadBytes >= exchange.MinHeadBytes && s.Limits.MaxResponseHeadBytes <= maxHeadBytes, "limits.max_response_head_bytes", "must be from 4096 to 1048576")
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
 	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
 	f.Require(s.Log.ServedPerSecond >= 0, "log.served_per_second", "must not be below 0")
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -40,6 +40,7 @@
 	require.Positive(t, g.Limits.RetryRatio)
 	require.Positive(t, g.Limits.WarmUpOvershoot)
 	require.Positive(t, g.Limits.DirectoryTTL)
+	require.Equal(t, 65536, g.Limits.MaxResponseHeadBytes)
 	require.Positive(t, g.Stop.Grace)
 	require.Equal(t, gateway.LogSettings{OneIn: 100, ServedPerSecond: 10, FailedPerSecond: 50}, g.Log)
 	require.Equal(t, 2*time.Second, g.Limits.Staleness())
@@ -81,10 +82,12 @@
 		"limits.evacuate_within": minSettings + "[limits]\nevacuate_within = \"10ms\"",
 		"limits.retry_window":    minSettings + "[limits]\nretry_window = \"0s\"",
 		"limits.retries":         minSettings + "[limits]\nretries = 3",
-		"log.one_in":             minSettings + "[log]\none_in = 0",
-		"log.served_per_second":  minSettings + "[log]\nserved_per_second = -1",
-		"log.failed_per_second":  minSettings + "[log]\nfailed_per_second = -1",
-		"stop.grace":             minSettings + "[stop]\ngrace = \"-1s\"",
+		"limits.max_response_head_bytes: must be from 4096 to 1048576": minSettings + "[limits]\nmax_response_head_bytes = 4095",
+		"limits.max_response_head_bytes":                               minSettings + "[limits]\nmax_response_head_bytes = 1048577",
+		"log.one_in":                                                   minSettings + "[log]\none_in = 0",
+		"log.served_per_second":                                        minSettings + "[log]\nserved_per_second = -1",
+		"log.failed_per_second":                                        minSettings + "[log]\nfailed_per_second = -1",
+		"stop.grace":                                                   minSettings + "[stop]\ngrace = \"-1s\"",
 	} {
 		_, err := load(t, text)
 		require.ErrorContains(t, err, key)
