gateway: bound bodies, and count broken ones against their upstream

Cause: a body had no bound but the deadline, a head that declares 1 TB was forwarded, bytes after the end of a body were dropped while the client got its beginning as a complete response, and an upstream that broke off a response after its first 32 KiB counted as healthy. The body of a refusal that stalls held the next attempt until the deadline.

Change: limits.max_response_body_bytes (64 MiB by default). A head that declares more is a failed attempt at once, and a longer body breaks off. A body that is followed by bytes that cannot begin another response is not complete; its last bytes are not forwarded. A response that the upstream breaks off while it is forwarded is evidence against the upstream; one that is only late counts at this host, unless the client took most of the time or left. The body of a response that is not forwarded is read for 50 ms at most.

TestOnlyUpstreamFaultsCountAgainstAnUpstream: its two lines on forwarded responses moved to a table of their own, with the same cases and four more.

--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -61,6 +61,28 @@
 	if c.reader.Buffered() > 0 {
 		return errUnexpectedBytes
 	}
+	return c.control(peek)
+}
+
+// next returns the next bytes of the connection that have already arrived, at most n, without
+// consuming them. If the buffer is empty and fromKernel is set, it returns bytes that the kernel
+// has received.
+func (c *conn) next(n int, fromKernel bool) []byte {
+	if b, _ := c.reader.Peek(min(c.reader.Buffered(), n)); len(b) > 0 || !fromKernel { // these bytes are in the buffer
+		return b
+	}
+	b := make([]byte, n)
+	read := 0
+	// After an error no bytes are known.
+	_ = c.control(func(fd int) (err error) {
+		read, _, err = unix.Recvfrom(fd, b, unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		return err
+	})
+	return b[:max(read, 0)]
+}
+
+// control calls f with the descriptor of the connection, which is non-blocking, if it has one.
+func (c *conn) control(f func(fd int) error) error {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return nil
@@ -69,15 +91,15 @@
 	if err != nil {
 		return err
 	}
-	var peekErr error
+	var result error
 	err = raw.Read(func(fd uintptr) bool {
-		peekErr = peek(int(fd))
+		result = f(int(fd))
 		return true
 	})
 	if err != nil {
 		return err
 	}
-	return peekErr
+	return result
 }
 
 // peek tries to read one byte of a non-blocking socket. It returns nil if there is none,
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -102,7 +102,7 @@
 
 // NewClient returns a client that connects to upstreams by dial.
 func NewClient(dial Dial, protocol Protocol) *Client {
-	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, terminations: newTerminations(), hasPath: func() bool { return true }, limits: ResponseLimits{HeadBytes: DefaultMaxHeadBytes}}
+	return &Client{pool: &pool{dial: dial, idle: map[upstream.Run][]*conn{}, onSilent: func(int) {}}, protocol: protocol, terminations: newTerminations(), hasPath: func() bool { return true }, limits: ResponseLimits{HeadBytes: DefaultMaxHeadBytes, BodyBytes: DefaultMaxBodyBytes}}
 }
 
 // OnSilent sets a callback for silent connections. When a connection to an upstream
--- a/internal/gateway/exchange/fuzz_test.go
+++ b/internal/gateway/exchange/fuzz_test.go
@@ -26,12 +26,12 @@
 	} {
 		f.Add([]byte(seed))
 	}
-	const limit = exchange.MinHeadBytes
+	const limit, maxBody = exchange.MinHeadBytes, 1000
 	f.Fuzz(func(t *testing.T, data []byte) {
 		client, read := pipeClient(func(nc net.Conn, _ string) {
 			_, _ = nc.Write(data) // an error means that the client has seen enough
 		})
-		client.LimitResponses(exchange.ResponseLimits{HeadBytes: limit})
+		client.LimitResponses(exchange.ResponseLimits{HeadBytes: limit, BodyBytes: maxBody})
 		resp, err := sendGET(t.Context(), client)
 		if err != nil {
 			var e *verdict.Error
@@ -43,6 +43,7 @@
 		require.Equal(t, "r", resp.Header.Get("Id"))
 		require.GreaterOrEqual(t, resp.Status, 200)
 		body, err := io.ReadAll(resp.Body)
+		require.LessOrEqual(t, len(body), maxBody)
 		if err == nil && resp.Length >= 0 {
 			require.Len(t, body, int(resp.Length))
 		}
--- a/internal/gateway/exchange/head_test.go
+++ b/internal/gateway/exchange/head_test.go
@@ -51,6 +51,7 @@
 		here, there := net.Pipe()
 		go func() {
 			defer func() { _ = there.Close() }()
+			_ = there.SetDeadline(time.Now().Add(2 * time.Second)) // a pipe returns no error
 			if r, err := http.ReadRequest(bufio.NewReader(there)); err == nil {
 				respond(there, r.Header.Get("Id"))
 			}
@@ -142,7 +143,7 @@
 func TestTheErrorOfALongHeadNamesTheUpstreamAndTheLimit(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
 		client, read := pipeClient(func(nc net.Conn, _ string) { endless(nc, "HTTP/1.1 200 ") })
-		client.LimitResponses(exchange.ResponseLimits{HeadBytes: 5000})
+		client.LimitResponses(exchange.ResponseLimits{HeadBytes: 5000, BodyBytes: exchange.DefaultMaxBodyBytes})
 		_, err := sendForASecond(t, client)
 		require.ErrorContains(t, err, "upstream i")
 		require.ErrorContains(t, err, "limits.max_response_head_bytes")
--- a/internal/gateway/exchange/limits.go
+++ b/internal/gateway/exchange/limits.go
@@ -15,6 +15,9 @@
 	// bytes may have been read before the head begins.
 	DefaultMaxHeadBytes = 64 << 10
 	MinHeadBytes        = readBuffer
+	// DefaultMaxBodyBytes is the default of ResponseLimits.BodyBytes. A link of 200 Mbit/s takes
+	// 2.7 s for it, which is longer than most requests may take.
+	DefaultMaxBodyBytes = 64 << 20
 	// maxInterimResponses is the maximum number of interim responses (1xx) before a response.
 	maxInterimResponses = 8
 	// maxSkippedBytes is the maximum size of the body of a response to another request that is
@@ -31,6 +34,8 @@
 type ResponseLimits struct {
 	// HeadBytes limits the status line and the header. It also applies to each interim response.
 	HeadBytes int
+	// BodyBytes limits the body, and the length that a head may declare.
+	BodyBytes int64
 }
 
 // LimitError reports that an upstream exceeded a limit on its responses.
@@ -57,6 +62,10 @@
 	return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response head", Limit: int64(x.client.limits.HeadBytes), Setting: "limits.max_response_head_bytes"}
 }
 
+func (x *roundTrip) bodyLimitError() *LimitError {
+	return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response body", Limit: x.client.limits.BodyBytes, Setting: "limits.max_response_body_bytes"}
+}
+
 // headLimit limits the bytes that are read from a connection while a response head is parsed.
 type headLimit struct {
 	// err is the error when no byte is left; nil while no head is parsed.
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -80,9 +79,10 @@
 		info := x.client.protocol.ParseResponse(x.request.ID, resp.StatusCode, resp.Header)
 		if !info.WrongRequest {
 			x.client.terminations.noteResponse(x.to.Run)
-			// Closing the body returns the connection to the pool.
-			b := &body{roundTrip: x, inner: resp.Body, reusable: !resp.Close, idleTimeout: keepAliveTimeout(resp.Header)}
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: b}, nil
+			if x.mayHaveBody(resp) && resp.ContentLength > x.client.limits.BodyBytes {
+				return nil, x.fail(ctx, x.bodyLimitError(), true)
+			}
+			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: x.newBody(resp)}, nil
 		}
 		if err := x.skipBody(resp); err != nil {
 			return nil, x.fail(ctx, err, true)
@@ -118,42 +118,3 @@
 	}
 	return responseError(ctx, x.to.Upstream, err, sent)
 }
-
-// body is a response's body. Closing it returns the connection to the pool.
-type body struct {
-	roundTrip *roundTrip
-	inner     io.ReadCloser
-	// reusable is false when the connection closes after the response.
-	reusable    bool
-	idleTimeout time.Duration
-	// completeAt is when the body was completely read; zero before.
-	completeAt time.Time
-	closed     bool
-}
-
-// Read returns io.EOF only after the complete body was read.
-func (b *body) Read(p []byte) (int, error) {
-	n, err := b.inner.Read(p)
-	if err == io.EOF && b.completeAt.IsZero() {
-		b.completeAt = time.Now()
-	}
-	return n, err
-}
-
-// Close returns the connection to the pool if the response was completely read.
-// Otherwise it closes the connection, which cancels the request at the upstream. It also
-// closes a connection whose context ended, because its deadline is in the past, and a
-// connection with unread bytes after the response, because these can't be attributed.
-func (b *body) Close() error {
-	if b.closed {
-		return nil
-	}
-	b.closed = true
-	x := b.roundTrip
-	interrupted := !x.stop()
-	if b.completeAt.IsZero() || !b.reusable || interrupted || x.conn.reader.Buffered() > 0 {
-		return x.conn.Close()
-	}
-	x.client.pool.put(x.to.Run, x.conn, b.completeAt, b.idleTimeout)
-	return nil
-}
--- a/internal/gateway/outlier/consecutive.go
+++ b/internal/gateway/outlier/consecutive.go
@@ -35,9 +35,7 @@
 	Unreachable
 	// Canceled means that the request was aborted before its response was
 	// complete, because the client disconnected, the deadline expired, or the
-	// overdue request was sent to another upstream. A response that is
-	// truncated while it is forwarded also counts as Canceled, because either
-	// side may have caused the truncation.
+	// overdue request was sent to another upstream.
 	Canceled
 )
 
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -21,6 +21,10 @@
 // connection is cheaper.
 const maxDiscardBytes = 16 << 10
 
+// maxDiscardTime limits how long the next attempt waits for the body of a response that is not
+// forwarded. Most bodies arrive together with their head.
+const maxDiscardTime = 50 * time.Millisecond
+
 // attempt is one attempt of a request at one upstream. It runs in its own goroutine.
 type attempt struct {
 	inflight *inflight
@@ -169,14 +173,37 @@
 		return nil
 	}
 	e.Upstream = u.ID
-	// After the whole body is read, the connection can be reused.
-	if _, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes); err != nil && !errors.Is(err, io.EOF) {
+	if !discardBody(resp) {
 		e.Detail += ", and the response broke off"
 	}
-	_ = resp.Body.Close() // the attempt has already failed
 	return e
 }
 
+// discardBody closes a response after reading the rest of its body, so that the connection can be
+// reused. It returns false if the body broke off or did not end in time. In that case the
+// end of the attempt's context ends the read.
+func discardBody(resp *exchange.Response) bool {
+	complete := make(chan bool, 1)
+	discard := func() {
+		_, err := io.CopyN(io.Discard, resp.Body, maxDiscardBytes)
+		_ = resp.Body.Close() // the attempt has already failed
+		complete <- err == nil || errors.Is(err, io.EOF)
+	}
+	if resp.Length == 0 { // there is nothing to wait for
+		discard()
+		return <-complete
+	}
+	go discard()
+	timeout := time.NewTimer(maxDiscardTime)
+	defer timeout.Stop()
+	select {
+	case ok := <-complete:
+		return ok
+	case <-timeout.C:
+		return false
+	}
+}
+
 // buffer reads the beginning of a response. If the response breaks off there, the attempt
 // has failed. Otherwise forward or discard releases the response.
 func (a *attempt) buffer(ctx context.Context, resp *exchange.Response) (*response, error) {
--- a/internal/gateway/proxy/attempts_test.go
+++ b/internal/gateway/proxy/attempts_test.go
@@ -32,6 +32,11 @@
 		{"refuses without proof", func(c net.Conn, r *http.Request) { reply(c, r, 503, "Genuine: 1\r\n", "") }, true, "may-have-run"},
 		{"success without proof", func(c net.Conn, r *http.Request) { reply(c, r, 200, "", "fake") }, true, "may-have-run"},
 		{"half a body", truncating, true, "may-have-run"},
+		{"length of 1 TB", func(c net.Conn, r *http.Request) {
+			begin(c, r, "Content-Length: 1099511627776", 0)
+			writeEndlessly(c, "x")
+		}, true, "may-have-run"},
+		{"body longer than its length", func(c net.Conn, r *http.Request) { begin(c, r, "Content-Length: 5", 9) }, true, "may-have-run"},
 		{"head without end", endlessHead, true, "may-have-run"},
 		{"not HTTP", func(c net.Conn, _ *http.Request) { writeEndlessly(c, "\x16\x03") }, true, "may-have-run"},
 	} {
--- a/internal/gateway/proxy/classify.go
+++ b/internal/gateway/proxy/classify.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -121,14 +122,31 @@
 	}
 }
 
-// outcomeOfForward returns the outcome of a forwarded response for the same count. When
-// forwarding failed, it is not known whether the upstream or the client caused the
-// failure.
-func outcomeOfForward(err error) outlier.Outcome {
-	if err != nil {
+// outcomeOfForward returns the outcome of a forwarded response for the same count. If the body
+// could not be written, the client has caused it. If it could not be read, the upstream has failed.
+// If it did not end before the deadline, the upstream has failed unless the client delayed it:
+// by reading slowly or by leaving.
+func outcomeOfForward(err error, delayedByClient bool) outlier.Outcome {
+	switch {
+	case err == nil:
+		return outlier.Succeeded
+	case isBroken(err), isLate(err) && !delayedByClient:
+		return outlier.Failed
+	default:
 		return outlier.Canceled
 	}
-	return outlier.Succeeded
+}
+
+// isBroken reports whether the upstream has broken off a body or exceeded its limit.
+func isBroken(err error) bool {
+	var e *bodyError
+	return errors.As(err, &e) && !isLate(err)
+}
+
+// isLate reports whether the context ended before a body did.
+func isLate(err error) bool {
+	var e *bodyError
+	return errors.As(err, &e) && errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // rolloutOutcome returns the outcome of an attempt for the comparison of versions.
--- a/internal/gateway/proxy/classify_test.go
+++ b/internal/gateway/proxy/classify_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"os"
 	"testing"
 	"time"
 
@@ -76,8 +77,25 @@
 			require.Equal(t, c.fault, isUpstreamFault(c.reason))
 		})
 	}
-	require.Equal(t, outlier.Succeeded, outcomeOfForward(nil))
-	require.Equal(t, outlier.Canceled, outcomeOfForward(errors.New("broken pipe")))
+}
+
+// An upstream that breaks off its responses counted as healthy, and one whose client reads slowly
+// must not count as failing.
+func TestOnlyTheUpstreamsPartInABrokenResponseCountsAgainstIt(t *testing.T) {
+	for _, c := range []struct {
+		err             error
+		delayedByClient bool
+		outcome         outlier.Outcome
+	}{
+		{nil, true, outlier.Succeeded},
+		{errors.New("broken pipe"), false, outlier.Canceled},
+		{os.ErrDeadlineExceeded, false, outlier.Canceled},
+		{&bodyError{errors.New("unexpected EOF")}, true, outlier.Failed},
+		{&bodyError{os.ErrDeadlineExceeded}, true, outlier.Canceled},
+		{&bodyError{os.ErrDeadlineExceeded}, false, outlier.Failed},
+	} {
+		require.Equal(t, c.outcome, outcomeOfForward(c.err, c.delayedByClient), c.err)
+	}
 }
 
 func TestATruncatedResponseMayHaveRun(t *testing.T) {
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -36,6 +36,10 @@
 	choice balance.Choice
 	// prefix is the beginning of the body; Body has the rest.
 	prefix []byte
+	// copyBegan is when the forwarding of the rest of the body began, and writing how long the
+	// writes took of the time since.
+	copyBegan time.Time
+	writing   time.Duration
 }
 
 // bufferPrefix reads the beginning of a response. If it breaks off there, it is closed.
@@ -60,10 +64,7 @@
 // that the client cannot take the response for a complete one.
 func (f *inflight) forward(w http.ResponseWriter, resp *response) {
 	var err error
-	defer func() {
-		_ = resp.Body.Close() // err already says whether the body was read completely
-		f.proxy.release(resp.choice, outcomeOfForward(err))
-	}()
+	defer func() { f.endForward(resp, err) }()
 	f.proxy.closeIfLeaving(w)
 	f.setWriteDeadline(w)
 	resp.writeHeader(w, f.request.Method)
@@ -79,6 +80,23 @@
 	f.logFinal(resp.Status, nil)
 }
 
+// endForward releases the upstream and its connection after its response was forwarded. err is
+// nil if the response was complete. A response that the upstream broke off is evidence against it
+// on all hosts; one that is only late is not, because a host that stood still has late ones too.
+func (f *inflight) endForward(resp *response, err error) {
+	_ = resp.Body.Close() // err already says whether the body was read completely
+	if isBroken(err) && resp.choice.Upstream != nil {
+		f.proxy.Detector.RecordFailure(resp.choice.Upstream.Run(), time.Now())
+	}
+	f.proxy.release(resp.choice, outcomeOfForward(err, f.delayedByClient(resp)))
+}
+
+// delayedByClient reports whether the body was not read to its end because of the client or of
+// the host's stop: the client has left, or writing to it took most of the time.
+func (f *inflight) delayedByClient(resp *response) bool {
+	return f.clientCtx.Err() != nil || f.proxy.aborted.Err() != nil || resp.writing > time.Since(resp.copyBegan)/2
+}
+
 // setWriteDeadline limits how long after the deadline of the request the response may be
 // written to a client that does not read it, or whose connection has gone silent. Without
 // a write deadline the write would occupy the upstream and its connection until the
@@ -121,16 +139,54 @@
 var buffers = sync.Pool{New: func() any { return new([copyBufferBytes]byte) }}
 
 // copyTo writes the body to the client.
-func (r *response) copyTo(w http.ResponseWriter) error {
-	if _, err := w.Write(r.prefix); err != nil || r.isComplete() {
+func (r *response) copyTo(w io.Writer) error {
+	if _, err := w.Write(r.prefix); err != nil {
 		return err
 	}
+	return r.copyRest(w)
+}
+
+// copyRest writes the body after the prefix.
+func (r *response) copyRest(w io.Writer) error {
+	if r.isComplete() {
+		return nil
+	}
 	buf := buffers.Get().(*[copyBufferBytes]byte)
 	defer buffers.Put(buf)
-	_, err := io.CopyBuffer(onlyWriter{w}, r.Body, buf[:])
+	r.copyBegan = time.Now()
+	_, err := io.CopyBuffer(bodyWriter{w, &r.writing}, bodyReader{r.Body}, buf[:])
 	return err
 }
 
-// onlyWriter hides the ReadFrom method of the writer, which would allocate a larger
-// buffer.
-type onlyWriter struct{ io.Writer }
+// bodyWriter measures the time of writes. It also hides the ReadFrom method of the writer, which
+// would allocate a larger buffer.
+type bodyWriter struct {
+	w    io.Writer
+	took *time.Duration
+}
+
+func (w bodyWriter) Write(p []byte) (int, error) {
+	began := time.Now()
+	n, err := w.w.Write(p)
+	*w.took += time.Since(began)
+	return n, err
+}
+
+// bodyReader marks the errors of reading a body, which are not those of the client. It also hides
+// the WriteTo method of the body, which would choose the size of the chunks.
+type bodyReader struct{ body io.Reader }
+
+func (r bodyReader) Read(p []byte) (int, error) {
+	n, err := r.body.Read(p)
+	if err != nil && err != io.EOF {
+		err = &bodyError{err}
+	}
+	return n, err
+}
+
+// bodyError is an error of reading a body.
+type bodyError struct{ err error }
+
+func (e *bodyError) Error() string { return e.err.Error() }
+
+func (e *bodyError) Unwrap() error { return e.err }
--- a/internal/gateway/proxy/serveindirect.go
+++ b/internal/gateway/proxy/serveindirect.go
@@ -121,13 +121,13 @@
 
 // forwardIndirect sends a response to the other host and releases the upstream. If the
 // response breaks off, the other host gets no complete body.
-func (f *inflight) forwardIndirect(w *peer.Responder, resp *response) (err error) {
-	defer func() {
-		_ = resp.Body.Close() // err already says whether the body was read completely
-		f.proxy.release(resp.choice, outcomeOfForward(err))
-	}()
-	if err := f.sendResponse(w, resp); err != nil {
+func (f *inflight) forwardIndirect(w *peer.Responder, resp *response) error {
+	err := f.sendResponse(w, resp)
+	if err != nil {
 		_ = w.Fail() // the connection may be lost, which the other host notices
+	}
+	f.endForward(resp, err)
+	if err != nil {
 		return verdict.New(verdict.MayHaveRun, verdict.AnswerTruncated, "%v", err)
 	}
 	f.recordResponse(resp.Status)
@@ -158,14 +158,5 @@
 		}
 		prefix = prefix[n:]
 	}
-	if r.isComplete() {
-		return nil
-	}
-	buf := buffers.Get().(*[copyBufferBytes]byte)
-	defer buffers.Put(buf)
-	_, err := io.CopyBuffer(onlyWriter{w}, onlyReader{r.Body}, buf[:])
-	return err
+	return r.copyRest(w)
 }
-
-// onlyReader hides the WriteTo method of the reader, which would choose the size of the chunks.
-type onlyReader struct{ io.Reader }
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"maps"
 	"net"
@@ -110,6 +109,8 @@
 	// MaxResponseHeadBytes is the maximum size of the status line and the header of an
 	// upstream's response.
 	MaxResponseHeadBytes int `toml:"max_response_head_bytes"`
+	// MaxResponseBodyBytes is the maximum size of the body of an upstream's response.
+	MaxResponseBodyBytes int64 `toml:"max_response_body_bytes"`
 }
 
 // StopSettings configure a planned stop.
@@ -175,10 +176,6 @@
 // watcher are fractions of the bound and a round trip to another region takes 70 ms.
 const minStaleness = 500 * time.Millisecond
 
-// maxHeadBytes is the maximum of limits.max_response_head_bytes. A hundred heads of this size in
-// flight take more than half of the memory of a small host, 184 MB.
-const maxHeadBytes = 1 << 20
-
 // defaultSettings returns the values of keys that are missing in the file. A zero in the
 // file remains zero.
 func defaultSettings() Settings {
@@ -187,7 +184,7 @@
 			RetryRatio: defaultRetryRatio, RetryWindow: settings.Duration(defaultRetryWindow), WarmUpOvershoot: defaultWarmUpOvershoot,
 			RevokeWithin: settings.Duration(defaultMaxRevocationDelay), QuotaWindow: settings.Duration(defaultQuotaWindow),
 			CanaryShare: defaultCanaryShare, DirectoryTTL: settings.Duration(defaultDirectoryTTL),
-			MaxResponseHeadBytes: exchange.DefaultMaxHeadBytes,
+			MaxResponseHeadBytes: exchange.DefaultMaxHeadBytes, MaxResponseBodyBytes: exchange.DefaultMaxBodyBytes,
 		},
 		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
 		Log:  LogSettings(eventlog.DefaultSampling()),
@@ -217,7 +214,7 @@
 	f.Require(s.Limits.CanaryShare >= 0 && s.Limits.CanaryShare <= 1, "limits.canary_share", "must be from 0 to 1")
 	f.Require(s.Limits.CanarySlack >= 0, "limits.canary_slack", "must not be below 0")
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
-	f.Require(s.Limits.MaxResponseHeadBytes >= exchange.MinHeadBytes && s.Limits.MaxResponseHeadBytes <= maxHeadBytes, "limits.max_response_head_bytes", "must be from 4096 to 1048576")
+	s.Limits.checkResponses(&f)
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
 	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
 	f.Require(s.Log.ServedPerSecond >= 0, "log.served_per_second", "must not be below 0")
@@ -257,24 +254,3 @@
 	}
 	return slices.Sorted(maps.Keys(regions))
 }
-
-// maxKeyAge returns the maximum age of the configuration at which keys are accepted;
-// zero means any age.
-func (l LimitSettings) maxKeyAge() time.Duration {
-	if !l.StrictRevocation {
-		return 0
-	}
-	return time.Duration(l.RevokeWithin)
-}
-
-// Staleness returns the maximum age of a host's replicas while the host reaches the
-// store: the tightest of ApplyWithin, DrainWithin and EvacuateWithin.
-func (l LimitSettings) Staleness() time.Duration {
-	var tightest time.Duration
-	for _, d := range []settings.Duration{l.ApplyWithin, l.DrainWithin, l.EvacuateWithin} {
-		if bound := time.Duration(d); bound > 0 && (tightest == 0 || bound < tightest) {
-			tightest = bound
-		}
-	}
-	return cmp.Or(tightest, defaultStaleness)
-}
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -41,6 +41,7 @@
 	require.Positive(t, g.Limits.WarmUpOvershoot)
 	require.Positive(t, g.Limits.DirectoryTTL)
 	require.Equal(t, 65536, g.Limits.MaxResponseHeadBytes)
+	require.EqualValues(t, 67108864, g.Limits.MaxResponseBodyBytes)
 	require.Positive(t, g.Stop.Grace)
 	require.Equal(t, gateway.LogSettings{OneIn: 100, ServedPerSecond: 10, FailedPerSecond: 50}, g.Log)
 	require.Equal(t, 2*time.Second, g.Limits.Staleness())
@@ -84,6 +85,7 @@
 		"limits.retries":         minSettings + "[limits]\nretries = 3",
 		"limits.max_response_head_bytes: must be from 4096 to 1048576": minSettings + "[limits]\nmax_response_head_bytes = 4095",
 		"limits.max_response_head_bytes":                               minSettings + "[limits]\nmax_response_head_bytes = 1048577",
+		"limits.max_response_body_bytes":                               minSettings + "[limits]\nmax_response_body_bytes = 0",
 		"log.one_in":                                                   minSettings + "[log]\none_in = 0",
 		"log.served_per_second":                                        minSettings + "[log]\nserved_per_second = -1",
 		"log.failed_per_second":                                        minSettings + "[log]\nfailed_per_second = -1",
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -76,7 +76,7 @@
 func (g *Gateway) newProxy(started time.Time) *proxy.Proxy {
 	limits := g.settings.Limits
 	client := exchange.NewClient(g.dialUpstream, platform.Protocol{Metrics: g.metrics, Unread: &platform.UnreadHeaders{}})
-	client.LimitResponses(exchange.ResponseLimits{HeadBytes: limits.MaxResponseHeadBytes})
+	client.LimitResponses(limits.responses())
 	client.OnSilent(func(connections int) { g.metrics.Add("cairndock_silent_connections_total", connections) })
 	g.reach = g.newReach(client)
 	client.ConfirmTerminations(func() bool { return !g.reach.Check() })
