--- a/internal/gateway/watch/compress.go
+++ b/internal/gateway/watch/compress.go
@@ -38,13 +38,19 @@
 	return r
 }
 
-// Bytes returns the row's value as stored in the store. A value larger than maxValueSize
-// is truncated; its decoder then rejects it as a bad row.
+// Bytes returns the row's value as stored in the store. A compressed value that expands to more
+// than maxValueSize is an error.
 func (r Row) Bytes() ([]byte, error) {
 	if !r.Compressed {
 		return r.Value, nil
 	}
 	reader := flate.NewReader(bytes.NewReader(r.Value))
-	value, err := io.ReadAll(io.LimitReader(reader, maxValueSize))
-	return value, eris.Wrap(err, "decompress value")
+	value, err := io.ReadAll(io.LimitReader(reader, maxValueSize+1))
+	if err != nil {
+		return nil, eris.Wrap(err, "decompress value")
+	}
+	if len(value) > maxValueSize {
+		return nil, eris.Errorf("the decompressed value exceeds the limit of %d bytes", maxValueSize)
+	}
+	return value, nil
 }
--- a/internal/gateway/watch/compress_test.go
+++ b/internal/gateway/watch/compress_test.go
@@ -27,3 +27,16 @@
 	_, err = Row{Value: []byte("rubbish"), Compressed: true}.Bytes()
 	require.Error(t, err)
 }
+
+// A value that expands beyond the limit was truncated without an error.
+func TestAValueThatExpandsBeyondTheLimitIsAnError(t *testing.T) {
+	for size, ok := range map[int]bool{maxValueSize: true, maxValueSize + 1: false} {
+		value, err := Row{Value: bytes.Repeat([]byte(" "), size)}.compressed().Bytes()
+		if !ok {
+			require.ErrorContains(t, err, "16777216")
+			continue
+		}
+		require.NoError(t, err)
+		require.Len(t, value, size)
+	}
+}
