peer: bound what one connection makes a host keep, and log bad input

Cause: a connection whose sender was not known yet made the host reserve 1 MiB by four bytes, open streams and the size of their requests had no bound, empty chunks of a body were kept without end, and each ping of a peer that does not read started a goroutine. An invalid frame ended its connection with no line in the log.

Change: the first frame has at most 4 KiB; a connection serves at most 8,192 streams with 32 MiB of requests, and refuses further ones while the others go on; empty chunks are ignored; one response to pings waits at a time; credit is at most one window. The mesh reports invalid frames and refused streams with the peer's name and address: bad-input of a gateway, a warning of serve.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -250,6 +250,12 @@
 	l.stateEvent("bad-row").Str("table", table).Str("key", key).Int64("version", version).Err(err).Msg("row: cannot be decoded, not applied")
 }
 
+// BadInput logs that another host sent an invalid frame or exceeded a limit. The error names the
+// limit. The source is the name of the host, if it is known, and its address.
+func (l *Log) BadInput(source string, err error) {
+	l.stateEvent("bad-input").Str("name", source).Err(err).Msg("peer: input is not used")
+}
+
 // Ejected logs that an upstream is ejected for a time, with the observations that
 // caused the ejection, and counts it.
 func (l *Log) Ejected(o outlier.Ejection) {
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -46,6 +46,8 @@
 type Reporter interface {
 	Lost(kind, name string, err error)
 	Regained(kind, name string, after time.Duration)
+	// BadInput reports that another host sent an invalid frame or exceeded a limit.
+	BadInput(source string, err error)
 	// Stalled reports for how long the process had no CPU time.
 	Stalled(d time.Duration)
 }
@@ -150,6 +152,7 @@
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
 	f.mesh = peer.NewMesh(hello, o.Transport, f)
+	f.mesh.OnBadInput(func(source string, err error) { o.Report.BadInput(source, err) })
 	f.members.firstStart = o.FirstStart
 	f.updateAssignment(time.Now())
 	return f
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -49,6 +49,9 @@
 	net     net.Conn
 	remote  Hello
 	handler Handler
+	// badInput is called with the name and address of the peer when it exceeds a limit or sends
+	// an invalid frame.
+	badInput func(source string, err error)
 
 	// writeToken holds the token of the only goroutine that may write to net.
 	// The token is acquired before mu. It is a channel, so that waiting for it
@@ -68,6 +71,12 @@
 	// that the peer opened.
 	streams map[uint64]*Stream
 	serving map[uint64]*Responder
+	// servingBytes is the size of the requests of the streams in serving.
+	servingBytes int
+	// refused are the streams whose refusals wait to be written, and refusing is set while a
+	// goroutine writes them.
+	refused  []uint64
+	refusing bool
 	// retired is set when new requests use another connection. The connection
 	// closes when its last stream ends.
 	retired bool
@@ -82,23 +91,15 @@
 	keepAlive keepAlive
 }
 
-// newConn performs the handshake on a dialed or accepted network connection and
-// starts to serve it. It closes the network connection if the handshake fails.
-func newConn(ctx context.Context, nc net.Conn, self Hello, h Handler, r role) (*conn, error) {
-	c, reader, err := establish(ctx, nc, self, h, r)
-	if err == nil {
-		c.startReading(ctx, reader)
-	}
-	return c, err
-}
-
-// establish performs the handshake of newConn. No frame is read after the Hello
-// until startReading is called.
+// establish performs the handshake on a dialed or accepted network connection. No frame
+// is read after the Hello until startReading is called. It closes the network connection
+// if the handshake fails.
 func establish(ctx context.Context, nc net.Conn, self Hello, h Handler, r role) (*conn, *bufio.Reader, error) {
 	c := &conn{
 		net:        nc,
 		writeToken: make(chan struct{}, 1),
 		handler:    h,
+		badInput:   func(string, error) {},
 		streams:    map[uint64]*Stream{},
 		serving:    map[uint64]*Responder{},
 		closed:     make(chan struct{}),
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -14,6 +14,10 @@
 // A larger frame is not sent, and closes the connection if it is received.
 const maxFrame = 1 << 20
 
+// maxHelloFrame is the maximum size of the first frame, whose sender is not known yet. A Hello has
+// about 100 bytes.
+const maxHelloFrame = 4 << 10
+
 // errInvalidFrame reports that a peer sent an invalid frame.
 var errInvalidFrame = eris.New("invalid frame")
 
@@ -78,14 +82,17 @@
 }
 
 // readFrame reads and decodes one frame.
-func readFrame(r *bufio.Reader) (frame, error) {
+func readFrame(r *bufio.Reader) (frame, error) { return readFrameOf(r, maxFrame) }
+
+// readFrameOf is readFrame for a frame of at most limit bytes.
+func readFrameOf(r *bufio.Reader, limit uint32) (frame, error) {
 	var size [4]byte
 	if _, err := io.ReadFull(r, size[:]); err != nil {
 		return frame{}, err
 	}
 	n := binary.BigEndian.Uint32(size[:])
-	if n == 0 || n > maxFrame {
-		return frame{}, eris.Wrapf(errInvalidFrame, "length %d", n)
+	if n == 0 || n > limit {
+		return frame{}, eris.Wrapf(errInvalidFrame, "length %d, the limit is %d bytes", n, limit)
 	}
 	body := make([]byte, n)
 	if _, err := io.ReadFull(r, body); err != nil {
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -49,7 +49,7 @@
 	}
 	sent := make(chan error, 1)
 	go func() { sent <- c.write(&frame{Type: frameHello, Data: hello}) }()
-	f, err := readFrame(reader)
+	f, err := readFrameOf(reader, maxHelloFrame)
 	if err != nil {
 		return err
 	}
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -66,6 +66,8 @@
 	role role
 	// received is set when bytes were received and cleared by each check.
 	received atomic.Bool
+	// ponging is set while the response to a ping waits to be written.
+	ponging atomic.Bool
 
 	// conn.mu guards the fields below.
 
@@ -226,10 +228,17 @@
 	c.keepAlive.pinging, c.keepAlive.pinged = false, true
 }
 
-// pong responds to a ping without blocking the read loop that calls it.
+// pong responds to a ping without blocking the read loop that calls it. While one response waits
+// to be written, it also stands for later pings.
 func (c *conn) pong() {
+	if c.keepAlive.ponging.Swap(true) {
+		return
+	}
 	c.wg.Go(func() {
+		c.writeToken <- struct{}{}
+		defer func() { <-c.writeToken }()
+		c.keepAlive.ponging.Store(false) // a ping from now on gets its own response
 		// An error is ignored for the same reason as in ping.
-		_ = c.write(&frame{Type: framePong})
+		_ = c.writeLocked(&frame{Type: framePong})
 	})
 }
--- a/internal/peer/mesh.go
+++ b/internal/peer/mesh.go
@@ -36,6 +36,7 @@
 	self      Hello
 	transport Transport
 	handler   Handler
+	badInput  func(source string, err error)
 
 	mu       sync.Mutex
 	dialed   map[string]*dialedPeer
@@ -68,9 +69,14 @@
 // NewMesh returns a mesh that identifies itself as self. The handler serves the
 // streams that peers open.
 func NewMesh(self Hello, t Transport, h Handler) *Mesh {
-	return &Mesh{self: self, transport: t, handler: h, dialed: map[string]*dialedPeer{}, accepted: map[*conn]struct{}{}, retired: map[*conn]struct{}{}}
+	return &Mesh{self: self, transport: t, handler: h, badInput: func(string, error) {}, dialed: map[string]*dialedPeer{}, accepted: map[*conn]struct{}{}, retired: map[*conn]struct{}{}}
 }
 
+// OnBadInput sets a callback for peers that exceed a limit or send an invalid frame. source is the
+// name of the peer, if it is known, and its address. OnBadInput must be called before the mesh is
+// used.
+func (m *Mesh) OnBadInput(f func(source string, err error)) { m.badInput = f }
+
 // Listen starts to accept connections at an address and returns the actual
 // address.
 func (m *Mesh) Listen(addr string) (string, error) {
@@ -98,14 +104,18 @@
 }
 
 // serveConn serves an accepted connection until it breaks. A failed handshake
-// is not logged, because the peer that connected reports it.
+// is not logged, because the peer that connected reports it, unless its Hello is invalid.
 func (m *Mesh) serveConn(nc net.Conn) {
 	defer m.wg.Done()
 	ctx := context.Background()
 	c, reader, err := establish(ctx, nc, m.self, m.handler, accepted)
 	if err != nil {
+		if errors.Is(err, errInvalidFrame) {
+			m.badInput(nc.RemoteAddr().String(), err)
+		}
 		return
 	}
+	c.badInput = m.badInput
 	m.mu.Lock()
 	if m.closed {
 		m.mu.Unlock()
@@ -229,10 +239,12 @@
 	if err != nil {
 		return nil, err
 	}
-	c, err := newConn(ctx, nc, m.self, m.handler, dialed)
+	c, reader, err := establish(ctx, nc, m.self, m.handler, dialed)
 	if err != nil {
 		return nil, err
 	}
+	c.badInput = m.badInput
+	c.startReading(ctx, reader)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
--- a/internal/peer/readloop.go
+++ b/internal/peer/readloop.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 
 	"github.com/rotisserie/eris"
 )
@@ -26,12 +27,18 @@
 			err = c.receive(ctx, f)
 		}
 		if err != nil {
+			if errors.Is(err, errInvalidFrame) {
+				c.badInput(c.source(), err)
+			}
 			c.fail(err)
 			return
 		}
 	}
 }
 
+// source names the peer and its address in log lines.
+func (c *conn) source() string { return c.remote.Host + " at " + c.net.RemoteAddr().String() }
+
 // receive dispatches a frame to its stream. A frame for a stream that has
 // already ended at this end is ignored.
 func (c *conn) receive(ctx context.Context, f frame) error {
@@ -77,20 +84,26 @@
 		return
 	}
 	c.lastPeerID = f.ID
+	if len(c.serving) >= maxServing || c.servingBytes+len(f.Data) > maxServingBytes {
+		c.refuse(f.ID)
+		return
+	}
 	r := newResponder(ctx, c, f.ID)
 	c.serving[f.ID] = r
+	c.servingBytes += len(f.Data)
 	c.wg.Add(1)
 	go func() {
 		defer c.wg.Done()
-		defer c.finish(r)
+		defer c.finish(r, len(f.Data))
 		c.handler.ServePeer(r.ctx, c.remote, f.Kind, f.Data, r)
 	}()
 }
 
-// finish ends a stream that the peer opened.
-func (c *conn) finish(r *Responder) {
+// finish ends a stream that the peer opened, whose request had the given size.
+func (c *conn) finish(r *Responder, size int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r.cancel()
 	delete(c.serving, r.id)
+	c.servingBytes -= size
 }
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -36,7 +36,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.credit += f.Offset
+	r.credit = min(r.credit+min(f.Offset, window), window)
 	r.ready.Broadcast()
 }
 
--- a/internal/peer/stream.go
+++ b/internal/peer/stream.go
@@ -85,11 +85,12 @@
 }
 
 // receiveBody appends a chunk of the body; s.mu is held. A chunk at a lower
-// offset than expected is a repeated frame and is ignored. A chunk at a higher
+// offset than expected is a repeated frame and is ignored, and so is an empty one, which the
+// flow-control window does not limit. A chunk at a higher
 // offset shows that a frame is missing.
 func (s *Stream) receiveBody(f frame) {
 	switch {
-	case f.Offset < s.received:
+	case f.Offset < s.received, f.Offset == s.received && len(f.Data) == 0:
 		return
 	case f.Offset > s.received:
 		s.failLocked(eris.Wrapf(errIncomplete, "bytes %d to %d are missing", s.received, f.Offset))
--- a/internal/selector/entry/host.go
+++ b/internal/selector/entry/host.go
@@ -128,6 +128,9 @@
 	}
 	hello := peer.Hello{Host: s.Host.Name, Zone: s.Host.Zone, Incarnation: h.incarnation}
 	h.mesh = peer.NewMesh(hello, o.Transport, h)
+	h.mesh.OnBadInput(func(source string, err error) {
+		h.log.Warn().Str("peer", source).Err(err).Msg("entry: input of another host is not used")
+	})
 	h.suspicions = poison.NewTable(h.incarnation, h.createdAt, &suspicionObserver{host: h})
 	h.fence = fence.New(h.now)
 	h.platform = platformcalls.New(s.Platform.CallsPerSecond, h.metrics, h.fence.Answered)
