proxy: bound bodies from other hosts and from clients without a limit

Cause: the body of a response that came through another host was forwarded whatever its length: 9 bytes behind a length of 5 reached the client as a complete response, and a body without end was forwarded until the deadline. A client's body was read up to 1 TiB where the configuration sets no limit.

Change: limits.max_response_body_bytes holds for such a response too, and a body must have its declared length. A client's body is read up to 64 MiB, the limit that the known platforms set, where the configuration sets none.

The bound on clients' bodies has no test of its own: it needs a body of 64 MiB.

--- a/internal/gateway/exchange/body.go
+++ b/internal/gateway/exchange/body.go
@@ -16,14 +16,12 @@
 // body is a response's body. Closing it returns the connection to the pool.
 type body struct {
 	roundTrip *roundTrip
-	inner     io.ReadCloser
+	inner     *limitedBody
 	// reusable is false when the connection closes after the response.
 	reusable    bool
 	idleTimeout time.Duration
 	// framed is set if the response may have a body, whose end must be right.
 	framed bool
-	// left is the number of bytes that the body may still have.
-	left int64
 	// completeAt is when the body was completely read; zero before.
 	completeAt time.Time
 	closed     bool
@@ -32,25 +30,20 @@
 // newBody returns the body of a response.
 func (x *roundTrip) newBody(resp *http.Response) *body {
 	return &body{
-		roundTrip: x, inner: resp.Body, reusable: !resp.Close, idleTimeout: keepAliveTimeout(resp.Header),
-		framed: x.mayHaveBody(resp), left: x.client.limits.BodyBytes,
+		roundTrip: x, inner: &limitedBody{resp.Body, x.client.limits.BodyBytes, x.bodyLimitError(), false}, reusable: !resp.Close, idleTimeout: keepAliveTimeout(resp.Header),
+		framed: mayHaveBody(x.request.Method, resp.StatusCode),
 	}
 }
 
 // mayHaveBody reports whether a response may have a body (RFC 9110 section 6.4.1).
-func (x *roundTrip) mayHaveBody(resp *http.Response) bool {
-	return x.request.Method != http.MethodHead && resp.StatusCode != http.StatusNoContent && resp.StatusCode != http.StatusNotModified
+func mayHaveBody(method string, status int) bool {
+	return method != http.MethodHead && status != http.StatusNoContent && status != http.StatusNotModified
 }
 
 // Read returns io.EOF only after the complete body was read. It returns an error if the body
 // exceeds its limit, or if bytes follow it that are not another response.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.inner.Read(p)
-	if int64(n) > b.left {
-		n, b.left = int(b.left), 0
-		return n, b.roundTrip.bodyLimitError()
-	}
-	b.left -= int64(n)
 	if err == io.EOF && b.completeAt.IsZero() {
 		if b.framed && b.hasTrailingBytes() {
 			return 0, errTrailingBytes // without its last bytes, the body doesn't look complete to a client
@@ -65,7 +58,7 @@
 // through the buffer, so that the kernel has the bytes after it.
 func (b *body) hasTrailingBytes() bool {
 	x := b.roundTrip
-	isLong := x.client.limits.BodyBytes-b.left >= readBuffer
+	isLong := x.client.limits.BodyBytes-b.inner.left >= readBuffer
 	return !strings.HasPrefix(statusLinePrefix, string(x.conn.next(len(statusLinePrefix), isLong)))
 }
 
@@ -86,3 +79,44 @@
 	x.client.pool.put(x.to.Run, x.conn, b.completeAt, b.idleTimeout)
 	return nil
 }
+
+// limitedBody returns err in place of the bytes of a body beyond a limit.
+type limitedBody struct {
+	io.ReadCloser
+	// left is the number of bytes that the body may still have.
+	left int64
+	err  error
+	// exact is set if the body must have all of these bytes.
+	exact bool
+}
+
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if int64(n) > b.left {
+		n, b.left = int(b.left), 0
+		return n, b.err
+	}
+	b.left -= int64(n)
+	if err == io.EOF && b.exact && b.left > 0 {
+		err = io.ErrUnexpectedEOF
+	}
+	return n, err
+}
+
+// LimitIndirect applies the limit on bodies to a response that came through another host, which
+// may have another limit or none, and requires a body of the declared length. It returns an error
+// if the response declares a longer body.
+func (c *Client) LimitIndirect(host, method string, r *Response) error {
+	limitErr := newBodyLimitError("host "+host, c.limits.BodyBytes)
+	switch {
+	case !mayHaveBody(method, r.Status):
+		r.Body = &limitedBody{r.Body, 0, errTrailingBytes, false}
+	case r.Length > c.limits.BodyBytes:
+		return limitErr
+	case r.Length >= 0:
+		r.Body = &limitedBody{r.Body, r.Length, errTrailingBytes, true}
+	default:
+		r.Body = &limitedBody{r.Body, c.limits.BodyBytes, limitErr, false}
+	}
+	return nil
+}
--- a/internal/gateway/exchange/limits.go
+++ b/internal/gateway/exchange/limits.go
@@ -38,10 +38,10 @@
 	BodyBytes int64
 }
 
-// LimitError reports that an upstream exceeded a limit on its responses.
+// LimitError reports that a response exceeded a limit.
 type LimitError struct {
-	// Upstream is the ID of the upstream.
-	Upstream string
+	// Source is the upstream or the host that sent the response.
+	Source string
 	// Limited is what the limit applies to, with its unit, and Limit its value.
 	Limited string
 	Limit   int64
@@ -51,7 +51,7 @@
 
 // Error implements the error interface.
 func (e *LimitError) Error() string {
-	text := fmt.Sprintf("upstream %s exceeds the limit of %d %s", e.Upstream, e.Limit, e.Limited)
+	text := fmt.Sprintf("%s exceeds the limit of %d %s", e.Source, e.Limit, e.Limited)
 	if e.Setting != "" {
 		text += " (" + e.Setting + ")"
 	}
@@ -59,13 +59,19 @@
 }
 
 func (x *roundTrip) headLimitError() *LimitError {
-	return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response head", Limit: int64(x.client.limits.HeadBytes), Setting: "limits.max_response_head_bytes"}
+	return &LimitError{Source: x.source(), Limited: "bytes of a response head", Limit: int64(x.client.limits.HeadBytes), Setting: "limits.max_response_head_bytes"}
 }
 
 func (x *roundTrip) bodyLimitError() *LimitError {
-	return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response body", Limit: x.client.limits.BodyBytes, Setting: "limits.max_response_body_bytes"}
+	return newBodyLimitError(x.source(), x.client.limits.BodyBytes)
 }
 
+func newBodyLimitError(source string, limit int64) *LimitError {
+	return &LimitError{Source: source, Limited: "bytes of a response body", Limit: limit, Setting: "limits.max_response_body_bytes"}
+}
+
+func (x *roundTrip) source() string { return "upstream " + x.to.Upstream }
+
 // headLimit limits the bytes that are read from a connection while a response head is parsed.
 type headLimit struct {
 	// err is the error when no byte is left; nil while no head is parsed.
@@ -105,7 +111,7 @@
 func (x *roundTrip) skipBody(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes+1))
 	if n > maxSkippedBytes {
-		return &LimitError{Upstream: x.to.Upstream, Limited: "bytes of a response to another request", Limit: maxSkippedBytes}
+		return &LimitError{Source: x.source(), Limited: "bytes of a response to another request", Limit: maxSkippedBytes}
 	}
 	if err != nil || resp.Close {
 		return eris.New("connection ended after a response to another request")
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -79,7 +79,7 @@
 		info := x.client.protocol.ParseResponse(x.request.ID, resp.StatusCode, resp.Header)
 		if !info.WrongRequest {
 			x.client.terminations.noteResponse(x.to.Run)
-			if x.mayHaveBody(resp) && resp.ContentLength > x.client.limits.BodyBytes {
+			if mayHaveBody(x.request.Method, resp.StatusCode) && resp.ContentLength > x.client.limits.BodyBytes {
 				return nil, x.fail(ctx, x.bodyLimitError(), true)
 			}
 			return &Response{Status: resp.StatusCode, Header: resp.Header, Info: info, Length: resp.ContentLength, Body: x.newBody(resp)}, nil
@@ -103,7 +103,7 @@
 			return resp, nil
 		}
 	}
-	return nil, &LimitError{Upstream: x.to.Upstream, Limited: "interim responses", Limit: maxInterimResponses}
+	return nil, &LimitError{Source: x.source(), Limited: "interim responses", Limit: maxInterimResponses}
 }
 
 // fail closes the connection, which cancels the request at the upstream, and returns the
--- a/internal/gateway/proxy/indirect.go
+++ b/internal/gateway/proxy/indirect.go
@@ -172,6 +172,12 @@
 		f.logIndirect(to.Name, 0, verdict.From(err), began)
 		return nil, err
 	}
+	if err := f.proxy.Client.LimitIndirect(to.Name, f.request.Method, resp.Response); err != nil {
+		_ = resp.Body.Close() // the response is not used
+		e := verdict.New(verdict.MayHaveRun, verdict.PeerFailed, "%v", err)
+		f.logIndirect(to.Name, resp.Status, e, began)
+		return nil, e
+	}
 	f.observeIndirect(resp, began)
 	out, err := bufferPrefix(resp.Response)
 	if err != nil {
--- a/internal/gateway/proxy/indirect_test.go
+++ b/internal/gateway/proxy/indirect_test.go
@@ -13,6 +13,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/account"
+	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/gateway/indirect"
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/route"
@@ -367,6 +368,51 @@
 	}
 }
 
+// The body of a response that came through another host was forwarded whatever its length, also as
+// a complete one.
+func TestABodyOfAnotherHostIsOfItsLengthAndWithinTheLimit(t *testing.T) {
+	for name, c := range map[string]struct{ length, sent int64 }{
+		"declares too much": {1 << 40, 50_000},
+		"longer":            {4, 5},
+		"shorter":           {5, 4},
+		"long and longer":   {100_000, 100_001},
+		"without end":       {-1, 1 << 30},
+	} {
+		t.Run(name, func(t *testing.T) {
+			isolated, _, _ := newIsolated(t, testRoute(route.Once), healthy)
+			isolated.proxy.Client.LimitResponses(exchange.ResponseLimits{HeadBytes: exchange.DefaultMaxHeadBytes, BodyBytes: 200_000})
+			var sent atomic.Int64
+			ended := make(chan struct{})
+			mesh, broken := listenPeers(t, "broken", func(_ context.Context, _ peer.Hello, _ peer.Kind, _ []byte, w *peer.Responder) {
+				defer close(ended)
+				head, err := peer.Encode(indirect.Reply{Status: http.StatusOK, Length: c.length, Header: http.Header{"Genuine": {"1"}, "Id": {"id-1"}}})
+				if err != nil || w.Reply(head) != nil {
+					return
+				}
+				for sent.Load() < c.sent {
+					n, err := w.Write(make([]byte, min(c.sent-sent.Load(), copyBytes)))
+					if sent.Add(int64(n)); err != nil {
+						return
+					}
+				}
+				_ = w.End() // the reader checks it
+			})
+			isolated.peers.mesh = mesh
+			isolated.peers.set(broken)
+			resp, _, err := isolated.do(t.Context(), http.MethodPost, "/x/", "")
+			if err == nil {
+				require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+				require.Equal(t, verdict.MayHaveRun.String(), resp.Header.Get("Verdict"))
+			}
+			<-ended
+			require.Less(t, sent.Load(), int64(1<<20))
+		})
+	}
+}
+
+// copyBytes is the size of the chunks in which a host sends a body.
+const copyBytes = 16 << 10
+
 // A client that leaves ends its request at the upstream, over both hosts.
 func TestAClientThatLeavesCancelsItsRequestAtTheOtherHost(t *testing.T) {
 	arrived, canceled := make(chan struct{}), make(chan struct{})
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -11,9 +11,9 @@
 	"cairndock/internal/verdict"
 )
 
-// noBodyLimit stands for no limit on the request body: 1 TiB. The limit plus one byte
-// must still fit in an int64.
-const noBodyLimit = 1 << 40
+// maxBodyBytes limits the body of a request if the configuration sets no limit, because the body is
+// kept in memory. It is the limit that the known platforms set.
+const maxBodyBytes = 64 << 20
 
 // headerLineOverhead is the size of a header line without name and value, in bytes:
 // colon, space and line break.
@@ -94,14 +94,14 @@
 }
 
 // readBody reads the whole request body before the deadline. limit is in bytes; zero
-// means no limit. When part of the body is left unread, the connection is closed, because
+// selects maxBodyBytes. When part of the body is left unread, the connection is closed, because
 // that part would precede the next request.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody {
 		return nil, nil
 	}
 	if limit <= 0 {
-		limit = noBodyLimit
+		limit = maxBodyBytes
 	}
 	controller := http.NewResponseController(w)
 	// An error means that the connection is closed, which the read below reports.
