serve: bound what is read from upstreams, the table, objects and host lists

Cause: a body was read until the deadline whatever its length, and a response without end went on being read until 500 ms after the deadline once its request was given up.

Change: a body of at most 64 MiB, and a head that declares more fails at once; 1 MiB after a request was given up, after which the connection is closed and the slot is held as long as before. Package readlimit ends a source beyond its bound with an error that names both.

--- a/cmd/client.go
+++ b/cmd/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/readlimit"
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/entry/configsync"
 	"cairndock/internal/selector/operator"
@@ -29,6 +30,9 @@
 // change, 60 s.
 const clientTimeout = 90 * time.Second
 
+// maxResponseBytes limits the response of a host. It is far above the largest document.
+const maxResponseBytes = 64 << 20
+
 // client sends requests to a host's operator address.
 type client struct {
 	addr  string
@@ -69,7 +73,7 @@
 		return 0, nil, eris.Wrap(err, "send request")
 	}
 	defer resp.Body.Close()
-	out, err := io.ReadAll(resp.Body)
+	out, err := io.ReadAll(readlimit.New(resp.Body, maxResponseBytes, "the response of "+c.addr))
 	return resp.StatusCode, out, eris.Wrap(err, "read response")
 }
 
--- a/internal/selector/config/snapshot.go
+++ b/internal/selector/config/snapshot.go
@@ -10,6 +10,7 @@
 	"github.com/rotisserie/eris"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"cairndock/internal/readlimit"
 	"cairndock/internal/selector/store"
 )
 
@@ -56,6 +57,9 @@
 	return eris.Wrap(err, "write snapshot")
 }
 
+// maxSnapshotBytes is the maximum size of an expanded snapshot.
+const maxSnapshotBytes = 256 << 20
+
 // ReadSnapshot reads a snapshot written by WriteSnapshot. It returns an error if
 // the snapshot is truncated or corrupt.
 func ReadSnapshot(in io.Reader) (*State, error) {
@@ -63,7 +67,8 @@
 	if err != nil {
 		return nil, eris.Wrap(err, "read snapshot")
 	}
-	dec := msgpack.NewDecoder(zip)
+	plain := readlimit.New(zip, maxSnapshotBytes, "the expanded snapshot")
+	dec := msgpack.NewDecoder(plain)
 	var header snapshotHeader
 	if err := dec.Decode(&header); err != nil {
 		return nil, eris.Wrap(err, "read snapshot header")
@@ -80,7 +85,7 @@
 		}
 	}
 	// Reading to the end verifies the stream's checksum.
-	if _, err := io.Copy(io.Discard, zip); err != nil {
+	if _, err := io.Copy(io.Discard, plain); err != nil {
 		return nil, eris.Wrap(err, "read snapshot")
 	}
 	s.revision = header.Revision
--- a/internal/selector/load/hosts.go
+++ b/internal/selector/load/hosts.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cairndock/internal/readlimit"
 )
 
 // discover requests the list of hosts to use from the nearest known host, as
@@ -37,6 +39,9 @@
 	return nil
 }
 
+// maxEntriesBytes limits the response of the directory of hosts.
+const maxEntriesBytes = 8 << 20
+
 // roundTrip sends a request and decodes the JSON response into out, unless out is
 // nil. It fails if the status is 300 or above.
 func roundTrip(client *http.Client, req *http.Request, out any) error {
@@ -51,7 +56,7 @@
 	if out == nil {
 		return nil
 	}
-	return eris.Wrap(json.NewDecoder(resp.Body).Decode(out), "decode response")
+	return eris.Wrap(json.NewDecoder(readlimit.New(resp.Body, maxEntriesBytes, "the response of "+req.URL.Host)).Decode(out), "decode response")
 }
 
 // request sends a request without a body and decodes the response into out.
--- a/internal/selector/store/dynamodb.go
+++ b/internal/selector/store/dynamodb.go
@@ -47,7 +47,7 @@
 func NewTable(s servesettings.Platform) *Table {
 	return &Table{name: s.Table, client: dynamodb.New(dynamodb.Options{
 		BaseEndpoint: aws.String(s.TableEndpoint), Region: s.Region,
-		Credentials: staticCredentials{s.AccessKey, s.SecretKey}, Retryer: aws.NopRetryer{},
+		Credentials: staticCredentials{s.AccessKey, s.SecretKey}, Retryer: aws.NopRetryer{}, HTTPClient: newHTTPClient(),
 	})}
 }
 
--- a/internal/selector/store/hostlist.go
+++ b/internal/selector/store/hostlist.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/readlimit"
 	"cairndock/internal/selector/servesettings"
 )
 
@@ -17,7 +17,7 @@
 	// connection to the last byte. The list is read every 2 s.
 	hostListTimeout = 3 * time.Second
 	// maxHostListBytes limits the bytes that are read of the body; a longer body
-	// fails to decode. The limit is far above the size of a list of the 5,900
+	// is an error. The limit is far above the size of a list of the 5,900
 	// hosts in docs/design/request.md.
 	maxHostListBytes = 8 << 20
 )
@@ -48,6 +48,6 @@
 		return nil, eris.Errorf("host list: status %d", resp.StatusCode)
 	}
 	var hosts []HostState
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxHostListBytes)).Decode(&hosts)
+	err = json.NewDecoder(readlimit.New(resp.Body, maxHostListBytes, "the host list at "+l.url)).Decode(&hosts)
 	return hosts, eris.Wrap(err, "decode host list")
 }
--- a/internal/selector/store/s3.go
+++ b/internal/selector/store/s3.go
@@ -11,6 +11,7 @@
 	"github.com/aws/aws-sdk-go-v2/service/s3/types"
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/readlimit"
 	"cairndock/internal/selector/servesettings"
 )
 
@@ -24,7 +25,7 @@
 func NewObjects(s servesettings.Platform) *Objects {
 	return &Objects{bucket: s.Bucket, client: s3.New(s3.Options{
 		BaseEndpoint: aws.String(s.ObjectEndpoint), Region: s.Region, UsePathStyle: true,
-		Credentials: staticCredentials{s.AccessKey, s.SecretKey}, Retryer: aws.NopRetryer{},
+		Credentials: staticCredentials{s.AccessKey, s.SecretKey}, Retryer: aws.NopRetryer{}, HTTPClient: newHTTPClient(),
 		RequestChecksumCalculation: aws.RequestChecksumCalculationWhenRequired,
 		ResponseChecksumValidation: aws.ResponseChecksumValidationWhenRequired,
 	})}
@@ -45,7 +46,7 @@
 		return nil, objectError(err)
 	}
 	defer out.Body.Close()
-	body, err := io.ReadAll(out.Body)
+	body, err := io.ReadAll(readlimit.New(out.Body, maxObjectBytes, "object "+name))
 	return body, eris.Wrap(err, "read object")
 }
 
--- a/internal/selector/upstream/attempt.go
+++ b/internal/selector/upstream/attempt.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cairndock/internal/httpheader"
+	"cairndock/internal/readlimit"
 	"cairndock/internal/selector/call"
 	"cairndock/internal/selector/slot"
 	"cairndock/internal/verdict"
@@ -138,7 +139,7 @@
 // body was read to its end or closed.
 func (a *attempt) response(resp *http.Response, cancel context.CancelFunc) *call.Response {
 	chunked := len(resp.TransferEncoding) > 0 && strings.EqualFold(resp.TransferEncoding[0], "chunked")
-	b := &body{attempt: a, inner: resp.Body, cancel: cancel}
+	b := &body{attempt: a, inner: resp.Body, limited: readlimit.New(resp.Body, maxBodyBytes, bodySource(a.upstream())), cancel: cancel}
 	b.unframed = resp.ContentLength < 0 && !chunked && resp.Request.Method != http.MethodHead
 	return &call.Response{
 		Status:   resp.StatusCode,
@@ -150,10 +151,19 @@
 	}
 }
 
+// bodySource describes the body of a response in errors.
+func bodySource(upstream string) string { return "the response body of upstream " + upstream }
+
+func newBodyLimitError(upstream string) error {
+	return &readlimit.Error{Source: bodySource(upstream), Limit: maxBodyBytes}
+}
+
 // body is a response body that frees the slot of the request at its end.
 type body struct {
 	attempt *attempt
 	inner   io.ReadCloser
+	// limited reads inner up to maxBodyBytes.
+	limited io.Reader
 	cancel  context.CancelFunc
 	// unframed means that the body has neither a length nor chunks. Its end
 	// can't be distinguished from a broken connection.
@@ -163,7 +173,7 @@
 
 // Read returns io.EOF only when the whole response was read.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.inner.Read(p)
+	n, err := b.limited.Read(p)
 	if err == io.EOF {
 		if b.unframed {
 			return n, io.ErrUnexpectedEOF
--- a/internal/selector/upstream/client.go
+++ b/internal/selector/upstream/client.go
@@ -46,6 +46,10 @@
 	// maxHeaderBytes limits the header of a response, and the bytes read from
 	// the body of a refusal or of a response to a probe.
 	maxHeaderBytes = 64 << 10
+	// maxBodyBytes limits the body of a response, as in package gateway/exchange.
+	maxBodyBytes = 64 << 20
+	// maxLingerBytes limits the bytes that are read after a request was canceled.
+	maxLingerBytes = 1 << 20
 )
 
 // DialFunc connects to an upstream.
@@ -135,6 +139,12 @@
 		cancel()
 		return nil, failure
 	}
+	if resp.ContentLength > maxBodyBytes && req.Method != http.MethodHead {
+		failure := a.fail(ctx, newBodyLimitError(a.upstream()))
+		cancel()
+		_ = resp.Body.Close() // the response is not used
+		return nil, failure
+	}
 	c.onStatus(t.Name, parseStatus(resp.Header))
 	if isRefusal(resp) {
 		defer cancel()
--- a/internal/selector/upstream/conn.go
+++ b/internal/selector/upstream/conn.go
@@ -140,7 +140,9 @@
 }
 
 // linger discards received data until the upstream closes its side, or until
-// cancelGrace after the request's deadline, when the upstream must have stopped.
+// cancelGrace after the request's deadline, when the upstream must have stopped. An
+// upstream that sends more than maxLingerBytes may still be busy until then, although
+// its connection is closed at once.
 func (c *conn) linger() {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
@@ -149,12 +151,17 @@
 	c.writeMu.Unlock()
 	_ = c.SetReadDeadline(deadline.Add(cancelGrace)) // fails only on a closed connection
 	buf := make([]byte, 4<<10)
-	for {
-		if _, err := c.Conn.Read(buf); err != nil {
+	read := 0
+	for read <= maxLingerBytes {
+		n, err := c.Conn.Read(buf)
+		if read += n; err != nil {
 			break
 		}
 	}
 	_ = c.Conn.Close()
+	if read > maxLingerBytes {
+		time.Sleep(time.Until(deadline.Add(cancelGrace)))
+	}
 	c.markClosed()
 }
 
