soak: upstreams that send bytes without end harm no host

Cause: nothing showed on real processes that such upstreams leave hosts and other requests alone.

Change: three of 15 upstreams begin to send six kinds of responses without end in the middle of 200 requests a second. Each host's resident memory, read from /proc every 20 ms, grows by at most 16 MiB, 99 of 100 first tries of the other requests are served, nothing runs twice, no host ends, and after a second the three get less than half of their part of the requests. sendEvenly takes the gap between its requests.

--- a/internal/gateway/soak/doc.go
+++ b/internal/gateway/soak/doc.go
@@ -25,6 +25,7 @@
 //	said_test.go         the same together with all other faults
 //	poison_test.go       requests that terminate upstreams
 //	ended_test.go        upstreams that terminate at the same time
+//	flood_test.go        upstreams that send bytes without end
 //	isolation_test.go    hosts that are cut off from all upstreams
 //	recovery_test.go     checks after all faults
 //	restore_test.go      a restore of the store from a copy, without other faults
--- a/internal/gateway/soak/isolation_test.go
+++ b/internal/gateway/soak/isolation_test.go
@@ -162,7 +162,7 @@
 	require.Len(t, cutHosts, 5, "all hosts of a zone, and one of each other zone")
 	end := w.cutOff(cutHosts)
 	begin, ejections := time.Now(), w.ejections(t)
-	sent := w.sendEvenly(t, "isolation", isolationTouch+isolationLength)
+	sent := w.sendEvenly(t, "isolation", isolationGap, isolationTouch+isolationLength)
 	end()
 	time.Sleep(2 * time.Second) // until the path is used again
 	sent.requireServed(t, cutHosts, begin.Add(isolationTouch))
@@ -203,8 +203,9 @@
 	all []sentRequest
 }
 
-// sendEvenly sends requests to all hosts for a time, alternately of both kinds.
-func (w *world) sendEvenly(t *testing.T, name string, length time.Duration) *sentRequests {
+// sendEvenly sends requests to all hosts for a time, alternately of both kinds. gap is the time
+// between two requests to a host.
+func (w *world) sendEvenly(t *testing.T, name string, gap, length time.Duration) *sentRequests {
 	var sent sentRequests
 	var wait sync.WaitGroup
 	for end, n := time.Now().Add(length), 0; time.Now().Before(end); n++ {
@@ -221,7 +222,7 @@
 				sent.all = append(sent.all, r)
 			})
 		}
-		time.Sleep(isolationGap)
+		time.Sleep(gap)
 	}
 	wait.Wait()
 	return &sent
--- a/internal/gateway/soak/size_test.go
+++ b/internal/gateway/soak/size_test.go
@@ -84,23 +84,31 @@
 // residentMemory returns the resident memory of the run's hosts, in bytes.
 func (w *world) residentMemory() (sum int64) {
 	for _, h := range w.hosts {
-		h.mu.Lock()
-		pid := h.cmd.Process.Pid
-		h.mu.Unlock()
-		text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/statm")
-		if err != nil {
-			continue // the process has just ended
-		}
-		// The second field is the number of pages in memory.
-		if fields := strings.Fields(string(text)); len(fields) > 1 {
-			if pages, err := strconv.ParseInt(fields[1], 10, 64); err == nil {
-				sum += pages * int64(os.Getpagesize())
-			}
-		}
+		sum += h.residentMemory()
 	}
 	return sum
 }
 
+// residentMemory returns the resident memory of the host's process, in bytes, or 0 if it has ended.
+func (h *host) residentMemory() int64 {
+	h.mu.Lock()
+	pid := h.cmd.Process.Pid
+	h.mu.Unlock()
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(pid) + "/statm")
+	if err != nil {
+		return 0
+	}
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, err := strconv.ParseInt(fields[1], 10, 64) // the number of pages in memory
+	if err != nil {
+		return 0
+	}
+	return pages * int64(os.Getpagesize())
+}
+
 // machineMemory returns the machine's memory, in bytes.
 func machineMemory(t *testing.T) uint64 {
 	var info unix.Sysinfo_t
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -117,6 +117,10 @@
 	// poisoned, if set, is called for each poison request, and reports whether the
 	// request terminates the upstream. It is set while requests are served.
 	poisoned atomic.Pointer[func(u *upstream) bool]
+	// flooding is set while the upstream sends bytes without end in place of responses, and
+	// floods counts them.
+	flooding atomic.Bool
+	floods   atomic.Int32
 }
 
 func newUpstream(t *testing.T, id, zone string, l *ledger, onLateRequest func(upstream, request string)) *upstream {
@@ -186,6 +190,10 @@
 		work *= 10
 	}
 	time.Sleep(work)
+	if u.flooding.Load() {
+		floods[int(u.floods.Add(1))%len(floods)].send(w, u, id)
+		return
+	}
 	u.Sign(w.Header(), int(u.running.Load()))
 	u.respond(w, d, id)
 }
