fleet: bound a relay's listing and the body after a call's response

Cause: a relay that announces one more chunk each time was listed, and its rows kept, until the context ended; the same held for the bytes of a body after the response to a call, which are skipped.

Change: a listing has at most 1,000 chunks and 64 MiB; 1 MiB of such a body is skipped, more is an invalid frame. A test shows that a client's header that arrives byte by byte is limited like one that stalls; it passed before.

--- a/internal/gateway/fleet/chunk_test.go
+++ b/internal/gateway/fleet/chunk_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -63,6 +64,34 @@
 	require.Equal(t, int64(1), source.lists.Load())
 }
 
+// endlessRelay announces one more chunk each time.
+type endlessRelay struct {
+	rows   []watch.Row
+	chunks atomic.Int64
+}
+
+func (r *endlessRelay) ServePeer(_ context.Context, _ peer.Hello, _ peer.Kind, _ []byte, w *peer.Responder) {
+	r.chunks.Add(1)
+	_ = w.Send(relayResponse{Page: watch.Page{Rows: r.rows}, More: true})
+}
+
+// A listing whose chunks do not end was read and kept until the context ended.
+func TestAListingOfARelayWithoutEndIsAnError(t *testing.T) {
+	b := startFleet(t, newFakeRegistry(), host("b", "z", "west"), nil)
+	for _, size := range []int{1, 900 << 10} {
+		handler := &endlessRelay{rows: []watch.Row{{Key: "a", Value: make([]byte, size)}}}
+		mesh := peer.NewMesh(peer.Hello{Host: "c"}, peer.TCP((&net.Dialer{}).DialContext), handler)
+		address, err := mesh.Listen("127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(mesh.Close)
+		_, err = relay{fleet: b, address: address}.List(t.Context())
+		require.ErrorContains(t, err, address)
+		require.ErrorContains(t, err, "67108864 bytes")
+		require.LessOrEqual(t, handler.chunks.Load()*int64(size), int64(maxListBytes+size))
+		require.LessOrEqual(t, handler.chunks.Load(), int64(maxListChunks))
+	}
+}
+
 // Hosts of versions without chunks ask for all rows at once, and send them so.
 func TestHostsWithoutChunksRelaySmallTables(t *testing.T) {
 	source := &staticSource{rows: []watch.Row{{Key: "a", Version: 1}, {Key: "b", Version: 2}}}
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -59,6 +59,13 @@
 // the maximum size of a frame, whose other bytes belong to the rows' versions.
 const maxChunkBytes = 256 << 10
 
+// maxListChunks and maxListBytes limit a listing over all its chunks, as package platform does for
+// those of the store.
+const (
+	maxListChunks = 1000
+	maxListBytes  = 64 << 20
+)
+
 // errRestored reports that the peer's replica changed its era during a listing.
 var errRestored = eris.New("the relay's era changed during a listing")
 
@@ -68,7 +75,11 @@
 func (r relay) List(ctx context.Context) (watch.Page, error) {
 	request := relayRequest{Table: r.table, Full: true, Chunk: true}
 	all, err := r.request(ctx, request)
-	for err == nil && all.More && len(all.Page.Rows) > 0 {
+	size := sizeOf(all.Page.Rows)
+	for chunks := 1; err == nil && all.More && len(all.Page.Rows) > 0; chunks++ {
+		if chunks >= maxListChunks || size > maxListBytes {
+			return watch.Page{}, eris.Errorf("the list of the relay at %s exceeds the limit of %d chunks or of %d bytes", r.address, maxListChunks, maxListBytes)
+		}
 		request.From = all.Page.Rows[len(all.Page.Rows)-1].Key
 		var next relayResponse
 		if next, err = r.request(ctx, request); err != nil {
@@ -77,11 +88,21 @@
 		if next.Page.Era != all.Page.Era {
 			return watch.Page{}, errRestored
 		}
+		size += sizeOf(next.Page.Rows)
 		all.Page.Rows, all.More = append(all.Page.Rows, next.Page.Rows...), next.More && len(next.Page.Rows) > 0
 	}
 	return all.Page, err
 }
 
+// sizeOf returns the size of the keys and values of rows, in bytes.
+func sizeOf(rows []watch.Row) int {
+	n := 0
+	for _, row := range rows {
+		n += len(row.Key) + len(row.Value)
+	}
+	return n
+}
+
 // Changes waits until the peer's replica has changes after a version or the store has
 // confirmed the replica.
 func (r relay) Changes(ctx context.Context, after watch.Version, wait time.Duration) (watch.Page, error) {
--- a/internal/httpserver/httpserver_test.go
+++ b/internal/httpserver/httpserver_test.go
@@ -209,6 +209,23 @@
 	}
 }
 
+// A header that arrives byte by byte must not hold a connection longer than one that stalls.
+func TestAHeaderThatArrivesSlowlyIsLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPipeServer(t, ok, httpserver.Limits{Header: 2 * time.Second})
+		c := p.connect()
+		began := time.Now()
+		_, err := io.WriteString(c, "GET / HTTP/1.1\r\nA: ")
+		for bytes := 0; err == nil; bytes++ {
+			require.Less(t, bytes, 30)
+			time.Sleep(100 * time.Millisecond)
+			_, err = io.WriteString(c, "x")
+		}
+		require.LessOrEqual(t, time.Since(began), 2200*time.Millisecond)
+		require.NoError(t, p.Drain(t.Context()))
+	})
+}
+
 func TestLimitsThatGrowHoldForConnectionsThatWait(t *testing.T) {
 	s := newServer(t, ok, nil)
 	s.limits.Store(&httpserver.Limits{Idle: 200 * time.Millisecond})
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -48,9 +48,13 @@
 	defer stop()
 	// A response without a body has an end frame too. Reading up to it verifies
 	// that the response is complete.
-	if _, err := io.Copy(io.Discard, s); err != nil {
+	n, err := io.Copy(io.Discard, io.LimitReader(s, maxFrame+1))
+	if err != nil {
 		return nil, err
 	}
+	if n > maxFrame {
+		return nil, eris.Wrapf(errInvalidFrame, "the body after the response to a call exceeds %d bytes", maxFrame)
+	}
 	return s.Payload, nil
 }
 
--- a/internal/peer/limits_test.go
+++ b/internal/peer/limits_test.go
@@ -144,3 +144,23 @@
 		})
 	}
 }
+
+// bodyHandler sends a body after its response until its stream is canceled.
+type bodyHandler struct{ sent chan int }
+
+func (h bodyHandler) ServePeer(_ context.Context, _ Hello, _ Kind, _ []byte, w *Responder) {
+	sent := 0
+	for err := w.Reply(nil); err == nil; sent += 1 << 10 {
+		_, err = w.Write(make([]byte, 1<<10))
+	}
+	h.sent <- sent
+}
+
+// A call skips a body after its response. It did so until its context ended.
+func TestABodyWithoutEndAfterTheResponseToACallIsAnError(t *testing.T) {
+	h := bodyHandler{make(chan int, 1)}
+	client, addr := connectedMeshes(t, h)
+	_, err := Call[[]byte](t.Context(), client, addr, KindHeartbeat, nil)
+	require.ErrorIs(t, err, errInvalidFrame)
+	require.LessOrEqual(t, <-h.sent, maxFrame+2*window)
+}
