serve: do not wait for the body of a refusal that stalls

Cause: the attempt at another upstream began only when the body of a refusal had been read, at the latest at the deadline.

Change: the body is read for 50 ms at most, as in the gateway.

--- a/internal/selector/upstream/client.go
+++ b/internal/selector/upstream/client.go
@@ -48,6 +48,9 @@
 	maxHeaderBytes = 64 << 10
 	// maxBodyBytes limits the body of a response, as in package gateway/exchange.
 	maxBodyBytes = 64 << 20
+	// maxDiscardTime limits how long the next attempt waits for the body of a refusal, as
+	// in package gateway/proxy.
+	maxDiscardTime = 50 * time.Millisecond
 	// maxLingerBytes limits the bytes that are read after a request was canceled.
 	maxLingerBytes = 1 << 20
 )
@@ -148,6 +151,8 @@
 	c.onStatus(t.Name, parseStatus(resp.Header))
 	if isRefusal(resp) {
 		defer cancel()
+		timeout := time.AfterFunc(maxDiscardTime, cancel)
+		defer timeout.Stop()
 		return nil, a.refused(resp)
 	}
 	return a.response(resp, cancel), nil
--- a/internal/selector/upstream/limits_test.go
+++ b/internal/selector/upstream/limits_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"net"
+	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -121,3 +123,21 @@
 	require.NoError(t, ctx.Err())
 	require.LessOrEqual(t, read.Load(), int64(maxHeaderBytes+64<<10))
 }
+
+// The body of a refusal that did not end delayed the next attempt until the deadline.
+func TestARefusalWhoseBodyStallsIsNotWaitedFor(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(call.HeaderShed, verdict.NotRun.String())
+		w.WriteHeader(http.StatusServiceUnavailable)
+		_, _ = io.WriteString(w, "half")
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}))
+	defer server.Close()
+	free := make(chan slot.Outcome, 1)
+	began := time.Now()
+	_, err := New(nil, nil).Send(t.Context(), targetOf(server), get(10*time.Second), func(o slot.Outcome, _ time.Duration) { free <- o })
+	require.Equal(t, verdict.NotRun, verdict.From(err).Verdict)
+	require.Equal(t, slot.Shed, <-free)
+	require.Less(t, time.Since(began), 8*time.Second)
+}
