exchange: make the errors of limits only when they are needed

Cause: each request allocated two errors with their texts for limits that it did not exceed.

Change: a connection ends a head with a constant error, which is replaced by the one that names the upstream; the error of a body is made by a function.

Result: go test -race -count=1 ./internal/gateway/exchange: ok (load 20). The allocations were not measured.

--- a/internal/gateway/exchange/body.go
+++ b/internal/gateway/exchange/body.go
@@ -30,7 +30,7 @@
 // newBody returns the body of a response.
 func (x *roundTrip) newBody(resp *http.Response) *body {
 	return &body{
-		roundTrip: x, inner: &limitedBody{resp.Body, x.client.limits.BodyBytes, x.bodyLimitError(), false}, reusable: !resp.Close, idleTimeout: keepAliveTimeout(resp.Header),
+		roundTrip: x, inner: &limitedBody{resp.Body, x.client.limits.BodyBytes, x.bodyLimitError, false}, reusable: !resp.Close, idleTimeout: keepAliveTimeout(resp.Header),
 		framed: mayHaveBody(x.request.Method, resp.StatusCode),
 	}
 }
@@ -80,12 +80,13 @@
 	return nil
 }
 
-// limitedBody returns err in place of the bytes of a body beyond a limit.
+// limitedBody returns an error in place of the bytes of a body beyond a limit.
 type limitedBody struct {
 	io.ReadCloser
 	// left is the number of bytes that the body may still have.
 	left int64
-	err  error
+	// err returns the error.
+	err func() error
 	// exact is set if the body must have all of these bytes.
 	exact bool
 }
@@ -94,7 +95,7 @@
 	n, err := b.ReadCloser.Read(p)
 	if int64(n) > b.left {
 		n, b.left = int(b.left), 0
-		return n, b.err
+		return n, b.err()
 	}
 	b.left -= int64(n)
 	if err == io.EOF && b.exact && b.left > 0 {
@@ -107,14 +108,15 @@
 // may have another limit or none, and requires a body of the declared length. It returns an error
 // if the response declares a longer body.
 func (c *Client) LimitIndirect(host, method string, r *Response) error {
-	limitErr := newBodyLimitError("host "+host, c.limits.BodyBytes)
+	limitErr := func() error { return newBodyLimitError("host "+host, c.limits.BodyBytes) }
+	tooLong := func() error { return errTrailingBytes }
 	switch {
 	case !mayHaveBody(method, r.Status):
-		r.Body = &limitedBody{r.Body, 0, errTrailingBytes, false}
+		r.Body = &limitedBody{r.Body, 0, tooLong, false}
 	case r.Length > c.limits.BodyBytes:
-		return limitErr
+		return limitErr()
 	case r.Length >= 0:
-		r.Body = &limitedBody{r.Body, r.Length, errTrailingBytes, true}
+		r.Body = &limitedBody{r.Body, r.Length, tooLong, true}
 	default:
 		r.Body = &limitedBody{r.Body, c.limits.BodyBytes, limitErr, false}
 	}
--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -38,9 +38,9 @@
 // Read implements net.Conn. While a response head is parsed, it returns no more bytes than the
 // head may have.
 func (c *conn) Read(p []byte) (int, error) {
-	if c.head.err != nil {
+	if c.head.parsing {
 		if c.head.left <= 0 {
-			return 0, c.head.err
+			return 0, errHeadLimit
 		}
 		p = p[:min(len(p), c.head.left)]
 	}
--- a/internal/gateway/exchange/limits.go
+++ b/internal/gateway/exchange/limits.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -62,7 +63,7 @@
 	return &LimitError{Source: x.source(), Limited: "bytes of a response head", Limit: int64(x.client.limits.HeadBytes), Setting: "limits.max_response_head_bytes"}
 }
 
-func (x *roundTrip) bodyLimitError() *LimitError {
+func (x *roundTrip) bodyLimitError() error {
 	return newBodyLimitError(x.source(), x.client.limits.BodyBytes)
 }
 
@@ -72,11 +73,14 @@
 
 func (x *roundTrip) source() string { return "upstream " + x.to.Upstream }
 
+// errHeadLimit is the error of a connection's reads beyond the limit on a head.
+var errHeadLimit = eris.New("the response head exceeds its limit")
+
 // headLimit limits the bytes that are read from a connection while a response head is parsed.
 type headLimit struct {
-	// err is the error when no byte is left; nil while no head is parsed.
-	err  error
-	left int
+	// parsing is set while a head is parsed, and left is the number of bytes that may still be read.
+	parsing bool
+	left    int
 }
 
 // readHead parses one response head. The connection returns no more bytes than the head may
@@ -86,9 +90,12 @@
 	if err := checkStatusLine(reader); err != nil {
 		return nil, err
 	}
-	x.conn.head = headLimit{err: x.headLimitError(), left: x.client.limits.HeadBytes - reader.Buffered()}
+	x.conn.head = headLimit{parsing: true, left: x.client.limits.HeadBytes - reader.Buffered()}
 	resp, err := http.ReadResponse(reader, &http.Request{Method: x.request.Method})
 	x.conn.head = headLimit{}
+	if errors.Is(err, errHeadLimit) {
+		err = x.headLimitError()
+	}
 	return resp, err
 }
 
