exchange: bound the number of fields of a head

Cause: a valid head of 64 KB of short fields takes 1.0 MB for as long as its response is forwarded, and 1.8 MB to parse (a trial with runtime.MemStats, one head of about 9,000 fields); a hundred of them fill a small host.

Change: at most 1,000 fields; a head with more is a failed attempt like one that is too long.

Result: TestAHeadOfTooManyFieldsIsRefused fails without the bound; with it go test -race -count=1 ./internal/gateway/exchange ok in 4.7 s (load 19).

--- a/internal/gateway/exchange/head_test.go
+++ b/internal/gateway/exchange/head_test.go
@@ -178,6 +178,24 @@
 	}
 }
 
+// The fields of a head of 64 KB took 1 MB of memory for as long as its response was forwarded.
+func TestAHeadOfTooManyFieldsIsRefused(t *testing.T) {
+	for fields, ok := range map[int]bool{1000: true, 1001: false} {
+		inBubble(t, func(t *testing.T) {
+			client, _ := pipeClient(func(nc net.Conn, id string) {
+				_, _ = io.WriteString(nc, "HTTP/1.1 200 OK\r\nId: "+id+"\r\nContent-Length: 0\r\n"+strings.Repeat("a:\r\n", fields/2)+strings.Repeat("b:\r\n", fields-fields/2-2)+"\r\n")
+			})
+			_, err := sendForASecond(t, client)
+			if ok {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorContains(t, err, "1000 fields")
+			require.Equal(t, verdict.MayHaveRun, verdict.From(err).Verdict)
+		})
+	}
+}
+
 // A late response to another request is skipped, but not if its body does not end.
 func TestALateResponseWithoutEndIsAborted(t *testing.T) {
 	inBubble(t, func(t *testing.T) {
--- a/internal/gateway/exchange/limits.go
+++ b/internal/gateway/exchange/limits.go
@@ -19,6 +19,9 @@
 	// DefaultMaxBodyBytes is the default of ResponseLimits.BodyBytes. A link of 200 Mbit/s takes
 	// 2.7 s for it, which is longer than most requests may take.
 	DefaultMaxBodyBytes = 64 << 20
+	// maxHeadFields is the maximum number of fields of a response head. In memory the shortest
+	// fields take 15 times their size.
+	maxHeadFields = 1000
 	// maxInterimResponses is the maximum number of interim responses (1xx) before a response.
 	maxInterimResponses = 8
 	// maxSkippedBytes is the maximum size of the body of a response to another request that is
@@ -93,12 +96,23 @@
 	x.conn.head = headLimit{parsing: true, left: x.client.limits.HeadBytes - reader.Buffered()}
 	resp, err := http.ReadResponse(reader, &http.Request{Method: x.request.Method})
 	x.conn.head = headLimit{}
-	if errors.Is(err, errHeadLimit) {
-		err = x.headLimitError()
+	switch {
+	case errors.Is(err, errHeadLimit):
+		return nil, x.headLimitError()
+	case err == nil && countFields(resp.Header) > maxHeadFields:
+		return nil, &LimitError{Source: x.source(), Limited: "fields of a response head", Limit: maxHeadFields}
 	}
 	return resp, err
 }
 
+func countFields(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 // checkStatusLine checks the first bytes of a response as they arrive. The parser would wait for
 // the end of a line.
 func checkStatusLine(reader *bufio.Reader) error {
