exchange: test that a client that disconnects ends an endless body

Cause: the test used a shorter deadline in place of a disconnect. No test held that the log names the upstream and the limit.

No change of the code.

--- a/internal/gateway/exchange/body_test.go
+++ b/internal/gateway/exchange/body_test.go
@@ -77,8 +77,9 @@
 					time.Sleep(time.Millisecond)
 				}
 			})
-			ctx, cancel := context.WithTimeout(t.Context(), min(time.Second, disconnectAfter))
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
+			defer time.AfterFunc(disconnectAfter, cancel).Stop()
 			began := time.Now()
 			resp, err := sendGET(ctx, client)
 			require.NoError(t, err)
--- a/internal/gateway/proxy/badbody_test.go
+++ b/internal/gateway/proxy/badbody_test.go
@@ -59,6 +59,16 @@
 	}
 }
 
+// An operator must see which upstream exceeded which limit.
+func TestTheLogNamesTheUpstreamAndTheLimitThatItExceeded(t *testing.T) {
+	g := newTestGateway(t)
+	g.setRoutes(testRoute(route.Once))
+	g.addUpstream(endlessHead)
+	resp, _ := g.get()
+	require.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	g.requireLogged("upstream i-1 exceeds the limit of 65536 bytes of a response head (limits.max_response_head_bytes)")
+}
+
 // The body of a refusal that did not end delayed the attempt at another upstream until no time
 // was left.
 func TestARefusalWhoseBodyStallsIsRetriedAtOnce(t *testing.T) {
