--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -215,6 +215,7 @@
 func (noopReporter) Lost(string, string, error)             {}
 func (noopReporter) Regained(string, string, time.Duration) {}
 func (noopReporter) Stalled(time.Duration)                  {}
+func (noopReporter) BadInput(string, error)                 {}
 
 func (noopReporter) QuarantineStored(poison.Fingerprint, string, int) {}
 func (noopReporter) QuarantinesLearned(string)                        {}
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"cmp"
 	"errors"
 	"maps"
 	"net"
@@ -12,6 +11,7 @@
 	"github.com/rotisserie/eris"
 
 	"cairndock/internal/gateway/eventlog"
+	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/settings"
 	"cairndock/internal/telemetry"
 	"cairndock/internal/tomlfile"
@@ -106,6 +106,11 @@
 	CanarySlack float64 `toml:"canary_slack"`
 	// DirectoryTTL is how long clients may cache a response of the directory.
 	DirectoryTTL settings.Duration `toml:"directory_ttl"`
+	// MaxResponseHeadBytes is the maximum size of the status line and the header of an
+	// upstream's response.
+	MaxResponseHeadBytes int `toml:"max_response_head_bytes"`
+	// MaxResponseBodyBytes is the maximum size of the body of an upstream's response.
+	MaxResponseBodyBytes int64 `toml:"max_response_body_bytes"`
 }
 
 // StopSettings configure a planned stop.
@@ -179,6 +184,7 @@
 			RetryRatio: defaultRetryRatio, RetryWindow: settings.Duration(defaultRetryWindow), WarmUpOvershoot: defaultWarmUpOvershoot,
 			RevokeWithin: settings.Duration(defaultMaxRevocationDelay), QuotaWindow: settings.Duration(defaultQuotaWindow),
 			CanaryShare: defaultCanaryShare, DirectoryTTL: settings.Duration(defaultDirectoryTTL),
+			MaxResponseHeadBytes: exchange.DefaultMaxHeadBytes, MaxResponseBodyBytes: exchange.DefaultMaxBodyBytes,
 		},
 		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
 		Log:  LogSettings(eventlog.DefaultSampling()),
@@ -208,6 +214,7 @@
 	f.Require(s.Limits.CanaryShare >= 0 && s.Limits.CanaryShare <= 1, "limits.canary_share", "must be from 0 to 1")
 	f.Require(s.Limits.CanarySlack >= 0, "limits.canary_slack", "must not be below 0")
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
+	s.Limits.checkResponses(&f)
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
 	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
 	f.Require(s.Log.ServedPerSecond >= 0, "log.served_per_second", "must not be below 0")
@@ -247,24 +254,3 @@
 	}
 	return slices.Sorted(maps.Keys(regions))
 }
-
-// maxKeyAge returns the maximum age of the configuration at which keys are accepted;
-// zero means any age.
-func (l LimitSettings) maxKeyAge() time.Duration {
-	if !l.StrictRevocation {
-		return 0
-	}
-	return time.Duration(l.RevokeWithin)
-}
-
-// Staleness returns the maximum age of a host's replicas while the host reaches the
-// store: the tightest of ApplyWithin, DrainWithin and EvacuateWithin.
-func (l LimitSettings) Staleness() time.Duration {
-	var tightest time.Duration
-	for _, d := range []settings.Duration{l.ApplyWithin, l.DrainWithin, l.EvacuateWithin} {
-		if bound := time.Duration(d); bound > 0 && (tightest == 0 || bound < tightest) {
-			tightest = bound
-		}
-	}
-	return cmp.Or(tightest, defaultStaleness)
-}
