balance: exchange load reports with other hosts

Cause: a host knows of an upstream's load only what the upstream tells it in responses to its own requests, which is old where many hosts share an upstream.

A merged report counts this host's requests once: those chosen before the report are in it, later ones are not.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -49,6 +49,8 @@
 
 	mu     sync.Mutex
 	states map[upstream.Run]*state
+	// unclaimed holds reports that other hosts received, of runs without a state.
+	unclaimed unclaimedReports
 	// reserved holds the fractions of capacity that requests bound to a region need.
 	reserved reservations
 	// summaries holds the summary of each list of upstreams, by the first upstream of the
@@ -64,11 +66,13 @@
 	upstream *upstream.Upstream
 	// sends are the recent requests for which the upstream was chosen.
 	sends warmup.Sends
+	// chosenAt is when the upstream was chosen for each outstanding request.
+	chosenAt []time.Time
 }
 
 // New returns a balancer for a host at a location. The policy p sets its limits and costs.
 func New(location Location, quotas WarmUpQuotas, detector OutlierDetector, p Policy) *Balancer {
-	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, summaries: map[*upstream.Upstream]*summary{}, notices: noNotices{}}
+	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, unclaimed: unclaimedReports{}, summaries: map[*upstream.Upstream]*summary{}, notices: noNotices{}}
 }
 
 // HonorNotices sets the notices that exclude upstreams from new requests. It must be
@@ -92,7 +96,11 @@
 		if !s.load.reportedAt.IsZero() {
 			s.load.reportedAt = s.load.reportedAt.Add(-gap)
 		}
+		if !s.load.own.at.IsZero() {
+			s.load.own.at = s.load.own.at.Add(-gap)
+		}
 	}
+	clear(b.unclaimed)
 }
 
 // Choose chooses an upstream and counts the request as outstanding there until Done. If
@@ -125,7 +133,9 @@
 	if reason == Chosen {
 		b.notices.Take(chosen.upstream, q.Now)
 		chosen.state.load.outstanding++
+		chosen.state.chosenAt = append(chosen.state.chosenAt, q.Now)
 		chosen.state.upstream = chosen.upstream
+		choice.chosenAt = q.Now
 		choice.send = chosen.state.sends.Add(q.Now, choice.Cold)
 	}
 	if choice.Cold {
@@ -208,6 +218,9 @@
 	if s == nil {
 		s = &state{}
 		b.states[run] = s
+		if r := b.unclaimed.claim(run); !r.at.IsZero() {
+			s.merge(r)
+		}
 	}
 	return s
 }
@@ -226,6 +239,9 @@
 	defer b.mu.Unlock()
 	s := b.state(c.Upstream)
 	s.load.outstanding = max(0, s.load.outstanding-1)
+	if i := slices.Index(s.chosenAt, c.chosenAt); i >= 0 {
+		s.chosenAt = slices.Delete(s.chosenAt, i, i+1)
+	}
 	c.send.End()
 }
 
@@ -258,6 +274,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.summaries)
+	maps.DeleteFunc(b.unclaimed, func(run upstream.Run, _ report) bool { return !keep(run) })
 	maps.DeleteFunc(b.states, func(run upstream.Run, s *state) bool {
 		return !keep(run) && s.load.outstanding == 0 && s.sends.Count(now) == 0
 	})
--- a/internal/gateway/balance/load.go
+++ b/internal/gateway/balance/load.go
@@ -23,7 +23,7 @@
 const noLoadReport time.Duration = -1
 
 // loadEstimate estimates an upstream's load from this host's own outstanding requests and
-// the upstream's last report, which includes the requests of other hosts.
+// the upstream's last report to a host of the zone, which includes the requests of other hosts.
 type loadEstimate struct {
 	// outstanding is the number of this host's outstanding requests at the upstream.
 	outstanding int
@@ -35,14 +35,24 @@
 	// interval is the moving average of the time between reports; zero until there are two
 	// reports.
 	interval time.Duration
+	// own is the last report that this host received itself. The one above may be of
+	// another host.
+	own report
 }
 
 // observe records an upstream's report of its running and waiting requests.
 func (e *loadEstimate) observe(requests int, now time.Time) {
+	e.own = report{requests, now}
+	e.record(e.own, e.outstanding)
+}
+
+// record records a report that includes the given number of this host's outstanding
+// requests.
+func (e *loadEstimate) record(r report, included int) {
 	if !e.reportedAt.IsZero() {
-		e.recordInterval(now.Sub(e.reportedAt))
+		e.recordInterval(r.at.Sub(e.reportedAt))
 	}
-	e.reported, e.outstandingAtReport, e.reportedAt = requests, e.outstanding, now
+	e.reported, e.outstandingAtReport, e.reportedAt = r.requests, included, r.at
 }
 
 func (e *loadEstimate) recordInterval(d time.Duration) {
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -67,6 +67,8 @@
 	// Withheld lists the upstreams that were skipped because of their own notices.
 	Withheld Withheld
 
+	// chosenAt is when an upstream was chosen.
+	chosenAt time.Time
 	// send counts the request against the quota; nil unless an upstream was chosen.
 	send *warmup.Send
 }
