balance: look for expired reports once for each message

Cause: with maxUnclaimed reports of unknown runs kept, each further one looked at all of them: TestReportsOfUnknownRunsAreBounded took 2.5 s.

Change: expired reports are dropped once for each call of MergeLoadReports.

Result: go test -v -run TestReportsOfUnknownRunsAreBounded ./internal/gateway/balance: the test takes less than 0.1 s.

--- a/internal/gateway/balance/loadreport.go
+++ b/internal/gateway/balance/loadreport.go
@@ -55,6 +55,7 @@
 	if !b.policy.LoadReports {
 		return
 	}
+	b.unclaimed.makeRoom(len(reports), now)
 	for _, r := range reports {
 		if r.Age < 0 || r.Age >= maxReportTTL || r.Requests < 0 {
 			continue
@@ -64,7 +65,7 @@
 			s.merge(received)
 			continue
 		}
-		b.unclaimed.add(r.Run, received, now)
+		b.unclaimed.add(r.Run, received)
 	}
 }
 
@@ -88,20 +89,21 @@
 // because this host has not considered them for a request.
 type unclaimedReports map[upstream.Run]report
 
-// add keeps a report until the run has a state. Once there are maxUnclaimed, those that
-// expired are dropped; if there are none, the report is.
-func (u unclaimedReports) add(run upstream.Run, r report, now time.Time) {
-	known, exists := u[run]
-	if exists && !r.at.After(known.at) {
-		return
-	}
-	if !exists && len(u) >= maxUnclaimed {
+// makeRoom drops the reports that expired if there may be no room for n more. It looks at
+// all of them, and is therefore called once for each message.
+func (u unclaimedReports) makeRoom(n int, now time.Time) {
+	if len(u)+n > maxUnclaimed {
 		maps.DeleteFunc(u, func(_ upstream.Run, r report) bool { return now.Sub(r.at) >= maxReportTTL })
-		if len(u) >= maxUnclaimed {
-			return
-		}
 	}
-	u[run] = r
+}
+
+// add keeps a report until the run has a state, unless a newer one or maxUnclaimed others
+// are kept.
+func (u unclaimedReports) add(run upstream.Run, r report) {
+	known, exists := u[run]
+	if exists && r.at.After(known.at) || !exists && len(u) < maxUnclaimed {
+		u[run] = r
+	}
 }
 
 // claim removes and returns the report of a run; a report without a time if there is none.
