fleet: share load reports within a zone

Cause: a host knows the load of an upstream only by the responses that it got from it itself.

Change: with balance.even_load, off by default, the heartbeats between hosts of a zone carry the load reports that the sender received from upstreams. The status of a host is cached and shared by all receivers, so the reports are a field of their own, added for each receiver: those newer than the last successful exchange with it, at most 256, the newest first, none older than 2 s. A run is named by the hash of its name, because 256 names do not fit into 4 KB. Received reports are validated one by one; a message beyond the bounds is dropped as a whole and the rest of the heartbeat is used. New metrics count reports and observe ages at the merge and of the reports that choices use, and a log line once a minute names the bound for which reports were dropped.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -363,6 +363,12 @@
 	l.stateEvent(EventStalled).Float64("for_ms", ms(d)).Msg("process: got no CPU time")
 }
 
+// LoadReportsDropped logs load reports that were not sent to another host or not used,
+// because they exceeded a bound. detail names the bound.
+func (l *Log) LoadReportsDropped(peer, detail string, reports int) {
+	l.stateEvent("load-reports-dropped").Str("name", peer).Str("detail", detail).Int("reports", reports).Msg("load reports: dropped because of a bound")
+}
+
 // Process logs a step of the process's life cycle: start, reload, stop or stopped.
 func (l *Log) Process(step, detail string) {
 	l.stateEvent(step).Str("detail", detail).Msg("process: " + step)
--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -48,6 +48,10 @@
 	Regained(kind, name string, after time.Duration)
 	// Stalled reports for how long the process had no CPU time.
 	Stalled(d time.Duration)
+	// LoadReportsDropped reports how many load reports exceeded a bound, which detail
+	// names, since the last call for the same bound. peer is the last host that they came
+	// from or were meant for.
+	LoadReportsDropped(peer, detail string, reports int)
 }
 
 // ObservationSink receives the failures and successes that other hosts of this host's
@@ -97,6 +101,10 @@
 	Tokens       TokenProvider
 	Indirect     IndirectServer
 	Rollouts     Rollouts
+	// Loads exchanges load reports with the hosts of the zone; nil if this host neither
+	// sends nor uses reports. Metrics counts the reports.
+	Loads   Loads
+	Metrics Metrics
 	// Status returns the current status of this host.
 	Status func() Status
 	// Seeds are peer addresses that a starting host queries for other hosts.
@@ -119,6 +127,7 @@
 	// limitAssignment is the assignment of the shards of account limits to hosts.
 	limitAssignment atomic.Pointer[quota.Assignment]
 	cachedStatus    statusCache
+	loads           loadSharing
 	// quarantinesLearned is set once this host has learned which requests are
 	// quarantined.
 	quarantinesLearned atomic.Bool
@@ -197,6 +206,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.members.suspended(gap)
+	f.loads.reset()
 	for i := range f.newest {
 		f.newest[i].at = f.newest[i].at.Add(-gap)
 	}
@@ -239,7 +249,7 @@
 // the connection is lost, which the peer notices as well.
 func fail(w *peer.Responder) { _ = w.Fail() }
 
-// respond sends a response. An error is dropped: either the connection is lost, or the
+// respond sends a response and reports whether it was sent. An error is dropped: either the connection is lost, or the
 // response is larger than a frame. In the second case the request ends at the peer's
 // deadline, and the peer turns to another host or to the store.
-func respond(w *peer.Responder, response any) { _ = w.Send(response) }
+func respond(w *peer.Responder, response any) bool { return w.Send(response) == nil }
--- a/internal/gateway/fleet/fuzz_test.go
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -9,6 +9,7 @@
 
 	"cairndock/internal/gateway/outlier"
 	"cairndock/internal/gateway/rollout"
+	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
 )
@@ -19,6 +20,7 @@
 	for _, message := range []any{
 		heartbeat{Host: Host{Name: "h", Zone: "z", Region: "r", Incarnation: "1"}, Status: Status{Ready: true, Changes: []int64{1, -2},
 			Observations: []outlier.Observation{{Upstream: "i@1", Failures: 3}}}},
+		heartbeat{Host: Host{Name: "h", Zone: "z", Region: "r"}, Loads: encodeLoads(5, receivedLoad{RunKey("u"), 3, 0}, receivedLoad{RunKey("v"), 1, -time.Millisecond})},
 		relayRequest{Table: -1, Full: true, After: -1, Wait: -time.Second},
 		relayRequest{Full: true, Chunk: true, From: "k"},
 		rolloutReport{Host: "h", Report: rollout.Report{"s": {Order: -1, Evidence: rollout.Evidence{
@@ -39,7 +41,9 @@
 			m := newMembers(Host{Name: "self", Zone: "z", Region: "r"}, []string{"r"}, time.Now())
 			m.recordHeartbeat(b.Host, b.Status, time.Now())
 			require.LessOrEqual(t, m.size(), 2)
+			requireBounded(t, b.Loads)
 		}
+		requireBounded(t, payload)
 		if r, err := peer.Decode[relayRequest](payload); err == nil {
 			ctx := t.Context()
 			_, _, _ = relayRequest{Table: r.Table, After: r.After, Full: r.Full, Chunk: r.Chunk, From: r.From}.read(ctx, watch.NewReplica())
@@ -61,6 +65,17 @@
 	})
 }
 
+// requireBounded checks that only load reports within the bounds are used.
+func requireBounded(t *testing.T, message []byte) {
+	h := newLoadsHost(Host{Name: "self", Zone: "z", Region: "r"}, &fakeLoads{runs: []upstream.Run{"u", "v"}})
+	h.mergeLoads(heartbeat{Host: Host{Name: "h", Zone: "z"}, Loads: message}, time.Now())
+	require.LessOrEqual(t, len(h.loads.merged), maxLoadReports)
+	for _, r := range h.loads.merged {
+		require.Contains(t, h.loads.runs, r.Run)
+		require.True(t, r.Age >= 0 && r.Age <= maxLoadReportAge && r.Requests >= 0 && r.Requests <= maxReportedRequests, r)
+	}
+}
+
 // noObserver is an observer of orders that drops them.
 type noObserver struct{ rollout.Observer }
 
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -215,6 +215,7 @@
 func (noopReporter) Lost(string, string, error)             {}
 func (noopReporter) Regained(string, string, time.Duration) {}
 func (noopReporter) Stalled(time.Duration)                  {}
+func (noopReporter) LoadReportsDropped(string, string, int) {}
 
 // freeAddress returns an address that no process listens on.
 func freeAddress(t *testing.T) string {
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -18,6 +18,9 @@
 	Hosts []Host    `msgpack:"l,omitempty"`
 	// Suspicions are the sender's suspicions that the receiver does not have yet.
 	Suspicions poison.Update `msgpack:"p,omitempty"`
+	// Loads are the load reports that the sender received from upstreams since its last
+	// exchange with the receiver, a host of its zone (see loadcodec.go).
+	Loads []byte `msgpack:"o,omitempty"`
 }
 
 // heartbeatLoop sends the heartbeats that are due and reports dead peers until the
@@ -87,6 +90,7 @@
 	query := f.discovery.next(to.Region, time.Now())
 	f.mu.Unlock()
 	request := f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.status(), Query: query}, to.Name)
+	request, loads := f.withLoads(request, to, time.Now())
 	response, err := peer.Call[heartbeat](ctx, f.mesh, to.PeerAddress, peer.KindHeartbeat, request)
 	if err != nil {
 		// The next heartbeat uses a new connection, so that it does not wait behind data
@@ -95,6 +99,7 @@
 		return
 	}
 	f.recordHeartbeat(response)
+	f.recordSentLoads(response.Host.Name, loads)
 	f.addKnown(response.Hosts)
 	if !f.staysPeer(response.Host) {
 		// The host was introduced only. A connection to each host of a large region would
@@ -130,6 +135,7 @@
 		f.options.Report.Regained("peer", b.Host.Name, 0)
 	}
 	f.mergeSuspicions(b, now)
+	f.mergeLoads(b, now)
 	if b.Status.Ready {
 		f.quarantinesLearned.Store(true) // a host is ready only after it has learned of them
 	}
@@ -152,5 +158,9 @@
 	}
 	f.recordHeartbeat(b)
 	f.postpone(b.Host.Name)
-	respond(w, f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.status(), Hosts: f.hosts(b.Query)}, b.Host.Name))
+	response := f.withSuspicions(heartbeat{Host: f.options.Self, Status: f.status(), Hosts: f.hosts(b.Query)}, b.Host.Name)
+	response, loads := f.withLoads(response, b.Host, time.Now())
+	if respond(w, response) {
+		f.recordSentLoads(b.Host.Name, loads)
+	}
 }
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -122,6 +122,9 @@
 	// suspicions record which suspicions the peer and this host have received from each
 	// other.
 	suspicions poison.Watermarks
+	// loadsUpTo is the time up to which the peer has the load reports that this host
+	// received; zero if it has none.
+	loadsUpTo time.Time
 }
 
 // alive reports whether a heartbeat was received within deadTimeout. A peer that is only
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -65,7 +65,7 @@
 		p.getsHeartbeats = old.getsHeartbeats
 		p.listedVersion, p.announcedAt = old.listedVersion, old.announcedAt
 		if old.host.Incarnation == h.Incarnation {
-			p.suspicions = old.suspicions
+			p.suspicions, p.loadsUpTo = old.suspicions, old.loadsUpTo
 		}
 	}
 	moved := old != nil && (old.host.Zone != h.Zone || old.host.Region != h.Region || old.host.Capacity != h.Capacity)
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -22,12 +22,20 @@
 		// The request counts as in flight from here on. A host that confirms that none is in
 		// flight at a version has changed the plan before.
 		if f.plan().Allows(choice.Upstream) {
+			f.proxy.observeReportAge(choice)
 			return choice, nil
 		}
 		f.proxy.Balancer.Done(choice)
 	}
 }
 
+// observeReportAge observes the age of the load report that a choice used, if there is one.
+func (p *Proxy) observeReportAge(c balance.Choice) {
+	if c.LoadAge >= 0 {
+		p.Metrics.Observe("cairndock_choice_report_age_seconds", c.LoadAge.Seconds())
+	}
+}
+
 // plan returns the plan of the roll-out of the request's service; nil if there is none.
 func (f *inflight) plan() *rollout.Plan {
 	return f.proxy.Rollouts.Plan(f.service, f.proxy.State.Upstreams())
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -32,6 +32,7 @@
 	Zones     map[string]string `toml:"zones"`
 	Resources ResourceSettings  `toml:"resources"`
 	Limits    LimitSettings     `toml:"limits"`
+	Balance   BalanceSettings   `toml:"balance"`
 	Stop      StopSettings      `toml:"stop"`
 	// Telemetry configures the traces and the level of the decision log, which is
 	// written to standard output.
@@ -108,6 +109,12 @@
 	DirectoryTTL settings.Duration `toml:"directory_ttl"`
 }
 
+// BalanceSettings select rules for the choice of upstreams that are off by default.
+type BalanceSettings struct {
+	// EvenLoad shares the upstreams' load reports with the hosts of the zone.
+	EvenLoad bool `toml:"even_load"`
+}
+
 // StopSettings configure a planned stop.
 type StopSettings struct {
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -62,6 +62,19 @@
 	}
 }
 
+// Guards against a rule that is on without a setting, or that another setting turns on.
+func TestRulesOfBalancingAreOffByDefault(t *testing.T) {
+	for text, want := range map[string]gateway.BalanceSettings{
+		"":                            {},
+		"[balance]":                   {},
+		"[balance]\neven_load = true": {EvenLoad: true},
+	} {
+		g, err := load(t, minSettings+text+"\n")
+		require.NoError(t, err)
+		require.Equal(t, want, g.Balance, text)
+	}
+}
+
 func TestStalenessIsTheTightestBound(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		`apply_within = "3s"`: 3 * time.Second,
@@ -81,6 +94,8 @@
 		"limits.evacuate_within": minSettings + "[limits]\nevacuate_within = \"10ms\"",
 		"limits.retry_window":    minSettings + "[limits]\nretry_window = \"0s\"",
 		"limits.retries":         minSettings + "[limits]\nretries = 3",
+		"balance.spread":         minSettings + "[balance]\nspread = true",
+		"balance.even_load":      minSettings + "[balance]\neven_load = \"yes\"",
 		"log.one_in":             minSettings + "[log]\none_in = 0",
 		"log.served_per_second":  minSettings + "[log]\nserved_per_second = -1",
 		"log.failed_per_second":  minSettings + "[log]\nfailed_per_second = -1",
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -46,7 +46,7 @@
 func (g *Gateway) newFleet(store *platform.Store) *fleet.Fleet {
 	host, listen := g.settings.Host, g.settings.Listen
 	resources := fleet.Resources(g.settings.Resources)
-	return fleet.New(fleet.Options{
+	o := fleet.Options{
 		Self: fleet.Host{
 			Name: host.Name, Zone: host.Zone, Region: host.Region, PeerAddress: listen.Peers, ClientAddress: listen.Callers,
 			Incarnation: g.incarnation,
@@ -54,8 +54,12 @@
 		},
 		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Indirect: g, Rollouts: g.rollouts, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
-		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
-	})
+		Tables: g.tables[:], MaxAge: g.timing.MaxAge(), Metrics: g.metrics,
+	}
+	if g.settings.Balance.EvenLoad {
+		o.Loads = &zoneLoads{gateway: g}
+	}
+	return fleet.New(o)
 }
 
 func (g *Gateway) newQuota() *quota.Limiter {
