soak: turn the sharing of load reports on

Cause: the exchange of load reports is on only with balance.even_load, so no run on real processes used it. No test covered the ages of the reports that choices use.

Change: SOAK_EVEN_LOAD=1 turns the setting on at all hosts, 2 at every second host of each zone. The run fails if a host with such a neighbor received no reports, or dropped some because of a bound. Without the variable nothing changes. A test of the proxy covers cairndock_choice_report_age_seconds.

--- a/internal/gateway/proxy/attempts_test.go
+++ b/internal/gateway/proxy/attempts_test.go
@@ -131,6 +131,21 @@
 	g.requireMetric(`cairndock_retries_returned_total{service="s"} 1`)
 }
 
+// Guards against choices without a report that count as choices with a fresh one.
+func TestAgesOfReportsThatChoicesUseAreObserved(t *testing.T) {
+	g := newGateway(t, noop.NewTracerProvider(), retry.Limits{})
+	g.setRoutes(testRoute(route.Once))
+	g.addUpstream(healthy)
+	const name = "cairndock_choice_report_age_seconds_count "
+	require.Equal(t, http.StatusOK, g.getKey(1))
+	var metrics strings.Builder
+	g.proxy.Metrics.Write(&metrics)
+	require.NotContains(t, metrics.String(), name)
+	g.proxy.Balancer.ObserveLoad(g.state.Upstreams().Serving()[0], 0, 0, time.Now())
+	require.Equal(t, http.StatusOK, g.getKey(1))
+	g.requireMetric(name + "1")
+}
+
 // requireMetric requires a line of the metrics.
 func (g *testGateway) requireMetric(line string) {
 	g.t.Helper()
--- a/internal/gateway/soak/soak_test.go
+++ b/internal/gateway/soak/soak_test.go
@@ -125,6 +125,7 @@
 	secondDone.Wait()
 	noticesDone.Wait()
 	w.checkRecovery()
+	w.checkLoads()
 	w.writeArtifact(logsVar, ".heap", w.writeHeapProfile) // of a host under load
 	cancel()
 	wait.Wait()
