loadmodel: exchange load reports within zones

Cause: what reports from other hosts of the zone are worth could not be measured, nor what share of the attempts crosses to another zone of the region.

The table has the fraction of attempts in another zone of the region.

--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -108,6 +108,30 @@
 	}
 }
 
+// The hosts of a zone exchange at most maxZoneReports load reports in one message, of
+// zoneReportBytes each: a hash of the run, the requests and the age.
+const (
+	maxZoneReports  = 256
+	zoneReportBytes = 16
+)
+
+// shareReports sends the load reports that the host received since its last message to the
+// other hosts of its zone.
+func (h *host) shareReports() {
+	now := h.model.clock.now
+	reports := h.balancer.LoadReports(heartbeatInterval, now)
+	reports = reports[:min(len(reports), maxZoneReports)]
+	if len(reports) == 0 {
+		return
+	}
+	for _, other := range h.zone.hosts {
+		if other != h {
+			other.balancer.MergeLoadReports(reports, now)
+			h.model.result.reportsSent(len(reports))
+		}
+	}
+}
+
 // oneWayDelay returns the one-way network delay between a zone and an upstream.
 func (m *Model) oneWayDelay(z *zoneState, u *upstream.Upstream) time.Duration {
 	switch {
--- a/internal/gateway/loadmodel/model.go
+++ b/internal/gateway/loadmodel/model.go
@@ -120,12 +120,24 @@
 	for _, h := range m.hosts {
 		m.clock.every(heartbeatInterval, m.end, h.heartbeat)
 	}
+	m.scheduleReports()
 	for _, f := range s.Faults {
 		m.clock.after(time.Duration(f.At), func() { m.setFault(f, true) })
 		m.clock.after(time.Duration(f.At)+time.Duration(f.For), func() { m.setFault(f, false) })
 	}
 }
 
+// scheduleReports schedules the exchange of load reports. The hosts send at different times,
+// as hosts that started at different times do.
+func (m *Model) scheduleReports() {
+	for i, h := range m.hosts {
+		if h.variant.ZoneReports {
+			offset := heartbeatInterval * time.Duration(i) / time.Duration(len(m.hosts))
+			m.clock.after(offset, func() { m.clock.every(heartbeatInterval, m.end, h.shareReports) })
+		}
+	}
+}
+
 // setFault starts or ends a fault.
 func (m *Model) setFault(f Fault, starting bool) {
 	switch f.Kind {
--- a/internal/gateway/loadmodel/result.go
+++ b/internal/gateway/loadmodel/result.go
@@ -57,8 +57,12 @@
 	// the upstream.
 	FirstLoads int
 	// Attempts is the number of requests sent to upstreams. CrossRegion is the number of
-	// these that went to a region other than that of the host.
-	Attempts, CrossRegion int
+	// these that went to a region other than that of the host, and CrossZone the number of
+	// those that went to another zone of its region.
+	Attempts, CrossRegion, CrossZone int
+	// Messages is the number of messages with load reports between hosts, and MessageBytes
+	// their size.
+	Messages, MessageBytes int
 	// Spread describes how evenly the requests were spread over the upstreams.
 	Spread Spread
 
@@ -93,11 +97,20 @@
 // sent records a request that was sent to an upstream.
 func (r *Result) sent(from *zoneState, to *upstream.Upstream) {
 	r.Attempts++
-	if from.Region != to.Region {
+	switch {
+	case from.Region != to.Region:
 		r.CrossRegion++
+	case from.Name != to.Zone:
+		r.CrossZone++
 	}
 }
 
+// reportsSent records a message with n load reports.
+func (r *Result) reportsSent(n int) {
+	r.Messages++
+	r.MessageBytes += n * zoneReportBytes
+}
+
 // add records the end of a call and the latency of its response.
 func (r *Result) add(c *call, e ending, latency time.Duration) {
 	if e == responded {
@@ -139,12 +152,12 @@
 // fails.
 func Print(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "variant\tcalls\tcredit\tworst region\tin time\tlate\trefused\tfailed\tfirst loads\taway\tp50\tp99\t")
+	fmt.Fprintln(t, "variant\tcalls\tcredit\tworst region\tin time\tlate\trefused\tfailed\tfirst loads\taway\tother zone\tp50\tp99\t")
 	for _, r := range results {
 		n := float64(max(1, r.Total.Calls))
-		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%d\t%.3f\t%s\t%s\t\n", r.Variant, r.Total.Calls, r.Total.Credit(), r.WorstRegion(),
+		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%d\t%.3f\t%.3f\t%s\t%s\t\n", r.Variant, r.Total.Calls, r.Total.Credit(), r.WorstRegion(),
 			float64(r.Total.InTime)/n, float64(r.Total.Late)/n, float64(r.Total.Refused)/n, float64(r.Total.Failed)/n,
-			r.FirstLoads, float64(r.CrossRegion)/float64(max(1, r.Attempts)), r.Latency(50), r.Latency(99))
+			r.FirstLoads, float64(r.CrossRegion)/float64(max(1, r.Attempts)), float64(r.CrossZone)/float64(max(1, r.Attempts)), r.Latency(50), r.Latency(99))
 	}
 	printSpread(t, results)
 	fmt.Fprintln(t, "\nsecond\tcredit of each variant\t")
@@ -162,15 +175,19 @@
 
 // printSpread writes how evenly each variant spread the requests.
 func printSpread(t io.Writer, results []*Result) {
-	fmt.Fprintln(t, "\nvariant\tbeside a free slot: zone\tregion\tbusiest/mean: requests\ttime\tno report\treport age p50\tp90\t")
+	fmt.Fprintln(t, "\nvariant\tbeside a free slot: zone\tregion\tbusiest/mean: requests\ttime\tno report\treport age p50\tp90\tmessages/s\tKB/s\t")
 	for _, r := range results {
 		s := &r.Spread
 		arrivals, choices := float64(max(1, s.Arrivals)), float64(max(1, s.Choices))
-		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.2f\t%.2f\t%.3f\t%s\t%s\t\n", r.Variant, float64(s.BesideFreeInZone)/arrivals, float64(s.BesideFreeInRegion)/arrivals,
-			s.BusiestByRequests, s.BusiestByTime, float64(s.Unreported)/choices, s.ReportAge(50), s.ReportAge(90))
+		fmt.Fprintf(t, "%s\t%.4f\t%.4f\t%.2f\t%.2f\t%.3f\t%s\t%s\t%.0f\t%.1f\t\n", r.Variant, float64(s.BesideFreeInZone)/arrivals, float64(s.BesideFreeInRegion)/arrivals,
+			s.BusiestByRequests, s.BusiestByTime, float64(s.Unreported)/choices, s.ReportAge(50), s.ReportAge(90),
+			float64(r.Messages)/r.seconds(), float64(r.MessageBytes)/1000/r.seconds())
 	}
 }
 
+// seconds returns the length of the load, in seconds.
+func (r *Result) seconds() float64 { return float64(max(1, len(r.Seconds))) }
+
 // allSeconds returns the sorted seconds for which any result has figures.
 func allSeconds(results []*Result) []int {
 	all := map[int]bool{}
--- a/internal/gateway/loadmodel/scenario.go
+++ b/internal/gateway/loadmodel/scenario.go
@@ -153,6 +153,9 @@
 	// Hedge and Retry enable these mechanisms.
 	Hedge bool `toml:"hedge"`
 	Retry bool `toml:"retry"`
+	// ZoneReports makes the hosts of a zone exchange the load reports of upstreams at the
+	// interval of their heartbeats.
+	ZoneReports bool `toml:"zone_reports"`
 	// MinRetryDelay and RetryJitter replace the minimum and the jitter of the delay after
 	// which a refused client retries. If MinRetryDelay is zero, the delay is that of
 	// hosts.
