balance: choose by the mean of an upstream's reports

Cause: a report that fades to zero makes an upstream without a recent report look idle, and where many hosts share an upstream, every report is older than its requests take. A third of all requests waited beside a free slot.

Change: with Policy.EvenLoad (off by default), the upstream of the preference list with the lowest expected load serves the request. Expected is the mean of the reports of the last 10 s, drawn to the region's mean while there are few, and for some 200 ms the last report. Admission keeps the estimate that fades to zero. Services without reports and requests without affinity are served as before.

TestChoicesWithoutEvenLoadAreUnchanged has the same digest on. TestLoadIsEvenBeforeManyUpstreams fails without the new rule.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -110,12 +110,7 @@
 func (b *Balancer) Choose(q Query) (Choice, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list, withheld := b.preferenceList(q)
-	pick := pickPreferred
-	if q.NoAffinity {
-		list, withheld = b.ordered(q)
-		pick = pickLeastLoaded
-	}
+	list, withheld, pick := b.candidates(q)
 	if len(list) == 0 {
 		return Choice{Withheld: withheld}, withheld.reason()
 	}
@@ -144,6 +139,16 @@
 	return choice, reason
 }
 
+// candidates returns the upstreams that may serve a request, in the order in which they are
+// tried, those that were withheld, and what picks one of them.
+func (b *Balancer) candidates(q Query) ([]scored, Withheld, picker) {
+	if q.NoAffinity {
+		list, withheld := b.ordered(q)
+		return list, withheld, pickLeastLoaded
+	}
+	return b.preferenceList(q)
+}
+
 // warmUp returns how much of this host's quota for a cold upstream is used.
 func warmUp(u *scored, a admission) WarmUp {
 	cold := u.state.sends.Cold(a.now)
@@ -158,6 +163,13 @@
 	cost float64
 	// load is the estimated load, in the upstream's capacities.
 	load float64
+	// expected is the expected load, in the upstream's capacities; only set with
+	// Policy.EvenLoad. Unlike load, it does not take an upstream without a recent report
+	// for an idle one.
+	expected float64
+	// triedLast means that the upstream is tried after all others; only set with
+	// Policy.EvenLoad.
+	triedLast bool
 }
 
 // ordered returns the upstreams that may serve a request without affinity and were not
@@ -219,7 +231,7 @@
 		s = &state{}
 		b.states[run] = s
 		if r := b.unclaimed.claim(run); !r.at.IsZero() {
-			s.merge(r)
+			s.merge(r, b.policy)
 		}
 	}
 	return s
@@ -263,7 +275,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.policy.LoadReports {
-		b.state(u).load.observe(running+waiting, now)
+		b.state(u).load.observe(running+waiting, now, b.policy.EvenLoad)
 	}
 }
 
--- a/internal/gateway/balance/load.go
+++ b/internal/gateway/balance/load.go
@@ -38,17 +38,23 @@
 	// own is the last report that this host received itself. The one above may be of
 	// another host.
 	own report
+	// mean is the mean of the reports; only kept with Policy.EvenLoad.
+	mean meanReport
 }
 
 // observe records an upstream's report of its running and waiting requests.
-func (e *loadEstimate) observe(requests int, now time.Time) {
+func (e *loadEstimate) observe(requests int, now time.Time, withMean bool) {
 	e.own = report{requests, now}
-	e.record(e.own, e.outstanding)
+	e.record(e.own, e.outstanding, withMean)
 }
 
 // record records a report that includes the given number of this host's outstanding
 // requests.
-func (e *loadEstimate) record(r report, included int) {
+func (e *loadEstimate) record(r report, included int, withMean bool) {
+	after := max(0, r.at.Sub(e.reportedAt))
+	if withMean {
+		e.mean.add(float64(max(0, r.requests-included)), after)
+	}
 	if !e.reportedAt.IsZero() {
 		e.recordInterval(r.at.Sub(e.reportedAt))
 	}
--- a/internal/gateway/balance/loadreport.go
+++ b/internal/gateway/balance/loadreport.go
@@ -62,7 +62,7 @@
 		}
 		received := report{r.Requests, now.Add(-r.Age)}
 		if s := b.states[r.Run]; s != nil {
-			s.merge(received)
+			s.merge(received, b.policy)
 			continue
 		}
 		b.unclaimed.add(r.Run, received)
@@ -72,7 +72,7 @@
 // merge records a report that another host received, unless a newer one is known. Requests
 // of this host that are in the report are those outstanding now that were chosen before it.
 // Those that ended since brought a newer report with their response, as a rule.
-func (s *state) merge(r report) {
+func (s *state) merge(r report, p Policy) {
 	if !r.at.After(s.load.reportedAt) {
 		return
 	}
@@ -82,7 +82,7 @@
 			included++
 		}
 	}
-	s.load.record(r, included)
+	s.load.record(r, included, p.EvenLoad)
 }
 
 // unclaimedReports are merged reports of runs for which the balancer has no state yet,
--- a/internal/gateway/balance/policy.go
+++ b/internal/gateway/balance/policy.go
@@ -30,6 +30,9 @@
 	ReportTTLIntervals float64 `toml:"report_lasts"`
 	// Ejections tries ejected upstreams last.
 	Ejections bool `toml:"ejections"`
+	// EvenLoad serves each key by the upstream of its preference list with the lowest
+	// expected load (evenload.go) in place of SpillAbove and SpillBelow.
+	EvenLoad bool `toml:"even_load"`
 }
 
 // DefaultPolicy returns the policy of the hosts. The reason and the measurements for each
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -38,11 +38,12 @@
 
 // preferenceList returns the upstreams that serve a key, in the order in which they are
 // tried: those that may serve the request and were not tried yet, by cost. It also returns
-// the upstreams that were withheld; the next upstreams in order take their positions.
+// the upstreams that were withheld; the next upstreams in order take their positions. pick
+// chooses one of the list.
 //
 // The whole order is not computed. Load and health are expensive to look up, so only the
 // few upstreams that may be among the first are checked (BenchmarkChoose).
-func (b *Balancer) preferenceList(q Query) ([]scored, Withheld) {
+func (b *Balancer) preferenceList(q Query) (list []scored, withheld Withheld, pick picker) {
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
@@ -51,7 +52,6 @@
 	// One more, because the region's best upstream may be among them.
 	first := lowestCost{size: b.policy.PreferenceList + 1}
 	regionBest := lowestCost{size: 1}
-	var withheld Withheld
 	for _, u := range q.Upstreams {
 		cost := o.cost(u, key^u.Seed())
 		inRegion := u.Region == o.region && regionBest.admits(cost)
@@ -74,13 +74,22 @@
 	if b.policy.RegionFirst && len(regionBest.list) > 0 {
 		first.moveToFront(regionBest.list[0], triedLast)
 	}
-	list := make([]scored, 0, b.policy.PreferenceList)
+	list = make([]scored, 0, b.policy.PreferenceList)
 	for _, r := range first.list[:min(len(first.list), b.policy.PreferenceList)] {
-		list = append(list, b.score(r.upstream, r.cost, q.Now))
+		x := b.score(r.upstream, r.cost, q.Now)
+		x.triedLast = b.policy.EvenLoad && triedLast(r.upstream)
+		list = append(list, x)
 	}
-	return list, withheld
+	if b.policy.EvenLoad && b.expect(list, sum, q.Now) {
+		return list, withheld, pickEven
+	}
+	return list, withheld, pickPreferred
 }
 
+// picker returns the rank of the upstream that serves a request, or the reason why none of
+// the list does.
+type picker func(list []scored, a admission) (int, Reason)
+
 // moveToFront puts the best upstream of the region that serves the key before all others,
 // whatever their cost, unless this upstream is tried last. Without this rule, a region
 // with few upstreams would have none among the lowest of many random costs. The upstreams
--- a/internal/gateway/balance/summary.go
+++ b/internal/gateway/balance/summary.go
@@ -35,6 +35,9 @@
 	ejected, healthy int
 	// healthyLoad is the sum of the loads of the healthy upstreams, in capacities.
 	healthyLoad float64
+	// reported is the sum of the mean reports of upstreams, in capacities, by their weight,
+	// and reportWeight the sum of the weights; only set with Policy.EvenLoad.
+	reported, reportWeight float64
 }
 
 // summary returns the summary of a query's upstreams, which is cached while the list is
@@ -63,6 +66,9 @@
 	for _, u := range q.Upstreams {
 		r := s.region(u.Region)
 		r.capacity += u.Capacity
+		if b.policy.EvenLoad {
+			r.addReports(b.states[u.Run()], u, q.Now)
+		}
 		if b.detector.Ejected(u.Run(), q.Now) {
 			r.ejected++
 			continue
