gateway: choose by expected load with balance.even_load

Cause: the setting shared load reports, but the balancer's rule that uses them, Policy.EvenLoad, was off.

Change: balance.even_load also turns the rule on. With the setting off, the policy of the balancer is DefaultPolicy, as before.

--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -11,6 +11,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/settings"
 	"cairndock/internal/telemetry"
@@ -111,10 +112,18 @@
 
 // BalanceSettings select rules for the choice of upstreams that are off by default.
 type BalanceSettings struct {
-	// EvenLoad shares the upstreams' load reports with the hosts of the zone.
+	// EvenLoad shares the upstreams' load reports with the hosts of the zone, and chooses
+	// upstreams by the load that the reports lead to expect.
 	EvenLoad bool `toml:"even_load"`
 }
 
+// policy returns the policy of the host's balancer.
+func (b BalanceSettings) policy() balance.Policy {
+	p := balance.DefaultPolicy()
+	p.EvenLoad = b.EvenLoad
+	return p
+}
+
 // StopSettings configure a planned stop.
 type StopSettings struct {
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -84,7 +84,7 @@
 	g.reach = g.newReach(client)
 	client.ConfirmTerminations(func() bool { return !g.reach.Check() })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
-	g.balancer = balance.New(location, g, g.detector, balance.DefaultPolicy())
+	g.balancer = balance.New(location, g, g.detector, g.settings.Balance.policy())
 	g.balancer.HonorNotices(g.notices)
 	return proxy.New(proxy.Options{
 		State:        g.state,
--- a/internal/gateway/zoneloads_test.go
+++ b/internal/gateway/zoneloads_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/fleet"
 	"cairndock/internal/gateway/upstream"
 )
@@ -61,3 +62,12 @@
 	x.get(0, r.Set(), now.Add(runIndexTTL))
 	require.Len(t, x.byKey, 100)
 }
+
+// Guards against hosts that decide otherwise with the settings off, and against a setting
+// without effect.
+func TestSettingsSelectTheRulesOfTheBalancer(t *testing.T) {
+	require.Equal(t, balance.DefaultPolicy(), BalanceSettings{}.policy())
+	want := balance.DefaultPolicy()
+	want.EvenLoad = true
+	require.Equal(t, want, BalanceSettings{EvenLoad: true}.policy())
+}
