fleet: share one host between the inputs of the fuzz target

Cause: FuzzPeerMessages made two hosts for each input, which took most of its time.

Change: all inputs use the same host.

--- a/internal/gateway/fleet/fuzz_test.go
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -36,14 +36,15 @@
 		f.Add(text[:len(text)/2])
 	}
 	f.Add([]byte{})
+	sharing := newLoadsHost(Host{Name: "self", Zone: "z", Region: "r"}, &fakeLoads{runs: []upstream.Run{"u", "v"}})
 	f.Fuzz(func(t *testing.T, payload []byte) {
 		if b, err := peer.Decode[heartbeat](payload); err == nil {
 			m := newMembers(Host{Name: "self", Zone: "z", Region: "r"}, []string{"r"}, time.Now())
 			m.recordHeartbeat(b.Host, b.Status, time.Now())
 			require.LessOrEqual(t, m.size(), 2)
-			requireBounded(t, b.Loads)
+			sharing.requireBounded(t, b.Loads)
 		}
-		requireBounded(t, payload)
+		sharing.requireBounded(t, payload)
 		if r, err := peer.Decode[relayRequest](payload); err == nil {
 			ctx := t.Context()
 			_, _, _ = relayRequest{Table: r.Table, After: r.After, Full: r.Full, Chunk: r.Chunk, From: r.From}.read(ctx, watch.NewReplica())
@@ -66,8 +67,8 @@
 }
 
 // requireBounded checks that only load reports within the bounds are used.
-func requireBounded(t *testing.T, message []byte) {
-	h := newLoadsHost(Host{Name: "self", Zone: "z", Region: "r"}, &fakeLoads{runs: []upstream.Run{"u", "v"}})
+func (h loadsHost) requireBounded(t *testing.T, message []byte) {
+	h.loads.merged = nil
 	h.mergeLoads(heartbeat{Host: Host{Name: "h", Zone: "z"}, Loads: message}, time.Now())
 	require.LessOrEqual(t, len(h.loads.merged), maxLoadReports)
 	for _, r := range h.loads.merged {
