--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -115,12 +115,15 @@
 	// EvenLoad shares the upstreams' load reports with the hosts of the zone, and chooses
 	// upstreams by the load that the reports lead to expect.
 	EvenLoad bool `toml:"even_load"`
+	// ZoneCopies serves a key by an upstream of the host's own zone first. It requires
+	// upstreams that can keep the objects of each zone.
+	ZoneCopies bool `toml:"zone_copies"`
 }
 
 // policy returns the policy of the host's balancer.
 func (b BalanceSettings) policy() balance.Policy {
 	p := balance.DefaultPolicy()
-	p.EvenLoad = b.EvenLoad
+	p.EvenLoad, p.ZoneCopies = b.EvenLoad, b.ZoneCopies
 	return p
 }
 
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -65,9 +65,10 @@
 // Guards against a rule that is on without a setting, or that another setting turns on.
 func TestRulesOfBalancingAreOffByDefault(t *testing.T) {
 	for text, want := range map[string]gateway.BalanceSettings{
-		"":                            {},
-		"[balance]":                   {},
-		"[balance]\neven_load = true": {EvenLoad: true},
+		"":                              {},
+		"[balance]":                     {},
+		"[balance]\neven_load = true":   {EvenLoad: true},
+		"[balance]\nzone_copies = true": {ZoneCopies: true},
 	} {
 		g, err := load(t, minSettings+text+"\n")
 		require.NoError(t, err)
@@ -96,6 +97,7 @@
 		"limits.retries":         minSettings + "[limits]\nretries = 3",
 		"balance.spread":         minSettings + "[balance]\nspread = true",
 		"balance.even_load":      minSettings + "[balance]\neven_load = \"yes\"",
+		"balance.zone_copies":    minSettings + "[balance]\nzone_copies = 1",
 		"log.one_in":             minSettings + "[log]\none_in = 0",
 		"log.served_per_second":  minSettings + "[log]\nserved_per_second = -1",
 		"log.failed_per_second":  minSettings + "[log]\nfailed_per_second = -1",
--- a/internal/gateway/zoneloads_test.go
+++ b/internal/gateway/zoneloads_test.go
@@ -67,7 +67,8 @@
 // without effect.
 func TestSettingsSelectTheRulesOfTheBalancer(t *testing.T) {
 	require.Equal(t, balance.DefaultPolicy(), BalanceSettings{}.policy())
-	want := balance.DefaultPolicy()
-	want.EvenLoad = true
-	require.Equal(t, want, BalanceSettings{EvenLoad: true}.policy())
+	even, copies := balance.DefaultPolicy(), balance.DefaultPolicy()
+	even.EvenLoad, copies.ZoneCopies = true, true
+	require.Equal(t, even, BalanceSettings{EvenLoad: true}.policy())
+	require.Equal(t, copies, BalanceSettings{ZoneCopies: true}.policy())
 }
