soak: turn zone copies on

Cause: no run on real processes used balance.zone_copies.

Change: SOAK_ZONE_COPIES=1 turns it on at all hosts.

--- a/internal/gateway/soak/loads_test.go
+++ b/internal/gateway/soak/loads_test.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"fmt"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/stretchr/testify/require"
@@ -20,12 +22,14 @@
 	return sharing
 }
 
-// shareLoads turns balance.even_load on at these hosts. It is called before they start.
-func (w *world) shareLoads() {
-	for _, h := range w.sharingLoads() {
+// balanceByVariables turns balance.even_load on at these hosts, and balance.zone_copies at all
+// hosts if SOAK_ZONE_COPIES is 1. It is called before the hosts start.
+func (w *world) balanceByVariables() {
+	sharing, copies := w.sharingLoads(), number("SOAK_ZONE_COPIES", 0) == 1
+	for _, h := range w.hosts {
 		f, err := os.OpenFile(h.settings, os.O_APPEND|os.O_WRONLY, 0)
 		require.NoError(w.t, err)
-		_, err = f.WriteString("[balance]\neven_load = true\n")
+		_, err = fmt.Fprintf(f, "[balance]\neven_load = %t\nzone_copies = %t\n", slices.Contains(sharing, h), copies)
 		require.NoError(w.t, err)
 		require.NoError(w.t, f.Close())
 	}
--- a/internal/gateway/soak/world_test.go
+++ b/internal/gateway/soak/world_test.go
@@ -107,7 +107,7 @@
 		h := newHost(t, w.violation, fmt.Sprint("host-", i), zones[i%len(zones)], strings.TrimPrefix(w.server.URL, "http://"))
 		w.hosts = append(w.hosts, h)
 	}
-	w.shareLoads()
+	w.balanceByVariables()
 	return w
 }
 
