balance: read the order of upstreams from arrays

Cause: a choice reads each upstream of the service for its seed and region; with 20,000 upstreams it took about a millisecond, mostly to wait for memory.

Change: an index of each list has the seeds and regions in arrays, and a hash that cannot be among the first is skipped before its cost is computed. The order is unchanged.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -56,6 +56,8 @@
 	// summaries holds the summary of each list of upstreams, by the first upstream of the
 	// list.
 	summaries map[*upstream.Upstream]*summary
+	// indexes holds the index of each list of upstreams, by the memory of the list.
+	indexes map[**upstream.Upstream]*index
 }
 
 // state holds the load and the recent requests of one run of an upstream, as this host
@@ -72,7 +74,7 @@
 
 // New returns a balancer for a host at a location. The policy p sets its limits and costs.
 func New(location Location, quotas WarmUpQuotas, detector OutlierDetector, p Policy) *Balancer {
-	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, unclaimed: unclaimedReports{}, summaries: map[*upstream.Upstream]*summary{}, notices: noNotices{}}
+	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, unclaimed: unclaimedReports{}, summaries: map[*upstream.Upstream]*summary{}, indexes: map[**upstream.Upstream]*index{}, notices: noNotices{}}
 }
 
 // HonorNotices sets the notices that exclude upstreams from new requests. It must be
@@ -286,6 +288,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.summaries)
+	clear(b.indexes)
 	maps.DeleteFunc(b.unclaimed, func(run upstream.Run, _ report) bool { return !keep(run) })
 	maps.DeleteFunc(b.states, func(run upstream.Run, s *state) bool {
 		return !keep(run) && s.load.outstanding == 0 && s.sends.Count(now) == 0
--- a/internal/gateway/balance/bench_test.go
+++ b/internal/gateway/balance/bench_test.go
@@ -9,9 +9,9 @@
 	"cairndock/internal/gateway/warmup"
 )
 
-// sizes are the numbers of upstreams: a small service, one of 80 hosts, one of 295, and
-// the planned one.
-var sizes = []int{20, 204, 1188, 43200}
+// sizes are the numbers of upstreams: a small service, one of 80 hosts, one of 295, the
+// planned one, and two for which the cost of a choice is bounded.
+var sizes = []int{20, 204, 1000, 1188, 20000, 43200}
 
 type benchQuota struct{}
 
--- a/internal/gateway/balance/order.go
+++ b/internal/gateway/balance/order.go
@@ -51,11 +51,7 @@
 func (o order) cost(u *upstream.Upstream, hash uint64) float64 {
 	otherRegion := u.Region != o.region
 	if !o.noAffinity {
-		cost := unit(mix(hash)) * affinitySpread
-		if otherRegion {
-			cost += o.regionCost
-		}
-		return cost
+		return o.affinityCost(mix(hash), !otherRegion)
 	}
 	cost := unit(mix(hash)) * crossZoneCost
 	if u.Region == o.location.Region && u.Zone != o.location.Zone {
@@ -67,6 +63,16 @@
 	return cost
 }
 
+// affinityCost returns the cost of an upstream for a request with affinity, given the mixed
+// hash. inRegion means that the upstream is in the region that serves the key.
+func (o order) affinityCost(hash uint64, inRegion bool) float64 {
+	cost := unit(hash) * affinitySpread
+	if !inRegion {
+		cost += o.regionCost
+	}
+	return cost
+}
+
 // mix mixes the bits of a number (the finalizer of splitmix64).
 func mix(x uint64) uint64 {
 	x ^= x >> 30
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,25 @@
 	return len(l.list) < l.size || cost < l.list[len(l.list)-1].cost
 }
 
+// bound returns the cost from which the list admits no upstream.
+func (l *lowestCost) bound() float64 {
+	if len(l.list) < l.size {
+		return math.Inf(1)
+	}
+	return l.list[len(l.list)-1].cost
+}
+
+// highestHash returns a hash above which costs are not below a bound. It is slightly too high,
+// because costs are rounded. Comparing hashes first avoids computing the costs of nearly all
+// upstreams (BenchmarkChoose).
+func highestHash(bound float64) uint64 {
+	const rounding = 1e-9
+	if share := bound/affinitySpread + rounding; share < 1 {
+		return uint64(max(0, share) * math.MaxUint64)
+	}
+	return math.MaxUint64
+}
+
 // add inserts an upstream that the list admits.
 func (l *lowestCost) add(u *upstream.Upstream, cost float64) {
 	index := len(l.list)
@@ -44,6 +64,9 @@
 // The whole order is not computed. Load and health are expensive to look up, so only the
 // few upstreams that may be among the first are checked (BenchmarkChoose).
 func (b *Balancer) preferenceList(q Query) (list []scored, withheld Withheld, pick picker) {
+	if len(q.Upstreams) == 0 {
+		return nil, Withheld{}, pickPreferred
+	}
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
@@ -53,9 +76,26 @@
 	first := lowestCost{size: b.policy.PreferenceList + 1}
 	regionBest := lowestCost{size: 1}
 	copies := b.newZoneCopies(sum, o.region)
-	for _, u := range q.Upstreams {
-		cost := o.cost(u, key^u.Seed())
-		inRegion := u.Region == o.region && regionBest.admits(cost)
+	x := b.index(q.Upstreams)
+	serving := x.region(o.region)
+	own, other := uint64(math.MaxUint64), uint64(math.MaxUint64)
+	for i, seed := range x.seeds {
+		inRegion, hash := x.regions[i] == serving, mix(key^seed)
+		highest := other
+		if inRegion {
+			highest = own
+		}
+		if hash > highest {
+			continue
+		}
+		cost := o.affinityCost(hash, inRegion)
+		other = highestHash(first.bound() - o.regionCost)
+		own = highestHash(max(first.bound(), regionBest.bound(), copies.bound()))
+		if !first.admits(cost) && (!inRegion || !regionBest.admits(cost) && !copies.admits(cost)) {
+			continue
+		}
+		u := q.Upstreams[i]
+		inRegion = inRegion && regionBest.admits(cost)
 		part := copies.part(u, cost)
 		if part == nil && !inRegion && !first.admits(cost) || !q.allows(u.Region) {
 			continue
--- a/internal/gateway/balance/zonecopies.go
+++ b/internal/gateway/balance/zonecopies.go
@@ -33,6 +33,20 @@
 	return &zoneCopies{region: region, zone: zones[max(0, position)%len(zones)], near: lowestCost{size: 1}, far: lowestCost{size: 1}}
 }
 
+// admits reports whether an upstream of the region with this cost may be the best of its
+// part.
+func (c *zoneCopies) admits(cost float64) bool {
+	return c != nil && cost < c.bound()
+}
+
+// bound returns the cost from which no upstream of the region is the best of its part.
+func (c *zoneCopies) bound() float64 {
+	if c == nil {
+		return 0
+	}
+	return max(c.near.bound(), c.far.bound())
+}
+
 // part returns the list that an upstream of a cost belongs to; nil if to none, or if a better
 // one is in it.
 func (c *zoneCopies) part(u *upstream.Upstream, cost float64) *lowestCost {
