fleet: measure heartbeats with reports that are new to the receiver

Cause: the benchmark let a host merge its own reports, which are dropped as known, and kept Policy.EvenLoad off, so that it left out the work of a merge.

Change: another host receives the heartbeats, with the policy of the setting.

--- a/internal/gateway/fleet/loadreports_bench_test.go
+++ b/internal/gateway/fleet/loadreports_bench_test.go
@@ -38,7 +38,9 @@
 
 // newZoneHost returns the first host of a zone that knows all others as alive.
 func newZoneHost(hosts, upstreams int, sharesLoads bool) *zoneHost {
-	z := &zoneHost{balancer: balance.New(balance.Location{}, nil, nil, balance.DefaultPolicy()), byKey: map[uint64]upstream.Run{}}
+	policy := balance.DefaultPolicy()
+	policy.EvenLoad = sharesLoads
+	z := &zoneHost{balancer: balance.New(balance.Location{}, nil, nil, policy), byKey: map[uint64]upstream.Run{}}
 	for i := range upstreams {
 		u := &upstream.Upstream{Registration: upstream.Registration{ID: fmt.Sprintf("plans-svc-%d", i), StartedAt: 1764722400123}}
 		z.upstreams = append(z.upstreams, u)
@@ -79,8 +81,8 @@
 }
 
 // BenchmarkHeartbeatWithinAZone measures the CPU time of a host for one exchange with a host of
-// its zone, which is to encode a heartbeat and to handle one with as many reports, and the size of
-// the heartbeat. The connection is not included. The host sends its heartbeats evenly over an interval, in virtual time, and receives
+// its zone, which is to encode a heartbeat and to handle one with as many reports, all of them new,
+// and the size of the heartbeat. The connection is not included. The host sends its heartbeats evenly over an interval, in virtual time, and receives
 // reports from upstreams at a given rate meanwhile.
 func BenchmarkHeartbeatWithinAZone(b *testing.B) {
 	for _, hosts := range []int{16, 110} {
@@ -96,7 +98,10 @@
 
 func benchmarkHeartbeats(b *testing.B, hosts, rate int) {
 	const upstreams = 1000
-	z := newZoneHost(hosts, upstreams, rate > 0)
+	z, receiver := newZoneHost(hosts, upstreams, rate > 0), newZoneHost(hosts, upstreams, rate > 0)
+	for _, u := range receiver.upstreams {
+		receiver.balancer.ObserveLoad(u, 2, 1, time.Now().Add(-time.Minute)) // it has met each of them
+	}
 	peers := z.members.peersByName(z.members.indexed().names)
 	step := heartbeatInterval / time.Duration(len(peers))
 	now, bytes, reports, due := time.Now(), 0, 0, 0.0
@@ -111,10 +116,10 @@
 		request, sent := z.withLoads(heartbeat{Host: z.options.Self, Status: z.status()}, to, now)
 		payload, err := peer.Encode(request)
 		require.NoError(b, err)
-		response, err := peer.Decode[heartbeat](payload) // a peer responds in kind
+		received, err := peer.Decode[heartbeat](payload)
 		require.NoError(b, err)
-		response.Host = to
-		z.recordHeartbeat(response)
+		received.Host = to
+		receiver.recordHeartbeat(received)
 		z.recordSentLoads(to.Name, sent)
 		bytes += len(payload)
 		reports += sent.count
