--- a/internal/gateway/fleet/loadreports.go
+++ b/internal/gateway/fleet/loadreports.go
@@ -67,9 +67,15 @@
 
 // loadSharing is the state of a host that shares load reports.
 type loadSharing struct {
+	// collecting is held while a snapshot is taken, so that heartbeats that are due at the
+	// same time share one. mu is not held then, because Fleet.Suspended may be called.
+	collecting sync.Mutex
+
 	mu sync.Mutex
 	// snapshot is the last snapshot of this host's reports; nil if it must not be used.
 	snapshot *loadSnapshot
+	// resets counts the calls of reset.
+	resets int
 	// drops has the reports that were dropped and not logged yet, by reason.
 	drops map[dropReason]drops
 }
@@ -87,17 +93,37 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.snapshot = nil
+	s.resets++
+}
+
+// last returns the last snapshot; nil if it is older than loadSnapshotTTL.
+func (s *loadSharing) last(now time.Time) (snapshot *loadSnapshot, resets int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.snapshot == nil || now.Sub(s.snapshot.at) >= loadSnapshotTTL {
+		return nil, s.resets
+	}
+	return s.snapshot, s.resets
 }
 
 // current returns a snapshot of this host's reports that is at most loadSnapshotTTL old.
 func (s *loadSharing) current(loads Loads, now time.Time) *loadSnapshot {
+	if snapshot, _ := s.last(now); snapshot != nil {
+		return snapshot
+	}
+	s.collecting.Lock()
+	defer s.collecting.Unlock()
+	snapshot, resets := s.last(now)
+	if snapshot != nil {
+		return snapshot
+	}
+	snapshot = newLoadSnapshot(loads.LoadReports(loadReportWindow, now), now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.snapshot != nil && now.Sub(s.snapshot.at) < loadSnapshotTTL {
-		return s.snapshot
+	if resets == s.resets { // otherwise ages may be from before a suspension
+		s.snapshot = snapshot
 	}
-	s.snapshot = newLoadSnapshot(loads.LoadReports(loadReportWindow, now), now)
-	return s.snapshot
+	return snapshot
 }
 
 // drop counts dropped reports. It returns how many to log, which is zero except for the
