fleet: make the tests of load reports independent of the machine's load

Cause: the tests exchanged one heartbeat each, which takes longer than heartbeatTimeout on a machine that stands still, and compared the load with a report of some milliseconds ago. No such failure was seen.

--- a/internal/gateway/fleet/loadharness_test.go
+++ b/internal/gateway/fleet/loadharness_test.go
@@ -89,6 +89,19 @@
 	return out
 }
 
+// exchange exchanges heartbeats with a peer. It tries again on a busy machine, on which an
+// exchange may take longer than heartbeatTimeout.
+func (h loadsHost) exchange(t *testing.T, to Host) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		h.exchangeHeartbeat(t.Context(), to)
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		p := h.members.peers[to.Name]
+		return p != nil && p.alive(time.Now())
+	}, 10*time.Second, time.Millisecond)
+}
+
 // requireCounted requires the value of a metric.
 func (h loadsHost) requireCounted(t *testing.T, name string, want int) {
 	t.Helper()
