loadmodel: measure shifts between regions, and more failures

Cause: users allow at most 0.15 of a region's requests to move from one window of 2 s to the next, which the model did not show; and it had no failure of load reports or of hosts.

Change: the results have the largest shift. Upstreams may report nothing or always idle, a fraction of the hosts may be lost, and a fraction may run the default variant, as hosts of an older version do.

--- a/internal/gateway/loadmodel/attempt.go
+++ b/internal/gateway/loadmodel/attempt.go
@@ -26,7 +26,9 @@
 		return
 	}
 	h, now := a.request.host, a.request.host.model.clock.now
-	h.balancer.ObserveLoad(a.choice.Upstream, r.running, r.waiting, now)
+	if !r.silent {
+		h.balancer.ObserveLoad(a.choice.Upstream, r.running, r.waiting, now)
+	}
 	if !r.executed {
 		a.fail(a.refusalReason(r))
 		return
--- a/internal/gateway/loadmodel/evenload_test.go
+++ b/internal/gateway/loadmodel/evenload_test.go
@@ -44,3 +44,60 @@
 	require.LessOrEqual(t, on.Messages, 16*int(4*time.Second/heartbeatInterval+1))
 	require.LessOrEqual(t, on.MessageBytes, on.Messages*maxZoneReports*zoneReportBytes)
 }
+
+// scaled returns the scenario many-hosts with another number of hosts, and upstreams, load and
+// objects in proportion. It has 88 hosts.
+func scaled(t *testing.T, hosts int) Scenario {
+	s, factor := loadScenario(t, "many-hosts"), float64(hosts)/88
+	scale := func(n int) int { return max(1, int(float64(n)*factor+0.5)) }
+	for i := range s.Zones {
+		s.Zones[i].Hosts = scale(s.Zones[i].Hosts)
+	}
+	for i := range s.Services {
+		for zone, n := range s.Services[i].Upstreams {
+			s.Services[i].Upstreams[zone] = scale(n)
+		}
+	}
+	for i := range s.Routes {
+		s.Routes[i].Rate *= factor
+		s.Routes[i].Objects = scale(s.Routes[i].Objects)
+	}
+	s.Retries.Slack *= factor
+	return s
+}
+
+// Guards against a loss of what even load gains, or a shift of requests between regions, when
+// the reports that it relies on stop, mislead or are lost.
+func TestEvenLoadUnderFailures(t *testing.T) {
+	t.Parallel()
+	at, lasting := duration(5*time.Second), duration(5*time.Second)
+	for name, c := range map[string]struct {
+		fault Fault
+		old   float64
+	}{
+		"no fault":                      {},
+		"reports stop":                  {fault: Fault{Kind: Silent, Service: "plans", Fraction: 1}},
+		"some upstreams report nothing": {fault: Fault{Kind: Silent, Service: "plans", Fraction: 0.3}},
+		"one always reports idle":       {fault: Fault{Kind: Idle, Service: "plans", Fraction: 0.02}},
+		"half of the hosts are lost":    {fault: Fault{Kind: HostsLost, Fraction: 0.5}},
+		"all hosts restart":             {fault: Fault{Kind: Restart}},
+		"half of the hosts are older":   {old: 0.5},
+		"upstreams become slow":         {fault: Fault{Kind: Slow, Service: "plans", Fraction: 0.05, Factor: 8}},
+		"a burst in one zone":           {fault: Fault{Kind: Burst, Zone: "west-a", Factor: 2}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := scaled(t, 44)
+			if c.fault.Kind != "" {
+				c.fault.At, c.fault.For = at, lasting
+				s.Faults = []Fault{c.fault}
+			}
+			v := evenLoad()
+			v.OldHosts = c.old
+			before, after := Run(s, DefaultVariant(), 1), Run(s, v, 1)
+			require.Less(t, besideFree(after), besideFree(before)-0.02)
+			require.Greater(t, credit(after), credit(before))
+			require.Less(t, after.LargestShift(), 0.15)
+			t.Log(credit(before), credit(after), besideFree(before), besideFree(after), before.LargestShift(), after.LargestShift(), before.Spread.BusiestByRequests, after.Spread.BusiestByRequests)
+		})
+	}
+}
--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -25,6 +25,7 @@
 	balancer *balance.Balancer
 	detector *outlier.Detector
 	budget   *retry.Budget
+	lost     bool
 }
 
 // unlimitedQuotas grants unlimited warm-up quotas, because the simulated upstreams
@@ -96,6 +97,9 @@
 
 // heartbeat sends the observed failures to the other hosts of the region.
 func (h *host) heartbeat() {
+	if h.lost {
+		return
+	}
 	now := h.model.clock.now
 	observations := h.detector.Observations(now)
 	if len(observations) == 0 {
@@ -118,6 +122,9 @@
 // shareReports sends the load reports that the host received since its last message to the
 // other hosts of its zone.
 func (h *host) shareReports() {
+	if h.lost {
+		return
+	}
 	now := h.model.clock.now
 	reports := h.balancer.LoadReports(heartbeatInterval, now)
 	reports = reports[:min(len(reports), maxZoneReports)]
@@ -125,7 +132,7 @@
 		return
 	}
 	for _, other := range h.zone.hosts {
-		if other != h {
+		if other != h && other.variant.ZoneReports {
 			other.balancer.MergeLoadReports(reports, now)
 			h.model.result.reportsSent(len(reports))
 		}
--- a/internal/gateway/loadmodel/model.go
+++ b/internal/gateway/loadmodel/model.go
@@ -39,8 +39,9 @@
 // zoneState is a zone in a run. factor multiplies the load of the zone.
 type zoneState struct {
 	Zone
-	hosts  []*host
-	factor float64
+	// hosts are those that run now, of all hosts of the zone.
+	hosts, all []*host
+	factor     float64
 }
 
 // Run simulates a scenario with a variant. The random generator is seeded with the
@@ -51,8 +52,8 @@
 	for _, name := range slices.Sorted(maps.Keys(m.zones)) {
 		z := m.zones[name]
 		for i := range z.Hosts {
-			h := newHost(m, z, i, v)
-			z.hosts = append(z.hosts, h)
+			h := newHost(m, z, i, v.of(i, z.Hosts))
+			z.hosts, z.all = append(z.hosts, h), append(z.all, h)
 			m.hosts = append(m.hosts, h)
 		}
 	}
@@ -153,6 +154,10 @@
 				h.restart()
 			}
 		}
+	case HostsLost:
+		for _, z := range m.zones {
+			z.setLost(f.Fraction, starting)
+		}
 	default:
 		upstreams := m.byService[f.Service]
 		for _, u := range upstreams[:int(f.Fraction*float64(len(upstreams)))] {
@@ -161,6 +166,19 @@
 	}
 }
 
+// setLost removes a fraction of the zone's hosts, or starts them again.
+func (z *zoneState) setLost(fraction float64, starting bool) {
+	lost := int(fraction * float64(len(z.all)))
+	z.hosts = z.all
+	if starting {
+		z.hosts = z.all[lost:]
+	}
+	for _, h := range z.all[:lost] {
+		h.lost = starting
+		h.restart()
+	}
+}
+
 // setFault starts or ends a fault of one upstream.
 func (u *upstreamSim) setFault(f Fault, starting bool) {
 	switch f.Kind {
@@ -170,6 +188,10 @@
 		u.shed = pick(starting, f.Factor, 0)
 	case Down:
 		u.down = starting
+	case Silent:
+		u.silent = starting
+	case Idle:
+		u.idle = starting
 	}
 }
 
--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -61,7 +61,7 @@
 		m.clock.after(2*delay, func() { a.fail(verdict.ConnectionRefused) })
 		return
 	}
-	m.result.sent(h.zone, c.Upstream)
+	m.result.sent(h.zone, c.Upstream, m.clock.now.Sub(m.start))
 	a.job = &job{route: req.call.route, object: req.call.object}
 	a.job.done = func(r response) { m.clock.after(delay, func() { a.handleResponse(r) }) }
 	m.clock.after(delay, func() {
--- a/internal/gateway/loadmodel/scenario.go
+++ b/internal/gateway/loadmodel/scenario.go
@@ -2,6 +2,7 @@
 
 import (
 	"os"
+	"slices"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -122,15 +123,27 @@
 	Burst FaultKind = "burst"
 	// Restart discards the state of all hosts, as a restart does.
 	Restart FaultKind = "restart"
+	// Silent makes a fraction of the upstreams report no load, and Idle makes them report
+	// that they are idle.
+	Silent FaultKind = "silent"
+	Idle   FaultKind = "idle"
+	// HostsLost removes a fraction of the hosts of each zone, which finish what they have.
+	// They start again at the end of the fault.
+	HostsLost FaultKind = "hosts-lost"
 )
 
+// ofUpstreams reports whether the fault is one of a service's upstreams.
+func (k FaultKind) ofUpstreams() bool {
+	return slices.Contains([]FaultKind{Slow, Shed, Down, Silent, Idle}, k)
+}
+
 // Fault is a fault that starts at At and lasts for For, both counted in virtual time.
 type Fault struct {
 	Kind FaultKind         `toml:"kind"`
 	At   settings.Duration `toml:"at"`
 	For  settings.Duration `toml:"for"`
 	// Service and Fraction select the upstreams with the fault: the first upstreams of
-	// Service, up to Fraction (0 to 1) of their number.
+	// Service, up to Fraction (0 to 1) of their number. HostsLost applies Fraction to hosts.
 	Service  string  `toml:"service"`
 	Fraction float64 `toml:"part"`
 	// Zone is the zone with the fault; empty for all zones (Burst only).
@@ -156,6 +169,8 @@
 	// ZoneReports makes the hosts of a zone exchange the load reports of upstreams at the
 	// interval of their heartbeats.
 	ZoneReports bool `toml:"zone_reports"`
+	// OldHosts is the fraction of the hosts of each zone that run the default variant.
+	OldHosts float64 `toml:"old_hosts"`
 	// MinRetryDelay and RetryJitter replace the minimum and the jitter of the delay after
 	// which a refused client retries. If MinRetryDelay is zero, the delay is that of
 	// hosts.
@@ -168,6 +183,14 @@
 	return Variant{Name: "default", Balance: balance.DefaultPolicy(), Hedge: true, Retry: true}
 }
 
+// of returns the variant of a host by its position among the n hosts of its zone.
+func (v Variant) of(position, n int) Variant {
+	if float64(position) < v.OldHosts*float64(n) {
+		return DefaultVariant()
+	}
+	return v
+}
+
 // WithBalance returns the variant with another name and balance policy.
 func (v Variant) WithBalance(name string, p balance.Policy) Variant {
 	v.Name, v.Balance = name, p
@@ -232,7 +255,7 @@
 		}
 	}
 	for _, f := range s.Faults {
-		if (f.Kind == Slow || f.Kind == Shed || f.Kind == Down) && !services[f.Service] {
+		if f.Kind.ofUpstreams() && !services[f.Service] {
 			return eris.Errorf("fault %s: service %q is not defined", f.Kind, f.Service)
 		}
 	}
--- a/internal/gateway/loadmodel/upstream.go
+++ b/internal/gateway/loadmodel/upstream.go
@@ -23,6 +23,8 @@
 	slow float64
 	shed float64
 	down bool
+	// silent makes it report no load, and idle makes it report none in use.
+	silent, idle bool
 	// firstLoads counts the requests for objects that were not in the cache.
 	firstLoads int
 	// arrivals counts the requests that arrived, and processing is the time for which slots
@@ -47,8 +49,10 @@
 type response struct {
 	// executed is false if the upstream refused the request.
 	executed bool
-	// running and waiting are the load that the upstream reports, in requests.
+	// running and waiting are the load that the upstream reports, in requests, if it
+	// reports any.
 	running, waiting int
+	silent           bool
 }
 
 // receive starts, queues or refuses a request.
@@ -104,7 +108,11 @@
 }
 
 func (u *upstreamSim) respond(j *job, executed bool) {
-	j.done(response{executed: executed, running: u.running, waiting: len(u.waiting)})
+	r := response{executed: executed, running: u.running, waiting: len(u.waiting), silent: u.silent}
+	if u.idle {
+		r.running, r.waiting = 0, 0
+	}
+	j.done(r)
 }
 
 // lookup reports whether an object is in the cache, and adds it if not. The object
