--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -49,11 +49,15 @@
 
 	mu     sync.Mutex
 	states map[upstream.Run]*state
+	// unclaimed holds reports that other hosts received, of runs without a state.
+	unclaimed unclaimedReports
 	// reserved holds the fractions of capacity that requests bound to a region need.
 	reserved reservations
 	// summaries holds the summary of each list of upstreams, by the first upstream of the
 	// list.
 	summaries map[*upstream.Upstream]*summary
+	// indexes holds the index of each list of upstreams, by the memory of the list.
+	indexes map[**upstream.Upstream]*index
 }
 
 // state holds the load and the recent requests of one run of an upstream, as this host
@@ -64,11 +68,13 @@
 	upstream *upstream.Upstream
 	// sends are the recent requests for which the upstream was chosen.
 	sends warmup.Sends
+	// chosenAt is when the upstream was chosen for each outstanding request.
+	chosenAt []time.Time
 }
 
 // New returns a balancer for a host at a location. The policy p sets its limits and costs.
 func New(location Location, quotas WarmUpQuotas, detector OutlierDetector, p Policy) *Balancer {
-	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, summaries: map[*upstream.Upstream]*summary{}, notices: noNotices{}}
+	return &Balancer{location: location, quotas: quotas, detector: detector, policy: p, states: map[upstream.Run]*state{}, unclaimed: unclaimedReports{}, summaries: map[*upstream.Upstream]*summary{}, indexes: map[**upstream.Upstream]*index{}, notices: noNotices{}}
 }
 
 // HonorNotices sets the notices that exclude upstreams from new requests. It must be
@@ -92,7 +98,11 @@
 		if !s.load.reportedAt.IsZero() {
 			s.load.reportedAt = s.load.reportedAt.Add(-gap)
 		}
+		if !s.load.own.at.IsZero() {
+			s.load.own.at = s.load.own.at.Add(-gap)
+		}
 	}
+	clear(b.unclaimed)
 }
 
 // Choose chooses an upstream and counts the request as outstanding there until Done. If
@@ -102,12 +112,7 @@
 func (b *Balancer) Choose(q Query) (Choice, Reason) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	list, withheld := b.preferenceList(q)
-	pick := pickPreferred
-	if q.NoAffinity {
-		list, withheld = b.ordered(q)
-		pick = pickLeastLoaded
-	}
+	list, withheld, pick := b.candidates(q)
 	if len(list) == 0 {
 		return Choice{Withheld: withheld}, withheld.reason()
 	}
@@ -125,7 +130,9 @@
 	if reason == Chosen {
 		b.notices.Take(chosen.upstream, q.Now)
 		chosen.state.load.outstanding++
+		chosen.state.chosenAt = append(chosen.state.chosenAt, q.Now)
 		chosen.state.upstream = chosen.upstream
+		choice.chosenAt = q.Now
 		choice.send = chosen.state.sends.Add(q.Now, choice.Cold)
 	}
 	if choice.Cold {
@@ -134,6 +141,16 @@
 	return choice, reason
 }
 
+// candidates returns the upstreams that may serve a request, in the order in which they are
+// tried, those that were withheld, and what picks one of them.
+func (b *Balancer) candidates(q Query) ([]scored, Withheld, picker) {
+	if q.NoAffinity {
+		list, withheld := b.ordered(q)
+		return list, withheld, pickLeastLoaded
+	}
+	return b.preferenceList(q)
+}
+
 // warmUp returns how much of this host's quota for a cold upstream is used.
 func warmUp(u *scored, a admission) WarmUp {
 	cold := u.state.sends.Cold(a.now)
@@ -148,6 +165,13 @@
 	cost float64
 	// load is the estimated load, in the upstream's capacities.
 	load float64
+	// expected is the expected load, in the upstream's capacities, with the cost of another
+	// region; only set with Policy.EvenLoad. Unlike load, it does not take an upstream without a recent report
+	// for an idle one.
+	expected float64
+	// triedLast means that the upstream is tried after all others; only set with
+	// Policy.EvenLoad.
+	triedLast bool
 }
 
 // ordered returns the upstreams that may serve a request without affinity and were not
@@ -208,6 +232,9 @@
 	if s == nil {
 		s = &state{}
 		b.states[run] = s
+		if r := b.unclaimed.claim(run); !r.at.IsZero() {
+			s.merge(r, b.policy)
+		}
 	}
 	return s
 }
@@ -226,6 +253,9 @@
 	defer b.mu.Unlock()
 	s := b.state(c.Upstream)
 	s.load.outstanding = max(0, s.load.outstanding-1)
+	if i := slices.Index(s.chosenAt, c.chosenAt); i >= 0 {
+		s.chosenAt = slices.Delete(s.chosenAt, i, i+1)
+	}
 	c.send.End()
 }
 
@@ -247,7 +277,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.policy.LoadReports {
-		b.state(u).load.observe(running+waiting, now)
+		b.state(u).load.observe(running+waiting, now, b.policy.EvenLoad)
 	}
 }
 
@@ -258,6 +288,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	clear(b.summaries)
+	clear(b.indexes)
+	maps.DeleteFunc(b.unclaimed, func(run upstream.Run, _ report) bool { return !keep(run) })
 	maps.DeleteFunc(b.states, func(run upstream.Run, s *state) bool {
 		return !keep(run) && s.load.outstanding == 0 && s.sends.Count(now) == 0
 	})
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +27,25 @@
 	return len(l.list) < l.size || cost < l.list[len(l.list)-1].cost
 }
 
+// bound returns the cost from which the list admits no upstream.
+func (l *lowestCost) bound() float64 {
+	if len(l.list) < l.size {
+		return math.Inf(1)
+	}
+	return l.list[len(l.list)-1].cost
+}
+
+// highestHash returns a hash above which costs are not below a bound. It is slightly too high,
+// because costs are rounded. Comparing hashes first avoids computing the costs of nearly all
+// upstreams (BenchmarkChoose).
+func highestHash(bound float64) uint64 {
+	const rounding = 1e-9
+	if share := bound/affinitySpread + rounding; share < 1 {
+		return uint64(max(0, share) * math.MaxUint64)
+	}
+	return math.MaxUint64
+}
+
 // add inserts an upstream that the list admits.
 func (l *lowestCost) add(u *upstream.Upstream, cost float64) {
 	index := len(l.list)
@@ -38,11 +58,15 @@
 
 // preferenceList returns the upstreams that serve a key, in the order in which they are
 // tried: those that may serve the request and were not tried yet, by cost. It also returns
-// the upstreams that were withheld; the next upstreams in order take their positions.
+// the upstreams that were withheld; the next upstreams in order take their positions. pick
+// chooses one of the list.
 //
 // The whole order is not computed. Load and health are expensive to look up, so only the
 // few upstreams that may be among the first are checked (BenchmarkChoose).
-func (b *Balancer) preferenceList(q Query) ([]scored, Withheld) {
+func (b *Balancer) preferenceList(q Query) (list []scored, withheld Withheld, pick picker) {
+	if len(q.Upstreams) == 0 {
+		return nil, Withheld{}, pickPreferred
+	}
 	key := xxhash.Sum64String(q.Key)
 	sum := b.summary(q)
 	o := b.order(key, q, sum)
@@ -51,11 +75,35 @@
 	// One more, because the region's best upstream may be among them.
 	first := lowestCost{size: b.policy.PreferenceList + 1}
 	regionBest := lowestCost{size: 1}
-	var withheld Withheld
-	for _, u := range q.Upstreams {
-		cost := o.cost(u, key^u.Seed())
-		inRegion := u.Region == o.region && regionBest.admits(cost)
-		if !inRegion && !first.admits(cost) || !q.allows(u.Region) || slices.Contains(q.Tried, u.ID) {
+	copies := b.newZoneCopies(sum, o.region)
+	x := b.index(q.Upstreams)
+	serving := x.region(o.region)
+	own, other := uint64(math.MaxUint64), uint64(math.MaxUint64)
+	for i, seed := range x.seeds {
+		inRegion, hash := x.regions[i] == serving, mix(key^seed)
+		highest := other
+		if inRegion {
+			highest = own
+		}
+		if hash > highest {
+			continue
+		}
+		cost := o.affinityCost(hash, inRegion)
+		other = highestHash(first.bound() - o.regionCost)
+		own = highestHash(max(first.bound(), regionBest.bound(), copies.bound()))
+		if !first.admits(cost) && (!inRegion || !regionBest.admits(cost) && !copies.admits(cost)) {
+			continue
+		}
+		u := q.Upstreams[i]
+		inRegion = inRegion && regionBest.admits(cost)
+		part := copies.part(u, cost)
+		if part == nil && !inRegion && !first.admits(cost) || !q.allows(u.Region) {
+			continue
+		}
+		if slices.Contains(q.Tried, u.ID) {
+			if part != nil {
+				part.add(u, cost)
+			}
 			continue
 		}
 		if withheld.add(b.notices.Withheld(u, q.Now)) {
@@ -64,6 +112,9 @@
 		if inRegion {
 			regionBest.add(u, cost)
 		}
+		if part != nil {
+			part.add(u, cost)
+		}
 		if triedLast(u) {
 			cost += triedLastCost
 		}
@@ -71,23 +122,36 @@
 			first.add(u, cost)
 		}
 	}
-	if b.policy.RegionFirst && len(regionBest.list) > 0 {
-		first.moveToFront(regionBest.list[0], triedLast)
+	switch {
+	case copies != nil:
+		copies.moveToFront(&first, q.Tried, triedLast)
+	case b.policy.RegionFirst && len(regionBest.list) > 0:
+		first.moveToFront(regionBest.list[0], 1, triedLast)
 	}
-	list := make([]scored, 0, b.policy.PreferenceList)
+	list = make([]scored, 0, b.policy.PreferenceList)
 	for _, r := range first.list[:min(len(first.list), b.policy.PreferenceList)] {
-		list = append(list, b.score(r.upstream, r.cost, q.Now))
+		x := b.score(r.upstream, r.cost, q.Now)
+		x.triedLast = b.policy.EvenLoad && triedLast(r.upstream)
+		list = append(list, x)
 	}
-	return list, withheld
+	if b.policy.EvenLoad && b.expect(list, sum, q.Now) {
+		return list, withheld, pickEven
+	}
+	return list, withheld, pickPreferred
 }
 
+// picker returns the rank of the upstream that serves a request, or the reason why none of
+// the list does.
+type picker func(list []scored, a admission) (int, Reason)
+
 // moveToFront puts the best upstream of the region that serves the key before all others,
-// whatever their cost, unless this upstream is tried last. Without this rule, a region
+// whatever their cost, unless this upstream is tried last. Those moved by more steps come
+// before those moved by fewer. Without this rule, a region
 // with few upstreams would have none among the lowest of many random costs. The upstreams
 // after it in the order may be of any region.
-func (l *lowestCost) moveToFront(best ranked, triedLast func(*upstream.Upstream) bool) {
+func (l *lowestCost) moveToFront(best ranked, step float64, triedLast func(*upstream.Upstream) bool) {
 	l.list = slices.DeleteFunc(l.list, func(r ranked) bool { return r.upstream == best.upstream })
-	cost := best.cost - 2*affinitySpread
+	cost := best.cost - step*affinitySpread
 	if triedLast(best.upstream) {
 		cost += triedLastCost
 	}
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -220,6 +220,7 @@
 func (noopReporter) QuarantineStored(poison.Fingerprint, string, int) {}
 func (noopReporter) QuarantinesLearned(string)                        {}
 func (noopReporter) QuarantinesUnread(time.Duration)                  {}
+func (noopReporter) LoadReportsDropped(string, string, int)           {}
 
 // freeAddress returns an address that no process listens on.
 func freeAddress(t *testing.T) string {
--- a/internal/gateway/loadmodel/host.go
+++ b/internal/gateway/loadmodel/host.go
@@ -29,6 +29,7 @@
 	// tables and controllers are those of the roll-outs that were ordered.
 	tables      map[*rolloutSim]*rollout.Table
 	controllers map[*rolloutSim]*rollout.Controller
+	lost        bool
 }
 
 // unlimitedQuotas grants unlimited warm-up quotas, because the simulated upstreams
@@ -102,6 +103,9 @@
 
 // heartbeat sends the observed failures to the other hosts of the region.
 func (h *host) heartbeat() {
+	if h.lost {
+		return
+	}
 	now := h.model.clock.now
 	observations := h.detector.Observations(now)
 	if len(observations) == 0 {
@@ -114,6 +118,33 @@
 	}
 }
 
+// The hosts of a zone exchange at most maxZoneReports load reports in one message, of
+// zoneReportBytes each: a hash of the run, the requests and the age.
+const (
+	maxZoneReports  = 256
+	zoneReportBytes = 16
+)
+
+// shareReports sends the load reports that the host received since its last message to the
+// other hosts of its zone.
+func (h *host) shareReports() {
+	if h.lost {
+		return
+	}
+	now := h.model.clock.now
+	reports := h.balancer.LoadReports(heartbeatInterval, now)
+	reports = reports[:min(len(reports), maxZoneReports)]
+	if len(reports) == 0 {
+		return
+	}
+	for _, other := range h.zone.hosts {
+		if other != h && other.variant.ZoneReports {
+			other.balancer.MergeLoadReports(reports, now)
+			h.model.result.reportsSent(len(reports))
+		}
+	}
+}
+
 // oneWayDelay returns the one-way network delay between a zone and an upstream.
 func (m *Model) oneWayDelay(z *zoneState, u *upstream.Upstream) time.Duration {
 	switch {
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -10,6 +10,7 @@
 
 	"github.com/rotisserie/eris"
 
+	"cairndock/internal/gateway/balance"
 	"cairndock/internal/gateway/eventlog"
 	"cairndock/internal/gateway/exchange"
 	"cairndock/internal/settings"
@@ -32,6 +33,7 @@
 	Zones     map[string]string `toml:"zones"`
 	Resources ResourceSettings  `toml:"resources"`
 	Limits    LimitSettings     `toml:"limits"`
+	Balance   BalanceSettings   `toml:"balance"`
 	Stop      StopSettings      `toml:"stop"`
 	// Telemetry configures the traces and the level of the decision log, which is
 	// written to standard output.
@@ -113,6 +115,23 @@
 	MaxResponseBodyBytes int64 `toml:"max_response_body_bytes"`
 }
 
+// BalanceSettings select rules for the choice of upstreams that are off by default.
+type BalanceSettings struct {
+	// EvenLoad shares the upstreams' load reports with the hosts of the zone, and chooses
+	// upstreams by the load that the reports lead to expect.
+	EvenLoad bool `toml:"even_load"`
+	// ZoneCopies serves a key by an upstream of the host's own zone first. It requires
+	// upstreams that can keep the objects of each zone.
+	ZoneCopies bool `toml:"zone_copies"`
+}
+
+// policy returns the policy of the host's balancer.
+func (b BalanceSettings) policy() balance.Policy {
+	p := balance.DefaultPolicy()
+	p.EvenLoad, p.ZoneCopies = b.EvenLoad, b.ZoneCopies
+	return p
+}
+
 // StopSettings configure a planned stop.
 type StopSettings struct {
 	// Grace is the time from SIGTERM to SIGKILL.
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -64,6 +64,20 @@
 	}
 }
 
+// Guards against a rule that is on without a setting, or that another setting turns on.
+func TestRulesOfBalancingAreOffByDefault(t *testing.T) {
+	for text, want := range map[string]gateway.BalanceSettings{
+		"":                              {},
+		"[balance]":                     {},
+		"[balance]\neven_load = true":   {EvenLoad: true},
+		"[balance]\nzone_copies = true": {ZoneCopies: true},
+	} {
+		g, err := load(t, minSettings+text+"\n")
+		require.NoError(t, err)
+		require.Equal(t, want, g.Balance, text)
+	}
+}
+
 func TestStalenessIsTheTightestBound(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		`apply_within = "3s"`: 3 * time.Second,
@@ -90,6 +104,9 @@
 		"log.served_per_second":                                        minSettings + "[log]\nserved_per_second = -1",
 		"log.failed_per_second":                                        minSettings + "[log]\nfailed_per_second = -1",
 		"stop.grace":                                                   minSettings + "[stop]\ngrace = \"-1s\"",
+		"balance.spread":                                               minSettings + "[balance]\nspread = true",
+		"balance.even_load":                                            minSettings + "[balance]\neven_load = \"yes\"",
+		"balance.zone_copies":                                          minSettings + "[balance]\nzone_copies = 1",
 	} {
 		_, err := load(t, text)
 		require.ErrorContains(t, err, key)
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -46,7 +46,7 @@
 func (g *Gateway) newFleet(store *platform.Store) *fleet.Fleet {
 	host, listen := g.settings.Host, g.settings.Listen
 	resources := fleet.Resources(g.settings.Resources)
-	return fleet.New(fleet.Options{
+	o := fleet.Options{
 		Self: fleet.Host{
 			Name: host.Name, Zone: host.Zone, Region: host.Region, PeerAddress: listen.Peers, ClientAddress: listen.Callers,
 			Incarnation: g.incarnation,
@@ -54,8 +54,12 @@
 		},
 		Regions: g.settings.regions(), Zones: g.settings.Zones, Tokens: g, Indirect: g, Rollouts: g.rollouts, Registry: platform.Registry{Store: store, Log: g.log}, Report: g.log, Observations: g.detector, Notices: g.notices, Suspicions: g.suspicions,
 		Status: g.status, Seeds: g.settings.peerSeeds(), FirstStart: g.settings.FirstStart, Transport: peer.TCP(dial.New(storeDialTimeout).DialContext),
-		Tables: g.tables[:], MaxAge: g.timing.MaxAge(),
-	})
+		Tables: g.tables[:], MaxAge: g.timing.MaxAge(), Metrics: g.metrics,
+	}
+	if g.settings.Balance.EvenLoad {
+		o.Loads = &zoneLoads{gateway: g}
+	}
+	return fleet.New(o)
 }
 
 func (g *Gateway) newQuota() *quota.Limiter {
@@ -81,7 +85,7 @@
 	g.reach = g.newReach(client)
 	client.ConfirmTerminations(func() bool { return !g.reach.Check() })
 	location := balance.Location{Zone: g.settings.Host.Zone, Region: g.settings.Host.Region, Regions: len(g.settings.regions())}
-	g.balancer = balance.New(location, g, g.detector, balance.DefaultPolicy())
+	g.balancer = balance.New(location, g, g.detector, g.settings.Balance.policy())
 	g.balancer.HonorNotices(g.notices)
 	return proxy.New(proxy.Options{
 		State:        g.state,
