proxy: log which upstream even load passed over

Cause: an operator cannot tell why a key was not served by the upstream where it is warm.

Change: a choice has the upstream that accepts the request and comes first but has a higher expected load; the attempt line, which is sampled and bounded, has it in passed_over with both loads and the age of its last report.

Result: go test ./internal/gateway/balance ./internal/gateway/eventlog ./internal/gateway/proxy passes.

--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -128,6 +128,7 @@
 		Withheld: withheld,
 	}
 	if reason == Chosen {
+		choice.PassedOver = passedOver(list, rank, a)
 		b.notices.Take(chosen.upstream, q.Now)
 		chosen.state.load.outstanding++
 		chosen.state.chosenAt = append(chosen.state.chosenAt, q.Now)
--- a/internal/gateway/balance/evenload.go
+++ b/internal/gateway/balance/evenload.go
@@ -106,6 +106,9 @@
 		x := &list[i]
 		mean, known := sum.meanReport(x.upstream.Region)
 		if !known {
+			for i := range list {
+				list[i].expected = 0
+			}
 			return false
 		}
 		x.expected = x.state.load.expected(now, x.upstream.Capacity, mean)
@@ -154,3 +157,19 @@
 	}
 	return secondCost
 }
+
+// passedOver returns the first upstream of a list that accepts the request, if it is not the
+// chosen one because of its expected load.
+func passedOver(list []scored, rank int, a admission) *PassedOver {
+	if !a.policy.EvenLoad {
+		return nil
+	}
+	chosen := &list[rank]
+	for i := range list[:rank] {
+		x := &list[i]
+		if x.expected > chosen.expected && a.check(x, a.threshold) == Chosen {
+			return &PassedOver{Upstream: x.upstream.ID, Expected: x.expected, ChosenExpected: chosen.expected, LoadAge: x.state.load.reportAge(a.now)}
+		}
+	}
+	return nil
+}
--- a/internal/gateway/balance/evenload_rules_test.go
+++ b/internal/gateway/balance/evenload_rules_test.go
@@ -164,3 +164,25 @@
 	b.MergeLoadReports([]balance.LoadReport{{Run: all[3].Run(), Requests: 0}}, now) // late, of the old run
 	require.LessOrEqual(t, chosenFor(t, b, balance.Query{Upstreams: restarted, Now: now})["i-3"], 80)
 }
+
+// Guards against a log that cannot tell why a key was not served where it is warm.
+func TestAChoiceSaysWhichUpstreamWasPassedOver(t *testing.T) {
+	now, all := time.Now(), ownAndOther(2, 2)
+	even, plain := newEvenBalancer(1, noneEjected{}), newBalancer(1)
+	q := balance.Query{Key: "k", Upstreams: all, Now: now}
+	first := choose(t, plain, q).Upstream
+	for _, b := range []*balance.Balancer{even, plain} {
+		reportLoads(b, all, "", false, now)
+		for _, u := range all {
+			if u != first {
+				b.ObserveLoad(u, 0, 0, now)
+			}
+		}
+	}
+	c := choose(t, even, q)
+	require.NotEqual(t, first.ID, c.Upstream.ID)
+	require.Equal(t, first.ID, c.PassedOver.Upstream)
+	require.Greater(t, c.PassedOver.Expected, c.PassedOver.ChosenExpected)
+	require.Zero(t, c.PassedOver.LoadAge)
+	require.Nil(t, choose(t, plain, q).PassedOver)
+}
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -67,12 +67,26 @@
 	// Withheld lists the upstreams that were skipped because of their own notices.
 	Withheld Withheld
 
+	// PassedOver is the upstream that would have served the request without
+	// Policy.EvenLoad; nil if it is the chosen one.
+	PassedOver *PassedOver
+
 	// chosenAt is when an upstream was chosen.
 	chosenAt time.Time
 	// send counts the request against the quota; nil unless an upstream was chosen.
 	send *warmup.Send
 }
 
+// PassedOver is an upstream that accepts a request and comes before the chosen one in its
+// order, but has a higher expected load.
+type PassedOver struct {
+	Upstream string
+	// Expected and ChosenExpected are its expected load and that of the chosen upstream, in
+	// their capacities. LoadAge is the age of its last load report; negative if there is none.
+	Expected, ChosenExpected float64
+	LoadAge                  time.Duration
+}
+
 // WarmUp is the use of a host's quota for a cold upstream.
 type WarmUp struct {
 	Quota warmup.Quota
--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -76,6 +76,9 @@
 	Detail string
 	// Withheld says why preferred upstreams were skipped; empty if none were.
 	Withheld string
+	// PassedOver describes the upstream that was passed over because of its expected load;
+	// empty if none was.
+	PassedOver string
 	// Caller is the client's IP address, and Fingerprint identifies repetitions of
 	// the request. Both are empty unless the upstream's connection was closed
 	// without a response.
@@ -91,7 +94,7 @@
 	e.Str("route", a.Route).Str("service", a.Service).Str("upstream", a.Upstream).Str("zone", a.Zone).
 		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Int("capacity", a.Capacity).Float64("load_age_ms", ms(a.LoadAge)).
 		Int("rank", a.Rank).Bool("cold", a.Cold).Str("outcome", a.Outcome).Int("status", a.Status).
-		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("withheld", a.Withheld).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
+		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("withheld", a.Withheld).Str("passed_over", a.PassedOver).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
 }
 
 // Direction is the direction of a request between two hosts.
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -17,7 +17,7 @@
 	ev := eventlog.Attempt{
 		Request: f.info.ID, Route: f.route.Name, Service: f.service, Upstream: c.Upstream.ID, Zone: c.Upstream.Zone,
 		Key: f.info.Key, Number: a.number, Config: f.config.Version, Load: c.Load, LoadAge: c.LoadAge, Capacity: c.Upstream.Capacity, Rank: c.Rank, Cold: c.Cold,
-		Outcome: eventlog.OutcomeAnswered, Status: status, Took: time.Since(a.began), Withheld: withheldDetail(c.Withheld),
+		Outcome: eventlog.OutcomeAnswered, Status: status, Took: time.Since(a.began), Withheld: withheldDetail(c.Withheld), PassedOver: passedOverDetail(c.PassedOver),
 	}
 	if e != nil {
 		ev.Outcome, ev.Failed, ev.Detail = string(e.Reason), true, e.Detail
--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -85,6 +85,19 @@
 	return fmt.Sprintf("%s accepts %g requests per second from all hosts, this host has %d of %d tokens", w.Last.Upstream, w.Last.PerSecond, w.Last.Share, w.Last.Tokens)
 }
 
+// passedOverDetail describes the upstream that was passed over because of its expected load.
+// It is empty if none was.
+func passedOverDetail(p *balance.PassedOver) string {
+	if p == nil {
+		return ""
+	}
+	reported := "it has reported nothing"
+	if p.LoadAge >= 0 {
+		reported = fmt.Sprintf("its last report is %d ms old", p.LoadAge.Milliseconds())
+	}
+	return fmt.Sprintf("%s has an expected load of %.2f, the chosen one %.2f; %s", p.Upstream, p.Expected, p.ChosenExpected, reported)
+}
+
 // quotaDetail describes how much of the host's warm-up quota at a cold upstream is used.
 func quotaDetail(c balance.Choice) string {
 	if !c.Cold {
