balance: measure choices with even load

Cause: the benchmark of a choice had neither reports nor even load.

Change: BenchmarkChooseEvenly, with EvenLoad, ZoneCopies and reports of all upstreams.

--- a/internal/gateway/balance/bench_test.go
+++ b/internal/gateway/balance/bench_test.go
@@ -55,6 +55,30 @@
 	}
 }
 
+// With reports of all upstreams, the summaries are part of the cost of a choice.
+func BenchmarkChooseEvenly(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			p := DefaultPolicy()
+			p.EvenLoad, p.ZoneCopies = true, true
+			upstreams := benchUpstreams(n)
+			bl := New(Location{Zone: "0", Region: "0", Regions: 3}, benchQuota{}, benchDetector{}, p)
+			for i, u := range upstreams {
+				bl.ObserveLoad(u, i%9, 0, time.Now())
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				c, r := bl.Choose(Query{Key: fmt.Sprint(i % 900), Upstreams: upstreams, Now: time.Now(), WarmUpRate: 10})
+				if r == Chosen {
+					bl.Done(c)
+				}
+				i++
+			}
+		})
+	}
+}
+
 func BenchmarkSummary(b *testing.B) {
 	for _, n := range sizes {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
