--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -35,17 +35,6 @@
 	return l.list[len(l.list)-1].cost
 }
 
-// highestHash returns a hash above which costs are not below a bound. It is slightly too high,
-// because costs are rounded. Comparing hashes first avoids computing the costs of nearly all
-// upstreams (BenchmarkChoose).
-func highestHash(bound float64) uint64 {
-	const rounding = 1e-9
-	if share := bound/affinitySpread + rounding; share < 1 {
-		return uint64(max(0, share) * math.MaxUint64)
-	}
-	return math.MaxUint64
-}
-
 // add inserts an upstream that the list admits.
 func (l *lowestCost) add(u *upstream.Upstream, cost float64) {
 	index := len(l.list)
@@ -73,12 +62,10 @@
 	ejections := b.honorsEjections(q, sum)
 	triedLast := func(u *upstream.Upstream) bool { return b.isTriedLast(u, &q, ejections) }
 	// One more, because the region's best upstream may be among them.
-	first := lowestCost{size: b.policy.PreferenceList + 1}
-	regionBest := lowestCost{size: 1}
-	copies := b.newZoneCopies(sum, o.region)
+	p := preferences{first: lowestCost{size: b.policy.PreferenceList + 1}, regionBest: lowestCost{size: 1}, copies: b.newZoneCopies(sum, o.region)}
 	x := b.index(q.Upstreams)
 	serving := x.region(o.region)
-	own, other := uint64(math.MaxUint64), uint64(math.MaxUint64)
+	own, other := p.highestHashes(o)
 	for i, seed := range x.seeds {
 		inRegion, hash := x.regions[i] == serving, mix(key^seed)
 		highest := other
@@ -88,48 +75,23 @@
 		if hash > highest {
 			continue
 		}
-		cost := o.affinityCost(hash, inRegion)
-		other = highestHash(first.bound() - o.regionCost)
-		own = highestHash(max(first.bound(), regionBest.bound(), copies.bound()))
-		if !first.admits(cost) && (!inRegion || !regionBest.admits(cost) && !copies.admits(cost)) {
-			continue
-		}
-		u := q.Upstreams[i]
-		inRegion = inRegion && regionBest.admits(cost)
-		part := copies.part(u, cost)
-		if part == nil && !inRegion && !first.admits(cost) || !q.allows(u.Region) {
+		cost, u := o.affinityCost(hash, inRegion), q.Upstreams[i]
+		if !p.admits(cost, inRegion) || !q.allows(u.Region) {
 			continue
 		}
 		if slices.Contains(q.Tried, u.ID) {
-			if part != nil {
-				part.add(u, cost)
-			}
+			p.copies.add(u, cost)
 			continue
 		}
 		if withheld.add(b.notices.Withheld(u, q.Now)) {
 			continue
 		}
-		if inRegion {
-			regionBest.add(u, cost)
-		}
-		if part != nil {
-			part.add(u, cost)
-		}
-		if triedLast(u) {
-			cost += triedLastCost
-		}
-		if first.admits(cost) {
-			first.add(u, cost)
-		}
-	}
-	switch {
-	case copies != nil:
-		copies.moveToFront(&first, q.Tried, triedLast)
-	case b.policy.RegionFirst && len(regionBest.list) > 0:
-		first.moveToFront(regionBest.list[0], 1, triedLast)
+		p.add(u, cost, inRegion, triedLast)
+		own, other = p.highestHashes(o)
 	}
+	first := p.inOrder(q, b.policy.RegionFirst, triedLast)
 	list = make([]scored, 0, b.policy.PreferenceList)
-	for _, r := range first.list[:min(len(first.list), b.policy.PreferenceList)] {
+	for _, r := range first[:min(len(first), b.policy.PreferenceList)] {
 		x := b.score(r.upstream, r.cost, q.Now)
 		x.triedLast = b.policy.EvenLoad && triedLast(r.upstream)
 		list = append(list, x)
@@ -144,11 +106,68 @@
 // the list does.
 type picker func(list []scored, a admission) (int, Reason)
 
+// highestHash returns a hash above which costs are not below a bound. It is slightly too high,
+// because costs are rounded. Comparing hashes first avoids computing the costs of nearly all
+// upstreams (BenchmarkChoose).
+func highestHash(bound float64) uint64 {
+	const rounding = 1e-9
+	if share := bound/affinitySpread + rounding; share < 1 {
+		return uint64(max(0, share) * math.MaxUint64)
+	}
+	return math.MaxUint64
+}
+
+// preferences are the upstreams of the lowest costs for a key, as far as they were looked at.
+type preferences struct {
+	first, regionBest lowestCost
+	// copies is nil unless each zone has an upstream of its own for a key.
+	copies *zoneCopies
+}
+
+// admits reports whether an upstream with this cost would be among them. inRegion means that
+// it is in the region that serves the key.
+func (p *preferences) admits(cost float64, inRegion bool) bool {
+	return p.first.admits(cost) || inRegion && (p.regionBest.admits(cost) || p.copies.admits(cost))
+}
+
+// highestHashes returns hashes above which no upstream is admitted, for the region that serves
+// the key and for the others.
+func (p *preferences) highestHashes(o order) (own, other uint64) {
+	return highestHash(max(p.first.bound(), p.regionBest.bound(), p.copies.bound())), highestHash(p.first.bound() - o.regionCost)
+}
+
+// add adds an upstream that is admitted.
+func (p *preferences) add(u *upstream.Upstream, cost float64, inRegion bool, triedLast func(*upstream.Upstream) bool) {
+	if inRegion {
+		p.copies.add(u, cost)
+		if p.regionBest.admits(cost) {
+			p.regionBest.add(u, cost)
+		}
+	}
+	if triedLast(u) {
+		cost += triedLastCost
+	}
+	if p.first.admits(cost) {
+		p.first.add(u, cost)
+	}
+}
+
+// inOrder returns the upstreams in the order in which they are tried.
+func (p *preferences) inOrder(q Query, regionFirst bool, triedLast func(*upstream.Upstream) bool) []ranked {
+	switch {
+	case p.copies != nil:
+		p.copies.moveToFront(&p.first, q.Tried, triedLast)
+	case regionFirst && len(p.regionBest.list) > 0:
+		p.first.moveToFront(p.regionBest.list[0], 1, triedLast)
+	}
+	return p.first.list
+}
+
 // moveToFront puts the best upstream of the region that serves the key before all others,
 // whatever their cost, unless this upstream is tried last. Those moved by more steps come
-// before those moved by fewer. Without this rule, a region
-// with few upstreams would have none among the lowest of many random costs. The upstreams
-// after it in the order may be of any region.
+// before those moved by fewer. Without this rule, a region with few upstreams would have none
+// among the lowest of many random costs. The upstreams after it in the order may be of any
+// region.
 func (l *lowestCost) moveToFront(best ranked, step float64, triedLast func(*upstream.Upstream) bool) {
 	l.list = slices.DeleteFunc(l.list, func(r ranked) bool { return r.upstream == best.upstream })
 	cost := best.cost - step*affinitySpread
--- a/internal/gateway/balance/zonecopies.go
+++ b/internal/gateway/balance/zonecopies.go
@@ -47,20 +47,18 @@
 	return max(c.near.bound(), c.far.bound())
 }
 
-// part returns the list that an upstream of a cost belongs to; nil if to none, or if a better
-// one is in it.
-func (c *zoneCopies) part(u *upstream.Upstream, cost float64) *lowestCost {
+// add adds an upstream of the region if it is the best of its part so far.
+func (c *zoneCopies) add(u *upstream.Upstream, cost float64) {
 	if c == nil || u.Region != c.region {
-		return nil
+		return
 	}
 	part := &c.far
 	if u.Zone == c.zone {
 		part = &c.near
 	}
-	if !part.admits(cost) {
-		return nil
+	if part.admits(cost) {
+		part.add(u, cost)
 	}
-	return part
 }
 
 // moveToFront puts both upstreams before all others, the near one first. Costs in the region
