proxy: test the text of a passed over upstream

Cause: the text for an upstream that never reported had no test; its age is -1.

Change: a test of passedOverDetail.

Result: go test -run TestPassedOver ./internal/gateway/proxy passes.

--- a/internal/gateway/proxy/refuse_test.go
+++ b/internal/gateway/proxy/refuse_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"os"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -66,3 +67,14 @@
 		})
 	}
 }
+
+// Guards against a log line that shows a report that was never received as a new one.
+func TestPassedOverDetailHasBothLoadsAndTheAgeOfTheReport(t *testing.T) {
+	for want, p := range map[string]*balance.PassedOver{
+		"": nil,
+		"u has an expected load of 0.93, the chosen one 0.40; its last report is 412 ms old": {Upstream: "u", Expected: 0.93, ChosenExpected: 0.4, LoadAge: 412 * time.Millisecond},
+		"u has an expected load of 0.93, the chosen one 0.40; it has reported nothing":       {Upstream: "u", Expected: 0.93, ChosenExpected: 0.4, LoadAge: -1},
+	} {
+		require.Equal(t, want, passedOverDetail(p))
+	}
+}
