--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -61,7 +61,10 @@
 		m.clock.after(2*delay, func() { a.fail(verdict.ConnectionRefused) })
 		return
 	}
-	m.result.sent(h.zone, c.Upstream, m.clock.now.Sub(m.start))
+	m.result.sent(h.zone, c.Upstream)
+	if m.clock.now.Before(m.end) { // the few retries after it say nothing of a region
+		m.result.shiftOf(h.zone.Region, m.clock.now.Sub(m.start)).add(h.zone.Region != c.Upstream.Region)
+	}
 	a.job = &job{route: req.call.route, object: req.call.object}
 	a.job.done = func(r response) { m.clock.after(delay, func() { a.handleResponse(r) }) }
 	m.clock.after(delay, func() {
--- a/internal/gateway/loadmodel/result.go
+++ b/internal/gateway/loadmodel/result.go
@@ -97,10 +97,9 @@
 	return worst
 }
 
-// sent records a request that was sent to an upstream, at a time since the start of the run.
-func (r *Result) sent(from *zoneState, to *upstream.Upstream, at time.Duration) {
+// sent records a request that was sent to an upstream.
+func (r *Result) sent(from *zoneState, to *upstream.Upstream) {
 	r.Attempts++
-	r.shiftOf(from.Region, at).add(from.Region != to.Region)
 	switch {
 	case from.Region != to.Region:
 		r.CrossRegion++
