balance: let zone copies serve the routes with large requests only

Cause: zone copies save bytes between zones on every route, and cost a first load for each object and zone. Requests of a few hundred bytes cost less between zones than these loads; those of 9 KB are most of the bytes.

Change: the new package payload measures the mean size of each route's requests and responses. Zone copies apply to routes from balance.zone_copies_above bytes on (8192 by default; 0: all), not to those of downloads. The load model has the sizes of routes and the bytes that go to another zone of the region.

--- a/internal/gateway/balance/admission.go
+++ b/internal/gateway/balance/admission.go
@@ -34,6 +34,8 @@
 	// all hosts together.
 	warmUpRate float64
 	quotas     WarmUpQuotas
+	// zoneCopies is set if the request is served by the copies of its zone.
+	zoneCopies bool
 }
 
 // check returns Chosen if the upstream accepts the request: its load is below limit, in
--- a/internal/gateway/balance/balance.go
+++ b/internal/gateway/balance/balance.go
@@ -116,7 +116,7 @@
 	if len(list) == 0 {
 		return Choice{Withheld: withheld}, withheld.reason()
 	}
-	a := admission{policy: b.policy, now: q.Now, threshold: b.policy.rejectThreshold(q.Priority), warmUpRate: q.WarmUpRate, quotas: b.quotas}
+	a := admission{policy: b.policy, now: q.Now, threshold: b.policy.rejectThreshold(q.Priority), warmUpRate: q.WarmUpRate, quotas: b.quotas, zoneCopies: b.policy.usesZoneCopies(q)}
 	rank, reason := pick(list, a)
 	chosen := &list[rank]
 	choice := Choice{
--- a/internal/gateway/balance/evenload.go
+++ b/internal/gateway/balance/evenload.go
@@ -152,7 +152,7 @@
 // laterCost returns the advantage that a later upstream of a preference list has to have over
 // the first.
 func (a admission) laterCost(later, first *scored) float64 {
-	if a.policy.ZoneCopies && later.upstream.Zone != first.upstream.Zone {
+	if a.zoneCopies && later.upstream.Zone != first.upstream.Zone {
 		return otherZoneCost
 	}
 	return secondCost
--- a/internal/gateway/balance/policy.go
+++ b/internal/gateway/balance/policy.go
@@ -36,6 +36,9 @@
 	// ZoneCopies serves a key by an upstream of the host's own zone first, and then by one
 	// of another zone of the region (zonecopies.go).
 	ZoneCopies bool `toml:"zone_copies"`
+	// ZoneCopiesAbove is the size in bytes from which on ZoneCopies applies to a request,
+	// which is the mean of its route's requests and responses. Zero applies it to all.
+	ZoneCopiesAbove int64 `toml:"zone_copies_above"`
 }
 
 // DefaultPolicy returns the policy of the hosts. The reason and the measurements for each
--- a/internal/gateway/balance/preferencelist.go
+++ b/internal/gateway/balance/preferencelist.go
@@ -62,7 +62,7 @@
 	ejections := b.honorsEjections(q, sum)
 	triedLast := func(u *upstream.Upstream) bool { return b.isTriedLast(u, &q, ejections) }
 	// One more, because the region's best upstream may be among them.
-	p := preferences{first: lowestCost{size: b.policy.PreferenceList + 1}, regionBest: lowestCost{size: 1}, copies: b.newZoneCopies(sum, o.region)}
+	p := preferences{first: lowestCost{size: b.policy.PreferenceList + 1}, regionBest: lowestCost{size: 1}, copies: b.newZoneCopies(q, sum, o.region)}
 	x := b.index(q.Upstreams)
 	serving := x.region(o.region)
 	own, other := p.highestHashes(o)
--- a/internal/gateway/balance/query.go
+++ b/internal/gateway/balance/query.go
@@ -33,6 +33,9 @@
 	Reserved map[string]float64
 	// Bulk means that the response is large.
 	Bulk bool
+	// MeanBytes is the mean size of the requests and responses of the route, without their
+	// headers; zero if it is not known.
+	MeanBytes float64
 	// Mixed means that the service has both large and small responses.
 	Mixed bool
 	// Priority orders requests under overload; 0 is the most urgent.
--- a/internal/gateway/balance/zonecopies.go
+++ b/internal/gateway/balance/zonecopies.go
@@ -17,12 +17,19 @@
 	near, far    lowestCost
 }
 
-// newZoneCopies returns the zone copies in a region, or nil if the policy has none or the
+// usesZoneCopies reports whether a request is served by the copies of its zone. A small one
+// costs less between zones than the first load of its object at one more upstream. Bulk
+// responses are not included, because they go to their region first (region.go).
+func (p Policy) usesZoneCopies(q Query) bool {
+	return p.ZoneCopies && !q.Bulk && q.MeanBytes >= float64(p.ZoneCopiesAbove)
+}
+
+// newZoneCopies returns the zone copies in a region, or nil if the request uses none or the
 // region has a single zone. In another region than the host's own, the zone of the same
 // position in the order of names is paired with the host's, so that the zones of a region
 // share the upstreams of the others evenly.
-func (b *Balancer) newZoneCopies(sum *summary, region string) *zoneCopies {
-	if !b.policy.ZoneCopies {
+func (b *Balancer) newZoneCopies(q Query, sum *summary, region string) *zoneCopies {
+	if !b.policy.usesZoneCopies(q) {
 		return nil
 	}
 	zones := sum.zones(region)
--- a/internal/gateway/balance/zonecopies_test.go
+++ b/internal/gateway/balance/zonecopies_test.go
@@ -98,3 +98,33 @@
 	}
 	require.True(t, met)
 }
+
+// Guards against second first loads of objects whose requests cost little between zones, and
+// against another order of the bulk responses, which go to their region first.
+func TestZoneCopiesAreForLargeRequests(t *testing.T) {
+	p := balance.DefaultPolicy()
+	p.ZoneCopies, p.ZoneCopiesAbove = true, 8192
+	copies := balance.New(balance.Location{Zone: "west-1", Region: "west", Regions: 2}, fixedQuota(1), noneEjected{}, p)
+	plain := newBalancer(1)
+	for name, c := range map[string]struct {
+		mean float64
+		bulk bool
+		want bool
+	}{
+		"unknown": {0, false, false}, "small": {8191, false, false}, "large": {8192, false, true}, "bulk": {90_000, true, false},
+	} {
+		other, differs := 0, false
+		for key := range 200 {
+			q := balance.Query{Key: strconv.Itoa(key), Upstreams: fourZones(), Now: time.Now(), MeanBytes: c.mean, Bulk: c.bulk}
+			first, before := choose(t, copies, q), choose(t, plain, q)
+			copies.Done(first)
+			plain.Done(before)
+			differs = differs || first.Upstream.ID != before.Upstream.ID
+			if first.Upstream.Zone == "west-2" {
+				other++
+			}
+		}
+		require.Equal(t, c.want, other == 0, name)
+		require.Equal(t, c.want, differs, name)
+	}
+}
--- a/internal/gateway/loadmodel/evenload_test.go
+++ b/internal/gateway/loadmodel/evenload_test.go
@@ -101,3 +101,16 @@
 		})
 	}
 }
+
+// Guards against bytes between zones, which are expensive: with the largest requests served by
+// the copies of their zone, at most half as many bytes may leave it, and clients must be served
+// as well as before.
+func TestZoneCopiesOfLargeRequestsSaveBytes(t *testing.T) {
+	t.Parallel()
+	s := loadScenario(t, "many-hosts")
+	copies := withPolicy("zone copies", func(p *balance.Policy) { p.ZoneCopies, p.ZoneCopiesAbove = true, 8192 })
+	before, after := runSeedsTo(1, s, DefaultVariant()), runSeedsTo(1, s, copies)
+	bytes := func(r *Result) float64 { return float64(r.CrossZoneBytes) }
+	require.Less(t, after.mean(bytes), before.mean(bytes)/2)
+	require.Greater(t, after.mean(credit), before.mean(credit)-0.005)
+}
--- a/internal/gateway/loadmodel/pass.go
+++ b/internal/gateway/loadmodel/pass.go
@@ -43,7 +43,7 @@
 	}
 	req.key = key
 	return balance.Query{
-		Key: key, NoAffinity: r.Objects == 0, Upstreams: req.host.model.entries[r.Service],
+		Key: key, NoAffinity: r.Objects == 0, MeanBytes: float64(r.Bytes), Upstreams: req.host.model.entries[r.Service],
 		Priority: r.Priority, Tried: req.tried, Now: req.host.model.clock.now,
 	}
 }
@@ -65,7 +65,7 @@
 		m.clock.after(2*delay, func() { a.fail(verdict.ConnectionRefused) })
 		return
 	}
-	m.result.sent(h.zone, c.Upstream)
+	m.result.sent(h.zone, c.Upstream, req.call.route)
 	if m.clock.now.Before(m.end) { // the few retries after it say nothing of a region
 		m.result.shiftOf(h.zone.Region, m.clock.now.Sub(m.start)).add(h.zone.Region != c.Upstream.Region)
 	}
--- a/internal/gateway/loadmodel/result.go
+++ b/internal/gateway/loadmodel/result.go
@@ -60,6 +60,8 @@
 	// these that went to a region other than that of the host, and CrossZone the number of
 	// those that went to another zone of its region.
 	Attempts, CrossRegion, CrossZone int
+	// CrossZoneBytes is the size of the requests and responses of CrossZone.
+	CrossZoneBytes int64
 	// shifts has the attempts by the region of the host and by window of shiftWindow.
 	shifts map[string]map[int]*shift
 	// Messages is the number of messages with load reports between hosts, and MessageBytes
@@ -100,13 +102,14 @@
 }
 
 // sent records a request that was sent to an upstream.
-func (r *Result) sent(from *zoneState, to *upstream.Upstream) {
+func (r *Result) sent(from *zoneState, to *upstream.Upstream, route *Route) {
 	r.Attempts++
 	switch {
 	case from.Region != to.Region:
 		r.CrossRegion++
 	case from.Name != to.Zone:
 		r.CrossZone++
+		r.CrossZoneBytes += route.Bytes
 	}
 }
 
@@ -157,12 +160,12 @@
 // fails.
 func Print(w io.Writer, results []*Result) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(t, "variant\tcalls\tcredit\tworst region\tin time\tlate\trefused\tfailed\tfirst loads\taway\tshift\tother zone\tp50\tp99\t")
+	fmt.Fprintln(t, "variant\tcalls\tcredit\tworst region\tin time\tlate\trefused\tfailed\tfirst loads\taway\tshift\tother zone\tMB\tp50\tp99\t")
 	for _, r := range results {
 		n := float64(max(1, r.Total.Calls))
-		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%d\t%.3f\t%.3f\t%.3f\t%s\t%s\t\n", r.Variant, r.Total.Calls, r.Total.Credit(), r.WorstRegion(),
+		fmt.Fprintf(t, "%s\t%d\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%.4f\t%d\t%.3f\t%.3f\t%.3f\t%.1f\t%s\t%s\t\n", r.Variant, r.Total.Calls, r.Total.Credit(), r.WorstRegion(),
 			float64(r.Total.InTime)/n, float64(r.Total.Late)/n, float64(r.Total.Refused)/n, float64(r.Total.Failed)/n,
-			r.FirstLoads, float64(r.CrossRegion)/float64(max(1, r.Attempts)), r.LargestShift(), float64(r.CrossZone)/float64(max(1, r.Attempts)), r.Latency(50), r.Latency(99))
+			r.FirstLoads, float64(r.CrossRegion)/float64(max(1, r.Attempts)), r.LargestShift(), float64(r.CrossZone)/float64(max(1, r.Attempts)), float64(r.CrossZoneBytes)/1e6, r.Latency(50), r.Latency(99))
 	}
 	printSpread(t, results)
 	printRollouts(t, results)
--- a/internal/gateway/loadmodel/scenario.go
+++ b/internal/gateway/loadmodel/scenario.go
@@ -95,6 +95,8 @@
 	Objective settings.Duration `toml:"objective"`
 	Timeout   settings.Duration `toml:"timeout"`
 	Deadline  settings.Duration `toml:"deadline"`
+	// Bytes is the mean size of a request and its response, without their headers.
+	Bytes int64 `toml:"bytes"`
 	// Weight is the weight of a response within the objective, and LateWeight that of a
 	// later one.
 	Weight     float64 `toml:"weight"`
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -74,6 +74,7 @@
 		Upstreams:  f.proxy.State.Upstreams().Service(f.service),
 		Priority:   f.priority(),
 		Bulk:       f.route.Bulk,
+		MeanBytes:  f.proxy.payload.Mean(f.route.Name),
 		Mixed:      f.config.Mixed(f.service),
 		Tried:      f.tried,
 		Refused:    f.refused,
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/indirect"
 	"cairndock/internal/gateway/notice"
 	"cairndock/internal/gateway/outlier"
+	"cairndock/internal/gateway/payload"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/reach"
 	"cairndock/internal/gateway/retry"
@@ -125,7 +126,9 @@
 
 	inFlight atomic.Int64
 	arrivals arrivals
-	leaving  atomic.Bool
+	// payload measures the requests and responses of each route.
+	payload payload.Sizes
+	leaving atomic.Bool
 	// acceptFailing is set while accepting client connections fails.
 	acceptFailing atomic.Bool
 	// aborted is canceled when the host aborts the requests in flight. Each client then
--- a/internal/gateway/proxy/response.go
+++ b/internal/gateway/proxy/response.go
@@ -77,9 +77,13 @@
 		panic(http.ErrAbortHandler)
 	}
 	f.recordResponse(resp.Status)
+	f.proxy.payload.Record(f.route.Name, int64(len(f.request.Body))+resp.size())
 	f.logFinal(resp.Status, nil)
 }
 
+// size returns the size of a body that was read, or that of its prefix if it had no length.
+func (r *response) size() int64 { return max(r.Length, int64(len(r.prefix))) }
+
 // endForward releases the upstream and its connection after its response was forwarded. err is
 // nil if the response was complete. A response that the upstream broke off is evidence against it
 // on all hosts; one that is only late is not, because a host that stood still has late ones too.
--- a/internal/gateway/settings.go
+++ b/internal/gateway/settings.go
@@ -123,12 +123,15 @@
 	// ZoneCopies serves a key by an upstream of the host's own zone first. It requires
 	// upstreams that can keep the objects of each zone.
 	ZoneCopies bool `toml:"zone_copies"`
+	// ZoneCopiesAbove is the mean size of a route's requests and responses, in bytes, from
+	// which on ZoneCopies applies to the route.
+	ZoneCopiesAbove int64 `toml:"zone_copies_above"`
 }
 
 // policy returns the policy of the host's balancer.
 func (b BalanceSettings) policy() balance.Policy {
 	p := balance.DefaultPolicy()
-	p.EvenLoad, p.ZoneCopies = b.EvenLoad, b.ZoneCopies
+	p.EvenLoad, p.ZoneCopies, p.ZoneCopiesAbove = b.EvenLoad, b.ZoneCopies, b.ZoneCopiesAbove
 	return p
 }
 
@@ -191,6 +194,10 @@
 	defaultStaleness = 2 * time.Second
 )
 
+// defaultZoneCopiesAbove is the size from which on a request costs more between zones than a
+// second first load of its object (docs/design/even-load.md).
+const defaultZoneCopiesAbove = 8192
+
 // minStaleness is the smallest staleness bound that can be met, because all waits of a
 // watcher are fractions of the bound and a round trip to another region takes 70 ms.
 const minStaleness = 500 * time.Millisecond
@@ -205,8 +212,9 @@
 			CanaryShare: defaultCanaryShare, DirectoryTTL: settings.Duration(defaultDirectoryTTL),
 			MaxResponseHeadBytes: exchange.DefaultMaxHeadBytes, MaxResponseBodyBytes: exchange.DefaultMaxBodyBytes,
 		},
-		Stop: StopSettings{Grace: settings.Duration(defaultGrace)},
-		Log:  LogSettings(eventlog.DefaultSampling()),
+		Balance: BalanceSettings{ZoneCopiesAbove: defaultZoneCopiesAbove},
+		Stop:    StopSettings{Grace: settings.Duration(defaultGrace)},
+		Log:     LogSettings(eventlog.DefaultSampling()),
 	}
 }
 
@@ -234,6 +242,7 @@
 	f.Require(s.Limits.CanarySlack >= 0, "limits.canary_slack", "must not be below 0")
 	f.Require(s.Limits.DirectoryTTL > 0, "limits.directory_ttl", "must be above 0")
 	s.Limits.checkResponses(&f)
+	f.Require(s.Balance.ZoneCopiesAbove >= 0, "balance.zone_copies_above", "must not be below 0")
 	f.Require(s.Stop.Grace > 0, "stop.grace", "must be above 0")
 	f.Require(s.Log.OneIn > 0, "log.one_in", "must be above 0")
 	f.Require(s.Log.ServedPerSecond >= 0, "log.served_per_second", "must not be below 0")
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -67,10 +67,10 @@
 // Guards against a rule that is on without a setting, or that another setting turns on.
 func TestRulesOfBalancingAreOffByDefault(t *testing.T) {
 	for text, want := range map[string]gateway.BalanceSettings{
-		"":                              {},
-		"[balance]":                     {},
-		"[balance]\neven_load = true":   {EvenLoad: true},
-		"[balance]\nzone_copies = true": {ZoneCopies: true},
+		"":                              {ZoneCopiesAbove: 8192},
+		"[balance]":                     {ZoneCopiesAbove: 8192},
+		"[balance]\neven_load = true":   {EvenLoad: true, ZoneCopiesAbove: 8192},
+		"[balance]\nzone_copies = true": {ZoneCopies: true, ZoneCopiesAbove: 8192},
 	} {
 		g, err := load(t, minSettings+text+"\n")
 		require.NoError(t, err)
@@ -106,6 +106,7 @@
 		"stop.grace":                                                   minSettings + "[stop]\ngrace = \"-1s\"",
 		"balance.spread":                                               minSettings + "[balance]\nspread = true",
 		"balance.even_load":                                            minSettings + "[balance]\neven_load = \"yes\"",
+		"balance.zone_copies_above: must not be below 0":               minSettings + "[balance]\nzone_copies_above = -1",
 		"balance.zone_copies":                                          minSettings + "[balance]\nzone_copies = 1",
 	} {
 		_, err := load(t, text)
--- a/internal/gateway/soak/loads_test.go
+++ b/internal/gateway/soak/loads_test.go
@@ -29,7 +29,7 @@
 	for _, h := range w.hosts {
 		f, err := os.OpenFile(h.settings, os.O_APPEND|os.O_WRONLY, 0)
 		require.NoError(w.t, err)
-		_, err = fmt.Fprintf(f, "[balance]\neven_load = %t\nzone_copies = %t\n", slices.Contains(sharing, h), copies)
+		_, err = fmt.Fprintf(f, "[balance]\neven_load = %t\nzone_copies = %t\nzone_copies_above = 0\n", slices.Contains(sharing, h), copies)
 		require.NoError(w.t, err)
 		require.NoError(w.t, f.Close())
 	}
