route: let the first of two routes with one prefix serve

Cause: routes of a host were sorted by prefix with an unstable sort. With more than twelve routes on a host, any of several routes with the same prefix served the requests, depending on the number of the host's other routes.

--- a/internal/gateway/route/route_test.go
+++ b/internal/gateway/route/route_test.go
@@ -1,6 +1,7 @@
 package route_test
 
 import (
+	"fmt"
 	"strconv"
 	"testing"
 
@@ -114,3 +115,20 @@
 		})
 	}
 }
+
+// Guards against a request that is served by different routes, depending on the number of the
+// host's other routes.
+func TestOfTwoRoutesWithOnePrefixTheFirstServes(t *testing.T) {
+	for _, n := range []int{2, 13, 50, 200} {
+		routes := make([]route.Route, n)
+		for i := range routes {
+			routes[i] = route.Route{Name: fmt.Sprintf("r-%03d", i), Host: "a.example", Prefix: "/x/", Backends: []route.Backend{{Service: "s"}}}
+			if i%3 == 0 {
+				routes[i].Prefix = fmt.Sprintf("/%d/", i%4)
+			}
+		}
+		r, ok := newTable(routes...).Match("a.example", "/x/1")
+		require.True(t, ok)
+		require.Equal(t, "r-001", r.Name, "%d routes", n)
+	}
+}
--- a/internal/gateway/route/table.go
+++ b/internal/gateway/route/table.go
@@ -59,7 +59,9 @@
 		t.byHost[r.Host] = append(t.byHost[r.Host], r)
 	}
 	for _, list := range t.byHost {
-		slices.SortFunc(list, func(a, b *Route) int {
+		// The sort is stable, so that of two routes with the same prefix the first one in
+		// routes serves the requests, whatever the number of routes.
+		slices.SortStableFunc(list, func(a, b *Route) int {
 			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
 		})
 	}
