check: report all faults of the platform's configuration

Cause: cairndock check supported only the settings and the configuration of serve. The gateway's decoder stopped at the first fault.

--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -47,6 +47,7 @@
 }
 
 func TestCheckExitCodes(t *testing.T) {
+	const platformConfig = `{"version":"r1","routes":{},"services":{}}`
 	cases := []struct {
 		name string
 		cmd  checkCmd
@@ -60,6 +61,12 @@
 		{"no such file", checkCmd{config: "none"}, 1},
 		{"neither", checkCmd{}, 2},
 		{"both", checkCmd{settings: "a", config: "b"}, 2},
+		{"configuration of the platform", checkCmd{config: writeFile(t, platformConfig)}, 0},
+		{"configuration of the platform without a version", checkCmd{config: writeFile(t, `{}`)}, 1},
+		{"configuration of another kind", checkCmd{config: writeFile(t, platformConfig), kind: "serve"}, 1},
+		{"unknown kind", checkCmd{config: writeFile(t, platformConfig), kind: "json"}, 2},
+		{"settings of a gateway with faults", checkCmd{gatewaySettings: writeFile(t, "[store]\n")}, 1},
+		{"both settings", checkCmd{settings: "a", gatewaySettings: "b"}, 2},
 	}
 	for _, tc := range cases {
 		require.Equal(t, tc.want, command{runner: &tc.cmd}.Execute(context.Background(), nil), tc.name)
--- a/internal/gateway/account/account.go
+++ b/internal/gateway/account/account.go
@@ -8,6 +8,7 @@
 package account
 
 import (
+	"errors"
 	"slices"
 
 	"github.com/rotisserie/eris"
@@ -56,14 +57,17 @@
 	boundFractions map[string]float64
 }
 
-// NewSet returns a set of accounts. Empty keys are ignored. NewSet returns an error with the
-// names of the accounts if two accounts share a key, or if a name, rate or burst is invalid.
+// NewSet returns a set of accounts. Empty keys are ignored. The error names every account
+// whose name, rate or burst is invalid and all accounts that share a key; it joins one error
+// for each of them.
 func NewSet(entries []Entry) (*Set, error) {
 	s := &Set{byKey: map[string]*Account{}, byName: make(map[string]*Account, len(entries))}
+	var faults []error
 	for i := range entries {
-		if err := s.add(&entries[i]); err != nil {
-			return nil, err
-		}
+		faults = append(faults, s.add(&entries[i])...)
+	}
+	if len(faults) > 0 {
+		return nil, errors.Join(faults...)
 	}
 	s.boundFractions = boundFractions(entries)
 	return s, nil
@@ -90,34 +94,40 @@
 	return bound
 }
 
-func (s *Set) add(e *Entry) error {
+// add adds an account and returns its faults. Two accounts that share several keys are one
+// fault.
+func (s *Set) add(e *Entry) []error {
 	a := &e.Account
-	if err := a.check(); err != nil {
-		return err
-	}
+	faults := a.check()
 	s.byName[a.Name] = a
+	told := map[*Account]bool{}
 	for _, key := range e.Keys {
 		if key == "" {
 			continue
 		}
-		if other := s.byKey[key]; other != nil && other != a {
-			return eris.Errorf("accounts %q and %q have a key in common", other.Name, a.Name)
+		other := s.byKey[key]
+		if other == nil {
+			s.byKey[key] = a
+		} else if other != a && !told[other] {
+			told[other] = true
+			faults = append(faults, eris.Errorf("accounts %q and %q have a key in common", other.Name, a.Name))
 		}
-		s.byKey[key] = a
 	}
-	return nil
+	return faults
 }
 
-func (a *Account) check() error {
-	switch {
-	case a.Name == "":
-		return eris.New("account: name must be set")
-	case !(a.Rate >= 0): // also catches NaN
-		return eris.Errorf("account %q: rate must not be below 0", a.Name)
-	case !(a.Burst >= 0):
-		return eris.Errorf("account %q: burst must not be below 0", a.Name)
+func (a *Account) check() []error {
+	var faults []error
+	if a.Name == "" {
+		faults = append(faults, eris.New("account: name must be set"))
+	}
+	if !(a.Rate >= 0) { // also catches NaN
+		faults = append(faults, eris.Errorf("account %q: rate must not be below 0", a.Name))
+	}
+	if !(a.Burst >= 0) {
+		faults = append(faults, eris.Errorf("account %q: burst must not be below 0", a.Name))
 	}
-	return nil
+	return faults
 }
 
 // ByKey returns the account of a key.
