check: warn of entries that can't take effect

Cause: a gateway accepts routes that no request reaches, backends without weight, and times and limits that contradict each other.

Change: package configcheck finds them in a configuration without errors.

Measured, go test ./internal/gateway/configcheck ./cmd ./platform: all pass.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -59,12 +59,15 @@
 // check checks all files. The error is that of a file that can't be read.
 func (c *checkCmd) check() (checkReport, error) {
 	var r checkReport
+	var regions []string
 	if c.settings != "" {
 		_, err := loadSettings(c.settings)
 		r.add(c.settings, "settings of serve", faultFindings(err))
 	}
 	if c.gatewaySettings != "" {
-		r.add(c.gatewaySettings, "settings of a gateway", gatewayFindings(c.gatewaySettings))
+		var findings []configcheck.Finding
+		findings, regions = gatewayFindings(c.gatewaySettings)
+		r.add(c.gatewaySettings, "settings of a gateway", findings)
 	}
 	if c.config == "" {
 		return r, nil
@@ -79,7 +82,7 @@
 	}
 	var findings []configcheck.Finding
 	if kind == kindPlatform {
-		findings = platformFindings(value)
+		findings = platformFindings(value, regions)
 	} else {
 		findings = serveFindings(value)
 	}
--- a/cmd/checkinput.go
+++ b/cmd/checkinput.go
@@ -3,7 +3,9 @@
 import (
 	"bytes"
 	"io"
+	"maps"
 	"os"
+	"slices"
 
 	"cairndock/internal/gateway"
 	"cairndock/internal/gateway/configcheck"
@@ -38,14 +40,24 @@
 	return faultFindings(err)
 }
 
-func platformFindings(value []byte) []configcheck.Finding {
-	_, errs := platform.ReadConfig(value)
-	return errs
+// platformFindings returns the errors of a configuration, or else its warnings. regions are
+// the regions of the deployment; nil if they are not known.
+func platformFindings(value []byte, regions []string) []configcheck.Finding {
+	d, errs := platform.ReadConfig(value)
+	if len(errs) > 0 {
+		return errs
+	}
+	return configcheck.Warnings(d, regions)
 }
 
-func gatewayFindings(path string) []configcheck.Finding {
-	_, err := gateway.LoadSettings(path)
-	return faultFindings(err)
+// gatewayFindings returns the errors of a gateway's settings and the regions of its zones,
+// which are nil if there are errors or no zones.
+func gatewayFindings(path string) ([]configcheck.Finding, []string) {
+	set, err := gateway.LoadSettings(path)
+	if err != nil || len(set.Zones) == 0 {
+		return faultFindings(err), nil
+	}
+	return nil, slices.Compact(slices.Sorted(maps.Values(set.Zones)))
 }
 
 // faultFindings returns a finding for each of the errors that err joins.
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -48,6 +48,7 @@
 
 func TestCheckExitCodes(t *testing.T) {
 	const platformConfig = `{"version":"r1","routes":{},"services":{}}`
+	const warned = `{"version":"r1","services":{"s":{}}}`
 	cases := []struct {
 		name string
 		cmd  checkCmd
@@ -66,6 +67,9 @@
 		{"configuration of another kind", checkCmd{config: writeFile(t, platformConfig), kind: "serve"}, 1},
 		{"unknown kind", checkCmd{config: writeFile(t, platformConfig), kind: "json"}, 2},
 		{"settings of a gateway with faults", checkCmd{gatewaySettings: writeFile(t, "[store]\n")}, 1},
+		{"warning", checkCmd{config: writeFile(t, warned)}, 0},
+		{"strict warning", checkCmd{config: writeFile(t, warned), strict: true}, 1},
+		{"strict without warnings", checkCmd{config: writeFile(t, platformConfig), strict: true}, 0},
 		{"both settings", checkCmd{settings: "a", gatewaySettings: "b"}, 2},
 	}
 	for _, tc := range cases {
