check: report what a configuration changes, and JSON output

Cause: an operator could not see before sending a configuration which requests move, which keys stop working and which limits fall.

--- a/cmd/check.go
+++ b/cmd/check.go
@@ -8,6 +8,7 @@
 	"cairndock/internal/gateway/configcheck"
 	"cairndock/internal/selector/server"
 	"cairndock/internal/selector/servesettings"
+	"cairndock/platform"
 )
 
 // checkCmd checks settings and configurations of serve and of a gateway.
@@ -16,6 +17,8 @@
 	gatewaySettings string
 	config          string
 	kind            string
+	against         string
+	format          string
 	strict          bool
 }
 
@@ -24,6 +27,8 @@
 	f.StringVar(&c.gatewaySettings, "gateway-settings", "", "settings `file` of a gateway (TOML)")
 	f.StringVar(&c.config, "config", "", "configuration `file` (TOML of serve or JSON of the platform), - for standard input")
 	f.StringVar(&c.kind, "kind", "", "kind of the configuration, serve or platform; told by its content if not set")
+	f.StringVar(&c.against, "against", "", "configuration `file` in force (JSON of the platform), to report what differs")
+	f.StringVar(&c.format, "format", formatText, "text or json")
 	f.BoolVar(&c.strict, "strict", false, "fail on warnings too")
 }
 
@@ -36,7 +41,9 @@
 	if err != nil {
 		return err
 	}
-	report.print(os.Stdout)
+	if err := report.write(os.Stdout, c.format); err != nil {
+		return err
+	}
 	if report.failed(c.strict) {
 		return errReported
 	}
@@ -52,6 +59,14 @@
 		return usageError("check: --settings stands alone")
 	case c.kind != "" && c.kind != kindServe && c.kind != kindPlatform:
 		return usageError("check: --kind must be serve or platform")
+	case c.format != "" && c.format != formatText && c.format != formatJSON:
+		return usageError("check: --format must be text or json")
+	case c.against == "store":
+		return usageError("check: --against store is not supported; give a file")
+	case c.against != "" && c.config == "":
+		return usageError("check: --against needs --config")
+	case c.against == "-" && c.config == "-":
+		return usageError("check: only one file can be standard input")
 	}
 	return nil
 }
@@ -80,16 +95,43 @@
 	if kind == "" {
 		kind = kindOf(value)
 	}
-	var findings []configcheck.Finding
-	if kind == kindPlatform {
-		findings = platformFindings(value, regions)
-	} else {
-		findings = serveFindings(value)
+	switch {
+	case kind == kindPlatform:
+		return r, c.checkPlatform(&r, value, regions)
+	case c.against != "":
+		return r, usageError("check: --against needs a configuration of the platform")
 	}
-	r.add(c.config, "configuration of "+kind, findings)
+	r.add(c.config, "configuration of serve", serveFindings(value))
 	return r, nil
 }
 
+// checkPlatform checks a configuration of the platform and compares it with the one in force.
+// Warnings and differences are found only in configurations without errors.
+func (c *checkCmd) checkPlatform(r *checkReport, value []byte, regions []string) error {
+	const kind = "configuration of platform"
+	next, findings := platform.ReadConfig(value)
+	sound := len(findings) == 0
+	if sound {
+		findings = configcheck.Warnings(next, regions)
+	}
+	if c.against == "" {
+		r.add(c.config, kind, findings)
+		return nil
+	}
+	value, err := readInput(c.against)
+	if err != nil {
+		return err
+	}
+	inForce, errs := platform.ReadConfig(value)
+	if len(errs) > 0 {
+		r.add(c.against, kind, errs)
+	} else if sound {
+		findings = append(findings, configcheck.Differences(inForce, next)...)
+	}
+	r.add(c.config, kind, findings)
+	return nil
+}
+
 // loadSettings reads the settings of the command serve and applies the defaults.
 // The returned error joins all faults.
 func loadSettings(path string) (servesettings.Settings, error) {
--- a/cmd/checkinput.go
+++ b/cmd/checkinput.go
@@ -10,7 +10,6 @@
 	"cairndock/internal/gateway"
 	"cairndock/internal/gateway/configcheck"
 	"cairndock/internal/selector/config"
-	"cairndock/platform"
 )
 
 // The kinds of a configuration.
@@ -40,16 +39,6 @@
 	return faultFindings(err)
 }
 
-// platformFindings returns the errors of a configuration, or else its warnings. regions are
-// the regions of the deployment; nil if they are not known.
-func platformFindings(value []byte, regions []string) []configcheck.Finding {
-	d, errs := platform.ReadConfig(value)
-	if len(errs) > 0 {
-		return errs
-	}
-	return configcheck.Warnings(d, regions)
-}
-
 // gatewayFindings returns the errors of a gateway's settings and the regions of its zones,
 // which are nil if there are errors or no zones.
 func gatewayFindings(path string) ([]configcheck.Finding, []string) {
--- a/cmd/checkreport.go
+++ b/cmd/checkreport.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"encoding/json"
 	"fmt"
 	"io"
 	"strings"
@@ -40,10 +41,26 @@
 	return false
 }
 
+// The formats of a report.
+const (
+	formatText = "text"
+	formatJSON = "json"
+)
+
+// write writes the report in a format.
+func (r checkReport) write(w io.Writer, format string) error {
+	if format != formatJSON {
+		return r.print(w)
+	}
+	e := json.NewEncoder(w)
+	e.SetEscapeHTML(false)
+	e.SetIndent("", "  ")
+	return e.Encode(r)
+}
+
 // print writes a line for each finding below a line for its file.
-func (r checkReport) print(w io.Writer) {
+func (r checkReport) print(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
-	defer t.Flush() // errors of standard output are not reported anywhere else either
 	for _, file := range r.Files {
 		if len(file.Findings) == 0 {
 			fmt.Fprintf(t, "%s: %s: ok\n", file.File, file.Kind)
@@ -54,6 +71,7 @@
 			fmt.Fprintf(t, "%s\t%s\t%s\n", f.Kind, placeOf(f), oneLine(f.Text))
 		}
 	}
+	return t.Flush()
 }
 
 // placeOf returns the place of a finding with its line and column, if known.
--- a/cmd/cmd.go
+++ b/cmd/cmd.go
@@ -39,7 +39,7 @@
 	{"serve", "run one entry host", "serve --settings FILE", &serveCmd{}},
 	{"gateway", "run one gateway host on the users' platform", "gateway --settings FILE", &gatewayCmd{}},
 	{"check", "check settings and configurations",
-		"check --settings FILE | [--gateway-settings FILE] [--config FILE [--kind serve|platform]] [--strict]", &checkCmd{}},
+		"check --settings FILE | [--gateway-settings FILE] [--config FILE [--kind serve|platform] [--against FILE]] [--strict] [--format text|json]", &checkCmd{}},
 	{"apply", "submit a configuration change",
 		"apply --config FILE [--if-match REVISION] [--change ID] [--wait]", &applyCmd{}},
 	{"status", "show zones, services and shares as one host sees them", "status [--json]", &statusCmd{}},
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -70,6 +72,13 @@
 		{"warning", checkCmd{config: writeFile(t, warned)}, 0},
 		{"strict warning", checkCmd{config: writeFile(t, warned), strict: true}, 1},
 		{"strict without warnings", checkCmd{config: writeFile(t, platformConfig), strict: true}, 0},
+		{"against itself", checkCmd{config: writeFile(t, platformConfig), against: writeFile(t, platformConfig)}, 0},
+		{"against a newer one", checkCmd{config: writeFile(t, platformConfig), against: writeFile(t, `{"version":"r2"}`)}, 1},
+		{"against a broken one", checkCmd{config: writeFile(t, platformConfig), against: writeFile(t, `{`)}, 1},
+		{"against no file", checkCmd{config: writeFile(t, platformConfig), against: "none"}, 1},
+		{"against the store", checkCmd{config: writeFile(t, platformConfig), against: "store"}, 2},
+		{"serve against a file", checkCmd{config: writeFile(t, goodConfig), against: writeFile(t, goodConfig)}, 2},
+		{"unknown format", checkCmd{config: writeFile(t, platformConfig), format: "xml"}, 2},
 		{"both settings", checkCmd{settings: "a", gatewaySettings: "b"}, 2},
 	}
 	for _, tc := range cases {
@@ -77,6 +86,21 @@
 	}
 }
 
+// Guards against output that is not the documented JSON, or that has a line break within a
+// finding.
+func TestCheckReportFormats(t *testing.T) {
+	c := checkCmd{config: writeFile(t, `{"version":"r1","routes":{"a\nb":{"kind":7}},"services":{"s":{}}}`)}
+	report, err := c.check()
+	require.NoError(t, err)
+	var text, encoded strings.Builder
+	require.NoError(t, report.write(&text, formatText))
+	require.Equal(t, c.config+": configuration of platform: 1 findings\nerror  routes.a b.kind  parse configuration: found number, expected a string\n", text.String())
+	require.NoError(t, report.write(&encoded, formatJSON))
+	var decoded checkReport
+	require.NoError(t, json.Unmarshal([]byte(encoded.String()), &decoded))
+	require.Equal(t, report, decoded)
+}
+
 // TestApplyExitCodes guards against an exit code that misreports the host's
 // response to a change.
 func TestApplyExitCodes(t *testing.T) {
