--- a/cmd/checkreport.go
+++ b/cmd/checkreport.go
@@ -66,7 +66,7 @@
 			fmt.Fprintf(t, "%s: %s: ok\n", file.File, file.Kind)
 			continue
 		}
-		fmt.Fprintf(t, "%s: %s: %d findings\n", file.File, file.Kind, len(file.Findings))
+		fmt.Fprintf(t, "%s: %s: findings: %d\n", file.File, file.Kind, len(file.Findings))
 		for _, f := range file.Findings {
 			fmt.Fprintf(t, "%s\t%s\t%s\n", f.Kind, placeOf(f), oneLine(f.Text))
 		}
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -94,7 +94,7 @@
 	require.NoError(t, err)
 	var text, encoded strings.Builder
 	require.NoError(t, report.write(&text, formatText))
-	require.Equal(t, c.config+": configuration of platform: 1 findings\nerror  routes.a b.kind  parse configuration: found number, expected a string\n", text.String())
+	require.Equal(t, c.config+": configuration of platform: findings: 1\nerror  routes.a b.kind  parse configuration: found number, expected a string\n", text.String())
 	require.NoError(t, report.write(&encoded, formatJSON))
 	var decoded checkReport
 	require.NoError(t, json.Unmarshal([]byte(encoded.String()), &decoded))
--- a/cmd/quickstart.go
+++ b/cmd/quickstart.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"flag"
+	"fmt"
 	"os"
 
 	"github.com/rs/zerolog"
@@ -11,6 +12,9 @@
 	"cairndock/internal/telemetry"
 )
 
+// checkHint says how to try the check of a configuration.
+const checkHint = "check a configuration: cairndock check --config platform/testdata/config.json"
+
 // quickstartCmd runs a small system in one process.
 type quickstartCmd struct {
 	options  quickstart.Options
@@ -44,9 +48,11 @@
 			return err
 		}
 		report.Print(os.Stdout)
+		fmt.Println(checkHint)
 		return violationError(report)
 	}
 	printAddrs(c.options.Log, s)
+	fmt.Fprintln(os.Stderr, checkHint) // standard output has log lines only
 	<-signals
 	s.Stop(ctx)
 	return nil
