--- a/cmd/checkreport.go
+++ b/cmd/checkreport.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"text/tabwriter"
+	"unicode"
 
 	"cairndock/internal/gateway/configcheck"
 )
@@ -86,7 +87,15 @@
 	return oneLine(place)
 }
 
-// oneLine replaces characters that would break the table.
+// oneLine replaces control characters, which would break the table or change the terminal.
 func oneLine(text string) string {
-	return strings.NewReplacer("\n", " ", "\r", " ", "\t", " ").Replace(text)
+	if !strings.ContainsFunc(text, unicode.IsControl) {
+		return text
+	}
+	return strings.Map(func(c rune) rune {
+		if unicode.IsControl(c) {
+			return ' '
+		}
+		return c
+	}, text)
 }
--- a/cmd/cmd_test.go
+++ b/cmd/cmd_test.go
@@ -86,15 +86,15 @@
 	}
 }
 
-// Guards against output that is not the documented JSON, or that has a line break within a
-// finding.
+// Guards against output that is not the documented JSON, or that has a line break or another
+// control character within a finding.
 func TestCheckReportFormats(t *testing.T) {
-	c := checkCmd{config: writeFile(t, `{"version":"r1","routes":{"a\nb":{"kind":7}},"services":{"s":{}}}`)}
+	c := checkCmd{config: writeFile(t, `{"version":"r1","routes":{"a\nb\u001b":{"kind":7}},"services":{"s":{}}}`)}
 	report, err := c.check()
 	require.NoError(t, err)
 	var text, encoded strings.Builder
 	require.NoError(t, report.write(&text, formatText))
-	require.Equal(t, c.config+": configuration of platform: findings: 1\nerror  routes.a b.kind  parse configuration: found number, expected a string\n", text.String())
+	require.Equal(t, c.config+": configuration of platform: findings: 1\nerror  routes.a b .kind  parse configuration: found number, expected a string\n", text.String())
 	require.NoError(t, report.write(&encoded, formatJSON))
 	var decoded checkReport
 	require.NoError(t, json.Unmarshal([]byte(encoded.String()), &decoded))
