balance: let a key's second upstream need an advantage of 0.4 capacities

Cause: with 0.1, nearly every object is loaded at both upstreams of its key. Where clients are given few hosts, which know the load well, these first loads cost more than the even load gains.

Change: the second upstream serves a key if its expected load is lower by 0.4 capacities.

--- a/internal/gateway/balance/evenload.go
+++ b/internal/gateway/balance/evenload.go
@@ -28,9 +28,10 @@
 	// single report has less after a minute.
 	minReportWeight = 0.05
 	// secondCost is the advantage, in capacities, from which the next upstream of a
-	// preference list serves a key. At zero, more objects are loaded twice; at 0.35, more
-	// requests wait beside free slots.
-	secondCost = 0.1
+	// preference list serves a key. Below it, most objects are loaded at both upstreams, which
+	// costs more than it gains where few hosts know the load well; above it, more requests
+	// wait beside free slots.
+	secondCost = 0.4
 	// otherZoneCost is the same for an upstream of another zone, with Policy.ZoneCopies. With
 	// 88 hosts, 0.15 of the attempts go to another zone at 0.2, with a credit of 0.880;
 	// 0.09 at 0.4, with 0.875; 0.06 at 0.6, with 0.867.
