--- a/internal/gateway/balance/evenload.go
+++ b/internal/gateway/balance/evenload.go
@@ -15,8 +15,8 @@
 // that were measured.
 const (
 	// reportMemory is the time after which a report has lost the fraction 1-1/e of its
-	// weight in the mean. With 88 hosts, 0.253 of the requests wait beside a free slot at 10 s,
-	// 0.249 at 20 s and 0.250 at 30 s; the credit is 0.889, 0.891 and 0.889.
+	// weight in the mean. It is several times the interval of the reports, and below the
+	// time in which the load of a region changes.
 	reportMemory = 20 * time.Second
 	// reportRelevance is the time in which the load that a report deviates by from the
 	// mean falls to 1/e. It is about the time that warm work takes.
@@ -32,14 +32,11 @@
 	// costs more than it gains where few hosts know the load well; above it, more requests
 	// wait beside free slots.
 	secondCost = 0.4
-	// otherZoneCost is the same for an upstream of another zone, with Policy.ZoneCopies. With
-	// 88 hosts, 0.15 of the attempts go to another zone at 0.2, with a credit of 0.880;
-	// 0.09 at 0.4, with 0.875; 0.06 at 0.6, with 0.867.
+	// otherZoneCost is the same for an upstream of another zone, with Policy.ZoneCopies. Bytes
+	// between zones are expensive, and the object is warm in both.
 	otherZoneCost = 0.4
 	// otherRegionCost is added to the load of an upstream in another region than the host's.
-	// Bytes between regions are expensive. Without it, uneven-regions with 15 hosts in each
-	// zone sent 0.34 of the attempts to other regions; with 0.2, 0.25, and with 0.35, 0.23, as
-	// many as without Policy.EvenLoad.
+	// It keeps the share of requests that leave their region as it is without Policy.EvenLoad.
 	otherRegionCost = 0.35
 )
 
--- a/internal/gateway/fleet/deployment_test.go
+++ b/internal/gateway/fleet/deployment_test.go
@@ -8,9 +8,9 @@
 	"github.com/stretchr/testify/require"
 )
 
-// deploymentB returns the hosts of a deployment of 78 hosts: three regions with two zones
+// smallHostFleet returns 78 small hosts: three regions with two zones
 // each, and in each zone two large hosts and eleven small ones.
-func deploymentB() (all []Host) {
+func smallHostFleet() (all []Host) {
 	large, small := Resources{Cores: 0.8, BandwidthMbps: 200}.Capacity(), Resources{Cores: 0.16, BandwidthMbps: 10}.Capacity()
 	for _, region := range []string{"west", "east", "south"} {
 		for zone := range 2 {
@@ -37,7 +37,7 @@
 	killed func(h Host) bool
 }
 
-// cuts returns the faults of deployment B between and of its hosts.
+// cuts returns the faults of this fleet between and of its hosts.
 func cuts() []cut {
 	always := func(Host, Host) bool { return true }
 	none := func(Host) bool { return false }
@@ -54,7 +54,7 @@
 
 // views returns the views of the running hosts.
 func (c cut) views(now time.Time) map[string]*members {
-	all, views := deploymentB(), map[string]*members{}
+	all, views := smallHostFleet(), map[string]*members{}
 	for _, self := range all {
 		if c.killed(self) {
 			continue
@@ -70,7 +70,7 @@
 	return views
 }
 
-// forEachCut runs a test for each fault of deployment B.
+// forEachCut runs a test for each fault of this fleet.
 func forEachCut(t *testing.T, test func(t *testing.T, views map[string]*members, now time.Time)) {
 	now := time.Now()
 	for _, c := range cuts() {
@@ -152,7 +152,7 @@
 				next = next[1:]
 				for _, to := range links[at.Name] {
 					if _, ok := transit[to.Name]; !ok {
-						transit[to.Name] = transit[at.Name] + transitB(at, to)
+						transit[to.Name] = transit[at.Name] + transitTime(at, to)
 						longest = max(longest, transit[to.Name])
 						next = append(next, to)
 					}
@@ -170,8 +170,8 @@
 	})
 }
 
-// transitB returns the time that a message takes between two hosts of deployment B.
-func transitB(a, b Host) time.Duration {
+// transitTime returns the time that a message takes between two of these hosts.
+func transitTime(a, b Host) time.Duration {
 	switch {
 	case a.Region != b.Region:
 		return 35 * time.Millisecond
@@ -187,7 +187,7 @@
 func TestNoHostOfDeploymentBIsIsolatedWithItsRegion(t *testing.T) {
 	forEachCut(t, func(t *testing.T, views map[string]*members, now time.Time) {
 		for _, m := range views {
-			f := newFleet(newFakeRegistry(), m.self, regionsOf(deploymentB()))
+			f := newFleet(newFakeRegistry(), m.self, regionsOf(smallHostFleet()))
 			f.members = m
 			m.heartbeatPeers(now)
 			require.False(t, f.Isolated(), m.self.Name)
@@ -200,7 +200,7 @@
 func TestAZoneOfDeploymentBCanCarryItsClientsWithoutALargeHost(t *testing.T) {
 	const peakRate = (986 + 540 + 399) / 6 * 1.55 // a sixth of all requests, at the peak of a sine
 	var zone []entryHost
-	for _, h := range deploymentB() {
+	for _, h := range smallHostFleet() {
 		if h.Zone == "west-0" {
 			zone = append(zone, entryHost{h.ClientAddress, h.Capacity, int(peakRate / 2)})
 		}
