fleet: call the hosts that store quarantines of others writers

Names only: quarantineKeepers is quarantineWriters, and a test is named after what it plays. go test ./internal/gateway/fleet ./internal/docscheck passes.

--- a/internal/gateway/fleet/deployment_test.go
+++ b/internal/gateway/fleet/deployment_test.go
@@ -101,9 +101,9 @@
 
 // One host of each region polls the store, and two keep its quarantines, whichever region is
 // cut off and whichever hosts are killed: the one that wrote last is a large one.
-func TestEachRegionOfDeploymentBHasOneRootAndTwoKeepers(t *testing.T) {
+func TestEachRegionOfSmallHostsHasOneRootAndTwoQuarantineWriters(t *testing.T) {
 	forEachCut(t, func(t *testing.T, views map[string]*members, now time.Time) {
-		roots, keepers, parents := map[string]int{}, map[string]int{}, map[string]string{}
+		roots, writers, parents := map[string]int{}, map[string]int{}, map[string]string{}
 		for name, m := range views {
 			parent, root := m.relayParent(true, now)
 			if root {
@@ -112,8 +112,8 @@
 				require.Equal(t, m.self.Region, parent.Region)
 				parents[name] = parent.Name
 			}
-			if m.keepsQuarantines(now) {
-				keepers[m.self.Region]++
+			if m.writesQuarantines(now) {
+				writers[m.self.Region]++
 			}
 		}
 		for name := range parents {
@@ -124,7 +124,7 @@
 			require.LessOrEqual(t, depth, 3, "peerStartTimeout allows for three levels")
 		}
 		require.Equal(t, map[string]int{"west": 1, "east": 1, "south": 1}, roots)
-		require.Equal(t, map[string]int{"west": 2, "east": 2, "south": 2}, keepers)
+		require.Equal(t, map[string]int{"west": 2, "east": 2, "south": 2}, writers)
 	})
 }
 
--- a/internal/gateway/fleet/quarantinestore.go
+++ b/internal/gateway/fleet/quarantinestore.go
@@ -11,17 +11,17 @@
 
 // Several hosts store each quarantine, because any of them may be killed before its write,
 // or be unable to write. These are the hosts that saw one of its terminations, which store
-// it under every region, and the keepers of each region, which store it under their own
+// it under every region, and the writers of each region, which store it under their own
 // region. Their number does not grow with the fleet. A second write of a quarantine
 // replaces the row by one that means the same.
 
 const (
-	// quarantineKeepers is how many live hosts of each region store the quarantines that
+	// quarantineWriters is how many live hosts of each region store the quarantines that
 	// other hosts decided. With two, one of them may be killed together with the hosts
 	// that saw the terminations.
-	quarantineKeepers = 2
+	quarantineWriters = 2
 	// quarantineCheckInterval is how often a host checks which quarantines it must store,
-	// beside the check at each new quarantine: the keepers change when hosts end.
+	// beside the check at each new quarantine: the writers change when hosts end.
 	quarantineCheckInterval = time.Second
 	// quarantineRetryDelay is the pause after a failed write. A host makes one write at a
 	// time, so that a store that is down for long gets at most two calls a second of it.
@@ -100,10 +100,10 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	released = f.forgetReleased(quarantines)
-	keeper := len(quarantines) > 0 && f.members.keepsQuarantines(now)
+	writer := len(quarantines) > 0 && f.members.writesQuarantines(now)
 	fewest := 0
 	for _, q := range quarantines {
-		for _, region := range f.rowsToKeep(q, keeper) {
+		for _, region := range f.rowsToWrite(q, writer) {
 			row := quarantineRow{q.Fingerprint, region}
 			s := f.quarantineRows[row]
 			if s.stored && q.Last.Sub(s.last) < quarantineRefresh || ok && s.attempts >= fewest {
@@ -115,12 +115,12 @@
 	return next, released, ok
 }
 
-// rowsToKeep returns the regions under which this host stores a quarantine, its own first.
-func (f *Fleet) rowsToKeep(q poison.Quarantine, keeper bool) []string {
+// rowsToWrite returns the regions under which this host stores a quarantine, its own first.
+func (f *Fleet) rowsToWrite(q poison.Quarantine, writer bool) []string {
 	switch {
 	case q.Own:
 		return f.members.regions()
-	case keeper:
+	case writer:
 		return []string{f.options.Self.Region}
 	default:
 		return nil
@@ -162,7 +162,7 @@
 }
 
 // recordStored records that the registry has a quarantine under a region, so that the
-// keepers among the hosts that start do not write what they have just read.
+// writers among the hosts that start do not write what they have just read.
 func (f *Fleet) recordStored(region string, r poison.Report, now time.Time) {
 	row := quarantineRow{r.Fingerprint, region}
 	f.mu.Lock()
@@ -183,9 +183,9 @@
 	f.StoreQuarantines()
 }
 
-// keepsQuarantines reports whether this host is one of the keepers of its region: the
+// writesQuarantines reports whether this host is one of the writers of its region: the
 // first live hosts that do not leave, by rank.
-func (m *members) keepsQuarantines(now time.Time) bool {
+func (m *members) writesQuarantines(now time.Time) bool {
 	preceding := 0
 	for _, name := range m.indexed().byRank {
 		if name == m.self.Name {
@@ -194,7 +194,7 @@
 		if p := m.peers[name]; p.alive(now) && !p.status.Leaving {
 			preceding++
 		}
-		if preceding == quarantineKeepers {
+		if preceding == quarantineWriters {
 			return false
 		}
 	}
--- a/internal/gateway/fleet/quarantinestore_test.go
+++ b/internal/gateway/fleet/quarantinestore_test.go
@@ -197,7 +197,7 @@
 				}
 			}
 			t.Logf("%d writes by the hosts of a region", r.writes)
-			require.LessOrEqual(t, r.writes, 3*len(regions)+quarantineKeepers)
+			require.LessOrEqual(t, r.writes, 3*len(regions)+quarantineWriters)
 			for _, region := range regions {
 				require.True(t, r.has(region, f))
 			}
@@ -209,31 +209,31 @@
 func TestTheNextHostsKeepQuarantinesWhenTheFirstEnd(t *testing.T) {
 	now := time.Now()
 	all := largeAndSmall("west", 2, 11)
-	keepers := func(change func(m *members)) (names []string) {
+	writers := func(change func(m *members)) (names []string) {
 		for _, self := range all {
 			m := membersOf(self, all, now)
 			change(m)
-			if m.keepsQuarantines(now) {
+			if m.writesQuarantines(now) {
 				names = append(names, self.Name)
 			}
 		}
 		return names
 	}
-	first := keepers(func(*members) {})
-	require.Len(t, first, quarantineKeepers)
-	killed := keepers(func(m *members) {
+	first := writers(func(*members) {})
+	require.Len(t, first, quarantineWriters)
+	killed := writers(func(m *members) {
 		if p := m.peers[first[0]]; p != nil {
 			p.lastHeartbeat = now.Add(-deadTimeout)
 		}
 	})
 	require.Contains(t, killed, first[1])
-	require.Greater(t, len(killed), quarantineKeepers, fmt.Sprint("the killed host in its own view, ", first[1], " and another"))
-	leaving := keepers(func(m *members) {
+	require.Greater(t, len(killed), quarantineWriters, fmt.Sprint("the killed host in its own view, ", first[1], " and another"))
+	leaving := writers(func(m *members) {
 		for _, name := range first {
 			if p := m.peers[name]; p != nil {
 				p.status.Leaving = true
 			}
 		}
 	})
-	require.Len(t, leaving, 2*quarantineKeepers, "those that leave in their own view, and two others")
+	require.Len(t, leaving, 2*quarantineWriters, "those that leave in their own view, and two others")
 }
