--- a/internal/gateway/fleet/deployment_test.go
+++ b/internal/gateway/fleet/deployment_test.go
@@ -79,7 +79,7 @@
 }
 
 // All shares of limits are computed from the hosts that are known, without messages.
-func TestSharesAddUpInDeploymentB(t *testing.T) {
+func TestSharesAddUpInAFleetOfSmallHosts(t *testing.T) {
 	forEachCut(t, func(t *testing.T, views map[string]*members, now time.Time) {
 		for _, region := range []string{"west", "south"} {
 			for u := range 3 {
@@ -132,7 +132,7 @@
 // are connected by any path. Each step makes a termination seem later by its transit: at
 // poison.maxReportDelay, upstreams that were killed together would seem to have terminated
 // one after the other.
-func TestHeartbeatsConnectTheHostsOfDeploymentB(t *testing.T) {
+func TestHeartbeatsConnectSmallHosts(t *testing.T) {
 	const maxReportDelay = 100 * time.Millisecond
 	forEachCut(t, func(t *testing.T, views map[string]*members, now time.Time) {
 		links := map[string][]Host{}
@@ -184,7 +184,7 @@
 
 // While a region is cut off, no host of the other regions counts itself as isolated, nor a
 // host of that region, which still has all hosts of its own.
-func TestNoHostOfDeploymentBIsIsolatedWithItsRegion(t *testing.T) {
+func TestNoSmallHostIsIsolatedWithItsRegion(t *testing.T) {
 	forEachCut(t, func(t *testing.T, views map[string]*members, now time.Time) {
 		for _, m := range views {
 			f := newFleet(newFakeRegistry(), m.self, regionsOf(smallHostFleet()))
@@ -197,7 +197,7 @@
 
 // A zone has just minAdvertised large hosts, so that the end of one leads its clients to the
 // small hosts. These must be able to carry the zone's requests at the peak of its load.
-func TestAZoneOfDeploymentBCanCarryItsClientsWithoutALargeHost(t *testing.T) {
+func TestAZoneOfSmallHostsCanCarryItsClientsWithoutALargeHost(t *testing.T) {
 	const peakRate = (986 + 540 + 399) / 6 * 1.55 // a sixth of all requests, at the peak of a sine
 	var zone []entryHost
 	for _, h := range smallHostFleet() {
