rollout: call the kind of a request by that name

Cause: load named both requests at an upstream and whether a request is the first for its object. Change: requestKind; a long comment of fleet is wrapped. Names and comments only. go test ./internal/gateway/rollout passes (2.2 s).

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -270,7 +270,7 @@
 // the connection is lost, which the peer notices as well.
 func fail(w *peer.Responder) { _ = w.Fail() }
 
-// respond sends a response and reports whether it was sent. An error is dropped: either the connection is lost, or the
-// response is larger than a frame. In the second case the request ends at the peer's
-// deadline, and the peer turns to another host or to the store.
+// respond sends a response and reports whether it was sent. An error is dropped: either the
+// connection is lost, or the response is larger than a frame. In the second case the request
+// ends at the peer's deadline, and the peer turns to another host or to the store.
 func respond(w *peer.Responder, response any) bool { return w.Send(response) == nil }
--- a/internal/gateway/rollout/objects.go
+++ b/internal/gateway/rollout/objects.go
@@ -24,14 +24,14 @@
 	maxObjects = 1 << 16
 )
 
-// load says whether a request may be the first one for its object at its upstream. It is zero
+// requestKind says whether a request may be the first one for its object at its upstream. It is zero
 // for a request without an object, or one whose object is not known.
-type load uint8
+type requestKind uint8
 
 const (
 	// possiblyFirst is a request for an object that this host has not requested there
 	// before. Other hosts may have.
-	possiblyFirst load = iota + 1
+	possiblyFirst requestKind = iota + 1
 	// repeated is a request for an object that this host has requested there before.
 	repeated
 )
@@ -40,7 +40,7 @@
 type objects map[uint64]struct{}
 
 // add adds an object at an upstream, and returns what it means for the request.
-func (s objects) add(object string, run upstream.Run) load {
+func (s objects) add(object string, run upstream.Run) requestKind {
 	id := xxhash.Sum64String(string(run) + "\x00" + object)
 	if _, known := s[id]; known {
 		return repeated
@@ -60,7 +60,7 @@
 	o := a.observer
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	a.load = o.objects.add(object, a.run)
+	a.kind = o.objects.add(object, a.run)
 }
 
 // threshold returns the latency from which on the response to an attempt is slow, or zero if
@@ -68,9 +68,9 @@
 func (o *observer) threshold(a *Attempt) time.Duration {
 	byRoute := o.slow.Any
 	switch {
-	case a.load == repeated && o.slow.Repeated != nil:
+	case a.kind == repeated && o.slow.Repeated != nil:
 		byRoute = o.slow.Repeated
-	case a.load == possiblyFirst && o.slow.First != nil:
+	case a.kind == possiblyFirst && o.slow.First != nil:
 		byRoute = o.slow.First
 	}
 	return byRoute[a.route]
--- a/internal/gateway/rollout/observer.go
+++ b/internal/gateway/rollout/observer.go
@@ -53,7 +53,7 @@
 	target   bool
 	// comparable is set if the upstream was not cold.
 	comparable bool
-	load       load
+	kind       requestKind
 	sentAt     time.Time
 }
 
