--- a/review/standin/bodies.go
+++ b/review/standin/bodies.go
@@ -40,7 +40,7 @@
 // slow, beside lookups on kept connections.
 func playBodies(p *platform, trouble bool) (int, error) {
 	r := p.record
-	if err := p.addHosts(3); err != nil {
+	if err := p.addHosts(3, smallBounds); err != nil {
 		return failed, err
 	}
 	p.store.PutConfig(platformtest.Config{
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -18,7 +18,8 @@
 
 // cases are the cases by name.
 var cases = map[string]func(p *platform, trouble bool) (int, error){
-	"bodies": playBodies,
+	"bodies":  playBodies,
+	"foreign": playForeign,
 }
 
 func main() {
--- a/review/standin/platform.go
+++ b/review/standin/platform.go
@@ -51,13 +51,22 @@
 retry_slack = 58
 warm_up_overshoot = 1.5
 warm_up_slack = 5
-apply_within = "2000ms"
-drain_within = "2000ms"
-evacuate_within = "5000ms"
+apply_within = %q
+drain_within = %q
+evacuate_within = %q
 [stop]
-grace = "6s"
+grace = %q
 `
 
+// bounds are the bounds of a deployment that differ between the cases.
+type bounds struct{ apply, drain, evacuate, grace time.Duration }
+
+// smallBounds are those of renkoda-mix, and fleetBounds those of cacf-ruteo-fleet.
+var (
+	smallBounds = bounds{2 * time.Second, 2 * time.Second, 5 * time.Second, 6 * time.Second}
+	fleetBounds = bounds{5 * time.Second, 5 * time.Second, 6 * time.Second, 10 * time.Second}
+)
+
 // platform is the stand-in of the users' platform: the store and the host processes.
 type platform struct {
 	record *record
@@ -121,9 +130,9 @@
 }
 
 // addHosts writes the settings of a number of hosts.
-func (p *platform) addHosts(n int) error {
+func (p *platform) addHosts(n int, b bounds) error {
 	for i := range n {
-		h, err := p.newHost(i)
+		h, err := p.newHost(i, b)
 		if err != nil {
 			return err
 		}
@@ -132,7 +141,7 @@
 	return nil
 }
 
-func (p *platform) newHost(i int) (*host, error) {
+func (p *platform) newHost(i int, b bounds) (*host, error) {
 	z := zones[i%len(zones)]
 	var addresses [5]string
 	for j := range addresses {
@@ -144,7 +153,8 @@
 	}
 	name := fmt.Sprintf("edge-%s-%d", z.name, i)
 	h := &host{name: name, clients: addresses[0], readiness: addresses[1], settings: filepath.Join(p.folder, name+".toml"), record: p.record}
-	text := fmt.Sprintf(settingsText, name, z.name, z.region, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], p.storeAddress)
+	text := fmt.Sprintf(settingsText, name, z.name, z.region, addresses[0], addresses[1], addresses[2], addresses[3], addresses[4], p.storeAddress,
+		b.apply.String(), b.drain.String(), b.evacuate.String(), b.grace.String())
 	return h, os.WriteFile(h.settings, []byte(text), 0o600)
 }
 
