exchange: count the bytes that were unacknowledged when a request was given up

The log says "no response ... i/o timeout" both for a request that the upstream's kernel never acknowledged and for one that waits at the upstream, so that it could not tell the two apart. Change: attempts log unacked_bytes (SIOCOUTQ at the time when the request is given up), and cairndock_attempts_unacknowledged_total counts the attempts with such bytes.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -74,6 +74,9 @@
 	Took   time.Duration
 	// Detail is one sentence about the failure.
 	Detail string
+	// Unacknowledged is the number of bytes of the request that the upstream's kernel had not
+	// acknowledged when the request was given up; 0 if it is not known.
+	Unacknowledged int
 	// Withheld says why preferred upstreams were skipped; empty if none were.
 	Withheld string
 	// PassedOver describes the upstream that was passed over because of its expected load;
@@ -94,7 +97,7 @@
 	e.Str("route", a.Route).Str("service", a.Service).Str("upstream", a.Upstream).Str("zone", a.Zone).
 		Str("key", a.Key).Int("attempt", a.Number).Int64("config", a.Config).Float64("load", a.Load).Int("capacity", a.Capacity).Float64("load_age_ms", ms(a.LoadAge)).
 		Int("rank", a.Rank).Bool("cold", a.Cold).Str("outcome", a.Outcome).Int("status", a.Status).
-		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Str("withheld", a.Withheld).Str("passed_over", a.PassedOver).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
+		Float64("took_ms", ms(a.Took)).Str("detail", a.Detail).Int("unacked_bytes", a.Unacknowledged).Str("withheld", a.Withheld).Str("passed_over", a.PassedOver).Str("caller", a.Caller).Str("fingerprint", a.Fingerprint).Msg("request: attempt ended")
 }
 
 // Direction is the direction of a request between two hosts.
--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -81,14 +81,34 @@
 	return b[:max(read, 0)]
 }
 
-// control calls f with the descriptor of the connection, which is non-blocking, if it has one.
-func (c *conn) control(f func(fd int) error) error {
+// unacknowledged returns the number of written bytes that the other end's kernel has not
+// acknowledged, or 0 if it is not known.
+func (c *conn) unacknowledged() int {
+	raw, err := c.raw()
+	if raw == nil || err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) { n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) })
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// raw returns the raw connection, or nil if there is none.
+func (c *conn) raw() (syscall.RawConn, error) {
 	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
-		return nil
+		return nil, nil
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
+	return sc.SyscallConn()
+}
+
+// control calls f with the descriptor of the connection, which is non-blocking, if it has one.
+func (c *conn) control(f func(fd int) error) error {
+	raw, err := c.raw()
+	if raw == nil || err != nil {
 		return err
 	}
 	var result error
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -111,6 +111,9 @@
 // the upstream.
 func (x *roundTrip) fail(ctx context.Context, err error, sent bool) error {
 	x.stop()
+	if sent {
+		x.progress.unacknowledged.Store(int64(x.conn.unacknowledged()))
+	}
 	_ = x.conn.Close() // err is the cause
 	x.silence.requestFailed(err)
 	if sent && ctx.Err() == nil && IsConnectionClosed(err) {
--- a/internal/gateway/exchange/silence.go
+++ b/internal/gateway/exchange/silence.go
@@ -63,6 +63,7 @@
 
 	silence          atomic.Pointer[silenceWatch]
 	connectionClosed atomic.Bool
+	unacknowledged   atomic.Int64
 }
 
 func (p *Progress) maySend() bool { return p.MaySend == nil || p.MaySend() }
@@ -92,6 +93,11 @@
 // request was sent and before a response arrived.
 func (p *Progress) ConnectionClosed() bool { return p.connectionClosed.Load() }
 
+// Unacknowledged returns the number of bytes of the request that the upstream's kernel had not
+// acknowledged when the request was given up without a response. It is 0 if the number is not
+// known.
+func (p *Progress) Unacknowledged() int { return int(p.unacknowledged.Load()) }
+
 func (w *silenceWatch) isSilent() bool { return w.conn.received.Load() == w.received }
 
 // check closes the older idle connections unless a byte was received. A late call is
--- a/internal/gateway/proxy/decisionlog.go
+++ b/internal/gateway/proxy/decisionlog.go
@@ -21,8 +21,12 @@
 	}
 	if e != nil {
 		ev.Outcome, ev.Failed, ev.Detail = string(e.Reason), true, e.Detail
+		ev.Unacknowledged = a.progress.Unacknowledged()
 		f.proxy.Metrics.Count(`cairndock_attempt_failures_total{reason="` + string(e.Reason) + `"}`)
 	}
+	if ev.Unacknowledged > 0 {
+		f.proxy.Metrics.Count("cairndock_attempts_unacknowledged_total")
+	}
 	if e != nil && e.Reason == verdict.UpstreamFailed && status == 0 {
 		// Fingerprints are only needed to compare failed attempts. Computing one for each
 		// attempt would mean hashing every request.
