exchange: reset the connection of a request that is given up

What callers saw: clients got 504 at their route's timeout of 800 ms, and their requests, which must not be repeated, ran at the upstream up to 6.3 s later: at upstreams that were evacuated or draining, or that had just become reachable again. Cause: a request that was given up closed its connection with an ordinary close. The kernel goes on to deliver what the other end has not acknowledged, and the bound on unacknowledged bytes (TCP_USER_TIMEOUT, 1.2 s) does not help a request that is given up earlier. On loopback, with a real kernel, an upstream that does not read gets the whole request after it was given up: at its deadline, after a cancel, after a response that was not read to its end or is invalid, and after the process ended. Change: connections to upstreams have SO_LINGER 0 from the start, so that each close of one with a request in flight resets it, also the kernel's at the end of the process. The pool, and a request whose response was complete, close in order, because an upstream may respond before it has read the whole body (TestTheRestOfAnAnsweredRequestIsDelivered). A host that stops closes its idle connections, which its end would reset. Why this works: the kernel discards the send queue of a connection that is reset.

--- a/internal/gateway/exchange/abandoned_test.go
+++ b/internal/gateway/exchange/abandoned_test.go
@@ -112,3 +112,101 @@
 		require.Zero(t, progress.Unacknowledged())
 	})
 }
+
+// Requests that a cut had held back in the kernel ran after their clients had got 504, because
+// the close of a connection delivers what was written before.
+func TestARequestThatWasGivenUpIsNotDelivered(t *testing.T) {
+	send := func(ctx context.Context, s *stalledUpstream) error {
+		_, err := s.client.Send(ctx, s.target, stalledRequest())
+		return err
+	}
+	for _, c := range []struct {
+		name   string
+		giveUp func(t *testing.T, s *stalledUpstream)
+	}{
+		{"deadline", func(t *testing.T, s *stalledUpstream) {
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			require.Error(t, send(ctx, s))
+		}},
+		{"the client leaves, or another response was first", func(t *testing.T, s *stalledUpstream) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer time.AfterFunc(100*time.Millisecond, cancel).Stop()
+			require.Error(t, send(ctx, s))
+		}},
+		{"the response is not read to its end", func(t *testing.T, s *stalledUpstream) {
+			respond(t, s, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\n1")
+			resp, err := s.client.Send(t.Context(), s.target, stalledRequest())
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+		}},
+		{"the response is invalid", func(t *testing.T, s *stalledUpstream) {
+			respond(t, s, "220 ready\r\n")
+			require.Error(t, send(t.Context(), s))
+		}},
+		{"the process ends, and the kernel closes its descriptors", func(t *testing.T, s *stalledUpstream) {
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			sent := make(chan struct{})
+			ended := make(chan struct{})
+			go func() {
+				defer close(ended)
+				_, _ = s.client.SendWatched(ctx, s.target, stalledRequest(), &exchange.Progress{OnSent: func() { close(sent) }})
+			}()
+			<-sent
+			require.NoError(t, (<-s.dialed).Close())
+			<-ended
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStalledUpstream(t)
+			c.giveUp(t, s)
+			body, err := readRequest(<-s.accepted)
+			require.ErrorIs(t, err, syscall.ECONNRESET)
+			require.Less(t, body, int64(stalledBodyBytes))
+		})
+	}
+}
+
+// respond writes bytes to the next connection that the upstream accepts, before it has read
+// any.
+func respond(t *testing.T, s *stalledUpstream, response string) {
+	go func() {
+		c := <-s.accepted
+		_, err := io.WriteString(c, response)
+		s.accepted <- c
+		if err != nil {
+			t.Error(err)
+		}
+	}()
+}
+
+// An upstream may respond before it has read the whole body. The rest must arrive.
+func TestTheRestOfAnAnsweredRequestIsDelivered(t *testing.T) {
+	for _, c := range []struct {
+		name, header string
+		// close closes the connection in another way than its response.
+		close func(*exchange.Client)
+	}{
+		{"the response ends the connection", "Connection: close\r\n", func(*exchange.Client) {}},
+		{"the pool closes the connection", "", (*exchange.Client).CloseIdle},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStalledUpstream(t)
+			respond(t, s, "HTTP/1.1 200 OK\r\nId: 1\r\n"+c.header+"Content-Length: 2\r\n\r\nok")
+			resp, err := s.client.Send(t.Context(), s.target, stalledRequest())
+			require.NoError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			require.NoError(t, err)
+			require.NoError(t, resp.Body.Close())
+			c.close(s.client)
+			conn := <-s.accepted
+			body, err := readRequest(conn)
+			require.NoError(t, err)
+			require.EqualValues(t, stalledBodyBytes, body)
+			n, err := conn.Read(make([]byte, 1))
+			require.Zero(t, n)
+			require.ErrorIs(t, err, io.EOF, "the connection ends without a reset")
+		})
+	}
+}
--- a/internal/gateway/exchange/body.go
+++ b/internal/gateway/exchange/body.go
@@ -63,9 +63,10 @@
 }
 
 // Close returns the connection to the pool if the response was completely read.
-// Otherwise it closes the connection, which cancels the request at the upstream. It also
-// closes a connection whose context ended, because its deadline is in the past, and a
-// connection with unread bytes after the response, because these can't be attributed.
+// Otherwise it resets the connection, which cancels the request at the upstream. After a
+// complete response it closes a connection whose context ended, because its deadline is in the
+// past, and a connection with unread bytes after the response, because these can't be
+// attributed.
 func (b *body) Close() error {
 	if b.closed {
 		return nil
@@ -73,9 +74,13 @@
 	b.closed = true
 	x := b.roundTrip
 	interrupted := !x.stop()
-	if b.completeAt.IsZero() || !b.reusable || interrupted || x.conn.reader.Buffered() > 0 {
+	if b.completeAt.IsZero() {
 		return x.conn.Close()
 	}
+	if !b.reusable || interrupted || x.conn.reader.Buffered() > 0 {
+		x.conn.closeOrderly()
+		return nil
+	}
 	x.client.pool.put(x.to.Run, x.conn, b.completeAt, b.idleTimeout)
 	return nil
 }
--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -16,6 +16,11 @@
 const readBuffer = 4 << 10
 
 // conn is a connection to an upstream. It carries one request at a time.
+//
+// Close resets the connection, so that the kernel discards what it has not delivered of the
+// request. The kernel does the same when the process ends. After an ordinary close it would go
+// on to deliver these bytes, and the upstream would run a request that was given up. A
+// connection without a request in flight is closed with closeOrderly.
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
@@ -32,9 +37,28 @@
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
+	c.setLinger(0)
 	return c
 }
 
+// closeOrderly closes the connection and lets the kernel deliver what was written. The request
+// whose response is complete may still have undelivered bytes, because an upstream may respond
+// before it has read the whole body.
+func (c *conn) closeOrderly() {
+	c.setLinger(-1)
+	_ = c.Close() // no request is in flight
+}
+
+// setLinger sets whether a close resets the connection (0) or delivers what was written (-1).
+func (c *conn) setLinger(seconds int) {
+	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return
+	}
+	// An error means that the connection is closed.
+	_ = tcp.SetLinger(seconds)
+}
+
 // Read implements net.Conn. While a response head is parsed, it returns no more bytes than the
 // head may have.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/gateway/exchange/ended.go
+++ b/internal/gateway/exchange/ended.go
@@ -119,7 +119,7 @@
 			c.pool.put(to.Run, opened, time.Now(), 0)
 			return running
 		}
-		_ = opened.Close() // the upstream closed it
+		opened.closeOrderly() // the upstream closed it
 	}
 	return resetting
 }
--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -127,6 +127,9 @@
 	c.terminations.dropExpired(time.Now())
 }
 
+// CloseIdle closes the idle connections. A process that ends without it resets them.
+func (c *Client) CloseIdle() { c.pool.retain(func(upstream.Run) bool { return false }) }
+
 // Suspended adds the time for which the machine was suspended to the idle time of idle
 // connections.
 func (c *Client) Suspended(gap time.Duration) { c.pool.suspended(gap) }
--- a/internal/gateway/exchange/pool.go
+++ b/internal/gateway/exchange/pool.go
@@ -29,8 +29,8 @@
 type Dial func(ctx context.Context, network, address string) (net.Conn, error)
 
 // pool keeps idle connections by the run of the upstream at their other end, because
-// addresses are reused by other upstreams and IDs by later runs. Errors of closing a
-// connection are ignored, because no request is in flight on it.
+// addresses are reused by other upstreams and IDs by later runs. No request is
+// in flight on a connection of the pool, so it is closed with closeOrderly.
 type pool struct {
 	dial Dial
 	// onSilent is called with the number of connections that closeIdleBefore closed.
@@ -46,7 +46,7 @@
 		if c.idleError() == nil {
 			return c, nil
 		}
-		_ = c.Close()
+		c.closeOrderly()
 	}
 	nc, err := p.dial(ctx, "tcp", to.Address)
 	if err != nil {
@@ -69,7 +69,7 @@
 		if now.Before(c.idleUntil) {
 			return c
 		}
-		_ = c.Close()
+		c.closeOrderly()
 	}
 	delete(p.idle, run)
 	return nil
@@ -103,7 +103,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.idle[run]) >= maxIdleConns {
-		_ = c.Close()
+		c.closeOrderly()
 		return
 	}
 	p.idle[run] = append(p.idle[run], c)
@@ -131,7 +131,7 @@
 		if !c.idleSince.Before(before) {
 			return false
 		}
-		_ = c.Close()
+		c.closeOrderly()
 		closed++
 		return true
 	})
@@ -152,7 +152,7 @@
 			if keep(run) && now.Before(c.idleUntil) {
 				return false
 			}
-			_ = c.Close()
+			c.closeOrderly()
 			return true
 		})
 		if len(p.idle[run]) == 0 {
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -106,7 +106,7 @@
 	return nil, &LimitError{Source: x.source(), Limited: "interim responses", Limit: maxInterimResponses}
 }
 
-// fail closes the connection, which cancels the request at the upstream, and returns the
+// fail resets the connection, which cancels the request at the upstream, and returns the
 // error of a request without a response. sent reports whether any byte may have reached
 // the upstream.
 func (x *roundTrip) fail(ctx context.Context, err error, sent bool) error {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -160,6 +160,7 @@
 	go g.fleet.Withdraw(ctx)
 	aborted := g.server.Stop(ctx, time.Duration(g.settings.Stop.Grace))
 	g.server.Close()
+	g.proxy.Client.CloseIdle()
 	if aborted > 0 {
 		g.log.Process("stopped", "requests were aborted")
 		return ErrAborted
