peer: reset connections that this host dialed when they are closed

Cause: as in the exchange with upstreams. A host without a path to upstreams sends requests through another one. If the connection to that host is closed with a request that was given up (at its deadline, replaced after silence, at a stop or at the end of the process), the kernel goes on to deliver it, and the other host sends it to an upstream. Change: the dialing end, which alone opens streams, resets the connection when it is closed. The accepting end closes in order as before, because it has responses to deliver.

--- a/internal/gateway/exchange/conn.go
+++ b/internal/gateway/exchange/conn.go
@@ -10,6 +10,8 @@
 
 	"github.com/rotisserie/eris"
 	"golang.org/x/sys/unix"
+
+	"cairndock/internal/linger"
 )
 
 // readBuffer is the size of a connection's read buffer in bytes, the default of bufio.
@@ -37,7 +39,7 @@
 func newConn(nc net.Conn) *conn {
 	c := &conn{Conn: nc}
 	c.reader = bufio.NewReaderSize(c, readBuffer)
-	c.setLinger(0)
+	linger.Discard(nc)
 	return c
 }
 
@@ -45,20 +47,10 @@
 // whose response is complete may still have undelivered bytes, because an upstream may respond
 // before it has read the whole body.
 func (c *conn) closeOrderly() {
-	c.setLinger(-1)
+	linger.Deliver(c.Conn)
 	_ = c.Close() // no request is in flight
 }
 
-// setLinger sets whether a close resets the connection (0) or delivers what was written (-1).
-func (c *conn) setLinger(seconds int) {
-	tcp, ok := c.Conn.(interface{ SetLinger(seconds int) error })
-	if !ok {
-		return
-	}
-	// An error means that the connection is closed.
-	_ = tcp.SetLinger(seconds)
-}
-
 // Read implements net.Conn. While a response head is parsed, it returns no more bytes than the
 // head may have.
 func (c *conn) Read(p []byte) (int, error) {
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cairndock/internal/linger"
 )
 
 var (
@@ -105,6 +107,11 @@
 		closed:     make(chan struct{}),
 	}
 	c.keepAlive.role = r
+	if r == dialed {
+		// Only the dialing end opens streams. Once it closes the connection, all of them have
+		// ended or failed. The accepting end may still have responses to deliver.
+		linger.Discard(nc)
+	}
 	reader := bufio.NewReaderSize(activityReader{nc, &c.keepAlive.received}, readBuffer)
 	if err := c.handshake(ctx, self, reader); err != nil {
 		_ = nc.Close()
