selector/upstream: discard a request at the end of its lingering connection

A canceled request's connection is half-closed until its deadline and 500 ms more, and then closed, which leaves unreceived bytes to the kernel. serve's dialer has no bound on unacknowledged bytes, so they are delivered for minutes. The absolute deadline in the header lets upstreams refuse such a request, but only those that check it, and by their own clock. Change: connections are reset when they are closed with a request in flight. Those without one are closed in order as before.

--- a/internal/selector/upstream/client.go
+++ b/internal/selector/upstream/client.go
@@ -108,7 +108,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &conn{Conn: nc}, nil
+			return newConn(nc), nil
 		},
 		DisableCompression:     true,
 		MaxIdleConns:           0, // no limit over all upstreams
--- a/internal/selector/upstream/conn.go
+++ b/internal/selector/upstream/conn.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"cairndock/internal/linger"
 )
 
 // cancelGrace is the time after a request's deadline at which the slot is
@@ -49,6 +51,13 @@
 	onClose     []func()
 }
 
+// newConn returns a connection that is reset when it is closed with a request in flight, also
+// by the end of the process.
+func newConn(nc net.Conn) *conn {
+	linger.Discard(nc)
+	return &conn{Conn: nc}
+}
+
 // begin starts a request that must not be written after its deadline, and
 // returns its number.
 func (c *conn) begin(deadline time.Time) uint64 {
@@ -126,6 +135,9 @@
 	busy := c.busyRequest != 0
 	c.mu.Unlock()
 	half, ok := c.Conn.(halfCloser)
+	if !busy {
+		linger.Deliver(c.Conn)
+	}
 	if !busy || !ok {
 		err := c.Conn.Close()
 		c.markClosed()
@@ -142,7 +154,8 @@
 // linger discards received data until the upstream closes its side, or until
 // cancelGrace after the request's deadline, when the upstream must have stopped. An
 // upstream that sends more than maxLingerBytes may still be busy until then, although
-// its connection is closed at once.
+// its connection is closed at once. The close discards what the upstream has not received of
+// the request.
 func (c *conn) linger() {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
