peer: send the opener's deadline, and refuse requests of other hosts that arrive after it

What callers saw: a client of a host without a path to upstreams got 504, and its request, which must not be repeated, ran afterwards. Cause: a request through another host carries the time that is left when it is encoded, which the other host counts from the request's arrival. If that host's process stands still, or the link between the two is cut for less than the time after which the connection fails, the request arrives when it was given up, and the other host gives it as much time as at first. The bytes of one request can't be reset on a connection that carries many. Change: each host has a monotonic clock of its own, whose reading is in its Hello and in each pong. The opener of a stream sends its deadline by the clock of the peer, from the last reading. An error of the reading (its transit) makes the deadline earlier, never later. The other host refuses a request after it with not-run. Hosts of older versions send no readings and ignore the deadline; nothing changes with them. The clock includes suspensions. Why this works: the deadline no longer depends on how long the request waits, in a queue of this host, in either kernel or on the link, nor on the wall clocks of the two hosts.

--- a/internal/gateway/indirect/message.go
+++ b/internal/gateway/indirect/message.go
@@ -33,8 +33,9 @@
 	Fingerprint poison.Fingerprint `msgpack:"f"`
 	// Config is the version of the configuration by which the sender accepted the request.
 	Config int64 `msgpack:"v"`
-	// LeftMillis is the time left until the deadline. It is sent in place of the deadline,
-	// because the clocks of two hosts may differ.
+	// LeftMillis is the time left until the deadline when the message was encoded. It is sent
+	// in place of the deadline, because the clocks of two hosts may differ. The deadline of
+	// the stream holds as well.
 	LeftMillis int64 `msgpack:"l"`
 	// Attempts is the number of upstreams that may have received the request.
 	Attempts int `msgpack:"n,omitempty"`
--- a/internal/gateway/proxy/serveindirect.go
+++ b/internal/gateway/proxy/serveindirect.go
@@ -37,7 +37,7 @@
 	ctx = otel.GetTextMapPropagator().Extract(ctx, propagation.MapCarrier(msg.Trace))
 	ctx, span := p.Tracer.Start(ctx, "request", trace.WithSpanKind(trace.SpanKindServer), trace.WithAttributes(attribute.String("request", msg.ID), attribute.String("from", from)))
 	p.Notices.Merge(msg.Notices, time.Now())
-	status, err := p.newIndirect(ctx, msg).serveIndirect(msg, w)
+	status, err := p.newIndirect(ctx, msg, timeLeft(msg, w, began)).serveIndirect(msg, w)
 	endSpan(span, err)
 	p.Log.Indirect(indirectEvent(msg.ID, eventlog.ReceivedFrom, from, status, verdict.From(err), began))
 }
@@ -59,10 +59,20 @@
 	return resp.Status, f.forwardIndirect(w, resp)
 }
 
-// newIndirect returns the request of a message.
-func (p *Proxy) newIndirect(ctx context.Context, msg indirect.Request) *inflight {
+// timeLeft returns the time until the other host gives the request up. The message may have
+// been delayed, so that the time left in it starts too late.
+func timeLeft(msg indirect.Request, w *peer.Responder, now time.Time) time.Duration {
+	left := msg.Left()
+	if deadline, ok := w.Deadline(); ok {
+		left = min(left, deadline.Sub(now))
+	}
+	return left
+}
+
+// newIndirect returns the request of a message with the time left for it.
+func (p *Proxy) newIndirect(ctx context.Context, msg indirect.Request, left time.Duration) *inflight {
 	f := &inflight{
-		proxy: p, info: RequestInfo{ID: msg.ID, Key: msg.Key, Timeout: max(msg.Left(), time.Millisecond)},
+		proxy: p, info: RequestInfo{ID: msg.ID, Key: msg.Key, Timeout: left},
 		began: time.Now(), suspendedAtStart: p.SuspendWatch.Total(), clientCtx: ctx, address: msg.Client,
 		indirect: true, counted: msg.Counted, countedAttempts: msg.Attempts,
 		request: &exchange.Request{ID: msg.ID, Method: msg.Method, Target: msg.Target, Host: msg.Host, Header: msg.Header, Body: msg.Body},
@@ -73,7 +83,8 @@
 
 // checkIndirect returns an error if this host takes no requests of other hosts, or not this
 // one.
-func (p *Proxy) checkIndirect(msg indirect.Request) error {
+func (f *inflight) checkIndirect(msg indirect.Request) error {
+	p := f.proxy
 	switch {
 	case !p.canServe() || p.State.Config().Version < msg.Config:
 		return verdict.New(verdict.NotRun, verdict.NotReady, "the configuration is older than version %d", msg.Config)
@@ -83,7 +94,7 @@
 		return errIsolated()
 	case p.Capacity > 0 && p.Rate(time.Now()) > p.Capacity:
 		return verdict.New(verdict.NotRun, verdict.Full, "the host gets more than %d requests per second", p.Capacity)
-	case msg.Left() <= 0:
+	case f.info.Timeout <= 0:
 		return verdict.New(verdict.NotRun, verdict.DeadlineLapsed, "no time left")
 	}
 	return nil
@@ -92,7 +103,7 @@
 // prepareIndirect finds the route and the account of a request. The other host has checked its
 // key, its size and the limit of its account.
 func (f *inflight) prepareIndirect(msg indirect.Request) error {
-	if err := f.proxy.checkIndirect(msg); err != nil {
+	if err := f.checkIndirect(msg); err != nil {
 		return err
 	}
 	target, err := url.ParseRequestURI(msg.Target)
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -151,7 +151,7 @@
 func (g *Gateway) watchSuspension() {
 	for _, f := range []func(time.Duration){
 		g.tables[operatorTable].Replica.Suspended, g.tables[upstreamTable].Replica.Suspended, g.tables[rolloutTable].Replica.Suspended, g.fleet.Suspended,
-		g.detector.Suspended, g.notices.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.quota.Suspended, g.suspicions.Suspended, g.log.Suspended,
+		g.detector.Suspended, g.notices.Suspended, g.proxy.Balancer.Suspended, g.proxy.Client.Suspended, g.quota.Suspended, g.suspicions.Suspended, g.log.Suspended, peer.Suspended,
 	} {
 		g.suspendWatch.OnGap(f)
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -84,6 +84,8 @@
 	retired bool
 	// goingAway is set when streams opened by the peer are no longer accepted.
 	goingAway bool
+	// peerClock is the last reading of the peer's clock.
+	peerClock peerClock
 	// failed is the reason why the connection broke, or nil while it works.
 	failed error
 	// closed is closed when the connection breaks.
@@ -277,7 +279,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := c.writeLocked(&frame{Type: frameOpen, ID: s.id, Kind: kind, Data: payload}); err != nil {
+	if err := c.writeLocked(&frame{Type: frameOpen, ID: s.id, Kind: kind, Offset: c.deadline(ctx), Data: payload}); err != nil {
 		s.remove()
 		return nil, err
 	}
--- a/internal/peer/doc.go
+++ b/internal/peer/doc.go
@@ -12,6 +12,9 @@
 //     host, or the peer reported that it did not accept the stream. The request
 //     may therefore be sent elsewhere. Any other error leaves open whether the
 //     request ran.
+//   - a request that arrives after its opener gave it up can be recognized
+//     (Responder.Deadline), however long it was on the way and whatever the wall
+//     clocks of the two hosts show.
 //   - a body is either read completely or ends with an error. Body frames carry
 //     their offset, and the end frame carries the total length. Frames that are
 //     lost, repeated, out of order or of another stream therefore never make up
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -27,7 +27,8 @@
 const (
 	// frameHello is the first frame in each direction. Data is a Hello.
 	frameHello frameType = iota + 1
-	// frameOpen opens a stream with a request in Kind and Data.
+	// frameOpen opens a stream with a request in Kind and Data. Offset is the opener's deadline
+	// by the clock of the peer, or zero.
 	frameOpen
 	// frameReply carries the only response of a stream in Data.
 	frameReply
@@ -42,7 +43,8 @@
 	frameCancel
 	// frameCredit permits the peer to send Offset more bytes of the body.
 	frameCredit
-	// framePing requests a framePong at once. Neither belongs to a stream.
+	// framePing requests a framePong at once. Neither belongs to a stream. Offset of a pong is
+	// the reading of the sender's clock; hosts of an older version send zero.
 	framePing
 	framePong
 	// frameGoAway reports that, of the streams opened by the peer, none with an
--- a/internal/peer/handshake.go
+++ b/internal/peer/handshake.go
@@ -29,6 +29,9 @@
 	// GoAway reports whether the sender understands a go-away frame. This
 	// package sets it. Hosts of an older version do not send it.
 	GoAway bool `msgpack:"g,omitempty"`
+	// Clock is the reading of the sender's clock. This package sets it. Hosts of an older
+	// version do not send it.
+	Clock int64 `msgpack:"c,omitempty"`
 }
 
 // handshake exchanges Hellos and sets c.remote. It sends its own Hello while it
@@ -43,6 +46,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = c.net.Close() })
 	defer stop()
 	self.Version, self.KeepAlive, self.GoAway = protocolVersion, true, true
+	self.Clock = hostClock.reading(time.Now())
 	hello, err := Encode(self)
 	if err != nil {
 		return err
@@ -65,6 +69,7 @@
 	if c.remote.Version != protocolVersion {
 		return eris.Wrapf(errInvalidFrame, "version %q", c.remote.Version)
 	}
+	c.observeClock(c.remote.Clock)
 	if !stop() { // the connection is being closed
 		return context.Cause(ctx)
 	}
--- a/internal/peer/keepalive.go
+++ b/internal/peer/keepalive.go
@@ -239,6 +239,6 @@
 		defer func() { <-c.writeToken }()
 		c.keepAlive.ponging.Store(false) // a ping from now on gets its own response
 		// An error is ignored for the same reason as in ping.
-		_ = c.writeLocked(&frame{Type: framePong})
+		_ = c.writeLocked(&frame{Type: framePong, Offset: hostClock.reading(time.Now())})
 	})
 }
--- a/internal/peer/readloop.go
+++ b/internal/peer/readloop.go
@@ -61,7 +61,8 @@
 		}
 	case framePing:
 		c.pong()
-	case framePong: // activityReader has recorded it
+	case framePong:
+		c.observeClock(f.Offset)
 	case frameGoAway:
 		if c.keepAlive.role != dialed {
 			return eris.Wrap(errInvalidFrame, "go-away frame from the dialing end")
@@ -89,6 +90,9 @@
 		return
 	}
 	r := newResponder(ctx, c, f.ID)
+	if f.Offset > 0 && f.Offset <= maxReading {
+		r.deadline = hostClock.timeAt(f.Offset)
+	}
 	c.serving[f.ID] = r
 	c.servingBytes += len(f.Data)
 	c.wg.Add(1)
--- a/internal/peer/responder.go
+++ b/internal/peer/responder.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Responder sends the response to a stream that a peer opened.
@@ -11,6 +12,8 @@
 	id     uint64
 	ctx    context.Context
 	cancel context.CancelFunc
+	// deadline is that of the opener; zero if it is not known.
+	deadline time.Time
 
 	mu    sync.Mutex
 	ready sync.Cond
@@ -27,6 +30,11 @@
 	return r
 }
 
+// Deadline returns when the opener gives the stream up. It may be too early by the time for
+// which a frame is in transit, and is never too late. ok is false if the deadline is not
+// known, because the opener has none or is a host of an older version.
+func (r *Responder) Deadline() (_ time.Time, ok bool) { return r.deadline, !r.deadline.IsZero() }
+
 // receive processes a cancel or credit frame from the peer. A cancel ends the
 // context, which Write observes.
 func (r *Responder) receive(f frame) {
--- a/internal/peer/wire_test.go
+++ b/internal/peer/wire_test.go
@@ -23,6 +23,7 @@
 	}{
 		{"hello", frame{Type: frameHello, Data: data}, "0000000b9501000000c40464617461"},
 		{"open", frame{Type: frameOpen, ID: 300, Kind: KindForward, Data: data}, "0000000d9502cd012c0100c40464617461"},
+		{"open with a deadline", frame{Type: frameOpen, ID: 300, Kind: KindForward, Offset: 70000, Data: data}, "000000119502cd012c01ce00011170c40464617461"},
 		{"reply", frame{Type: frameReply, ID: 300, Data: data}, "0000000d9503cd012c0000c40464617461"},
 		{"body", frame{Type: frameBody, ID: 300, Offset: 70000, Data: data}, "000000119504cd012c00ce00011170c40464617461"},
 		{"end", frame{Type: frameEnd, ID: 300, Offset: 70004}, "0000000c9505cd012c00ce00011174c0"},
@@ -31,6 +32,7 @@
 		{"credit", frame{Type: frameCredit, ID: 300, Offset: 65536}, "0000000c9508cd012c00ce00010000c0"},
 		{"ping", frame{Type: framePing}, "000000069509000000c0"},
 		{"pong", frame{Type: framePong}, "00000006950a000000c0"},
+		{"pong with a clock", frame{Type: framePong, Offset: 70000}, "0000000a950a0000ce00011170c0"},
 		{"go away", frame{Type: frameGoAway, ID: 300}, "00000008950bcd012c0000c0"},
 		{"open ticket", frame{Type: frameOpen, ID: 1, Kind: KindTicket}, "000000069502010200c0"},
 		{"open heartbeat", frame{Type: frameOpen, ID: 1, Kind: KindHeartbeat}, "000000069502010300c0"},
@@ -63,6 +65,7 @@
 		golden string
 	}{
 		{"every field", Hello{Version: protocolVersion, Host: "host-1", Zone: "costa-duran", Incarnation: "i-1", KeepAlive: true, GoAway: true}, "86a176ab636169726e646f636b2f31a168a6686f73742d31a17aab636f7374612d647572616ea169a3692d31a16bc3a167c3"},
+		{"with a clock", Hello{Version: protocolVersion, Host: "host-1", Zone: "costa-duran", Incarnation: "i-1", Clock: 70000}, "85a176ab636169726e646f636b2f31a168a6686f73742d31a17aab636f7374612d647572616ea169a3692d31a163ce00011170"},
 		{"no optional field", Hello{Version: protocolVersion, Host: "host-1", Zone: "costa-duran", Incarnation: "i-1"}, "84a176ab636169726e646f636b2f31a168a6686f73742d31a17aab636f7374612d647572616ea169a3692d31"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
