soak: requests that a host's kernel holds back, with real processes

Cause: links of the soak lost what they held back, so that no run could show a request that is delivered after it was given up. Change: a link can hold bytes until it works again, with a small receive buffer, so that the rest waits in the kernel of the host.

--- a/internal/gateway/soak/link_test.go
+++ b/internal/gateway/soak/link_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -25,16 +26,25 @@
 	refuse
 	// delay forwards everything after linkDelay.
 	delay
+	// hold forwards nothing until the mode ends, and then everything. What exceeds the
+	// window of the link waits in the kernel of the sender.
+	hold
 )
 
 // linkDelay is the delay of each piece on a link in mode delay. It is well below the
 // hosts' timeouts.
 const linkDelay = 150 * time.Millisecond
 
+// holdPollInterval is how often a connection on a link in mode hold checks whether it ended.
+const holdPollInterval = 5 * time.Millisecond
+
 // link is a TCP proxy with faults: a listener that connects to a target.
 type link struct {
 	listener net.Listener
 	target   string
+	// window is the receive buffer of accepted connections in bytes; zero for the default
+	// of the system.
+	window atomic.Int32
 
 	mu   sync.Mutex
 	mode linkMode
@@ -193,7 +203,11 @@
 		if err != nil {
 			return
 		}
-		if near := c.(*net.TCPConn); k.add(near, nil) {
+		near := c.(*net.TCPConn)
+		if n := k.window.Load(); n > 0 {
+			_ = near.SetReadBuffer(int(n)) // an error means that the connection has ended
+		}
+		if k.add(near, nil) {
 			go k.connect(near)
 		}
 	}
@@ -222,6 +236,9 @@
 	buf := make([]byte, 16<<10)
 	for {
 		n, err := from.Read(buf)
+		for k.modeOf(from) == hold {
+			time.Sleep(holdPollInterval)
+		}
 		if n > 0 {
 			switch m := k.modeOf(from); {
 			case m == silence, m == oneWay && !fromDialer:
--- a/internal/gateway/soak/upstream_test.go
+++ b/internal/gateway/soak/upstream_test.go
@@ -117,6 +117,8 @@
 	// refused is called for each request that the upstream refuses with a requested
 	// backoff.
 	refused func(request string)
+	// receivedWhole, if set, is called for each request that arrived with its whole body.
+	receivedWhole func(request string)
 	// poisoned, if set, is called for each poison request, and reports whether the
 	// request terminates the upstream. It is set while requests are served.
 	poisoned atomic.Pointer[func(u *upstream) bool]
@@ -158,7 +160,7 @@
 func (u *upstream) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	d := defect(u.defect.Load())
 	// A truncated request body is not the upstream's error.
-	_, _ = io.Copy(io.Discard, r.Body)
+	_, bodyErr := io.Copy(io.Discard, r.Body)
 	if n := u.notice.Load(); n != nil {
 		n.SetHeaders(w.Header())
 	}
@@ -167,6 +169,9 @@
 		return
 	}
 	u.checkAccount(id, r)
+	if u.receivedWhole != nil && bodyErr == nil {
+		u.receivedWhole(id)
+	}
 	u.ledger.arrive(id, u)
 	backingOff := false
 	if n := u.notice.Load(); n != nil {
