requestbody: bound the memory of all request bodies together

Cause: each body is bounded by the configuration (64 MiB) only by itself. It was read into a buffer that doubles, and copied again for each attempt, so that two orders of 25 MiB took some 230 MB. Change: package requestbody reads bodies and accounts for them. A request without room is refused before its body is read: 503, not-run, bodies-full, Retry-After. A quarter is for bodies of up to 64 KiB; a body that is alone is always taken. A body of known length is read into one buffer, and one above 32 KiB is written to upstreams from there (writev). A declared length above the limit is refused before the body is read. Why this works: what the process holds for bodies no longer follows from how long upstreams take.

--- a/internal/gateway/exchange/exchange.go
+++ b/internal/gateway/exchange/exchange.go
@@ -171,7 +171,7 @@
 	p.silence.Store(x.silence)
 	x.progress = p
 	defer x.silence.stop()
-	n, err := nc.Write(x.encode(left))
+	n, err := x.write(left)
 	if n > 0 {
 		p.sent()
 	}
--- a/internal/gateway/exchange/roundtrip.go
+++ b/internal/gateway/exchange/roundtrip.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -18,6 +19,10 @@
 	// headerReserve is the initial space for a request's header in the buffer for its
 	// encoding, in bytes. The buffer grows if necessary.
 	headerReserve = 512
+	// maxCopiedBody is the maximum size of a body, in bytes, that is copied behind the
+	// header. A larger one is written from where it is, so that an attempt needs no memory
+	// for it.
+	maxCopiedBody = 32 << 10
 )
 
 // roundTrip is one request on one connection.
@@ -45,20 +50,37 @@
 	_ = x.conn.SetDeadline(expiredDeadline)
 }
 
-// encode returns the request in its wire format. left is the time left for the response.
+// write writes the request and returns the number of written bytes. left is the time left for
+// the response.
+func (x *roundTrip) write(left time.Duration) (int64, error) {
+	start := x.encode(left)
+	if len(x.request.Body) <= maxCopiedBody {
+		n, err := x.conn.Write(start)
+		return int64(n), err
+	}
+	out := net.Buffers{start, x.request.Body}
+	return out.WriteTo(x.conn.Conn)
+}
+
+// encode returns the request in its wire format, without a body above maxCopiedBody. left is
+// the time left for the response.
 func (x *roundTrip) encode(left time.Duration) []byte {
 	r := x.request
 	h := r.Header.Clone()
 	x.client.protocol.SetHeaders(h, x.to.Upstream, left)
 	var b bytes.Buffer
-	b.Grow(headerReserve + len(r.Body))
+	copied := r.Body
+	if len(copied) > maxCopiedBody {
+		copied = nil
+	}
+	b.Grow(headerReserve + len(copied))
 	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	if len(r.Body) > 0 || bodyExpected(r.Method) {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
 	_ = h.Write(&b) // a bytes.Buffer returns no error
 	b.WriteString("\r\n")
-	b.Write(r.Body)
+	b.Write(copied)
 	return b.Bytes()
 }
 
--- a/internal/gateway/proxy/harness_test.go
+++ b/internal/gateway/proxy/harness_test.go
@@ -32,6 +32,7 @@
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/reach"
+	"cairndock/internal/gateway/requestbody"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/route"
@@ -194,6 +195,7 @@
 		Location:         balance.Location{Zone: "z", Region: "r"},
 		SuspendWatch:     suspend.NewWatch(&g.suspension),
 		Client:           exchange.NewClient(g.dial, protocol{}),
+		Bodies:           requestbody.NewBuffers(100 << 20),
 		Quota:            quota.NewLimiter(quota.Options{Zone: "z", Region: "r", Bound: quota.Bound{Window: time.Second}, Hosts: soleHost{}, Metrics: m}),
 		KnowsQuarantines: func() bool { return !g.quarantinesUnknown.Load() },
 		RefusesSuspected: g.refusesSuspected.Load,
--- a/internal/gateway/proxy/inflight.go
+++ b/internal/gateway/proxy/inflight.go
@@ -9,6 +9,7 @@
 
 	"cairndock/internal/gateway/account"
 	"cairndock/internal/gateway/exchange"
+	"cairndock/internal/gateway/requestbody"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/route"
 	"cairndock/internal/gateway/upstream"
@@ -28,6 +29,9 @@
 	// clientCtx is canceled when the client disconnects.
 	clientCtx context.Context
 
+	// body is the body in memory; nil if the request has none.
+	body *requestbody.Body
+
 	// The following fields are set by prepare, which may fail before all of them are set.
 	config *route.Table
 	route  *route.Route
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -17,6 +17,7 @@
 	"cairndock/internal/gateway/payload"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/reach"
+	"cairndock/internal/gateway/requestbody"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/rollout"
 	"cairndock/internal/gateway/routing"
@@ -86,6 +87,8 @@
 	Notices *notice.Table
 	// Client sends attempts to upstreams.
 	Client *exchange.Client
+	// Bodies holds the bodies of requests.
+	Bodies *requestbody.Buffers
 	// Codec reads request headers and writes error responses.
 	Codec Codec
 	// KnowsQuarantines reports whether the host has received the list of quarantined
@@ -183,6 +186,7 @@
 	f := &inflight{proxy: p, info: info, began: began, suspendedAtStart: p.SuspendWatch.Total(), clientCtx: clientCtx, address: hostname(r.RemoteAddr)}
 	var err error
 	defer func() { endSpan(span, err) }()
+	defer func() { f.body.Release() }()
 	if err = f.prepare(w, r); err != nil {
 		f.refuse(w, err)
 		return
--- a/internal/gateway/proxy/refuse.go
+++ b/internal/gateway/proxy/refuse.go
@@ -8,6 +8,7 @@
 	"os"
 
 	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/requestbody"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/verdict"
@@ -33,13 +34,24 @@
 	f.logFinal(status, e)
 }
 
-// bodyIncomplete returns the error for a body that could not be read completely: it
-// arrived too slowly, or the client disconnected.
-func bodyIncomplete(err error) error {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
+// requestBodyError returns the error for a body that was not read: it exceeds its limit in bytes, the
+// memory for bodies is in use, it arrived too slowly, or the client disconnected.
+func requestBodyError(err error, limit int64) error {
+	switch {
+	case errors.Is(err, requestbody.ErrTooLarge):
+		return verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body exceeds %d bytes", limit)
+	case errors.Is(err, requestbody.ErrFull):
+		return errBodiesFull()
+	case errors.Is(err, os.ErrDeadlineExceeded):
 		return verdict.New(verdict.NotRun, verdict.BodyStalled, "body not received before the deadline")
+	default:
+		return verdict.New(verdict.NotRun, verdict.BadRequest, "body broke off")
 	}
-	return verdict.New(verdict.NotRun, verdict.BadRequest, "body broke off")
+}
+
+// errBodiesFull returns the error of a request whose body has no room in memory.
+func errBodiesFull() error {
+	return verdict.New(verdict.NotRun, verdict.BodiesFull, "the bodies of the requests in flight leave no memory for the body")
 }
 
 // notChosen returns the error when the balancer chose no upstream. preferred is the
--- a/internal/gateway/proxy/refuse_test.go
+++ b/internal/gateway/proxy/refuse_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"cairndock/internal/gateway/balance"
+	"cairndock/internal/gateway/requestbody"
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/gateway/warmup"
 	"cairndock/internal/verdict"
@@ -53,8 +54,10 @@
 		err    error
 		reason verdict.Reason
 	}{
-		{bodyIncomplete(os.ErrDeadlineExceeded), verdict.BodyStalled},
-		{bodyIncomplete(io.ErrUnexpectedEOF), verdict.BadRequest},
+		{requestBodyError(os.ErrDeadlineExceeded, 10), verdict.BodyStalled},
+		{requestBodyError(io.ErrUnexpectedEOF, 10), verdict.BadRequest},
+		{requestBodyError(requestbody.ErrTooLarge, 10), verdict.BodyTooLarge},
+		{requestBodyError(requestbody.ErrFull, 10), verdict.BodiesFull},
 		{notChosen(balance.Overloaded, "s", first), verdict.Full},
 		{notChosen(balance.WarmUpLimited, "s", first), verdict.Warming},
 		{notChosen(balance.NoUpstream, "s", balance.Choice{}), verdict.NoUpstream},
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"io"
 	"net"
 	"net/http"
 	"time"
@@ -40,9 +39,12 @@
 	if err := f.takeToken(); err != nil {
 		return err
 	}
-	body, err := readBody(w, r, limits.BodyBytes, f.deadline())
-	if err != nil {
-		return err
+	var body []byte
+	if hasBody(r) {
+		if err := f.readBody(w, r, limits.BodyBytes); err != nil {
+			return err
+		}
+		body = f.body.Bytes
 	}
 	f.request = upstreamRequest(f.info.ID, r, body)
 	if f.config.Accounts != nil {
@@ -96,27 +98,23 @@
 // readBody reads the whole request body before the deadline. limit is in bytes; zero
 // selects maxBodyBytes. When part of the body is left unread, the connection is closed, because
 // that part would precede the next request.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
+func (f *inflight) readBody(w http.ResponseWriter, r *http.Request, limit int64) error {
 	if limit <= 0 {
 		limit = maxBodyBytes
 	}
 	controller := http.NewResponseController(w)
 	// An error means that the connection is closed, which the read below reports.
-	_ = controller.SetReadDeadline(deadline)
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
+	_ = controller.SetReadDeadline(f.deadline())
+	var err error
+	if f.body, err = f.proxy.Bodies.Read(r.Body, r.ContentLength, limit); err != nil {
 		closeAfterResponse(w)
-		return nil, bodyIncomplete(err)
-	}
-	if int64(len(body)) > limit {
-		closeAfterResponse(w)
-		return nil, verdict.New(verdict.NotRun, verdict.BodyTooLarge, "body exceeds %d bytes", limit)
+		return requestBodyError(err, limit)
 	}
 	// An error means that the connection is closed. Then there is no next request that
 	// the old deadline could interrupt.
 	_ = controller.SetReadDeadline(time.Time{})
-	return body, nil
+	return nil
 }
+
+// hasBody reports whether a request has a body, which may be empty.
+func hasBody(r *http.Request) bool { return r.Body != nil && r.Body != http.NoBody }
--- a/internal/gateway/proxy/serveindirect.go
+++ b/internal/gateway/proxy/serveindirect.go
@@ -49,6 +49,7 @@
 		refuseIndirect(w, err, f.counted)
 		return 0, err
 	}
+	defer f.body.Release()
 	ctx, cancel := f.context()
 	defer cancel()
 	resp, err := f.run(ctx)
@@ -113,11 +114,23 @@
 	if err := f.matchRoute(msg.Host, target.Path); err != nil {
 		return err
 	}
+	if err := f.setAccount(msg.Account); err != nil {
+		return err
+	}
+	f.body, err = f.proxy.Bodies.Hold(msg.Body)
+	if err != nil {
+		return errBodiesFull()
+	}
+	return nil
+}
+
+// setAccount finds the account of a request of another host by its name.
+func (f *inflight) setAccount(name string) error {
 	if f.config.Accounts == nil {
 		return nil
 	}
 	var ok bool
-	f.account, ok = f.config.Accounts.ByName(msg.Account)
+	f.account, ok = f.config.Accounts.ByName(name)
 	if !ok && !f.route.Public {
 		return errUnknownKey()
 	}
--- a/internal/gateway/proxy/wire_test.go
+++ b/internal/gateway/proxy/wire_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"cmp"
 	"encoding/json"
 	"net/http"
 	"strconv"
@@ -108,7 +109,8 @@
 	Version  int64
 	Routes   []route.Route
 	Evacuate string
-	// Limits are the limits of client connections. The size limits are always the same.
+	// Limits are the limits of client connections. The limit on headers is always the same,
+	// and so is that on bodies unless it is set.
 	Limits route.Limits
 	// Accounts is nil if requests need no account.
 	Accounts []account.Entry
@@ -123,7 +125,7 @@
 		return routing.OperatorRow{Evacuate: r.Evacuate}, nil
 	}
 	services := []route.Service{{Name: "s", WarmUp: time.Second, WarmUpRate: 5}}
-	r.Limits.BodyBytes, r.Limits.HeaderBytes = 1000, 2000
+	r.Limits.BodyBytes, r.Limits.HeaderBytes = cmp.Or(r.Limits.BodyBytes, 1000), 2000
 	table := route.NewTable(r.Version, r.Routes, services, r.Limits)
 	if r.Accounts == nil {
 		return routing.OperatorRow{Table: table}, nil
--- a/internal/gateway/reqtrace/cause.go
+++ b/internal/gateway/reqtrace/cause.go
@@ -20,6 +20,7 @@
 // {account}, {config} and {detail} are fields of the final response.
 var causes = map[verdict.Reason]string{
 	verdict.Full:              "overload: every upstream that may serve the request was full; it did not run",
+	verdict.BodiesFull:        "{detail}; it did not run",
 	verdict.Warming:           "every upstream with capacity was warming up and this host had used its warm-up quota; the request did not run",
 	verdict.Withheld:          "all upstreams that may serve the request said that they take none now: {detail}; it did not run",
 	verdict.Quarantined:       "upstreams terminated one after another while they ran the same request (see the events quarantined and upstream-ended); it did not run",
--- /dev/null
+++ b/internal/gateway/requestbody/body_test.go
@@ -0,0 +1,173 @@
+package requestbody_test
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/iotest"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"cairndock/internal/gateway/requestbody"
+)
+
+const (
+	kilobyte = 1 << 10
+	megabyte = 1 << 20
+)
+
+func zeros(size int64) io.Reader { return bytes.NewReader(make([]byte, size)) }
+
+func TestABodyIsReadWhole(t *testing.T) {
+	text := strings.Repeat("0123456789", 3000)
+	for name, length := range map[string]int64{"known length": int64(len(text)), "unknown length": -1} {
+		for _, source := range []io.Reader{strings.NewReader(text), iotest.OneByteReader(strings.NewReader(text)), iotest.DataErrReader(strings.NewReader(text))} {
+			b := requestbody.NewBuffers(megabyte)
+			body, err := b.Read(source, length, megabyte)
+			require.NoError(t, err, name)
+			require.Equal(t, text, string(body.Bytes), name)
+			require.GreaterOrEqual(t, b.Held(), int64(len(text)), name)
+			body.Release()
+			body.Release()
+			require.Zero(t, b.Held(), name)
+		}
+	}
+}
+
+func TestABodyThatIsNotReadIsNotHeld(t *testing.T) {
+	broken := errors.New("broken")
+	for _, c := range []struct {
+		name   string
+		source io.Reader
+		length int64
+		err    error
+	}{
+		{"declared too long", zeros(0), 11 * kilobyte, requestbody.ErrTooLarge},
+		{"too long", zeros(11 * kilobyte), -1, requestbody.ErrTooLarge},
+		{"one byte too long", zeros(10*kilobyte + 1), -1, requestbody.ErrTooLarge},
+		{"shorter than declared", zeros(5), 6, io.ErrUnexpectedEOF},
+		{"empty, though declared", zeros(0), 6, io.ErrUnexpectedEOF},
+		{"broken", iotest.ErrReader(broken), 6, broken},
+		{"broken, of unknown length", iotest.ErrReader(broken), -1, broken},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			b := requestbody.NewBuffers(megabyte)
+			_, err := b.Read(c.source, c.length, 10*kilobyte)
+			require.ErrorIs(t, err, c.err)
+			require.Zero(t, b.Held())
+		})
+	}
+}
+
+func TestAnEmptyBodyIsNoError(t *testing.T) {
+	for _, length := range []int64{0, -1} {
+		body, err := requestbody.NewBuffers(megabyte).Read(zeros(0), length, kilobyte)
+		require.NoError(t, err)
+		require.Empty(t, body.Bytes)
+	}
+}
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	read int
+}
+
+func (r *countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += n
+	return n, err
+}
+
+// Bodies that were each within their limit took all the memory of a host together.
+func TestBodiesAreBoundedTogether(t *testing.T) {
+	b := requestbody.NewBuffers(8 * megabyte)
+	var held []*requestbody.Body
+	for range 3 {
+		body, err := b.Read(zeros(2*megabyte), 2*megabyte, 4*megabyte)
+		require.NoError(t, err)
+		held = append(held, body)
+	}
+	source := &countingReader{Reader: zeros(2 * megabyte)}
+	_, err := b.Read(source, 2*megabyte, 4*megabyte)
+	require.ErrorIs(t, err, requestbody.ErrFull)
+	require.Zero(t, source.read, "a body is refused before it is read")
+	_, err = b.Read(zeros(2*megabyte), -1, 4*megabyte)
+	require.ErrorIs(t, err, requestbody.ErrFull)
+	_, err = b.Hold(make([]byte, megabyte))
+	require.ErrorIs(t, err, requestbody.ErrFull)
+
+	small, err := b.Read(zeros(kilobyte), kilobyte, 4*megabyte)
+	require.NoError(t, err, "a part is kept for small bodies")
+	small.Release()
+	held[0].Release()
+	body, err := b.Read(zeros(2*megabyte), 2*megabyte, 4*megabyte)
+	require.NoError(t, err)
+	body.Release()
+}
+
+// A host with little memory served no body of the size that the configuration allows.
+func TestABodyThatIsAloneIsNotRefused(t *testing.T) {
+	b := requestbody.NewBuffers(megabyte)
+	for _, length := range []int64{8 * megabyte, -1} {
+		body, err := b.Read(zeros(8*megabyte), length, 8*megabyte)
+		require.NoError(t, err)
+		_, err = b.Read(zeros(kilobyte), kilobyte, megabyte)
+		require.ErrorIs(t, err, requestbody.ErrFull)
+		body.Release()
+	}
+	require.Zero(t, b.Held())
+}
+
+func TestTheAccountIsNeverAboveTheLimitUnlessABodyIsAlone(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.Int64Range(1, 100*kilobyte).Draw(t, "limit")
+		b := requestbody.NewBuffers(limit)
+		var held []*requestbody.Body
+		for range rapid.IntRange(1, 50).Draw(t, "steps") {
+			if len(held) > 0 && rapid.Bool().Draw(t, "release") {
+				i := rapid.IntRange(0, len(held)-1).Draw(t, "which")
+				held[i].Release()
+				held = append(held[:i], held[i+1:]...)
+				continue
+			}
+			size := rapid.Int64Range(1, 80*kilobyte).Draw(t, "size")
+			length := size
+			if rapid.Bool().Draw(t, "unknown length") {
+				length = -1
+			}
+			if body, err := b.Read(zeros(size), length, 80*kilobyte); err == nil {
+				held = append(held, body)
+			}
+			if len(held) > 1 && b.Held() > limit {
+				t.Fatalf("%d bytes in %d bodies, %d allowed", b.Held(), len(held), limit)
+			}
+		}
+		for _, body := range held {
+			body.Release()
+		}
+		if b.Held() != 0 {
+			t.Fatalf("%d bytes are held by no body", b.Held())
+		}
+	})
+}
+
+func TestBodiesAreReadConcurrently(t *testing.T) {
+	b := requestbody.NewBuffers(40 * kilobyte)
+	var readers sync.WaitGroup
+	for range 8 {
+		readers.Go(func() {
+			for range 50 {
+				if body, err := b.Read(zeros(10*kilobyte), -1, megabyte); err == nil {
+					body.Release()
+				}
+			}
+		})
+	}
+	readers.Wait()
+	require.Zero(t, b.Held())
+}
--- a/internal/gateway/retry/after.go
+++ b/internal/gateway/retry/after.go
@@ -56,7 +56,7 @@
 	switch r {
 	case verdict.UnknownRoute, verdict.UnknownKey, verdict.HeaderTooLarge, verdict.BodyTooLarge, verdict.BodyStalled, verdict.BadRequest:
 		return Delay{}
-	case verdict.Full, verdict.Warming, verdict.Withheld, verdict.NoUpstream, verdict.UpstreamShed:
+	case verdict.BodiesFull, verdict.Full, verdict.Warming, verdict.Withheld, verdict.NoUpstream, verdict.UpstreamShed:
 		return Delay{Min: minOverloadDelay, Jitter: maxOverloadJitter}
 	case verdict.UpstreamDeclined:
 		return Delay{Min: minDeclinedDelay, Jitter: maxDeclinedJitter}
--- a/internal/gateway/settings_test.go
+++ b/internal/gateway/settings_test.go
@@ -53,6 +53,16 @@
 	require.Zero(t, g.Limits.RetryRatio)
 }
 
+func TestTheMemoryIsChecked(t *testing.T) {
+	g, err := load(t, minSettings+"[resources]\nmemory_mb = 284\n")
+	require.NoError(t, err)
+	require.EqualValues(t, 284, g.Resources.MemoryMB)
+	for _, value := range []string{"-1", "1073741825"} {
+		_, err := load(t, minSettings+"[resources]\nmemory_mb = "+value+"\n")
+		require.ErrorContains(t, err, "resources.memory_mb")
+	}
+}
+
 func TestBoundsOfClientAccountsAreChecked(t *testing.T) {
 	g, err := load(t, minSettings+"[limits]\nstrict_revocation = true\nrevoke_within = \"3s\"\nquota_window = \"4s\"\nquota_overshoot = 0.1\nquota_slack = 20\n")
 	require.NoError(t, err)
--- a/internal/gateway/wiring.go
+++ b/internal/gateway/wiring.go
@@ -12,6 +12,7 @@
 	"cairndock/internal/gateway/proxy"
 	"cairndock/internal/gateway/quota"
 	"cairndock/internal/gateway/reach"
+	"cairndock/internal/gateway/requestbody"
 	"cairndock/internal/gateway/retry"
 	"cairndock/internal/gateway/routing"
 	"cairndock/internal/gateway/upstream"
@@ -45,7 +46,7 @@
 
 func (g *Gateway) newFleet(store *platform.Store) *fleet.Fleet {
 	host, listen := g.settings.Host, g.settings.Listen
-	resources := fleet.Resources(g.settings.Resources)
+	resources := g.settings.Resources.capacity()
 	o := fleet.Options{
 		Self: fleet.Host{
 			Name: host.Name, Zone: host.Zone, Region: host.Region, PeerAddress: listen.Peers, ClientAddress: listen.Callers,
@@ -98,11 +99,12 @@
 		Reach:        g.reach,
 		SuspendWatch: g.suspendWatch,
 		Client:       client,
+		Bodies:       requestbody.NewBuffers(g.settings.Resources.bodiesBytes()),
 		Codec:        platform.Codec{Metrics: g.metrics},
 		SlackShare:   g.fleet.CommonShare,
 		Peers:        g.fleet,
 		Location:     location,
-		Capacity:     fleet.Resources(g.settings.Resources).Capacity(),
+		Capacity:     g.settings.Resources.capacity().Capacity(),
 		Quota:        g.quota,
 		MaxKeyAge:    limits.maxKeyAge(),
 		ConfigAge:    g.tables[operatorTable].Replica.Age,
--- a/internal/verdict/verdict.go
+++ b/internal/verdict/verdict.go
@@ -60,6 +60,9 @@
 	HeaderTooLarge Reason = "header-too-large"
 	// BodyStalled: the client did not send the complete body in time.
 	BodyStalled Reason = "body-stalled"
+	// BodiesFull: the bodies of the requests in flight leave no memory for that
+	// of the request.
+	BodiesFull Reason = "bodies-full"
 	// Full: every upstream that may serve the request is at its limit.
 	Full Reason = "full"
 	// NoUpstream: no upstream may serve the request, because all are
@@ -160,7 +163,7 @@
 		return http.StatusUnprocessableEntity
 	case HeaderTooLarge:
 		return http.StatusRequestHeaderFieldsTooLarge
-	case NotReady, Stopping, PeerStopping, KeyUnconfirmed, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, ConnectionRefused, Misdirected, UpstreamShed, UpstreamDeclined:
+	case NotReady, Stopping, PeerStopping, KeyUnconfirmed, BodiesFull, Full, Capped, Quarantined, Warming, Withheld, NoUpstream, Unreachable, ConnectionRefused, Misdirected, UpstreamShed, UpstreamDeclined:
 		return http.StatusServiceUnavailable
 	case BodyStalled, DeadlineLapsed, Interrupted, CallerLeft:
 		return http.StatusGatewayTimeout
