upstream: refuse an entry without a start time under an id whose run had one

Cause: an entry of another writer without the start time of the process was valid under any id, as earlier programs write none. It named a run of its own, which was not draining, and the upstream's own entry after it counted as a delayed one of an earlier run, ignored for 1.6 s. Change: such an entry is a bad row if the last known run of the id had a start time. The upstream gets nothing until its own entry is written again, which applies at once. Why this works: a program that writes its start time always does, so the entry is not its own.

--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -115,12 +115,22 @@
 	return stateReady
 }
 
+// decodeUpstream decodes an upstream's row. It returns an error for a row of another writer that
+// names no run of the upstream. s.mu must be held.
+func (s *State) decodeUpstream(key string, value []byte) (upstream.Registration, error) {
+	registration, err := s.decoder.Upstream(key, value)
+	if err != nil {
+		return registration, err
+	}
+	return registration, s.registry.Check(registration, time.Now())
+}
+
 // putUpstream adds or changes the upstream of a row with put. If the row can't be decoded,
 // whoever wrote it, the upstream with its key gets no new requests until the row is valid
 // again. Upstreams of the first full listing are not logged, because nothing changed. s.mu
 // must be held.
 func (s *State) putUpstream(row watch.Row, now time.Time, put func(upstream.Registration, time.Time) string) {
-	registration, ok := decode(s, UpstreamTable, row, s.decoder.Upstream)
+	registration, ok := decode(s, UpstreamTable, row, s.decodeUpstream)
 	if !ok {
 		delete(s.newVersions, row.Key)
 		if s.registry.Discard(row.Key, now) {
