watch: log and count changes that a host learned of late

No line told whether the host's copy of the table was old, or the copy was recent and said otherwise: the upstream lines have no age, and lost lines name a source and not what was missed.

A host now logs late-update and counts cairndock_late_updates_total when it applies changes to a copy that the store had not confirmed within Timing.MaxAge, with the age and the source.

--- a/internal/gateway/eventlog/events.go
+++ b/internal/gateway/eventlog/events.go
@@ -380,6 +380,12 @@
 	l.versions("listing-refused", table, source, listed, known).Msg("table: listing is older than the known version, not applied")
 }
 
+// LateUpdate logs changes of a table that the host may have learned of late. age is the time since
+// the store had last confirmed the host's copy.
+func (l *Log) LateUpdate(table, source string, age time.Duration, changes int) {
+	l.stateEvent("late-update").Str("table", table).Str("name", source).Float64("age_ms", ms(age)).Int("changed", changes).Msg("table: changes applied late")
+}
+
 // EraBegan logs that the store has a new era because it was restored from an older copy.
 // changed is the number of new rows in the listed table, and reverted the number of rows that
 // are missing or older than known.
--- a/internal/gateway/fleet/rewrite_test.go
+++ b/internal/gateway/fleet/rewrite_test.go
@@ -32,6 +32,7 @@
 type noopSink struct{}
 
 func (noopSink) Apply(watch.Update)                                          {}
+func (noopSink) Late(string, time.Duration, int)                             {}
 func (noopSink) Lost(string, error)                                          {}
 func (noopSink) Regained(string, time.Duration)                              {}
 func (noopSink) Refused(string, watch.Version, watch.Version)                {}
--- a/internal/gateway/routing/state.go
+++ b/internal/gateway/routing/state.go
@@ -187,6 +187,12 @@
 // Apply applies changed rows.
 func (s *sink) Apply(u watch.Update) { s.apply(u) }
 
+// Late logs and counts changes that the host may have learned of late.
+func (s *sink) Late(source string, age time.Duration, changes int) {
+	s.state.metrics.Count(`cairndock_late_updates_total{table="` + s.table + `"}`)
+	s.state.log.LateUpdate(s.table, source, age, changes)
+}
+
 // Lost logs and counts a source of the table that stopped responding.
 func (s *sink) Lost(source string, err error) {
 	s.state.metrics.Count(`cairndock_source_lost_total{table="` + s.table + `"}`)
--- a/internal/gateway/watch/harness_test.go
+++ b/internal/gateway/watch/harness_test.go
@@ -118,8 +118,8 @@
 	rows     map[string]string
 	lost     []string
 	regained []string
-	// refused and eras count the calls of Refused and EraBegan.
-	refused, eras int
+	// late, refused and eras count the calls of Late, Refused and EraBegan.
+	late, refused, eras int
 }
 
 func (r *recordingSink) Apply(u Update) {
@@ -137,6 +137,12 @@
 	}
 }
 
+func (r *recordingSink) Late(string, time.Duration, int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.late++
+}
+
 func (r *recordingSink) Lost(source string, _ error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -28,6 +28,9 @@
 // Sink receives a watcher's changes. All calls are made from one goroutine.
 type Sink interface {
 	Apply(Update)
+	// Late is called after changes were applied that the host may have learned of late: the
+	// replica had not been confirmed for the given time, which exceeds Timing.MaxAge.
+	Late(source string, age time.Duration, changes int)
 	// Lost is called when a source begins to fail, and Regained when the source works
 	// again, with the duration of the failure.
 	Lost(source string, err error)
@@ -153,7 +156,7 @@
 		return noChange, eris.Errorf("source is at version %s, older than the known version %s", page.Version, known)
 	}
 	w.listedAt = time.Time{}
-	return w.apply(page), w.checkRelay(n, page)
+	return w.apply(n, page), w.checkRelay(n, page)
 }
 
 // defersList reports whether the listing of a later era is deferred to give other
@@ -177,13 +180,17 @@
 	return gone && time.Since(w.listedAt) >= w.timing.fraction(longPollFraction)
 }
 
-// apply applies changes to the replica and the sink.
-func (w *Watcher) apply(p Page) pollResult {
+// apply applies changes of a source to the replica and the sink.
+func (w *Watcher) apply(n NamedSource, p Page) pollResult {
+	age := w.replica.Age()
 	changes := w.replica.apply(p, time.Now())
 	if len(changes) == 0 {
 		return noChange
 	}
 	w.sink.Apply(Update{Rows: changes, StoreReturned: w.replica.storeReturned()})
+	if age > w.timing.MaxAge() {
+		w.sink.Late(n.Name, age, len(changes))
+	}
 	return changed
 }
 
