fleet, watch: tests of changes that are late beside faults of the store

A host whose open connections to its relay and to the store both go silent has not learned of a change after the bound.

--- a/internal/gateway/watch/staleness_test.go
+++ b/internal/gateway/watch/staleness_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -106,6 +107,61 @@
 	}
 }
 
+// Open connections that were dropped without a reset stay silent, and new ones work.
+func TestAHostWhoseOpenConnectionsGoSilentIsNotStalerThanTheBound(t *testing.T) {
+	for offset := time.Duration(0); offset < staleness; offset += staleness / 10 {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			_, relayReplica := startWatcher(t, noneNewer, NamedSource{Name: "store", Source: s})
+			relay := &connection{Source: relaySource{&fakeStore{}, relayReplica}, down: make(chan struct{})}
+			store := &connection{Source: s, down: make(chan struct{}), redials: true}
+			r, _ := startWatcher(t, noneNewer, NamedSource{Name: "relay", Source: relay, Relay: true}, NamedSource{Name: "store", Source: store})
+			time.Sleep(10*time.Second + offset)
+			relay.drop()
+			store.drop()
+			s.put("a", "1")
+			time.Sleep(staleness)
+			require.Equal(t, "1", r.value("a"), "silent from %s on", offset)
+		})
+	}
+}
+
+// connection is a source behind a connection that can become silent.
+type connection struct {
+	Source
+	// redials makes the call after one that timed out use a new connection.
+	redials bool
+
+	mu sync.Mutex
+	// down is closed once the connection is silent.
+	down chan struct{}
+}
+
+func (c *connection) drop() { close(c.down) }
+
+func (c *connection) isDown() bool {
+	select {
+	case <-c.down:
+		return true
+	default:
+		return false
+	}
+}
+
+func (c *connection) Changes(ctx context.Context, after Version, wait time.Duration) (Page, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	page, err := c.Source.Changes(ctx, after, wait)
+	if !c.isDown() {
+		return page, err
+	}
+	<-ctx.Done()
+	if c.redials {
+		c.down = make(chan struct{})
+	}
+	return Page{}, ctx.Err()
+}
+
 // relaySource is another host's replica behind a link that can fail.
 type relaySource struct {
 	link    *fakeStore
