watch: poll further sources while a silent one is waited for

Callers saw requests reach upstreams, and configurations stay in force, longer than the bound after a change was acknowledged.

Cause: a watcher polled one source at a time. Each time-out fits into the staleness bound S, but two of them follow each other: a relay that is silent or stale (0.7 S), then a store that does not respond (0.5 S and 0.5 to 2 s), then the relay again. Every fallback that is tried in turn has this fault.

A replica that was not confirmed for 0.62 S is now overdue: further sources are polled beside the one that is waited for, one every 0.03 S, and without a long poll, so that the first source that responds is enough. Polls of one source never overlap, and backoffs are as before, so that the calls to the store stay bounded.

--- a/internal/gateway/watch/sources.go
+++ b/internal/gateway/watch/sources.go
@@ -50,6 +50,8 @@
 	// failedSince is the time of the first of the consecutive failures; zero if the last
 	// poll succeeded.
 	failedSince time.Time
+	// polling is set during a poll of the source.
+	polling bool
 }
 
 func newSourceState() *sourceState {
--- a/internal/gateway/watch/staleness.go
+++ b/internal/gateway/watch/staleness.go
@@ -12,12 +12,16 @@
 // relay may fail in three ways, and each must be detected early enough to poll the store
 // within the rest of S:
 //
-//	the relay goes silent            relayLongPollFraction + relaySlackFraction = 0.7 S
+//	the relay goes silent            the replica's age, overdueFraction         = 0.62 S
 //	the relay's store goes silent    the relay's age, maxAgeFraction            = 0.7 S
 //	the relay misses a change        a newer version in the heartbeats of other
 //	                                 hosts, behindFraction                      = 0.2 S
 //
-// TestNoHostThatReachesTheStoreIsStalerThanTheBound checks the total. When relays were
+// Any other source may be silent at the same time. An overdue replica is therefore polled for
+// from another source every backupIntervalFraction, without waiting for the sources before.
+//
+// TestNoHostThatReachesTheStoreIsStalerThanTheBound and
+// TestAHostWhoseOpenConnectionsGoSilentIsNotStalerThanTheBound check the total. When relays were
 // trusted up to an age of 3.5 s with S at 2 s, three requests were handled by an
 // outdated configuration (deploy/days/pair-down-nodes-evacuate.toml).
 type Timing time.Duration
@@ -36,6 +40,11 @@
 	relaySlackFraction = 0.1
 	// maxAgeFraction is the maximum age of a relay; an older one is considered failed.
 	maxAgeFraction = 0.7
+	// overdueFraction is the age of a replica from which on further sources are polled. It
+	// exceeds the time between two confirmations of a relay whose relays and store respond.
+	overdueFraction = 0.62
+	// backupIntervalFraction is the time between two such polls.
+	backupIntervalFraction = 0.03
 	// behindFraction is how long another host may have a change before a source that has
 	// not passed on the change is considered failed.
 	behindFraction = 0.2
@@ -72,13 +81,14 @@
 func (t Timing) MaxAge() time.Duration { return t.fraction(maxAgeFraction) }
 
 // timeouts returns how long a source may hold a poll, and how much longer its response
-// may take; current is the source's slack after its late responses. A host that is
-// behind does not long-poll, because the change that it misses already exists. It then
+// may take; current is the source's slack after its late responses. A poll is urgent if
+// the host is behind, because the change that it misses already exists, or overdue,
+// because it needs a confirmation. An urgent poll is no long poll. It then
 // grants the current slack even to a relay, because the source may be slow or far away
 // and still be the only one available.
-func (t Timing) timeouts(relay, behind bool, current time.Duration) (longPoll, slack time.Duration) {
+func (t Timing) timeouts(relay, urgent bool, current time.Duration) (longPoll, slack time.Duration) {
 	switch {
-	case behind:
+	case urgent:
 		return 0, current
 	case relay:
 		return t.fraction(relayLongPollFraction), t.fraction(relaySlackFraction)
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/rotisserie/eris"
@@ -25,7 +26,7 @@
 // errListDeferred reports that a listing was deferred.
 var errListDeferred = eris.New("listing is deferred")
 
-// Sink receives a watcher's changes. All calls are made from one goroutine.
+// Sink receives a watcher's changes. Its methods are not called concurrently.
 type Sink interface {
 	Apply(Update)
 	// Late is called after changes were applied that the host may have learned of late: the
@@ -70,6 +71,8 @@
 	sink    Sink
 	timing  Timing
 
+	// mu guards the fields below, and is held while a response is applied.
+	mu sync.Mutex
 	// sources holds the state of each source by its name.
 	sources map[string]*sourceState
 	// listedAt is when the table was last listed; zero once changes were read after the
@@ -88,27 +91,30 @@
 // to limit the calls, and polls a relay again at once, because polls of relays cost
 // nothing.
 func (w *Watcher) Run(ctx context.Context) {
+	var backups sync.WaitGroup
+	defer backups.Wait()
+	backups.Go(func() { w.runBackups(ctx) })
 	for ctx.Err() == nil {
-		source, ok := w.nextSource(time.Now())
+		source, ok := w.takeSource(time.Now())
 		if !ok {
 			pause.For(ctx, noSourceDelay)
 			continue
 		}
 		result, err := w.poll(ctx, source)
-		if ctx.Err() != nil {
-			return
-		}
-		w.recordResult(source, err)
-		if err == nil && !source.Relay {
+		if ctx.Err() == nil && err == nil && !source.Relay {
 			pause.For(ctx, w.timing.delayAfter(result))
 		}
 	}
 }
 
-// nextSource returns the best source that may be polled now, if any.
-func (w *Watcher) nextSource(now time.Time) (NamedSource, bool) {
-	for _, n := range w.order() {
-		if !now.Before(w.state(n).retryAt) {
+// takeSource returns the best source that may be polled now, if any. The caller must poll it.
+func (w *Watcher) takeSource(now time.Time) (NamedSource, bool) {
+	order := w.order()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, n := range order {
+		if s := w.state(n); !s.polling && !now.Before(s.retryAt) {
+			s.polling = true
 			return n, true
 		}
 	}
@@ -127,17 +133,29 @@
 	firstList
 )
 
-// poll reads a source once and applies the response. An error means that the source
-// failed, even if its response was applied.
+// poll reads a source that was taken once, applies the response and records the result. An
+// error means that the source failed, even if its response was applied.
 func (w *Watcher) poll(ctx context.Context, n NamedSource) (pollResult, error) {
-	behind := w.behind()
-	longPoll, slack := w.timing.timeouts(n.Relay, behind, w.state(n).slack)
+	result, err := w.read(ctx, n)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.state(n).polling = false
+	if ctx.Err() == nil {
+		w.recordResult(n, err)
+	}
+	return result, err
+}
+
+// read reads a source once and applies the response.
+func (w *Watcher) read(ctx context.Context, n NamedSource) (pollResult, error) {
+	urgent := w.behind() || w.overdue()
+	longPoll, slack := w.timing.timeouts(n.Relay, urgent, w.slackOf(n))
 	ctx, cancel := context.WithTimeout(ctx, longPoll+slack)
 	defer cancel()
 	if !w.replica.isSynced() {
 		return firstList, w.list(ctx, n)
 	}
-	if !behind {
+	if !urgent {
 		go w.cancelWhenBehind(ctx, cancel)
 	}
 	known := w.replica.Version()
@@ -155,13 +173,14 @@
 	if page.Era < known.Era {
 		return noChange, eris.Errorf("source is at version %s, older than the known version %s", page.Version, known)
 	}
-	w.listedAt = time.Time{}
-	return w.apply(n, page), w.checkRelay(n, page)
+	return w.apply(n, page), w.checkRelay(n, page, known)
 }
 
 // defersList reports whether the listing of a later era is deferred to give other
 // sources time to reach that era. Each era's listing is deferred once.
 func (w *Watcher) defersList(n NamedSource, p Page, known Version) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if n.ListAfter == 0 || p.Era <= known.Era || p.Era == w.deferredEra {
 		return false
 	}
@@ -177,11 +196,16 @@
 	if p.Era > known.Era && (err == nil || gone) {
 		return true
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	return gone && time.Since(w.listedAt) >= w.timing.fraction(longPollFraction)
 }
 
 // apply applies changes of a source to the replica and the sink.
 func (w *Watcher) apply(n NamedSource, p Page) pollResult {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.listedAt = time.Time{}
 	age := w.replica.Age()
 	changes := w.replica.apply(p, time.Now())
 	if len(changes) == 0 {
@@ -201,6 +225,8 @@
 	if err != nil {
 		return err
 	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	known := w.replica.Version()
 	page.Version = page.Version.inEra(known.Era)
 	update, ok := w.replica.replace(page, time.Now())
@@ -213,16 +239,17 @@
 	}
 	w.listedAt = time.Now()
 	w.sink.Apply(update)
-	return w.checkRelay(n, page)
+	return w.checkRelay(n, page, known)
 }
 
-// checkRelay returns why a relay's response counts as a failure, or nil if it does not.
-// A response of the store never does.
-func (w *Watcher) checkRelay(n NamedSource, p Page) error {
+// checkRelay returns why a relay's response counts as a failure, or nil if it does not. known is
+// the version that this host had when it polled the relay. A response of the store never counts
+// as a failure.
+func (w *Watcher) checkRelay(n NamedSource, p Page, known Version) error {
 	if !n.Relay {
 		return nil
 	}
-	return w.timing.relayFault(p, w.replica.Version(), w.behind())
+	return w.timing.relayFault(p, known, w.behind())
 }
 
 func (w *Watcher) behind() bool {
@@ -249,6 +276,14 @@
 	}
 }
 
+// slackOf returns how much longer than its long poll a response of a source may take.
+func (w *Watcher) slackOf(n NamedSource) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.state(n).slack
+}
+
+// state returns the state of a source. w.mu must be held.
 func (w *Watcher) state(n NamedSource) *sourceState {
 	s := w.sources[n.Name]
 	if s == nil {
