fleet: replace a root that the store refuses

Callers saw requests reach upstreams up to three quarters of the bound after their drain was acknowledged, in a whole region, although most of its hosts reached the store.

Cause: one host of a region polls the store for all. When the store refused only this host, it kept its place: the others trusted its copy, and each other's, until they were 0.7 of the bound old, all polled the store in the same second, and went back to the same root.

A root whose poll of the store fails now says so in its heartbeats and in its responses to polls, and ends the polls that it holds. The next host in the order of the tree polls the store instead. Hosts of older versions neither report nor know of it, and see what they saw before.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -162,6 +162,8 @@
 	discovery      discovery
 	// newest is the newest version seen of each table.
 	newest []versionSeen
+	// storePolls has the state of the polls of each table at the store.
+	storePolls []storePolls
 	// announcedEra is the era of the store in which this host was last announced.
 	announcedEra int64
 	// quarantineRows has the rows of quarantines that this host has written or read.
@@ -172,7 +174,7 @@
 func New(o Options) *Fleet {
 	f := &Fleet{
 		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
-		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), announcedEra: notAnnounced,
+		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), storePolls: make([]storePolls, len(o.Tables)), announcedEra: notAnnounced,
 		quarantinesChanged: make(chan struct{}, 1), quarantineRows: map[quarantineRow]rowState{},
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
--- a/internal/gateway/fleet/heartbeat.go
+++ b/internal/gateway/fleet/heartbeat.go
@@ -44,6 +44,7 @@
 		f.reportDead(last, now)
 		f.updateAssignment(now)
 		f.rewriteLost(ctx)
+		f.probeStore(ctx, now)
 		last = now
 	}
 }
--- a/internal/gateway/fleet/host.go
+++ b/internal/gateway/fleet/host.go
@@ -41,6 +41,9 @@
 	// are quarantined, so that other hosts do not learn that from it. Hosts of older
 	// versions don't report it.
 	QuarantinesUnknown bool `msgpack:"k,omitempty"`
+	// StoreUnreachable reports that the host polled the store for its region without success,
+	// so that another host must. Hosts of older versions don't report it.
+	StoreUnreachable bool `msgpack:"s,omitempty"`
 	// Rate is the recent rate of client requests to the host, in requests per second.
 	Rate int `msgpack:"q,omitempty"`
 	// Changes is the version of the last change in each table's replica, in the order of
--- a/internal/gateway/fleet/members.go
+++ b/internal/gateway/fleet/members.go
@@ -17,6 +17,8 @@
 	firstStart, announcedBefore bool
 	// heldShards is set once this process has held shards of limits.
 	heldShards bool
+	// storeUnreachable is set while this host reports Status.StoreUnreachable.
+	storeUnreachable bool
 	// lists has the time at which the list of hosts of each region was read completely
 	// from the registry; zero if it was not read yet.
 	lists map[string]time.Time
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -46,11 +46,14 @@
 	HistoryGone bool `msgpack:"g,omitempty"`
 	// More reports that there are rows with higher keys than those of the page.
 	More bool `msgpack:"o,omitempty"`
+	// StoreUnreachable is Status.StoreUnreachable of the peer.
+	StoreUnreachable bool `msgpack:"s,omitempty"`
 }
 
 // relay is a source that reads a peer's replica of a table.
 type relay struct {
 	fleet   *Fleet
+	host    string
 	address string
 	table   int
 }
@@ -117,6 +120,7 @@
 	if err != nil {
 		return relayResponse{}, eris.Wrap(err, "poll relay")
 	}
+	r.fleet.recordRelay(r.host, response)
 	if response.HistoryGone {
 		return response, watch.ErrHistoryGone
 	}
@@ -131,12 +135,25 @@
 		fail(w)
 		return
 	}
-	page, more, err := request.read(ctx, f.options.Tables[request.Table].Replica)
-	if err != nil && !errors.Is(err, watch.ErrHistoryGone) {
+	response, err := f.readRelay(ctx, request)
+	if err != nil {
 		fail(w) // the peer has disconnected, or this host is stopping
 		return
 	}
-	respond(w, relayResponse{Page: page, HistoryGone: err != nil, More: more})
+	respond(w, response)
+}
+
+// readRelay returns the response to a peer's poll.
+func (f *Fleet) readRelay(ctx context.Context, request relayRequest) (relayResponse, error) {
+	if f.storeUnreachable() {
+		request.Wait = min(request.Wait, maxUnreachableWait)
+	}
+	page, more, err := request.read(ctx, f.options.Tables[request.Table].Replica)
+	gone := errors.Is(err, watch.ErrHistoryGone)
+	if err != nil && !gone {
+		return relayResponse{}, err
+	}
+	return relayResponse{Page: page, HistoryGone: gone, More: more, StoreUnreachable: f.storeUnreachable()}, nil
 }
 
 // read returns the rows that are requested. more is set if a chunk is not the last one.
@@ -162,12 +179,13 @@
 	defer f.mu.Unlock()
 	now := time.Now()
 	parent, root := f.members.relayParent(selfReady, now)
+	first := root && !f.members.storeUnreachable
 	var sources []watch.NamedSource
 	if !root {
 		sources = append(sources, f.relay(table, parent))
 	}
 	if selfReady || !f.members.startsFromPeers(f.options.FirstStart, f.discovery.complete, now) {
-		sources = append(sources, watch.NamedSource{Name: "store", Source: f.options.Tables[table].Store, Fallback: !root, ListAfter: f.members.listDelay(root)})
+		sources = append(sources, watch.NamedSource{Name: "store", Source: polledStore{f.options.Tables[table].Store, f, table}, Fallback: !first, ListAfter: f.members.listDelay(first)})
 	}
 	for _, h := range f.members.freshPeers(backupRelays, parent.Name, now) {
 		sources = append(sources, f.relay(table, h))
@@ -176,7 +194,7 @@
 }
 
 func (f *Fleet) relay(table int, h Host) watch.NamedSource {
-	return watch.NamedSource{Name: h.Name, Source: relay{fleet: f, address: h.PeerAddress, table: table}, Relay: true}
+	return watch.NamedSource{Name: h.Name, Source: relay{fleet: f, host: h.Name, address: h.PeerAddress, table: table}, Relay: true}
 }
 
 // versionSeen is the newest version of a table that any peer has.
--- a/internal/gateway/fleet/relaytree.go
+++ b/internal/gateway/fleet/relaytree.go
@@ -23,6 +23,10 @@
 // only hosts that precede it. The order depends only on announced properties of the hosts,
 // so that there is no cycle even if the hosts differ in which hosts they see alive.
 //
+// A root that does not reach the store is skipped by all hosts, and polls one of them until it
+// reaches the store again. While hosts differ in whether they know of it, two of them may poll
+// each other; their replicas then age, and both fall back to other sources.
+//
 // Leaving hosts are skipped. Once this host is ready (selfReady), so are hosts that are
 // not ready, because they may have nothing to relay. Before that they are included,
 // because otherwise each of the hosts that start together would poll the store.
@@ -57,21 +61,29 @@
 }
 
 // relayCandidates returns the peers of the region that precede this host and may relay
-// tables, by rank.
+// tables, by rank. If this host does not reach the store, peers that follow it may, too.
 func (m *members) relayCandidates(selfReady bool, now time.Time) iter.Seq[*peerState] {
 	return func(yield func(*peerState) bool) {
 		for _, name := range m.indexed().byRank {
-			if name == m.self.Name {
-				return
+			if name != m.self.Name {
+				if p := m.peers[name]; p.mayRelay(selfReady, now) && !yield(p) {
+					return
+				}
+				continue
 			}
-			p := m.peers[name]
-			if p.alive(now) && !p.status.Leaving && (!selfReady || p.status.Ready) && !yield(p) {
+			if !m.storeUnreachable {
 				return
 			}
 		}
 	}
 }
 
+// mayRelay reports whether the peer is alive, stays and reaches the store as far as known. A
+// host that is ready (selfReady) uses only peers that are ready as well.
+func (p *peerState) mayRelay(selfReady bool, now time.Time) bool {
+	return p.alive(now) && !p.status.Leaving && !p.status.StoreUnreachable && (!selfReady || p.status.Ready)
+}
+
 // zoneCandidates returns the candidates of this host's zone.
 func (m *members) zoneCandidates(selfReady bool, now time.Time) iter.Seq[*peerState] {
 	return func(yield func(*peerState) bool) {
--- a/internal/gateway/fleet/status.go
+++ b/internal/gateway/fleet/status.go
@@ -51,5 +51,6 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	s.Withdrawn = f.members.withdrawn
+	s.StoreUnreachable = f.members.storeUnreachable
 	return s
 }
--- a/internal/gateway/fleet/watchingregion_test.go
+++ b/internal/gateway/fleet/watchingregion_test.go
@@ -198,6 +198,7 @@
 		from.fleet.mu.Lock()
 		targets := from.fleet.members.regionPeers(time.Now())
 		from.fleet.mu.Unlock()
+		from.fleet.probeStore(ctx, time.Now())
 		b := heartbeat{Host: from.fleet.options.Self, Status: from.fleet.status()}
 		for _, to := range targets {
 			r.hosts[to].fleet.recordHeartbeat(b)
@@ -212,7 +213,7 @@
 		order := h.fleet.Sources(0)
 		for i, n := range order {
 			if n.Relay {
-				order[i].Source = overLink{memoryRelay{r.hosts[n.Name].replica}, &h.peers}
+				order[i].Source = overLink{memoryRelay{from: h.fleet, to: r.hosts[n.Name].fleet}, &h.peers}
 			}
 		}
 		return order
@@ -221,15 +222,27 @@
 	watch.New(h.replica, sources, newest, h, watch.Timing(regionStaleness)).Run(ctx)
 }
 
-// memoryRelay is a host's replica as its peers read it.
-type memoryRelay struct{ replica *watch.Replica }
+// memoryRelay is a host's replica as another host reads it.
+type memoryRelay struct{ from, to *Fleet }
 
-func (m memoryRelay) List(ctx context.Context) (watch.Page, error) { return m.replica.List(ctx) }
+func (m memoryRelay) List(ctx context.Context) (watch.Page, error) {
+	return m.request(ctx, relayRequest{Full: true})
+}
 
 func (m memoryRelay) Changes(ctx context.Context, after watch.Version, wait time.Duration) (watch.Page, error) {
-	request := relayRequest{After: after.Number, AfterEra: after.Era, Wait: wait, MaxAge: watch.Timing(regionStaleness).MaxAge()}
-	page, _, err := request.read(ctx, m.replica)
-	return page, err
+	return m.request(ctx, relayRequest{After: after.Number, AfterEra: after.Era, Wait: wait, MaxAge: m.from.options.MaxAge})
+}
+
+func (m memoryRelay) request(ctx context.Context, request relayRequest) (watch.Page, error) {
+	response, err := m.to.readRelay(ctx, request)
+	if err != nil {
+		return watch.Page{}, err
+	}
+	m.from.recordRelay(m.to.options.Self.Name, response)
+	if response.HistoryGone {
+		return response.Page, watch.ErrHistoryGone
+	}
+	return response.Page, nil
 }
 
 // root returns the host that polls the store.
@@ -237,7 +250,7 @@
 	for _, name := range r.names {
 		h := r.hosts[name]
 		h.fleet.mu.Lock()
-		_, root := h.fleet.members.relayParent(true, time.Now())
+		root := h.fleet.members.isRoot(true, time.Now())
 		h.fleet.mu.Unlock()
 		if root {
 			return name
--- a/internal/gateway/watch/replica.go
+++ b/internal/gateway/watch/replica.go
@@ -46,7 +46,7 @@
 	returnedAt time.Time
 	// changed is closed at the next change.
 	changed chan struct{}
-	// confirmed is closed at the store's next confirmation.
+	// confirmed is closed at the store's next confirmation and by EndWaits.
 	confirmed chan struct{}
 }
 
@@ -221,6 +221,18 @@
 		r.returnedAt = now
 	}
 	r.confirmedAt = at
+	r.endWaits()
+}
+
+// EndWaits makes the polls by other hosts that wait for a change return now.
+func (r *Replica) EndWaits() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.endWaits()
+}
+
+// endWaits is EndWaits; r.mu is held.
+func (r *Replica) endWaits() {
 	close(r.confirmed)
 	r.confirmed = make(chan struct{})
 }
