fleet: hold the polls of other hosts until the store confirms the replica

Cause: a relay held a poll for two seconds at most. With a bound of 4 s the store confirms the root's replica every 2.07 s, so that each poll ended 0.07 s before a confirmation. Where a message takes 18 to 35 ms one way, the next poll came after it, and the confirmation was passed on two seconds late. Bounds up to 3.3 s had shorter polls and were not affected.

A relay now holds a poll for as long as it is asked to, up to 30 s, like the store. TestOneHostOfARegionOfSlowHostsPollsTheStore failed before: all 99 hosts polled the store within 30 s where messages take 20 to 33 ms; with the change only the root does, at 1 to 80 ms.

--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -12,10 +12,10 @@
 )
 
 const (
-	// maxRelayWait bounds how long a host holds the long poll of a peer. With bounds on
-	// staleness of up to 3.3 s, the long poll that a watcher sends to a relay is
-	// shorter.
-	maxRelayWait = 2 * time.Second
+	// maxRelayWait bounds how long a host holds the long poll of a peer. It exceeds the long
+	// polls that a watcher sends: a poll that ends before the store confirms the replica
+	// may miss that confirmation.
+	maxRelayWait = 30 * time.Second
 	// backupRelays is how many more peers are polled when the parent and the store fail.
 	backupRelays = 2
 )
--- a/internal/gateway/fleet/watchingregion_test.go
+++ b/internal/gateway/fleet/watchingregion_test.go
@@ -22,11 +22,13 @@
 
 // link is a path over which a host polls a source.
 type link struct {
-	transit time.Duration
-
 	mu sync.Mutex
+	// transit is the time that a message takes one way.
+	transit time.Duration
 	// refused makes calls fail, and silent makes them wait for their deadline.
 	refused, silent bool
+	// used is set once a message was sent.
+	used bool
 }
 
 func (l *link) set(refused, silent bool) {
@@ -35,15 +37,30 @@
 	l.refused, l.silent = refused, silent
 }
 
+func (l *link) setTransit(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.transit = d
+}
+
+// wasUsed reports whether a message was sent since the last call.
+func (l *link) wasUsed() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	defer func() { l.used = false }()
+	return l.used
+}
+
 func (l *link) pass(ctx context.Context) error {
 	l.mu.Lock()
-	refused, silent := l.refused, l.silent
+	refused, silent, transit := l.refused, l.silent, l.transit
+	l.used = true
 	l.mu.Unlock()
 	if silent {
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	time.Sleep(l.transit)
+	time.Sleep(transit)
 	if refused {
 		return errThrottled
 	}
@@ -139,6 +156,23 @@
 	}
 }
 
+// slowDown sets the time that a message to or from a peer takes.
+func (r *watchingRegion) slowDown(transit time.Duration) {
+	for _, h := range r.hosts {
+		h.peers.setTransit(transit)
+	}
+}
+
+// pollsStore returns the names of the hosts that have polled the store since the last call.
+func (r *watchingRegion) pollsStore() (names []string) {
+	for _, name := range r.names {
+		if r.hosts[name].store.wasUsed() {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // delay is how long ago a version was written when the host learned of it, or until now if the
 // host has not learned of it.
 func (h *watchingHost) delay(version int64, written time.Time) time.Duration {
@@ -175,7 +209,8 @@
 	for _, self := range all {
 		self.PeerAddress = self.Name
 		h := &watchingHost{replica: watch.NewReplica(), learnedAt: map[int64]time.Time{}}
-		h.store.transit, h.peers.transit = storeTransit, peerTransit
+		h.store.setTransit(storeTransit)
+		h.peers.setTransit(peerTransit)
 		h.fleet = New(Options{
 			Self: self, Regions: []string{self.Region}, Registry: newFakeRegistry(), Report: noopReporter{}, Status: h.status,
 			Tables: []Table{{Replica: h.replica, Store: overLink{r.table, &h.store}}}, MaxAge: watch.Timing(regionStaleness).MaxAge(),
