--- a/internal/gateway/exchange/body_test.go
+++ b/internal/gateway/exchange/body_test.go
@@ -64,6 +64,30 @@
 	}
 }
 
+func TestTheEndOfAChunkedBodyIsBounded(t *testing.T) {
+	for name, c := range map[string]struct{ start, repeated string }{
+		"trailers":        {"0\r\n", "Name: value\r\n"},
+		"one trailer":     {"0\r\nName: ", "x"},
+		"chunk extension": {"1;a=", "x"},
+		"chunk length":    {"", "0"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(t *testing.T) {
+				client, read := pipeClient(func(nc net.Conn, _ string) {
+					_, _ = io.WriteString(nc, bodyHead+"Transfer-Encoding: chunked\r\n\r\n"+c.start)
+					endless(nc, c.repeated)
+				})
+				began := time.Now()
+				_, err := sendForASecond(t, client)
+				require.Error(t, err)
+				require.LessOrEqual(t, time.Since(began), 50*time.Millisecond)
+				require.LessOrEqual(t, read.Load(), int64(exchange.DefaultMaxHeadBytes))
+				require.Zero(t, client.Idle())
+			})
+		})
+	}
+}
+
 // A body below the limit ends at the deadline, and at once when the client disconnects.
 func TestABodyWithoutEndEndsWithItsRequest(t *testing.T) {
 	for _, disconnectAfter := range []time.Duration{100 * time.Millisecond, time.Hour} {
