--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -77,10 +77,11 @@
 // Suspicions are the requests that are suspected of terminating upstreams. All hosts
 // share them, because such a request may reach any host.
 type Suspicions interface {
-	// UpdateFor returns the changes that another host does not have yet, and MergeUpdate
-	// merges an update that it sent.
-	UpdateFor(m poison.Watermarks, now time.Time) poison.Update
+	// UpdateFor returns the changes of a scope that another host does not have yet.
+	// MergeUpdate and MergeSecondhand merge an update that it sent.
+	UpdateFor(m poison.Watermarks, now time.Time, c poison.Scope) poison.Update
 	MergeUpdate(n poison.Update, now time.Time) poison.Watermarks
+	MergeSecondhand(n poison.Update, now time.Time) poison.Watermarks
 	// Completes reports whether an update, once merged, leaves out none of the sender's
 	// suspicions.
 	Completes(u poison.Update) bool
--- a/internal/gateway/fleet/rewrite_test.go
+++ b/internal/gateway/fleet/rewrite_test.go
@@ -41,10 +41,15 @@
 // quarantines are Suspicions that consist of quarantines only.
 type quarantines []poison.Quarantine
 
-func (quarantines) UpdateFor(poison.Watermarks, time.Time) poison.Update { return poison.Update{} }
+func (quarantines) UpdateFor(poison.Watermarks, time.Time, poison.Scope) poison.Update {
+	return poison.Update{}
+}
 func (quarantines) MergeUpdate(poison.Update, time.Time) poison.Watermarks {
 	return poison.Watermarks{}
 }
+func (quarantines) MergeSecondhand(poison.Update, time.Time) poison.Watermarks {
+	return poison.Watermarks{}
+}
 func (quarantines) Completes(poison.Update) bool                { return true }
 func (quarantines) Merge([]poison.Report, time.Time)            {}
 func (q quarantines) Quarantines(time.Time) []poison.Quarantine { return q }
--- a/internal/poison/change.go
+++ b/internal/poison/change.go
@@ -7,7 +7,7 @@
 
 // add adds a termination to those of a request; t.mu is held. It reports whether something
 // has changed.
-func (t *Table) add(f Fingerprint, e *termination) bool {
+func (t *Table) add(f Fingerprint, e *termination, firsthand bool) bool {
 	s := t.suspects[f]
 	if s == nil {
 		s = &suspect{}
@@ -17,15 +17,17 @@
 		return false
 	}
 	t.unreported = append(t.unreported, e)
-	t.markChanged(s)
+	t.markChanged(s, firsthand)
 	return true
 }
 
 // markChanged assigns the next sequence number to a change of a suspect; t.mu is held.
-func (t *Table) markChanged(s *suspect) {
+func (t *Table) markChanged(s *suspect, firsthand bool) {
 	t.sequence++
 	s.changed = t.sequence
 	s.updateCounts()
+	s.firsthand = s.firsthand || firsthand
+	s.repeated = s.repeated || s.consecutiveCount > 1
 }
 
 // change applies a change, decides on quarantines if something has changed, and notifies the
@@ -112,15 +114,19 @@
 // evict removes the least suspected requests beyond maxSuspects; t.mu is held.
 func (t *Table) evict() {
 	for len(t.suspects) > maxSuspects {
-		var lowest Fingerprint
-		found := false
-		for f, s := range t.suspects {
-			if !found || s.lessThan(t.suspects[lowest]) {
-				lowest, found = f, true
-			}
+		delete(t.suspects, t.lowest())
+	}
+}
+
+// lowest returns the least suspected request; t.mu is held.
+func (t *Table) lowest() (lowest Fingerprint) {
+	found := false
+	for f, s := range t.suspects {
+		if !found || s.lessThan(t.suspects[lowest]) {
+			lowest, found = f, true
 		}
-		delete(t.suspects, lowest)
 	}
+	return lowest
 }
 
 // lessThan orders suspects by their number of consecutive terminations, and then by the
--- a/internal/poison/harness_test.go
+++ b/internal/poison/harness_test.go
@@ -53,7 +53,7 @@
 // heartbeat does. They arrive delay milliseconds after now. It returns the sequence number up
 // to which the receiver has the changes.
 func sendUpdate(from, to *Table, since int64, now, delay int) int64 {
-	reports, upTo := from.Since(since, at(now))
+	reports, upTo := from.since(since, at(now), All)
 	to.Merge(reports, at(now+delay))
 	return upTo
 }
--- a/internal/poison/suspect.go
+++ b/internal/poison/suspect.go
@@ -64,6 +64,8 @@
 	terminations []*termination
 	// changed is the sequence number of the last change.
 	changed int64
+	// firsthand and repeated are set once the suspect is in the scope Firsthand or Repeated.
+	firsthand, repeated bool
 	// unclearedCount is the number of uncleared terminations, and consecutiveCount how
 	// many of them were one after the other, as of that change. last is the time of the
 	// last uncleared one.
--- a/internal/poison/table.go
+++ b/internal/poison/table.go
@@ -162,7 +162,7 @@
 			return false
 		}
 		added := &termination{run: a.Run, host: t.host, began: a.Began.Sub(t.started), ended: a.Ended.Sub(t.started), at: a.Ended}
-		return t.add(f, added)
+		return t.add(f, added, true)
 	})
 }
 
@@ -178,7 +178,7 @@
 		if s == nil || !s.clear() {
 			return false
 		}
-		t.markChanged(s)
+		t.markChanged(s, true)
 		return true
 	})
 }
--- a/internal/poison/table_test.go
+++ b/internal/poison/table_test.go
@@ -168,9 +168,9 @@
 	for i := range 3 {
 		attempt{fmt.Sprint(i), 100 * i, 100*i + 50}.record(a, f)
 	}
-	first, upTo := a.Since(0, at(300))
+	first, upTo := a.since(0, at(300), All)
 	a.RecordResponse(f)
-	second, _ := a.Since(upTo, at(300))
+	second, _ := a.since(upTo, at(300), All)
 	require.Len(t, second, 1)
 	b.Merge(second, at(300))
 	require.False(t, b.Quarantined(f, at(300)))
@@ -180,20 +180,20 @@
 	}
 	require.False(t, b.Quarantined(f, at(400)), "cleared terminations stay cleared")
 	require.Equal(t, 1, events.changes, "reports without changes are not forwarded")
-	reports, _ := b.Since(0, at(400))
+	reports, _ := b.since(0, at(400), All)
 	require.Len(t, reports, 1, "the suspect is reported to a host that has not seen it")
 }
 
 func TestASequenceNumberOfAnotherProcessReturnsAllReports(t *testing.T) {
 	a, _ := newTable("a")
 	attempt{"1", 0, 50}.record(a, fingerprintOf("f"))
-	_, upTo := a.Since(0, at(100))
+	_, upTo := a.since(0, at(100), All)
 	restarted, _ := newTable("a2")
 	attempt{"2", 0, 50}.record(restarted, fingerprintOf("g"))
-	reports, other := restarted.Since(upTo, at(100))
+	reports, other := restarted.since(upTo, at(100), All)
 	require.Len(t, reports, 1)
 	require.NotEqual(t, upTo, other)
-	none, same := restarted.Since(other, at(100))
+	none, same := restarted.since(other, at(100), All)
 	require.Empty(t, none)
 	require.Equal(t, other, same)
 }
@@ -239,7 +239,7 @@
 		var has int64
 		for messages := 0; ; messages++ {
 			now := at(30000 + 1000*messages)
-			reports, upTo := table.Since(has, now)
+			reports, upTo := table.since(has, now, All)
 			require.LessOrEqual(t, len(reports), maxReports)
 			if len(reports) == 0 {
 				require.GreaterOrEqual(t, messages, maxSuspects/maxReports)
@@ -292,8 +292,8 @@
 	attempt{"u2", 200, 210}.record(b, f)
 	attempt{"u3", 400, 500}.record(a, f)
 	attempt{"u4", 205, 505}.record(b, f)
-	fromA, _ := a.Since(known, at(510))
-	fromB, _ := b.Since(0, at(510))
+	fromA, _ := a.since(known, at(510), All)
+	fromB, _ := b.since(0, at(510), All)
 	const transit = 20
 	b.Merge(fromA, at(510+transit))
 	a.Merge(fromB, at(510+transit))
@@ -327,20 +327,20 @@
 	a, _ := newTable("a")
 	earlier, _ := newTable("b1")
 	attempt{"u", 0, 10}.record(a, fingerprintOf("f"))
-	ofB := a.MergeUpdate(earlier.UpdateFor(Watermarks{}, at(20)), at(20))
-	ofA := earlier.MergeUpdate(a.UpdateFor(ofB, at(30)), at(30))
-	ofB = a.MergeUpdate(earlier.UpdateFor(ofA, at(40)), at(40))
-	next := a.UpdateFor(ofB, at(50))
+	ofB := a.MergeUpdate(earlier.UpdateFor(Watermarks{}, at(20), All), at(20))
+	ofA := earlier.MergeUpdate(a.UpdateFor(ofB, at(30), All), at(30))
+	ofB = a.MergeUpdate(earlier.UpdateFor(ofA, at(40), All), at(40))
+	next := a.UpdateFor(ofB, at(50), All)
 	require.Empty(t, next.Reports)
 	require.True(t, earlier.Completes(next))
 	restarted, _ := newTable("b2")
 	require.False(t, restarted.Completes(next))
 	ofA = restarted.MergeUpdate(next, at(50))
-	ofB = a.MergeUpdate(restarted.UpdateFor(ofA, at(60)), at(60))
-	require.Len(t, a.UpdateFor(ofB, at(70)).Reports, 1)
-	require.True(t, restarted.Completes(a.UpdateFor(Watermarks{}, at(60))))
+	ofB = a.MergeUpdate(restarted.UpdateFor(ofA, at(60), All), at(60))
+	require.Len(t, a.UpdateFor(ofB, at(70), All).Reports, 1)
+	require.True(t, restarted.Completes(a.UpdateFor(Watermarks{}, at(60), All)))
 	for n := range maxReports {
 		attempt{fmt.Sprint("u", n), 100, 110}.record(a, fingerprintOf(fmt.Sprint(n)))
 	}
-	require.False(t, restarted.Completes(a.UpdateFor(Watermarks{}, at(200))), "more follow")
+	require.False(t, restarted.Completes(a.UpdateFor(Watermarks{}, at(200), All)), "more follow")
 }
--- a/internal/selector/entry/heartbeats/suspicions.go
+++ b/internal/selector/entry/heartbeats/suspicions.go
@@ -13,7 +13,7 @@
 type Suspicions interface {
 	// UpdateFor returns the suspicions that a host with the given watermarks does
 	// not have yet.
-	UpdateFor(m poison.Watermarks, now time.Time) poison.Update
+	UpdateFor(m poison.Watermarks, now time.Time, c poison.Scope) poison.Update
 	// MergeUpdate merges an update from another host and returns the resulting
 	// watermarks.
 	MergeUpdate(u poison.Update, now time.Time) poison.Watermarks
@@ -32,7 +32,7 @@
 	e.exchanged.mu.Lock()
 	marks := e.exchanged.hosts[to]
 	e.exchanged.mu.Unlock()
-	hb.Suspicions = e.Suspicions.UpdateFor(marks, time.Now())
+	hb.Suspicions = e.Suspicions.UpdateFor(marks, time.Now(), poison.All)
 }
 
 // mergeSuspicions merges the suspicions in a heartbeat and stores the new
