--- a/internal/gateway/watch/staleness.go
+++ b/internal/gateway/watch/staleness.go
@@ -8,8 +8,8 @@
 
 // Timing is the staleness bound S, the tightest of the configured bounds on how soon a
 // change must apply. A host that reaches the store, directly or through a relay, keeps
-// its replicas younger than S, less the time that a request needs to reach the upstream that
-// was chosen by a replica (sendFraction). All waits of a watcher are therefore fractions of S. A
+// its replicas younger than S, less a twentieth of it for a request that is sent because of a
+// replica to reach its upstream. All waits of a watcher are therefore fractions of S. A
 // relay may fail in three ways, and each must be detected early enough to poll the store
 // within the rest of S:
 //
@@ -18,8 +18,8 @@
 //	the relay misses a change        a newer version in the heartbeats of other
 //	                                 hosts, behindFraction                      = 0.2 S
 //
-// Any other source may be silent at the same time. An overdue replica is therefore polled for
-// from another source every backupIntervalFraction, without waiting for the sources before.
+// Any other source may be silent at the same time. While a replica is overdue, one more source is
+// therefore polled every backupIntervalFraction, without waiting for those polled before.
 //
 // TestNoHostThatReachesTheStoreIsStalerThanTheBound and
 // TestAHostWhoseOpenConnectionsGoSilentIsNotStalerThanTheBound check the total. When relays were
@@ -41,8 +41,6 @@
 	relaySlackFraction = 0.1
 	// maxAgeFraction is the maximum age of a relay; an older one is considered failed.
 	maxAgeFraction = 0.7
-	// sendFraction is the time that remains for a request to reach its upstream.
-	sendFraction = 0.05
 	// overdueFraction is the age of a replica from which on further sources are polled. It
 	// exceeds the time between two confirmations of a relay whose relays and store respond.
 	overdueFraction = 0.6
--- a/internal/gateway/watch/staleness_test.go
+++ b/internal/gateway/watch/staleness_test.go
@@ -107,6 +107,9 @@
 	}
 }
 
+// sendFraction is the fraction of S that remains for a request to reach its upstream.
+const sendFraction = 0.05
+
 // Open connections that were dropped without a reset stay silent, and new ones work.
 func TestAHostWhoseOpenConnectionsGoSilentIsNotStalerThanTheBound(t *testing.T) {
 	for offset := time.Duration(0); offset < staleness; offset += staleness / 10 {
