testaddr: assign hosts of tests ports that no connection takes

Cause: the test asked the kernel for a free port and released it, and the kernel chose the same port for an outgoing connection before the host listened. The clients of these tests open thousands of connections, and other packages run beside them.

Change: the ports of hosts are below those of outgoing connections, as those of the soak were, and each test process has a loopback address of its own. abuse, fleet and soak share the function. The tests' checks are unchanged.

Evidence: the port of the failure, 40135, is within the range of outgoing connections (32768 to 60999).

--- a/internal/abuse/gateway_test.go
+++ b/internal/abuse/gateway_test.go
@@ -3,15 +3,13 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
+	"cairndock/internal/testaddr"
 	"cairndock/platform/platformtest"
 )
 
@@ -123,7 +121,7 @@
 	for i := range upstreamCount {
 		startGatewayUpstream(t, store, fmt.Sprint("upstream-", i))
 	}
-	h := &host{callers: freeAddress(t), readiness: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t), peers: freeAddress(t)}
+	h := &host{callers: testaddr.Free(t), readiness: testaddr.Free(t), directory: testaddr.Free(t), metrics: testaddr.Free(t), peers: testaddr.Free(t)}
 	h.workURL, h.workHost = "http://"+h.callers, hostname
 	h.work, h.large, h.unrouted, h.ready = workPath, largePath, "/none/item", "/-/readyz"
 	h.maxBody = maxBodyBytes
@@ -138,12 +136,3 @@
 	h.waitReady(t)
 	return h
 }
-
-// freeAddress returns a loopback address with a port that nobody listens at.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
--- a/internal/abuse/serve_test.go
+++ b/internal/abuse/serve_test.go
@@ -15,6 +15,7 @@
 	"cairndock/internal/selector/config"
 	"cairndock/internal/selector/standin"
 	"cairndock/internal/selector/store"
+	"cairndock/internal/testaddr"
 )
 
 // serveSettings is the template of the settings of a host of `cairndock serve`.
@@ -84,7 +85,7 @@
 	require.NoError(t, err)
 	memory.SetHost("host-1", store.Live)
 
-	h := &host{callers: freeAddress(t), operators: freeAddress(t), peers: freeAddress(t), maxBody: serveMaxBody}
+	h := &host{callers: testaddr.Free(t), operators: testaddr.Free(t), peers: testaddr.Free(t), maxBody: serveMaxBody}
 	h.readiness, h.metrics = h.operators, h.operators
 	h.workURL, h.workHost = "http://"+h.callers, "serve.example"
 	h.work, h.large, h.unrouted, h.ready = "/s"+workPath, "/s"+largePath, "/none/item", "/readyz"
--- a/internal/gateway/fleet/harness_test.go
+++ b/internal/gateway/fleet/harness_test.go
@@ -16,6 +16,7 @@
 	"cairndock/internal/gateway/watch"
 	"cairndock/internal/peer"
 	"cairndock/internal/poison"
+	"cairndock/internal/testaddr"
 )
 
 var readyStatus = Status{Ready: true}
@@ -222,19 +223,10 @@
 func (noopReporter) QuarantinesUnread(time.Duration)                  {}
 func (noopReporter) LoadReportsDropped(string, string, int)           {}
 
-// freeAddress returns an address that no process listens on.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
-
 // startFleet runs a host on the loopback interface until the test ends.
 func startFleet(t *testing.T, r Registry, h Host, seeds []string, tables ...Table) *Fleet {
 	t.Helper()
-	h.PeerAddress = freeAddress(t)
+	h.PeerAddress = testaddr.Free(t)
 	f := New(Options{
 		Self: h, Regions: []string{h.Region}, Registry: r, Report: noopReporter{}, Status: func() Status { return readyStatus },
 		Seeds: seeds, Transport: peer.TCP((&net.Dialer{}).DialContext), Tables: tables,
--- a/internal/gateway/fleet/loadcompat_test.go
+++ b/internal/gateway/fleet/loadcompat_test.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/peer"
 	"cairndock/internal/poison"
+	"cairndock/internal/testaddr"
 )
 
 // oldHeartbeat is a heartbeat of a version without load reports.
@@ -47,7 +48,7 @@
 	loads := &fakeLoads{own: map[upstream.Run]time.Time{"u": time.Now()}}
 	a := startLoadsHost(t, host("a", "z", "west"), loads)
 	old := oldHost{self: host("old", "z", "west"), received: make(chan oldHeartbeat, 100)}
-	old.self.PeerAddress = freeAddress(t)
+	old.self.PeerAddress = testaddr.Free(t)
 	mesh := peer.NewMesh(peer.Hello{Host: "old", Zone: "z"}, a.options.Transport, old)
 	t.Cleanup(mesh.Close)
 	_, err := mesh.Listen(old.self.PeerAddress)
--- a/internal/gateway/fleet/loadharness_test.go
+++ b/internal/gateway/fleet/loadharness_test.go
@@ -14,6 +14,7 @@
 	"cairndock/internal/gateway/upstream"
 	"cairndock/internal/peer"
 	"cairndock/internal/telemetry"
+	"cairndock/internal/testaddr"
 )
 
 // fakeLoads is a source of fixed reports, and a sink.
@@ -81,7 +82,7 @@
 // startLoadsHost returns a host that serves peers and sends heartbeats only when a test does.
 func startLoadsHost(t *testing.T, h Host, loads *fakeLoads) loadsHost {
 	t.Helper()
-	h.PeerAddress = freeAddress(t)
+	h.PeerAddress = testaddr.Free(t)
 	out := newLoadsHost(h, loads)
 	_, err := out.mesh.Listen(h.PeerAddress)
 	require.NoError(t, err)
--- a/internal/gateway/fleet/suspicions_test.go
+++ b/internal/gateway/fleet/suspicions_test.go
@@ -13,6 +13,7 @@
 
 	"cairndock/internal/peer"
 	"cairndock/internal/poison"
+	"cairndock/internal/testaddr"
 )
 
 // observer handles the events of suspicions as a gateway does.
@@ -37,7 +38,7 @@
 
 func startHostWithSuspicions(t *testing.T, r Registry, h Host) hostWithSuspicions {
 	t.Helper()
-	h.PeerAddress = freeAddress(t)
+	h.PeerAddress = testaddr.Free(t)
 	o := &observer{}
 	table := poison.NewTable(h.Name+h.Incarnation, time.Now(), o)
 	f := New(Options{
--- a/internal/gateway/soak/host_test.go
+++ b/internal/gateway/soak/host_test.go
@@ -3,18 +3,18 @@
 import (
 	"bytes"
 	"fmt"
-	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"cairndock/internal/testaddr"
 )
 
 // childVar marks a process of this test binary that runs as a gateway host.
@@ -90,35 +90,6 @@
 	}
 }
 
-// nextPort counts the assigned ports.
-var nextPort atomic.Int32
-
-// Ports of hosts are below the ports of outgoing connections. Otherwise an outgoing
-// connection could take a host's port while the host is down.
-const (
-	// firstPort is the lowest port.
-	firstPort = 20000
-	// lastPort is above the highest port. Linux assigns outgoing connections ports from
-	// 32768.
-	lastPort = 32000
-	// portStride spreads the ports of test processes that run at the same time.
-	portStride = 97
-)
-
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range lastPort - firstPort {
-		port := firstPort + int(nextPort.Add(1)-1+int32(os.Getpid()*portStride))%(lastPort-firstPort)
-		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
-		if err == nil {
-			_ = l.Close()
-			return l.Addr().String()
-		}
-	}
-	t.Fatal("no free port")
-	return ""
-}
-
 // settingsText is the template of a host's settings file.
 const settingsText = `seeds = []
 [host]
@@ -161,10 +132,10 @@
 	t.Helper()
 	h := &host{
 		t: t, violation: violation, name: name, zone: z, store: newLink(t, store), log: &logText{},
-		clients: freeAddress(t), directory: freeAddress(t), metrics: freeAddress(t),
+		clients: testaddr.Free(t), directory: testaddr.Free(t), metrics: testaddr.Free(t),
 		settings: filepath.Join(t.TempDir(), name+".toml"), source: nextSource(),
 	}
-	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, freeAddress(t), h.directory, freeAddress(t), h.metrics, h.store.address(), retryRatio, retryWindow, float64(retrySlack), warmUpOvershoot, warmUpSlack, quotaWindow, quotaOvershoot, float64(quotaSlack), grace)
+	text := fmt.Sprintf(settingsText, name, z.name, z.region, h.clients, testaddr.Free(t), h.directory, testaddr.Free(t), h.metrics, h.store.address(), retryRatio, retryWindow, float64(retrySlack), warmUpOvershoot, warmUpSlack, quotaWindow, quotaOvershoot, float64(quotaSlack), grace)
 	require.NoError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 	return h
 }
