fleet: test changes after a root reaches the store again

No host of the region polled the store from 8.45 to 9.6 s: its root reached the store again at 8.49 s and went on to wait for a host of the region, which waited for the root.

The hosts of the test send their heartbeats at once when they are triggered, as hosts do.

--- a/internal/gateway/fleet/rootfailover_test.go
+++ b/internal/gateway/fleet/rootfailover_test.go
@@ -77,6 +77,27 @@
 	testStoreFault(t, true, false, heartbeatInterval+schedulerTick)
 }
 
+// The root and the host that took its place must not wait for each other.
+func TestARootThatReachesTheStoreAgainDoesNotDelayChanges(t *testing.T) {
+	for seed := range uint64(16) {
+		synctest.Test(t, func(t *testing.T) {
+			r := startWatchingRegion(t, 6)
+			time.Sleep(20 * time.Second)
+			root, random := r.root(), rand.New(rand.NewPCG(seed, 0))
+			r.failStorePaths(random, true, false, 5*time.Second)
+			for r.hosts[root].fleet.storeUnreachable() {
+				r.table.put() // the host in the root's place selects its source anew after each change
+				time.Sleep(schedulerTick / 4)
+			}
+			time.Sleep(time.Duration(random.Int64N(int64(regionStaleness / 2))))
+			changes := []write{{r.table.put(), time.Now()}}
+			time.Sleep(2 * regionStaleness)
+			slowest, host := r.slowest(changes)
+			require.LessOrEqual(t, slowest, heartbeatInterval+schedulerTick, "%s, seed %d", host, seed)
+		})
+	}
+}
+
 func TestHostsWithoutAPathToTheStoreLearnOfChangesWithinTheBound(t *testing.T) {
 	testStoreFault(t, false, true, regionStaleness*19/20)
 }
--- a/internal/gateway/fleet/watchingregion_test.go
+++ b/internal/gateway/fleet/watchingregion_test.go
@@ -238,10 +238,24 @@
 		for _, to := range targets {
 			r.hosts[to].fleet.recordHeartbeat(b)
 		}
-		time.Sleep(heartbeatInterval)
+		from.awaitHeartbeat(time.Now())
 	}
 }
 
+// awaitHeartbeat waits until the heartbeats after those of a time are due.
+func (h *watchingHost) awaitHeartbeat(sent time.Time) {
+	for time.Since(sent) < heartbeatInterval && !h.triggeredSince(sent) {
+		time.Sleep(schedulerTick)
+	}
+}
+
+// triggeredSince reports whether the host made its heartbeats due after a time.
+func (h *watchingHost) triggeredSince(sent time.Time) bool {
+	h.fleet.mu.Lock()
+	defer h.fleet.mu.Unlock()
+	return h.fleet.triggeredAt.After(sent)
+}
+
 // watch keeps a host's replica up to date until the context ends.
 func (r *watchingRegion) watch(ctx context.Context, h *watchingHost) {
 	sources := func() []watch.NamedSource {
