watch, fleet: end the relay polls of a root that reaches the store again

Cause: two hosts waited for each other. A root that the store refuses polls a host of its region, and the next host polls the store. When the root reaches the store again, the other hosts learn of it at once, and the one in its place polls the root as soon as it has received a change. The root itself went on with its long poll of a relay, which ends only with news. Until the poll ended nobody polled the store.

Change: a source names when a better one may be polled, and a watcher ends its long poll then, without counting a failure. A root ends those of its relays when it reaches the store again. A long poll that ends because the host is behind now says so in the log, in place of "context canceled".

TestALongPollOfARelayEndsOnceABetterSourceMayBePolled fails without the select case.

--- a/internal/gateway/fleet/fleet.go
+++ b/internal/gateway/fleet/fleet.go
@@ -165,6 +165,9 @@
 	newest []versionSeen
 	// storePolls has the state of the polls of each table at the store.
 	storePolls []storePolls
+	// storeReachable is closed when this host reaches the store again and may poll it for its
+	// region; a new channel then replaces it.
+	storeReachable chan struct{}
 	// announcedEra is the era of the store in which this host was last announced.
 	announcedEra int64
 	// quarantineRows has the rows of quarantines that this host has written or read.
@@ -175,7 +178,7 @@
 func New(o Options) *Fleet {
 	f := &Fleet{
 		options: o, members: newMembers(o.Self, o.Regions, time.Now()), nextHeartbeat: map[string]time.Time{},
-		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), storePolls: make([]storePolls, len(o.Tables)), announcedEra: notAnnounced,
+		discovery: newDiscovery(o.Self.Region), newest: make([]versionSeen, len(o.Tables)), storePolls: make([]storePolls, len(o.Tables)), storeReachable: make(chan struct{}), announcedEra: notAnnounced,
 		quarantinesChanged: make(chan struct{}, 1), quarantineRows: map[quarantineRow]rowState{},
 	}
 	hello := peer.Hello{Host: o.Self.Name, Zone: o.Self.Zone, Incarnation: o.Self.Incarnation}
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -194,7 +194,8 @@
 }
 
 func (f *Fleet) relay(table int, h Host) watch.NamedSource {
-	return watch.NamedSource{Name: h.Name, Source: relay{fleet: f, host: h.Name, address: h.PeerAddress, table: table}, Relay: true}
+	source := relay{fleet: f, host: h.Name, address: h.PeerAddress, table: table}
+	return watch.NamedSource{Name: h.Name, Source: source, Relay: true, Superseded: f.storeReachable}
 }
 
 // versionSeen is the newest version of a table that any peer has.
--- a/internal/gateway/fleet/rootfailover.go
+++ b/internal/gateway/fleet/rootfailover.go
@@ -64,12 +64,22 @@
 	unreachable := slices.ContainsFunc(f.storePolls, func(p storePolls) bool { return p.failed })
 	changed := unreachable != f.members.storeUnreachable
 	f.members.storeUnreachable = unreachable
+	if changed && !unreachable {
+		f.endRelayPolls()
+	}
 	f.mu.Unlock()
 	if changed {
 		f.announceStore(unreachable, err)
 	}
 }
 
+// endRelayPolls ends this host's long polls of other hosts. One of them may have polled the store in
+// this host's place, and may now wait for this host. f.mu must be held.
+func (f *Fleet) endRelayPolls() {
+	close(f.storeReachable)
+	f.storeReachable = make(chan struct{})
+}
+
 // announceStore logs that this host no longer polls the store for its region, or may do so again,
 // and tells the other hosts: those that poll this one at once, and the others in a heartbeat.
 func (f *Fleet) announceStore(unreachable bool, err error) {
--- a/internal/gateway/watch/harness_test.go
+++ b/internal/gateway/watch/harness_test.go
@@ -195,10 +195,16 @@
 // startWatcher runs a watcher until the test ends. It must be called in a
 // testing/synctest bubble.
 func startWatcher(t *testing.T, newest NewestKnown, sources ...NamedSource) (*recordingSink, *Replica) {
+	t.Helper()
+	return startWatcherInOrder(t, newest, func() []NamedSource { return sources })
+}
+
+// startWatcherInOrder is startWatcher with sources whose order may change.
+func startWatcherInOrder(t *testing.T, newest NewestKnown, order SourceOrder) (*recordingSink, *Replica) {
 	t.Helper()
 	r := &recordingSink{}
 	replica := NewReplica()
-	w := New(replica, func() []NamedSource { return sources }, newest, r, timing)
+	w := New(replica, order, newest, r, timing)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := make(chan struct{})
 	go func() {
--- a/internal/gateway/watch/poll.go
+++ b/internal/gateway/watch/poll.go
@@ -37,16 +37,21 @@
 func (w *Watcher) read(ctx context.Context, n NamedSource) (pollResult, error) {
 	urgent := w.behind() || w.overdue()
 	longPoll, slack := w.timing.timeouts(n.Relay, urgent, w.slackOf(n))
-	ctx, cancel := context.WithTimeout(ctx, longPoll+slack)
-	defer cancel()
+	ctx, stop := context.WithTimeout(ctx, longPoll+slack)
+	defer stop()
 	if !w.replica.isSynced() {
 		return firstList, w.list(ctx, n)
 	}
+	pollCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	if !urgent {
-		go w.cancelWhenBehind(ctx, cancel)
+		go w.endLongPoll(pollCtx, n, cancel)
 	}
 	known := w.replica.Version()
-	page, err := n.Source.Changes(ctx, known, longPoll)
+	page, err := n.Source.Changes(pollCtx, known, longPoll)
+	if cause := context.Cause(pollCtx); err != nil && (errors.Is(cause, errSuperseded) || errors.Is(cause, errBehind)) {
+		return noChange, cause
+	}
 	page.Version = page.Version.inEra(known.Era)
 	if w.mustList(page, known, err) {
 		if w.defersList(n, page, known) {
--- a/internal/gateway/watch/sources.go
+++ b/internal/gateway/watch/sources.go
@@ -22,6 +22,9 @@
 	// later era before it lists the store's table of that era. Zero means that it lists
 	// at once.
 	ListAfter time.Duration
+	// Superseded is closed once a better source may be polled. It ends a long poll of this
+	// source, which does not count as a failure. Nil means never.
+	Superseded <-chan struct{}
 }
 
 // backoffLimit returns the maximum delay after a failure.
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -26,6 +26,13 @@
 // errListDeferred reports that a listing was deferred.
 var errListDeferred = eris.New("listing is deferred")
 
+// errSuperseded reports that a long poll was ended in favor of a better source, and errBehind that
+// it was ended because the host had fallen behind.
+var (
+	errSuperseded = eris.New("a better source may be polled")
+	errBehind     = eris.New("other hosts have newer changes")
+)
+
 // Sink receives a watcher's changes. Its methods are not called concurrently.
 type Sink interface {
 	Apply(Update)
@@ -126,20 +133,23 @@
 	return w.timing.behind(w.replica.Version(), newest, since)
 }
 
-// cancelWhenBehind cancels a poll once the host has fallen behind, because the source
-// then waits for a change that other hosts already have. It returns when the poll's
-// context ends.
-func (w *Watcher) cancelWhenBehind(ctx context.Context, cancel context.CancelFunc) {
+// endLongPoll cancels a long poll of a source once a better source may be polled, or once the host
+// has fallen behind, because the source then waits for a change that other hosts already have. It
+// returns when the poll's context ends.
+func (w *Watcher) endLongPoll(ctx context.Context, n NamedSource, cancel context.CancelCauseFunc) {
 	ticker := time.NewTicker(behindCheckInterval)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
+		case <-n.Superseded:
+			cancel(errSuperseded)
+			return
 		case <-ticker.C:
 		}
 		if w.behind() {
-			cancel()
+			cancel(errBehind)
 			return
 		}
 	}
@@ -171,6 +181,9 @@
 // recordResult records a poll's result for its source, and calls the sink when the
 // source begins to fail and when the source works again.
 func (w *Watcher) recordResult(n NamedSource, err error) {
+	if errors.Is(err, errSuperseded) {
+		return
+	}
 	now := time.Now()
 	s := w.state(n)
 	if w.relayIsStarting(n, err) {
--- a/internal/gateway/watch/watcher_test.go
+++ b/internal/gateway/watch/watcher_test.go
@@ -165,3 +165,28 @@
 		require.Empty(t, r.lostNames())
 	})
 }
+
+// A host that may poll the store again does not wait for a relay, which may wait for it.
+func TestALongPollOfARelayEndsOnceABetterSourceMayBePolled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newFakeStore()
+		_, relayReplica := startWatcher(t, noneNewer, NamedSource{Name: "store", Source: s})
+		synctest.Wait() // until the relay has listed the table
+		s.set(func(f *fakeStore) { f.silent = true })
+		better, superseded := newFakeStore(), make(chan struct{})
+		r, _ := startWatcherInOrder(t, noneNewer, func() []NamedSource {
+			select {
+			case <-superseded:
+				return []NamedSource{{Name: "store", Source: better}}
+			default:
+				return []NamedSource{{Name: "relay", Source: relayReplica, Relay: true, Superseded: superseded}}
+			}
+		})
+		synctest.Wait()
+		better.put("a", "1")
+		close(superseded)
+		time.Sleep(time.Millisecond)
+		require.Equal(t, "1", r.value("a"))
+		require.Empty(t, r.lostNames(), "the relay did not fail")
+	})
+}
