upstream: ignore an entry from before a drain that is written after it

Cause: a write that got no response may take effect seconds later. A run's entry "ready" that takes effect after its "draining" ended the drain at all hosts: entries of one run were not ordered, though each carries the count of the run's writes.

Change: an entry that would end a drain and has a lower sequence than the run's latest one is deferred, as are entries of earlier runs, for as long as the platform takes to remove an upstream that writes nothing. One with the same or a higher sequence ends the drain as before.

TestALateEntryFromBeforeADrainDoesNotEndIt fails without the comparison (known, deleted and discarded upstream).

--- a/internal/gateway/routing/upstreams.go
+++ b/internal/gateway/routing/upstreams.go
@@ -22,8 +22,9 @@
 	stateExpired = "gone, entry did not come back"
 	// stateDiscarded means that the entry can't be decoded.
 	stateDiscarded = "entry can't be read"
-	// stateLate means that the entry was written late by an earlier run of the upstream.
-	stateLate = "entry of an earlier run, ignored for now"
+	// stateLate means that the entry was written late, by an earlier run of the upstream or
+	// before its drain.
+	stateLate = "late entry, ignored for now"
 	// stateReverted means that a restored store has the entry of an earlier run, or of an
 	// upstream that was removed.
 	stateReverted = "entry of a restored store, ignored for now"
@@ -94,7 +95,7 @@
 	if s.registry.Put(r, now) {
 		return s.stateOf(r)
 	}
-	time.AfterFunc(upstream.StaleEntryGrace, s.applyLate)
+	time.AfterFunc(s.registry.DeferredFor(r.ID, now), s.applyLate)
 	return stateLate
 }
 
--- a/internal/gateway/upstream/registry.go
+++ b/internal/gateway/upstream/registry.go
@@ -17,7 +17,8 @@
 	// RestoreGrace is how long, after the store was restored from an older copy, the lost
 	// writes may take to be repeated: by upstreams with a heartbeat, every 1 to 1.5 s, and
 	// by operators once they notice. The platform removes an upstream that misses three
-	// heartbeats.
+	// heartbeats. It is also how long an entry of a draining run that was written before
+	// the drain is ignored.
 	RestoreGrace = 10 * time.Second
 	// removedRetention is how long, at least, the state of a removed upstream is kept. An
 	// upstream whose entry is written again within this time has not restarted.
@@ -52,8 +53,8 @@
 	// this was recorded. It applies whatever their entries contain.
 	leaving map[Run]time.Time
 	// deferred has the entries that are not applied yet: entries of earlier runs that
-	// arrived after those of later runs, and entries of removed upstreams in a store that
-	// was restored from an older copy.
+	// arrived after those of later runs, entries from before a drain that arrived after it,
+	// and entries of removed upstreams in a store that was restored from an older copy.
 	deferred map[string]deferredEntry
 	// set is the last set that was made, and changed has the ids of the upstreams that were
 	// added, changed or removed since.
@@ -67,18 +68,14 @@
 	lastRun
 }
 
-// deferredEntry is an entry that is not applied until a time.
-type deferredEntry struct {
-	registration Registration
-	until        time.Time
-}
-
 // lastRun is the state of an upstream's last run.
 type lastRun struct {
 	run       Run
 	coldUntil time.Time
 	// draining is set if the run was draining.
 	draining bool
+	// sequence is that of the run's latest entry.
+	sequence int64
 	// past are the runs before it.
 	past pastRuns
 }
@@ -96,45 +93,6 @@
 // from now on has just started.
 func (r *Registry) MarkSynced() { r.synced = true }
 
-// Put adds or updates an upstream. If the entry is of an earlier run and may have been
-// delayed, Put defers it until ApplyDeferred and returns false.
-func (r *Registry) Put(in Registration, now time.Time) bool {
-	if r.lastRun(in.ID).past.contains(in.Run()) {
-		r.deferred[in.ID] = deferredEntry{in, now.Add(StaleEntryGrace)}
-		return false
-	}
-	r.put(in, now)
-	return true
-}
-
-// PutReverted is Put for an entry of a store that was restored from an older copy. A run that
-// was draining stays draining. An entry of an earlier run, or of an upstream that was removed
-// since the copy was made, is deferred until ApplyDeferred, because the upstream may have
-// terminated and another upstream may use its address.
-func (r *Registry) PutReverted(in Registration, now time.Time) bool {
-	last := r.lastRun(in.ID)
-	in.Draining = in.Draining || last.run == in.Run() && last.draining
-	_, removed := r.removed[in.ID]
-	if removed || last.past.contains(in.Run()) {
-		r.deferred[in.ID] = deferredEntry{in, now.Add(RestoreGrace)}
-		return false
-	}
-	r.put(in, now)
-	return true
-}
-
-// ApplyDeferred applies the deferred entries whose time has come, and returns them.
-func (r *Registry) ApplyDeferred(now time.Time) []Registration {
-	var applied []Registration
-	for _, e := range r.deferred {
-		if !now.Before(e.until) {
-			r.put(e.registration, now)
-			applied = append(applied, e.registration)
-		}
-	}
-	return applied
-}
-
 // put adds or updates an upstream at once. An entry without a change has no effect, because
 // upstreams write theirs again and again: the set and all that is cached for it stay valid.
 func (r *Registry) put(in Registration, now time.Time) {
@@ -147,6 +105,7 @@
 	in.Draining = in.Draining || r.IsLeaving(run)
 	delete(r.deferred, in.ID)
 	if r.isCurrent(in) {
+		r.upstreams[in.ID] = r.upstreams[in.ID].withSequence(in.Sequence)
 		return
 	}
 	past := last.past.without(run)
@@ -165,7 +124,7 @@
 // remaining time anew with each entry, and one whose entry lapsed has it again.
 func (r *Registry) isCurrent(in Registration) bool {
 	u := r.upstreams[in.ID]
-	return u != nil && u.Registration == in && in.ColdLeft == 0 && u.expiresAt.IsZero()
+	return u != nil && u.Registration.equal(in) && in.ColdLeft == 0 && u.expiresAt.IsZero()
 }
 
 // MarkLeaving marks a run as draining for the rest of the run, whatever its entry contains
--- a/internal/gateway/upstream/registry_test.go
+++ b/internal/gateway/upstream/registry_test.go
@@ -243,6 +243,44 @@
 	require.Empty(t, r.ApplyDeferred(now.Add(upstream.StaleEntryGrace)), "the present run has written again")
 }
 
+// A write of a run before its drain may take effect after the drain was accepted, and must not
+// bring requests back to the run.
+func TestALateEntryFromBeforeADrainDoesNotEndIt(t *testing.T) {
+	now := time.Now()
+	entry := func(sequence int64, isDraining bool) upstream.Registration {
+		in := startedAt("a", 10)
+		in.Sequence, in.Draining = sequence, isDraining
+		return in
+	}
+	for name, between := range map[string]func(*upstream.Registry){
+		"known":     func(*upstream.Registry) {},
+		"deleted":   func(r *upstream.Registry) { r.Remove("a", now, time.Time{}) },
+		"discarded": func(r *upstream.Registry) { r.Discard("a", now) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRegistry()
+			r.Put(entry(4, false), now)
+			require.True(t, r.Put(entry(6, true), now))
+			between(r)
+			require.False(t, r.Put(entry(5, false), now))
+			require.Empty(t, ids(r.Set()))
+			require.Equal(t, upstream.RestoreGrace, r.DeferredFor("a", now))
+			require.True(t, r.Put(entry(7, true), now), "the run writes again")
+			require.Empty(t, ids(r.Set()))
+			require.Empty(t, r.ApplyDeferred(now.Add(upstream.RestoreGrace)))
+			require.True(t, r.Put(entry(8, false), now), "the run says later that it stays")
+			require.Equal(t, []string{"a"}, ids(r.Set()))
+		})
+	}
+	r := newRegistry()
+	r.Put(entry(6, true), now)
+	r.Put(entry(9, true), now)
+	require.False(t, r.Put(entry(8, false), now), "an entry that repeats the drain counts as well")
+	require.Empty(t, r.ApplyDeferred(now.Add(upstream.RestoreGrace-1)))
+	require.Len(t, r.ApplyDeferred(now.Add(upstream.RestoreGrace)), 1, "no entry replaced it")
+	require.Equal(t, []string{"a"}, ids(r.Set()))
+}
+
 // Another writer overwrites an upstream's entry with a valid one, and the upstream writes its
 // own again. This entry must not be ignored permanently as a delayed entry of an earlier run.
 func TestAnEntryOfAnEarlierRunThatStaysIsUsed(t *testing.T) {
--- a/internal/gateway/upstream/upstream.go
+++ b/internal/gateway/upstream/upstream.go
@@ -38,6 +38,15 @@
 	Draining bool
 	// ColdLeft is the remaining time for which the upstream reports to be cold.
 	ColdLeft time.Duration
+	// Sequence counts the entries that the run has written. A write that takes effect late
+	// has a lower one than the entry that it overwrites.
+	Sequence int64
+}
+
+// equal reports whether two entries differ at most in their sequence.
+func (r Registration) equal(other Registration) bool {
+	r.Sequence = other.Sequence
+	return r == other
 }
 
 // Run identifies one run of an upstream's process, from its start to its end. The state that
@@ -78,9 +87,19 @@
 	return u.Registration.Run()
 }
 
+// withSequence returns the upstream with the sequence of a later entry.
+func (u *Upstream) withSequence(sequence int64) *Upstream {
+	if sequence <= u.Sequence {
+		return u
+	}
+	later := *u
+	later.Sequence = sequence
+	return &later
+}
+
 // lastRun returns the state to keep of the upstream's run.
 func (u *Upstream) lastRun() lastRun {
-	return lastRun{run: u.Run(), coldUntil: u.ColdUntil, draining: u.Draining, past: u.past}
+	return lastRun{run: u.Run(), coldUntil: u.ColdUntil, draining: u.Draining, sequence: u.Sequence, past: u.past}
 }
 
 // Seed returns a hash of the id alone, which determines the order of upstreams for a key.
