fleet: count the way of a relayed page in its age

What callers would see: requests to upstreams that leave, or by an old configuration, later than the bound, from hosts whose copy looks recent.

Cause: a host dated a page of a relay from its arrival. All time-outs of a watcher count from that age.

Change: a relay says how long it held a poll. What the poll took beyond that was spent on the way, both ways, and is added to the page's age; a listing adds the time of its further chunks. Hosts of older versions do not say it, and their pages are dated as before.

Left: pages of the store itself.

--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -18,6 +18,9 @@
 	maxRelayWait = 30 * time.Second
 	// backupRelays is how many more peers are polled when the parent and the store fail.
 	backupRelays = 2
+	// maxRelayAge is the age of a page from which on it is not computed exactly. It is far
+	// above any staleness bound.
+	maxRelayAge = time.Hour
 )
 
 // relayRequest polls a peer's replica of a table.
@@ -48,6 +51,18 @@
 	More bool `msgpack:"o,omitempty"`
 	// StoreUnreachable is Status.StoreUnreachable of the peer.
 	StoreUnreachable bool `msgpack:"s,omitempty"`
+	// Held is how long the peer took to respond; nil from hosts of older versions.
+	Held *time.Duration `msgpack:"h,omitempty"`
+}
+
+// age adds to the age of the page the time that the request and the response spent on their way,
+// given how long both took together. It must not be left out: a response that waited would make
+// the replica look younger than it is.
+func (r *relayResponse) age(took time.Duration) {
+	if r.Held == nil || r.Page.Age > maxRelayAge {
+		return
+	}
+	r.Page.Age += max(0, took-*r.Held)
 }
 
 // relay is a source that reads a peer's replica of a table.
@@ -78,6 +93,7 @@
 func (r relay) List(ctx context.Context) (watch.Page, error) {
 	request := relayRequest{Table: r.table, Full: true, Chunk: true}
 	all, err := r.request(ctx, request)
+	began := time.Now()
 	size := sizeOf(all.Page.Rows)
 	for chunks := 1; err == nil && all.More && len(all.Page.Rows) > 0; chunks++ {
 		if chunks >= maxListChunks || size > maxListBytes {
@@ -94,6 +110,9 @@
 		size += sizeOf(next.Page.Rows)
 		all.Page.Rows, all.More = append(all.Page.Rows, next.Page.Rows...), next.More && len(next.Page.Rows) > 0
 	}
+	if all.Page.Age < maxRelayAge {
+		all.Page.Age += time.Since(began)
+	}
 	return all.Page, err
 }
 
@@ -116,10 +135,12 @@
 // request sends a request to the peer. The error is watch.ErrHistoryGone if the peer does not
 // have the requested rows.
 func (r relay) request(ctx context.Context, request relayRequest) (relayResponse, error) {
+	sent := time.Now()
 	response, err := peer.Call[relayResponse](ctx, r.fleet.mesh, r.address, peer.KindChanges, request)
 	if err != nil {
 		return relayResponse{}, eris.Wrap(err, "poll relay")
 	}
+	response.age(time.Since(sent))
 	r.fleet.recordRelay(r.host, response)
 	if response.HistoryGone {
 		return response, watch.ErrHistoryGone
@@ -145,6 +166,7 @@
 
 // readRelay returns the response to a peer's poll.
 func (f *Fleet) readRelay(ctx context.Context, request relayRequest) (relayResponse, error) {
+	began := time.Now()
 	if f.storeUnreachable() {
 		request.Wait = min(request.Wait, maxUnreachableWait)
 	}
@@ -153,7 +175,7 @@
 	if err != nil && !gone {
 		return relayResponse{}, err
 	}
-	return relayResponse{Page: page, HistoryGone: gone, More: more, StoreUnreachable: f.storeUnreachable()}, nil
+	return relayResponse{Page: page, HistoryGone: gone, More: more, StoreUnreachable: f.storeUnreachable(), Held: new(time.Since(began))}, nil
 }
 
 // read returns the rows that are requested. more is set if a chunk is not the last one.
