--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -18,8 +18,9 @@
 	maxRelayWait = 30 * time.Second
 	// backupRelays is how many more peers are polled when the parent and the store fail.
 	backupRelays = 2
-	// maxRelayAge is the age of a page from which on it is not computed exactly. It is far
-	// above any staleness bound.
+	// maxRelayAge is the age from which on nothing is added to the age of a page. It is far
+	// above any staleness bound, and far below the age of a replica that the store has never
+	// confirmed, which must not overflow.
 	maxRelayAge = time.Hour
 )
 
@@ -55,14 +56,20 @@
 	Held *time.Duration `msgpack:"h,omitempty"`
 }
 
-// age adds to the age of the page the time that the request and the response spent on their way,
-// given how long both took together. It must not be left out: a response that waited would make
-// the replica look younger than it is.
-func (r *relayResponse) age(took time.Duration) {
-	if r.Held == nil || r.Page.Age > maxRelayAge {
-		return
+// addTransit adds to the age of the page what the request and the response spent on their way, of
+// the time that the poll took. Without it a response that waited would make the replica look
+// younger than it is.
+func (r *relayResponse) addTransit(took time.Duration) {
+	if r.Held != nil {
+		r.addAge(max(0, took-*r.Held))
+	}
+}
+
+// addAge adds to the age of the page.
+func (r *relayResponse) addAge(d time.Duration) {
+	if r.Page.Age < maxRelayAge {
+		r.Page.Age += d
 	}
-	r.Page.Age += max(0, took-*r.Held)
 }
 
 // relay is a source that reads a peer's replica of a table.
@@ -110,9 +117,7 @@
 		size += sizeOf(next.Page.Rows)
 		all.Page.Rows, all.More = append(all.Page.Rows, next.Page.Rows...), next.More && len(next.Page.Rows) > 0
 	}
-	if all.Page.Age < maxRelayAge {
-		all.Page.Age += time.Since(began)
-	}
+	all.addAge(time.Since(began))
 	return all.Page, err
 }
 
@@ -140,7 +145,7 @@
 	if err != nil {
 		return relayResponse{}, eris.Wrap(err, "poll relay")
 	}
-	response.age(time.Since(sent))
+	response.addTransit(time.Since(sent))
 	r.fleet.recordRelay(r.host, response)
 	if response.HistoryGone {
 		return response, watch.ErrHistoryGone
