fleet: count negative times of a peer's relay response as zero

Cause: the age of a relayed page and how long a peer held the poll come from another process and were not checked. A held time near the lowest value overflowed, so that nothing was added; with a high negative one the age itself could become negative, and a copy would look confirmed in the future.

Change: both count as zero if they are negative. That a host is behind has one error in place of two with the same text.

Evidence: without the bounds FuzzPeerMessages fails at a seed and TestTheAgeOfARelayedPageIncludesItsTransit in the case of a negative time (1 s, 1.1 s asked for); with them both pass.

--- a/internal/gateway/fleet/fuzz_test.go
+++ b/internal/gateway/fleet/fuzz_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -29,6 +30,8 @@
 		}}}},
 		rollout.Reply{"s": {Order: 7, Suspend: true, Slow: map[string]time.Duration{"r": -1}}},
 		relayResponse{Page: watch.Page{Rows: []watch.Row{{Key: "k", Value: []byte("x"), Compressed: true}}, Version: watch.Version{Number: -1}}},
+		relayResponse{Page: watch.Page{Age: -time.Second}, Held: new(time.Duration(math.MinInt64))},
+		relayResponse{Page: watch.Page{Age: maxRelayAge - 1}, Held: new(-time.Duration(math.MaxInt64 - 1))},
 	} {
 		text, err := msgpack.Marshal(message)
 		require.NoError(f, err)
@@ -62,6 +65,10 @@
 			for _, row := range r.Page.Rows {
 				_, _ = row.Bytes()
 			}
+			before := max(0, r.Page.Age)
+			r.addTransit(time.Minute)
+			require.GreaterOrEqual(t, r.Page.Age, before)
+			require.LessOrEqual(t, r.Page.Age-before, time.Minute)
 		}
 	})
 }
--- a/internal/gateway/fleet/relay.go
+++ b/internal/gateway/fleet/relay.go
@@ -58,10 +58,11 @@
 
 // addTransit adds to the age of the page what the request and the response spent on their way, of
 // the time that the poll took. Without it a response that waited would make the replica look
-// younger than it is.
+// younger than it is. Negative times of a faulty peer count as zero, because they could overflow.
 func (r *relayResponse) addTransit(took time.Duration) {
+	r.Page.Age = max(0, r.Page.Age)
 	if r.Held != nil {
-		r.addAge(max(0, took-*r.Held))
+		r.addAge(max(0, took-max(0, *r.Held)))
 	}
 }
 
--- a/internal/gateway/fleet/relayage_test.go
+++ b/internal/gateway/fleet/relayage_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"sync/atomic"
 	"testing"
@@ -46,6 +47,7 @@
 		"a listing":              {&slowRelay{held: new(time.Duration(0)), chunks: 1}, true, relayedAge + transit},
 		"a listing in chunks":    {&slowRelay{held: new(time.Duration(0)), chunks: 3}, true, relayedAge + 3*transit},
 		"an older version":       {&slowRelay{}, false, relayedAge},
+		"a negative time":        {&slowRelay{held: new(time.Duration(math.MinInt64))}, false, relayedAge + transit},
 	} {
 		t.Run(name, func(t *testing.T) {
 			mesh := peer.NewMesh(peer.Hello{Host: "c"}, peer.TCP((&net.Dialer{}).DialContext), c.relay)
--- a/internal/gateway/fleet/wire_test.go
+++ b/internal/gateway/fleet/wire_test.go
@@ -114,9 +114,15 @@
 				},
 				HistoryGone: true,
 			},
-			decode: decodeAs[relayResponse],
+			decode: decodeAs[relayResponse], // as hosts send it that do not know Held and StoreUnreachable
 			golden: "82a17084a1729185a16ba36b2d31a176c40576616c7565a172ce00011170a167c3a170c3a16502a176ce00011171a161ce0ee6b280a167c3",
 		},
+		{
+			name:   "response with the time that the peer held the request",
+			value:  relayResponse{Page: watch.Page{Version: watch.Version{Number: 7}}, StoreUnreachable: true, Held: new(250 * time.Millisecond)},
+			decode: decodeAs[relayResponse],
+			golden: "83a17081a17607a173c3a168ce0ee6b280",
+		},
 		{
 			name:   "response without optional fields",
 			value:  relayResponse{Page: watch.Page{Version: watch.Version{Number: 7}}},
--- a/internal/gateway/watch/staleness.go
+++ b/internal/gateway/watch/staleness.go
@@ -128,7 +128,7 @@
 		return eris.Errorf("relay is at version %s, older than the known version %s", p.Version, version)
 	}
 	if behind {
-		return eris.New("other hosts have newer changes")
+		return errBehind
 	}
 	return nil
 }
--- a/internal/gateway/watch/watcher.go
+++ b/internal/gateway/watch/watcher.go
@@ -27,7 +27,7 @@
 var errListDeferred = eris.New("listing is deferred")
 
 // errSuperseded reports that a long poll was ended in favor of a better source, and errBehind that
-// it was ended because the host had fallen behind.
+// a source did not keep the host from falling behind.
 var (
 	errSuperseded = eris.New("a better source may be polled")
 	errBehind     = eris.New("other hosts have newer changes")
