--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,7 +24,8 @@
 )
 
 var cases = map[string]func(dir string, trouble bool, r *record) (int, error){
-	"uploads": uploads,
+	"uploads":    uploads,
+	"hot-tenant": hotTenant,
 }
 
 func main() {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -89,6 +89,9 @@
 apply_within = "2000ms"
 drain_within = "2000ms"
 evacuate_within = "5000ms"
+quota_window = "5s"
+quota_overshoot = 0.1
+quota_slack = 20
 [stop]
 grace = "6s"
 `
