--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(dir string, trouble bool, r *record) (int, error){
 	"uploads":    uploads,
 	"hot-tenant": hotTenant,
+	"moved-key":  movedKey,
 }
 
 func main() {
