--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -27,6 +27,7 @@
 	"uploads":    uploads,
 	"hot-tenant": hotTenant,
 	"moved-key":  movedKey,
+	"turn-cold":  turnCold,
 }
 
 func main() {
--- a/review/standin-2/world.go
+++ b/review/standin-2/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -37,9 +38,11 @@
 	fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// freeAddress returns a loopback address that nobody listens at.
+// freeAddress returns a loopback address that nobody listens at. Its IP address is not the one from
+// which connections are made, so that none of them takes its port meanwhile.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ip := net.IPv4(127, byte(1+rand.IntN(250)), byte(rand.IntN(250)), byte(1+rand.IntN(250)))
+	l, err := net.Listen("tcp", net.JoinHostPort(ip.String(), "0"))
 	if err != nil {
 		panic(err)
 	}
@@ -160,7 +163,8 @@
 			return nil
 		}
 	}
-	return fmt.Errorf("%s was not ready within %s", h.name, limit)
+	log, _ := os.ReadFile(h.settings + ".log")
+	return fmt.Errorf("%s was not ready within %s; its log ends with %s", h.name, limit, log[max(0, len(log)-2000):])
 }
 
 // platform starts the stand-in for the platform's store, which is the project's own.
